Lay down verdict, events, blackboard and interfaces

Cause: the parts are built side by side and need one vocabulary. Conclusion: parts can start from these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+SEED ?= 1
+RUNS ?= 200
+PY := $(VENV)/bin/python
+export PYTHONPATH := $(CURDIR)/src
+
+.PHONY: install test lint demo bench bench-requests bench-detection bench-table \
+	bench-control check-histories
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	test -d $(VENV) || $(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+lint: install
+	$(VENV)/bin/ruff format --check src features benchmarks
+	$(VENV)/bin/ruff check src features benchmarks
+
+test: install
+	PY=$(PY) sh .ci/test.sh
+
+demo: install
+	SEED=$(SEED) VENV=$(VENV) sh examples/demo.sh
+
+check-histories: install
+	$(PY) -m benchmarks.check_histories --seed=$(SEED) --runs=$(RUNS)
+
+bench: bench-requests bench-detection bench-table bench-control
+
+bench-%: install
+	$(PY) -m benchmarks.$* --seed=$(SEED)
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each writes a table under docs/measurements."""
--- /dev/null
+++ b/src/wagtailstep/__init__.py
@@ -0,0 +1,1 @@
+"""wagtailstep: a proxy fleet for backend servers with gray failures."""
--- /dev/null
+++ b/src/wagtailstep/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the installed programs: arguments in, exit code out."""
--- /dev/null
+++ b/src/wagtailstep/commands/__init__.py
@@ -0,0 +1,1 @@
+"""What the programs do, apart from reading their arguments."""
--- /dev/null
+++ b/src/wagtailstep/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions. A controller does no I/O: events in, effects out."""
--- /dev/null
+++ b/src/wagtailstep/exceptions.py
@@ -0,0 +1,154 @@
+"""The family of errors. Each says what happened and what to do about it."""
+
+from datetime import timedelta
+
+from wagtailstep.models.verdict import Verdict
+
+
+class WagtailstepError(Exception):
+    """Base class of all errors of this package."""
+
+
+class SettingsError(WagtailstepError):
+    """A setting or argument is wrong; the message names key, value and allowed."""
+
+
+class DecodeError(WagtailstepError):
+    """Bytes from a peer or from the log are not a known message."""
+
+
+class LogError(WagtailstepError):
+    """Base class of errors of the log service."""
+
+
+class LogUnavailableError(LogError):
+    """The log service could not be reached; an append certainly had no effect."""
+
+
+class AppendUnknownError(LogError):
+    """An append was sent and not acknowledged; it may have taken effect."""
+
+
+class RecordExpiredError(LogError):
+    """The offset asked for lies before the oldest retained record.
+
+    :param oldest: the oldest offset that can still be read.
+    """
+
+    def __init__(self, oldest: int) -> None:
+        super().__init__(f"records before offset {oldest} are no longer retained")
+        self.oldest = oldest
+
+
+class RequestError(WagtailstepError):
+    """A request ended without an answer of a backend server.
+
+    :param message: what happened and what the caller can do.
+    :param verdict: whether a backend server may have run the request.
+    :param status: HTTP status code for the caller.
+    :param retry_after: when the caller may come back, or ``None``.
+    """
+
+    status = 502
+    reason = "request-failed"
+
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        status: int | None = None,
+        retry_after: timedelta | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.verdict = verdict
+        self.retry_after = retry_after
+        if status is not None:
+            self.status = status
+
+
+class BadRequestError(RequestError):
+    """The request itself is wrong; resending it unchanged is useless."""
+
+    status = 400
+    reason = "bad-request"
+
+    def __init__(self, message: str, status: int | None = None) -> None:
+        super().__init__(message, Verdict.NOT_RUN, status)
+
+
+class OverloadedError(RequestError):
+    """A limit was reached and the request was refused before it ran."""
+
+    status = 503
+    reason = "overloaded"
+
+    def __init__(
+        self, message: str, retry_after: timedelta, status: int | None = None
+    ) -> None:
+        super().__init__(message, Verdict.NOT_RUN, status, retry_after)
+
+
+class LeavingError(RequestError):
+    """The backend server or daemon is leaving and takes no new request."""
+
+    status = 503
+    reason = "leaving"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
+
+
+class NoTargetError(RequestError):
+    """No backend server of the service can take the request now."""
+
+    status = 503
+    reason = "no-target"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
+
+
+class ConnectionFailedError(RequestError):
+    """A connection could not be used; the verdict says if bytes had been sent."""
+
+    status = 502
+    reason = "connection-failed"
+
+
+class TruncatedAnswerError(RequestError):
+    """The answer ended before it was whole."""
+
+    status = 502
+    reason = "truncated-answer"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Verdict.MAY_HAVE_RUN)
+
+
+class DeadlineExceededError(RequestError):
+    """The time that the caller allowed has passed."""
+
+    status = 504
+    reason = "deadline-exceeded"
+
+
+class DuplicateRequestError(RequestError):
+    """A request with the same idempotency key or ticket was accepted before."""
+
+    status = 409
+    reason = "duplicate"
+
+
+class TableError(WagtailstepError):
+    """An edit of the table is wrong; the message names row, column and allowed."""
+
+
+class TableConflictError(TableError):
+    """Another edit changed the same row first.
+
+    :param winner: identifier of the edit that was accepted before this one.
+    """
+
+    def __init__(self, message: str, winner: str) -> None:
+        super().__init__(message)
+        self.winner = winner
--- /dev/null
+++ b/src/wagtailstep/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the log service and the backend servers."""
--- /dev/null
+++ b/src/wagtailstep/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data that the layers share: settings, table, requests, events, effects."""
--- /dev/null
+++ b/src/wagtailstep/models/blackboard.py
@@ -0,0 +1,62 @@
+"""What one daemon knows. Controllers read and write it; nobody else writes."""
+
+import attrs
+
+from wagtailstep.models.fleet import Member, Target, TargetHealth
+from wagtailstep.models.table import Table
+
+
+@attrs.define
+class InFlight:
+    """Requests of this daemon's entry that have not ended, by what they use.
+
+    :param by_target: attempts by ``target_id``.
+    :param by_service: requests by service.
+    :param by_route: requests by ``service/route``.
+    """
+
+    by_target: dict[str, int] = attrs.field(factory=dict)
+    by_service: dict[str, int] = attrs.field(factory=dict)
+    by_route: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Blackboard:
+    """The shared state of one daemon.
+
+    Each field names the one controller that writes it.
+
+    :param this_member: this daemon; written by the membership controller.
+    :param table: the table in force; written by the table controller.
+    :param members: known daemons by ``daemon_id``, this one too; written by the
+        membership controller.
+    :param targets: known targets by ``target_id``; written by the dissemination
+        controller.
+    :param local_targets: ``target_id`` of backend servers beside this daemon;
+        written by the announcement controller.
+    :param health: judgement by ``target_id``; written by the evidence controller.
+    :param ejected: ``target_id`` of targets out of service fleet-wide; written by
+        the ejection controller, from the log's order.
+    :param wanted_services: services that callers asked this daemon for; written
+        by the routing controller.
+    :param in_flight: written by the routing controller.
+    :param log_reachable: written by the runtime.
+    :param draining: whether this daemon is shutting down; written by the runtime.
+    """
+
+    this_member: Member
+    table: Table = attrs.field(factory=Table)
+    members: dict[str, Member] = attrs.field(factory=dict)
+    targets: dict[str, Target] = attrs.field(factory=dict)
+    local_targets: set[str] = attrs.field(factory=set)
+    health: dict[str, TargetHealth] = attrs.field(factory=dict)
+    ejected: set[str] = attrs.field(factory=set)
+    wanted_services: set[str] = attrs.field(factory=set)
+    in_flight: InFlight = attrs.field(factory=InFlight)
+    log_reachable: bool = False
+    draining: bool = False
+
+    def targets_of(self, service: str) -> list[Target]:
+        """Return all known targets of a service, in the order of their names."""
+        found = [t for t in self.targets.values() if t.service == service]
+        return sorted(found, key=lambda target: target.target_id)
--- /dev/null
+++ b/src/wagtailstep/models/fleet.py
@@ -0,0 +1,84 @@
+"""Daemons and backend servers as the fleet knows them."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+
+class TargetState(enum.Enum):
+    """Where a backend server is between its start and its end."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@attrs.frozen
+class Target:
+    """One backend server of one service.
+
+    :param target_id: ``service/host:port`` of the backend server; unique.
+    :param service: name of the service.
+    :param daemon_id: identifier of the daemon (gate) beside it.
+    :param availability_zone: availability zone of the instance.
+    :param slots: requests that it runs at the same time.
+    :param state: where it is between start and end.
+    :param incarnation: rises with each announcement after a restart.
+    """
+
+    target_id: str
+    service: str
+    daemon_id: str
+    availability_zone: str
+    slots: int = 4
+    state: TargetState = TargetState.SERVING
+    incarnation: int = 0
+
+
+class MemberState(enum.Enum):
+    """What this daemon believes of another daemon."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
+@attrs.frozen
+class Member:
+    """One daemon.
+
+    :param daemon_id: unique name of the daemon, from its settings.
+    :param incarnation: rises with each restart and each refuted suspicion.
+    :param peer_address: ``host:port`` of its control channel (ZeroMQ).
+    :param gate_address: ``host:port`` where it takes requests of other daemons.
+    :param availability_zone: its availability zone, from its settings.
+    :param services: services whose targets it serves or asks for.
+    :param state: what this daemon believes of it.
+    """
+
+    daemon_id: str
+    incarnation: int
+    peer_address: str
+    gate_address: str
+    availability_zone: str
+    services: tuple[str, ...] = ()
+    state: MemberState = MemberState.ALIVE
+
+
+@attrs.define
+class TargetHealth:
+    """Judgement of one target by this daemon, read by the routing controller.
+
+    :param penalty: factor of at least 1 on the cost of picking the target; 1 is
+        a target in good standing.
+    :param latency: typical time to a whole answer; ``None`` before the first one.
+    :param steer_away: whether local picks avoid it, as far as the floor permits.
+    :param ramp: share of its weight in use during slow start, from 0 to 1.
+    """
+
+    penalty: float = 1.0
+    latency: timedelta | None = None
+    steer_away: bool = False
+    ramp: float = 1.0
--- /dev/null
+++ b/src/wagtailstep/models/headers.py
@@ -0,0 +1,46 @@
+"""Names of the HTTP headers that carry a request through the fleet."""
+
+from collections.abc import Iterable
+
+SERVICE = "wagtailstep-service"
+ROUTE = "wagtailstep-route"
+ACCOUNT = "wagtailstep-account"
+IDEMPOTENT = "wagtailstep-idempotent"
+TIMEOUT_MS = "wagtailstep-timeout-ms"
+VERDICT = "wagtailstep-verdict"
+REQUEST_ID = "wagtailstep-request-id"
+TARGET = "wagtailstep-target"
+REASON = "wagtailstep-reason"
+QUEUEING_MS = "wagtailstep-queueing-ms"
+LOAD = "wagtailstep-load"
+IDEMPOTENCY_KEY = "idempotency-key"
+RETRY_AFTER = "retry-after"
+TRACEPARENT = "traceparent"
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+
+# RFC 9110 section 7.6.1: these belong to one connection and are never passed on.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+Headers = tuple[tuple[str, str], ...]
+
+
+def find_header(headers: Iterable[tuple[str, str]], name: str) -> str | None:
+    """Return the value of the first header of a name, or ``None``.
+
+    :param headers: pairs of lower-case name and value.
+    :param name: name in lower case.
+    """
+    return next((value for key, value in headers if key == name), None)
--- /dev/null
+++ b/src/wagtailstep/models/request.py
@@ -0,0 +1,67 @@
+"""A request on its way through the fleet, and how an attempt at it ended."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.models.verdict import Verdict
+
+
+@attrs.frozen
+class RequestContext:
+    """What the fleet knows of a request, apart from its body.
+
+    :param request_id: unique identifier, made by the first daemon.
+    :param service: name of the service asked for.
+    :param route: name of the route; limits and stragglers are judged per route.
+    :param account: client account, or an empty string.
+    :param method: HTTP method in capitals.
+    :param path: path and query string for the backend server.
+    :param idempotent: whether running it twice does no harm.
+    :param idempotency_key: the caller's key or ticket, or ``None``.
+    :param deadline: monotonic time of this daemon's clock when it must have ended.
+    """
+
+    request_id: str
+    service: str
+    route: str
+    account: str
+    method: str
+    path: str
+    idempotent: bool
+    idempotency_key: str | None
+    deadline: timedelta
+
+
+class Blame(enum.Enum):
+    """What an outcome speaks against."""
+
+    NONE = "none"
+    BACKEND_SERVER = "backend-server"
+    PATH = "path"
+    CONNECTION = "connection"
+    CALLER = "caller"
+    OVERLOAD = "overload"
+
+
+@attrs.frozen
+class RequestOutcome:
+    """How one attempt at a request ended, as an event for the controllers.
+
+    :param request: the request.
+    :param target_id: the target that was tried.
+    :param verdict: whether the backend server may have run it.
+    :param status: HTTP status of the answer, or ``None`` if there was none.
+    :param blame: what the outcome speaks against.
+    :param latency: time from sending to the head of the answer or the failure.
+    :param queueing: part of ``latency`` spent waiting for a slot at the gate.
+    """
+
+    request: RequestContext
+    target_id: str
+    verdict: Verdict
+    status: int | None
+    blame: Blame
+    latency: timedelta
+    queueing: timedelta = timedelta()
--- /dev/null
+++ b/src/wagtailstep/network/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between the outside and the controllers."""
--- /dev/null
+++ b/src/wagtailstep/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that know nothing of the proxy."""
--- /dev/null
+++ b/src/wagtailstep/utils/codec.py
@@ -0,0 +1,55 @@
+"""Encoding of messages between daemons and of records in the log.
+
+A message is an attrs class that was registered with :func:`message`. On the wire
+it is a MessagePack pair of the class name and the fields.
+"""
+
+from typing import Any, TypeVar
+
+import msgspec
+
+from wagtailstep.exceptions import DecodeError
+
+_T = TypeVar("_T", bound=type)
+_MESSAGE_TYPES: dict[str, type] = {}
+
+
+class _Envelope(msgspec.Struct, array_like=True):
+    name: str
+    fields: msgspec.Raw
+
+
+def message(cls: _T) -> _T:
+    """Register an attrs class as a message; use as a class decorator.
+
+    :raises ValueError: if another class of the same name is registered.
+    """
+    if cls.__name__ in _MESSAGE_TYPES:
+        raise ValueError(f"two messages are named {cls.__name__}")
+    _MESSAGE_TYPES[cls.__name__] = cls
+    return cls
+
+
+def encode_message(value: Any) -> bytes:
+    """Encode a registered message.
+
+    :raises TypeError: if the class of ``value`` is not registered.
+    """
+    name = type(value).__name__
+    if _MESSAGE_TYPES.get(name) is not type(value):
+        raise TypeError(f"{name} is not a registered message")
+    fields = msgspec.Raw(msgspec.msgpack.encode(value))
+    return msgspec.msgpack.encode(_Envelope(name, fields))
+
+
+def decode_message(data: bytes) -> Any:
+    """Decode what :func:`encode_message` made.
+
+    :raises DecodeError: if the bytes are not a registered message.
+    """
+    try:
+        envelope = msgspec.msgpack.decode(data, type=_Envelope)
+        cls = _MESSAGE_TYPES[envelope.name]
+        return msgspec.msgpack.decode(envelope.fields, type=cls)
+    except (KeyError, msgspec.MsgspecError) as error:
+        raise DecodeError(f"not a known message: {error}") from error
