--- /dev/null
+++ b/src/wagtailstep/cli/run.py
@@ -0,0 +1,106 @@
+"""Shared glue of all programs: run a command, turn errors into exit codes."""
+
+import contextlib
+import functools
+import io
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import fire
+from fire.core import FireExit
+
+from wagtailstep.cli import status_codes
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    SettingsError,
+    TableError,
+    WagtailstepError,
+)
+
+Command = Callable[..., int | None]
+
+_EXIT_CODES: tuple[tuple[type[WagtailstepError], int], ...] = (
+    (SettingsError, status_codes.USAGE),
+    (TableError, status_codes.REFUSED),
+    (AppendUnknownError, status_codes.UNKNOWN),
+    (WagtailstepError, status_codes.ERROR),
+)
+
+
+def exit_code_of(error: WagtailstepError) -> int:
+    """Return the exit code that an error stands for."""
+    return next(code for kind, code in _EXIT_CODES if isinstance(error, kind))
+
+
+def print_error(message: str) -> None:
+    """Print one line to standard error."""
+    line = " ".join(message.split())
+    print(f"error: {line}", file=sys.stderr)
+
+
+def run_program(commands: dict[str, Command] | Command, name: str) -> int:
+    """Run the command that the arguments of the process name.
+
+    A command returns its exit code, or ``None`` for success. It raises a
+    :class:`WagtailstepError` for what the operator can mend.
+
+    :param commands: a function, or functions by the names of the commands.
+    :param name: name of the program.
+    :return: the exit code; 2 for a wrong argument, and then nothing was run.
+    """
+    try:
+        call = _parse_arguments(commands, name)
+        return call() or status_codes.SUCCESS
+    except FireExit as stop:
+        return stop.code
+    except WagtailstepError as error:
+        print_error(str(error))
+        return exit_code_of(error)
+    except KeyboardInterrupt:
+        return status_codes.ERROR
+
+
+def _parse_arguments(
+    commands: dict[str, Command] | Command, name: str
+) -> Callable[[], int | None]:
+    """Let Fire choose and bind the command, without running it yet.
+
+    Fire calls a function before it complains about arguments that it could not
+    use, so the functions that it sees only keep their arguments.
+
+    :raises SettingsError: if an argument is wrong.
+    :raises FireExit: after the help text was shown.
+    """
+    calls: list[Callable[[], int | None]] = []
+    messages = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(messages):
+            fire.Fire(_defer_all(commands, calls), name=name, serialize=lambda _: "")
+    except FireExit as stop:
+        if stop.code == 0:
+            raise
+        problem = stop.trace.elements[-1].ErrorAsStr()
+        raise SettingsError(f"{problem}; see {name} --help") from stop
+    if not calls:
+        raise SettingsError(f"no command was given; see {name} --help")
+    return calls[0]
+
+
+def _defer_all(
+    commands: dict[str, Command] | Command, calls: list[Callable[[], int | None]]
+) -> Any:
+    if callable(commands):
+        return _defer(commands, calls)
+    return {name: _defer(command, calls) for name, command in commands.items()}
+
+
+def _defer(
+    command: Command, calls: list[Callable[[], int | None]]
+) -> Callable[..., None]:
+    # Fire reads the signature and the doc comment through the wrapper.
+    @functools.wraps(command)
+    def keep_arguments(*args: Any, **kwargs: Any) -> None:
+        calls.append(functools.partial(command, *args, **kwargs))
+
+    return keep_arguments
