--- a/src/wagtailstep/cli/run.py
+++ b/src/wagtailstep/cli/run.py
@@ -76,9 +76,10 @@
     messages = io.StringIO()
     try:
         with contextlib.redirect_stderr(messages):
-            fire.Fire(_defer_all(commands, calls), name=name, serialize=lambda _: "")
+            fire.Fire(_defer_all(commands, calls), name=name, serialize=_print_none)
     except FireExit as stop:
         if stop.code == 0:
+            print(messages.getvalue(), file=sys.stderr)
             raise
         problem = stop.trace.elements[-1].ErrorAsStr()
         raise SettingsError(f"{problem}; see {name} --help") from stop
@@ -87,6 +88,10 @@
     return calls[0]
 
 
+def _print_none(_result: Any) -> None:
+    return None
+
+
 def _defer_all(
     commands: dict[str, Command] | Command, calls: list[Callable[[], int | None]]
 ) -> Any:
