--- /dev/null
+++ b/src/wagtailstep/fakes/log_service.py
@@ -0,0 +1,166 @@
+"""A stand-in for the platform's log service, in memory, with faults on demand."""
+
+import asyncio
+import collections
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RecordExpiredError,
+)
+from wagtailstep.models.log import LogBatch, LogRecord, LogService
+from wagtailstep.utils.clock import Clock
+
+APPEND_WINDOW_S = 1.0
+
+
+@attrs.define
+class LogFaults:
+    """What is wrong with the stand-in now.
+
+    :param away: whether calls are refused without effect.
+    :param silent: whether calls have no effect and no answer.
+    :param delay_ms: how long each call takes.
+    :param lost_acknowledgments: how many of the next appends take effect without
+        an acknowledgment.
+    :param retention_s: records older than this expire; 0 is never.
+    :param retention_records: records retained in a stream; 0 is all.
+    :param appends_per_s: appends allowed in one second; 0 is any number.
+    """
+
+    away: bool = False
+    silent: bool = False
+    delay_ms: int = 0
+    lost_acknowledgments: int = 0
+    retention_s: float = 0.0
+    retention_records: int = 0
+    appends_per_s: int = 0
+
+
+@attrs.define
+class StoredRecord:
+    """One record of the stand-in.
+
+    :param appended_at: monotonic time of the append.
+    """
+
+    record: LogRecord
+    appended_at: timedelta
+
+
+@attrs.define
+class Stream:
+    """One stream: its retained records and the offset of the next one."""
+
+    records: collections.deque[StoredRecord] = attrs.field(factory=collections.deque)
+    next_offset: int = 0
+
+    @property
+    def oldest_offset(self) -> int:
+        """Return the oldest retained offset, or the next one of an empty stream."""
+        if self.records:
+            return self.records[0].record.offset
+        return self.next_offset
+
+
+class InMemoryLogService(LogService):
+    """Streams in memory behind the interface of the log service.
+
+    :param clock: decides when records expire and how fast appends come.
+    :param faults: what is wrong; may be changed at any time.
+    """
+
+    def __init__(self, clock: Clock, faults: LogFaults | None = None) -> None:
+        self.clock = clock
+        self.faults = faults or LogFaults()
+        self.streams: dict[str, Stream] = collections.defaultdict(Stream)
+        self.recent_appends: collections.deque[timedelta] = collections.deque()
+        self.append_count = 0
+        self.read_count = 0
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append one record; see :meth:`LogService.append`."""
+        await self.delay()
+        self.check_away()
+        self.check_rate()
+        if self.faults.silent:
+            raise AppendUnknownError("the append was not acknowledged")
+        offset = self.store(stream, data)
+        if self.faults.lost_acknowledgments > 0:
+            self.faults.lost_acknowledgments -= 1
+            raise AppendUnknownError("the acknowledgment of the append was lost")
+        return offset
+
+    async def read(self, stream: str, offset: int, limit: int = 1000) -> LogBatch:
+        """Read records; see :meth:`LogService.read`."""
+        await self.delay()
+        self.check_away(reading=True)
+        self.read_count += 1
+        found = self.expire(stream)
+        oldest = found.oldest_offset
+        if offset < oldest:
+            raise RecordExpiredError(oldest)
+        first = offset - oldest
+        last = min(first + limit, len(found.records))
+        records = tuple(found.records[i].record for i in range(first, last))
+        return LogBatch(records, offset + len(records), oldest)
+
+    async def oldest_offset(self, stream: str) -> int:
+        """Return the oldest offset; see :meth:`LogService.oldest_offset`."""
+        await self.delay()
+        self.check_away(reading=True)
+        return self.expire(stream).oldest_offset
+
+    async def delay(self) -> None:
+        """Wait as long as the faults say."""
+        if self.faults.delay_ms:
+            await asyncio.sleep(self.faults.delay_ms / 1000)
+
+    def check_away(self, reading: bool = False) -> None:
+        """Refuse a call while the service is away.
+
+        :raises LogUnavailableError: if it is away.
+        """
+        if self.faults.away or (reading and self.faults.silent):
+            raise LogUnavailableError("the log service is away")
+
+    def check_rate(self) -> None:
+        """Refuse an append beyond the allowed rate.
+
+        :raises LogUnavailableError: if there were too many in the last second.
+        """
+        now = self.clock.monotonic()
+        window = timedelta(seconds=APPEND_WINDOW_S)
+        recent = self.recent_appends
+        while recent and recent[0] <= now - window:
+            recent.popleft()
+        limit = self.faults.appends_per_s
+        if limit and len(recent) >= limit:
+            raise LogUnavailableError(f"more than {limit} appends in a second")
+        recent.append(now)
+
+    def store(self, name: str, data: bytes) -> int:
+        """Add a record to a stream and return its offset."""
+        stream = self.streams[name]
+        record = LogRecord(stream.next_offset, data)
+        stream.records.append(StoredRecord(record, self.clock.monotonic()))
+        stream.next_offset += 1
+        self.append_count += 1
+        self.expire(name)
+        return record.offset
+
+    def expire(self, name: str) -> Stream:
+        """Drop what is no longer retained and return the stream."""
+        stream = self.streams[name]
+        faults = self.faults
+        if faults.retention_records:
+            while len(stream.records) > faults.retention_records:
+                stream.records.popleft()
+        if faults.retention_s:
+            limit = self.clock.monotonic() - timedelta(seconds=faults.retention_s)
+            while stream.records and stream.records[0].appended_at < limit:
+                stream.records.popleft()
+        return stream
