--- /dev/null
+++ b/src/wagtailstep/commands/table_cells.py
@@ -0,0 +1,89 @@
+"""Cells of the table as text, for spreadsheets and the command line."""
+
+import enum
+from typing import Any
+
+import attrs
+
+from wagtailstep.exceptions import SettingsError, TableError
+from wagtailstep.models.table import Row, RowKind
+from wagtailstep.models.table_edits import RowId
+from wagtailstep.models.table_rules import check_row
+
+
+class CellError(SettingsError):
+    """A cell can't be read; found before anything was appended."""
+
+
+def format_cell(value: Any) -> str:
+    """Write the value of a column as text."""
+    if isinstance(value, enum.Enum):
+        return str(value.value)
+    return f"{value:.12g}" if isinstance(value, float) else str(value)
+
+
+def parse_cell(row_id: RowId, column: attrs.Attribute, text: str) -> Any:
+    """Read the value of a column from text.
+
+    :raises CellError: naming row, column, value and what is allowed.
+    """
+    kind = column.type
+    try:
+        return kind(text.strip())
+    except ValueError as error:
+        raise CellError(
+            f"row {row_id}, column {column.name}: {text!r} is not allowed, "
+            f"allowed is {_describe_type(kind)}"
+        ) from error
+
+
+def _describe_type(kind: type) -> str:
+    if issubclass(kind, enum.Enum):
+        return " or ".join(member.value for member in kind)
+    return "a whole number" if kind is int else "a number"
+
+
+def parse_kind(text: str) -> RowKind:
+    """Read the kind of a row.
+
+    :raises CellError: if there is no such kind.
+    """
+    try:
+        return RowKind(text.strip())
+    except ValueError as error:
+        allowed = ", ".join(kind.value for kind in RowKind)
+        raise CellError(
+            f"kind: {text!r} is not allowed, allowed is {allowed}"
+        ) from error
+
+
+def make_row(row_id: RowId, cells: dict[str, str], base: Row | None = None) -> Row:
+    """Make a row from texts by column names; an empty text is the default.
+
+    :param base: gives the columns that ``cells`` does not name.
+    :raises CellError: if a column is unknown or a value not allowed.
+    """
+    columns = {column.name: column for column in row_id.kind.columns}
+    values: dict[str, Any] = {}
+    for name, text in cells.items():
+        if name not in columns:
+            allowed = ", ".join(columns)
+            raise CellError(
+                f"row {row_id}, column {name}: unknown for this kind with value "
+                f"{text!r}, allowed is {allowed}"
+            )
+        column = columns[name]
+        empty = not text.strip()
+        values[name] = column.default if empty else parse_cell(row_id, column, text)
+    row = row_id.kind.row_type(row_id.key) if base is None else base
+    made = attrs.evolve(row, **values)
+    try:
+        check_row(row_id, made)
+    except TableError as error:
+        raise CellError(str(error)) from error
+    return made
+
+
+def format_row(kind: RowKind, row: Row) -> dict[str, str]:
+    """Return the texts of a row's columns, without its key."""
+    return {c.name: format_cell(getattr(row, c.name)) for c in kind.columns}
--- /dev/null
+++ b/src/wagtailstep/commands/table_changes.py
@@ -0,0 +1,86 @@
+"""Differences between tables, and what an edit would do."""
+
+import collections
+from collections.abc import Iterator, Mapping
+
+from wagtailstep.commands.table_cells import format_cell
+from wagtailstep.models.table import Row, RowKind, Table
+from wagtailstep.models.table_edits import RowId, TableChanges
+from wagtailstep.models.table_fold import TableFold
+from wagtailstep.models.table_snapshot import decode_snapshot, encode_snapshot
+
+
+def table_rows(table: Table) -> dict[RowId, Row]:
+    """Return all rows of a table by their names."""
+    return {
+        RowId(kind, key): row
+        for kind in RowKind
+        for key, row in table.rows(kind).items()
+    }
+
+
+def find_changes(before: Table, wanted: Mapping[RowId, Row]) -> TableChanges:
+    """Return the changes that turn a table into the wanted rows."""
+    changes = TableChanges()
+    old = table_rows(before)
+    for row_id, row in wanted.items():
+        if old.get(row_id) != row:
+            changes.rows(row_id.kind)[row_id.key] = row
+    for row_id in old.keys() - wanted.keys():
+        changes.rows(row_id.kind)[row_id.key] = None
+    return changes
+
+
+def describe_changes(table: Table, changes: TableChanges) -> Iterator[str]:
+    """Yield one line for each row that is added, removed or changed."""
+    for row_id, row in sorted(changes.items(), key=lambda item: str(item[0])):
+        before = table.rows(row_id.kind).get(row_id.key)
+        if row is None:
+            yield f"- {row_id}"
+        elif before is None:
+            yield f"+ {row_id} {_describe_cells(row_id, row, None)}"
+        elif before != row:
+            yield f"~ {row_id} {_describe_cells(row_id, row, before)}"
+
+
+def _describe_cells(row_id: RowId, row: Row, before: Row | None) -> str:
+    cells: list[str] = []
+    for column in row_id.kind.columns:
+        value = getattr(row, column.name)
+        old = column.default if before is None else getattr(before, column.name)
+        if before is None:
+            cells.append(f"{column.name}={format_cell(value)}")
+        elif value != old:
+            cells.append(f"{column.name}={format_cell(old)}->{format_cell(value)}")
+    return " ".join(cells)
+
+
+def describe_effect(
+    before: Table, after: Table, changes: TableChanges
+) -> Iterator[str]:
+    """Yield capacity in service against the floor for each service touched.
+
+    :param before: the table now.
+    :param after: the table that the edit would make.
+    """
+    for service in sorted({row_id.service for row_id, _ in changes.items()}):
+        yield (
+            f"service={service} "
+            f"capacity={before.listed_weight(service):g}"
+            f"->{after.listed_weight(service):g} "
+            f"floor={before.service_row(service).floor_weight:g}"
+            f"->{after.service_row(service).floor_weight:g}"
+        )
+
+
+def count_changes(changes: TableChanges) -> str:
+    """Return how many rows of each kind are set and removed."""
+    counts: collections.Counter[str] = collections.Counter()
+    for _, row in changes.items():
+        counts["removed" if row is None else "set"] += 1
+    return f"rows_set={counts['set']} rows_removed={counts['removed']}"
+
+
+def copy_fold(fold: TableFold) -> TableFold:
+    """Return a fold that can be changed without changing the first one."""
+    return decode_snapshot(encode_snapshot(fold))
--- /dev/null
+++ b/src/wagtailstep/controllers/table_exchange.py
@@ -0,0 +1,53 @@
+"""What daemons tell each other about the table."""
+
+from collections.abc import Iterable
+
+from wagtailstep.models.events import RecordEvent
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.table_edits import EditOutcome, EditVerdict
+from wagtailstep.models.table_messages import TableDigest
+from wagtailstep.models.table_reader import TableReader, decode_part
+
+
+def make_digest(reader: TableReader, wants_answer: bool = False) -> TableDigest:
+    """Return how far a reader is.
+
+    :param wants_answer: whether the receiver shall answer in any case.
+    """
+    fold = reader.fold
+    if fold is None:
+        return TableDigest(-1, 0, 0, 0, wants_answer)
+    return TableDigest(
+        fold.next_offset,
+        fold.version,
+        fold.content_hash,
+        reader.tail.start,
+        wants_answer,
+    )
+
+
+def take_first_records(
+    records: Iterable[LogRecord], max_bytes: int
+) -> tuple[LogRecord, ...]:
+    """Return the first records, at least one, without the data of snapshots.
+
+    :param max_bytes: roughly how many bytes of data at most.
+    """
+    taken: list[LogRecord] = []
+    size = 0
+    for record in records:
+        if decode_part(record) is not None:
+            record = LogRecord(record.offset, b"")
+        size += len(record.data)
+        if taken and size > max_bytes:
+            break
+        taken.append(record)
+    return tuple(taken)
+
+
+def report_outcome(outcome: EditOutcome) -> RecordEvent:
+    """Return the event for one decided edit."""
+    fields = {"edit_id": outcome.edit_id, "version": str(outcome.version)}
+    if outcome.verdict is not EditVerdict.ACCEPTED:
+        fields["reason"] = outcome.reason
+    return RecordEvent(f"table-edit-{outcome.verdict.value}", fields)
--- /dev/null
+++ b/src/wagtailstep/controllers/table_start.py
@@ -0,0 +1,81 @@
+"""When a daemon without a table may put its first one in force."""
+
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.models.settings import TableSettings
+from wagtailstep.utils.clock import Clock
+
+
+@attrs.define
+class FirstTable:
+    """What a daemon has heard of the table since it started.
+
+    :param heard: furthest position that each member told; -1 with no table.
+    :param asking_since: when this daemon began to ask members.
+    :param first_caught_up_at: when the log's end was first reached; ``None`` if
+        never.
+    :param caught_up_at: when the log's end was last reached; ``None`` if never.
+    :param caught_up_offset: offset of the log's end then.
+    """
+
+    settings: TableSettings
+    clock: Clock
+    heard: dict[str, int] = attrs.field(factory=dict)
+    asking_since: timedelta | None = None
+    first_caught_up_at: timedelta | None = None
+    caught_up_at: timedelta | None = None
+    caught_up_offset: int = 0
+
+    def note_asking(self) -> None:
+        """Note that members are being asked."""
+        if self.asking_since is None:
+            self.asking_since = self.clock.monotonic()
+
+    def note_position(self, member: str, position: int) -> None:
+        """Note how far a member's table is."""
+        self.heard[member] = max(position, self.heard.get(member, -1))
+
+    def note_caught_up(self, offset: int) -> None:
+        """Note that the log's end was reached."""
+        self.caught_up_at = self.clock.monotonic()
+        if self.first_caught_up_at is None:
+            self.first_caught_up_at = self.caught_up_at
+        self.caught_up_offset = offset
+
+    def is_recent(self, limit: timedelta) -> bool:
+        """Tell whether the log's end was reached within a time."""
+        if self.caught_up_at is None:
+            return False
+        return self.clock.monotonic() - self.caught_up_at < limit
+
+    def accepts(self, position: int, other_count: int) -> bool:
+        """Tell whether a table is as new as any that was heard of.
+
+        :param position: offset of the next record of its fold; -1 for no table.
+        :param other_count: number of other members known.
+        """
+        if position < 0 or position < max(self.heard.values(), default=-1):
+            return False
+        if self.caught_up_at is not None:
+            is_held = self.held_elsewhere(position, other_count)
+            return position >= self.caught_up_offset and is_held
+        return self.heard_enough(other_count)
+
+    def held_elsewhere(self, position: int, other_count: int) -> bool:
+        """Tell whether another daemon has the table too, or none told in time."""
+        if not other_count or max(self.heard.values(), default=-1) >= position:
+            return True
+        assert self.first_caught_up_at is not None
+        timeout = timedelta(milliseconds=self.settings.confirm_timeout_ms)
+        return self.clock.monotonic() - self.first_caught_up_at >= timeout
+
+    def heard_enough(self, other_count: int) -> bool:
+        """Tell whether enough members answered, for a start without the log."""
+        if self.asking_since is None or max(self.heard.values(), default=-1) < 0:
+            return False
+        if len(self.heard) >= min(self.settings.first_answers, other_count):
+            return True
+        timeout = timedelta(milliseconds=self.settings.first_answers_timeout_ms)
+        return self.clock.monotonic() - self.asking_since >= timeout
--- /dev/null
+++ b/src/wagtailstep/controllers/table_transfer.py
@@ -0,0 +1,160 @@
+"""Passing a whole snapshot of the table from one daemon to another."""
+
+import random
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.events import SendToPeer
+from wagtailstep.models.settings import TableSettings
+from wagtailstep.models.table_fold import TableFold
+from wagtailstep.models.table_messages import (
+    TableSnapshotChunk,
+    TableSnapshotRequest,
+)
+from wagtailstep.models.table_snapshot import decode_snapshot, encode_snapshot
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.ids import make_id
+
+KEEP_ENCODED = timedelta(seconds=30)
+MAX_CHUNKS_PER_S = 8
+MAX_ATTEMPTS = 3
+
+
+@attrs.define
+class SnapshotSender:
+    """Answers requests for chunks, a bounded number of them in a second.
+
+    One encoded snapshot is kept for a while, so that several daemons that start
+    at the same time cost one encoding.
+    """
+
+    settings: TableSettings
+    clock: Clock
+    rng: random.Random
+    snapshot_id: str = ""
+    data: bytes = b""
+    encoded_at: timedelta = timedelta()
+    window_start: timedelta = timedelta()
+    sent_in_window: int = 0
+
+    def answer(
+        self, request: TableSnapshotRequest, fold: TableFold
+    ) -> TableSnapshotChunk | None:
+        """Return the chunk that was asked for, or ``None`` beyond the rate."""
+        if not self._take_turn():
+            return None
+        if request.snapshot_id != self.snapshot_id or not self.data:
+            self._encode(fold)
+            return self._make_chunk(0)
+        count = self._count_chunks()
+        return self._make_chunk(min(request.index, count - 1))
+
+    def drop_stale(self) -> None:
+        """Free the encoded snapshot when nobody asked for a while."""
+        if self.data and self.clock.monotonic() - self.encoded_at > KEEP_ENCODED:
+            self.data = b""
+
+    def _take_turn(self) -> bool:
+        now = self.clock.monotonic()
+        if now - self.window_start >= timedelta(seconds=1):
+            self.window_start = now
+            self.sent_in_window = 0
+        self.sent_in_window += 1
+        return self.sent_in_window <= MAX_CHUNKS_PER_S
+
+    def _encode(self, fold: TableFold) -> None:
+        now = self.clock.monotonic()
+        if self.data and now - self.encoded_at <= KEEP_ENCODED:
+            return
+        self.snapshot_id = make_id(self.rng)
+        self.data = encode_snapshot(fold)
+        self.encoded_at = now
+
+    def _count_chunks(self) -> int:
+        return -(-len(self.data) // self.settings.chunk_bytes)
+
+    def _make_chunk(self, index: int) -> TableSnapshotChunk:
+        size = self.settings.chunk_bytes
+        data = self.data[index * size : (index + 1) * size]
+        return TableSnapshotChunk(self.snapshot_id, index, self._count_chunks(), data)
+
+
+@attrs.define
+class SnapshotReceiver:
+    """Pulls one snapshot, chunk by chunk, from one daemon at a time."""
+
+    settings: TableSettings
+    clock: Clock
+    source: str = ""
+    address: str = ""
+    snapshot_id: str = ""
+    chunks: list[bytes] = attrs.field(factory=list)
+    asked_at: timedelta = timedelta()
+    attempts: int = 0
+
+    @property
+    def active(self) -> bool:
+        """Return whether a snapshot is being pulled."""
+        return bool(self.source)
+
+    def start(self, source: str, address: str) -> list[SendToPeer]:
+        """Pull a snapshot from a daemon unless one is being pulled."""
+        if self.active:
+            return []
+        self.source = source
+        self.address = address
+        self.snapshot_id = ""
+        self.chunks = []
+        self.attempts = 0
+        return [self._ask()]
+
+    def stop(self) -> None:
+        """Give up what was pulled so far."""
+        self.source = ""
+        self.chunks = []
+
+    def _ask(self) -> SendToPeer:
+        self.asked_at = self.clock.monotonic()
+        request = TableSnapshotRequest(self.snapshot_id, len(self.chunks))
+        return SendToPeer(self.address, request)
+
+    def tick(self) -> list[SendToPeer]:
+        """Ask again for a late chunk, and give up after some attempts."""
+        timeout = timedelta(milliseconds=self.settings.chunk_timeout_ms)
+        if not self.active or self.clock.monotonic() - self.asked_at < timeout:
+            return []
+        self.attempts += 1
+        if self.attempts > MAX_ATTEMPTS:
+            self.stop()
+            return []
+        return [self._ask()]
+
+    def take(
+        self, sender: str, chunk: TableSnapshotChunk
+    ) -> tuple[list[SendToPeer], TableFold | None]:
+        """Take a chunk; the snapshot comes with the last one.
+
+        A damaged snapshot is dropped.
+        """
+        if sender != self.source:
+            return [], None
+        if chunk.index == 0 and chunk.snapshot_id != self.snapshot_id:
+            self.snapshot_id = chunk.snapshot_id
+            self.chunks = []
+        if chunk.snapshot_id != self.snapshot_id or chunk.index != len(self.chunks):
+            return [], None
+        self.chunks.append(chunk.data)
+        self.attempts = 0
+        if len(self.chunks) < chunk.count:
+            return [self._ask()], None
+        return [], self._finish()
+
+    def _finish(self) -> TableFold | None:
+        data = b"".join(self.chunks)
+        self.stop()
+        try:
+            return decode_snapshot(data)
+        except DecodeError:
+            return None
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -1,5 +1,7 @@
 """What one daemon knows. Controllers read and write it; nobody else writes."""
 
+from datetime import datetime
+
 import attrs
 
 from wagtailstep.models.fleet import Member, Target, TargetHealth
@@ -28,6 +30,10 @@
 
     :param this_member: this daemon; written by the membership controller.
     :param table: the table in force; written by the table controller.
+    :param table_known: whether ``table`` is a table of the fleet; before that no
+        request may be taken; written by the table controller.
+    :param table_since: wall-clock time since when ``table`` is in force; written
+        by the table controller.
     :param members: known daemons by ``daemon_id``, this one too; written by the
         membership controller.
     :param targets: known targets by ``target_id``; written by the dissemination
@@ -46,6 +52,8 @@
 
     this_member: Member
     table: Table = attrs.field(factory=Table)
+    table_known: bool = False
+    table_since: datetime | None = None
     members: dict[str, Member] = attrs.field(factory=dict)
     targets: dict[str, Target] = attrs.field(factory=dict)
     local_targets: set[str] = attrs.field(factory=set)
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -54,6 +54,20 @@
     oldest_offset: int
 
 
+@attrs.frozen
+class LogCaughtUp:
+    """All records of a followed stream that the log had were delivered.
+
+    Sent after each read that found the end of the stream, the first one too.
+
+    :param stream: name of the stream.
+    :param next_offset: offset that the next record will have.
+    """
+
+    stream: str
+    next_offset: int
+
+
 @attrs.frozen
 class LogAppendSettled:
     """An :class:`AppendToLog` effect has ended.
--- /dev/null
+++ b/src/wagtailstep/models/packed_rows.py
@@ -0,0 +1,136 @@
+"""A compact mapping for the many rows of the table that hold one number each."""
+
+import array
+import bisect
+from collections.abc import Callable, Iterable, Iterator, MutableMapping
+from typing import Generic, TypeVar
+
+MAX_CHANGES = 512
+
+_Row = TypeVar("_Row")
+
+
+class _KeyView:
+    """The sorted packed keys as a sequence that :mod:`bisect` can search."""
+
+    def __init__(self, blob: bytes, ends: "array.array[int]") -> None:
+        self.blob = blob
+        self.ends = ends
+
+    def __len__(self) -> int:
+        return len(self.ends)
+
+    def __getitem__(self, index: int) -> bytes:
+        start = self.ends[index - 1] if index else 0
+        return self.blob[start : self.ends[index]]
+
+
+class PackedRows(MutableMapping[str, _Row], Generic[_Row]):
+    """Rows of one key and one number, in about the space of their keys.
+
+    Reads give rows in the order of their keys, as UTF-8. Changes gather in a
+    dictionary and are merged into the packed form from time to time.
+
+    :param make_row: builds a row from its key and its number.
+    :param number_of: gives the number of a row.
+    :param rows: the first rows.
+    """
+
+    def __init__(
+        self,
+        make_row: Callable[[str, float], _Row],
+        number_of: Callable[[_Row], float],
+        rows: Iterable[tuple[str, float]] = (),
+    ) -> None:
+        self.make_row = make_row
+        self.number_of = number_of
+        self.changes: dict[str, float | None] = {}
+        self.count = 0
+        self._pack(sorted((key.encode(), number) for key, number in rows))
+
+    def _pack(self, pairs: list[tuple[bytes, float]]) -> None:
+        self.numbers = array.array("d", (number for _, number in pairs))
+        ends = array.array("I")
+        end = 0
+        for key, _ in pairs:
+            end += len(key)
+            ends.append(end)
+        self.packed_keys = _KeyView(b"".join(key for key, _ in pairs), ends)
+        self.changes.clear()
+        self.count = len(pairs)
+
+    def _find_packed(self, key: str) -> float | None:
+        wanted = key.encode()
+        index = bisect.bisect_left(self.packed_keys, wanted)
+        if index < len(self.packed_keys) and self.packed_keys[index] == wanted:
+            return self.numbers[index]
+        return None
+
+    def find_number(self, key: str) -> float | None:
+        """Return the number of a row, or ``None`` if there is no such row."""
+        if key in self.changes:
+            return self.changes[key]
+        return self._find_packed(key)
+
+    def _change(self, key: str, number: float | None) -> None:
+        self.changes[key] = number
+        if len(self.changes) > MAX_CHANGES:
+            self._pack([(key.encode(), number) for key, number in self.numbers_from()])
+
+    def numbers_from(self, prefix: str = "") -> Iterator[tuple[str, float]]:
+        """Yield keys that begin with a prefix, and their numbers, in order."""
+        start = prefix.encode()
+        changed = sorted(key for key in self.changes if key.startswith(prefix))
+        changed_at = 0
+        index = bisect.bisect_left(self.packed_keys, start)
+        while index < len(self.packed_keys):
+            raw = self.packed_keys[index]
+            if not raw.startswith(start):
+                break
+            key = raw.decode()
+            while changed_at < len(changed) and changed[changed_at].encode() < raw:
+                yield from self._yield_change(changed[changed_at])
+                changed_at += 1
+            if key not in self.changes:
+                yield key, self.numbers[index]
+            index += 1
+        for key in changed[changed_at:]:
+            yield from self._yield_change(key)
+
+    def _yield_change(self, key: str) -> Iterator[tuple[str, float]]:
+        number = self.changes[key]
+        if number is not None:
+            yield key, number
+
+    def __getitem__(self, key: str) -> _Row:
+        """Return a row.
+
+        :raises KeyError: if there is none.
+        """
+        number = self.find_number(key)
+        if number is None:
+            raise KeyError(key)
+        return self.make_row(key, number)
+
+    def __setitem__(self, key: str, row: _Row) -> None:
+        """Set a row."""
+        self.count += self.find_number(key) is None
+        self._change(key, self.number_of(row))
+
+    def __delitem__(self, key: str) -> None:
+        """Remove a row.
+
+        :raises KeyError: if there is none.
+        """
+        if self.find_number(key) is None:
+            raise KeyError(key)
+        self.count -= 1
+        self._change(key, None)
+
+    def __iter__(self) -> Iterator[str]:
+        """Yield the keys in order."""
+        return (key for key, _ in self.numbers_from())
+
+    def __len__(self) -> int:
+        """Return the number of rows."""
+        return self.count
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -63,6 +63,34 @@
     retention_s: float = 86_400.0
 
 
+@attrs.frozen
+class TableSettings:
+    """How daemons pass the table on and keep it in the log.
+
+    :param digest_interval_ms: time between two digests to a random member.
+    :param push_fanout: random members that a new record is passed on to.
+    :param confirm_timeout_ms: a record read from the log waits this long for a
+        member that holds it too, before it takes effect.
+    :param first_answers: members that a daemon without a table hears first, if
+        the log can't be read.
+    :param first_answers_timeout_ms: after this it goes on with fewer of them.
+    :param reply_bytes: most bytes of records in one message.
+    :param chunk_bytes: bytes of a snapshot in one message.
+    :param chunk_timeout_ms: a chunk that did not come by then is asked for again.
+    :param snapshot_edits: records after the last snapshot that make one due.
+    """
+
+    digest_interval_ms: int = 1_000
+    push_fanout: int = 3
+    confirm_timeout_ms: int = 1_000
+    first_answers: int = 5
+    first_answers_timeout_ms: int = 5_000
+    reply_bytes: int = 8_192
+    chunk_bytes: int = 16_384
+    chunk_timeout_ms: int = 1_000
+    snapshot_edits: int = 256
+
+
 @attrs.frozen
 class DaemonSettings:
     """All settings of one daemon.
@@ -90,3 +118,4 @@
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
+    table: TableSettings = TableSettings()
--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -1,11 +1,30 @@
 """The table that operators edit, as the fleet holds it in memory."""
 
 import enum
+import operator
+from collections.abc import Iterator, Mapping, MutableMapping
 from datetime import timedelta
+from typing import Any
 
 import attrs
 
+from wagtailstep.models.packed_rows import PackedRows
+
 DEFAULT_WEIGHT = 1.0
+RANGE_KEY = "range"
+
+MAX_WEIGHT = 1_000.0
+MAX_FLOOR_WEIGHT = 1_000_000.0
+MAX_DRAIN_LIMIT_S = 3_600.0
+MAX_CONCURRENCY = 1_000_000
+MAX_RATE_PER_S = 1_000_000.0
+MIN_DETECTION_WINDOW_MS = 50
+MAX_DETECTION_WINDOW_MS = 600_000
+MIN_FALSE_EJECTION_RISK = 1e-12
+MAX_FALSE_EJECTION_RISK = 0.5
+MAX_SERVERS = 1_000_000
+MIN_TIMEOUT_MS = 1
+MAX_TIMEOUT_MS = 3_600_000
 
 
 class LogAwayPolicy(enum.Enum):
@@ -15,6 +34,11 @@
     SEND_ONCE = "send-once"
 
 
+def _column(default: Any, low: float, high: float) -> Any:
+    """Declare a numeric column and the range of its values, both ends included."""
+    return attrs.field(default=default, metadata={RANGE_KEY: (low, high)})
+
+
 @attrs.frozen
 class ServiceRow:
     """Limits of one service.
@@ -29,16 +53,23 @@
     :param false_ejection_risk: accepted probability that one judgement takes a
         healthy target for a sick one; smaller needs more evidence.
     :param log_away: what happens to keyed requests while the log is away.
+    :param unlisted_servers: backend servers without a row that the operators run;
+        each counts with weight 1 when the floor is checked.
     """
 
     service: str
-    floor_weight: float = 0.0
-    drain_limit_s: float = 30.0
-    concurrency_limit: int = 0
-    account_rate_limit: float = 0.0
-    detection_window_ms: int = 2_000
-    false_ejection_risk: float = 1e-6
+    floor_weight: float = _column(0.0, 0, MAX_FLOOR_WEIGHT)
+    drain_limit_s: float = _column(30.0, 0, MAX_DRAIN_LIMIT_S)
+    concurrency_limit: int = _column(0, 0, MAX_CONCURRENCY)
+    account_rate_limit: float = _column(0.0, 0, MAX_RATE_PER_S)
+    detection_window_ms: int = _column(
+        2_000, MIN_DETECTION_WINDOW_MS, MAX_DETECTION_WINDOW_MS
+    )
+    false_ejection_risk: float = _column(
+        1e-6, MIN_FALSE_EJECTION_RISK, MAX_FALSE_EJECTION_RISK
+    )
     log_away: LogAwayPolicy = LogAwayPolicy.REFUSE
+    unlisted_servers: int = _column(0, 0, MAX_SERVERS)
 
     @property
     def drain_limit(self) -> timedelta:
@@ -55,7 +86,7 @@
     """
 
     target_id: str
-    weight: float = DEFAULT_WEIGHT
+    weight: float = _column(DEFAULT_WEIGHT, 0, MAX_WEIGHT)
 
 
 @attrs.frozen
@@ -68,8 +99,8 @@
     """
 
     route_id: str
-    concurrency_limit: int = 0
-    timeout_ms: int = 30_000
+    concurrency_limit: int = _column(0, 0, MAX_CONCURRENCY)
+    timeout_ms: int = _column(30_000, MIN_TIMEOUT_MS, MAX_TIMEOUT_MS)
 
 
 @attrs.frozen
@@ -81,12 +112,58 @@
     """
 
     account_id: str
-    rate_limit: float = 0.0
+    rate_limit: float = _column(0.0, 0, MAX_RATE_PER_S)
 
 
 Row = ServiceRow | BackendServerRow | RouteRow | AccountRow
 
 
+class RowKind(enum.Enum):
+    """The four kinds of rows, by the names that operators see."""
+
+    SERVICE = "service"
+    BACKEND_SERVER = "backend_server"
+    ROUTE = "route"
+    ACCOUNT = "account"
+
+    @property
+    def row_type(self) -> type[Row]:
+        """Return the class of the rows of this kind."""
+        return _ROW_TYPES[self]
+
+    @property
+    def field_name(self) -> str:
+        """Return the name of the field that holds rows of this kind."""
+        return f"{self.value}s"
+
+    @property
+    def columns(self) -> tuple[attrs.Attribute, ...]:
+        """Return the columns besides the key."""
+        return attrs.fields(self.row_type)[1:]
+
+
+_ROW_TYPES: dict[RowKind, type[Row]] = {
+    RowKind.SERVICE: ServiceRow,
+    RowKind.BACKEND_SERVER: BackendServerRow,
+    RowKind.ROUTE: RouteRow,
+    RowKind.ACCOUNT: AccountRow,
+}
+
+
+def pack_backend_servers(
+    rows: Mapping[str, float] | None = None,
+) -> PackedRows[BackendServerRow]:
+    """Return a compact mapping of backend servers, from weights by ``target_id``."""
+    weight_of = operator.attrgetter("weight")
+    return PackedRows(BackendServerRow, weight_of, (rows or {}).items())
+
+
+def pack_accounts(rows: Mapping[str, float] | None = None) -> PackedRows[AccountRow]:
+    """Return a compact mapping of client accounts, from rates by ``account_id``."""
+    rate_of = operator.attrgetter("rate_limit")
+    return PackedRows(AccountRow, rate_of, (rows or {}).items())
+
+
 @attrs.define
 class Table:
     """The table in force: rows by their keys.
@@ -95,10 +172,12 @@
     """
 
     version: int = 0
-    services: dict[str, ServiceRow] = attrs.field(factory=dict)
-    backend_servers: dict[str, BackendServerRow] = attrs.field(factory=dict)
-    routes: dict[str, RouteRow] = attrs.field(factory=dict)
-    accounts: dict[str, AccountRow] = attrs.field(factory=dict)
+    services: MutableMapping[str, ServiceRow] = attrs.field(factory=dict)
+    backend_servers: MutableMapping[str, BackendServerRow] = attrs.field(
+        factory=pack_backend_servers
+    )
+    routes: MutableMapping[str, RouteRow] = attrs.field(factory=dict)
+    accounts: MutableMapping[str, AccountRow] = attrs.field(factory=pack_accounts)
 
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, or one of defaults if it has none."""
@@ -113,3 +192,25 @@
         """Return the row of a route, or one of defaults if it has none."""
         route_id = f"{service}/{route}"
         return self.routes.get(route_id) or RouteRow(route_id)
+
+    def rows(self, kind: RowKind) -> MutableMapping[str, Row]:
+        """Return the rows of one kind by their keys."""
+        return getattr(self, kind.field_name)
+
+    def rows_of_service(self, kind: RowKind, service: str) -> Iterator[Row]:
+        """Yield the rows of one kind whose keys begin with a service's name."""
+        rows = self.rows(kind)
+        prefix = f"{service}/"
+        if isinstance(rows, PackedRows):
+            yield from (rows.make_row(*pair) for pair in rows.numbers_from(prefix))
+            return
+        yield from (row for key, row in rows.items() if key.startswith(prefix))
+
+    def listed_weight(self, service: str) -> float:
+        """Return the weight of a service's backend servers, as far as the table knows.
+
+        Servers without a row count as ``unlisted_servers`` says.
+        """
+        rows = self.rows_of_service(RowKind.BACKEND_SERVER, service)
+        listed = sum(row.weight for row in rows)
+        return listed + self.service_row(service).unlisted_servers * DEFAULT_WEIGHT
--- /dev/null
+++ b/src/wagtailstep/models/table_reader.py
@@ -0,0 +1,221 @@
+"""Reading the stream ``table``: records in order, across gaps, by snapshots."""
+
+import collections
+
+import attrs
+
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.table_edits import EditOutcome, TableSnapshotPart
+from wagtailstep.models.table_fold import TableFold
+from wagtailstep.models.table_snapshot import decode_snapshot
+from wagtailstep.utils.codec import decode_message
+
+MAX_OPEN_SNAPSHOTS = 8
+TAIL_BYTES = 65_536
+
+# The encoded name of the class; looking for it spares decoding every record.
+_PART_NAME = TableSnapshotPart.__name__.encode()
+
+
+def decode_part(record: LogRecord) -> TableSnapshotPart | None:
+    """Return a record's snapshot part, or ``None`` for any other record."""
+    if _PART_NAME not in record.data[:40]:
+        return None
+    try:
+        value = decode_message(record.data)
+    except DecodeError:
+        return None
+    return value if isinstance(value, TableSnapshotPart) else None
+
+
+@attrs.frozen
+class SeenSnapshot:
+    """A whole snapshot that was read from the log.
+
+    :param last_part: its last part, without data.
+    :param problem: why it is not the fold up to its offset; empty if it may be.
+    """
+
+    last_part: TableSnapshotPart
+    problem: str = ""
+
+
+@attrs.define
+class RecordTail:
+    """The newest applied records, for peers that lag a little.
+
+    :param start: offset of the first one that is held.
+    :param records: the records, without the data of snapshots.
+    :param size: bytes of data held.
+    """
+
+    start: int = 0
+    records: collections.deque[LogRecord] = attrs.field(factory=collections.deque)
+    size: int = 0
+
+    def add(self, record: LogRecord) -> None:
+        """Add the next record and drop the oldest beyond the limit of memory."""
+        self.records.append(record)
+        self.size += len(record.data)
+        while self.size > TAIL_BYTES:
+            self.size -= len(self.records.popleft().data)
+            self.start += 1
+
+    def reset(self, start: int) -> None:
+        """Start again at an offset, with no records."""
+        self.start = start
+        self.records.clear()
+        self.size = 0
+
+    def read(self, offset: int, max_bytes: int) -> tuple[LogRecord, ...]:
+        """Return records from an offset on, at least one if there is any.
+
+        :param max_bytes: roughly how many bytes of data at most.
+        """
+        found: list[LogRecord] = []
+        size = 0
+        for index in range(offset - self.start, len(self.records)):
+            record = self.records[index]
+            size += len(record.data)
+            if found and size > max_bytes:
+                break
+            found.append(record)
+        return tuple(found)
+
+
+@attrs.define
+class TableReader:
+    """The fold so far, and the records that wait for a snapshot before them.
+
+    :param fold: the fold; ``None`` until the first record or a snapshot came.
+    :param tail: the newest applied records.
+    :param pending: records after a gap, consecutive, oldest first.
+    :param open_parts: parts of snapshots that are not whole yet.
+    :param seen: whole snapshots seen, for the caller to take.
+    """
+
+    fold: TableFold | None = None
+    tail: RecordTail = attrs.field(factory=RecordTail)
+    pending: collections.deque[LogRecord] = attrs.field(factory=collections.deque)
+    open_parts: dict[str, list[TableSnapshotPart]] = attrs.field(factory=dict)
+    seen: list[SeenSnapshot] = attrs.field(factory=list)
+
+    @property
+    def position(self) -> int:
+        """Return the offset of the next record, or -1 with no table yet."""
+        return -1 if self.fold is None else self.fold.next_offset
+
+    def start_empty(self) -> None:
+        """Start with the empty table, for a stream whose first record is retained."""
+        if self.fold is None:
+            self.fold = TableFold()
+            self.tail.reset(0)
+
+    def read_log(self, record: LogRecord) -> list[EditOutcome]:
+        """Take the next record of the log.
+
+        :return: outcomes of the edits that it, or a snapshot in it, decided.
+        """
+        if record.offset == 0:
+            self.start_empty()
+        outcomes = self.offer(record)
+        part = decode_part(record)
+        if part is not None:
+            outcomes += self._take_part(part, record.offset)
+        return outcomes
+
+    def offer(self, record: LogRecord) -> list[EditOutcome]:
+        """Take a record if it is the next one, or keep it if it is after a gap."""
+        if record.offset < self.position:
+            return []
+        if record.offset > self.position:
+            self._keep_pending(record)
+            return []
+        outcomes = self._apply(record)
+        return outcomes + self._drain_pending()
+
+    def _keep_pending(self, record: LogRecord) -> None:
+        if self.pending and record.offset <= self.pending[-1].offset:
+            return
+        if self.pending and record.offset != self.pending[-1].offset + 1:
+            self.pending.clear()
+        self.pending.append(record)
+
+    def _apply(self, record: LogRecord) -> list[EditOutcome]:
+        assert self.fold is not None
+        outcome = self.fold.apply(record)
+        is_part = decode_part(record) is not None
+        self.tail.add(LogRecord(record.offset, b"") if is_part else record)
+        return [] if outcome is None else [outcome]
+
+    def _drain_pending(self) -> list[EditOutcome]:
+        outcomes: list[EditOutcome] = []
+        while self.pending and self.pending[0].offset <= self.position:
+            record = self.pending.popleft()
+            if record.offset == self.position:
+                outcomes += self._apply(record)
+        return outcomes
+
+    def _take_part(self, part: TableSnapshotPart, offset: int) -> list[EditOutcome]:
+        parts = self.open_parts.setdefault(part.snapshot_id, [])
+        parts.append(part)
+        if len(self.open_parts) > MAX_OPEN_SNAPSHOTS:
+            del self.open_parts[next(iter(self.open_parts))]
+        by_index = {held.index: held for held in parts}
+        if len(by_index) < part.count:
+            return []
+        self.open_parts.pop(part.snapshot_id, None)
+        data = b"".join(by_index[index].data for index in sorted(by_index))
+        return self._take_snapshot(part, data, offset)
+
+    def _take_snapshot(
+        self, part: TableSnapshotPart, data: bytes, offset: int
+    ) -> list[EditOutcome]:
+        """Use a whole snapshot if it is newer and nothing is missing after it."""
+        problem = self._find_problem(part, offset)
+        fold = None
+        if not problem and part.next_offset > self.position:
+            try:
+                fold = self._decode_usable(part, data)
+            except DecodeError as error:
+                problem = str(error)
+        self.seen.append(SeenSnapshot(attrs.evolve(part, data=b""), problem))
+        return [] if fold is None else self.restore(fold)
+
+    def _find_problem(self, part: TableSnapshotPart, offset: int) -> str:
+        """Return what shows that a snapshot is not the fold up to its offset."""
+        if part.next_offset > offset:
+            return "it claims records that were not yet appended"
+        if self.fold is None or part.next_offset > self.position:
+            return ""
+        known = self.fold.hash_at(part.version)
+        if known is not None and known != part.content_hash:
+            return f"version {part.version} has another content here"
+        return ""
+
+    def _decode_usable(self, part: TableSnapshotPart, data: bytes) -> TableFold | None:
+        """Decode a newer snapshot if all records after it are held.
+
+        :raises DecodeError: if it is damaged.
+        """
+        if not self.pending or self.pending[0].offset > part.next_offset:
+            return None
+        fold = decode_snapshot(data)
+        found = (fold.version, fold.next_offset, fold.content_hash)
+        if found != (part.version, part.next_offset, part.content_hash):
+            raise DecodeError("a table snapshot's parts and content disagree")
+        return fold
+
+    def restore(self, fold: TableFold) -> list[EditOutcome]:
+        """Take over a newer fold; an older one is ignored.
+
+        :return: outcomes of pending edits that follow it.
+        """
+        if fold.next_offset <= self.position:
+            return []
+        if self.fold is not None and fold.version < self.fold.version:
+            return []
+        self.fold = fold
+        self.tail.reset(fold.next_offset)
+        return self._drain_pending()
