--- /dev/null
+++ b/benchmarks/table_fleet.py
@@ -0,0 +1,317 @@
+"""Table controllers of many daemons, driven in virtual time with faults."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from typing import Any, TypeVar
+
+import attrs
+
+from wagtailstep.controllers.table import TableController
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RecordExpiredError,
+)
+from wagtailstep.fakes.log_service import InMemoryLogService, LogFaults
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    AppendToLog,
+    LogAppendSettled,
+    LogCaughtUp,
+    LogGap,
+    LogRecordsRead,
+    PeerMessageReceived,
+    RecordEvent,
+    SendToPeer,
+    Tick,
+)
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.settings import DaemonSettings, LogSettings, TableSettings
+from wagtailstep.models.table_edits import TABLE_STREAM, TableEdit
+from wagtailstep.utils.clock import ManualClock
+from wagtailstep.utils.codec import encode_message
+
+TICK = timedelta(milliseconds=100)
+DATAGRAM_BYTES = 40
+
+_T = TypeVar("_T")
+
+
+def run_now(call: Coroutine[Any, Any, _T]) -> _T:
+    """Run a coroutine that never waits."""
+    try:
+        call.send(None)
+    except StopIteration as done:
+        return done.value
+    raise RuntimeError("the call waited")
+
+
+@attrs.define
+class NetworkFaults:
+    """What happens to messages between daemons.
+
+    :param min_latency_ms: shortest way of a message.
+    :param max_latency_ms: longest way; a wide span reorders messages.
+    :param drop: share of messages that get lost.
+    :param duplicate: share of messages that arrive twice.
+    :param cuts: pairs of sender and receiver whose messages get lost.
+    """
+
+    min_latency_ms: float = 0.5
+    max_latency_ms: float = 5.0
+    drop: float = 0.0
+    duplicate: float = 0.0
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+
+
+@attrs.define
+class FleetDaemon:
+    """One daemon of the fleet: its table controller and what was seen of it.
+
+    :param reads_log: whether it can read the log.
+    :param appends: whether it can append to the log.
+    :param append_delay: how late its appends reach the log.
+    :param versions: versions in force over all its restarts, in order.
+    :param known_at: when its table was first known, since the last restart.
+    """
+
+    name: str
+    controller: TableController
+    blackboard: Blackboard
+    started_at: timedelta
+    up: bool = True
+    offset: int | None = None
+    reads_log: bool = True
+    appends: bool = True
+    append_delay: timedelta = timedelta()
+    versions: list[tuple[timedelta, int]] = attrs.field(factory=list)
+    known_at: timedelta | None = None
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    messages_sent: int = 0
+
+
+class TableFleet:
+    """Some daemons, their messages and the log, in one virtual time.
+
+    :param seed: decides all that is random.
+    :param size: number of daemons.
+    :param make_controller: builds the controllers; tests plant faults with it.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        log_settings: LogSettings | None = None,
+        table_settings: TableSettings | None = None,
+        make_controller: Callable[..., TableController] = TableController,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.log_settings = log_settings or LogSettings()
+        self.table_settings = table_settings or TableSettings()
+        self.make_controller = make_controller
+        self.log = InMemoryLogService(
+            self.clock, LogFaults(retention_s=self.log_settings.retention_s)
+        )
+        self.network = NetworkFaults()
+        self.queue: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self.sequence = itertools.count()
+        self.events: list[tuple[timedelta, str, RecordEvent]] = []
+        names = [f"d{index:04d}" for index in range(size)]
+        self.members = {
+            name: Member(name, 0, f"{name}:1", f"{name}:2", "bole") for name in names
+        }
+        self.daemons: dict[str, FleetDaemon] = {}
+        for name in names:
+            self.start(name)
+
+    # Time
+
+    def at(self, delay: timedelta, call: Callable[[], None]) -> None:
+        """Call something after a delay."""
+        when = self.clock.monotonic() + delay
+        heapq.heappush(self.queue, (when, next(self.sequence), call))
+
+    def run(self, duration: timedelta) -> None:
+        """Let virtual time pass."""
+        end = self.clock.monotonic() + duration
+        while self.queue and self.queue[0][0] <= end:
+            when, _, call = heapq.heappop(self.queue)
+            self.clock.advance(when - self.clock.monotonic())
+            call()
+        self.clock.advance(end - self.clock.monotonic())
+
+    # Daemons
+
+    def start(self, name: str) -> None:
+        """Start a daemon that knows nothing, perhaps again."""
+        settings = DaemonSettings(
+            *(name, "bole", "", "", f"{name}:1", ""),
+            log=self.log_settings,
+            table=self.table_settings,
+        )
+        board = Blackboard(self.members[name], members=self.members)
+        rng = random.Random(self.rng.getrandbits(64))
+        controller = self.make_controller(settings, board, self.clock, rng)
+        daemon = FleetDaemon(name, controller, board, self.clock.monotonic())
+        before = self.daemons.get(name)
+        if before is not None:
+            daemon.versions = before.versions
+            daemon.reads_log = before.reads_log
+            daemon.appends = before.appends
+        self.daemons[name] = daemon
+        poll = timedelta(milliseconds=self.log_settings.poll_ms)
+        self.at(TICK * self.rng.random(), lambda: self.tick(daemon))
+        self.at(poll * self.rng.random(), lambda: self.poll(daemon))
+
+    def stop(self, name: str) -> None:
+        """Stop a daemon; all that it knew is gone."""
+        self.daemons[name].up = False
+
+    def restart(self, name: str, downtime: timedelta) -> None:
+        """Stop a daemon and start it again a little later."""
+        if not self.daemons[name].up:
+            return
+        self.stop(name)
+        self.at(downtime, lambda: self.start(name))
+
+    def feed(self, daemon: FleetDaemon, event: Any) -> None:
+        """Give one event to a daemon and carry out its effects."""
+        if not daemon.up:
+            return
+        for effect in daemon.controller.handle(event):
+            self.apply(daemon, effect)
+        self.observe(daemon)
+
+    def observe(self, daemon: FleetDaemon) -> None:
+        """Note the version in force at a daemon if it changed."""
+        if not daemon.blackboard.table_known:
+            return
+        now = self.clock.monotonic()
+        if daemon.known_at is None:
+            daemon.known_at = now
+        version = daemon.blackboard.table.version
+        if not daemon.versions or daemon.versions[-1][1] != version:
+            daemon.versions.append((now, version))
+
+    def tick(self, daemon: FleetDaemon) -> None:
+        """Tell a daemon that time has passed, and again later."""
+        if daemon.up:
+            self.feed(daemon, Tick())
+            self.at(TICK, lambda: self.tick(daemon))
+
+    # The log
+
+    def poll(self, daemon: FleetDaemon) -> None:
+        """Read the log for a daemon, and again later."""
+        if not daemon.up:
+            return
+        if daemon.reads_log:
+            try:
+                self.read_log(daemon)
+            except LogUnavailableError:
+                pass
+        poll = timedelta(milliseconds=self.log_settings.poll_ms)
+        self.at(poll, lambda: self.poll(daemon))
+
+    def read_log(self, daemon: FleetDaemon) -> None:
+        """Read all new records for a daemon."""
+        oldest = run_now(self.log.oldest_offset(TABLE_STREAM))
+        if daemon.offset is None:
+            daemon.offset = oldest
+            if oldest:
+                self.feed(daemon, LogGap(TABLE_STREAM, oldest))
+        while True:
+            try:
+                batch = run_now(self.log.read(TABLE_STREAM, daemon.offset))
+            except RecordExpiredError as error:
+                daemon.offset = error.oldest
+                self.feed(daemon, LogGap(TABLE_STREAM, error.oldest))
+                continue
+            daemon.offset = batch.next_offset
+            if not batch.records:
+                self.feed(daemon, LogCaughtUp(TABLE_STREAM, batch.next_offset))
+                return
+            self.feed(daemon, LogRecordsRead(TABLE_STREAM, batch.records))
+
+    def append_edit(self, edit: TableEdit) -> int:
+        """Append an edit as an operator's program does, and return its offset."""
+        return run_now(self.log.append(TABLE_STREAM, encode_message(edit)))
+
+    # Effects
+
+    def apply(self, daemon: FleetDaemon, effect: Any) -> None:
+        """Carry out one effect."""
+        if isinstance(effect, SendToPeer):
+            self.send(daemon, effect)
+        elif isinstance(effect, AppendToLog):
+            delay = daemon.append_delay
+            self.at(delay, lambda: self.append(daemon, effect))
+        elif isinstance(effect, RecordEvent):
+            self.events.append((self.clock.monotonic(), daemon.name, effect))
+
+    def append(self, daemon: FleetDaemon, effect: AppendToLog) -> None:
+        """Append a record for a daemon and tell it what became of it."""
+        offset, may_have_applied = None, False
+        try:
+            if daemon.appends:
+                data = encode_message(effect.record)
+                offset = run_now(self.log.append(effect.stream, data))
+        except LogUnavailableError:
+            pass
+        except AppendUnknownError:
+            may_have_applied = True
+        settled = LogAppendSettled(effect.append_id, offset, may_have_applied)
+        self.feed(daemon, settled)
+
+    def send(self, daemon: FleetDaemon, effect: SendToPeer) -> None:
+        """Send a message, which may get lost, late or doubled."""
+        size = len(encode_message(effect.message)) + DATAGRAM_BYTES
+        daemon.bytes_sent += size
+        daemon.messages_sent += 1
+        receiver = effect.address.partition(":")[0]
+        faults = self.network
+        if (daemon.name, receiver) in faults.cuts or self.rng.random() < faults.drop:
+            return
+        copies = 2 if self.rng.random() < faults.duplicate else 1
+        event = PeerMessageReceived(daemon.name, effect.message)
+        for _ in range(copies):
+            latency = self.rng.uniform(faults.min_latency_ms, faults.max_latency_ms)
+            delay = timedelta(milliseconds=latency)
+            self.at(delay, lambda: self.deliver(receiver, event, size))
+
+    def deliver(self, receiver: str, event: PeerMessageReceived, size: int) -> None:
+        """Hand a message to whatever incarnation of its receiver is up."""
+        daemon = self.daemons[receiver]
+        daemon.bytes_received += size
+        self.feed(daemon, event)
+
+    # Findings
+
+    def count_events(self, kind: str) -> int:
+        """Return how many events of a kind were recorded."""
+        return sum(event.kind == kind for _, _, event in self.events)
+
+    def find_reverts(self) -> list[str]:
+        """Return where a daemon went back to an older version."""
+        found: list[str] = []
+        for daemon in self.daemons.values():
+            for (_, before), (when, after) in itertools.pairwise(daemon.versions):
+                if after < before:
+                    found.append(
+                        f"{daemon.name} went from {before} to {after} at {when}"
+                    )
+        return found
+
+    def versions_in_force(self) -> set[int | None]:
+        """Return the versions in force at the daemons that are up."""
+        return {
+            daemon.blackboard.table.version if daemon.blackboard.table_known else None
+            for daemon in self.daemons.values()
+            if daemon.up
+        }
--- /dev/null
+++ b/benchmarks/table_histories.py
@@ -0,0 +1,374 @@
+"""Seeded histories of the table under faults, and the checks on them."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+import detangle
+
+from benchmarks.table_fleet import TableFleet
+from wagtailstep.commands.table_client import Proposal, TableClient
+from wagtailstep.controllers.table import TableController
+from wagtailstep.exceptions import LogError, LogUnavailableError, TableError
+from wagtailstep.fakes.log_service import InMemoryLogService, LogFaults
+from wagtailstep.models.settings import LogSettings
+from wagtailstep.models.table import ServiceRow
+from wagtailstep.models.table_edits import TABLE_STREAM, TableChanges, TableEdit
+from wagtailstep.models.table_snapshot import split_snapshot
+from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.codec import encode_message
+
+ROWS = tuple(f"s{index}" for index in range(6))
+HISTORY = timedelta(seconds=240)
+SETTLING = timedelta(seconds=30)
+RETENTION_S = 120.0
+MAX_SNAPSHOTS = 30
+
+
+def make_change(row: str, value: int) -> TableChanges:
+    """Return a change of one service row that carries a value."""
+    return TableChanges(services={row: ServiceRow(row, drain_limit_s=float(value))})
+
+
+# Daemons
+
+
+@attrs.define
+class Oracle:
+    """What the table must be: the rule for edits, told in the simplest way."""
+
+    version: int = 0
+    rows: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    edit_ids: set[str] = attrs.field(factory=set)
+
+    def take(self, edit: TableEdit) -> None:
+        """Decide the next edit in the order of the log."""
+        if edit.edit_id in self.edit_ids:
+            return
+        self.edit_ids.add(edit.edit_id)
+        ((name, row),) = edit.changes.services.items()
+        if self.rows.get(name, (0, 0.0))[0] <= edit.base_version:
+            self.version += 1
+            self.rows[name] = (self.version, row.drain_limit_s)
+
+    def values(self) -> dict[str, float]:
+        """Return the value of each row."""
+        return {name: value for name, (_, value) in self.rows.items()}
+
+
+@attrs.define
+class FleetHistory:
+    """One run of a small fleet under random edits and faults."""
+
+    fleet: TableFleet
+    rng: random.Random
+    oracle: Oracle = attrs.field(factory=Oracle)
+    sent: list[TableEdit] = attrs.field(factory=list)
+
+    def schedule(self) -> None:
+        """Plan all edits and faults."""
+        now = 0.0
+        while now < HISTORY.total_seconds():
+            now += self.rng.expovariate(1.5)
+            self.fleet.at(timedelta(seconds=now), self.edit)
+        now = 0.0
+        while now < HISTORY.total_seconds():
+            now += self.rng.expovariate(0.4)
+            self.fleet.at(timedelta(seconds=now), self.cause_fault)
+
+    def edit(self) -> None:
+        """Append an edit, based on a version that may be old, or an old edit again."""
+        if self.sent and self.rng.random() < 0.1:
+            edit = self.rng.choice(self.sent[-5:])
+        else:
+            base = max(0, self.oracle.version - self.rng.choice((0, 0, 0, 1, 3)))
+            change = make_change(self.rng.choice(ROWS), len(self.sent))
+            edit_id = f"e{len(self.sent)}"
+            utc = self.fleet.clock.utc()
+            edit = TableEdit(edit_id, base, "operator", "history", utc, change)
+        try:
+            self.fleet.append_edit(edit)
+        except LogUnavailableError:
+            return
+        self.sent.append(edit)
+        self.oracle.take(edit)
+
+    def cause_fault(self) -> None:
+        """Cause one random fault that ends by itself."""
+        causes = (
+            self.take_log_away,
+            self.cut_from_log,
+            self.cut_network,
+            self.cut_network,
+            self.restart_one,
+            self.restart_one,
+            self.slow_appends,
+        )
+        self.rng.choice(causes)()
+        if self.rng.random() < 0.03:
+            self.restart_all()
+
+    def some_time(self, longest_s: float) -> timedelta:
+        """Return a random duration."""
+        return timedelta(seconds=self.rng.uniform(0.1, longest_s))
+
+    def take_log_away(self) -> None:
+        """Make the log unreachable for all."""
+        self.fleet.log.faults.away = True
+        self.fleet.at(self.some_time(25), self.bring_log_back)
+
+    def bring_log_back(self) -> None:
+        """Make the log reachable."""
+        self.fleet.log.faults.away = False
+
+    def cut_from_log(self) -> None:
+        """Cut some daemons off from the log, one way or both."""
+        reads, appends = self.rng.choice(((False, True), (True, False), (False, False)))
+        for name in self.rng.sample(list(self.fleet.daemons), 2):
+            self.set_log_access(name, reads, appends)
+            end = self.some_time(40)
+            self.fleet.at(end, lambda n=name: self.set_log_access(n, True, True))
+
+    def set_log_access(self, name: str, reads: bool, appends: bool) -> None:
+        """Set what a daemon can do with the log."""
+        daemon = self.fleet.daemons[name]
+        daemon.reads_log = reads
+        daemon.appends = appends
+
+    def cut_network(self) -> None:
+        """Cut a daemon off from some others, in one direction or in both."""
+        names = list(self.fleet.daemons)
+        one = self.rng.choice(names)
+        others = self.rng.sample(names, self.rng.randint(1, len(names) - 1))
+        out = {(one, other) for other in others}
+        back = {(other, one) for other in others}
+        cuts = self.rng.choice((out, back, out | back))
+        self.fleet.network.cuts |= cuts
+        self.fleet.at(self.some_time(15), lambda: self.heal(cuts))
+
+    def heal(self, cuts: set[tuple[str, str]]) -> None:
+        """End a cut."""
+        self.fleet.network.cuts -= cuts
+
+    def restart_one(self) -> None:
+        """Replace one daemon."""
+        name = self.rng.choice(list(self.fleet.daemons))
+        self.fleet.restart(name, self.some_time(3))
+
+    def restart_all(self) -> None:
+        """Replace all daemons at once."""
+        for name in list(self.fleet.daemons):
+            self.fleet.restart(name, self.some_time(3))
+
+    def slow_appends(self) -> None:
+        """Let a daemon's appends reach the log late, as if it had paused."""
+        daemon = self.fleet.daemons[self.rng.choice(list(self.fleet.daemons))]
+        daemon.append_delay = self.some_time(30)
+
+    def end_faults(self) -> None:
+        """End all faults."""
+        self.bring_log_back()
+        self.fleet.network.cuts.clear()
+        for name, daemon in self.fleet.daemons.items():
+            daemon.append_delay = timedelta()
+            self.set_log_access(name, True, True)
+
+    def find_faults(self) -> list[str]:
+        """Return what went wrong in the history."""
+        found = self.fleet.find_reverts()
+        for daemon in self.fleet.daemons.values():
+            found += self.compare_daemon(daemon.name)
+        snapshots = self.count_snapshots()
+        if snapshots > MAX_SNAPSHOTS:
+            found.append(f"{snapshots} snapshots were appended")
+        return found
+
+    def compare_daemon(self, name: str) -> list[str]:
+        """Compare the table of one daemon with what it must be."""
+        board = self.fleet.daemons[name].blackboard
+        if not board.table_known:
+            return [f"{name} has no table"]
+        if board.table.version != self.oracle.version:
+            return [f"{name} has {board.table.version}, not {self.oracle.version}"]
+        values = {key: row.drain_limit_s for key, row in board.table.services.items()}
+        return [] if values == self.oracle.values() else [f"{name} has other rows"]
+
+    def count_snapshots(self) -> int:
+        """Return how many snapshots were appended."""
+        return self.fleet.log.append_count - len(self.sent)
+
+
+def run_fleet_history(
+    seed: int,
+    make_controller: Callable[..., TableController] = TableController,
+    size: int = 5,
+) -> FleetHistory:
+    """Run one history of a small fleet, to its settled end.
+
+    :param make_controller: builds the controllers; tests plant faults with it.
+    """
+    log_settings = LogSettings(poll_ms=500, retention_s=RETENTION_S)
+    fleet = TableFleet(seed, size, log_settings, make_controller=make_controller)
+    faults = fleet.network
+    faults.max_latency_ms = 300.0
+    faults.drop = 0.05
+    faults.duplicate = 0.1
+    history = FleetHistory(fleet, random.Random(seed))
+    history.schedule()
+    fleet.run(HISTORY)
+    history.end_faults()
+    fleet.run(SETTLING)
+    return history
+
+
+# Operators
+
+
+class TableModel(detangle.lin.Model):
+    """The table as operators see it: rows with the version of their last change.
+
+    Operations: ``edit`` ((row, value, base version)) gives the new version, or 0
+    if refused; ``read`` gives the version and the values of the rows.
+    """
+
+    name = "table"
+
+    def init(self) -> Any:
+        """Return the empty table."""
+        return (0, ())
+
+    def step(self, state: Any, op: Any) -> tuple[bool, Any]:
+        """Apply one operation."""
+        version, rows = state
+        known = op.status == "ok"
+        if op.f == "read":
+            values = tuple((name, value) for name, value, _ in rows)
+            return (not known or op.output == (version, values), state)
+        row, value, base = op.arg
+        last = next((changed for name, _, changed in rows if name == row), 0)
+        if last > base:
+            return (not known or op.output == 0, state)
+        kept = [item for item in rows if item[0] != row]
+        after = (version + 1, tuple(sorted([*kept, (row, value, version + 1)])))
+        return (not known or op.output == version + 1, after)
+
+
+async def run_operator(
+    name: str,
+    client: TableClient,
+    history: detangle.History,
+    rng: random.Random,
+    count: int,
+) -> None:
+    """Read and edit the table some times, as one operator."""
+    for index in range(count):
+        base = await record_read(name, client, history)
+        await asyncio.sleep(rng.uniform(0, 2))
+        if base is None:
+            continue
+        value = int(name) * 100 + index + 1
+        row = rng.choice(ROWS[:2])
+        await record_edit(name, client, history, (row, value, base))
+
+
+async def record_read(
+    name: str, client: TableClient, history: detangle.History
+) -> int | None:
+    """Read the table once and return its version, or ``None``."""
+
+    async def read() -> tuple[int, Any]:
+        table = await client.read_table()
+        rows = sorted(table.services.values(), key=lambda row: row.service)
+        return table.version, tuple((r.service, int(r.drain_limit_s)) for r in rows)
+
+    try:
+        version, _ = await history.call(name, "read", None, read())
+    except LogError:
+        return None
+    return version
+
+
+async def record_edit(
+    name: str,
+    client: TableClient,
+    history: detangle.History,
+    change: tuple[str, int, int],
+) -> None:
+    """Propose one edit and record what its operator is told."""
+    row, value, base = change
+    edit = client.make_edit(base, make_change(row, value), Proposal(name, "history"))
+
+    async def propose() -> int:
+        try:
+            return (await client.propose(edit)).version
+        except TableError:
+            return 0
+
+    try:
+        await history.call(
+            name, "edit", change, propose(), fail_on=(LogUnavailableError,)
+        )
+    except LogError:
+        pass
+
+
+async def disturb_log(log: InMemoryLogService, rng: random.Random) -> None:
+    """Cause faults of the log, for as long as operators work."""
+    while True:
+        await asyncio.sleep(rng.uniform(0.2, 3))
+        log.faults.away = rng.random() < 0.2
+        log.faults.delay_ms = rng.choice((1, 20, 700))
+        log.faults.lost_acknowledgments += rng.randint(0, 2)
+
+
+async def write_snapshots(
+    log: InMemoryLogService, client: TableClient, rng: random.Random, pause_s: float
+) -> None:
+    """Write snapshots into the log, each a while after it was taken."""
+    while True:
+        try:
+            fold = await client.read_fold()
+            parts = split_snapshot(f"{rng.random()}", fold, client.clock.utc())
+            await asyncio.sleep(rng.uniform(0, pause_s))
+            for part in parts:
+                await log.append(TABLE_STREAM, encode_message(part))
+        except LogError:
+            pass
+        await asyncio.sleep(1)
+
+
+def run_operator_history(
+    seed: int,
+    make_client: Callable[..., TableClient] = TableClient,
+    operators: int = 3,
+    edits: int = 4,
+) -> detangle.History:
+    """Run one history of operators who edit at the same time.
+
+    :param make_client: builds their clients; tests plant faults with it.
+    """
+    rng = random.Random(seed)
+    history = detangle.History()
+
+    async def main() -> None:
+        faults = LogFaults(delay_ms=1, retention_records=12)
+        log = InMemoryLogService(LoopClock(), faults)
+        make = lambda: make_client(log, LoopClock(), rng)  # noqa: E731
+        background = [
+            asyncio.create_task(disturb_log(log, rng)),
+            asyncio.create_task(write_snapshots(log, make(), rng, 0.5)),
+            asyncio.create_task(write_snapshots(log, make(), rng, 12)),
+        ]
+        names = [str(index) for index in range(operators)]
+        await asyncio.gather(
+            *(run_operator(name, make(), history, rng, edits) for name in names)
+        )
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
+
+    detangle.run(main, seed=seed)
+    return history
--- a/src/wagtailstep/controllers/table.py
+++ b/src/wagtailstep/controllers/table.py
@@ -77,6 +77,7 @@
         self.unconfirmed: list[LogRecord] = []
         self.unconfirmed_since = timedelta()
         self.next_digest_at = timedelta()
+        self.next_repeat_at = timedelta()
         self.version_in_force = -1
 
     @functools.singledispatchmethod
@@ -92,6 +93,7 @@
             effects.append(FollowStream(TABLE_STREAM))
         effects += self.confirm_late()
         effects += self.send_digests()
+        effects += self.repeat_records()
         effects += self.receiver.tick()
         effects += self.write_snapshot()
         self.sender.drop_stale()
@@ -140,7 +142,7 @@
 
     @take_message.register
     def _(self, message: TableDigest, sender: str) -> list[Any]:
-        self.first_table.note_position(sender, message.position)
+        self.first_table.note_digest(sender, message)
         effects = self.confirm_before(message.position)
         if effects and self.unconfirmed:
             effects += self.push_unconfirmed()
@@ -153,7 +155,7 @@
         effects = self.take_peer_records(message.records)
         behind = message.records and message.records[-1].offset >= self.reader.position
         if message.wants_answer or behind:
-            effects += self.members.send_to(sender, make_digest(self.reader))
+            effects += self.members.send_to(sender, self.make_digest())
         return effects + self.check_known()
 
     @take_message.register
@@ -194,7 +196,7 @@
         """Keep new records until another daemon holds them too, and push them."""
         if not records:
             return []
-        if not self.members.others():
+        if not self.members.count():
             return self.take_log_records(records)
         if not self.unconfirmed:
             self.unconfirmed_since = self.clock.monotonic()
@@ -244,13 +246,17 @@
         for record in records:
             outcomes += self.reader.offer(record)
         effects += self.note_progress(before, outcomes)
-        fresh = tuple(r for r in records if r.offset >= before)
-        if fresh and self.blackboard.table_known:
+        if self.reader.position > before and self.blackboard.table_known:
+            fresh = self.reader.tail.read(before, self.settings.table.reply_bytes)
             effects += self.push(fresh, wants_answer=False)
         return effects
 
     # Digests
 
+    def make_digest(self, wants_answer: bool = False) -> TableDigest:
+        """Return how far this daemon's table is."""
+        return make_digest(self.reader, self.blackboard.table_known, wants_answer)
+
     def send_digests(self) -> list[Any]:
         """Tell a random member how far the table is, from time to time."""
         now = self.clock.monotonic()
@@ -263,14 +269,26 @@
         effects: list[Any] = []
         if self.unconfirmed:
             effects += self.push_unconfirmed()
-        digest = make_digest(self.reader)
+        digest = self.make_digest()
         members = self.members.pick(1)
         return effects + [SendToPeer(m.peer_address, digest) for m in members]
 
+    def repeat_records(self) -> list[Any]:
+        """Send the newest records to a random member, from time to time."""
+        now = self.clock.monotonic()
+        if now < self.next_repeat_at or not self.blackboard.table_known:
+            return []
+        interval = timedelta(milliseconds=self.settings.table.repeat_interval_ms)
+        self.next_repeat_at = now + interval * self.rng.uniform(0.75, 1.25)
+        records = self.reader.tail.read_last(self.settings.table.repeat_bytes)
+        members = self.members.pick(1) if records else []
+        message = TableRecords(records)
+        return [SendToPeer(m.peer_address, message) for m in members]
+
     def ask_first_members(self) -> list[Any]:
         """Ask some members for their digests, with no table in force yet."""
         self.first_table.note_asking()
-        digest = make_digest(self.reader, wants_answer=True)
+        digest = self.make_digest(wants_answer=True)
         members = self.members.pick(self.settings.table.first_answers)
         return [SendToPeer(m.peer_address, digest) for m in members]
 
@@ -282,7 +300,7 @@
         if digest.position > mine:
             return self.ask_missing(digest, sender)
         return (
-            self.members.send_to(sender, make_digest(self.reader))
+            self.members.send_to(sender, self.make_digest())
             if digest.wants_answer
             else []
         )
@@ -291,11 +309,11 @@
         """Send records after the sender's position, or tell how far this one is."""
         effects: list[Any] = []
         if digest.wants_answer:
-            effects = self.members.send_to(sender, make_digest(self.reader))
+            effects = self.members.send_to(sender, self.make_digest())
         tail = self.reader.tail
         start = max(digest.position, 0)
         if start < tail.start:
-            return effects or self.members.send_to(sender, make_digest(self.reader))
+            return effects or self.members.send_to(sender, self.make_digest())
         records = tail.read(start, self.settings.table.reply_bytes)
         more = bool(records) and records[-1].offset + 1 < self.reader.position
         wants_answer = more or not self.blackboard.table_known
@@ -306,7 +324,7 @@
         """Ask a daemon that is ahead for records or for a snapshot."""
         mine = max(self.reader.position, 0)
         if digest.tail_start <= mine:
-            return self.members.send_to(sender, make_digest(self.reader))
+            return self.members.send_to(sender, self.make_digest())
         member = self.blackboard.members.get(sender)
         if member is None:
             return []
@@ -332,29 +350,16 @@
 
     def note_progress(self, before: int, outcomes: list[EditOutcome]) -> list[Any]:
         """Report decided edits and the version that is in force now."""
-        effects: list[Any] = []
-        if not self.blackboard.table_known:
-            outcomes = []
-        for outcome in outcomes:
-            effects.append(report_outcome(outcome))
-        effects += self.note_snapshots()
+        effects: list[Any] = list(self.writer.note_seen(self.reader.seen))
+        self.reader.seen.clear()
+        if self.reader.fold is not None:
+            self.writer.note_edits(self.reader.fold)
+        if self.blackboard.table_known:
+            effects += [report_outcome(outcome) for outcome in outcomes]
         if self.reader.position > before and self.blackboard.table_known:
             effects += self.put_in_force()
         return effects
 
-    def note_snapshots(self) -> list[Any]:
-        """Report wrong snapshots and put off the next one after a right one."""
-        effects: list[Any] = []
-        for seen in self.reader.seen:
-            part = seen.last_part
-            if not seen.problem:
-                self.writer.note_snapshot(part)
-                continue
-            fields = {"snapshot_id": part.snapshot_id, "reason": seen.problem}
-            effects.append(RecordEvent("table-snapshot-rejected", fields))
-        self.reader.seen.clear()
-        return effects
-
     def put_in_force(self) -> list[Any]:
         """Write the folded table to the blackboard if its version is new."""
         board = self.blackboard
@@ -371,10 +376,9 @@
 
     def check_known(self) -> list[Any]:
         """Put the first table in force once it can't be an older one."""
-        others = len(self.members.others())
         if self.blackboard.table_known:
             return []
-        if not self.first_table.accepts(self.reader.position, others):
+        if not self.first_table.accepts(self.reader.position, self.members.count()):
             return []
         self.blackboard.table_known = True
         return self.put_in_force()
--- a/src/wagtailstep/controllers/table_exchange.py
+++ b/src/wagtailstep/controllers/table_exchange.py
@@ -9,19 +9,23 @@
 from wagtailstep.models.table_reader import TableReader, decode_part
 
 
-def make_digest(reader: TableReader, wants_answer: bool = False) -> TableDigest:
+def make_digest(
+    reader: TableReader, in_force: bool, wants_answer: bool = False
+) -> TableDigest:
     """Return how far a reader is.
 
+    :param in_force: whether its table is in force.
     :param wants_answer: whether the receiver shall answer in any case.
     """
     fold = reader.fold
     if fold is None:
-        return TableDigest(-1, 0, 0, 0, wants_answer)
+        return TableDigest(-1, 0, 0, 0, False, wants_answer)
     return TableDigest(
         fold.next_offset,
         fold.version,
         fold.content_hash,
         reader.tail.start,
+        in_force,
         wants_answer,
     )
 
--- a/src/wagtailstep/controllers/table_members.py
+++ b/src/wagtailstep/controllers/table_members.py
@@ -9,6 +9,9 @@
 from wagtailstep.models.events import SendToPeer
 from wagtailstep.models.fleet import Member, MemberState
 
+# Draws beyond those asked for, in place of this daemon itself and of gone members.
+SPARE_DRAWS = 8
+
 _GONE = (MemberState.DEAD, MemberState.LEAVING)
 
 
@@ -20,16 +23,20 @@
     blackboard: Blackboard
     rng: random.Random
 
-    def others(self) -> list[Member]:
-        """Return the members that may answer, in a fixed order."""
-        members = self.blackboard.members
-        names = sorted(n for n, m in members.items() if m.state not in _GONE)
-        return [members[name] for name in names if name != self.daemon_id]
+    def count(self) -> int:
+        """Return the number of other members that may answer."""
+        return sum(self._may_answer(m) for m in self.blackboard.members.values())
 
     def pick(self, count: int) -> list[Member]:
         """Return some random members."""
-        members = self.others()
-        return self.rng.sample(members, min(count, len(members)))
+        members = self.blackboard.members
+        names = list(members)
+        drawn = self.rng.sample(names, min(len(names), count + SPARE_DRAWS))
+        usable = [members[name] for name in drawn if self._may_answer(members[name])]
+        return usable[:count]
+
+    def _may_answer(self, member: Member) -> bool:
+        return member.daemon_id != self.daemon_id and member.state not in _GONE
 
     def send_to(self, daemon_id: str, message: Any) -> list[SendToPeer]:
         """Return the effect that sends a message to a known member."""
--- a/src/wagtailstep/controllers/table_start.py
+++ b/src/wagtailstep/controllers/table_start.py
@@ -5,6 +5,7 @@
 import attrs
 
 from wagtailstep.models.settings import TableSettings
+from wagtailstep.models.table_messages import TableDigest
 from wagtailstep.utils.clock import Clock
 
 
@@ -13,6 +14,7 @@
     """What a daemon has heard of the table since it started.
 
     :param heard: furthest position that each member told; -1 with no table.
+    :param heard_in_force: whether a member told of a table that is in force.
     :param asking_since: when this daemon began to ask members.
     :param first_caught_up_at: when the log's end was first reached; ``None`` if
         never.
@@ -23,6 +25,7 @@
     settings: TableSettings
     clock: Clock
     heard: dict[str, int] = attrs.field(factory=dict)
+    heard_in_force: bool = False
     asking_since: timedelta | None = None
     first_caught_up_at: timedelta | None = None
     caught_up_at: timedelta | None = None
@@ -33,9 +36,10 @@
         if self.asking_since is None:
             self.asking_since = self.clock.monotonic()
 
-    def note_position(self, member: str, position: int) -> None:
+    def note_digest(self, member: str, digest: TableDigest) -> None:
         """Note how far a member's table is."""
-        self.heard[member] = max(position, self.heard.get(member, -1))
+        self.heard[member] = max(digest.position, self.heard.get(member, -1))
+        self.heard_in_force = self.heard_in_force or digest.in_force
 
     def note_caught_up(self, offset: int) -> None:
         """Note that the log's end was reached."""
@@ -73,7 +77,8 @@
 
     def heard_enough(self, other_count: int) -> bool:
         """Tell whether enough members answered, for a start without the log."""
-        if self.asking_since is None or max(self.heard.values(), default=-1) < 0:
+        # A member without a table in force may have read a part of the log only.
+        if self.asking_since is None or not self.heard_in_force:
             return False
         if len(self.heard) >= min(self.settings.first_answers, other_count):
             return True
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -68,6 +68,9 @@
     """How daemons pass the table on and keep it in the log.
 
     :param digest_interval_ms: time between two digests to a random member.
+    :param repeat_interval_ms: time between two repetitions of the newest records to
+        a random member, which may be able to hear and unable to ask.
+    :param repeat_bytes: most bytes of older records that go with newer ones.
     :param push_fanout: random members that a new record is passed on to.
     :param confirm_timeout_ms: a record read from the log waits this long for a
         member that holds it too, before it takes effect.
@@ -81,6 +84,8 @@
     """
 
     digest_interval_ms: int = 1_000
+    repeat_interval_ms: int = 4_000
+    repeat_bytes: int = 1_024
     push_fanout: int = 3
     confirm_timeout_ms: int = 1_000
     first_answers: int = 5
--- a/src/wagtailstep/models/table_messages.py
+++ b/src/wagtailstep/models/table_messages.py
@@ -15,6 +15,7 @@
     :param version: version of its table.
     :param content_hash: hash of its table's content.
     :param tail_start: offset of the first record that it can pass on.
+    :param in_force: whether the sender has put its table in force.
     :param wants_answer: whether the receiver shall answer in any case.
     """
 
@@ -22,6 +23,7 @@
     version: int
     content_hash: int
     tail_start: int
+    in_force: bool
     wants_answer: bool = False
 
 
--- a/src/wagtailstep/models/table_reader.py
+++ b/src/wagtailstep/models/table_reader.py
@@ -68,6 +68,20 @@
         self.records.clear()
         self.size = 0
 
+    def read_last(self, max_bytes: int) -> tuple[LogRecord, ...]:
+        """Return the newest records.
+
+        :param max_bytes: most bytes of data.
+        """
+        found: list[LogRecord] = []
+        size = 0
+        for record in reversed(self.records):
+            size += len(record.data)
+            if size > max_bytes:
+                break
+            found.append(record)
+        return tuple(reversed(found))
+
     def read(self, offset: int, max_bytes: int) -> tuple[LogRecord, ...]:
         """Return records from an offset on, at least one if there is any.
 
