--- /dev/null
+++ b/features/log_service.feature
@@ -0,0 +1,58 @@
+Feature: The log service's client tells what an append may have done
+  Scenario Outline: Records come back in order, in memory and over HTTP
+    Given a log service <where>
+    When "a", "b" and "c" are appended to the stream "x"
+    Then the stream "x" gives "a", "b" and "c" at the offsets 0, 1 and 2
+    And the stream "y" is empty from offset 0 on
+
+    Examples:
+      | where     |
+      | in memory |
+      | over HTTP |
+
+  Scenario Outline: Each failure of an append is told for what it is
+    Given a log service <where>
+    When the log service has the fault <fault>
+    Then an append ends in <error> and leaves <count> records
+
+    Examples:
+      | where     | fault                  | error               | count |
+      | in memory | away=true              | LogUnavailableError | 0     |
+      | in memory | silent=true            | AppendUnknownError  | 0     |
+      | in memory | lost_acknowledgments=1 | AppendUnknownError  | 1     |
+      | over HTTP | away=true              | LogUnavailableError | 0     |
+      | over HTTP | silent=true            | AppendUnknownError  | 0     |
+      | over HTTP | lost_acknowledgments=1 | AppendUnknownError  | 1     |
+
+  Scenario: An append to a closed port had no effect
+    Given a log service over HTTP
+    When the log service ends
+    Then an append ends in LogUnavailableError
+
+  Scenario: Appends beyond the rate are refused without effect
+    Given a log service over HTTP
+    When the log service has the fault appends_per_s=2
+    And "a", "b" and "c" are appended to the stream "x"
+    Then the stream "x" has 2 records and 1 append was refused
+
+  Scenario Outline: Expired records are reported with the oldest offset
+    Given a log service <where>
+    When the log service has the fault retention_records=2
+    And "a", "b" and "c" are appended to the stream "x"
+    Then reading the stream "x" from offset 0 reports 1 as oldest
+
+    Examples:
+      | where     |
+      | in memory |
+      | over HTTP |
+
+  Scenario: Records expire by age
+    Given a log service in memory
+    When the log service has the fault retention_s=10
+    And "a", "b" and "c" are appended to the stream "x"
+    And 11 seconds pass at the log service
+    Then reading the stream "x" from offset 0 reports 3 as oldest
+
+  Scenario: An unknown fault is refused
+    Given a log service over HTTP
+    Then setting the fault "awya" is refused with status 400
--- /dev/null
+++ b/features/steps/table_program_steps.py
@@ -0,0 +1,110 @@
+"""Steps for the operators' program, run against the stand-in of the log service."""
+
+import asyncio
+import contextlib
+import io
+import pathlib
+import shlex
+import sys
+import tempfile
+from unittest import mock
+
+from behave import given, then, when
+from log_service_steps import start_log_server
+
+from wagtailstep.cli import table as program
+from wagtailstep.cli.run import run_program
+
+
+def run_table_program(context, arguments):
+    words = ["wagtailstep-table", *shlex.split(arguments)]
+    out, err = io.StringIO(), io.StringIO()
+    with (
+        mock.patch.object(sys, "argv", words),
+        mock.patch.dict("os.environ", {program.LOG_VARIABLE: context.log_address}),
+        mock.patch.object(program, "LOG_TIMEOUT_MS", 400),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        context.exit_code = run_program(program.COMMANDS, "wagtailstep-table")
+    context.out, context.err = out.getvalue(), err.getvalue()
+
+
+@given("a log service for the table program")
+def start_log(context):
+    context.log_address = start_log_server(context).address
+
+
+@given('the table program ran "{arguments}"')
+def ran_program(context, arguments):
+    run_table_program(context, arguments)
+    assert context.exit_code == 0, context.err
+
+
+@when('the table program runs "{arguments}"')
+def run_command(context, arguments):
+    run_table_program(context, arguments)
+
+
+@then('it exits with {code:d} and one line that names "{message}"')
+def check_error_line(context, code, message):
+    assert context.exit_code == code, (context.exit_code, context.err)
+    assert context.err.count("\n") == 1, context.err
+    assert message in context.err, context.err
+
+
+@then('it exits with {code:d} and prints "{text}"')
+def check_printed(context, code, text):
+    assert context.exit_code == code, (context.exit_code, context.err)
+    assert text in context.out, context.out
+
+
+@then('it prints "{text}"')
+def check_also_printed(context, text):
+    assert text in context.out, context.out
+
+
+@then("the table in the log has version {version:d}")
+def check_log_version(context, version):
+    with mock.patch.dict("os.environ", {program.LOG_VARIABLE: context.log_address}):
+        table = asyncio.run(program._make_client("").read_table())
+    assert table.version == version, table.version
+
+
+@given("the table was exported to a file for each of two operators")
+def export_files(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.files = {}
+    for name in ("first", "second"):
+        path = pathlib.Path(folder.name, f"{name}.csv")
+        run_table_program(context, f"export {path}")
+        assert context.exit_code == 0, context.err
+        context.files[name] = path
+
+
+@when('the {name} operator changes "{old}" to "{new}" and applies the file')
+def change_and_apply(context, name, old, new):
+    path = context.files[name]
+    text = path.read_text()
+    assert old in text, text
+    path.write_text(text.replace(old, new))
+    run_table_program(context, f"apply {path} --reason=changed --author={name}")
+
+
+@when('the {name} operator deletes the line "{kind}" and applies the file')
+def delete_and_apply(context, name, kind):
+    path = context.files[name]
+    lines = path.read_text().splitlines(keepends=True)
+    path.write_text("".join(line for line in lines if f",{kind}," not in line))
+    run_table_program(context, f"apply {path} --reason=changed")
+
+
+@when("the log loses the next {count:d} acknowledgments")
+def lose_acknowledgments(context, count):
+    context.log_server.set_faults(lost_acknowledgments=count)
+
+
+@when("the log is away for the table program")
+def take_away(context):
+    context.log_server.set_faults(away=True)
--- /dev/null
+++ b/features/table_program.feature
@@ -0,0 +1,82 @@
+Feature: Operators edit the table with wagtailstep-table
+  Background:
+    Given a log service for the table program
+    And the table program ran "edit service contracts --floor_weight=2 --unlisted_servers=4 --reason=start"
+
+  Scenario Outline: A wrong argument gives one line and changes nothing
+    When the table program runs "<arguments>"
+    Then it exits with <code> and one line that names "<message>"
+    And the table in the log has version 1
+
+    Examples:
+      | arguments                                              | code | message                                  |
+      | edit service contracts --floor_weight=x --reason=r     | 2    | column floor_weight: 'x' is not allowed, allowed is a number |
+      | edit service contracts --floor_weight=-1 --reason=r    | 2    | allowed is 0 to 1e+06                    |
+      | edit service contracts --flor=1 --reason=r             | 2    | column flor: unknown                     |
+      | edit service contracts --floor_weight=1                | 2    | reason                                   |
+      | edit server contracts --weight=1 --reason=r            | 2    | kind: 'server' is not allowed            |
+      | edit service contracts --reason=r                      | 2    | either --remove or columns               |
+      | edit backend_server contracts/a --weight=1 --reason=r  | 2    | service/host:port                        |
+      | edit service contracts --floor_weight=5 --reason=r     | 3    | floor_weight: 5 can't be met             |
+      | edit service contracts --remove --floor_weight=1 --reason=r | 2 | either --remove or columns             |
+      | apply /nonexistent.csv --reason=r                      | 2    | can't be read                            |
+      | show service --version=x                               | 2    | --version='x' is not allowed             |
+      | revert 7 --reason=r                                    | 3    | version 7                                |
+      | history --limit=0                                      | 2    | --limit=0 is not allowed                 |
+      | shwo                                                   | 2    | shwo                                     |
+      | show --frobnicate=1                                    | 2    | frobnicate                               |
+      | outcome nothing                                        | 4    | edit nothing is not in the log           |
+      | show --log=nowhere                                     | 2    | 'nowhere' is not host:port               |
+
+  Scenario: A dry run shows capacity against the floor and changes nothing
+    When the table program runs "edit service contracts --unlisted_servers=3 --reason=r --dry_run"
+    Then it exits with 0 and prints "service=contracts capacity=4->3 floor=2->2"
+    And the table in the log has version 1
+
+  Scenario: The history tells who, when and why
+    When the table program runs "edit service contracts --drain_limit_s=9 --author=hana --reason='shorter drains'"
+    Then it exits with 0 and prints "version=2"
+    When the table program runs "history"
+    Then it exits with 0 and prints "author=hana reason="shorter drains""
+
+  Scenario: A revert is a new version
+    When the table program runs "edit service contracts --floor_weight=4 --reason=r"
+    And the table program runs "revert 1 --reason=back"
+    Then it exits with 0 and prints "floor_weight=4->2"
+    And the table in the log has version 3
+
+  Scenario: Of two operators who change the same row one is told who was first
+    Given the table was exported to a file for each of two operators
+    When the first operator changes "contracts,2," to "contracts,3," and applies the file
+    Then it exits with 0 and prints "version=2"
+    When the second operator changes "contracts,2," to "contracts,4," and applies the file
+    Then it exits with 3 and one line that names "was changed by edit"
+    And the table in the log has version 2
+
+  Scenario: Two operators who change different rows both succeed
+    Given the table program ran "edit service archive --reason=new"
+    And the table was exported to a file for each of two operators
+    When the first operator changes "contracts,2," to "contracts,3," and applies the file
+    And the second operator changes "archive,0," to "archive,0,8" and applies the file
+    Then it exits with 0 and prints "version=4"
+    When the table program runs "show service"
+    Then it exits with 0 and prints "contracts floor_weight=3"
+    And it prints "archive floor_weight=0 drain_limit_s=830"
+
+  Scenario: A row that is missing in the file is not removed by mistake
+    Given the table program ran "edit route contracts/sign --timeout_ms=900 --reason=new"
+    And the table was exported to a file for each of two operators
+    When the first operator deletes the line "route" and applies the file
+    Then it exits with 2 and one line that names "pass --remove"
+    And the table in the log has version 2
+
+  Scenario: A lost acknowledgment is settled without applying twice
+    When the log loses the next 1 acknowledgments
+    And the table program runs "edit service contracts --drain_limit_s=9 --reason=r"
+    Then it exits with 0 and prints "accepted"
+    And the table in the log has version 2
+
+  Scenario: An edit while the log is away fails and changes nothing
+    When the log is away for the table program
+    And the table program runs "edit service contracts --drain_limit_s=9 --reason=r"
+    Then it exits with 1 and one line that names "the log"
--- a/src/wagtailstep/cli/table.py
+++ b/src/wagtailstep/cli/table.py
@@ -49,10 +49,10 @@
         raise SettingsError(f"file {path!r} can't be read: {error}") from error
 
 
-def _check_version(version: Any, lowest: int) -> int:
+def _check_number(name: str, version: Any, lowest: int) -> int:
     if not isinstance(version, int) or version < lowest:
         raise SettingsError(
-            f"--version={version!r} is not allowed, allowed is a whole number of at "
+            f"--{name}={version!r} is not allowed, allowed is a whole number of at "
             f"least {lowest}"
         )
     return version
@@ -77,7 +77,7 @@
     """
 
     async def read_rows() -> Iterable[str]:
-        wanted = None if version is None else _check_version(version, 0)
+        wanted = None if version is None else _check_number("version", version, 0)
         table = await _make_client(log).read_table(wanted)
         return show_rows(table, str(kind), str(prefix))
 
@@ -91,7 +91,7 @@
     :param version: an older version that the log still knows.
     :param log: ``host:port`` of the log service.
     """
-    wanted = None if version is None else _check_version(version, 0)
+    wanted = None if version is None else _check_number("version", version, 0)
     table = asyncio.run(_make_client(log).read_table(wanted))
     if path == "-":
         sys.stdout.write(write_csv(table))
@@ -234,7 +234,7 @@
         client = _make_client(log)
         proposal = _make_proposal(author, reason)
         fold = await client.read_fold()
-        wanted = _check_version(version, 0)
+        wanted = _check_number("version", version, 0)
         changes = await table_edit.plan_revert(client, fold, wanted)
         return await table_edit.submit(
             client, fold, fold.version, changes, proposal, dry_run
@@ -253,7 +253,7 @@
 
     async def read_history() -> Iterable[str]:
         fold = await _make_client(log).read_fold()
-        return show_history(fold, str(row), _check_version(limit, 1))
+        return show_history(fold, str(row), _check_number("limit", limit, 1))
 
     _run(read_history)
 
--- a/src/wagtailstep/commands/table_cells.py
+++ b/src/wagtailstep/commands/table_cells.py
@@ -8,7 +8,7 @@
 from wagtailstep.exceptions import SettingsError, TableError
 from wagtailstep.models.table import Row, RowKind
 from wagtailstep.models.table_edits import RowId
-from wagtailstep.models.table_rules import check_row
+from wagtailstep.models.table_rules import check_key, check_row
 
 
 class CellError(SettingsError):
@@ -57,6 +57,19 @@
         ) from error
 
 
+def parse_row_id(kind: str, key: str) -> RowId:
+    """Read the name of a row.
+
+    :raises CellError: if the kind is unknown or the key malformed.
+    """
+    row_id = RowId(parse_kind(kind), key)
+    try:
+        check_key(row_id)
+    except TableError as error:
+        raise CellError(str(error)) from error
+    return row_id
+
+
 def make_row(row_id: RowId, cells: dict[str, str], base: Row | None = None) -> Row:
     """Make a row from texts by column names; an empty text is the default.
 
--- a/src/wagtailstep/commands/table_edit.py
+++ b/src/wagtailstep/commands/table_edit.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from wagtailstep.commands.table_cells import CellError, make_row, parse_kind
+from wagtailstep.commands.table_cells import CellError, make_row, parse_row_id
 from wagtailstep.commands.table_changes import (
     copy_fold,
     count_changes,
@@ -14,9 +14,8 @@
 from wagtailstep.commands.table_client import Proposal, TableClient, check_outcome
 from wagtailstep.commands.table_csv import TableFile
 from wagtailstep.exceptions import SettingsError
-from wagtailstep.models.table_edits import RowId, TableChanges, TableEdit
+from wagtailstep.models.table_edits import TableChanges, TableEdit
 from wagtailstep.models.table_fold import TableFold
-from wagtailstep.models.table_rules import check_key
 
 
 def plan_row_change(
@@ -28,9 +27,9 @@
     :param remove: whether to remove the row instead.
     :raises SettingsError: if the arguments are wrong.
     """
-    row_id = RowId(parse_kind(kind), key)
-    check_key(row_id)
-    if remove == bool(cells):
+    row_id = parse_row_id(kind, key)
+    is_new = key not in fold.table.rows(row_id.kind)
+    if remove == bool(cells) and (remove or not is_new):
         names = ", ".join(column.name for column in row_id.kind.columns)
         raise CellError(
             f"row {row_id}: give either --remove or columns to set, allowed is {names}"
--- a/src/wagtailstep/controllers/table.py
+++ b/src/wagtailstep/controllers/table.py
@@ -211,7 +211,8 @@
         """Send records to a few random members, within the size of a message."""
         kept = take_first_records(records, self.settings.table.reply_bytes)
         message = TableRecords(kept, wants_answer)
-        members = self.members.pick(self.settings.table.push_fanout)
+        fanout = self.settings.table.push_fanout if kept else 0
+        members = self.members.pick(fanout)
         return [SendToPeer(m.peer_address, message, urgent=True) for m in members]
 
     def confirm_before(self, position: int) -> list[Any]:
--- a/src/wagtailstep/controllers/table_exchange.py
+++ b/src/wagtailstep/controllers/table_exchange.py
@@ -6,7 +6,7 @@
 from wagtailstep.models.log import LogRecord
 from wagtailstep.models.table_edits import EditOutcome, EditVerdict
 from wagtailstep.models.table_messages import TableDigest
-from wagtailstep.models.table_reader import TableReader, decode_part
+from wagtailstep.models.table_reader import TAIL_BYTES, TableReader, decode_part
 
 
 def make_digest(
@@ -33,7 +33,9 @@
 def take_first_records(
     records: Iterable[LogRecord], max_bytes: int
 ) -> tuple[LogRecord, ...]:
-    """Return the first records, at least one, without the data of snapshots.
+    """Return the first records, without the data of snapshots.
+
+    A record that is longer than what daemons keep for each other ends them.
 
     :param max_bytes: roughly how many bytes of data at most.
     """
@@ -43,7 +45,7 @@
         if decode_part(record) is not None:
             record = LogRecord(record.offset, b"")
         size += len(record.data)
-        if taken and size > max_bytes:
+        if len(record.data) > TAIL_BYTES or (taken and size > max_bytes):
             break
         taken.append(record)
     return tuple(taken)
--- a/src/wagtailstep/fakes/log_server.py
+++ b/src/wagtailstep/fakes/log_server.py
@@ -1,6 +1,7 @@
 """The stand-in for the log service on a real port, over HTTP/1.1."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -8,7 +9,7 @@
 import attrs
 import msgspec
 import uvicorn
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 
 from wagtailstep.exceptions import (
     AppendUnknownError,
@@ -40,10 +41,16 @@
     except LogUnavailableError:
         return _json(503, None)
     except AppendUnknownError:
-        await asyncio.sleep(UNANSWERED_S)
+        await _hold_answer()
         return _json(504, None)
 
 
+async def _hold_answer() -> None:
+    # The server cancels what is still held back when it ends; that is no fault.
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.sleep(UNANSWERED_S)
+
+
 async def _read(log: InMemoryLogService, request: Request, stream: str) -> Response:
     offset = int(request.query["offset"][0])
     limit = int(request.query["limit"][0])
@@ -66,7 +73,7 @@
 
 async def _refuse_read(log: InMemoryLogService) -> Response:
     if log.faults.silent:
-        await asyncio.sleep(UNANSWERED_S)
+        await _hold_answer()
     return _json(503, None)
 
 
@@ -82,7 +89,8 @@
 
 def make_application(log: InMemoryLogService) -> Application:
     """Return the HTTP application around a log service in memory."""
-    app = Application()
+    # Without a router of its own an application shares one with all others.
+    app = Application(router=Router())
 
     @app.router.post("/streams/{stream}/records")
     async def append(request: Request, stream: str) -> Response:
@@ -128,7 +136,7 @@
         make_application(log),
         host=host,
         port=port,
-        log_level="warning",
+        log_level="critical",
         timeout_graceful_shutdown=1,
     )
     server = uvicorn.Server(config)
--- a/src/wagtailstep/models/table_reader.py
+++ b/src/wagtailstep/models/table_reader.py
@@ -83,10 +83,12 @@
         return tuple(reversed(found))
 
     def read(self, offset: int, max_bytes: int) -> tuple[LogRecord, ...]:
-        """Return records from an offset on, at least one if there is any.
+        """Return records from an offset on, at least one if they are held.
 
         :param max_bytes: roughly how many bytes of data at most.
         """
+        if offset < self.start:
+            return ()
         found: list[LogRecord] = []
         size = 0
         for index in range(offset - self.start, len(self.records)):
