Add runtime, log follower, settings check and time line

Cause: the controllers need one driver, and operators one view of events. Change: the runtime applies typed effects; settings are refused with one line that names key, value and what is allowed; events are merged by Lamport time.

--- /dev/null
+++ b/features/settings.feature
@@ -0,0 +1,26 @@
+Feature: Settings are checked before anything starts
+  Scenario: The annotated example is valid
+    Then the file "examples/daemon.json" holds valid daemon settings
+
+  Scenario Outline: A wrong setting is refused with one line that names the key
+    Given the annotated example with <change>
+    Then it is refused with one line that contains "<text>"
+
+    Examples:
+      | change                                | text                            |
+      | {"weight": 1}                         | unknown key weight              |
+      | {"requests": {"queue": 1}}            | unknown key requests.queue      |
+      | {"requests": {"queue_length": "16"}}  | key requests.queue_length: '16' |
+      | {"requests": {"queue_length": -1}}    | key requests.queue_length: -1   |
+      | {"log": {"poll_ms": 0}}               | key log.poll_ms: 0              |
+      | {"caller_address": "here"}            | give an address as host:port    |
+      | {"caller_address": "a:99999"}         | give an address as host:port    |
+      | {"membership": {"seeds": ["x"]}}      | key membership.seeds            |
+      | {"log_level": "loud"}                 | DEBUG, INFO, WARNING, ERROR     |
+      | {"daemon_id": 3}                      | give a string in double quotes  |
+      | {"seed": true}                        | give a whole number             |
+      | {"availability_zone": "a b"}          | letters, digits                 |
+
+  Scenario: A missing key is named
+    Given the annotated example without "daemon_id"
+    Then it is refused with one line that contains "key daemon_id is missing"
--- /dev/null
+++ b/features/timeline.feature
@@ -0,0 +1,18 @@
+Feature: A time line of events over all daemons
+  Scenario: Causes come before effects, whatever the wall clocks say
+    Given a daemon "a" whose wall clock is 60 seconds ahead
+    And a daemon "b" whose wall clock is right
+    When daemon "a" records "ejected" and its message reaches daemon "b"
+    And daemon "b" records "told"
+    Then the merged time line reads "ejected, told"
+
+  Scenario: Memory for events is bounded and the newest are kept
+    Given a daemon "a" that keeps 3 events
+    When daemon "a" records 5 events
+    Then its events have the sequence numbers "3, 4, 5"
+
+  Scenario: A daemon that can't be reached is named
+    Given a daemon "a" that keeps 3 events
+    When the time line is gathered from "a:1" and from "gone:1", which does not answer
+    Then the text and the trace both name "gone:1" as unreachable
+    And the trace is valid JSON with a process named "a"
--- /dev/null
+++ b/src/wagtailstep/commands/read_settings.py
@@ -0,0 +1,112 @@
+"""Reading settings from JSON files into attrs classes, with checks."""
+
+import json
+import pathlib
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs.errors import ForbiddenExtraKeysError, IterableValidationNote
+
+from wagtailstep.exceptions import SettingsError
+from wagtailstep.models.settings import SettingValueError
+
+_T = TypeVar("_T")
+
+
+def _refuse_wrong_type(value: Any, kind: type) -> Any:
+    accepted = (int, float) if kind is float else kind
+    if isinstance(value, bool) != (kind is bool) or not isinstance(value, accepted):
+        raise TypeError(f"{value!r} is not allowed; give {_TYPE_NAMES[kind]}")
+    return kind(value)
+
+
+_TYPE_NAMES = {
+    str: "a string in double quotes",
+    int: "a whole number",
+    float: "a number",
+    bool: "true or false",
+}
+
+
+def make_converter() -> cattrs.Converter:
+    """Return a converter that refuses unknown keys and converts no types."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for kind in _TYPE_NAMES:
+        converter.register_structure_hook(kind, _refuse_wrong_type)
+    return converter
+
+
+def read_settings(path: str, cls: type[_T]) -> _T:
+    """Read one settings file.
+
+    :param path: path of a JSON file.
+    :param cls: attrs class of the settings.
+    :raises SettingsError: if the file can't be read, is not JSON, or a key or value
+        is not allowed; the message is one line and names the key.
+    """
+    try:
+        raw = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
+    except ValueError as error:
+        raise SettingsError(f"{path}: not valid JSON: {error}") from error
+    return structure_settings(raw, cls, path)
+
+
+def structure_settings(raw: Any, cls: type[_T], source: str) -> _T:
+    """Turn decoded JSON into settings.
+
+    :param raw: decoded JSON.
+    :param source: name of where it came from, for messages.
+    :raises SettingsError: as :func:`read_settings`.
+    """
+    if not isinstance(raw, dict):
+        raise SettingsError(f"{source}: must be a JSON object, not {raw!r}")
+    try:
+        return make_converter().structure(drop_comments(raw), cls)
+    except Exception as error:
+        raise SettingsError(f"{source}: {'; '.join(explain(error))}") from error
+
+
+def drop_comments(raw: Any) -> Any:
+    """Return decoded JSON without the keys that begin with ``//``."""
+    if not isinstance(raw, dict):
+        return raw
+    return {
+        key: drop_comments(value)
+        for key, value in raw.items()
+        if not key.startswith("//")
+    }
+
+
+def explain(error: BaseException, key: str = "") -> list[str]:
+    """Flatten a tree of errors into one line for each wrong key.
+
+    :param error: an error, perhaps an exception group.
+    :param key: dotted name of the key that the error belongs to.
+    """
+    if isinstance(error, BaseExceptionGroup):
+        lines = []
+        for child in error.exceptions:
+            lines.extend(explain(child, _extend_key(key, child)))
+        return lines
+    if isinstance(error, ForbiddenExtraKeysError):
+        unknown = ", ".join(
+            sorted(f"{key}.{k}".lstrip(".") for k in error.extra_fields)
+        )
+        return [f"unknown key {unknown}"]
+    if isinstance(error, KeyError):
+        return [f"key {key or error.args[0]} is missing; it has no default"]
+    if isinstance(error, SettingValueError):
+        key = f"{key}.{error.name}".lstrip(".")
+    return [f"key {key}: {error}"]
+
+
+def _extend_key(key: str, error: BaseException) -> str:
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, IterableValidationNote):
+            return f"{key}[{note.index}]"
+        name = getattr(note, "name", None)
+        if name is not None:
+            return f"{key}.{name}".lstrip(".")
+    return key
--- /dev/null
+++ b/src/wagtailstep/models/peer.py
@@ -0,0 +1,40 @@
+"""The envelope of all control messages and the channel that carries them."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from wagtailstep.utils.codec import message
+
+
+@message
+@attrs.frozen
+class StampedMessage:
+    """A control message with the logical time at which it was sent.
+
+    :param lamport: logical time of the sender.
+    :param body: an encoded message.
+    """
+
+    lamport: int
+    body: bytes
+
+
+class PeerChannel(Protocol):
+    """Carry control messages between daemons: at most once, perhaps never."""
+
+    async def start(self, deliver: Callable[[str, object], None]) -> None:
+        """Begin to receive.
+
+        :param deliver: called with the sender's ``daemon_id`` and the message.
+        """
+
+    def send(self, address: str, message: object) -> None:
+        """Send one message, or drop it; never blocks and never raises.
+
+        :param address: ``host:port`` of the receiver's control channel.
+        """
+
+    async def close(self) -> None:
+        """Stop receiving and drop what was not sent."""
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -1,7 +1,101 @@
 """Settings of the daemon, read from one JSON file."""
 
+import re
+from typing import Any
+
 import attrs
 
+_ADDRESS = re.compile(r"^[^\s:/]+:\d{1,5}$")
+MAX_PORT = 65_535
+
+
+class SettingValueError(ValueError):
+    """A value has the right type and is not allowed.
+
+    :param name: name of the setting.
+    """
+
+    def __init__(self, name: str, message: str) -> None:
+        super().__init__(message)
+        self.name = name
+
+
+def check_positive(_: Any, attribute: attrs.Attribute, value: float) -> None:
+    """Refuse zero and less.
+
+    :raises SettingValueError: if the value is not positive.
+    """
+    if value <= 0:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give a number above 0"
+        )
+
+
+def check_not_negative(_: Any, attribute: attrs.Attribute, value: float) -> None:
+    """Refuse less than zero.
+
+    :raises SettingValueError: if the value is negative.
+    """
+    if value < 0:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give 0 or more"
+        )
+
+
+def check_address(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse what is not ``host:port``.
+
+    :raises SettingValueError: if the value is not an address.
+    """
+    is_address = bool(_ADDRESS.match(value))
+    if not is_address or int(value.rpartition(":")[2]) > MAX_PORT:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give an address as host:port"
+        )
+
+
+def check_addresses(instance: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Refuse a list with an element that is not ``host:port``.
+
+    :raises SettingValueError: if an element is not an address.
+    """
+    for element in value:
+        check_address(instance, attribute, element)
+
+
+def check_name(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse an empty name and one with spaces or slashes.
+
+    :raises SettingValueError: if the value is not a name.
+    """
+    if not re.fullmatch(r"[A-Za-z0-9._-]+", value):
+        raise SettingValueError(
+            attribute.name,
+            f"{value!r} is not allowed; use letters, digits, dot, dash, underscore",
+        )
+
+
+def check_log_level(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse a name that is not a logging level.
+
+    :raises SettingValueError: if the value is not a level.
+    """
+    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
+    if value not in levels:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give one of {', '.join(levels)}"
+        )
+
+
+def positive(default: Any) -> Any:
+    """Declare a field whose value must be above 0."""
+    return attrs.field(default=default, validator=check_positive)
+
+
+def not_negative(default: Any) -> Any:
+    """Declare a field whose value must be 0 or more."""
+    return attrs.field(default=default, validator=check_not_negative)
+
 
 @attrs.frozen
 class RequestSettings:
@@ -17,14 +111,14 @@
     :param connection_idle_ms: an idle connection older than this is not reused.
     """
 
-    default_timeout_ms: int = 30_000
-    queue_length: int = 16
-    queue_timeout_ms: int = 1_000
-    retry_ratio: float = 0.1
-    retry_burst: int = 10
-    max_attempts: int = 3
-    connect_timeout_ms: int = 1_000
-    connection_idle_ms: int = 5_000
+    default_timeout_ms: int = positive(30_000)
+    queue_length: int = not_negative(16)
+    queue_timeout_ms: int = positive(1_000)
+    retry_ratio: float = not_negative(0.1)
+    retry_burst: int = not_negative(10)
+    max_attempts: int = positive(3)
+    connect_timeout_ms: int = positive(1_000)
+    connection_idle_ms: int = positive(5_000)
 
 
 @attrs.frozen
@@ -39,12 +133,12 @@
     :param renew_ms: time between two renewals.
     """
 
-    seeds: tuple[str, ...] = ()
-    probe_interval_ms: int = 1_000
-    probe_timeout_ms: int = 300
-    suspicion_timeout_ms: int = 3_000
-    lease_ms: int = 2_000
-    renew_ms: int = 600
+    seeds: tuple[str, ...] = attrs.field(default=(), validator=check_addresses)
+    probe_interval_ms: int = positive(1_000)
+    probe_timeout_ms: int = positive(300)
+    suspicion_timeout_ms: int = positive(3_000)
+    lease_ms: int = positive(2_000)
+    renew_ms: int = positive(600)
 
 
 @attrs.frozen
@@ -57,10 +151,10 @@
     :param retention_s: how long the log keeps a record.
     """
 
-    address: str = ""
-    timeout_ms: int = 1_000
-    poll_ms: int = 500
-    retention_s: float = 86_400.0
+    address: str = attrs.field(default="127.0.0.1:7400", validator=check_address)
+    timeout_ms: int = positive(1_000)
+    poll_ms: int = positive(500)
+    retention_s: float = positive(86_400.0)
 
 
 @attrs.frozen
@@ -78,14 +172,14 @@
     :param seed: seed of all random choices; ``None`` takes one from the system.
     """
 
-    daemon_id: str
-    availability_zone: str
-    caller_address: str
-    gate_address: str
-    peer_address: str
-    announce_address: str
-    log_level: str = "INFO"
-    event_ring_size: int = 4_096
+    daemon_id: str = attrs.field(validator=check_name)
+    availability_zone: str = attrs.field(validator=check_name)
+    caller_address: str = attrs.field(validator=check_address)
+    gate_address: str = attrs.field(validator=check_address)
+    peer_address: str = attrs.field(validator=check_address)
+    announce_address: str = attrs.field(validator=check_address)
+    log_level: str = attrs.field(default="INFO", validator=check_log_level)
+    event_ring_size: int = positive(4_096)
     seed: int | None = None
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
--- /dev/null
+++ b/src/wagtailstep/network/log_follower.py
@@ -0,0 +1,130 @@
+"""Reading streams of the log service as they grow, through its outages."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from wagtailstep.exceptions import LogError, RecordExpiredError
+from wagtailstep.models.events import LogGap, LogRecordsRead
+from wagtailstep.models.log import LogBatch, LogService
+from wagtailstep.models.settings import LogSettings
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+MAX_BACKOFF_MS = 5_000
+READ_LIMIT = 1_000
+
+
+class LogFollower:
+    """Read one stream from its oldest retained record on, and never stop.
+
+    Records are dispatched in order and none twice. One dispatch without records
+    says that the end of the stream was reached, at the start and after a gap.
+
+    :param settings: how often to read.
+    :param log: the log service.
+    :param stream: name of the stream.
+    :param dispatch: takes the events.
+    :param report: told after each read whether the log service was reachable.
+    :param rng: spreads the reads of many daemons over time.
+    """
+
+    def __init__(
+        self,
+        settings: LogSettings,
+        log: LogService,
+        stream: str,
+        dispatch: Callable[[Any], None],
+        report: Callable[[bool], None],
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.log = log
+        self.stream = stream
+        self.dispatch = dispatch
+        self.report = report
+        self.rng = rng
+        self.offset: int | None = None
+        self.end_reached = False
+        self.failures = 0
+        self.wake_up = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            more_to_read = await self.read_once()
+            if not more_to_read:
+                await self.wait()
+
+    async def read_once(self) -> bool:
+        """Read one batch and dispatch it.
+
+        :return: whether the next batch may be read at once.
+        """
+        try:
+            if self.offset is None:
+                self.offset = await self.log.oldest_offset(self.stream)
+            batch = await self.log.read(self.stream, self.offset, READ_LIMIT)
+        except RecordExpiredError as error:
+            self.skip_to(error.oldest)
+            return True
+        except LogError as error:
+            self.note_failure(error)
+            return False
+        self.failures = 0
+        self.report(True)
+        return self.take(batch)
+
+    def skip_to(self, oldest_offset: int) -> None:
+        """Go on at the oldest retained record and tell the controllers."""
+        log_event(
+            LOGGER,
+            "log-gap",
+            logging.WARNING,
+            stream=self.stream,
+            expected=self.offset,
+            oldest=oldest_offset,
+        )
+        self.offset = oldest_offset
+        self.end_reached = False
+        self.dispatch(LogGap(self.stream, oldest_offset))
+
+    def take(self, batch: LogBatch) -> bool:
+        """Dispatch a batch and move on.
+
+        :return: whether there may be more records now.
+        """
+        self.offset = batch.next_offset
+        if batch.records:
+            self.dispatch(LogRecordsRead(self.stream, batch.records))
+            return True
+        if not self.end_reached:
+            self.end_reached = True
+            self.dispatch(LogRecordsRead(self.stream, ()))
+        return False
+
+    def note_failure(self, error: LogError) -> None:
+        """Remember that the log service could not be read."""
+        self.failures += 1
+        self.report(False)
+        if self.failures == 1:
+            log_event(
+                LOGGER,
+                "log-unreachable",
+                logging.WARNING,
+                stream=self.stream,
+                error=error,
+            )
+
+    async def wait(self) -> None:
+        """Wait for the next read: a poll interval, more while reads fail."""
+        base_ms = self.settings.poll_ms * 2 ** min(self.failures, 8)
+        wait_ms = min(base_ms, max(MAX_BACKOFF_MS, self.settings.poll_ms))
+        wait_ms *= self.rng.uniform(0.75, 1.25)
+        try:
+            await asyncio.wait_for(self.wake_up.wait(), wait_ms / 1_000)
+        except TimeoutError:
+            pass
+        self.wake_up.clear()
--- /dev/null
+++ b/src/wagtailstep/network/runtime.py
@@ -0,0 +1,233 @@
+"""The runtime of a daemon: events to the controllers, effects to the outside."""
+
+import asyncio
+import functools
+import logging
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.timeline import Timeline
+from wagtailstep.exceptions import DecodeError, LogError, LogUnavailableError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    AppendToLog,
+    Controller,
+    FollowStream,
+    LogAppendSettled,
+    LogReachability,
+    PeerMessageReceived,
+    ProbeTarget,
+    RecordEvent,
+    SendToPeer,
+    Tick,
+)
+from wagtailstep.models.log import LogService
+from wagtailstep.models.peer import PeerChannel, StampedMessage
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.log_follower import LogFollower
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import decode_message, encode_message
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+TICK_INTERVAL_MS = 100
+
+
+@attrs.define
+class Outside:
+    """What the runtime reaches the outside with.
+
+    :param log: the platform's log service.
+    :param channel: control channel to the other daemons.
+    :param probe: runs a probe; its result is dispatched as an event.
+    """
+
+    log: LogService
+    channel: PeerChannel
+    probe: Callable[[ProbeTarget], Any]
+
+
+class Runtime:
+    """Feed events to the controllers one at a time and apply their effects.
+
+    :param settings: settings of the daemon.
+    :param blackboard: what the daemon knows.
+    :param clock: gives the time of recorded events.
+    :param rng: seeded random generator.
+    :param outside: adapters that carry out effects.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+        outside: Outside,
+    ) -> None:
+        self.settings = settings
+        self.blackboard = blackboard
+        self.rng = rng
+        self.outside = outside
+        self.timeline = Timeline(settings, blackboard, clock)
+        self.controllers: Sequence[Controller] = ()
+        self.listeners: dict[type, Callable[[Any], None]] = {}
+        self.followers: dict[str, LogFollower] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start receiving messages and ticking."""
+        await self.outside.channel.start(self.receive)
+        self.spawn(self.run_ticks())
+
+    async def close(self) -> None:
+        """Cancel all tasks and close the control channel."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.outside.channel.close()
+
+    def dispatch(self, event: Any) -> None:
+        """Give one event to each controller in turn and apply the effects.
+
+        An error of one controller is logged and keeps nothing from the others.
+        """
+        for controller in self.controllers:
+            try:
+                effects = controller.handle(event)
+            except Exception:
+                LOGGER.exception(
+                    "event=controller-failed controller=%s on=%s",
+                    type(controller).__name__,
+                    type(event).__name__,
+                )
+                continue
+            self.apply_all(effects)
+
+    def apply_all(self, effects: Sequence[Any]) -> None:
+        """Apply effects in order."""
+        for effect in effects:
+            listener = self.listeners.get(type(effect))
+            if listener is None:
+                apply_effect(effect, self)
+            else:
+                listener(effect)
+
+    def receive(self, sender: str, message: object) -> None:
+        """Take a message of another daemon from the control channel."""
+        if not isinstance(message, StampedMessage):
+            log_event(LOGGER, "message-not-stamped", logging.WARNING, sender=sender)
+            return
+        try:
+            body = decode_message(message.body)
+        except DecodeError as error:
+            log_event(
+                LOGGER, "message-unknown", logging.WARNING, sender=sender, error=error
+            )
+            return
+        self.timeline.witness_message(message.lamport)
+        self.dispatch(PeerMessageReceived(sender, body))
+
+    async def run_ticks(self) -> None:
+        """Dispatch a tick at a steady interval."""
+        while True:
+            self.dispatch(Tick())
+            await asyncio.sleep(TICK_INTERVAL_MS / 1_000)
+
+    def spawn(self, coroutine: Any) -> None:
+        """Run a coroutine until it ends or the runtime closes."""
+        task = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def record_event(self, kind: str, **fields: object) -> None:
+        """Put an event on the time line and write it to the log output."""
+        texts = {key: str(value) for key, value in fields.items()}
+        self.timeline.record(kind, texts)
+        log_event(LOGGER, kind, **texts)
+
+    def report_log(self, reachable: bool) -> None:
+        """Note whether the log service answers; changes become events."""
+        if reachable == self.blackboard.log_reachable:
+            return
+        self.blackboard.log_reachable = reachable
+        self.record_event("log-reachability", reachable=reachable)
+        self.dispatch(LogReachability(reachable))
+
+    async def append(self, effect: AppendToLog) -> None:
+        """Append a record to the log and dispatch how that ended."""
+        data = encode_message(effect.record)
+        offset = None
+        may_have_applied = False
+        try:
+            offset = await self.outside.log.append(effect.stream, data)
+        except LogUnavailableError:
+            self.report_log(False)
+        except LogError:
+            may_have_applied = True
+        self.wake_follower(effect.stream)
+        self.dispatch(LogAppendSettled(effect.append_id, offset, may_have_applied))
+
+    def wake_follower(self, stream: str) -> None:
+        """Read a followed stream now, since it has grown."""
+        follower = self.followers.get(stream)
+        if follower is not None:
+            follower.wake_up.set()
+
+    def follow(self, stream: str) -> None:
+        """Begin to follow a stream; a second call has no effect."""
+        if stream in self.followers:
+            return
+        follower = LogFollower(
+            self.settings.log,
+            self.outside.log,
+            stream,
+            self.dispatch,
+            self.report_log,
+            self.rng,
+        )
+        self.followers[stream] = follower
+        self.spawn(follower.run())
+
+    async def run_probe(self, effect: ProbeTarget) -> None:
+        """Probe a target and dispatch the result."""
+        self.dispatch(await self.outside.probe(effect))
+
+
+@functools.singledispatch
+def apply_effect(effect: Any, runtime: Runtime) -> None:
+    """Carry out one effect.
+
+    :raises TypeError: if nothing is known about effects of this type.
+    """
+    raise TypeError(f"no way to apply {type(effect).__name__}")
+
+
+@apply_effect.register
+def _(effect: SendToPeer, runtime: Runtime) -> None:
+    body = encode_message(effect.message)
+    stamped = StampedMessage(runtime.timeline.stamp_message(), body)
+    runtime.outside.channel.send(effect.address, stamped)
+
+
+@apply_effect.register
+def _(effect: AppendToLog, runtime: Runtime) -> None:
+    runtime.spawn(runtime.append(effect))
+
+
+@apply_effect.register
+def _(effect: FollowStream, runtime: Runtime) -> None:
+    runtime.follow(effect.stream)
+
+
+@apply_effect.register
+def _(effect: ProbeTarget, runtime: Runtime) -> None:
+    runtime.spawn(runtime.run_probe(effect))
+
+
+@apply_effect.register
+def _(effect: RecordEvent, runtime: Runtime) -> None:
+    runtime.record_event(effect.kind, **effect.fields)
