--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,8 @@
 	touch $@
 
 lint: install
-	$(VENV)/bin/ruff format --check src features benchmarks
-	$(VENV)/bin/ruff check src features benchmarks
+	$(VENV)/bin/ruff format --check src features benchmarks examples
+	$(VENV)/bin/ruff check src features benchmarks examples
 
 test: install
 	PY=$(PY) sh .ci/test.sh
--- /dev/null
+++ b/examples/demo_fleet.py
@@ -0,0 +1,149 @@
+"""The layout of the demo: both users' fleets on loopback.
+
+Writes the settings file of each daemon and a plan that the shell reads. It starts
+nothing.
+"""
+
+import json
+import pathlib
+import socket
+import sys
+
+import attrs
+
+from wagtailstep.models.settings import (
+    DaemonSettings,
+    LogSettings,
+    MembershipSettings,
+)
+
+HOST = "127.0.0.1"
+SEED_COUNT = 3
+
+
+@attrs.frozen
+class User:
+    """One user of the demo and its services.
+
+    :param name: name of the user.
+    :param zones: its availability zones.
+    :param services: number of backend servers by service.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    services: dict[str, int]
+
+
+USERS = (
+    User("addis", ("bole", "piassa", "kirkos"), {"contracts": 20, "archive": 6}),
+    User(
+        "hokkaido",
+        ("sapporo-a", "sapporo-b", "obihiro"),
+        {"staffroom": 20, "eventday": 6},
+    ),
+)
+
+
+@attrs.frozen
+class Place:
+    """One instance: a backend server and the daemon beside it.
+
+    :param service: service of the backend server.
+    :param backend_address: ``host:port`` of the backend server.
+    :param settings: settings of the daemon.
+    """
+
+    service: str
+    backend_address: str
+    settings: DaemonSettings
+
+
+@attrs.frozen
+class Fleet:
+    """All processes of one user.
+
+    :param user: whose fleet it is.
+    :param log_address: ``host:port`` of its log-service stand-in.
+    :param places: its instances.
+    """
+
+    user: User
+    log_address: str
+    places: tuple[Place, ...]
+
+
+class PortPicker:
+    """Pick free loopback ports; all stay bound until :meth:`release`."""
+
+    def __init__(self) -> None:
+        self.sockets: list[socket.socket] = []
+
+    def pick(self) -> str:
+        """Return the address of a port that was free."""
+        listener = socket.socket()
+        listener.bind((HOST, 0))
+        self.sockets.append(listener)
+        return f"{HOST}:{listener.getsockname()[1]}"
+
+    def release(self) -> None:
+        """Free all picked ports for the processes of the demo."""
+        for listener in self.sockets:
+            listener.close()
+
+
+def plan_fleet(user: User, ports: PortPicker, seed: int) -> Fleet:
+    """Give every process of a user its addresses."""
+    log_address = ports.pick()
+    count = sum(user.services.values())
+    peers = [ports.pick() for _ in range(count)]
+    places = []
+    for service, size in user.services.items():
+        for number in range(1, size + 1):
+            index = len(places)
+            settings = DaemonSettings(
+                daemon_id=f"{service}-{number}",
+                availability_zone=user.zones[index % len(user.zones)],
+                caller_address=ports.pick(),
+                gate_address=ports.pick(),
+                peer_address=peers[index],
+                announce_address=ports.pick(),
+                seed=seed * 1_000 + index,
+                membership=MembershipSettings(seeds=tuple(peers[:SEED_COUNT])),
+                log=LogSettings(address=log_address),
+            )
+            places.append(Place(service, ports.pick(), settings))
+    return Fleet(user, log_address, tuple(places))
+
+
+def plan_all(seed: int) -> list[Fleet]:
+    """Plan the fleets of all users on free ports."""
+    ports = PortPicker()
+    fleets = [plan_fleet(user, ports, seed) for user in USERS]
+    ports.release()
+    return fleets
+
+
+def write_plan(fleets: list[Fleet], folder: pathlib.Path) -> None:
+    """Write settings files, the process lists for the shell and the plan as JSON."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for fleet in fleets:
+        for place in fleet.places:
+            path = folder / f"{place.settings.daemon_id}.json"
+            path.write_text(json.dumps(attrs.asdict(place.settings), indent=1))
+    logs = [fleet.log_address for fleet in fleets]
+    (folder / "logs").write_text("\n".join(logs) + "\n")
+    daemons = [p.settings.daemon_id for f in fleets for p in f.places]
+    (folder / "daemons").write_text("\n".join(daemons) + "\n")
+    backends = [
+        f"{p.service} {p.backend_address} {p.settings.announce_address}"
+        for f in fleets
+        for p in f.places
+    ]
+    (folder / "backends").write_text("\n".join(backends) + "\n")
+    plan = [attrs.asdict(fleet) for fleet in fleets]
+    (folder / "plan.json").write_text(json.dumps(plan))
+
+
+if __name__ == "__main__":
+    write_plan(plan_all(int(sys.argv[1])), pathlib.Path(sys.argv[2]))
--- a/features/run_tests.py
+++ b/features/run_tests.py
@@ -12,7 +12,7 @@
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-SOURCES = ["src", "features", "benchmarks"]
+SOURCES = ["src", "features", "benchmarks", "examples"]
 
 
 def run_checks():
