--- /dev/null
+++ b/src/wagtailstep/controllers/gate.py
@@ -0,0 +1,253 @@
+"""Admission to the backend servers beside this daemon.
+
+Every request to a backend server passes its gate, so slot limit, refusal of new
+work while it leaves, and the statement that a request was not run need no
+agreement with anybody.
+"""
+
+import random
+from collections import OrderedDict, deque
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.exceptions import (
+    DeadlineExceededError,
+    DuplicateRequestError,
+    LeavingError,
+    NoTargetError,
+    OverloadedError,
+    RequestError,
+)
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Target, TargetState
+from wagtailstep.models.gate import (
+    GateRequest,
+    GateRequestAbandoned,
+    GateRequestArrived,
+    GateRequestEnded,
+    RefuseRequest,
+    RunResult,
+    StartRequest,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.utils.clock import Clock
+
+ACCEPTED_MEMORY = timedelta(minutes=10)
+MIN_RETRY_AFTER = timedelta(milliseconds=200)
+
+
+@attrs.define
+class RunningRequest:
+    """A request that was sent to the backend server.
+
+    :param request: the request.
+    :param started_at: monotonic time when it was sent.
+    :param beside: other requests that ran at that moment.
+    """
+
+    request: GateRequest
+    started_at: timedelta
+    beside: int
+
+
+@attrs.define
+class TargetQueue:
+    """What runs and waits at one backend server.
+
+    :param limit: how many may run at once.
+    :param running: requests that were sent, by serial.
+    :param waiting: requests that wait, by serial, oldest first.
+    """
+
+    limit: ConcurrencyLimit
+    running: dict[int, RunningRequest] = attrs.field(factory=dict)
+    waiting: OrderedDict[int, GateRequest] = attrs.field(factory=OrderedDict)
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Tell whether one more request may run now."""
+        return len(self.running) < self.limit.whole
+
+    @property
+    def load(self) -> float:
+        """Return running and waiting requests per request that may run."""
+        return (len(self.running) + len(self.waiting)) / self.limit.whole
+
+    def expected_wait(self) -> timedelta:
+        """Return how long a request that joins the queue now will wait for a slot.
+
+        The running requests count half, since they have been running for a while.
+        """
+        ahead = [entry.request for entry in self.running.values()]
+        total = sum(map(self.time_of, ahead), timedelta()) / 2
+        total += sum(map(self.time_of, self.waiting.values()), timedelta())
+        return total / self.limit.whole
+
+    def time_of(self, request: GateRequest) -> timedelta:
+        """Return the time that a request is expected to take."""
+        return self.limit.typical_time(request.route)
+
+
+class GateController:
+    """Decide which request runs, waits or is refused.
+
+    :param settings: settings of the daemon.
+    :param blackboard: read for targets.
+    :param clock: source of monotonic time.
+    :param rng: random choices; none are needed today.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings.requests
+        self.blackboard = blackboard
+        self.clock = clock
+        self.rng = rng
+        self.queues: dict[str, TargetQueue] = {}
+        self.queue_of_serial: dict[int, TargetQueue] = {}
+        self.accepted: set[str] = set()
+        self.accepted_order: deque[tuple[timedelta, str]] = deque()
+
+    @singledispatchmethod
+    def handle(self, event: Any) -> list[Any]:
+        """Take one event and return effects, in order."""
+        return []
+
+    @handle.register
+    def admit(self, event: GateRequestArrived) -> list[Any]:
+        """Start, queue or refuse a new request."""
+        request = event.request
+        error = self.find_refusal(request)
+        if error is not None:
+            return [RefuseRequest(request.serial, error)]
+        queue = self.find_queue(request.target_id)
+        self.remember(request)
+        self.queue_of_serial[request.serial] = queue
+        if queue.has_free_slot and not queue.waiting:
+            return [self.start(queue, request)]
+        queue.waiting[request.serial] = request
+        return []
+
+    @handle.register
+    def end(self, event: GateRequestEnded) -> list[Any]:
+        """Free the slot of a request that ended and start the next ones."""
+        queue = self.queue_of_serial.pop(event.serial, None)
+        if queue is None:
+            return []
+        entry = queue.running.pop(event.serial)
+        queue.limit.record(
+            entry.request.route,
+            event.result,
+            entry.started_at,
+            self.clock.monotonic(),
+            entry.beside,
+        )
+        return self.start_waiting(queue)
+
+    @handle.register
+    def abandon(self, event: GateRequestAbandoned) -> list[Any]:
+        """Take out a request whose caller has gone."""
+        queue = self.queue_of_serial.get(event.serial)
+        if queue is None:
+            return []
+        if event.serial in queue.running:
+            return self.end(GateRequestEnded(event.serial, RunResult.ABANDONED))
+        del self.queue_of_serial[event.serial]
+        self.forget(queue.waiting.pop(event.serial))
+        return []
+
+    def find_refusal(self, request: GateRequest) -> RequestError | None:
+        """Return why a request can't be taken, or ``None``."""
+        if request.request_id in self.accepted:
+            return DuplicateRequestError(
+                f"request {request.request_id} was accepted before",
+                Verdict.MAY_HAVE_RUN,
+            )
+        if request.deadline <= self.clock.monotonic():
+            return DeadlineExceededError(
+                "the deadline had passed when the request arrived", Verdict.NOT_RUN
+            )
+        target = self.blackboard.targets.get(request.target_id)
+        if target is None or not self.is_local(target):
+            return NoTargetError(f"{request.target_id} is not beside this daemon")
+        if target.state is TargetState.LEAVING:
+            return LeavingError(f"{request.target_id} is leaving")
+        return self.find_overload(request)
+
+    def find_overload(self, request: GateRequest) -> RequestError | None:
+        """Return a refusal if the request would wait for too long, or ``None``."""
+        queue = self.find_queue(request.target_id)
+        if queue.has_free_slot and not queue.waiting:
+            return None
+        wait = queue.expected_wait()
+        retry_after = max(MIN_RETRY_AFTER, wait)
+        if len(queue.waiting) >= self.settings.queue_length:
+            return OverloadedError(f"the queue of {request.target_id} is full", wait)
+        if wait > timedelta(milliseconds=self.settings.queue_timeout_ms):
+            message = f"the queue of {request.target_id} is too long"
+            return OverloadedError(message, retry_after)
+        ends_at = self.clock.monotonic() + wait + queue.time_of(request)
+        if ends_at > request.deadline:
+            message = f"{request.target_id} can't answer before the deadline"
+            return OverloadedError(message, retry_after)
+        return None
+
+    def is_local(self, target: Target) -> bool:
+        """Tell whether a backend server is beside this daemon."""
+        return target.daemon_id == self.blackboard.this_member.daemon_id
+
+    def find_queue(self, target_id: str) -> TargetQueue:
+        """Return the queue of a known target, sized by its slots."""
+        slots = self.blackboard.targets[target_id].slots
+        queue = self.queues.get(target_id)
+        if queue is None:
+            queue = TargetQueue(ConcurrencyLimit(slots))
+            self.queues[target_id] = queue
+        queue.limit.resize(slots)
+        return queue
+
+    def start(self, queue: TargetQueue, request: GateRequest) -> StartRequest:
+        """Give a slot to a request."""
+        now = self.clock.monotonic()
+        beside = len(queue.running)
+        queue.running[request.serial] = RunningRequest(request, now, beside)
+        return StartRequest(request.serial)
+
+    def start_waiting(self, queue: TargetQueue) -> list[Any]:
+        """Start waiting requests while slots are free; refuse the late ones."""
+        effects: list[Any] = []
+        while queue.waiting and queue.has_free_slot:
+            serial, request = queue.waiting.popitem(last=False)
+            if request.deadline > self.clock.monotonic():
+                effects.append(self.start(queue, request))
+                continue
+            del self.queue_of_serial[serial]
+            self.forget(request)
+            error = DeadlineExceededError(
+                "the deadline passed while the request waited", Verdict.NOT_RUN
+            )
+            effects.append(RefuseRequest(serial, error))
+        return effects
+
+    def remember(self, request: GateRequest) -> None:
+        """Keep the identifier of a non-idempotent request that was accepted."""
+        now = self.clock.monotonic()
+        while self.accepted_order and self.accepted_order[0][0] < now - ACCEPTED_MEMORY:
+            self.accepted.discard(self.accepted_order.popleft()[1])
+        if not request.idempotent:
+            self.accepted.add(request.request_id)
+            self.accepted_order.append((now, request.request_id))
+
+    def forget(self, request: GateRequest) -> None:
+        """Drop the identifier of a request that was certainly not started."""
+        self.accepted.discard(request.request_id)
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -2,6 +2,7 @@
 
 from datetime import timedelta
 
+from wagtailstep.models.request import Blame
 from wagtailstep.models.verdict import Verdict
 
 
@@ -47,10 +48,13 @@
     :param verdict: whether a backend server may have run the request.
     :param status: HTTP status code for the caller.
     :param retry_after: when the caller may come back, or ``None``.
+
+    ``blame`` says what the failure speaks against; whoever knows better sets it.
     """
 
     status = 502
     reason = "request-failed"
+    blame = Blame.NONE
 
     def __init__(
         self,
@@ -71,6 +75,7 @@
 
     status = 400
     reason = "bad-request"
+    blame = Blame.CALLER
 
     def __init__(self, message: str, status: int | None = None) -> None:
         super().__init__(message, Verdict.NOT_RUN, status)
@@ -81,6 +86,7 @@
 
     status = 503
     reason = "overloaded"
+    blame = Blame.OVERLOAD
 
     def __init__(
         self, message: str, retry_after: timedelta, status: int | None = None
@@ -113,6 +119,7 @@
 
     status = 502
     reason = "connection-failed"
+    blame = Blame.PATH
 
 
 class TruncatedAnswerError(RequestError):
@@ -120,6 +127,7 @@
 
     status = 502
     reason = "truncated-answer"
+    blame = Blame.BACKEND_SERVER
 
     def __init__(self, message: str) -> None:
         super().__init__(message, Verdict.MAY_HAVE_RUN)
@@ -130,6 +138,7 @@
 
     status = 504
     reason = "deadline-exceeded"
+    blame = Blame.BACKEND_SERVER
 
 
 class DuplicateRequestError(RequestError):
--- /dev/null
+++ b/src/wagtailstep/fakes/announcer.py
@@ -0,0 +1,95 @@
+"""Announcements of a backend server stand-in to the daemon beside it."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import attrs
+import msgspec
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.logging import log_event
+
+logger = logging.getLogger(__name__)
+
+ANNOUNCE_INTERVAL_MS = 500
+ANNOUNCE_TIMEOUT = timedelta(milliseconds=400)
+
+
+@attrs.frozen
+class Announcement:
+    """What a backend server tells the daemon beside it.
+
+    :param address: ``host:port`` of the backend server.
+    :param slots: requests that it runs at the same time.
+    """
+
+    address: str
+    slots: int
+
+
+class Announcer:
+    """Announce one backend server, renew, and say when it leaves.
+
+    :param announce_address: ``host:port`` of the daemon's announcement endpoint.
+    :param service: name of the service.
+    :param announcement: what is announced.
+    """
+
+    def __init__(
+        self, announce_address: str, service: str, announcement: Announcement
+    ) -> None:
+        self.announce_address = announce_address
+        self.service = service
+        self.announcement = announcement
+        self.client = HttpClient(RequestSettings(), LoopClock())
+
+    async def run(self) -> None:
+        """Announce again and again until cancelled; a failure is tried again."""
+        while True:
+            await self.send("PUT")
+            await asyncio.sleep(ANNOUNCE_INTERVAL_MS / 1000)
+
+    async def leave(self) -> None:
+        """Say that the backend server takes no new work."""
+        await self.send("DELETE")
+        self.client.close()
+
+    async def send(self, method: str) -> bool:
+        """Send one announcement.
+
+        :return: whether the daemon accepted it.
+        """
+        data = msgspec.json.encode(self.announcement)
+        request = HttpRequest(
+            address=self.announce_address,
+            method=method,
+            path=f"/v1/targets/{self.service}",
+            headers=(
+                ("content-type", "application/json"),
+                ("content-length", str(len(data))),
+            ),
+            body=yield_chunk(data),
+            idempotent=True,
+            time_left=ANNOUNCE_TIMEOUT,
+        )
+        try:
+            answer = await self.client.send(request)
+            async for _ in answer.body:
+                pass
+        except RequestError as error:
+            log_event(logger, "announcement-failed", error=str(error))
+            return False
+        if answer.status >= 300:
+            log_event(logger, "announcement-refused", status=answer.status)
+        return answer.status < 300
+
+
+async def yield_chunk(data: bytes) -> AsyncIterator[bytes]:
+    """Yield one chunk."""
+    yield data
--- /dev/null
+++ b/src/wagtailstep/models/gate.py
@@ -0,0 +1,88 @@
+"""Events and effects of the gate, which hands requests to one backend server."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.exceptions import RequestError
+
+
+@attrs.frozen
+class GateRequest:
+    """A request as the gate sees it.
+
+    :param serial: number given by the gate; unique for its lifetime.
+    :param request_id: identifier made by the entry.
+    :param target_id: the backend server asked for.
+    :param route: name of the route; service times are learned per route.
+    :param idempotent: whether running it twice does no harm.
+    :param deadline: monotonic time when it must have ended.
+    """
+
+    serial: int
+    request_id: str
+    target_id: str
+    route: str
+    idempotent: bool
+    deadline: timedelta
+
+
+class RunResult(enum.Enum):
+    """How the backend server dealt with a request that it was sent.
+
+    ``OVERLOADED`` is a refusal or a timeout, ``ABANDONED`` says nothing of the
+    backend server, since the caller went away or the exchange broke.
+    """
+
+    ANSWERED = "answered"
+    OVERLOADED = "overloaded"
+    ABANDONED = "abandoned"
+
+
+@attrs.frozen
+class GateRequestArrived:
+    """A request arrived at the gate."""
+
+    request: GateRequest
+
+
+@attrs.frozen
+class GateRequestEnded:
+    """A request that was started has ended.
+
+    :param serial: as in the request.
+    :param result: how the backend server dealt with it.
+    """
+
+    serial: int
+    result: RunResult
+
+
+@attrs.frozen
+class GateRequestAbandoned:
+    """The caller of a request went away, or it waited for too long.
+
+    :param serial: as in the request; it may be waiting or running.
+    """
+
+    serial: int
+
+
+@attrs.frozen
+class StartRequest:
+    """Effect: send a request to its backend server now."""
+
+    serial: int
+
+
+@attrs.frozen
+class RefuseRequest:
+    """Effect: end a request that was not started.
+
+    :param serial: as in the request.
+    :param error: the refusal for the caller.
+    """
+
+    serial: int
+    error: RequestError
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -11,11 +11,15 @@
 REQUEST_ID = "wagtailstep-request-id"
 TARGET = "wagtailstep-target"
 REASON = "wagtailstep-reason"
+BLAME = "wagtailstep-blame"
 QUEUEING_MS = "wagtailstep-queueing-ms"
 LOAD = "wagtailstep-load"
+FIRST_SENDING = "wagtailstep-first-sending"
+RELAYED = "wagtailstep-relayed"
 IDEMPOTENCY_KEY = "idempotency-key"
 RETRY_AFTER = "retry-after"
 TRACEPARENT = "traceparent"
+FLEET_PREFIX = "wagtailstep-"
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
@@ -44,3 +48,22 @@
     :param name: name in lower case.
     """
     return next((value for key, value in headers if key == name), None)
+
+
+def remove_headers(headers: Headers, names: frozenset[str]) -> Headers:
+    """Return the headers without those of the given lower-case names."""
+    return tuple(pair for pair in headers if pair[0] not in names)
+
+
+def remove_hop_by_hop(headers: Headers) -> Headers:
+    """Return the headers that may be passed on to the next hop.
+
+    Names listed in ``Connection`` are left out as well, as RFC 9110 asks.
+    """
+    listed = {
+        token.strip().lower()
+        for name, value in headers
+        if name == "connection"
+        for token in value.split(",")
+    }
+    return remove_headers(headers, HOP_BY_HOP | listed)
--- /dev/null
+++ b/src/wagtailstep/network/caller_app.py
@@ -0,0 +1,131 @@
+"""What callers and operators reach over HTTP at one daemon."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import msgspec
+from blacksheep import Application, Content, Request, Response
+from blacksheep.server.routing import Router
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.headers import RELAYED, find_header
+from wagtailstep.network.exchange_app import ExchangeApp, Handler
+from wagtailstep.network.problems import describe_error
+
+OWN_PREFIX = b"/.wagtailstep/"
+
+
+@attrs.frozen
+class DaemonEndpoints:
+    """What the daemon answers itself.
+
+    :param issue_ticket: returns a new ticket for a service, or raises
+        :class:`wagtailstep.exceptions.RequestError`.
+    :param describe_status: returns what ``GET /.wagtailstep/status`` shows.
+    :param describe_metrics: returns what ``GET /.wagtailstep/metrics`` shows.
+    :param list_events: returns what ``GET /.wagtailstep/events`` shows.
+    """
+
+    issue_ticket: Callable[[str], str]
+    describe_status: Callable[[], Any]
+    describe_metrics: Callable[[], Any]
+    list_events: Callable[[], Any]
+
+
+@attrs.frozen
+class IssuedTicket:
+    """Answer to a request for a ticket.
+
+    :param ticket: value for the ``Idempotency-Key`` header.
+    """
+
+    ticket: str
+
+
+class CallerApp:
+    """ASGI application of the caller's port.
+
+    Paths under ``/.wagtailstep/`` are the daemon's own and go through BlackSheep;
+    all others are requests for a service.
+
+    :param handle: the entry.
+    :param endpoints: what the daemon answers itself.
+    """
+
+    def __init__(self, handle: Handler, endpoints: DaemonEndpoints) -> None:
+        self.exchange = ExchangeApp(handle)
+        self.own = make_own_application(endpoints)
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one request."""
+        if scope["raw_path"].startswith(OWN_PREFIX):
+            await self.own(scope, receive, send)
+            return
+        await self.exchange(scope, receive, send)
+
+    def announce_closing(self) -> None:
+        """Have every answer from now on close its connection."""
+        self.exchange.closing = True
+
+
+def make_own_application(endpoints: DaemonEndpoints) -> Application:
+    """Return the BlackSheep application of the daemon's own paths."""
+    router = Router()
+
+    async def issue_ticket(request: Request) -> Response:
+        service = request.route_values["service"]
+        try:
+            ticket = endpoints.issue_ticket(service)
+        except RequestError as error:
+            return await render_answer(describe_error(error))
+        return render_json(IssuedTicket(ticket), 201)
+
+    async def show_status(request: Request) -> Response:
+        return render_json(endpoints.describe_status())
+
+    async def show_metrics(request: Request) -> Response:
+        return render_json(endpoints.describe_metrics())
+
+    async def show_events(request: Request) -> Response:
+        return render_json(endpoints.list_events())
+
+    router.add_post("/.wagtailstep/tickets/{service}", issue_ticket)
+    router.add_get("/.wagtailstep/status", show_status)
+    router.add_get("/.wagtailstep/metrics", show_metrics)
+    router.add_get("/.wagtailstep/events", show_events)
+    return Application(router=router)
+
+
+def render_json(value: Any, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    content = Content(b"application/json", msgspec.json.encode(value))
+    return Response(status, [(b"cache-control", b"no-store")], content)
+
+
+async def render_answer(answer: Answer) -> Response:
+    """Return a small answer of this package as one of BlackSheep's."""
+    body = b"".join([chunk async for chunk in answer.body])
+    headers = [
+        (name.encode(), value.encode())
+        for name, value in answer.headers
+        if name not in ("content-type", "content-length")
+    ]
+    content = Content(b"application/problem+json", body)
+    return Response(answer.status, headers, content)
+
+
+def choose_handler(gate: Handler, entry: Handler) -> Handler:
+    """Return the handler of the gate's port.
+
+    :param gate: takes requests for the backend server beside this daemon.
+    :param entry: takes requests that another daemon passed on because this one
+        issued their key.
+    """
+
+    def handle(incoming: IncomingRequest) -> Awaitable[Answer]:
+        relayed = find_header(incoming.headers, RELAYED) is not None
+        return entry(incoming) if relayed else gate(incoming)
+
+    return handle
--- /dev/null
+++ b/src/wagtailstep/network/forwarder.py
@@ -0,0 +1,205 @@
+"""From the entry to the gate beside a target, on this instance or another."""
+
+from datetime import timedelta
+
+import msgspec
+
+from wagtailstep.exceptions import (
+    BadRequestError,
+    ConnectionFailedError,
+    DeadlineExceededError,
+    DuplicateRequestError,
+    LeavingError,
+    NoTargetError,
+    OverloadedError,
+    RequestError,
+    TruncatedAnswerError,
+)
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.headers import (
+    BLAME,
+    FLEET_PREFIX,
+    IDEMPOTENT,
+    REASON,
+    REQUEST_ID,
+    RETRY_AFTER,
+    ROUTE,
+    TARGET,
+    TIMEOUT_MS,
+    VERDICT,
+    Headers,
+    find_header,
+    remove_hop_by_hop,
+)
+from wagtailstep.models.request import Blame, RequestContext
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.gate import GateService
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+
+MILLISECOND = timedelta(milliseconds=1)
+GATE_MARGIN = timedelta(milliseconds=20)
+MAX_PROBLEM_BYTES = 16_384
+
+ERROR_TYPES: dict[str, type[RequestError]] = {
+    error_type.reason: error_type
+    for error_type in (
+        BadRequestError,
+        ConnectionFailedError,
+        DeadlineExceededError,
+        DuplicateRequestError,
+        LeavingError,
+        NoTargetError,
+        OverloadedError,
+        RequestError,
+        TruncatedAnswerError,
+    )
+}
+
+
+class HttpForwarder:
+    """Send attempts to gates over HTTP, or by a call if the gate is this daemon.
+
+    :param blackboard: read for this daemon's own identifier.
+    :param client: reaches the gates of other daemons.
+    :param gate: the gate of this daemon.
+    """
+
+    def __init__(
+        self, blackboard: Blackboard, client: HttpClient, gate: GateService
+    ) -> None:
+        self.blackboard = blackboard
+        self.client = client
+        self.gate = gate
+
+    async def forward(
+        self,
+        request: RequestContext,
+        gate: Member,
+        target_id: str,
+        incoming: IncomingRequest,
+        time_left: timedelta,
+    ) -> Answer:
+        """Send the request once, never again, and return the answer's head.
+
+        :raises RequestError: with the verdict; ``NOT_RUN`` only as a fact.
+        """
+        headers = make_headers(request, target_id, incoming, time_left)
+        if gate.daemon_id == self.blackboard.this_member.daemon_id:
+            local = IncomingRequest(
+                incoming.method, request.path, headers, incoming.body
+            )
+            return await self.gate.handle(local)
+        answer = await self.client.send(
+            HttpRequest(
+                address=gate.gate_address,
+                method=incoming.method,
+                path=request.path,
+                headers=headers,
+                body=incoming.body,
+                idempotent=request.idempotent,
+                time_left=time_left,
+            )
+        )
+        return await check_answer(answer, request.request_id)
+
+
+def make_headers(
+    request: RequestContext,
+    target_id: str,
+    incoming: IncomingRequest,
+    time_left: timedelta,
+) -> Headers:
+    """Return the headers for the gate.
+
+    The gate is given a little less time, so that its answer on a deadline arrives
+    before this daemon gives up.
+    """
+    margin = min(GATE_MARGIN, time_left / 10)
+    own_headers = (
+        (REQUEST_ID, request.request_id),
+        (TARGET, target_id),
+        (ROUTE, request.route),
+        (IDEMPOTENT, "?1" if request.idempotent else "?0"),
+        (TIMEOUT_MS, str(max(0, int((time_left - margin) / MILLISECOND)))),
+    )
+    kept = tuple(
+        pair
+        for pair in remove_hop_by_hop(incoming.headers)
+        if not pair[0].startswith(FLEET_PREFIX) and pair[0] != "expect"
+    )
+    if find_header(incoming.headers, "transfer-encoding") is not None:
+        kept += (("transfer-encoding", "chunked"),)
+    return kept + own_headers
+
+
+async def check_answer(answer: Answer, request_id: str) -> Answer:
+    """Return the backend server's answer.
+
+    :raises RequestError: if the gate refused, or the answer is to another request.
+    """
+    if find_header(answer.headers, REASON) is not None:
+        raise await read_refusal(answer)
+    if find_header(answer.headers, REQUEST_ID) == request_id:
+        return answer
+    await answer.close()
+    error = ConnectionFailedError(
+        "an answer to another request arrived and was dropped", Verdict.MAY_HAVE_RUN
+    )
+    error.blame = Blame.CONNECTION
+    raise error
+
+
+async def read_refusal(answer: Answer) -> RequestError:
+    """Turn the gate's own answer back into the error that it describes."""
+    detail = await read_detail(answer)
+    headers = answer.headers
+    error_type = ERROR_TYPES.get(find_header(headers, REASON) or "", RequestError)
+    error = error_type.__new__(error_type)
+    RequestError.__init__(
+        error,
+        detail,
+        read_verdict(headers),
+        answer.status,
+        read_retry_after(headers),
+    )
+    blame = find_header(headers, BLAME)
+    if blame in {member.value for member in Blame}:
+        error.blame = Blame(blame)
+    return error
+
+
+async def read_detail(answer: Answer) -> str:
+    """Return the text of a problem document, or a general one."""
+    data = b""
+    try:
+        async for chunk in answer.body:
+            data += chunk
+            if len(data) > MAX_PROBLEM_BYTES:
+                break
+        return msgspec.json.decode(data, type=Problem).detail
+    except (TruncatedAnswerError, msgspec.MsgspecError):
+        return "the gate refused the request"
+    finally:
+        await answer.close()
+
+
+class Problem(msgspec.Struct):
+    """The part of a problem document that is read."""
+
+    detail: str
+
+
+def read_verdict(headers: Headers) -> Verdict:
+    """Return the gate's verdict; an unknown one claims nothing."""
+    value = find_header(headers, VERDICT)
+    known = {verdict.value for verdict in Verdict}
+    return Verdict(value) if value in known else Verdict.MAY_HAVE_RUN
+
+
+def read_retry_after(headers: Headers) -> timedelta | None:
+    """Return the time after which the gate may be asked again."""
+    value = find_header(headers, RETRY_AFTER)
+    return timedelta(seconds=int(value)) if value and value.isdigit() else None
--- /dev/null
+++ b/src/wagtailstep/network/gate.py
@@ -0,0 +1,273 @@
+"""The gate: from other daemons' requests to the backend server beside this one."""
+
+import asyncio
+import itertools
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.exceptions import (
+    BadRequestError,
+    DeadlineExceededError,
+    OverloadedError,
+    RequestError,
+)
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.gate import (
+    GateRequest,
+    GateRequestAbandoned,
+    GateRequestArrived,
+    GateRequestEnded,
+    RefuseRequest,
+    RunResult,
+    StartRequest,
+)
+from wagtailstep.models.headers import (
+    FLEET_PREFIX,
+    IDEMPOTENT,
+    LOAD,
+    QUEUEING_MS,
+    REQUEST_ID,
+    ROUTE,
+    TARGET,
+    TIMEOUT_MS,
+    VERDICT,
+    Headers,
+    find_header,
+    remove_hop_by_hop,
+)
+from wagtailstep.models.request import Blame
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import Clock
+
+MILLISECOND = timedelta(milliseconds=1)
+OVERLOAD_STATUSES = frozenset({429, 503})
+
+
+class GateService:
+    """Take requests for the backend servers beside this daemon.
+
+    :param settings: settings of the daemon.
+    :param controller: decides on admission.
+    :param client: reaches the backend servers over loopback.
+    :param clock: source of monotonic time.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        controller: GateController,
+        client: HttpClient,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings.requests
+        self.controller = controller
+        self.client = client
+        self.clock = clock
+        self.serials = itertools.count(1)
+        self.waiting: dict[int, asyncio.Future[None]] = {}
+
+    async def handle(self, incoming: IncomingRequest) -> Answer:
+        """Run one request as soon as its backend server has a free slot.
+
+        :raises RequestError: ``NOT_RUN`` only if nothing was sent to the backend
+            server.
+        """
+        request = self.read_request(incoming)
+        arrived_at = self.clock.monotonic()
+        await self.wait_for_slot(request)
+        queueing = self.clock.monotonic() - arrived_at
+        answer = await self.run(request, incoming)
+        own_headers = (
+            (VERDICT, Verdict.RUN.value),
+            (REQUEST_ID, request.request_id),
+            (QUEUEING_MS, f"{queueing / MILLISECOND:.1f}"),
+            (LOAD, f"{self.controller.queues[request.target_id].load:.2f}"),
+        )
+        return attrs.evolve(answer, headers=(*answer.headers, *own_headers))
+
+    def read_request(self, incoming: IncomingRequest) -> GateRequest:
+        """Read what the entry says of a request.
+
+        :raises BadRequestError: if a header is missing or wrong.
+        """
+        headers = incoming.headers
+        return GateRequest(
+            serial=next(self.serials),
+            request_id=require_header(headers, REQUEST_ID),
+            target_id=require_header(headers, TARGET),
+            route=find_header(headers, ROUTE) or "",
+            idempotent=find_header(headers, IDEMPOTENT) == "?1",
+            deadline=self.clock.monotonic() + read_timeout(headers),
+        )
+
+    async def wait_for_slot(self, request: GateRequest) -> None:
+        """Return when the request has a slot.
+
+        :raises RequestError: if it is refused; it was not run.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[request.serial] = future
+        longest = timedelta(milliseconds=self.settings.queue_timeout_ms)
+        longest = min(longest, request.deadline - self.clock.monotonic())
+        try:
+            self.apply_effects(self.controller.handle(GateRequestArrived(request)))
+            if future.done():
+                return future.result()
+            async with asyncio.timeout(longest.total_seconds()):
+                await future
+        except TimeoutError as error:
+            self.abandon(request)
+            raise self.describe_expiry(request) from error
+        except asyncio.CancelledError:
+            self.abandon(request)
+            raise
+        finally:
+            del self.waiting[request.serial]
+
+    def describe_expiry(self, request: GateRequest) -> RequestError:
+        """Describe why a request left the queue without a slot."""
+        if request.deadline <= self.clock.monotonic():
+            message = "the deadline passed while the request waited"
+            return DeadlineExceededError(message, Verdict.NOT_RUN)
+        longest = timedelta(milliseconds=self.settings.queue_timeout_ms)
+        return OverloadedError(f"no slot of {request.target_id} was free", longest)
+
+    async def run(self, request: GateRequest, incoming: IncomingRequest) -> Answer:
+        """Send the request to its backend server, once."""
+        try:
+            answer = await self.client.send(self.make_request(request, incoming))
+        except RequestError as error:
+            self.end(request, judge_failure(error))
+            raise blame_backend_server(error) from error
+        except BaseException:
+            self.abandon(request)
+            raise
+        return self.track_answer(request, answer)
+
+    def make_request(
+        self, request: GateRequest, incoming: IncomingRequest
+    ) -> HttpRequest:
+        """Return the request for the backend server, with the time left to it."""
+        time_left = request.deadline - self.clock.monotonic()
+        own_headers = (
+            (REQUEST_ID, request.request_id),
+            (TIMEOUT_MS, str(max(1, int(time_left / MILLISECOND)))),
+        )
+        return HttpRequest(
+            address=request.target_id.rpartition("/")[2],
+            method=incoming.method,
+            path=incoming.path,
+            headers=pass_headers(incoming.headers) + own_headers,
+            body=incoming.body,
+            idempotent=request.idempotent,
+            time_left=time_left,
+        )
+
+    def track_answer(self, request: GateRequest, answer: Answer) -> Answer:
+        """Return the answer; the slot is free when its body has ended."""
+        result = RunResult.ANSWERED
+        if answer.status in OVERLOAD_STATUSES:
+            result = RunResult.OVERLOADED
+        body = answer.body
+
+        async def close() -> None:
+            whole = body.whole
+            await answer.close()
+            self.end(request, result if whole else RunResult.ABANDONED)
+
+        headers = tuple(
+            pair for pair in answer.headers if not pair[0].startswith(FLEET_PREFIX)
+        )
+        return Answer(answer.status, headers, body, Verdict.RUN, close)
+
+    def end(self, request: GateRequest, result: RunResult) -> None:
+        """Free the slot of a request."""
+        event = GateRequestEnded(request.serial, result)
+        self.apply_effects(self.controller.handle(event))
+
+    def abandon(self, request: GateRequest) -> None:
+        """Take a request out of the queue or free its slot."""
+        event = GateRequestAbandoned(request.serial)
+        self.apply_effects(self.controller.handle(event))
+
+    def apply_effects(self, effects: list[Any]) -> None:
+        """Wake the requests that the controller started or refused."""
+        for effect in effects:
+            self.apply(effect)
+
+    @singledispatchmethod
+    def apply(self, effect: Any) -> None:
+        """Apply one effect; kinds that are not the gate's are an error."""
+        raise TypeError(f"not an effect of the gate: {effect!r}")
+
+    @apply.register
+    def apply_start(self, effect: StartRequest) -> None:
+        """Let a request go on; one that has just gone gives its slot back."""
+        future = self.waiting.get(effect.serial)
+        if future is not None and not future.done():
+            future.set_result(None)
+
+    @apply.register
+    def apply_refusal(self, effect: RefuseRequest) -> None:
+        """End a request that waits."""
+        future = self.waiting.get(effect.serial)
+        if future is not None and not future.done():
+            future.set_exception(effect.error)
+
+
+def require_header(headers: Headers, name: str) -> str:
+    """Return the value of a header.
+
+    :raises BadRequestError: if it is missing.
+    """
+    value = find_header(headers, name)
+    if not value:
+        raise BadRequestError(f"a request to the gate needs the header {name}")
+    return value
+
+
+def read_timeout(headers: Headers) -> timedelta:
+    """Return the time left to a request.
+
+    :raises BadRequestError: if the header is missing or no number.
+    """
+    text = require_header(headers, TIMEOUT_MS)
+    if not text.isascii() or not text.isdigit():
+        raise BadRequestError(f"{TIMEOUT_MS} is {text!r}, not a number of ms")
+    return int(text) * MILLISECOND
+
+
+def pass_headers(headers: Headers) -> Headers:
+    """Return the caller's headers, without the fleet's and the connection's own.
+
+    The framing of a chunked body is kept, since it is chunked again.
+    """
+    kept = tuple(
+        pair
+        for pair in remove_hop_by_hop(headers)
+        if not pair[0].startswith(FLEET_PREFIX) and pair[0] != "expect"
+    )
+    if find_header(headers, "transfer-encoding") is not None:
+        kept += (("transfer-encoding", "chunked"),)
+    return kept
+
+
+def judge_failure(error: RequestError) -> RunResult:
+    """Say what a failed exchange tells of the backend server's capacity."""
+    if isinstance(error, DeadlineExceededError):
+        return RunResult.OVERLOADED
+    return RunResult.ABANDONED
+
+
+def blame_backend_server(error: RequestError) -> RequestError:
+    """Return the error; over loopback there is no path to blame."""
+    if error.blame is Blame.PATH:
+        error.blame = Blame.BACKEND_SERVER
+    return error
--- /dev/null
+++ b/src/wagtailstep/network/http_client.py
@@ -0,0 +1,210 @@
+"""HTTP/1.1 client that sends each request exactly once.
+
+Nothing is ever sent again by the client itself. A connection with a timed-out,
+cancelled, short or failed answer is closed and never used again.
+"""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+
+import h11
+
+from wagtailstep.exceptions import (
+    ConnectionFailedError,
+    DeadlineExceededError,
+    RequestError,
+    TruncatedAnswerError,
+)
+from wagtailstep.models.exchange import Answer
+from wagtailstep.models.headers import remove_hop_by_hop
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_connection import (
+    HttpConnection,
+    HttpRequest,
+    decode_headers,
+    open_connection,
+)
+from wagtailstep.utils.clock import Clock
+
+MAX_IDLE_PER_ADDRESS = 8
+PROOF_AGE = timedelta(milliseconds=500)
+
+
+class AnswerBody:
+    """The body of an answer, chunk by chunk; gives its connection back at the end.
+
+    :param client: pool for the connection.
+    :param connection: where the body is read from.
+    :param deadline: time of the event loop in seconds when it must have ended.
+    """
+
+    def __init__(
+        self, client: "HttpClient", connection: HttpConnection, deadline: float
+    ) -> None:
+        self.client = client
+        self.connection = connection
+        self.deadline = deadline
+        self.ended = False
+        self.whole = False
+
+    def __aiter__(self) -> "AnswerBody":
+        """Return the body itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next chunk.
+
+        :raises TruncatedAnswerError: if the answer ends before it is whole.
+        """
+        if self.ended:
+            raise StopAsyncIteration
+        event = await self.read_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        self.ended = True
+        self.whole = True
+        self.client.release(self.connection)
+        raise StopAsyncIteration
+
+    async def read_event(self) -> h11.Event:
+        """Read one event, closing the connection if that fails."""
+        address = self.connection.address
+        try:
+            async with asyncio.timeout_at(self.deadline):
+                return await self.connection.read_event()
+        except TimeoutError as error:
+            await self.close()
+            message = f"the answer of {address} was not whole at its deadline"
+            raise TruncatedAnswerError(message) from error
+        except (OSError, h11.RemoteProtocolError) as error:
+            await self.close()
+            message = f"the answer of {address} ended early: {error}"
+            raise TruncatedAnswerError(message) from error
+        except BaseException:
+            await self.close()
+            raise
+
+    async def close(self) -> None:
+        """Close the connection unless the body was read to its end."""
+        if not self.ended:
+            self.ended = True
+            self.connection.close()
+
+
+class HttpClient:
+    """Send requests over a small pool of kept connections for each address.
+
+    :param settings: time limits of connections.
+    :param clock: source of monotonic time.
+    """
+
+    def __init__(self, settings: RequestSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.pools: dict[str, deque[HttpConnection]] = {}
+        self.idle_limit = timedelta(milliseconds=settings.connection_idle_ms)
+        self.closed = False
+
+    async def send(self, request: HttpRequest) -> Answer:
+        """Send one request once and return the head of its answer.
+
+        :raises RequestError: ``NOT_RUN`` only if no byte of it was written.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + request.time_left.total_seconds()
+        connection = await self.acquire(request)
+        try:
+            async with asyncio.timeout_at(deadline):
+                head = await connection.exchange_heads(request)
+        except (OSError, h11.ProtocolError) as error:
+            connection.close()
+            raise describe_failure(error, connection) from error
+        except BaseException as error:
+            connection.close()
+            if isinstance(error, RequestError):
+                error.verdict = verdict_of(connection)
+            raise
+        body = AnswerBody(self, connection, deadline)
+        headers = remove_hop_by_hop(decode_headers(head.headers))
+        return Answer(head.status_code, headers, body, Verdict.RUN, body.close)
+
+    async def acquire(self, request: HttpRequest) -> HttpConnection:
+        """Return a kept or a new connection.
+
+        A non-idempotent request gets a kept one only if it was proved lately.
+
+        :raises ConnectionFailedError: if none can be opened; nothing was sent.
+        """
+        max_age = self.idle_limit if request.idempotent else PROOF_AGE
+        connection = self.take_idle(request.address, max_age)
+        if connection is not None:
+            return connection
+        limit = timedelta(milliseconds=self.settings.connect_timeout_ms)
+        limit = min(limit, request.time_left)
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await open_connection(request.address, self.clock.monotonic())
+        except OSError as error:
+            raise ConnectionFailedError(
+                f"no connection to {request.address}: {error or 'timeout'}",
+                Verdict.NOT_RUN,
+            ) from error
+
+    def take_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
+        """Return the connection that was used last, if it is young enough."""
+        pool = self.pools.get(address)
+        now = self.clock.monotonic()
+        while pool:
+            connection = pool[-1]
+            if not connection.is_clean:
+                pool.pop().close()
+            elif now - connection.proved_at > max_age:
+                return None
+            else:
+                return pool.pop()
+        return None
+
+    def release(self, connection: HttpConnection) -> None:
+        """Keep a connection after a whole answer, or close it if it can't serve."""
+        now = self.clock.monotonic()
+        if not connection.finish_exchange(now) or self.closed:
+            connection.close()
+            return
+        pool = self.pools.setdefault(connection.address, deque())
+        pool.append(connection)
+        if len(pool) > MAX_IDLE_PER_ADDRESS:
+            pool.popleft().close()
+
+    def close_idle(self) -> None:
+        """Close connections that were idle for too long; call it now and then."""
+        now = self.clock.monotonic()
+        for address, pool in list(self.pools.items()):
+            while pool and now - pool[0].idle_since > self.idle_limit:
+                pool.popleft().close()
+            if not pool:
+                del self.pools[address]
+
+    def close(self) -> None:
+        """Close all idle connections; those in use close when they are released."""
+        self.closed = True
+        for pool in self.pools.values():
+            for connection in pool:
+                connection.close()
+        self.pools.clear()
+
+
+def verdict_of(connection: HttpConnection) -> Verdict:
+    """Return the verdict on a request whose exchange failed."""
+    return Verdict.MAY_HAVE_RUN if connection.bytes_sent else Verdict.NOT_RUN
+
+
+def describe_failure(error: Exception, connection: HttpConnection) -> RequestError:
+    """Turn a failed exchange into an error with a true verdict."""
+    verdict = verdict_of(connection)
+    address = connection.address
+    if isinstance(error, TimeoutError):
+        return DeadlineExceededError(f"no answer of {address} in time", verdict)
+    message = f"the connection to {address} failed: {error}"
+    return ConnectionFailedError(message, verdict)
--- /dev/null
+++ b/src/wagtailstep/network/http_connection.py
@@ -0,0 +1,262 @@
+"""One HTTP/1.1 connection seen from its client: one request at a time."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterable
+from datetime import timedelta
+
+import attrs
+import h11
+
+from wagtailstep.exceptions import BadRequestError
+from wagtailstep.models.headers import Headers, find_header
+
+READ_SIZE_BYTES = 65_536
+MAX_HEAD_BYTES = 65_536
+
+
+@attrs.frozen
+class HttpRequest:
+    """One request to be sent once over one connection.
+
+    :param address: ``host:port`` of the server.
+    :param method: HTTP method in capitals.
+    :param path: path and query string.
+    :param headers: pairs of lower-case name and value. A body is sent only with a
+        ``content-length`` other than 0 or with ``transfer-encoding``.
+    :param body: chunks of the body, read as fast as the connection takes them.
+    :param idempotent: whether running it twice does no harm.
+    :param time_left: time until the whole answer must have arrived.
+    """
+
+    address: str
+    method: str
+    path: str
+    headers: Headers
+    body: AsyncIterator[bytes] | None
+    idempotent: bool
+    time_left: timedelta
+
+    @property
+    def has_body(self) -> bool:
+        """Tell whether the headers announce a body."""
+        length = find_header(self.headers, "content-length")
+        chunked = find_header(self.headers, "transfer-encoding")
+        return length not in (None, "0") or chunked is not None
+
+
+class CountingReader(asyncio.StreamReader):
+    """A stream reader that knows how many bytes ever arrived.
+
+    An idle connection on which bytes arrived can't be reused: they would be taken
+    for the answer to the next request.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(limit=READ_SIZE_BYTES)
+        self.arrived = 0
+
+    def feed_data(self, data: bytes) -> None:
+        """Count bytes and keep them."""
+        self.arrived += len(data)
+        super().feed_data(data)
+
+
+class HttpConnection:
+    """A client connection and the state of the exchange on it.
+
+    :param address: ``host:port`` of the server.
+    :param reader: stream of the server's bytes.
+    :param writer: stream to the server.
+    :param now: monotonic time.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        reader: CountingReader,
+        writer: asyncio.StreamWriter,
+        now: timedelta,
+    ) -> None:
+        self.address = address
+        self.reader = reader
+        self.writer = writer
+        self.proved_at = now
+        self.idle_since = now
+        self.reused = False
+        self.bytes_sent = False
+        self.consumed = 0
+        self.sender: asyncio.Task[None] | None = None
+        self.state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+
+    @property
+    def is_clean(self) -> bool:
+        """Tell whether the idle connection looks fit for another request."""
+        if self.writer.is_closing() or self.reader.at_eof():
+            return False
+        return self.consumed == self.reader.arrived
+
+    def write_event(self, event: h11.Event) -> None:
+        """Write one event of the request.
+
+        :raises h11.LocalProtocolError: if the event is not valid; nothing is sent.
+        """
+        data = self.state.send(event)
+        if data:
+            self.bytes_sent = True
+            self.writer.write(data)
+
+    def start_request(self, request: HttpRequest) -> None:
+        """Write the head of the request, and its end if it has no body.
+
+        :raises BadRequestError: if the head is not valid HTTP; nothing was sent.
+        """
+        headers = request.headers
+        if find_header(headers, "host") is None:
+            headers = (("host", request.address), *headers)
+        try:
+            self.write_event(
+                h11.Request(
+                    method=request.method,
+                    target=request.path,
+                    headers=encode_headers(headers),
+                )
+            )
+        except (h11.LocalProtocolError, UnicodeError) as error:
+            raise BadRequestError(f"the request can't be sent: {error}") from error
+        if not request.has_body:
+            self.write_event(h11.EndOfMessage())
+
+    async def send_body(self, body: AsyncIterator[bytes]) -> None:
+        """Write the body, waiting whenever the connection is full.
+
+        A body that fails after the answer has begun breaks the connection, since
+        the server would wait for the rest.
+        """
+        try:
+            async for chunk in body:
+                if chunk:
+                    self.write_event(h11.Data(data=chunk))
+                    await self.writer.drain()
+            self.write_event(h11.EndOfMessage())
+        except BaseException:
+            if self.state.their_state is not h11.SEND_RESPONSE:
+                self.writer.transport.abort()
+            raise
+
+    async def read_event(self) -> h11.Event:
+        """Read one event of the answer.
+
+        :raises h11.RemoteProtocolError: if the server's bytes are not HTTP or end
+            within a message.
+        :raises OSError: if the connection broke.
+        """
+        event = self.state.next_event()
+        while event is h11.NEED_DATA:
+            data = await self.reader.read(READ_SIZE_BYTES)
+            self.consumed += len(data)
+            self.state.receive_data(data)
+            event = self.state.next_event()
+        return event
+
+    async def read_head(self) -> h11.Response:
+        """Read events up to the head of the final answer; 1xx heads are skipped."""
+        event = await self.read_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self.read_event()
+        if not isinstance(event, h11.Response):
+            raise ConnectionResetError("the server closed the connection")
+        return event
+
+    async def exchange_heads(self, request: HttpRequest) -> h11.Response:
+        """Send the request and return the head of the answer.
+
+        The body may still be on its way when this returns. A server that answers
+        before it has read the body is heard.
+        """
+        self.bytes_sent = False
+        self.start_request(request)
+        if request.body is None or not request.has_body:
+            return await self.read_head()
+        self.sender = asyncio.create_task(self.send_body(request.body))
+        head = asyncio.create_task(self.read_head())
+        head.add_done_callback(_forget_result)
+        try:
+            await asyncio.wait({self.sender, head}, return_when=asyncio.FIRST_COMPLETED)
+            if not head.done():
+                self.check_sender()
+            return await head
+        finally:
+            head.cancel()
+
+    def check_sender(self) -> None:
+        """Raise what ended the body early, unless the connection itself broke.
+
+        A server may answer and close while it is still being sent the body; then
+        writing fails but the answer can still be read.
+        """
+        error = self.sender.exception()
+        if error is not None and not isinstance(error, OSError):
+            raise error
+
+    def finish_exchange(self, now: timedelta) -> bool:
+        """Prepare for the next request after a whole answer.
+
+        :param now: monotonic time.
+        :return: whether the connection can be used again.
+        """
+        if self.sender is not None:
+            sent = self.sender.done() and self.sender.exception() is None
+            if not sent:
+                return False
+            self.sender = None
+        self.proved_at = now
+        self.idle_since = now
+        if self.state.our_state is not h11.DONE:
+            return False
+        if self.state.their_state is not h11.DONE or self.state.trailing_data[0]:
+            return False
+        self.state.start_next_cycle()
+        self.reused = True
+        return self.is_clean
+
+    def close(self) -> None:
+        """Close at once, whatever is still buffered; may be called repeatedly."""
+        if self.sender is not None:
+            self.sender.cancel()
+            self.sender.add_done_callback(_forget_result)
+            self.sender = None
+        self.writer.transport.abort()
+
+
+def _forget_result(task: asyncio.Task[None]) -> None:
+    if not task.cancelled():
+        task.exception()
+
+
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return headers as the bytes that go over the connection."""
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+
+
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
+    """Return headers as text, names in lower case."""
+    return tuple(
+        (name.decode("ascii").lower(), value.decode("latin-1"))
+        for name, value in headers
+    )
+
+
+async def open_connection(address: str, now: timedelta) -> HttpConnection:
+    """Open a connection to ``host:port``.
+
+    :raises OSError: if the server can't be reached.
+    """
+    host, _, port = address.rpartition(":")
+    reader = CountingReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_connection(lambda: protocol, host, int(port))
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
+    return HttpConnection(address, reader, writer, now)
--- /dev/null
+++ b/src/wagtailstep/network/http_protocol.py
@@ -0,0 +1,109 @@
+"""Server side of one HTTP/1.1 connection: uvicorn's protocol, made strict.
+
+uvicorn parses and frames; this class adds what a proxy needs: a caller that goes
+away cancels the handler, a malformed request gets a verdict, and an answer that
+can't be completed breaks the connection in a way no client takes for its end.
+"""
+
+import asyncio
+import logging
+import socket
+import struct
+import sys
+from http import HTTPStatus
+from typing import Any
+
+import h11
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from wagtailstep.models.headers import REASON, VERDICT
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.utils.logging import log_event
+
+logger = logging.getLogger(__name__)
+
+CONNECTION_KEY = "wagtailstep.connection"
+LINGER_AND_RESET = struct.pack("ii", 1, 0)
+
+# uvicorn logs a malformed request and an unfinished answer on its own; each is
+# logged once, by this package, as a key=value line.
+uvicorn_logger = logging.getLogger("wagtailstep.network.uvicorn")
+uvicorn_logger.setLevel(logging.CRITICAL)
+
+
+class ServerConnection(H11Protocol):
+    """One connection of a caller or of another daemon."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.logger = uvicorn_logger
+        self.served_app = self.app
+        self.app = self.run_handler
+        self.handler: asyncio.Task[None] | None = None
+
+    async def run_handler(self, scope: Any, receive: Any, send: Any) -> None:
+        """Run the application; being cancelled by the caller's leaving is no error."""
+        self.handler = asyncio.current_task()
+        scope[CONNECTION_KEY] = self
+        try:
+            await self.served_app(scope, receive, send)
+        except asyncio.CancelledError:
+            self.break_connection()
+        finally:
+            self.handler = None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the handler: nobody waits for its answer any more."""
+        answered = self.cycle is None or self.cycle.response_complete
+        super().connection_lost(exc)
+        if self.handler is not None and not answered:
+            self.handler.cancel()
+
+    def break_connection(self) -> None:
+        """Reset the connection, so that a cut answer can't look whole.
+
+        Without chunked framing the end of a connection ends an answer, but a reset
+        never does.
+        """
+        if self.transport.is_closing():
+            return
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
+        self.transport.abort()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer a malformed request, or break the exchange it is part of."""
+        error = sys.exc_info()[1]
+        status = getattr(error, "error_status_hint", 400)
+        log_event(
+            logger,
+            "malformed-request",
+            level=logging.WARNING,
+            client=self.client,
+            status=status,
+            error=error or msg,
+        )
+        if self.conn.our_state is not h11.IDLE or self.handler is not None:
+            self.break_connection()
+            return
+        self.answer_malformed(status, str(error or msg))
+
+    def answer_malformed(self, status: int, detail: str) -> None:
+        """Write a final answer without any handler, and close."""
+        headers = [
+            (b"content-type", b"text/plain; charset=utf-8"),
+            (b"connection", b"close"),
+            (VERDICT.encode(), Verdict.NOT_RUN.value.encode()),
+            (REASON.encode(), b"bad-request"),
+        ]
+        events = [
+            h11.Response(
+                status_code=status, headers=headers, reason=HTTPStatus(status).phrase
+            ),
+            h11.Data(data=f"{detail}\n".encode()),
+            h11.EndOfMessage(),
+        ]
+        for event in events:
+            self.transport.write(self.conn.send(event))
+        self.transport.close()
