--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from wagtailstep.models.evidence import EjectionCandidate
 from wagtailstep.models.fleet import Member, Target, TargetHealth
 from wagtailstep.models.table import Table
 
@@ -35,6 +36,8 @@
     :param local_targets: ``target_id`` of backend servers beside this daemon;
         written by the announcement controller.
     :param health: judgement by ``target_id``; written by the evidence controller.
+    :param ejection_candidates: targets that the evidence of several daemons speaks
+        against, by ``target_id``; written by the evidence controller.
     :param ejected: ``target_id`` of targets out of service fleet-wide; written by
         the ejection controller, from the log's order.
     :param wanted_services: services that callers asked this daemon for; written
@@ -50,6 +53,7 @@
     targets: dict[str, Target] = attrs.field(factory=dict)
     local_targets: set[str] = attrs.field(factory=set)
     health: dict[str, TargetHealth] = attrs.field(factory=dict)
+    ejection_candidates: dict[str, EjectionCandidate] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
     wanted_services: set[str] = attrs.field(factory=set)
     in_flight: InFlight = attrs.field(factory=InFlight)
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -35,7 +35,8 @@
     """Records of a followed stream, in order, none left out.
 
     :param stream: name of the stream.
-    :param records: the records, oldest first.
+    :param records: the records, oldest first; none if a read found the end of the
+        stream, which controllers need to know how fresh their state is.
     """
 
     stream: str
--- /dev/null
+++ b/src/wagtailstep/models/evidence.py
@@ -0,0 +1,103 @@
+"""Evidence on backend servers: what daemons tell each other, and what follows."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.utils.codec import message
+
+
+class Symptom(enum.Enum):
+    """What is wrong with a target."""
+
+    FAILING = "failing"
+    SLOW = "slow"
+    UNREACHABLE = "unreachable"
+
+
+@attrs.frozen
+class RouteEvidence:
+    """Outcomes that one daemon saw at one target and route since its last digest.
+
+    :param target_id: the target.
+    :param route: name of the route.
+    :param count: outcomes that speak for or against the backend server.
+    :param failed: those that ended in a failure of the backend server.
+    :param timed: outcomes whose latency was judged.
+    :param slow: those slower than the service's other targets mostly are.
+    """
+
+    target_id: str
+    route: str
+    count: int
+    failed: int
+    timed: int
+    slow: int
+
+
+@message
+@attrs.frozen
+class EvidenceDigest:
+    """What one daemon saw since its last digest at the targets it doubts.
+
+    :param daemon_id: the reporter.
+    :param service: the service of all targets named.
+    :param entries: one for each target and route, the most doubtful first.
+    """
+
+    daemon_id: str
+    service: str
+    entries: tuple[RouteEvidence, ...]
+
+
+@attrs.frozen
+class EjectionCandidate:
+    """A target that the evidence of several daemons speaks against.
+
+    :param target_id: the target.
+    :param symptom: what is wrong with it.
+    :param route: the route that shows it.
+    :param severity: how far the evidence exceeds its threshold; at least 1.
+    :param since: monotonic time of the judgement.
+    """
+
+    target_id: str
+    symptom: Symptom
+    route: str
+    severity: float
+    since: timedelta
+
+
+@message
+@attrs.frozen
+class EvidenceRequest:
+    """Ask for digests on targets that a collector doubts.
+
+    :param daemon_id: the collector.
+    :param service: the service.
+    :param target_ids: the targets.
+    """
+
+    daemon_id: str
+    service: str
+    target_ids: tuple[str, ...]
+
+
+@message
+@attrs.frozen
+class SickNotice:
+    """Tell that the evidence of several daemons speaks against a target.
+
+    :param daemon_id: the collector that judged it.
+    :param service: the service.
+    :param target_id: the target.
+    :param symptom: value of a :class:`Symptom`.
+    :param route: the route that shows it.
+    """
+
+    daemon_id: str
+    service: str
+    target_id: str
+    symptom: str
+    route: str
