--- /dev/null
+++ b/benchmarks/detection_world.py
@@ -0,0 +1,499 @@
+"""A small event loop of fake targets around the real controllers of daemons.
+
+Time is a :class:`ManualClock`; nothing sleeps and no socket is opened. Routing is
+a fake with two random choices that honours what the controllers write to the
+blackboard, within the floor.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from benchmarks.detection_faults import (
+    BACKGROUND_ERRORS,
+    LATENCY_SIGMA,
+    NOBODY_SICK,
+    OVERLOAD_FACTOR,
+    PARTITIONS,
+    PAUSE_EVERY_S,
+    PAUSE_MAX_S,
+    ROUTES,
+    Behaviour,
+    Fault,
+    behave_under,
+)
+from wagtailstep.controllers.ejection import EjectionController
+from wagtailstep.controllers.evidence import EvidenceController
+from wagtailstep.controllers.floor import select_removable, sum_in_service
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    AppendToLog,
+    FollowStream,
+    LogRecordsRead,
+    PeerMessageReceived,
+    ProbeFinished,
+    ProbeTarget,
+    SendToPeer,
+    StreamEndRead,
+    Tick,
+)
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.request import Blame, RequestContext, RequestOutcome
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.table import ServiceRow, Table
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.utils.clock import ManualClock
+from wagtailstep.utils.codec import encode_message
+
+TICK_S = 0.1
+POLL_S = 0.5
+APPEND_S = 0.01
+ATTEMPT_TIMEOUT_S = 1.0
+QUEUE_TIMEOUT_S = 1.0
+SLOTS = 4
+PROBE_S = 0.025
+
+
+@attrs.frozen
+class Scenario:
+    """What one run simulates.
+
+    :param row: row of the service, with floor and the two detection settings.
+    :param zones: availability zones; targets are spread over them in turn.
+    :param hop_s: one-way delay between zones in seconds.
+    :param targets: number of targets.
+    :param daemons: number of daemons that callers ask.
+    :param rate: requests per second and target.
+    :param fault: what happens at the onset.
+    :param onset_s: when it happens.
+    :param end_s: when the run ends.
+    """
+
+    row: ServiceRow
+    zones: tuple[str, ...]
+    hop_s: float
+    targets: int = 20
+    daemons: int = 26
+    rate: float = 20.0
+    fault: Fault = Fault.NONE
+    onset_s: float = 6.0
+    end_s: float = 18.0
+
+
+@attrs.define
+class FakeTarget:
+    """A backend server with slots and a queue.
+
+    :param free_at: times when its slots become free.
+    :param next_pause: when the process pauses next.
+    :param sent: requests sent to it after the onset.
+    """
+
+    target: Target
+    free_at: list[float]
+    next_pause: float
+    sent: int = 0
+
+    def run(self, arrival: float, work_s: float, rng: random.Random) -> tuple:
+        """Run a request and return its start and end, or ``None`` if shed."""
+        if arrival >= self.next_pause:
+            pause = rng.uniform(0.02, PAUSE_MAX_S)
+            self.free_at = [max(at, arrival + pause) for at in self.free_at]
+            self.next_pause = arrival + rng.expovariate(1 / PAUSE_EVERY_S)
+            heapq.heapify(self.free_at)
+        start = max(arrival, self.free_at[0])
+        if start - arrival > QUEUE_TIMEOUT_S:
+            return None
+        heapq.heapreplace(self.free_at, start + work_s)
+        return start, start + work_s
+
+
+@attrs.define
+class FakeDaemon:
+    """One daemon: its blackboard and the controllers under test."""
+
+    member: Member
+    board: Blackboard
+    controllers: list[Any]
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    choices: list[str] = attrs.field(factory=list)
+    avoided: set[str] = attrs.field(factory=set)
+    offset: int = 0
+
+
+class World:
+    """The fleet of one scenario.
+
+    :param scenario: what to simulate.
+    :param seed: seed of all random choices.
+    :param policy: builds the controllers of one daemon.
+    """
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        seed: int,
+        policy: Callable[..., list[Any]] | None = None,
+    ) -> None:
+        self.scenario = scenario
+        self.rng = random.Random(seed)
+        self.clock = ManualClock()
+        self.now = 0.0
+        self.queue: list[tuple] = []
+        self.order = itertools.count()
+        self.stream: list[LogRecord] = []
+        self.log_up = True
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self.targets = self.make_targets()
+        self.table = Table(version=1, services={scenario.row.service: scenario.row})
+        self.daemons = self.make_daemons(policy or make_controllers)
+        self.sick = self.choose_sick()
+        self.detected_at: dict[str, float] = {}
+        self.avoided_by: dict[str, int] = {}
+        self.false_ejections = 0
+        self.false_avoidances = 0
+        self.out_before: set[str] = set()
+        self.avoid_before: set[tuple[str, str]] = set()
+        self.lowest_weight = math.inf
+        self.floor_broken = 0
+        self.requests = 0
+
+    def make_targets(self) -> dict[str, FakeTarget]:
+        """Make the targets of the service."""
+        found = {}
+        for number in range(self.scenario.targets):
+            name = f"{self.scenario.row.service}/10.0.0.{number + 1}:80"
+            zone = self.scenario.zones[number % len(self.scenario.zones)]
+            target = Target(name, self.scenario.row.service, f"d{number:02d}", zone)
+            pause = self.rng.expovariate(1 / PAUSE_EVERY_S)
+            found[name] = FakeTarget(target, [0.0] * SLOTS, pause)
+        return found
+
+    def make_daemons(self, policy: Callable[..., list[Any]]) -> dict[str, FakeDaemon]:
+        """Make the daemons with their controllers."""
+        service = self.scenario.row.service
+        members = {}
+        for number in range(self.scenario.daemons):
+            name = f"d{number:02d}"
+            zone = self.scenario.zones[number % len(self.scenario.zones)]
+            members[name] = Member(name, 0, name, name, zone, (service,))
+        daemons = {}
+        for name, member in members.items():
+            targets = {key: fake.target for key, fake in self.targets.items()}
+            board = Blackboard(
+                member, table=self.table, members=members, targets=targets
+            )
+            addresses = [f"127.0.0.1:{port}" for port in range(9_001, 9_005)]
+            settings = DaemonSettings(name, member.availability_zone, *addresses)
+            rng = random.Random(self.rng.getrandbits(64))
+            controllers = policy(settings, board, self.clock, rng)
+            daemons[name] = FakeDaemon(member, board, controllers)
+        return daemons
+
+    def choose_sick(self) -> list[str]:
+        """Choose the targets that the fault strikes."""
+        names = list(self.targets)
+        fault = self.scenario.fault
+        if fault is Fault.ZONE_SLOW:
+            zone = self.scenario.zones[0]
+            return [n for n in names if zone == self.zone_of(n)]
+        if fault in (Fault.NONE, Fault.OVERLOAD):
+            return []
+        return self.rng.sample(names, 2 if fault is Fault.TWO else 1)
+
+    def zone_of(self, target_id: str) -> str:
+        """Return the zone of a target."""
+        return self.targets[target_id].target.availability_zone
+
+    def after(self, delay: float, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        heapq.heappush(self.queue, (self.now + delay, next(self.order), action))
+
+    def run(self, stop: Callable[["World"], bool] | None = None) -> "World":
+        """Run to the end of the scenario, or until ``stop`` says so."""
+        for daemon in self.daemons.values():
+            self.after(self.rng.random() * TICK_S, lambda d=daemon: self.tick(d))
+            self.after(self.rng.random() * POLL_S, lambda d=daemon: self.poll(d))
+        self.after(0.0, self.arrive)
+        self.after(TICK_S, self.measure)
+        while self.queue and self.queue[0][0] <= self.scenario.end_s:
+            at, _, action = heapq.heappop(self.queue)
+            self.now = at
+            self.clock.elapsed = timedelta(seconds=at)
+            action()
+            if stop is not None and stop(self):
+                break
+        return self
+
+    def dispatch(self, daemon: FakeDaemon, event: Any) -> None:
+        """Give an event to a daemon's controllers and apply the effects."""
+        for controller in daemon.controllers:
+            effects = controller.handle(event)
+            for effect in effects:
+                self.apply(daemon, effect)
+            if effects:
+                self.refresh_choices(daemon)
+
+    def apply(self, daemon: FakeDaemon, effect: Any) -> None:
+        """Carry out one effect."""
+        if isinstance(effect, SendToPeer):
+            self.bytes_sent += len(encode_message(effect.message))
+            self.messages_sent += 1
+            peer = self.daemons[effect.address]
+            event = PeerMessageReceived(daemon.member.daemon_id, effect.message)
+            hop = self.scenario.hop_s + 0.001
+            self.after(hop, lambda: self.dispatch(peer, event))
+        elif isinstance(effect, AppendToLog):
+            self.after(APPEND_S, lambda: self.append(daemon, effect))
+        elif isinstance(effect, ProbeTarget):
+            event = ProbeFinished(effect.target_id, True, timedelta(seconds=PROBE_S))
+            self.after(PROBE_S, lambda: self.dispatch(daemon, event))
+        elif isinstance(effect, FollowStream):
+            pass
+
+    def append(self, daemon: FakeDaemon, effect: AppendToLog) -> None:
+        """Append a record if the log is up; the appender reads at once."""
+        if not self.log_up:
+            return
+        data = encode_message(effect.record)
+        self.stream.append(LogRecord(len(self.stream), data))
+        self.read(daemon)
+
+    def poll(self, daemon: FakeDaemon) -> None:
+        """Read the stream and go on polling."""
+        self.after(POLL_S * self.rng.uniform(0.75, 1.25), lambda: self.poll(daemon))
+        if self.log_up:
+            self.read(daemon)
+
+    def read(self, daemon: FakeDaemon) -> None:
+        """Read the stream up to its end."""
+        stream = f"ejections.{self.scenario.row.service}"
+        records = tuple(self.stream[daemon.offset :])
+        daemon.offset = len(self.stream)
+        if records:
+            self.dispatch(daemon, LogRecordsRead(stream, records))
+        self.dispatch(daemon, StreamEndRead(stream, self.clock.monotonic()))
+        self.refresh_choices(daemon)
+
+    def tick(self, daemon: FakeDaemon) -> None:
+        """Let time pass for one daemon."""
+        self.after(TICK_S, lambda: self.tick(daemon))
+        self.dispatch(daemon, Tick())
+        self.refresh_choices(daemon)
+
+    def refresh_choices(self, daemon: FakeDaemon) -> None:
+        """Work out which targets a daemon picks from, within the floor."""
+        board = daemon.board
+        weights = dict.fromkeys(self.targets, 1.0)
+        health = board.health
+        steered = [name for name, h in health.items() if h.steer_away]
+        steered.sort(key=lambda name: -health[name].penalty)
+        for name in board.ejected:
+            weights.pop(name, None)
+        avoided = select_removable(weights, steered, self.scenario.row.floor_weight)
+        daemon.avoided = {*board.ejected, *avoided}
+        daemon.choices = [n for n in self.targets if n not in daemon.avoided]
+
+    def arrive(self) -> None:
+        """Take a caller's request at a random daemon."""
+        rate = self.scenario.rate * len(self.targets)
+        overloaded = self.scenario.fault is Fault.OVERLOAD
+        if overloaded and self.now >= self.scenario.onset_s:
+            rate *= OVERLOAD_FACTOR
+        self.after(self.rng.expovariate(rate), self.arrive)
+        daemon = self.rng.choice(list(self.daemons.values()))
+        if daemon.choices:
+            self.send(daemon, self.pick(daemon))
+
+    def pick(self, daemon: FakeDaemon) -> str:
+        """Choose the better one of two random targets."""
+        first = self.rng.choice(daemon.choices)
+        second = self.rng.choice(daemon.choices)
+        return min(first, second, key=lambda name: self.cost(daemon, name))
+
+    def cost(self, daemon: FakeDaemon, name: str) -> float:
+        """Return the cost of picking a target."""
+        waiting = daemon.in_flight.get(name, 0) + 1
+        health = daemon.board.health.get(name)
+        if health is None or health.latency is None:
+            return float(waiting)
+        return waiting * health.penalty / max(health.ramp, 0.05)
+
+    def send(self, daemon: FakeDaemon, name: str) -> None:
+        """Send a request to a target and schedule its outcome."""
+        self.requests += 1
+        fake = self.targets[name]
+        if name in self.sick and self.now >= self.scenario.onset_s:
+            fake.sent += 1
+        draw, route, median = self.rng.random(), *self.choose_route()
+        how = self.behaviour(daemon, name, route, draw)
+        near = fake.target.availability_zone == daemon.member.availability_zone
+        hop = 0.0002 if near else self.scenario.hop_s
+        sent_at = self.now
+        daemon.in_flight[name] = daemon.in_flight.get(name, 0) + 1
+        if how.lost:
+            blame = (
+                Blame.PATH if self.scenario.fault in PARTITIONS else Blame.CONNECTION
+            )
+            self.finish(daemon, name, route, blame, sent_at, ATTEMPT_TIMEOUT_S, 0.0)
+            return
+        work = median * math.exp(self.rng.gauss(0, LATENCY_SIGMA)) * how.factor
+        if how.failed:
+            work = 0.005
+        ran = fake.run(self.now + hop, work, self.rng)
+        if ran is None:
+            self.finish(
+                daemon, name, route, Blame.OVERLOAD, sent_at, 2 * hop + 0.001, 0.0
+            )
+            return
+        start, end = ran
+        failed = how.failed or self.rng.random() < BACKGROUND_ERRORS
+        blame = Blame.BACKEND_SERVER if failed else Blame.NONE
+        queueing = start - self.now - hop
+        self.finish(daemon, name, route, blame, sent_at, end + hop - sent_at, queueing)
+
+    def choose_route(self) -> tuple[str, float]:
+        """Choose a route and return its name and median time in seconds."""
+        draw = self.rng.random()
+        for name, share, median in ROUTES:
+            draw -= share
+            if draw < 0:
+                return name, median
+        return ROUTES[-1][0], ROUTES[-1][2]
+
+    def behaviour(
+        self, daemon: FakeDaemon, name: str, route: str, draw: float
+    ) -> Behaviour:
+        """Return how a request of a daemon fares at a target."""
+        age = self.now - self.scenario.onset_s
+        if age < 0 or name not in self.sick:
+            return Behaviour()
+        if self.scenario.fault in PARTITIONS:
+            return Behaviour(lost=self.is_cut(daemon, name))
+        second = name != self.sick[0] and self.scenario.fault is Fault.TWO
+        return behave_under(self.scenario.fault, age, route, draw, second)
+
+    def is_cut(self, daemon: FakeDaemon, name: str) -> bool:
+        """Tell whether a partition cuts a daemon from the faulty target.
+
+        It cuts the daemons of one other zone.
+        """
+        zones = self.scenario.zones
+        other = zones[(zones.index(self.zone_of(name)) + 1) % len(zones)]
+        return daemon.member.availability_zone == other
+
+    def finish(
+        self,
+        daemon: FakeDaemon,
+        name: str,
+        route: str,
+        blame: Blame,
+        sent_at: float,
+        latency: float,
+        queueing: float,
+    ) -> None:
+        """Schedule the outcome of a request."""
+        context = RequestContext(
+            "r",
+            self.scenario.row.service,
+            route,
+            "",
+            "GET",
+            "/",
+            True,
+            None,
+            timedelta(),
+        )
+        outcome = RequestOutcome(
+            request=context,
+            target_id=name,
+            verdict=Verdict.RUN,
+            status=None,
+            blame=blame,
+            latency=timedelta(seconds=latency),
+            queueing=timedelta(seconds=max(0.0, queueing)),
+        )
+        self.after(latency, lambda: self.take_outcome(daemon, outcome))
+
+    def take_outcome(self, daemon: FakeDaemon, outcome: RequestOutcome) -> None:
+        """Give an outcome to the daemon that waited for it."""
+        daemon.in_flight[outcome.target_id] -= 1
+        self.dispatch(daemon, outcome)
+
+    def concerned(self, name: str) -> list[FakeDaemon]:
+        """Return the daemons that a faulty target fails."""
+        if self.scenario.fault not in PARTITIONS:
+            return list(self.daemons.values())
+        return [d for d in self.daemons.values() if self.is_cut(d, name)]
+
+    def measure(self) -> None:
+        """Sample detection, false ejections and the floor."""
+        self.after(TICK_S / 5, self.measure)
+        if self.now >= self.scenario.onset_s:
+            self.measure_detection()
+        self.measure_false()
+        self.measure_floor()
+
+    def measure_detection(self) -> None:
+        """Note when nine in ten of the daemons concerned avoid a sick target."""
+        for name in self.sick:
+            if name in self.detected_at:
+                continue
+            concerned = self.concerned(name)
+            avoiding = sum(name in daemon.avoided for daemon in concerned)
+            if avoiding >= 0.9 * len(concerned):
+                self.detected_at[name] = self.now - self.scenario.onset_s
+
+    def healthy(self) -> set[str]:
+        """Return the targets that are not at fault now."""
+        if self.scenario.fault in NOBODY_SICK or self.now < self.scenario.onset_s:
+            return set(self.targets)
+        return set(self.targets) - set(self.sick)
+
+    def measure_false(self) -> None:
+        """Count healthy targets taken out for the fleet or by one daemon."""
+        healthy = self.healthy()
+        if self.scenario.fault in PARTITIONS:
+            healthy = set(self.targets)
+        out = set().union(*(d.board.ejected for d in self.daemons.values()))
+        for name in self.targets:
+            avoiding = sum(name in d.avoided for d in self.daemons.values())
+            if avoiding > len(self.daemons) / 2:
+                out.add(name)
+        self.false_ejections += len((out - self.out_before) & healthy)
+        self.out_before = out
+        if self.scenario.fault in PARTITIONS:
+            healthy -= set(self.sick)
+        pairs = {
+            (d.member.daemon_id, n) for d in self.daemons.values() for n in d.avoided
+        }
+        new = pairs - self.avoid_before
+        self.false_avoidances += sum(name in healthy for _, name in new)
+        self.avoid_before = pairs
+
+    def measure_floor(self) -> None:
+        """Note the lowest weight in service, and whether it broke the floor."""
+        weights = dict.fromkeys(self.targets, 1.0)
+        union = set().union(*(d.board.ejected for d in self.daemons.values()))
+        views = [sum_in_service(weights, d.avoided) for d in self.daemons.values()]
+        lowest = min(sum_in_service(weights, union), *views)
+        self.lowest_weight = min(self.lowest_weight, lowest)
+        self.floor_broken += lowest < self.scenario.row.floor_weight
+
+
+def make_controllers(
+    settings: DaemonSettings, board: Blackboard, clock: ManualClock, rng: random.Random
+) -> list[Any]:
+    """Build the controllers under test."""
+    return [
+        EvidenceController(settings, board, clock, rng),
+        EjectionController(settings, board, clock, rng),
+    ]
--- a/src/wagtailstep/controllers/ejection.py
+++ b/src/wagtailstep/controllers/ejection.py
@@ -11,9 +11,13 @@
 from functools import singledispatchmethod
 from typing import Any
 
-import attrs
-
-from wagtailstep.controllers.ejection_fold import EjectionFold, FoldResult
+from wagtailstep.controllers.ejection_fold import FoldResult
+from wagtailstep.controllers.ejection_state import (
+    FRESH_MS,
+    HeldEjection,
+    StreamState,
+    Strikes,
+)
 from wagtailstep.controllers.floor import select_returns
 from wagtailstep.controllers.standing import (
     GOOD_PROBES,
@@ -33,13 +37,12 @@
 from wagtailstep.models.events import (
     AppendToLog,
     FollowStream,
-    LogAppendSettled,
     LogGap,
-    LogReachability,
     LogRecordsRead,
     ProbeFinished,
     ProbeTarget,
     RecordEvent,
+    StreamEndRead,
     Tick,
 )
 from wagtailstep.models.evidence import EjectionCandidate
@@ -50,12 +53,6 @@
 from wagtailstep.utils.codec import decode_message
 from wagtailstep.utils.ids import make_id
 
-# A reader whose last proof of having read the end is older applies no ejection.
-FRESH_MS = 5_000
-# A claimant counts a returned target as out until it read the return this long
-# ago. Longer than FRESH_MS plus the longest read, so that by then no daemon still
-# holds the target to be out.
-SETTLE_MS = 8_000
 LEASE_S = 30.0
 RENEW_S = 10.0
 MAX_HOLD_TIMES = 4
@@ -66,67 +63,6 @@
 BASE_OUT_S = 10.0
 
 
-@attrs.define
-class HeldEjection:
-    """What this daemon keeps of one ejection besides the fold.
-
-    :param first_read: monotonic time when this daemon read of it.
-    :param lease_until: monotonic time when it lapses unless renewed.
-    :param renew_at: when this daemon renews it, if it is the claimant.
-    :param next_probe: when this daemon probes the target, if it is the claimant.
-    :param good_probes: probes in a row that succeeded.
-    """
-
-    first_read: timedelta
-    lease_until: timedelta
-    renew_at: timedelta
-    next_probe: timedelta = timedelta()
-    good_probes: int = 0
-
-
-@attrs.define
-class Strikes:
-    """Ejections of one target in a row.
-
-    :param count: how many.
-    :param ended: monotonic time when this daemon read of the latest return.
-    """
-
-    count: int = 0
-    ended: timedelta = timedelta()
-
-
-@attrs.define
-class StreamState:
-    """One followed stream of ejections.
-
-    :param service: the service.
-    :param fold: the fold of its records.
-    :param fresh_until: until when the fold is known to be fresh enough.
-    :param live: whether the end of the stream was reached once.
-    :param held: by ``target_id``, one for each ejection in the fold.
-    :param strikes: by ``target_id``.
-    :param history: pairs of time and offset, to tell what is settled.
-    """
-
-    service: str
-    fold: EjectionFold = attrs.field(factory=EjectionFold)
-    fresh_until: timedelta = timedelta(seconds=-1)
-    live: bool = False
-    held: dict[str, HeldEjection] = attrs.field(factory=dict)
-    strikes: dict[str, Strikes] = attrs.field(factory=dict)
-    history: list[tuple[timedelta, int]] = attrs.field(factory=list)
-
-    def settled_offset(self, now: timedelta) -> int:
-        """Return the first offset not read for at least :data:`SETTLE_MS`."""
-        oldest = now - timedelta(milliseconds=SETTLE_MS)
-        while len(self.history) > 1 and self.history[1][0] <= oldest:
-            self.history.pop(0)
-        if not self.history or self.history[0][0] > oldest:
-            return 0
-        return self.history[0][1]
-
-
 class EjectionController:
     """Claim ejections, follow those of all daemons, and return targets.
 
@@ -149,7 +85,6 @@
         self.rng = rng
         self.streams: dict[str, StreamState] = {}
         self.not_before: dict[str, timedelta] = {}
-        self.pending: dict[str, str] = {}
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -165,28 +100,26 @@
         effects = []
         for record in event.records:
             effects += self.take_record(state, record, now)
-        if not event.records:
-            state.live = True
-            state.fresh_until = now + timedelta(milliseconds=FRESH_MS)
         state.history.append((now, state.fold.next_offset))
         self.write_ejected()
         return effects
 
     @handle.register
-    def _(self, event: LogGap) -> list[Any]:
+    def _(self, event: StreamEndRead) -> list[Any]:
         state = self.streams.get(event.stream)
         if state is not None:
-            self.streams[event.stream] = StreamState(state.service)
+            state.live = True
+            state.fresh_until = event.asked_at + timedelta(milliseconds=FRESH_MS)
+            state.history.append((self.clock.monotonic(), state.fold.next_offset))
             self.write_ejected()
         return []
 
     @handle.register
-    def _(self, event: LogAppendSettled) -> list[Any]:
-        self.pending.pop(event.append_id, None)
-        return []
-
-    @handle.register
-    def _(self, event: LogReachability) -> list[Any]:
+    def _(self, event: LogGap) -> list[Any]:
+        state = self.streams.get(event.stream)
+        if state is not None:
+            self.streams[event.stream] = StreamState(state.service)
+            self.write_ejected()
         return []
 
     @handle.register
@@ -255,16 +188,13 @@
         return [describe(result, message)]
 
     def hold(self, state: StreamState, claim: EjectionClaim, now: timedelta) -> None:
-        """Start or extend the lease of an ejection.
-
-        Records read before the end of the stream may be old and give no lease.
-        """
-        lease = timedelta(seconds=LEASE_S if state.live else 0)
+        """Start or extend the lease of an ejection."""
         held = state.held.get(claim.target_id)
         if held is None:
             held = HeldEjection(first_read=now, lease_until=now, renew_at=now)
             state.held[claim.target_id] = held
-        held.lease_until = now + lease
+        held.read_live = state.live
+        held.lease_until = now + timedelta(seconds=LEASE_S)
         held.renew_at = now + timedelta(seconds=RENEW_S)
         strikes = state.strikes.setdefault(claim.target_id, Strikes())
         strikes.count = claim.strikes
@@ -299,13 +229,13 @@
     def effective_ejections(self, state: StreamState, now: timedelta) -> set[str]:
         """Return the targets of one service that are out in this view."""
         forced = set(self.forced_returns(state))
-        return {
-            ejection.target_id
-            for ejection in state.fold.out.values()
-            if ejection.target_id not in forced
-            and state.held[ejection.target_id].lease_until > now
-            and not self.was_replaced(ejection)
-        }
+        ejected = set()
+        for target_id, ejection in state.fold.out.items():
+            held = state.held[target_id]
+            in_force = held.read_live and now < held.lease_until
+            if in_force and target_id not in forced and not self.was_replaced(ejection):
+                ejected.add(target_id)
+        return ejected
 
     def was_replaced(self, ejection: Ejection) -> bool:
         """Tell whether the target restarted after it was judged."""
--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -66,7 +66,7 @@
 
     def rank(member: Member) -> tuple[int, str]:
         key = f"{service}|{member.daemon_id}"
-        return xxhash.xxh64_intdigest(key), member.daemon_id
+        return xxhash.xxh64_intdigest(key.encode()), member.daemon_id
 
     return sorted(members, key=rank)[:COLLECTORS]
 
--- a/src/wagtailstep/models/ejection.py
+++ b/src/wagtailstep/models/ejection.py
@@ -33,7 +33,7 @@
     :param table_version: version of that table.
     :param basis_offset: first offset of the stream that the claimant had not read.
     :param settled_offset: first offset that the claimant had not read for at least
-        :data:`wagtailstep.controllers.ejection.SETTLE_MS`.
+        :data:`wagtailstep.controllers.ejection_state.SETTLE_MS`.
     """
 
     claim_id: str
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -35,14 +35,26 @@
     """Records of a followed stream, in order, none left out.
 
     :param stream: name of the stream.
-    :param records: the records, oldest first; none if a read found the end of the
-        stream, which controllers need to know how fresh their state is.
+    :param records: the records, oldest first.
     """
 
     stream: str
     records: tuple[LogRecord, ...]
 
 
+@attrs.frozen
+class StreamEndRead:
+    """A read of a followed stream found nothing new; sent after each such read.
+
+    :param stream: name of the stream.
+    :param asked_at: monotonic time when the read was sent; all records appended
+        before it have been dispatched.
+    """
+
+    stream: str
+    asked_at: timedelta
+
+
 @attrs.frozen
 class LogGap:
     """Records of a followed stream expired before they were read.
--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -4,10 +4,11 @@
 import logging
 import random
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 from wagtailstep.exceptions import LogError, RecordExpiredError
-from wagtailstep.models.events import LogGap, LogRecordsRead
+from wagtailstep.models.events import LogGap, LogRecordsRead, StreamEndRead
 from wagtailstep.models.log import LogBatch, LogService
 from wagtailstep.models.settings import LogSettings
 from wagtailstep.utils.logging import log_event
@@ -66,6 +67,7 @@
         try:
             if self.offset is None:
                 self.offset = await self.log.oldest_offset(self.stream)
+            asked_at = timedelta(seconds=asyncio.get_running_loop().time())
             batch = await self.log.read(self.stream, self.offset, READ_LIMIT)
         except RecordExpiredError as error:
             self.skip_to(error.oldest)
@@ -75,7 +77,7 @@
             return False
         self.failures = 0
         self.report(True)
-        return self.take(batch)
+        return self.take(batch, asked_at)
 
     def skip_to(self, oldest_offset: int) -> None:
         """Go on at the oldest retained record and tell the controllers."""
@@ -91,9 +93,10 @@
         self.end_reached = False
         self.dispatch(LogGap(self.stream, oldest_offset))
 
-    def take(self, batch: LogBatch) -> bool:
+    def take(self, batch: LogBatch, asked_at: timedelta) -> bool:
         """Dispatch a batch and move on.
 
+        :param asked_at: monotonic time when the read was sent.
         :return: whether there may be more records now.
         """
         self.offset = batch.next_offset
@@ -103,6 +106,7 @@
         if not self.end_reached:
             self.end_reached = True
             self.dispatch(LogRecordsRead(self.stream, ()))
+        self.dispatch(StreamEndRead(self.stream, asked_at))
         return False
 
     def note_failure(self, error: LogError) -> None:
