--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -42,6 +42,19 @@
     records: tuple[LogRecord, ...]
 
 
+@attrs.frozen
+class StreamEndRead:
+    """A read of a followed stream found nothing new; sent after each such read.
+
+    :param stream: name of the stream.
+    :param asked_at: monotonic time when the read was sent; all records appended
+        before it have been dispatched.
+    """
+
+    stream: str
+    asked_at: timedelta
+
+
 @attrs.frozen
 class LogGap:
     """Records of a followed stream expired before they were read.
