Route, retry and guard requests at the entry, tickets first

Blackboard.targets is now a TargetMap: it is used like a dict (assignment, del, pop as before) and keeps an index by service, so of_service() and targets_of() look at no other service.

--- /dev/null
+++ b/features/entry.feature
@@ -0,0 +1,117 @@
+Feature: The entry brings each request to one true outcome
+
+  Background:
+    Given an entry that knows 3 targets of service "contracts"
+
+  Scenario: An answer is passed on with its verdict
+    When a caller sends GET "/lookup/7"
+    Then the answer is 200 with verdict "run" and the body "answer of GET /lookup/7"
+    And 1 attempt was made
+    And nothing is in flight
+
+  Scenario Outline: A wrong header is refused by name
+    When a caller sends POST "/sign" with header <header> "<value>"
+    Then the answer is 400 with verdict "not-run" and a problem about "<header>"
+    And the problem tells "<allowed>"
+    And 0 attempts were made
+
+    Examples:
+      | header                   | value | allowed        |
+      | wagtailstep-idempotent   | yes   | ?0 or ?1       |
+      | wagtailstep-timeout-ms   | -5    | a whole number |
+      | wagtailstep-timeout-ms   | 1e3   | a whole number |
+      | wagtailstep-service      |       | service        |
+      | wagtailstep-first-sending | true | ?0 or ?1       |
+
+  Scenario Outline: Attempts are repeated only where that can do no harm
+    Given the first attempt ends as "<end>"
+    When a caller sends <method> "/book"
+    Then <attempts> attempts were made
+    And the answer is <status> with verdict "<verdict>"
+    And nothing is in flight
+
+    Examples:
+      | end              | method | attempts | status | verdict      |
+      | connect refused  | POST   | 2        | 200    | run          |
+      | connection lost  | POST   | 1        | 502    | may-have-run |
+      | connection lost  | GET    | 2        | 200    | run          |
+      | gate overloaded  | POST   | 2        | 200    | run          |
+      | gate leaving     | POST   | 2        | 200    | run          |
+      | server error     | GET    | 1        | 500    | run          |
+
+  Scenario: Leaving targets do not use up the attempts while another one serves
+    Given the first 2 attempts end as "gate leaving"
+    When a caller sends POST "/book"
+    Then the answer is 200 with verdict "run"
+
+  Scenario: The verdict covers all attempts
+    Given the first attempt ends as "connection lost"
+    And every later attempt ends as "connect refused"
+    When a caller sends GET "/book"
+    Then the answer is 502 with verdict "may-have-run"
+
+  Scenario: An overload is not multiplied by retries
+    Given every attempt ends as "gate overloaded"
+    When 200 callers send POST "/book" one after the other
+    Then at most 230 attempts were made
+    And the answer is 503 with verdict "not-run"
+    And the answer tells when to come back
+
+  Scenario: A small body is sent again whole, a large one is not sent again
+    Given the first attempt ends as "connect refused after reading the body"
+    When a caller sends POST "/book" with a body of 60000 bytes
+    Then the answer is 200 with verdict "run"
+    And the last attempt got a body of 60000 bytes
+    When the first attempt ends as "connect refused after reading the body" again
+    And a caller sends POST "/book" with a body of 200000 bytes
+    Then the answer is 502 with verdict "not-run"
+
+  Scenario: A body whose reading was cancelled never looks complete
+    Given the first attempt ends as "gate overloaded while the body is on its way"
+    When a caller sends POST "/upload" with a slow body of 5 chunks
+    Then no attempt got a body that looked complete and was not
+    And the answer is 503 with verdict "not-run"
+
+  Scenario: A body that the caller cuts proves nothing
+    When a caller sends POST "/upload" and cuts its body
+    Then the answer is 400 with verdict "may-have-run"
+    And nothing is in flight
+
+  Scenario: A truncated answer is a broken transfer
+    Given the first attempt ends as "truncated answer"
+    When a caller sends GET "/lookup/7"
+    Then reading the answer fails with verdict "may-have-run"
+    And nothing is in flight
+
+  Scenario: The deadline travels as time left and ends the request at once
+    Given every attempt hangs
+    When a caller sends POST "/sign" with header wagtailstep-timeout-ms "400"
+    Then the answer is 504 with verdict "may-have-run"
+    And the attempt was told that at most 400 ms are left
+    And it took at most 450 ms
+    And the hanging attempt was cancelled
+    And nothing is in flight
+
+  Scenario: A route's longest time binds
+    Given every attempt hangs
+    And the table allows route "sign" of "contracts" 200 ms
+    When a caller sends POST "/sign" with header wagtailstep-timeout-ms "5000"
+    Then the attempt was told that at most 200 ms are left
+
+  Scenario: A caller that goes away cancels the attempt
+    Given every attempt hangs
+    When a caller sends POST "/sign" and goes away after 50 ms
+    Then the hanging attempt was cancelled
+    And the outcome blames "caller" with verdict "may-have-run"
+    And nothing is in flight
+
+  Scenario: A caller that goes away while it reads its answer
+    When a caller sends GET "/lookup/7" and closes the answer unread
+    Then the outcome blames "caller" with verdict "may-have-run"
+    And nothing is in flight
+
+  Scenario: A fault of the daemon itself is not called "not run"
+    Given every attempt ends as "a programming error"
+    When a caller sends POST "/sign"
+    Then the answer is 500 with verdict "may-have-run"
+    And nothing is in flight
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,362 @@
+"""Steps for the entry service, with a scripted forwarder in virtual time."""
+
+import asyncio
+import json
+import random
+from datetime import timedelta
+
+import detangle
+from behave import given, then, when
+from routing_steps import make_member, make_settings, make_target
+
+from wagtailstep import exceptions
+from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.headers import find_header
+from wagtailstep.models.idempotency import RequestDecided
+from wagtailstep.models.request import RequestOutcome
+from wagtailstep.models.table import RouteRow
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.entry import EntryService
+from wagtailstep.utils.clock import LoopClock
+
+NOT_RUN = Verdict.NOT_RUN
+MAY_HAVE_RUN = Verdict.MAY_HAVE_RUN
+
+
+async def yield_chunks(chunks, error=None, delay=0):
+    for chunk in chunks:
+        await asyncio.sleep(delay)
+        yield chunk
+    if error is not None:
+        raise error
+
+
+class ScriptedForwarder:
+    """Ends attempts as a script says, the rest with an answer."""
+
+    def __init__(self):
+        self.script = []
+        self.rest = "answer"
+        self.bodies = []
+        self.times_left = []
+        self.cancelled = 0
+        self.closed = 0
+
+    async def forward(self, request, gate, target_id, incoming, time_left):
+        end = self.script.pop(0) if self.script else self.rest
+        self.times_left.append(time_left)
+        method = getattr(self, "end_" + end.replace(" ", "_"))
+        return await method(request, incoming)
+
+    async def read_body(self, incoming):
+        index = len(self.bodies)
+        self.bodies.append(None)
+        self.bodies[index] = b"".join([chunk async for chunk in incoming.body])
+
+    async def close(self):
+        self.closed += 1
+
+    def make_answer(self, status, text, verdict=Verdict.RUN, extra=(), error=None):
+        body = yield_chunks([text.encode()], error)
+        return Answer(status, tuple(extra), body, verdict, self.close)
+
+    async def end_answer(self, request, incoming):
+        await self.read_body(incoming)
+        return self.make_answer(200, f"answer of {request.method} {request.path}")
+
+    async def end_truncated_answer(self, request, incoming):
+        error = exceptions.TruncatedAnswerError("short")
+        return self.make_answer(200, "begin", error=error)
+
+    async def end_server_error(self, request, incoming):
+        return self.make_answer(500, "failed")
+
+    async def end_connect_refused(self, request, incoming):
+        raise exceptions.ConnectionFailedError("refused", NOT_RUN)
+
+    async def end_connect_refused_after_reading_the_body(self, request, incoming):
+        await self.read_body(incoming)
+        raise exceptions.ConnectionFailedError("refused", NOT_RUN)
+
+    async def end_connection_lost(self, request, incoming):
+        raise exceptions.ConnectionFailedError("lost", MAY_HAVE_RUN)
+
+    async def end_gate_overloaded(self, request, incoming):
+        extra = [(headers.REASON, "overloaded"), (headers.RETRY_AFTER, "2")]
+        return self.make_answer(503, "", NOT_RUN, extra)
+
+    async def end_gate_overloaded_while_the_body_is_on_its_way(self, request, incoming):
+        reading = asyncio.create_task(self.read_body(incoming))
+        await asyncio.sleep(0.015)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        return await self.end_gate_overloaded(request, incoming)
+
+    async def end_gate_leaving(self, request, incoming):
+        extra = [(headers.REASON, "leaving")]
+        return self.make_answer(503, "", NOT_RUN, extra)
+
+    async def end_hang(self, request, incoming):
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def end_a_programming_error(self, request, incoming):
+        raise KeyError("bug")
+
+
+class EntryWorld:
+    """One entry with its controllers and the smallest possible runtime."""
+
+    def __init__(self, target_count):
+        self.settings = make_settings()
+        self.board = Blackboard(make_member("d1"))
+        for number in range(1, target_count + 1):
+            target = make_target(number)
+            self.board.targets[target.target_id] = target
+            self.board.members[target.daemon_id] = make_member(target.daemon_id)
+        self.forwarder = ScriptedForwarder()
+        self.events = []
+
+    def make_entry(self):
+        rng = random.Random(1)
+        parts = (self.settings, self.board, LoopClock(), rng)
+        self.entry = EntryService(
+            *parts,
+            routing=RoutingController(*parts),
+            guard=DuplicateGuard(*parts),
+            forwarder=self.forwarder,
+            relay=None,
+            dispatch=self.events.append,
+            apply=self.apply,
+        )
+        return self.entry
+
+    def apply(self, effects):
+        for effect in effects:
+            if isinstance(effect, RequestDecided):
+                self.entry.settle(effect)
+
+
+@given('an entry that knows {count:d} targets of service "contracts"')
+def set_entry(context, count):
+    context.world = EntryWorld(count)
+    context.error = None
+
+
+@given('the first attempt ends as "{end}"')
+def set_first_end(context, end):
+    context.world.forwarder.script = [end]
+
+
+@when('the first attempt ends as "{end}" again')
+def set_first_end_again(context, end):
+    context.world.forwarder.script = [end]
+
+
+@given('the first {count:d} attempts end as "{end}"')
+def set_first_ends(context, count, end):
+    context.world.forwarder.script = [end] * count
+
+
+@given('every attempt ends as "{end}"')
+@given('every later attempt ends as "{end}"')
+def set_all_ends(context, end):
+    context.world.forwarder.rest = end
+
+
+@given("every attempt hangs")
+def set_hanging(context):
+    context.world.forwarder.rest = "hang"
+
+
+@given('the table allows route "{route}" of "contracts" {timeout:d} ms')
+def set_route_timeout(context, route, timeout):
+    route_id = f"contracts/{route}"
+    row = RouteRow(route_id, timeout_ms=timeout)
+    context.world.board.table.routes[route_id] = row
+
+
+async def read_answer(context, answer):
+    context.answer = answer
+    try:
+        context.body = b"".join([chunk async for chunk in answer.body])
+    except exceptions.RequestError as error:
+        context.error = error
+    finally:
+        await answer.close()
+
+
+def make_incoming(method, path, extra=(), body=None):
+    given_headers = [(headers.SERVICE, "contracts"), *extra]
+    names = {name: value for name, value in given_headers}
+    return IncomingRequest(method, path, tuple(names.items()), body or yield_chunks([]))
+
+
+def send(context, method, path, extra=(), body=None, count=1):
+    async def call():
+        entry = context.world.make_entry()
+        started = asyncio.get_running_loop().time()
+        for _ in range(count):
+            incoming = make_incoming(method, path, extra, body)
+            await read_answer(context, await entry.handle(incoming))
+        context.took = asyncio.get_running_loop().time() - started
+
+    detangle.run(call)
+
+
+@when('a caller sends {method:w} "{path:S}"')
+def send_plain(context, method, path):
+    send(context, method, path)
+
+
+@when('a caller sends {method:w} "{path:S}" with header {name:S} "{value}"')
+@when('a caller sends {method:w} "{path:S}" with header {name:S} ""')
+def send_with_header(context, method, path, name, value=""):
+    send(context, method, path, [(name, value)])
+
+
+@when('{count:d} callers send {method:w} "{path:S}" one after the other')
+def send_many(context, count, method, path):
+    send(context, method, path, count=count)
+
+
+@when('a caller sends {method:w} "{path:S}" with a body of {size:d} bytes')
+def send_body(context, method, path, size):
+    chunks = [b"x" * 1000] * (size // 1000)
+    send(context, method, path, body=yield_chunks(chunks))
+
+
+@when('a caller sends {method:w} "{path:S}" with a slow body of {count:d} chunks')
+def send_slow_body(context, method, path, count):
+    send(context, method, path, body=yield_chunks([b"x"] * count, delay=0.01))
+
+
+@when('a caller sends {method:w} "{path:S}" and cuts its body')
+def send_cut_body(context, method, path):
+    error = exceptions.BadRequestError("the caller cut the body")
+    send(context, method, path, body=yield_chunks([b"x"], error))
+
+
+@when('a caller sends {method:w} "{path:S}" and goes away after {time:d} ms')
+def send_and_leave(context, method, path, time):
+    async def call():
+        entry = context.world.make_entry()
+        task = asyncio.create_task(entry.handle(make_incoming(method, path)))
+        await asyncio.sleep(time / 1000)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert task.cancelled()
+
+    detangle.run(call)
+
+
+@when('a caller sends {method:w} "{path:S}" and closes the answer unread')
+def send_and_close(context, method, path):
+    async def call():
+        entry = context.world.make_entry()
+        answer = await entry.handle(make_incoming(method, path))
+        await answer.close()
+
+    detangle.run(call)
+
+
+@then('the answer is {status:d} with verdict "{verdict}" and the body "{body}"')
+def check_whole_answer(context, status, verdict, body):
+    check_answer(context, status, verdict)
+    assert context.body.decode() == body, context.body
+    assert context.world.forwarder.closed == 1
+
+
+@then('the answer is {status:d} with verdict "{verdict}" and a problem about "{text}"')
+def check_problem(context, status, verdict, text):
+    check_answer(context, status, verdict)
+    check_problem_text(context, text)
+
+
+@then('the problem tells "{text}"')
+def check_problem_text(context, text):
+    assert text in json.loads(context.body)["detail"], context.body
+
+
+@then('the answer is {status:d} with verdict "{verdict}"')
+def check_answer(context, status, verdict):
+    answer = context.answer
+    assert answer.status == status, (answer.status, context.body)
+    told = find_header(answer.headers, headers.VERDICT)
+    assert told == verdict == answer.verdict.value, told
+    assert find_header(answer.headers, headers.REQUEST_ID)
+
+
+@then("{count:d} attempt was made")
+@then("{count:d} attempts were made")
+def check_attempts(context, count):
+    made = len(context.world.forwarder.times_left)
+    assert made == count, made
+    told = [e for e in context.world.events if isinstance(e, RequestOutcome)]
+    assert len(told) == count, told
+
+
+@then("at most {count:d} attempts were made")
+def check_most_attempts(context, count):
+    made = len(context.world.forwarder.times_left)
+    assert 200 <= made <= count, made
+
+
+@then("the answer tells when to come back")
+def check_retry_after(context):
+    assert int(find_header(context.answer.headers, headers.RETRY_AFTER)) >= 1
+
+
+@then("nothing is in flight")
+def check_nothing_in_flight(context):
+    in_flight = context.world.board.in_flight
+    assert not in_flight.by_target, in_flight
+    assert not in_flight.by_service, in_flight
+    assert not in_flight.by_route, in_flight
+
+
+@then("the last attempt got a body of {size:d} bytes")
+def check_body(context, size):
+    assert len(context.world.forwarder.bodies[-1]) == size
+
+
+@then("no attempt got a body that looked complete and was not")
+def check_complete_bodies(context):
+    bodies = context.world.forwarder.bodies
+    assert bodies and all(body in (None, b"x" * 5) for body in bodies), bodies
+
+
+@then('reading the answer fails with verdict "{verdict}"')
+def check_broken(context, verdict):
+    assert context.error is not None
+    assert context.error.verdict.value == verdict
+
+
+@then("the attempt was told that at most {time:d} ms are left")
+def check_time_left(context, time):
+    left = context.world.forwarder.times_left[0]
+    assert timedelta() < left <= timedelta(milliseconds=time), left
+
+
+@then("it took at most {time:d} ms")
+def check_took(context, time):
+    assert context.took <= time / 1000, context.took
+
+
+@then("the hanging attempt was cancelled")
+def check_cancelled(context):
+    assert context.world.forwarder.cancelled == 1
+
+
+@then('the outcome blames "{blame}" with verdict "{verdict}"')
+def check_outcome(context, blame, verdict):
+    (outcome,) = context.world.events
+    assert outcome.blame.value == blame, outcome
+    assert outcome.verdict.value == verdict, outcome
--- /dev/null
+++ b/src/wagtailstep/controllers/routing.py
@@ -0,0 +1,198 @@
+"""Choice of a target for each attempt at a request, and admission limits.
+
+The cost of a target rises with the work that this daemon has outstanding there,
+with its health penalty and with distance. Two targets are drawn by weight and the
+cheaper one is taken, so that idle targets share the work by weight and busy ones
+are relieved.
+"""
+
+import random
+from collections.abc import Collection
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
+from wagtailstep.exceptions import NoTargetError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import MemberState, Target, TargetHealth, TargetState
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import Clock
+
+MIN_RAMP = 0.05
+MAX_WANTED_SERVICES = 1_024
+
+_IN_GOOD_STANDING = TargetHealth()
+_USABLE_MEMBERS = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
+
+
+@attrs.frozen
+class Candidate:
+    """A target that may be picked.
+
+    :param target: the target.
+    :param weight: its weight in the table.
+    :param share: its weight in use, smaller than ``weight`` during slow start.
+    :param health: this daemon's judgement of it.
+    """
+
+    target: Target
+    weight: float
+    share: float
+    health: TargetHealth
+
+
+class RoutingController:
+    """Admit requests and pick targets; keep the in-flight counts."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.blackboard = blackboard
+        self.rng = rng
+        self.accounts = AccountLimiter(settings.requests, clock)
+
+    def handle(self, event: Any) -> list[Any]:
+        """Ignore all events: routing reads the blackboard at each request."""
+        return []
+
+    def admit(self, request: RequestContext) -> None:
+        """Count a request in; each admitted request needs one :meth:`release`.
+
+        :raises OverloadedError: if a limit of its service, route or client
+            account is reached; the request is not counted then.
+        :raises NoTargetError: if its service is unknown and too many are wanted.
+        """
+        self.want_service(request.service)
+        check_concurrency(self.blackboard, request)
+        self.accounts.take(self.blackboard.table, request)
+        in_flight = self.blackboard.in_flight
+        _increment(in_flight.by_service, request.service)
+        _increment(in_flight.by_route, f"{request.service}/{request.route}")
+
+    def want_service(self, service: str) -> None:
+        """Note that callers ask for a service, so that its targets get known.
+
+        :raises NoTargetError: if too many services are wanted.
+        """
+        wanted = self.blackboard.wanted_services
+        if service not in wanted and len(wanted) >= MAX_WANTED_SERVICES:
+            raise NoTargetError(f"service {service!r} is not known to this daemon")
+        wanted.add(service)
+
+    def release(self, request: RequestContext) -> None:
+        """Count an admitted request out."""
+        in_flight = self.blackboard.in_flight
+        _decrement(in_flight.by_service, request.service)
+        _decrement(in_flight.by_route, f"{request.service}/{request.route}")
+
+    def start_attempt(self, target_id: str) -> None:
+        """Count an attempt at a target in."""
+        _increment(self.blackboard.in_flight.by_target, target_id)
+
+    def end_attempt(self, target_id: str) -> None:
+        """Count an attempt at a target out."""
+        _decrement(self.blackboard.in_flight.by_target, target_id)
+
+    def pick(self, service: str, tried: Collection[str] = ()) -> Target:
+        """Pick the target of the next attempt.
+
+        :param service: the service asked for.
+        :param tried: ``target_id`` of targets that failed this request before;
+            picked again only if there is no other.
+        :raises NoTargetError: if no target may take new work.
+        """
+        candidates = self.find_candidates(service)
+        if not candidates:
+            raise NoTargetError(
+                f"no backend server of service {service!r} takes requests now; "
+                "come back after the time in Retry-After"
+            )
+        candidates = self.steer(service, candidates)
+        untried = [c for c in candidates if c.target.target_id not in tried]
+        return self.choose(untried or candidates).target
+
+    def find_candidates(self, service: str) -> list[Candidate]:
+        """Return the targets that may take new work."""
+        board = self.blackboard
+        found = []
+        for target_id, target in board.targets.of_service(service).items():
+            if target.state is not TargetState.SERVING or target_id in board.ejected:
+                continue
+            weight = board.table.weight(target_id)
+            if weight <= 0 or not self.has_gate(target):
+                continue
+            health = board.health.get(target_id, _IN_GOOD_STANDING)
+            share = weight * max(health.ramp, MIN_RAMP)
+            found.append(Candidate(target, weight, share, health))
+        return found
+
+    def has_gate(self, target: Target) -> bool:
+        """Tell whether the daemon beside a target is known and not gone."""
+        member = self.blackboard.members.get(target.daemon_id)
+        return member is not None and member.state in _USABLE_MEMBERS
+
+    def steer(self, service: str, candidates: list[Candidate]) -> list[Candidate]:
+        """Leave out targets in bad standing as far as the floor permits.
+
+        :return: candidates with at least the floor's weight if there is so much,
+            never none.
+        """
+        kept = [c for c in candidates if not c.health.steer_away]
+        if len(kept) == len(candidates):
+            return candidates
+        floor = self.blackboard.table.service_row(service).floor_weight
+        weight = sum(c.weight for c in kept)
+        avoided = [c for c in candidates if c.health.steer_away]
+        for candidate in sorted(avoided, key=_standing):
+            if kept and weight >= floor:
+                break
+            kept.append(candidate)
+            weight += candidate.weight
+        return kept
+
+    def choose(self, candidates: list[Candidate]) -> Candidate:
+        """Draw two candidates by weight and return the cheaper one."""
+        if len(candidates) == 1:
+            return candidates[0]
+        shares = [c.share for c in candidates]
+        mean_share = sum(shares) / len(shares)
+        first, second = self.rng.choices(candidates, shares, k=2)
+        if self.cost(second, mean_share) < self.cost(first, mean_share):
+            return second
+        return first
+
+    def cost(self, candidate: Candidate, mean_share: float) -> float:
+        """Return the cost of picking a candidate; smaller is better.
+
+        :param mean_share: mean weight in use of all candidates; it makes a weight
+            count relative to the others.
+        """
+        target = candidate.target
+        outstanding = self.blackboard.in_flight.by_target.get(target.target_id, 0)
+        cost = 1 + outstanding * mean_share / candidate.share
+        if target.availability_zone != self.settings.availability_zone:
+            cost *= self.settings.requests.other_zone_cost
+        return cost * candidate.health.penalty
+
+
+def _standing(candidate: Candidate) -> tuple[float, str]:
+    return candidate.health.penalty, candidate.target.target_id
+
+
+def _increment(counts: dict[str, int], key: str) -> None:
+    counts[key] = counts.get(key, 0) + 1
+
+
+def _decrement(counts: dict[str, int], key: str) -> None:
+    left = counts[key] - 1
+    if left:
+        counts[key] = left
+    else:
+        del counts[key]
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -4,6 +4,7 @@
 
 from wagtailstep.models.fleet import Member, Target, TargetHealth
 from wagtailstep.models.table import Table
+from wagtailstep.models.targets import TargetMap
 
 
 @attrs.define
@@ -30,8 +31,8 @@
     :param table: the table in force; written by the table controller.
     :param members: known daemons by ``daemon_id``, this one too; written by the
         membership controller.
-    :param targets: known targets by ``target_id``; written by the dissemination
-        controller.
+    :param targets: known targets by ``target_id``, indexed by service; written by
+        the dissemination controller.
     :param local_targets: ``target_id`` of backend servers beside this daemon;
         written by the announcement controller.
     :param health: judgement by ``target_id``; written by the evidence controller.
@@ -47,7 +48,7 @@
     this_member: Member
     table: Table = attrs.field(factory=Table)
     members: dict[str, Member] = attrs.field(factory=dict)
-    targets: dict[str, Target] = attrs.field(factory=dict)
+    targets: TargetMap = attrs.field(factory=TargetMap, converter=TargetMap)
     local_targets: set[str] = attrs.field(factory=set)
     health: dict[str, TargetHealth] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
@@ -58,5 +59,5 @@
 
     def targets_of(self, service: str) -> list[Target]:
         """Return all known targets of a service, in the order of their names."""
-        found = [t for t in self.targets.values() if t.service == service]
-        return sorted(found, key=lambda target: target.target_id)
+        found = self.targets.of_service(service)
+        return [found[target_id] for target_id in sorted(found)]
--- a/src/wagtailstep/models/exchange.py
+++ b/src/wagtailstep/models/exchange.py
@@ -70,3 +70,21 @@
 
         :raises RequestError: with the verdict; ``NOT_RUN`` only as a fact.
         """
+
+
+class Relay(Protocol):
+    """Pass a request on to the entry of another daemon, because of its key."""
+
+    async def relay(
+        self, member: Member, incoming: IncomingRequest, time_left: timedelta
+    ) -> Answer:
+        """Send the request once, headers unchanged, to ``member.gate_address``.
+
+        The other daemon hands it to its ``EntryService.handle``; it tells such a
+        request by its :data:`wagtailstep.models.headers.RELAYED` header. The
+        answer's verdict is that of its :data:`wagtailstep.models.headers.VERDICT`
+        header.
+
+        :raises RequestError: if there is no answer; resending is always safe,
+            because the other daemon recognises the key.
+        """
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -13,6 +13,8 @@
 REASON = "wagtailstep-reason"
 QUEUEING_MS = "wagtailstep-queueing-ms"
 LOAD = "wagtailstep-load"
+FIRST_SENDING = "wagtailstep-first-sending"
+RELAYED = "wagtailstep-relayed"
 IDEMPOTENCY_KEY = "idempotency-key"
 RETRY_AFTER = "retry-after"
 TRACEPARENT = "traceparent"
@@ -44,3 +46,14 @@
     :param name: name in lower case.
     """
     return next((value for key, value in headers if key == name), None)
+
+
+def replace_headers(headers: Headers, *replacements: tuple[str, str]) -> Headers:
+    """Return headers in which some names have exactly one, new value.
+
+    :param headers: pairs of lower-case name and value.
+    :param replacements: the new pairs of lower-case name and value.
+    """
+    replaced = {name for name, _ in replacements}
+    kept = tuple(pair for pair in headers if pair[0] not in replaced)
+    return (*kept, *replacements)
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -21,6 +21,9 @@
     :param idempotent: whether running it twice does no harm.
     :param idempotency_key: the caller's key or ticket, or ``None``.
     :param deadline: monotonic time of this daemon's clock when it must have ended.
+    :param first_sending: whether the caller says that it never sent the request
+        with this key before.
+    :param relayed: whether another daemon passed it on because of its key.
     """
 
     request_id: str
@@ -32,6 +35,13 @@
     idempotent: bool
     idempotency_key: str | None
     deadline: timedelta
+    first_sending: bool = False
+    relayed: bool = False
+
+    @property
+    def guarded(self) -> bool:
+        """Return whether its key must keep it from running twice."""
+        return self.idempotency_key is not None and not self.idempotent
 
 
 class Blame(enum.Enum):
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -15,6 +15,14 @@
     :param max_attempts: attempts at one request, the first one included.
     :param connect_timeout_ms: time to open a connection to a gate.
     :param connection_idle_ms: an idle connection older than this is not reused.
+    :param other_zone_cost: factor on the cost of a target in another availability
+        zone; 1 ignores zones.
+    :param replay_body_bytes: size up to which a request body is kept for a resend.
+    :param account_buckets: client accounts whose rates are remembered at once.
+    :param tickets_kept: tickets and claimed keys that one daemon remembers.
+    :param answer_bytes: size up to which the answer of a keyed request is kept.
+    :param answers_kept_bytes: total size of the kept answers.
+    :param claims_kept: claims of other daemons that one daemon remembers.
     """
 
     default_timeout_ms: int = 30_000
@@ -25,6 +33,13 @@
     max_attempts: int = 3
     connect_timeout_ms: int = 1_000
     connection_idle_ms: int = 5_000
+    other_zone_cost: float = 1.25
+    replay_body_bytes: int = 65_536
+    account_buckets: int = 1_024
+    tickets_kept: int = 10_000
+    answer_bytes: int = 16_384
+    answers_kept_bytes: int = 4_194_304
+    claims_kept: int = 100_000
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/wagtailstep/network/entry.py
@@ -0,0 +1,367 @@
+"""The entry: takes callers' requests and brings each to one true outcome.
+
+No sockets here: a server adapter calls :meth:`EntryService.handle`, a client adapter
+is the :class:`~wagtailstep.models.exchange.Forwarder` and the
+:class:`~wagtailstep.models.exchange.Relay`.
+"""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.controllers.runs import make_unknown_error
+from wagtailstep.exceptions import DeadlineExceededError, RequestError
+from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
+from wagtailstep.models.headers import find_header, replace_headers
+from wagtailstep.models.idempotency import (
+    PassOn,
+    Refuse,
+    Replay,
+    RequestDecided,
+    RunHere,
+    StoredAnswer,
+    Wait,
+)
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import (
+    AnswerStream,
+    OnAnswerEnd,
+    ReplayableBody,
+    chain_body,
+    read_small_body,
+)
+from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.interpret import digest_request, interpret_request
+from wagtailstep.network.problems import (
+    describe_error,
+    make_internal_error,
+    yield_body,
+)
+from wagtailstep.network.sender import AttemptSender
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.ids import make_id
+
+MAX_RELAY_ATTEMPTS = 2
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class EntryService:
+    """Handle callers' requests at one daemon.
+
+    :param routing: the daemon's routing controller.
+    :param guard: the daemon's duplicate guard.
+    :param forwarder: sends attempts to gates.
+    :param relay: passes keyed requests to other entries.
+    :param dispatch: gives an event to all controllers and applies their effects.
+    :param apply: applies effects that the guard returned; it gives each
+        :class:`~wagtailstep.models.idempotency.RequestDecided` to :meth:`settle`.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+        routing: RoutingController,
+        guard: DuplicateGuard,
+        forwarder: Forwarder,
+        relay: Relay,
+        dispatch: Callable[[Any], None],
+        apply: Callable[[list[Any]], None],
+    ) -> None:
+        self.settings = settings
+        self.blackboard = blackboard
+        self.clock = clock
+        self.rng = rng
+        self.routing = routing
+        self.guard = guard
+        self.relay = relay
+        self.apply = apply
+        retries = RetryPolicy(settings.requests, clock)
+        self.sender = AttemptSender(
+            blackboard, clock, routing, retries, forwarder, dispatch
+        )
+        self.undecided: dict[str, asyncio.Future[Any]] = {}
+
+    async def handle(self, incoming: IncomingRequest) -> Answer:
+        """Bring one request to its end.
+
+        :return: the answer; its body must be read or it must be closed, and it
+            must be closed in the end.
+        """
+        request_id = make_id(self.rng)
+        try:
+            request = self.interpret(incoming, request_id)
+            answer = await self.serve(request, incoming)
+        except RequestError as error:
+            return describe_error(error, request_id)
+        except Exception:
+            _LOGGER.exception("event=request-failed request_id=%s", request_id)
+            return describe_error(make_internal_error(), request_id)
+        answer.headers = replace_headers(
+            answer.headers,
+            (headers.VERDICT, answer.verdict.value),
+            (headers.REQUEST_ID, request_id),
+        )
+        return answer
+
+    async def issue_ticket(self, service: str) -> str:
+        """Return a new ticket for one request to a service.
+
+        :raises LeavingError: if this daemon is about to exit.
+        """
+        return str(self.guard.tickets.issue(service))
+
+    def settle(self, effect: RequestDecided) -> None:
+        """Take the decision about a request that waits for one."""
+        future = self.undecided.pop(effect.request_id, None)
+        if future is not None and not future.done():
+            future.set_result(effect.decision)
+        else:
+            self.decline(effect.decision)
+
+    def interpret(self, incoming: IncomingRequest, request_id: str) -> RequestContext:
+        """Read a request's headers.
+
+        :raises BadRequestError: if one of them is wrong.
+        """
+        return interpret_request(
+            incoming,
+            request_id,
+            self.blackboard.table,
+            self.settings.requests,
+            self.clock.monotonic(),
+        )
+
+    async def serve(self, request: RequestContext, incoming: IncomingRequest) -> Answer:
+        """Admit a request and bring it to its end.
+
+        :raises RequestError: if no answer can be had.
+        """
+        limit = self.settings.requests.replay_body_bytes
+        body = ReplayableBody(incoming.body, limit)
+        try:
+            self.routing.admit(request)
+        except RequestError as error:
+            raise self.limit_claim(request, error) from error
+        exchange = Exchange(request, incoming, body, self.routing)
+        try:
+            return await self.serve_admitted(exchange)
+        except BaseException:
+            exchange.release()
+            raise
+
+    async def serve_admitted(self, exchange: Exchange) -> Answer:
+        """Run a request, or have its guard say what to do with it."""
+        if exchange.request.guarded:
+            return await self.serve_guarded(exchange)
+        if exchange.has_small_body:
+            await self.within_deadline(exchange, exchange.body.prefetch())
+        return await self.sender.run(exchange)
+
+    def limit_claim(self, request: RequestContext, error: RequestError) -> RequestError:
+        """Take back a ``NOT_RUN`` that is only true of this sending.
+
+        An earlier sending under the same key may have run at another daemon.
+
+        :return: the error, its verdict changed if needed.
+        """
+        known = (
+            not request.guarded
+            or request.first_sending
+            or self.guard.knows_not_run(request)
+        )
+        if error.verdict is Verdict.NOT_RUN and not known:
+            error.verdict = Verdict.MAY_HAVE_RUN
+        return error
+
+    async def serve_guarded(self, exchange: Exchange) -> Answer:
+        """Do what the guard decides about a request.
+
+        :raises RequestError: if no answer can be had.
+        """
+        request = exchange.request
+        body_start = await self.within_deadline(exchange, exchange.body.prefetch())
+        length = find_header(exchange.incoming.headers, "content-length") or ""
+        fingerprint = digest_request(request, body_start, length)
+        outcome = self.guard.begin(request, fingerprint)
+        decision = outcome.decision
+        if isinstance(decision, Wait):
+            decision = await self.wait_for_decision(request, outcome.effects)
+        else:
+            self.apply(list(outcome.effects))
+        return await self.follow(decision, exchange)
+
+    async def within_deadline(self, exchange: Exchange, reading: Any) -> Any:
+        """Await the reading of the caller's body until the deadline.
+
+        :raises RequestError: if the caller cut the body or was too slow.
+        """
+        request = exchange.request
+        try:
+            async with asyncio.timeout(self.sender.time_left(request).total_seconds()):
+                return await reading
+        except TimeoutError:
+            error = DeadlineExceededError(
+                "the request body did not arrive within the time allowed; send it "
+                "again with more time",
+                Verdict.NOT_RUN,
+            )
+            raise self.limit_claim(request, error) from None
+
+    async def wait_for_decision(
+        self, request: RequestContext, effects: tuple[Any, ...]
+    ) -> Any:
+        """Wait until :meth:`settle` brings the guard's decision.
+
+        :raises RequestError: if the deadline passes first.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self.undecided[request.request_id] = future
+        self.apply(list(effects))
+        decision = None
+        try:
+            async with asyncio.timeout(self.sender.time_left(request).total_seconds()):
+                decision = await future
+            return decision
+        except TimeoutError:
+            error = DeadlineExceededError(
+                "the time allowed passed before it was decided who runs the request; "
+                "send it again with the same key",
+                Verdict.NOT_RUN,
+            )
+            raise self.limit_claim(request, error) from None
+        finally:
+            if decision is None:
+                self.give_up_waiting(request, future)
+
+    def give_up_waiting(
+        self, request: RequestContext, future: asyncio.Future[Any]
+    ) -> None:
+        """Tell the guard that nobody waits for a decision any more.
+
+        The decision may have come in the same step as the cancellation.
+        """
+        if self.undecided.pop(request.request_id, None) is not None:
+            self.apply(self.guard.abandon(request.request_id))
+        elif future.done() and not future.cancelled():
+            self.decline(future.result())
+
+    def decline(self, decision: Any) -> None:
+        """Give back the right to run a request that nobody waits for."""
+        if isinstance(decision, RunHere):
+            self.apply(self.guard.finish(decision.run_id, Verdict.NOT_RUN))
+
+    @singledispatchmethod
+    async def follow(self, decision: Any, exchange: Exchange) -> Answer:
+        """Do what the guard decided.
+
+        :raises RequestError: if no answer can be had.
+        """
+        raise TypeError(f"not a decision: {decision!r}")
+
+    @follow.register
+    async def _(self, decision: Refuse, exchange: Exchange) -> Answer:
+        raise decision.error
+
+    @follow.register
+    async def _(self, decision: Replay, exchange: Exchange) -> Answer:
+        exchange.release()
+        stored = decision.answer
+        body = yield_body(stored.body)
+        return Answer(stored.status, stored.headers, body, Verdict.RUN)
+
+    @follow.register
+    async def _(self, decision: PassOn, exchange: Exchange) -> Answer:
+        member = self.blackboard.members.get(decision.daemon_id)
+        if member is None:
+            raise make_unknown_error("the daemon that may run it is gone")
+        answer = await self.pass_on(exchange, member)
+        return self.track(answer, exchange, lambda verdict, _: exchange.release())
+
+    @follow.register
+    async def _(self, decision: RunHere, exchange: Exchange) -> Answer:
+        exchange.on_end = lambda verdict, answer: self.apply(
+            self.guard.finish(decision.run_id, verdict, answer)
+        )
+        try:
+            return await self.keep_answer(await self.sender.run(exchange), exchange)
+        except RequestError as error:
+            exchange.end(error.verdict)
+            raise
+        except BaseException:
+            exchange.end(exchange.verdict_if_cancelled)
+            raise
+
+    async def pass_on(self, exchange: Exchange, member: Any) -> Answer:
+        """Have another daemon serve a keyed request.
+
+        It may be sent again: the other daemon recognises the key.
+
+        :raises RequestError: ``MAY_HAVE_RUN`` if there is no answer.
+        """
+        for attempt in range(MAX_RELAY_ATTEMPTS):
+            time_left = self.sender.time_left(exchange.request)
+            incoming = self.make_relayed(exchange, time_left)
+            try:
+                async with asyncio.timeout(time_left.total_seconds()):
+                    return await self.relay.relay(member, incoming, time_left)
+            except (RequestError, TimeoutError) as error:
+                last = attempt + 1 == MAX_RELAY_ATTEMPTS
+                if last or not exchange.body.replayable:
+                    raise make_unknown_error(
+                        f"daemon {member.daemon_id} may know, but can't be reached"
+                    ) from error
+        raise AssertionError("the loop returns or raises")
+
+    def make_relayed(self, exchange: Exchange, left: timedelta) -> IncomingRequest:
+        """Return the request as the other daemon's entry gets it."""
+        left_ms = max(1, int(left.total_seconds() * 1_000))
+        marked = replace_headers(
+            exchange.incoming.headers,
+            (headers.TIMEOUT_MS, str(left_ms)),
+            (headers.RELAYED, self.settings.daemon_id),
+        )
+        incoming = exchange.incoming
+        return IncomingRequest(
+            incoming.method, incoming.path, marked, exchange.body.open()
+        )
+
+    async def keep_answer(self, answer: Answer, exchange: Exchange) -> Answer:
+        """Read a small answer whole, so that a resend can get it too.
+
+        :raises RequestError: if the answer breaks off early.
+        """
+        limit = self.settings.requests.answer_bytes
+        try:
+            chunks, whole = await read_small_body(answer.body, limit)
+        except BaseException:
+            await answer.close()
+            raise
+        if whole:
+            data = b"".join(chunks)
+            stored = StoredAnswer(answer.status, answer.headers, data)
+            await answer.close()
+            exchange.end(Verdict.RUN, stored)
+            return Answer(answer.status, answer.headers, yield_body(data), Verdict.RUN)
+        answer.body = chain_body(chunks, answer.body)
+        return self.track(answer, exchange, lambda verdict, _: exchange.end(verdict))
+
+    def track(self, answer: Answer, exchange: Exchange, on_end: OnAnswerEnd) -> Answer:
+        """Return the answer with a body whose end is told to ``on_end``."""
+        request = exchange.request
+        stream = AnswerStream(answer, on_end, lambda: self.sender.time_left(request))
+        return stream.make_answer()
--- /dev/null
+++ b/src/wagtailstep/network/problems.py
@@ -0,0 +1,88 @@
+"""Answers that wagtailstep makes itself, as ``application/problem+json``."""
+
+import math
+from collections.abc import AsyncIterator
+
+import attrs
+import msgspec
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models import headers
+from wagtailstep.models.exchange import Answer
+from wagtailstep.models.headers import Headers
+from wagtailstep.models.verdict import Verdict
+
+INTERNAL_SERVER_ERROR = 500
+CONTENT_TYPE = "application/problem+json"
+
+
+@attrs.frozen
+class Problem:
+    """A body after RFC 9457.
+
+    :param type: kind of problem, as a relative URI.
+    :param title: short name of the kind.
+    :param status: HTTP status code.
+    :param detail: what happened and what to do about it.
+    :param verdict: whether a backend server may have run the request.
+    :param request_id: identifier of the request.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    verdict: str
+    request_id: str
+
+
+async def yield_body(data: bytes) -> AsyncIterator[bytes]:
+    """Yield a whole body as one chunk, or nothing if it is empty."""
+    if data:
+        yield data
+
+
+def describe_error(error: RequestError, request_id: str = "") -> Answer:
+    """Make the answer for a request that ended without one.
+
+    :param error: how the request ended.
+    :param request_id: identifier of the request, if it has one yet.
+    """
+    problem = Problem(
+        type=f"/problems/{error.reason}",
+        title=error.reason,
+        status=error.status,
+        detail=str(error),
+        verdict=error.verdict.value,
+        request_id=request_id,
+    )
+    body = msgspec.json.encode(problem)
+    return Answer(
+        status=error.status,
+        headers=_make_headers(error, request_id, len(body)),
+        body=yield_body(body),
+        verdict=error.verdict,
+    )
+
+
+def _make_headers(error: RequestError, request_id: str, length: int) -> Headers:
+    made = [
+        ("content-type", CONTENT_TYPE),
+        ("content-length", str(length)),
+        (headers.VERDICT, error.verdict.value),
+        (headers.REASON, error.reason),
+        (headers.REQUEST_ID, request_id),
+    ]
+    if error.retry_after is not None:
+        seconds = max(1, math.ceil(error.retry_after.total_seconds()))
+        made.append((headers.RETRY_AFTER, str(seconds)))
+    return tuple(made)
+
+
+def make_internal_error() -> RequestError:
+    """Make the error for a fault of the daemon itself."""
+    return RequestError(
+        "the daemon failed while it handled the request; its log tells why",
+        Verdict.MAY_HAVE_RUN,
+        INTERNAL_SERVER_ERROR,
+    )
--- /dev/null
+++ b/src/wagtailstep/network/sender.py
@@ -0,0 +1,143 @@
+"""Attempts at a request, one after the other, until one answers."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.exceptions import DeadlineExceededError, RequestError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, Forwarder
+from wagtailstep.models.fleet import Target
+from wagtailstep.models.request import Blame, RequestContext
+from wagtailstep.models.verdict import Verdict, worst_verdict
+from wagtailstep.network.attempts import Attempt, blame_of, make_refusal
+from wagtailstep.network.bodies import AnswerStream
+from wagtailstep.network.exchanges import Exchange
+from wagtailstep.utils.clock import Clock
+
+DEADLINE_GRACE_MS = 20
+
+
+class AttemptSender:
+    """Send requests to targets and send them again where that is allowed.
+
+    :param routing: picks the targets.
+    :param retries: allows further attempts.
+    :param forwarder: sends one attempt.
+    :param dispatch: gives the outcome of each attempt to the controllers.
+    """
+
+    def __init__(
+        self,
+        blackboard: Blackboard,
+        clock: Clock,
+        routing: RoutingController,
+        retries: RetryPolicy,
+        forwarder: Forwarder,
+        dispatch: Callable[[Any], None],
+    ) -> None:
+        self.blackboard = blackboard
+        self.clock = clock
+        self.routing = routing
+        self.retries = retries
+        self.forwarder = forwarder
+        self.dispatch = dispatch
+
+    def time_left(self, request: RequestContext) -> timedelta:
+        """Return the time until a request's deadline, not below zero."""
+        return max(timedelta(), request.deadline - self.clock.monotonic())
+
+    async def run(self, exchange: Exchange) -> Answer:
+        """Attempt a request until it is answered or may not be sent again.
+
+        :raises RequestError: if no answer can be had; its verdict covers all
+            attempts.
+        """
+        request = exchange.request
+        self.retries.record_first_attempt(request.service)
+        while True:
+            exchange.attempts += 1
+            try:
+                return await self.attempt(exchange)
+            except RequestError as error:
+                error.verdict = worst_verdict(error.verdict, exchange.verdict)
+                exchange.verdict = error.verdict
+                may_resend = exchange.body.replayable and self.retries.take_retry(
+                    request, error, exchange.attempts
+                )
+                if not may_resend:
+                    raise
+
+    async def attempt(self, exchange: Exchange) -> Answer:
+        """Send a request to one target.
+
+        :raises RequestError: how the attempt ended without an answer.
+        """
+        request = exchange.request
+        if self.time_left(request) <= timedelta():
+            raise DeadlineExceededError(
+                "the time allowed had passed before the request was sent",
+                Verdict.NOT_RUN,
+            )
+        target = self.routing.pick(request.service, exchange.tried)
+        exchange.tried.add(target.target_id)
+        attempt = Attempt(
+            request, target.target_id, self.routing, self.dispatch, self.clock
+        )
+        attempt.start()
+        try:
+            answer = await self.forward(exchange, target)
+            attempt.note_answer(answer)
+            if answer.verdict is not Verdict.RUN:
+                await answer.close()
+                raise make_refusal(answer)
+        except RequestError as error:
+            attempt.end(error.verdict, blame_of(error))
+            raise
+        except BaseException:
+            attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
+            raise
+        exchange.verdict = Verdict.MAY_HAVE_RUN
+        return self.track(answer, attempt, exchange)
+
+    async def forward(self, exchange: Exchange, target: Target) -> Answer:
+        """Send a request to the gate of a target, within its deadline.
+
+        :raises RequestError: with the attempt's verdict.
+        """
+        gate = self.blackboard.members[target.daemon_id]
+        time_left = self.time_left(exchange.request)
+        grace = timedelta(milliseconds=DEADLINE_GRACE_MS)
+        exchange.sending = True
+        try:
+            async with asyncio.timeout((time_left + grace).total_seconds()):
+                answer = await self.forwarder.forward(
+                    exchange.request,
+                    gate,
+                    target.target_id,
+                    exchange.make_incoming(),
+                    time_left,
+                )
+        except TimeoutError:
+            raise DeadlineExceededError(
+                "the backend server did not answer within the time allowed",
+                Verdict.MAY_HAVE_RUN,
+            ) from None
+        except RequestError as error:
+            raise exchange.correct_verdict(error) from error
+        exchange.sending = False
+        return answer
+
+    def track(self, answer: Answer, attempt: Attempt, exchange: Exchange) -> Answer:
+        """Return the answer with a body whose end ends the attempt."""
+
+        def end(verdict: Verdict, error: RequestError | None) -> None:
+            attempt.end_answer(verdict, error)
+            if exchange.on_end is None:
+                exchange.release()
+
+        stream = AnswerStream(answer, end, lambda: self.time_left(exchange.request))
+        return stream.make_answer()
