--- /dev/null
+++ b/src/wagtailstep/controllers/claims.py
@@ -0,0 +1,348 @@
+"""Claims on plain idempotency keys, ordered by the log.
+
+A daemon that wants to run a keyed request appends a claim and decides when it reads
+its own record back: whoever's claim comes first in the stream holds the key. Reading
+the own record means that all earlier ones were read, so no acknowledgment, clock or
+lease is needed, and a claim that nobody waits for any more is never run but released.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.claim_appends import ClaimAppender
+from wagtailstep.controllers.claim_errors import (
+    make_full_error,
+    make_gap_error,
+    make_log_away_error,
+)
+from wagtailstep.controllers.claim_fold import ClaimFold
+from wagtailstep.controllers.runs import (
+    Run,
+    RunBook,
+    RunState,
+    make_mismatch_error,
+    make_unknown_error,
+)
+from wagtailstep.exceptions import DecodeError, RequestError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.claims import (
+    ClaimBatch,
+    ClaimEntry,
+    ClaimHolder,
+    digest_key,
+    name_stream,
+)
+from wagtailstep.models.events import FollowStream, LogAppendSettled, RecordEvent
+from wagtailstep.models.fleet import MemberState
+from wagtailstep.models.idempotency import (
+    Decision,
+    PassOn,
+    Refuse,
+    RequestDecided,
+    RunHere,
+    Wait,
+)
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.table import LogAwayPolicy
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import decode_message
+from wagtailstep.utils.ids import make_id
+
+MAX_GIVEN_UP = 10_000
+
+
+@attrs.define
+class PendingClaim:
+    """A claim of this daemon that has not been read back.
+
+    :param entry: the claim.
+    :param fingerprint: digest of the request.
+    :param waiting: requests that wait for the decision; the first one runs if the
+        claim wins.
+    """
+
+    entry: ClaimEntry
+    fingerprint: str
+    waiting: list[RequestContext]
+
+
+class ClaimDesk:
+    """The claims of one service at one daemon."""
+
+    def __init__(
+        self,
+        service: str,
+        boot_id: str,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+        book: RunBook,
+    ) -> None:
+        self.service = service
+        self.boot_id = boot_id
+        self.blackboard = blackboard
+        self.clock = clock
+        self.rng = rng
+        self.book = book
+        self.stream = name_stream(service)
+        retention = timedelta(seconds=settings.log.retention_s)
+        self.fold = ClaimFold(settings.requests.claims_kept, retention)
+        self.appender = ClaimAppender(self.stream, settings.daemon_id, boot_id, rng)
+        self.pending: dict[str, PendingClaim] = {}
+        self.releasing: set[str] = set()
+        self.given_up: OrderedDict[str, None] = OrderedDict()
+
+    def begin(
+        self, request: RequestContext, fingerprint: str
+    ) -> tuple[Decision, list[Any]]:
+        """Decide about a request with a plain key, or claim the key for it.
+
+        :param fingerprint: digest of the request.
+        :return: the decision and effects for the runtime.
+        """
+        key = digest_key(request.account, request.idempotency_key)
+        run = self.book.find(self.name_run(key))
+        if run is not None:
+            return self.book.start(run, request.request_id, fingerprint), []
+        pending = self.pending.get(key)
+        if pending is not None:
+            return self.join(pending, request, fingerprint), []
+        holder = self.fold.find_holder(key)
+        if holder is not None and holder.claim_id not in self.releasing:
+            return self.respect(holder, request), []
+        if not self.blackboard.log_reachable:
+            return self.begin_without_log(key, request, fingerprint)
+        if not self.fold.is_complete(self.clock.monotonic()):
+            return Refuse(make_full_error(request)), []
+        return self.claim(key, request, fingerprint)
+
+    def name_run(self, key: str) -> str:
+        """Return the name of the run for a claimed key."""
+        return f"{self.service}/{key}"
+
+    def join(
+        self, pending: PendingClaim, request: RequestContext, fingerprint: str
+    ) -> Decision:
+        """Let a resend wait for the decision about the same key."""
+        if pending.fingerprint != fingerprint:
+            return Refuse(make_mismatch_error())
+        pending.waiting.append(request)
+        return Wait()
+
+    def respect(self, holder: ClaimHolder, request: RequestContext) -> Decision:
+        """Decide about a request whose key is held by a claim that ran elsewhere."""
+        if holder.daemon_id == self.blackboard.this_member.daemon_id:
+            return Refuse(make_unknown_error("this daemon has forgotten how it ended"))
+        if request.relayed:
+            return Refuse(make_unknown_error("another daemon holds its key"))
+        member = self.blackboard.members.get(holder.daemon_id)
+        if member is None or member.state is MemberState.DEAD:
+            return Refuse(make_unknown_error("the daemon that holds its key is gone"))
+        return PassOn(holder.daemon_id)
+
+    def begin_without_log(
+        self, key: str, request: RequestContext, fingerprint: str
+    ) -> tuple[Decision, list[Any]]:
+        """Refuse a request while the log is away, or run it unclaimed.
+
+        The claim of one that runs is appended when the log is back, so that later
+        resends find it.
+        """
+        row = self.blackboard.table.service_row(self.service)
+        if row.log_away is LogAwayPolicy.REFUSE:
+            return Refuse(make_log_away_error(request)), []
+        entry = ClaimEntry(key, make_id(self.rng))
+        self.appender.add(entry)
+        return self.start_run(entry, fingerprint), [FollowStream(self.stream)]
+
+    def claim(
+        self, key: str, request: RequestContext, fingerprint: str
+    ) -> tuple[Decision, list[Any]]:
+        """Append a claim; the decision comes when it has been read back."""
+        entry = ClaimEntry(key, make_id(self.rng))
+        self.pending[key] = PendingClaim(entry, fingerprint, [request])
+        self.appender.add(entry)
+        return Wait(), [FollowStream(self.stream), *self.flush()]
+
+    def start_run(self, entry: ClaimEntry, fingerprint: str) -> RunHere:
+        """Note that this daemon runs the request of a claim now."""
+        run_id = self.name_run(entry.key)
+        run = Run(run_id, self.service, RunState.RUNNING, fingerprint)
+        run.claim_id = entry.claim_id
+        self.book.add(run)
+        return RunHere(run_id)
+
+    def finish(self, run: Run) -> list[Any]:
+        """Release the claim of a run that ended as not run.
+
+        Nothing runs under the claim afterwards: its run is forgotten here before
+        the release can be read by anybody.
+        """
+        self.book.forget(run.run_id)
+        key = run.run_id.removeprefix(f"{self.service}/")
+        return self.release(ClaimEntry(key, run.claim_id))
+
+    def release(self, claim: ClaimEntry) -> list[Any]:
+        """Append the release of a claim that was not run and never will be."""
+        self.give_up(claim)
+        self.releasing.add(claim.claim_id)
+        self.appender.add(attrs.evolve(claim, released=True))
+        return self.flush()
+
+    def give_up(self, claim: ClaimEntry) -> None:
+        """Note that a claim never runs, should its record turn up later.
+
+        The memory is bounded; a claim that is no longer in it keeps its key held,
+        which is safe.
+        """
+        self.given_up[claim.claim_id] = None
+        if len(self.given_up) > MAX_GIVEN_UP:
+            self.given_up.popitem(last=False)
+
+    def flush(self) -> list[Any]:
+        """Start the append of what waits for it, if none is under way."""
+        return list(self.appender.flush(self.clock.monotonic()))
+
+    def abandon(self, request: RequestContext) -> None:
+        """Let a request wait no longer; a claim that nobody wants is given up."""
+        key = digest_key(request.account, request.idempotency_key)
+        pending = self.pending.get(key)
+        if pending is None or request not in pending.waiting:
+            return
+        pending.waiting.remove(request)
+        if not pending.waiting:
+            del self.pending[key]
+            self.appender.withdraw(pending.entry.claim_id)
+            self.give_up(pending.entry)
+
+    def settle_append(self, event: LogAppendSettled) -> list[Any]:
+        """Take the end of the append under way."""
+        lost = self.appender.settle(event, self.clock.monotonic())
+        effects: list[Any] = [FollowStream(self.stream)]
+        if lost and not event.may_have_applied:
+            effects += self.refuse_pending(lost)
+        self.appender.requeue([entry for entry in lost if self.is_wanted(entry)])
+        return [*effects, *self.flush()]
+
+    def is_wanted(self, entry: ClaimEntry) -> bool:
+        """Tell whether an entry still has to get into the log."""
+        if entry.released:
+            return entry.claim_id in self.releasing
+        pending = self.pending.get(entry.key)
+        if pending is not None and pending.entry.claim_id == entry.claim_id:
+            return True
+        run = self.book.find(self.name_run(entry.key))
+        return run is not None and run.claim_id == entry.claim_id
+
+    def refuse_pending(self, entries: tuple[ClaimEntry, ...]) -> list[RequestDecided]:
+        """Refuse the requests whose claims the log did not take."""
+        decided = []
+        for entry in entries:
+            pending = self.pending.get(entry.key)
+            if pending is None or pending.entry.claim_id != entry.claim_id:
+                continue
+            del self.pending[entry.key]
+            self.give_up(entry)
+            decided += refuse_all(pending, make_log_away_error)
+        return decided
+
+    def read(self, records: tuple[LogRecord, ...]) -> list[Any]:
+        """Take the next records of the stream."""
+        effects: list[Any] = []
+        for record in records:
+            try:
+                batch = decode_message(record.data)
+            except DecodeError:
+                continue
+            if isinstance(batch, ClaimBatch):
+                for entry in batch.entries:
+                    effects += self.read_entry(batch, entry)
+        return effects
+
+    def read_entry(self, batch: ClaimBatch, entry: ClaimEntry) -> list[Any]:
+        """Fold one entry and decide what it decides."""
+        self.fold.apply(batch, entry, self.clock.monotonic())
+        if batch.boot_id != self.boot_id:
+            return []
+        if entry.released:
+            self.releasing.discard(entry.claim_id)
+            return []
+        pending = self.pending.get(entry.key)
+        if pending is not None and pending.entry.claim_id == entry.claim_id:
+            del self.pending[entry.key]
+            return self.decide(pending)
+        return self.check_unexpected(entry)
+
+    def check_unexpected(self, entry: ClaimEntry) -> list[Any]:
+        """Look at an own claim that was read while no request waits for it.
+
+        One that holds its key and was given up is released.
+        """
+        holder = self.fold.find_holder(entry.key)
+        won = holder is not None and holder.claim_id == entry.claim_id
+        if won and entry.claim_id in self.given_up:
+            return self.release(entry)
+        run = self.book.find(self.name_run(entry.key))
+        if not won and run is not None and run.claim_id == entry.claim_id:
+            fields = {"service": self.service, "key": entry.key}
+            return [RecordEvent("unclaimed-run-conflict", fields)]
+        return []
+
+    def decide(self, pending: PendingClaim) -> list[Any]:
+        """Decide about the requests that wait for a claim just read back."""
+        holder = self.fold.find_holder(pending.entry.key)
+        if holder is None or not self.fold.is_complete(self.clock.monotonic()):
+            self.give_up(pending.entry)
+            return refuse_all(pending, make_full_error)
+        if holder.claim_id == pending.entry.claim_id:
+            return self.win(pending)
+        self.give_up(pending.entry)
+        if holder.claim_id in self.releasing:
+            return self.claim_again(pending)
+        return [
+            RequestDecided(request.request_id, self.respect(holder, request))
+            for request in pending.waiting
+        ]
+
+    def win(self, pending: PendingClaim) -> list[Any]:
+        """Run the first request that waits for a claim; the others wait for it."""
+        first, *others = pending.waiting
+        decision = self.start_run(pending.entry, pending.fingerprint)
+        run = self.book.find(decision.run_id)
+        run.waiting = [request.request_id for request in others]
+        return [RequestDecided(first.request_id, decision)]
+
+    def claim_again(self, pending: PendingClaim) -> list[Any]:
+        """Claim a key whose holder is an own claim that is being released."""
+        entry = attrs.evolve(pending.entry, claim_id=make_id(self.rng))
+        self.pending[entry.key] = attrs.evolve(pending, entry=entry)
+        self.appender.add(entry)
+        return self.flush()
+
+    def skip_gap(self) -> list[Any]:
+        """Forget what the log has forgotten; undecided claims are never run."""
+        self.fold.clear()
+        lost, self.pending = self.pending, {}
+        decided = []
+        for pending in lost.values():
+            self.give_up(pending.entry)
+            decided += refuse_all(pending, make_gap_error)
+        return decided
+
+
+def refuse_all(
+    pending: PendingClaim, make_error: Callable[[RequestContext], RequestError]
+) -> list[RequestDecided]:
+    """Refuse all requests that wait for a claim, each with its own error."""
+    return [
+        RequestDecided(request.request_id, Refuse(make_error(request)))
+        for request in pending.waiting
+    ]
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -4,15 +4,25 @@
 that is not idempotent and has a key) and says :meth:`DuplicateGuard.finish` when the
 run has ended. Both return effects for the runtime. The runtime passes each
 :class:`~wagtailstep.models.idempotency.RequestDecided` effect, also those that
-:meth:`DuplicateGuard.handle` returns, to ``EntryService.settle``.
+:meth:`DuplicateGuard.handle` returns, to ``EntryService.settle``. It takes a repeated
+:class:`~wagtailstep.models.events.FollowStream` as a hint to read that stream now.
 """
 
 import random
+from functools import singledispatchmethod
 from typing import Any
 
+from wagtailstep.controllers.claims import ClaimDesk
 from wagtailstep.controllers.runs import Run, RunBook, RunState
 from wagtailstep.controllers.tickets import TicketOffice
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.claims import STREAM_PREFIX, digest_key
+from wagtailstep.models.events import (
+    LogAppendSettled,
+    LogGap,
+    LogRecordsRead,
+    Tick,
+)
 from wagtailstep.models.idempotency import (
     GuardOutcome,
     StoredAnswer,
@@ -22,6 +32,7 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.ids import make_id
 
 
 class DuplicateGuard:
@@ -37,20 +48,52 @@
         self.settings = settings
         self.blackboard = blackboard
         self.clock = clock
+        self.rng = rng
+        self.boot_id = make_id(rng)
         self.book = RunBook(settings.requests)
         self.tickets = TicketOffice(blackboard, rng, self.book)
+        self.desks: dict[str, ClaimDesk] = {}
 
+    @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
         """Take one event and return effects."""
         return []
 
+    @handle.register
+    def _(self, event: Tick) -> list[Any]:
+        return [effect for desk in self.desks.values() for effect in desk.flush()]
+
+    @handle.register
+    def _(self, event: LogRecordsRead) -> list[Any]:
+        desk = self.find_desk_of_stream(event.stream)
+        return desk.read(event.records) if desk is not None else []
+
+    @handle.register
+    def _(self, event: LogGap) -> list[Any]:
+        desk = self.find_desk_of_stream(event.stream)
+        return desk.skip_gap() if desk is not None else []
+
+    @handle.register
+    def _(self, event: LogAppendSettled) -> list[Any]:
+        for desk in self.desks.values():
+            if desk.appender.append_id == event.append_id:
+                return desk.settle_append(event)
+        return []
+
     def begin(self, request: RequestContext, fingerprint: str) -> GuardOutcome:
         """Decide about a guarded request.
 
         :param fingerprint: digest of method, path, client account and body.
+        :return: the decision; after :class:`~wagtailstep.models.idempotency.Wait`
+            the real one comes as an effect, unless :meth:`abandon` is called.
+        :raises BadRequestError: if the key looks like a ticket and isn't one.
         """
         ticket = parse_ticket(request.idempotency_key)
-        return GuardOutcome(self.tickets.decide(ticket, request, fingerprint))
+        if ticket is not None:
+            return GuardOutcome(self.tickets.decide(ticket, request, fingerprint))
+        desk = self.find_desk(request.service)
+        decision, effects = desk.begin(request, fingerprint)
+        return GuardOutcome(decision, tuple(effects))
 
     def finish(
         self, run_id: str, verdict: Verdict, answer: StoredAnswer | None = None
@@ -63,11 +106,19 @@
         run = self.book.find(run_id)
         if run is None:
             return []
-        return list(self.book.finish(run, verdict, answer))
+        decided = self.book.finish(run, verdict, answer)
+        if run.state is RunState.READY and run.claim_id is not None:
+            return [*decided, *self.find_desk(run.service).finish(run)]
+        return list(decided)
 
-    def abandon(self, request_id: str) -> list[Any]:
+    def abandon(self, request: RequestContext) -> None:
         """Forget a request that was told to wait and has been given up."""
-        return []
+        desk = self.desks.get(request.service)
+        if desk is not None:
+            desk.abandon(request)
+        run = self.find_run(request)
+        if run is not None and request.request_id in run.waiting:
+            run.waiting.remove(request.request_id)
 
     def knows_not_run(self, request: RequestContext) -> bool:
         """Tell whether no earlier sending of a guarded request has run, as a fact."""
@@ -76,4 +127,28 @@
 
     def find_run(self, request: RequestContext) -> Run | None:
         """Return the run that this daemon remembers for a guarded request."""
-        return self.book.find(request.idempotency_key)
+        if parse_ticket(request.idempotency_key) is not None:
+            return self.book.find(request.idempotency_key)
+        key = digest_key(request.account, request.idempotency_key)
+        return self.book.find(f"{request.service}/{key}")
+
+    def find_desk(self, service: str) -> ClaimDesk:
+        """Return the claims of a service; the first call makes the desk."""
+        desk = self.desks.get(service)
+        if desk is None:
+            desk = self.desks[service] = ClaimDesk(
+                service,
+                self.boot_id,
+                self.settings,
+                self.blackboard,
+                self.clock,
+                self.rng,
+                self.book,
+            )
+        return desk
+
+    def find_desk_of_stream(self, stream: str) -> ClaimDesk | None:
+        """Return the desk that follows a stream, or ``None``."""
+        if not stream.startswith(STREAM_PREFIX):
+            return None
+        return self.desks.get(stream.removeprefix(STREAM_PREFIX))
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -39,7 +39,7 @@
     tickets_kept: int = 10_000
     answer_bytes: int = 16_384
     answers_kept_bytes: int = 4_194_304
-    claims_kept: int = 100_000
+    claims_kept: int = 50_000
 
 
 @attrs.frozen
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -256,7 +256,7 @@
         The decision may have come in the same step as the cancellation.
         """
         if self.undecided.pop(request.request_id, None) is not None:
-            self.apply(self.guard.abandon(request.request_id))
+            self.guard.abandon(request)
         elif future.done() and not future.cancelled():
             self.decline(future.result())
 
