--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -50,6 +50,7 @@
     return next((value for key, value in headers if key == name), None)
 
 
+<<<<<<< HEAD
 def remove_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without those of the given lower-case names."""
     return tuple(pair for pair in headers if pair[0] not in names)
@@ -67,3 +68,14 @@
         for token in value.split(",")
     }
     return remove_headers(headers, HOP_BY_HOP | listed)
+=======
+def replace_headers(headers: Headers, *replacements: tuple[str, str]) -> Headers:
+    """Return headers in which some names have exactly one, new value.
+
+    :param headers: pairs of lower-case name and value.
+    :param replacements: the new pairs of lower-case name and value.
+    """
+    replaced = {name for name, _ in replacements}
+    kept = tuple(pair for pair in headers if pair[0] not in replaced)
+    return (*kept, *replacements)
+>>>>>>> requests
