--- /dev/null
+++ b/src/wagtailstep/controllers/digests.py
@@ -0,0 +1,61 @@
+"""Which heartbeats go to which daemon in the next round of digests."""
+
+import random
+
+from wagtailstep.controllers.interest import InterestIndex
+from wagtailstep.models.settings import MembershipSettings
+
+
+class DigestQueue:
+    """Heartbeats that this daemon still has to pass on, by service.
+
+    :param settings: membership settings.
+    :param interest: index of the peers of each service.
+    :param rng: source of random choices.
+    """
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        interest: InterestIndex,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.interest = interest
+        self.rng = rng
+        self.waiting: dict[str, dict[str, int]] = {}
+
+    def add(self, daemon_id: str, services: frozenset[str]) -> None:
+        """Queue the newest heartbeat of a daemon for the peers of its services."""
+        for service in services:
+            names = self.waiting.setdefault(service, {})
+            names[daemon_id] = self.settings.digest_sends
+
+    def take(self) -> dict[str, list[str]]:
+        """Return what goes to whom in this round.
+
+        :return: names of the daemons whose heartbeats are sent, by receiver.
+        """
+        plan: dict[str, set[str]] = {}
+        chosen: set[str] = set()
+        for service in sorted(self.waiting):
+            names = self.waiting[service]
+            peers = self.interest.choose_peers(
+                service, self.settings.digest_fanout, chosen, self.rng
+            )
+            chosen.update(peers)
+            for peer in peers:
+                plan.setdefault(peer, set()).update(names)
+            self._count(service, len(peers))
+        return {peer: sorted(names - {peer}) for peer, names in plan.items()}
+
+    def _count(self, service: str, sent: int) -> None:
+        left = {
+            name: count - sent
+            for name, count in self.waiting[service].items()
+            if count > sent
+        }
+        if left and sent:
+            self.waiting[service] = left
+        else:
+            del self.waiting[service]
--- /dev/null
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -0,0 +1,381 @@
+"""Targets of other daemons: heard of, renewed, pulled and lapsed."""
+
+import random
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+from wagtailstep.controllers.digests import DigestQueue
+from wagtailstep.controllers.interest import InterestIndex
+from wagtailstep.controllers.target_leases import Holding, TargetLeases
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    PeerMessageReceived,
+    RecordEvent,
+    SendToPeer,
+    Tick,
+)
+from wagtailstep.models.fleet import MemberState, Target, TargetState
+from wagtailstep.models.membership import (
+    AGE_UNIT_MS,
+    BEAT_MS,
+    Digest,
+    DigestRequest,
+    TargetEntry,
+    TargetsRequest,
+    TargetsUpdate,
+    member_reference,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import Clock
+
+ROUNDS_PER_RENEWAL = 3
+OWN_UPDATE_FANOUT = 8
+FORWARD_FANOUT = 4
+PULL_INTERVAL_MS = 400
+PULLS_PER_TICK = 10
+REFRESH_SHARE_OF_LEASE = 0.65
+MAX_VERSION = 0xFFFF
+STALE_OWN_BEATS = 100
+
+
+class DisseminationController:
+    """Tell daemons that serve or want a service of its targets, and nobody else.
+
+    A daemon makes a heartbeat every ``renew_ms``. Heartbeats travel as rows of
+    digests, a few times from each daemon that hears them, and carry their age, so
+    that a lease ends at the same time everywhere. Targets themselves travel when
+    they change, and when a heartbeat names a version that is not held.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings.membership
+        self.blackboard = blackboard
+        self.clock = clock
+        self.rng = rng
+        self.lease = timedelta(milliseconds=self.settings.lease_ms)
+        self.interest = InterestIndex(blackboard)
+        self.leases = TargetLeases(blackboard, self.lease)
+        self.digests = DigestQueue(self.settings, self.interest, rng)
+        self.reference = member_reference(blackboard.this_member.daemon_id)
+        self.started_at = clock.monotonic()
+        self.beat = 0
+        self.beat_at = timedelta()
+        self.version = 0
+        self.own_targets: tuple[Target, ...] = ()
+        self.renew_at = timedelta()
+        self.round_at = timedelta()
+        self.pulled_at: dict[str, timedelta] = {}
+        self.pull_count = 0
+
+    @singledispatchmethod
+    def handle(self, event: Any) -> list[Any]:
+        """Ignore an event that dissemination does not depend on."""
+        return []
+
+    @handle.register
+    def _(self, event: Tick) -> list[Any]:
+        now = self.clock.monotonic()
+        if self.interest.refresh(now):
+            self._drop_useless()
+        effects = self._push_own_changes(now)
+        effects += self._lapse(now)
+        self._renew(now)
+        effects += self._send_digests(now)
+        effects += self._pull(now)
+        return effects
+
+    @handle.register
+    def _(self, event: PeerMessageReceived) -> list[Any]:
+        return self._receive(event.message, event.sender)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str) -> list[Any]:
+        return []
+
+    @_receive.register
+    def _(self, message: Digest, sender: str) -> list[Any]:
+        now = self.clock.monotonic()
+        effects: list[Any] = []
+        rows = message.rows
+        for index in range(0, len(rows) - 3, 4):
+            reference, beat, age, version = rows[index : index + 4]
+            beat += message.base
+            made_at = now - timedelta(milliseconds=age * AGE_UNIT_MS)
+            if reference == self.reference:
+                self._surpass(beat)
+                continue
+            daemon_id = self.interest.references.get(reference)
+            if daemon_id is None:
+                continue
+            if self.leases.renew(daemon_id, beat, made_at, version):
+                self.digests.add(daemon_id, self.interest.needed[daemon_id])
+            elif daemon_id == sender:
+                effects += self._answer_stale_owner(sender, beat)
+        return effects
+
+    @_receive.register
+    def _(self, message: DigestRequest, sender: str) -> list[Any]:
+        names = [self.interest.references.get(ref) for ref in message.references]
+        rows = self._make_rows([name for name in names if name is not None])
+        if self.reference in message.references:
+            rows += self._own_row()
+        if not rows:
+            return []
+        return [SendToPeer(message.reply_to, Digest(self.beat, tuple(rows)))]
+
+    @_receive.register
+    def _(self, message: TargetsRequest, sender: str) -> list[Any]:
+        services = frozenset(message.services)
+        if message.daemon_id == self.blackboard.this_member.daemon_id:
+            update = self._own_update(services)
+        else:
+            update = self._held_update(message.daemon_id, services)
+        return [] if update is None else [SendToPeer(message.reply_to, update)]
+
+    @_receive.register
+    def _(self, message: TargetsUpdate, sender: str) -> list[Any]:
+        this_id = self.blackboard.this_member.daemon_id
+        if message.daemon_id == this_id or message.age_ms < 0:
+            return []
+        if self.interest.services.isdisjoint(message.services):
+            return []
+        try:
+            changed = self.leases.store(message, self.clock.monotonic())
+        except IndexError:
+            return []
+        if not changed:
+            return []
+        needed = self.interest.needed.get(message.daemon_id, frozenset())
+        self.digests.add(message.daemon_id, needed)
+        effects = self._record_leaving(message)
+        if message.urgent:
+            effects += self._forward(message, sender)
+        return effects
+
+    def _record_leaving(self, update: TargetsUpdate) -> list[Any]:
+        leaving = list(TargetState).index(TargetState.LEAVING)
+        return [
+            RecordEvent("target-leaving-heard", {"target": entry.target_id})
+            for entry in update.targets
+            if entry.state == leaving
+        ]
+
+    def _forward(self, update: TargetsUpdate, sender: str) -> list[Any]:
+        services = frozenset(update.services)
+        peers = self.interest.choose_interested(services, FORWARD_FANOUT, self.rng)
+        effects = []
+        for peer in peers:
+            if peer.daemon_id in (sender, update.daemon_id):
+                continue
+            covered = services.intersection(peer.services)
+            held = self._held_update(update.daemon_id, covered, urgent=True)
+            if held is not None:
+                effects.append(SendToPeer(peer.peer_address, held, urgent=True))
+        return effects
+
+    def _next_beat(self, now: timedelta) -> None:
+        uptime_ms = (now - self.started_at) // timedelta(milliseconds=1)
+        wall_ms = self.blackboard.this_member.incarnation + uptime_ms
+        self.beat = max(self.beat + 1, wall_ms // BEAT_MS)
+        self.beat_at = now
+
+    def _surpass(self, beat: int) -> None:
+        # An earlier run of this daemon got further, since the wall clock was ahead.
+        self.beat = max(self.beat, beat)
+
+    def _answer_stale_owner(self, sender: str, beat: int) -> list[Any]:
+        member = self.blackboard.members.get(sender)
+        last = self.leases.last_beats[sender]
+        if member is None or last - beat < STALE_OWN_BEATS:
+            return []
+        row = (member_reference(sender), last - self.beat, 0, 0)
+        return [SendToPeer(member.peer_address, Digest(self.beat, row))]
+
+    def _renew(self, now: timedelta) -> None:
+        if now < self.renew_at or not self.own_targets:
+            return
+        self.renew_at = now + timedelta(milliseconds=self.settings.renew_ms)
+        self._next_beat(now)
+        services = frozenset(target.service for target in self.own_targets)
+        self.digests.add(self.blackboard.this_member.daemon_id, services)
+
+    def _push_own_changes(self, now: timedelta) -> list[Any]:
+        board = self.blackboard
+        targets = tuple(board.targets[name] for name in sorted(board.local_targets))
+        if targets == self.own_targets:
+            return []
+        services = frozenset(t.service for t in targets + self.own_targets)
+        self.own_targets = targets
+        self._next_beat(now)
+        self.version = self.beat & MAX_VERSION
+        self.digests.add(board.this_member.daemon_id, services)
+        peers = self.interest.choose_interested(services, OWN_UPDATE_FANOUT, self.rng)
+        effects = []
+        for peer in peers:
+            update = self._own_update(services.intersection(peer.services), urgent=True)
+            effects.append(SendToPeer(peer.peer_address, update, urgent=True))
+        return effects
+
+    def _own_update(
+        self, services: frozenset[str], urgent: bool = False
+    ) -> TargetsUpdate:
+        this = self.blackboard.this_member
+        age = self.clock.monotonic() - self.beat_at
+        return TargetsUpdate(
+            daemon_id=this.daemon_id,
+            availability_zone=this.availability_zone,
+            beat=self.beat,
+            age_ms=age // timedelta(milliseconds=1),
+            version=self.version,
+            services=tuple(sorted(services)),
+            targets=_make_entries(self.own_targets, services),
+            urgent=urgent,
+        )
+
+    def _held_update(
+        self, daemon_id: str, services: frozenset[str], urgent: bool = False
+    ) -> TargetsUpdate | None:
+        holding = self.leases.holdings.get(daemon_id)
+        member = self.blackboard.members.get(daemon_id)
+        if holding is None or member is None or not holding.published:
+            return None
+        covered = services & holding.services
+        if holding.held_version != holding.version or not covered:
+            return None
+        age = self.clock.monotonic() - holding.renewed_at
+        return TargetsUpdate(
+            daemon_id=daemon_id,
+            availability_zone=member.availability_zone,
+            beat=holding.beat,
+            age_ms=-(-age // timedelta(milliseconds=1)),
+            version=holding.held_version,
+            services=tuple(sorted(covered)),
+            targets=_make_entries(holding.targets, covered),
+            urgent=urgent,
+        )
+
+    def _lapse(self, now: timedelta) -> list[Any]:
+        return [
+            RecordEvent("targets-lapsed", {"member": daemon_id})
+            for daemon_id in self.leases.lapse(now)
+        ]
+
+    def _drop_useless(self) -> None:
+        members = self.blackboard.members
+        for daemon_id, holding in list(self.leases.holdings.items()):
+            member = members.get(daemon_id)
+            is_dead = member is None or member.state is MemberState.DEAD
+            unneeded = daemon_id not in self.interest.needed
+            if unneeded or (is_dead and not holding.published):
+                self.leases.drop(daemon_id)
+                self.pulled_at.pop(daemon_id, None)
+
+    def _send_digests(self, now: timedelta) -> list[Any]:
+        if now < self.round_at:
+            return []
+        interval = self.settings.renew_ms / ROUNDS_PER_RENEWAL
+        self.round_at = now + timedelta(milliseconds=interval)
+        effects = []
+        for peer_id, names in self.digests.take().items():
+            rows = self._make_rows(names)
+            if self.blackboard.this_member.daemon_id in names:
+                rows += self._own_row()
+            peer = self.blackboard.members.get(peer_id)
+            if rows and peer is not None:
+                digest = Digest(self.beat, tuple(rows))
+                effects.append(SendToPeer(peer.peer_address, digest))
+        return effects
+
+    def _own_row(self) -> list[int]:
+        age = self.clock.monotonic() - self.beat_at
+        return [self.reference, 0, _age_units(age), self.version]
+
+    def _make_rows(self, names: list[str]) -> list[int]:
+        now = self.clock.monotonic()
+        rows: list[int] = []
+        for name in names:
+            holding = self.leases.holdings.get(name)
+            if holding is None or now - holding.renewed_at >= self.lease:
+                continue
+            age = _age_units(now - holding.renewed_at)
+            beat = holding.beat - self.beat
+            rows += (member_reference(name), beat, age, holding.version)
+        return rows
+
+    def _pull(self, now: timedelta) -> list[Any]:
+        refresh_age = self.lease * REFRESH_SHARE_OF_LEASE
+        interval = timedelta(milliseconds=PULL_INTERVAL_MS)
+        effects: list[Any] = []
+        stale: list[str] = []
+        for daemon_id, needed in self.interest.needed.items():
+            holding = self.leases.holdings.get(daemon_id)
+            if not _lacks(holding, needed, now - refresh_age):
+                continue
+            last = self.pulled_at.get(daemon_id)
+            if last is not None and now - last < interval:
+                continue
+            if len(effects) >= PULLS_PER_TICK:
+                break
+            self.pulled_at[daemon_id] = now
+            if holding is not None and _is_complete(holding, needed):
+                stale.append(daemon_id)
+            else:
+                effects += self._request_targets(daemon_id, needed)
+        return effects + self._request_digest(stale)
+
+    def _request_targets(self, daemon_id: str, needed: frozenset[str]) -> list[Any]:
+        this = self.blackboard.this_member
+        request = TargetsRequest(this.peer_address, daemon_id, tuple(sorted(needed)))
+        return [SendToPeer(self._whom_to_ask(daemon_id, needed), request)]
+
+    def _whom_to_ask(self, daemon_id: str, needed: frozenset[str]) -> str:
+        # Every other time somebody else is asked, since the path may be cut one way.
+        self.pull_count += 1
+        others = self.interest.choose_interested(needed, 1, self.rng)
+        if self.pull_count % 2 == 0 and others:
+            return others[0].peer_address
+        return self.blackboard.members[daemon_id].peer_address
+
+    def _request_digest(self, stale: list[str]) -> list[Any]:
+        this = self.blackboard.this_member
+        by_address: dict[str, list[int]] = {}
+        for daemon_id in stale:
+            needed = self.interest.needed[daemon_id]
+            address = self._whom_to_ask(daemon_id, needed)
+            by_address.setdefault(address, []).append(member_reference(daemon_id))
+        return [
+            SendToPeer(address, DigestRequest(this.peer_address, tuple(references)))
+            for address, references in by_address.items()
+        ]
+
+
+def _is_complete(holding: Holding, needed: frozenset[str]) -> bool:
+    current = holding.held_version == holding.version
+    return current and holding.services.issuperset(needed)
+
+
+def _lacks(holding: Holding | None, needed: frozenset[str], oldest: timedelta) -> bool:
+    if holding is None or holding.renewed_at <= oldest:
+        return True
+    return not _is_complete(holding, needed)
+
+
+def _make_entries(
+    targets: tuple[Target, ...], services: frozenset[str]
+) -> tuple[TargetEntry, ...]:
+    return tuple(
+        TargetEntry.from_target(target)
+        for target in targets
+        if target.service in services
+    )
+
+
+def _age_units(age: timedelta) -> int:
+    return -(-age // timedelta(milliseconds=AGE_UNIT_MS))
--- /dev/null
+++ b/src/wagtailstep/controllers/interest.py
@@ -0,0 +1,87 @@
+"""Which daemons have to do with the services that this daemon serves or wants."""
+
+import random
+from datetime import timedelta
+
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Member, MemberState
+from wagtailstep.models.membership import member_reference
+
+REBUILD_MS = 1_000
+
+
+class InterestIndex:
+    """Index of the member table by the services of interest to this daemon.
+
+    :param blackboard: where members and wanted services are read.
+
+    Attributes: ``services`` of interest; ``needed`` services by the ``daemon_id``
+    that serves them; ``peers`` that serve or want a service, by service;
+    ``references`` of members that stand for them in digests.
+    """
+
+    def __init__(self, blackboard: Blackboard) -> None:
+        self.blackboard = blackboard
+        self.services: frozenset[str] = frozenset()
+        self.needed: dict[str, frozenset[str]] = {}
+        self.peers: dict[str, list[str]] = {}
+        self.references: dict[int, str] = {}
+        self.rebuild_at = timedelta()
+
+    def refresh(self, now: timedelta) -> bool:
+        """Rebuild the index if the interest changed or the index is old.
+
+        :return: whether it was rebuilt.
+        """
+        board = self.blackboard
+        local = {board.targets[name].service for name in board.local_targets}
+        services = frozenset(local | board.wanted_services)
+        if services == self.services and now < self.rebuild_at:
+            return False
+        self.services = services
+        self.rebuild_at = now + timedelta(milliseconds=REBUILD_MS)
+        self._rebuild()
+        return True
+
+    def _rebuild(self) -> None:
+        self.needed = {}
+        self.references = {}
+        self.peers = {service: [] for service in sorted(self.services)}
+        this_id = self.blackboard.this_member.daemon_id
+        for daemon_id, member in self.blackboard.members.items():
+            if daemon_id == this_id:
+                continue
+            needed = self.services.intersection(member.serves)
+            if needed:
+                self.needed[daemon_id] = needed
+                self.references[member_reference(daemon_id)] = daemon_id
+            if member.state is not MemberState.DEAD:
+                for service in self.services.intersection(member.services):
+                    self.peers[service].append(daemon_id)
+
+    def choose_peers(
+        self, service: str, count: int, chosen: set[str], rng: random.Random
+    ) -> list[str]:
+        """Choose peers of a service, those already chosen for others first.
+
+        :param chosen: peers that a message goes to anyway.
+        """
+        names = self.peers.get(service, [])
+        if len(names) <= count:
+            return names
+        known = [name for name in rng.sample(names, len(names)) if name in chosen]
+        picked = known[:count]
+        while len(picked) < count:
+            name = rng.choice(names)
+            if name not in picked:
+                picked.append(name)
+        return picked
+
+    def choose_interested(
+        self, services: frozenset[str], count: int, rng: random.Random
+    ) -> list[Member]:
+        """Choose peers that serve or want one of some services."""
+        names = {name for service in services for name in self.peers.get(service, ())}
+        picked = rng.sample(sorted(names), min(count, len(names)))
+        members = self.blackboard.members
+        return [members[name] for name in picked if name in members]
--- /dev/null
+++ b/src/wagtailstep/controllers/member_table.py
@@ -0,0 +1,105 @@
+"""The member table: which news of a member replaces what is known of it."""
+
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.models.fleet import Member, MemberState
+from wagtailstep.models.membership import MemberChange
+
+MAX_BURIED = 8_192
+
+_RANK = {
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.LEAVING: 2,
+    MemberState.DEAD: 3,
+}
+
+
+def is_newer(
+    incarnation: int, state: MemberState, known_incarnation: int, known: MemberState
+) -> bool:
+    """Tell whether news replaces what is known.
+
+    A higher incarnation always does; within one incarnation the worse state does,
+    so that all daemons come to the same result in whatever order news arrives.
+    """
+    news = (incarnation, _RANK[state])
+    return news > (known_incarnation, _RANK[known])
+
+
+@attrs.define
+class MemberTable:
+    """All known members, and what is kept of forgotten ones.
+
+    :param members: members by ``daemon_id``, dead ones too; shared with the
+        blackboard.
+    :param buried: last incarnation of forgotten members, oldest first, so that
+        stale news doesn't bring them back.
+    :param died_at: monotonic time at which each dead member was found dead.
+    :param suspected_at: monotonic time at which each suspicion began.
+    """
+
+    members: dict[str, Member]
+    buried: dict[str, int] = attrs.field(factory=dict)
+    died_at: dict[str, timedelta] = attrs.field(factory=dict)
+    suspected_at: dict[str, timedelta] = attrs.field(factory=dict)
+
+    def accepts(self, daemon_id: str, incarnation: int, state: MemberState) -> bool:
+        """Tell whether news of a member is newer than what is known of it."""
+        known = self.members.get(daemon_id)
+        if known is not None:
+            return is_newer(incarnation, state, known.incarnation, known.state)
+        return incarnation > self.buried.get(daemon_id, -1)
+
+    def put(self, member: Member, now: timedelta) -> None:
+        """Store a member and when its state began."""
+        daemon_id = member.daemon_id
+        self.members[daemon_id] = member
+        self.buried.pop(daemon_id, None)
+        self.suspected_at.pop(daemon_id, None)
+        self.died_at.pop(daemon_id, None)
+        if member.state is MemberState.SUSPECT:
+            self.suspected_at[daemon_id] = now
+        elif member.state is MemberState.DEAD:
+            self.died_at[daemon_id] = now
+
+    def find_doubt(self, daemon_id: str) -> MemberChange | None:
+        """Return what a daemon must hear to refute that it is suspect or dead."""
+        member = self.members.get(daemon_id)
+        if member is not None:
+            doubted = member.state in (MemberState.SUSPECT, MemberState.DEAD)
+            return MemberChange.from_member(member) if doubted else None
+        incarnation = self.buried.get(daemon_id)
+        if incarnation is None:
+            return None
+        return MemberChange.from_state(daemon_id, incarnation, MemberState.DEAD)
+
+    def bury(self, daemon_id: str, incarnation: int) -> None:
+        """Remember that an unknown member is dead, and nothing else of it."""
+        last = max(incarnation, self.buried.pop(daemon_id, -1))
+        self.buried[daemon_id] = last
+        while len(self.buried) > MAX_BURIED:
+            del self.buried[next(iter(self.buried))]
+
+    def forget_dead(self, now: timedelta, retention: timedelta) -> None:
+        """Forget members that have been dead for longer than the retention."""
+        expired = [name for name, at in self.died_at.items() if now - at >= retention]
+        for daemon_id in expired:
+            del self.died_at[daemon_id]
+            member = self.members.pop(daemon_id)
+            self.bury(daemon_id, member.incarnation)
+
+    def expired_suspects(self, now: timedelta, timeout: timedelta) -> list[str]:
+        """Return the members whose time to refute a suspicion is over."""
+        started = self.suspected_at.items()
+        return [name for name, at in started if now - at >= timeout]
+
+    def restart_suspicions(self, now: timedelta) -> None:
+        """Give all suspects their whole time again, after this daemon had paused."""
+        self.suspected_at.update(dict.fromkeys(self.suspected_at, now))
+
+    def dead(self) -> list[Member]:
+        """Return the members that are known to be dead."""
+        return [self.members[name] for name in self.died_at]
--- /dev/null
+++ b/src/wagtailstep/controllers/membership.py
@@ -0,0 +1,336 @@
+"""Which daemons exist and which of them are alive."""
+
+import random
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.member_contacts import MemberContacts
+from wagtailstep.controllers.member_table import MemberTable
+from wagtailstep.controllers.member_updates import UpdateQueue
+from wagtailstep.controllers.probing import Prober
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    FollowStream,
+    LogAppendSettled,
+    LogRecordsRead,
+    PeerMessageReceived,
+    RecordEvent,
+    SendToPeer,
+    Tick,
+)
+from wagtailstep.models.fleet import Member, MemberState
+from wagtailstep.models.membership import (
+    MEMBERS_STREAM,
+    Ack,
+    MemberChange,
+    MemberEntry,
+    MembersPage,
+    MembersRequest,
+    Ping,
+    PingRequest,
+    Updates,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import Clock
+
+PAGE_ENTRIES = 40
+PAUSE_LIMIT_MS = 10_000
+PRUNE_INTERVAL_MS = 5_000
+SERVICES_UPDATE_MS = 1_000
+URGENT_FANOUT = 4
+
+
+class MembershipController:
+    """Find other daemons, watch them, and tell others what was seen.
+
+    Each daemon pings one other a second, and through others if it gets no answer.
+    A daemon that answers nobody is suspect, and dead if it does not refute the
+    suspicion in time. News travels on these messages. The incarnation of a daemon
+    starts at the wall-clock time of its start in milliseconds and rises by one
+    with each refutation and each change of its services; a daemon that hears of
+    a higher incarnation of itself goes on above it.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings.membership
+        self.blackboard = blackboard
+        self.clock = clock
+        self.rng = rng
+        this = blackboard.this_member
+        self.self_id = this.daemon_id
+        blackboard.members[self.self_id] = this
+        self.table = MemberTable(blackboard.members)
+        self.updates = UpdateQueue(blackboard.members)
+        self.contacts = MemberContacts(self.settings, this, rng)
+        self.prober = Prober(
+            self.settings, blackboard.members, self.self_id, this.peer_address, rng
+        )
+        self.last_tick: timedelta | None = None
+        self.heard_at: dict[str, timedelta] = {}
+        self.last_heard = timedelta()
+        self.prune_at = timedelta()
+        self.services_at = timedelta()
+
+    @singledispatchmethod
+    def handle(self, event: Any) -> list[Any]:
+        """Ignore an event that membership does not depend on."""
+        return []
+
+    @handle.register
+    def _(self, event: Tick) -> list[Any]:
+        now = self.clock.monotonic()
+        effects = self._note_time(now)
+        effects += self._update_this_member(now)
+        effects += self._finish_probe(now)
+        effects += self._bury(now)
+        effects += self.contacts.tick(now, self.table, self.blackboard.this_member)
+        effects += self.prober.ask_others(now)
+        member = self.prober.start(now)
+        if member is not None:
+            updates = self._updates_for(member.daemon_id)
+            effects.append(self.prober.make_ping(member, updates))
+        return effects
+
+    @handle.register
+    def _(self, event: LogRecordsRead) -> list[Any]:
+        if event.stream == MEMBERS_STREAM:
+            self.contacts.add_records(event.records)
+        return []
+
+    @handle.register
+    def _(self, event: LogAppendSettled) -> list[Any]:
+        self.contacts.settle_append(event, self.clock.monotonic())
+        return []
+
+    @handle.register
+    def _(self, event: PeerMessageReceived) -> list[Any]:
+        if event.sender == self.self_id:
+            return []
+        self.last_heard = self.clock.monotonic()
+        self.heard_at[event.sender] = self.last_heard
+        return self._receive(event.message, event.sender)
+
+    @singledispatchmethod
+    def _receive(self, message: Any, sender: str) -> list[Any]:
+        return []
+
+    @_receive.register
+    def _(self, message: Ping, sender: str) -> list[Any]:
+        effects = self._merge(message.updates)
+        ack = Ack(message.sequence, self._updates_for(sender))
+        return [SendToPeer(message.reply_to, ack), *effects]
+
+    @_receive.register
+    def _(self, message: Ack, sender: str) -> list[Any]:
+        effects = self._merge(message.updates)
+        return effects + self.prober.answer(message.sequence, self._updates_for(""))
+
+    @_receive.register
+    def _(self, message: PingRequest, sender: str) -> list[Any]:
+        effects = self._merge(message.updates)
+        now = self.clock.monotonic()
+        return [self.prober.relay(message, self._updates_for(""), now), *effects]
+
+    @_receive.register
+    def _(self, message: MembersRequest, sender: str) -> list[Any]:
+        effects = self._merge(Updates(entries=(message.requester,)))
+        page = self._make_page(message.after, sender)
+        address = message.requester.peer_address
+        if sender in self.table.buried:
+            effects.append(SendToPeer(address, self._make_ping(sender)))
+        return [SendToPeer(address, page), *effects]
+
+    @_receive.register
+    def _(self, message: MembersPage, sender: str) -> list[Any]:
+        # Each daemon reads the pages for itself, so they are not passed on.
+        effects = self._merge(Updates(entries=message.entries), spread=False)
+        source = self.blackboard.members.get(sender)
+        if source is not None:
+            now = self.clock.monotonic()
+            self.contacts.receive_page(source.peer_address, message, now)
+        return effects
+
+    def _make_page(self, after: str, requester: str) -> MembersPage:
+        members = self.blackboard.members
+        names = sorted(name for name in members if name > after)
+        page = names[:PAGE_ENTRIES]
+        entries = [MemberEntry.from_member(members[name]) for name in page]
+        if after == "" and requester not in page and requester in members:
+            # The requester learns a higher incarnation of itself, if there is one.
+            entries.append(MemberEntry.from_member(members[requester]))
+        last = page[-1] if len(names) > PAGE_ENTRIES else ""
+        return MembersPage(after, tuple(entries), last)
+
+    def _make_ping(self, receiver: str) -> Ping:
+        self.prober.sequence += 1
+        address = self.blackboard.this_member.peer_address
+        return Ping(self.prober.sequence, address, self._updates_for(receiver))
+
+    def _updates_for(self, receiver: str) -> Updates:
+        updates = self.updates.take(receiver)
+        change = self.table.find_doubt(receiver)
+        if change is None:
+            return updates
+        return Updates(updates.entries, (*updates.changes, change))
+
+    def _merge(self, updates: Updates, spread: bool = True) -> list[Any]:
+        effects: list[Any] = []
+        for entry in updates.entries:
+            effects += self._merge_entry(entry, spread)
+        for change in updates.changes:
+            effects += self._merge_change(change)
+        return effects
+
+    def _merge_entry(self, entry: MemberEntry, spread: bool) -> list[Any]:
+        try:
+            member = entry.to_member()
+        except IndexError:
+            return []
+        if entry.daemon_id == self.self_id:
+            return self._refute(member.incarnation, member.state)
+        if not self.table.accepts(entry.daemon_id, entry.incarnation, member.state):
+            return []
+        if (
+            member.state is MemberState.DEAD
+            and entry.daemon_id not in self.table.members
+        ):
+            self.table.bury(entry.daemon_id, entry.incarnation)
+            return []
+        return self._put(member, whole=True, spread=spread)
+
+    def _merge_change(self, change: MemberChange) -> list[Any]:
+        try:
+            state = change.member_state()
+        except IndexError:
+            return []
+        if change.daemon_id == self.self_id:
+            return self._refute(change.incarnation, state)
+        if not self.table.accepts(change.daemon_id, change.incarnation, state):
+            return []
+        known = self.blackboard.members.get(change.daemon_id)
+        if known is None:
+            if state is MemberState.DEAD:
+                self.table.bury(change.daemon_id, change.incarnation)
+            return []
+        if state is MemberState.DEAD and self._heard_lately(change.daemon_id):
+            # Whoever found it dead may have lost the path to it; ask it to refute.
+            state = MemberState.SUSPECT
+        incarnation = change.incarnation
+        return self._put(attrs.evolve(known, incarnation=incarnation, state=state))
+
+    def _heard_lately(self, daemon_id: str) -> bool:
+        heard = self.heard_at.get(daemon_id)
+        limit = timedelta(milliseconds=self.settings.suspicion_timeout_ms)
+        return heard is not None and self.clock.monotonic() - heard < limit
+
+    def _put(
+        self, member: Member, whole: bool = False, spread: bool = True
+    ) -> list[Any]:
+        known = self.blackboard.members.get(member.daemon_id)
+        self.table.put(member, self.clock.monotonic())
+        if spread:
+            self.updates.add(member, whole)
+        if known is not None and known.state is member.state:
+            return []
+        fields = {
+            "member": member.daemon_id,
+            "member_incarnation": str(member.incarnation),
+            "state": member.state.value,
+        }
+        return [RecordEvent("member-state", fields)]
+
+    def _refute(self, incarnation: int, state: MemberState) -> list[Any]:
+        this = self.blackboard.this_member
+        if incarnation < this.incarnation:
+            return []
+        if incarnation == this.incarnation and state in (this.state, MemberState.ALIVE):
+            return []
+        return self._announce(attrs.evolve(this, incarnation=incarnation + 1))
+
+    def _announce(self, this: Member) -> list[Any]:
+        self.blackboard.this_member = this
+        effects = self._put(this, whole=True)
+        return effects + self._send_urgently()
+
+    def _send_urgently(self) -> list[Any]:
+        names = sorted(
+            member.daemon_id
+            for member in self.blackboard.members.values()
+            if member.state is not MemberState.DEAD and member.daemon_id != self.self_id
+        )
+        effects = []
+        for name in self.rng.sample(names, min(URGENT_FANOUT, len(names))):
+            address = self.blackboard.members[name].peer_address
+            effects.append(SendToPeer(address, self._make_ping(name), urgent=True))
+        return effects
+
+    def _note_time(self, now: timedelta) -> list[Any]:
+        last, self.last_tick = self.last_tick, now
+        if last is None:
+            self._put(self.blackboard.this_member, whole=True)
+            return [FollowStream(MEMBERS_STREAM)]
+        if now - last > timedelta(milliseconds=PAUSE_LIMIT_MS):
+            # What was known before a long pause is no news to anybody any more.
+            self.updates.clear()
+            self.prober.probe = None
+            self.table.restart_suspicions(now)
+            self.contacts.rejoin_now()
+        return []
+
+    def _update_this_member(self, now: timedelta) -> list[Any]:
+        board = self.blackboard
+        this = board.this_member
+        state = MemberState.LEAVING if board.draining else MemberState.ALIVE
+        if state is this.state and now < self.services_at:
+            return []
+        self.services_at = now + timedelta(milliseconds=SERVICES_UPDATE_MS)
+        local = {board.targets[name].service for name in board.local_targets}
+        serves = tuple(sorted(local))
+        services = serves + tuple(sorted(board.wanted_services - local))
+        changed = attrs.evolve(this, services=services, serves=serves, state=state)
+        if changed == this:
+            return []
+        return self._announce(attrs.evolve(changed, incarnation=this.incarnation + 1))
+
+    def _finish_probe(self, now: timedelta) -> list[Any]:
+        probe = self.prober.take_failed(now)
+        if probe is None or self.last_heard < probe.started_at:
+            # A daemon that hears nobody is probably cut off itself.
+            return []
+        member = self.blackboard.members.get(probe.daemon_id)
+        if member is None or self._heard_lately(probe.daemon_id):
+            return []
+        if member.state is MemberState.ALIVE:
+            return self._put(attrs.evolve(member, state=MemberState.SUSPECT))
+        if member.state is MemberState.LEAVING:
+            return self._put(attrs.evolve(member, state=MemberState.DEAD))
+        return []
+
+    def _bury(self, now: timedelta) -> list[Any]:
+        timeout = timedelta(milliseconds=self.settings.suspicion_timeout_ms)
+        effects: list[Any] = []
+        for daemon_id in self.table.expired_suspects(now, timeout):
+            member = self.blackboard.members[daemon_id]
+            effects += self._put(attrs.evolve(member, state=MemberState.DEAD))
+        if effects:
+            effects += self._send_urgently()
+        if now >= self.prune_at:
+            self._prune(now)
+        return effects
+
+    def _prune(self, now: timedelta) -> None:
+        self.prune_at = now + timedelta(milliseconds=PRUNE_INTERVAL_MS)
+        retention = timedelta(seconds=self.settings.dead_retention_s)
+        self.table.forget_dead(now, retention)
+        self.heard_at = {
+            name: at for name, at in self.heard_at.items() if self._heard_lately(name)
+        }
--- a/src/wagtailstep/models/fleet.py
+++ b/src/wagtailstep/models/fleet.py
@@ -56,6 +56,7 @@
     :param availability_zone: its availability zone, from its settings.
     :param services: services whose targets it serves or asks for.
     :param state: what this daemon believes of it.
+    :param serves: those of ``services`` that have a target beside it.
     """
 
     daemon_id: str
@@ -65,6 +66,7 @@
     availability_zone: str
     services: tuple[str, ...] = ()
     state: MemberState = MemberState.ALIVE
+    serves: tuple[str, ...] = ()
 
 
 @attrs.define
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -37,14 +37,31 @@
     :param suspicion_timeout_ms: time a suspect daemon has to refute.
     :param lease_ms: a target not renewed for this long has lapsed.
     :param renew_ms: time between two renewals.
+    :param announce_lease_ms: a backend server beside the daemon that doesn't renew
+        its announcement for this long has left.
+    :param indirect_probes: daemons asked to ping a third one that doesn't answer.
+    :param rejoin_ms: time between two attempts to reach a seed or a dead daemon.
+    :param dead_retention_s: how long a dead daemon is remembered and tried again.
+    :param digest_fanout: daemons of one service that a heartbeat is sent to in one
+        round; there are three rounds in each ``renew_ms``.
+    :param digest_sends: times that one daemon passes on one heartbeat of another.
+    :param member_append_s: mean time between two appends to the log's stream of
+        members by the whole fleet.
     """
 
     seeds: tuple[str, ...] = ()
     probe_interval_ms: int = 1_000
     probe_timeout_ms: int = 300
     suspicion_timeout_ms: int = 3_000
-    lease_ms: int = 2_000
+    lease_ms: int = 1_800
     renew_ms: int = 600
+    announce_lease_ms: int = 3_000
+    indirect_probes: int = 3
+    rejoin_ms: int = 5_000
+    dead_retention_s: float = 7_200.0
+    digest_fanout: int = 2
+    digest_sends: int = 4
+    member_append_s: float = 20.0
 
 
 @attrs.frozen
