--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -333,15 +333,17 @@
     def _request_targets(self, daemon_id: str, needed: frozenset[str]) -> list[Any]:
         this = self.blackboard.this_member
         request = TargetsRequest(this.peer_address, daemon_id, tuple(sorted(needed)))
-        return [SendToPeer(self._whom_to_ask(daemon_id, needed), request)]
+        address = self._whom_to_ask(daemon_id, needed)
+        return [SendToPeer(address, request)] if address else []
 
     def _whom_to_ask(self, daemon_id: str, needed: frozenset[str]) -> str:
         # Every other time somebody else is asked, since the path may be cut one way.
         self.pull_count += 1
         others = self.interest.choose_interested(needed, 1, self.rng)
-        if self.pull_count % 2 == 0 and others:
+        owner = self.blackboard.members.get(daemon_id)
+        if others and (owner is None or self.pull_count % 2 == 0):
             return others[0].peer_address
-        return self.blackboard.members[daemon_id].peer_address
+        return "" if owner is None else owner.peer_address
 
     def _request_digest(self, stale: list[str]) -> list[Any]:
         this = self.blackboard.this_member
@@ -349,7 +351,9 @@
         for daemon_id in stale:
             needed = self.interest.needed[daemon_id]
             address = self._whom_to_ask(daemon_id, needed)
-            by_address.setdefault(address, []).append(member_reference(daemon_id))
+            if address:
+                references = by_address.setdefault(address, [])
+                references.append(member_reference(daemon_id))
         return [
             SendToPeer(address, DigestRequest(this.peer_address, tuple(references)))
             for address, references in by_address.items()
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -133,7 +133,8 @@
 
     def _publish(self, holding: Holding) -> None:
         for target in holding.targets:
-            self.blackboard.targets[target.target_id] = target
+            if target.target_id not in self.blackboard.local_targets:
+                self.blackboard.targets[target.target_id] = target
         holding.published = True
 
     def _withdraw(self, holding: Holding) -> None:
