--- /dev/null
+++ b/src/wagtailstep/network/memory_channel.py
@@ -0,0 +1,95 @@
+"""An in-memory twin of the control channel, with rules that lose messages."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import attrs
+
+from wagtailstep.utils.codec import decode_message, encode_message
+
+
+@attrs.define
+class LinkRules:
+    """What happens to messages on their way.
+
+    :param cuts: pairs of sender and receiver whose messages are lost; the other
+        direction is not affected.
+    :param loss: probability that a message is lost.
+    :param duplication: probability that a message arrives twice.
+    :param delay_ms: shortest and longest time on the way; messages that take
+        different times overtake each other.
+    """
+
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_ms: tuple[float, float] = (0.0, 0.0)
+
+    def cut(self, senders: list[str], receivers: list[str]) -> None:
+        """Lose all messages from some daemons to others, one way only."""
+        self.cuts.update((a, b) for a in senders for b in receivers if a != b)
+
+    def delays(self, sender: str, receiver: str, rng: random.Random) -> list[float]:
+        """Return the delay in milliseconds of each copy that arrives."""
+        if (sender, receiver) in self.cuts or rng.random() < self.loss:
+            return []
+        copies = 2 if rng.random() < self.duplication else 1
+        return [rng.uniform(*self.delay_ms) for _ in range(copies)]
+
+
+@attrs.define
+class MemoryNetwork:
+    """The network that in-memory channels share.
+
+    :param rng: source of losses and delays.
+    :param rules: what happens to messages.
+    :param receivers: channels by their addresses.
+    """
+
+    rng: random.Random
+    rules: LinkRules = attrs.field(factory=LinkRules)
+    receivers: dict[str, "InMemoryPeerChannel"] = attrs.field(factory=dict)
+
+
+class InMemoryPeerChannel:
+    """Carry control messages between daemons of one process.
+
+    :param network: the network to use.
+    :param daemon_id: name of this daemon.
+    :param address: ``host:port`` that stands for this channel.
+    """
+
+    def __init__(self, network: MemoryNetwork, daemon_id: str, address: str) -> None:
+        self.network = network
+        self.daemon_id = daemon_id
+        self.address = address
+        self.deliver: Callable[[str, object], None] | None = None
+
+    async def start(self, deliver: Callable[[str, object], None]) -> None:
+        """Begin to receive."""
+        self.deliver = deliver
+        self.network.receivers[self.address] = self
+
+    def send(self, address: str, message: object, urgent: bool = False) -> None:
+        """Send one message, or lose it as the rules say."""
+        data = encode_message(message)
+        receiver = self.network.receivers.get(address)
+        if receiver is None:
+            return
+        delays = self.network.rules.delays(
+            self.daemon_id, receiver.daemon_id, self.network.rng
+        )
+        loop = asyncio.get_running_loop()
+        for delay in delays:
+            loop.call_later(delay / 1_000, receiver.receive, self.daemon_id, data)
+
+    def receive(self, sender: str, data: bytes) -> None:
+        """Deliver a message, unless the channel was closed meanwhile."""
+        if self.deliver is not None:
+            self.deliver(sender, decode_message(data))
+
+    async def close(self) -> None:
+        """Stop receiving."""
+        self.deliver = None
+        self.network.receivers.pop(self.address, None)
--- /dev/null
+++ b/src/wagtailstep/network/peer_channel.py
@@ -0,0 +1,286 @@
+"""The control channel between daemons, on ZeroMQ."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+import zmq
+import zmq.asyncio
+
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import decode_message, encode_message
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+
+SEND_HIGH_WATER_MARK = 32
+RECEIVE_HIGH_WATER_MARK = 1_000
+MAX_MESSAGE_BYTES = 1 << 20
+MAX_PENDING = 16
+MAX_CONNECTIONS = 256
+CONNECT_TIMEOUT_MS = 500
+RETRY_INTERVAL_MS = 10
+SWEEP_INTERVAL_MS = 1_000
+IDLE_TIMEOUT_MS = 5_000
+MAX_CONNECTION_AGE_MS = 20_000
+MAX_REPORTED_SENDERS = 256
+
+
+@attrs.define
+class ChannelCounters:
+    """What a channel has carried.
+
+    :param sent: messages handed to ZeroMQ.
+    :param sent_bytes: their size, framing of the transport left out.
+    :param received: messages that arrived.
+    :param received_bytes: their size, framing of the transport left out.
+    :param dropped: messages dropped before they were sent.
+    :param malformed: messages that arrived and could not be read.
+    :param connections: connections opened.
+    """
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    dropped: int = 0
+    malformed: int = 0
+    connections: int = 0
+
+
+@attrs.define
+class PeerConnection:
+    """One connection for sending.
+
+    :param socket: a DEALER socket.
+    :param opened_at: milliseconds of the clock.
+    :param used_at: milliseconds of the clock.
+    :param pending: messages that wait for the connection, with the time in
+        milliseconds at which each is dropped.
+    """
+
+    socket: zmq.Socket
+    opened_at: float
+    used_at: float
+    pending: deque[tuple[float, list[bytes]]] = attrs.field(factory=deque)
+
+
+class ZeroMqPeerChannel:
+    """Send and receive control messages; drop them rather than queue them.
+
+    Messages wait only for a connection that is being opened, shortly and few.
+    A connection is replaced when it is old, since one that has gone silent looks
+    the same as one that works.
+
+    :param settings: where to bind and what this daemon is called.
+    :param clock: tells how old connections are.
+    """
+
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        self.daemon_id = settings.daemon_id.encode()
+        self.address = settings.peer_address
+        self.clock = clock
+        self.counters = ChannelCounters()
+        self.context = zmq.asyncio.Context()
+        self.send_context = zmq.Context.shadow(self.context)
+        self.router: zmq.asyncio.Socket | None = None
+        self.connections: dict[str, PeerConnection] = {}
+        self.retired: list[zmq.Socket] = []
+        self.reported: set[bytes] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.retry_needed = asyncio.Event()
+
+    async def start(self, deliver: Callable[[str, object], None]) -> None:
+        """Bind and begin to receive; port 0 is replaced in ``address``.
+
+        :param deliver: called with the sender's ``daemon_id`` and the message.
+        """
+        router = self.context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, 0)
+        router.setsockopt(zmq.RCVHWM, RECEIVE_HIGH_WATER_MARK)
+        router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        router.bind(f"tcp://{self.address}")
+        endpoint = router.getsockopt(zmq.LAST_ENDPOINT).decode()
+        self.address = endpoint.removeprefix("tcp://")
+        self.router = router
+        self.tasks = [
+            asyncio.ensure_future(self._receive_all(router, deliver)),
+            asyncio.ensure_future(self._retry_all()),
+            asyncio.ensure_future(self._sweep_all()),
+        ]
+
+    def send(self, address: str, message: object, urgent: bool = False) -> None:
+        """Send one message, or drop it; never blocks and never raises.
+
+        :param address: ``host:port`` of the receiver's control channel.
+        :param urgent: whether it goes before others that wait for a connection.
+        """
+        frames = [self.daemon_id, encode_message(message)]
+        connection = self._connect(address)
+        if connection is None:
+            self.counters.dropped += 1
+            return
+        connection.used_at = self._now_ms()
+        if connection.pending or not self._send_now(connection, frames):
+            self._wait_for_connection(connection, frames, urgent)
+
+    async def close(self) -> None:
+        """Stop receiving and drop what was not sent."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for connection in self.connections.values():
+            connection.socket.close()
+        for socket in self.retired:
+            socket.close()
+        self.connections.clear()
+        self.retired.clear()
+        if self.router is not None:
+            self.router.close()
+        self.context.term()
+
+    def _now_ms(self) -> float:
+        return self.clock.monotonic().total_seconds() * 1_000
+
+    def _connect(self, address: str) -> PeerConnection | None:
+        connection = self.connections.get(address)
+        if connection is not None:
+            return connection
+        if len(self.connections) >= MAX_CONNECTIONS:
+            self._retire_least_used()
+        now = self._now_ms()
+        socket = self._open_socket(address)
+        if socket is None:
+            return None
+        connection = PeerConnection(socket, now, now)
+        self.connections[address] = connection
+        self.counters.connections += 1
+        return connection
+
+    def _open_socket(self, address: str) -> zmq.Socket | None:
+        socket = self.send_context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.IMMEDIATE, 1)
+        socket.setsockopt(zmq.SNDHWM, SEND_HIGH_WATER_MARK)
+        socket.setsockopt(zmq.RCVHWM, 1)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        try:
+            socket.connect(f"tcp://{address}")
+        except zmq.ZMQError as error:
+            socket.close()
+            log_event(
+                LOGGER,
+                "peer-address-unusable",
+                logging.WARNING,
+                address=address,
+                error=error,
+            )
+            return None
+        return socket
+
+    def _send_now(self, connection: PeerConnection, frames: list[bytes]) -> bool:
+        try:
+            connection.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        self.counters.sent += 1
+        self.counters.sent_bytes += sum(map(len, frames))
+        return True
+
+    def _wait_for_connection(
+        self, connection: PeerConnection, frames: list[bytes], urgent: bool
+    ) -> None:
+        if len(connection.pending) >= MAX_PENDING:
+            self.counters.dropped += 1
+            return
+        item = (self._now_ms() + CONNECT_TIMEOUT_MS, frames)
+        if urgent:
+            connection.pending.appendleft(item)
+        else:
+            connection.pending.append(item)
+        self.retry_needed.set()
+
+    async def _retry_all(self) -> None:
+        while True:
+            await self.retry_needed.wait()
+            self.retry_needed.clear()
+            await asyncio.sleep(RETRY_INTERVAL_MS / 1_000)
+            for connection in self.connections.values():
+                self._retry(connection)
+
+    def _retry(self, connection: PeerConnection) -> None:
+        pending = connection.pending
+        now = self._now_ms()
+        while pending:
+            expires_at, frames = pending[0]
+            if self._send_now(connection, frames):
+                pending.popleft()
+            elif now >= expires_at:
+                pending.popleft()
+                self.counters.dropped += 1
+            else:
+                self.retry_needed.set()
+                return
+
+    async def _sweep_all(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_MS / 1_000)
+            while self.retired:
+                self.retired.pop().close()
+            now = self._now_ms()
+            for address, connection in list(self.connections.items()):
+                idle = now - connection.used_at >= IDLE_TIMEOUT_MS
+                old = now - connection.opened_at >= MAX_CONNECTION_AGE_MS
+                if (idle or old) and not connection.pending:
+                    self._retire(address)
+
+    def _retire(self, address: str) -> None:
+        # It is closed at the next sweep, so that what was just sent still leaves.
+        self.retired.append(self.connections.pop(address).socket)
+
+    def _retire_least_used(self) -> None:
+        least = min(self.connections, key=lambda name: self.connections[name].used_at)
+        self._retire(least)
+
+    async def _receive_all(
+        self, router: zmq.asyncio.Socket, deliver: Callable[[str, object], None]
+    ) -> None:
+        while True:
+            frames = await router.recv_multipart()
+            self.counters.received += 1
+            self.counters.received_bytes += sum(map(len, frames[1:]))
+            self._deliver(frames, deliver)
+
+    def _deliver(
+        self, frames: list[bytes], deliver: Callable[[str, object], None]
+    ) -> None:
+        try:
+            if len(frames) != 3:
+                raise DecodeError(f"a message has 2 parts, not {len(frames) - 1}")
+            sender = frames[1].decode()
+            message = decode_message(frames[2])
+        except (DecodeError, UnicodeDecodeError) as error:
+            self._report_malformed(frames, error)
+            return
+        try:
+            deliver(sender, message)
+        except Exception:
+            LOGGER.exception("event=message-failed sender=%s", sender)
+
+    def _report_malformed(self, frames: list[bytes], error: Exception) -> None:
+        self.counters.malformed += 1
+        sender = frames[1] if len(frames) == 3 else b""
+        if sender in self.reported or len(self.reported) >= MAX_REPORTED_SENDERS:
+            return
+        self.reported.add(sender)
+        log_event(
+            LOGGER,
+            "message-malformed",
+            logging.WARNING,
+            sender=sender[:64].decode(errors="replace"),
+            error=error,
+        )
