--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -50,7 +50,6 @@
     return next((value for key, value in headers if key == name), None)
 
 
-<<<<<<< HEAD
 def remove_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without those of the given lower-case names."""
     return tuple(pair for pair in headers if pair[0] not in names)
@@ -68,7 +67,8 @@
         for token in value.split(",")
     }
     return remove_headers(headers, HOP_BY_HOP | listed)
-=======
+
+
 def replace_headers(headers: Headers, *replacements: tuple[str, str]) -> Headers:
     """Return headers in which some names have exactly one, new value.
 
@@ -78,4 +78,3 @@
     replaced = {name for name, _ in replacements}
     kept = tuple(pair for pair in headers if pair[0] not in replaced)
     return (*kept, *replacements)
->>>>>>> requests
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -119,7 +119,6 @@
     :param claims_kept: claims of other daemons that one daemon remembers.
     """
 
-<<<<<<< HEAD
     default_timeout_ms: int = positive(30_000)
     queue_length: int = not_negative(16)
     queue_timeout_ms: int = positive(1_000)
@@ -128,23 +127,13 @@
     max_attempts: int = positive(3)
     connect_timeout_ms: int = positive(1_000)
     connection_idle_ms: int = positive(5_000)
-=======
-    default_timeout_ms: int = 30_000
-    queue_length: int = 16
-    queue_timeout_ms: int = 1_000
-    retry_ratio: float = 0.1
-    retry_burst: int = 10
-    max_attempts: int = 3
-    connect_timeout_ms: int = 1_000
-    connection_idle_ms: int = 5_000
-    other_zone_cost: float = 1.25
-    replay_body_bytes: int = 65_536
-    account_buckets: int = 1_024
-    tickets_kept: int = 10_000
-    answer_bytes: int = 16_384
-    answers_kept_bytes: int = 4_194_304
-    claims_kept: int = 50_000
->>>>>>> requests
+    other_zone_cost: float = positive(1.25)
+    replay_body_bytes: int = positive(65_536)
+    account_buckets: int = positive(1_024)
+    tickets_kept: int = positive(10_000)
+    answer_bytes: int = positive(16_384)
+    answers_kept_bytes: int = positive(4_194_304)
+    claims_kept: int = positive(50_000)
 
 
 @attrs.frozen
@@ -217,15 +206,15 @@
     :param snapshot_edits: records after the last snapshot that make one due.
     """
 
-    digest_interval_ms: int = 1_000
-    push_fanout: int = 3
-    confirm_timeout_ms: int = 1_000
-    first_answers: int = 5
-    first_answers_timeout_ms: int = 5_000
-    reply_bytes: int = 8_192
-    chunk_bytes: int = 16_384
-    chunk_timeout_ms: int = 1_000
-    snapshot_edits: int = 256
+    digest_interval_ms: int = positive(1_000)
+    push_fanout: int = positive(3)
+    confirm_timeout_ms: int = positive(1_000)
+    first_answers: int = positive(5)
+    first_answers_timeout_ms: int = positive(5_000)
+    reply_bytes: int = positive(8_192)
+    chunk_bytes: int = positive(16_384)
+    chunk_timeout_ms: int = positive(1_000)
+    snapshot_edits: int = positive(256)
 
 
 @attrs.frozen
