--- a/examples/demo_fleet.py
+++ b/examples/demo_fleet.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from wagtailstep.fakes.backend_server import BackendServerSettings
 from wagtailstep.models.settings import (
     DaemonSettings,
     LogSettings,
@@ -124,6 +125,16 @@
     return fleets
 
 
+def make_backend_settings(place: Place, index: int) -> BackendServerSettings:
+    """Return the settings of the backend server stand-in of an instance."""
+    return BackendServerSettings(
+        service=place.service,
+        address=place.backend_address,
+        announce_address=place.settings.announce_address,
+        seed=index,
+    )
+
+
 def write_plan(fleets: list[Fleet], folder: pathlib.Path) -> None:
     """Write settings files, the process lists for the shell and the plan as JSON."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -135,12 +146,13 @@
     (folder / "logs").write_text("\n".join(logs) + "\n")
     daemons = [p.settings.daemon_id for f in fleets for p in f.places]
     (folder / "daemons").write_text("\n".join(daemons) + "\n")
-    backends = [
-        f"{p.service} {p.backend_address} {p.settings.announce_address}"
-        for f in fleets
-        for p in f.places
-    ]
-    (folder / "backends").write_text("\n".join(backends) + "\n")
+    for fleet in fleets:
+        servers = [
+            attrs.asdict(make_backend_settings(place, index))
+            for index, place in enumerate(fleet.places)
+        ]
+        path = folder / f"{fleet.user.name}.backends.json"
+        path.write_text(json.dumps(servers, indent=1))
     plan = [attrs.asdict(fleet) for fleet in fleets]
     (folder / "plan.json").write_text(json.dumps(plan))
 
--- /dev/null
+++ b/examples/demo_traffic.py
@@ -0,0 +1,261 @@
+"""Callers of the demo: real requests, and a check of every answer."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import attrs
+import xxhash
+
+from wagtailstep.exceptions import RequestError, TruncatedAnswerError
+from wagtailstep.models.exchange import Answer
+from wagtailstep.models.headers import find_header
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import LoopClock
+
+TIMEOUT = timedelta(seconds=8)
+MAX_ENTRIES_TRIED = 3
+UPLOAD_BYTES = 262_144
+CHUNK_BYTES = 16_384
+MAX_ANSWERED_STATUS = 499
+
+
+@attrs.define
+class Tally:
+    """What the callers counted.
+
+    :param requests: requests that callers made.
+    :param answered: those that ended with a whole answer of a backend server.
+    :param refused: those that ended with an answer of a daemon, by its reason.
+    :param wrong_answers: answers that belong to another request or are not whole
+        and were given as whole.
+    :param cut: requests whose connection broke after they were sent.
+    :param told_not_run: keys of requests of which a daemon said they were not run.
+    :param non_idempotent: keys of all non-idempotent requests.
+    :param fleet_ms: times of lookups through the fleet.
+    :param direct_ms: times of lookups sent straight to a backend server.
+    """
+
+    requests: int = 0
+    answered: int = 0
+    refused: dict[str, int] = attrs.field(factory=dict)
+    wrong_answers: int = 0
+    cut: int = 0
+    told_not_run: set[str] = attrs.field(factory=set)
+    non_idempotent: set[str] = attrs.field(factory=set)
+    fleet_ms: list[float] = attrs.field(factory=list)
+    direct_ms: list[float] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class Sending:
+    """One request of a caller.
+
+    :param key: what the caller calls the request; the answer must repeat it.
+    :param method: HTTP method.
+    :param path: path for the backend server.
+    :param body: whole body.
+    :param headers: further headers.
+    """
+
+    key: str
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+class Callers:
+    """Send requests for one service through several daemons.
+
+    :param service: name of the service.
+    :param entries: caller addresses of daemons.
+    :param backends: addresses of backend servers, for direct lookups.
+    :param seed: seed of all choices.
+    """
+
+    def __init__(
+        self, service: str, entries: list[str], backends: list[str], seed: int
+    ) -> None:
+        self.service = service
+        self.entries = entries
+        self.backends = backends
+        self.rng = random.Random(f"{seed}/{service}")
+        self.client = HttpClient(RequestSettings(), LoopClock())
+        self.tally = Tally()
+        self.serial = 0
+
+    async def run(self, rate: float, stop: asyncio.Event) -> None:
+        """Send requests at a steady rate until stopped, and wait for all to end.
+
+        :param rate: requests per second.
+        """
+        loop = asyncio.get_running_loop()
+        next_at = loop.time()
+        async with asyncio.TaskGroup() as group:
+            while not stop.is_set():
+                group.create_task(self.send_one())
+                next_at += self.rng.expovariate(rate)
+                await asyncio.sleep(max(0.0, next_at - loop.time()))
+
+    async def send_one(self) -> None:
+        """Send one request of a random kind."""
+        kinds = (self.look_up, self.upload, self.sign_with_ticket, self.sign_with_key)
+        kind = self.rng.choices(kinds, weights=(70, 10, 10, 10))[0]
+        await kind()
+
+    def make_key(self) -> str:
+        """Return a name for the next request."""
+        self.serial += 1
+        return f"{self.service}-{self.serial}"
+
+    async def look_up(self) -> None:
+        """Send an idempotent lookup, and one past the fleet for comparison."""
+        sending = Sending(self.make_key(), "GET", "/lookup/today")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        if await self.send(sending):
+            self.tally.fleet_ms.append((loop.time() - started) * 1_000)
+        if self.rng.random() < 0.5:
+            await self.look_up_directly()
+
+    async def look_up_directly(self) -> None:
+        """Send a lookup straight to a backend server."""
+        sending = Sending(self.make_key(), "GET", "/lookup/today")
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        address = self.rng.choice(self.backends)
+        try:
+            answer = await self.client.send(self.make_request(sending, address))
+            await read_all(answer)
+        except RequestError:
+            return
+        if answer.status <= MAX_ANSWERED_STATUS:
+            self.tally.direct_ms.append((loop.time() - started) * 1_000)
+
+    async def upload(self) -> None:
+        """Send an idempotent upload."""
+        size = self.rng.randrange(1, UPLOAD_BYTES)
+        await self.send(
+            Sending(self.make_key(), "PUT", "/upload/rider", self.rng.randbytes(size))
+        )
+
+    async def sign_with_ticket(self) -> None:
+        """Send a non-idempotent request under a ticket, sometimes twice."""
+        entry = self.rng.choice(self.entries)
+        request = self.make_request(
+            Sending("", "POST", f"/.wagtailstep/tickets/{self.service}"), entry
+        )
+        try:
+            answer = await self.client.send(request)
+            ticket = (await read_all(answer)).decode().split('"')[3]
+        except (RequestError, IndexError):
+            return
+        await self.sign(ticket)
+
+    async def sign_with_key(self) -> None:
+        """Send a non-idempotent request under a key of its own, sometimes twice."""
+        await self.sign(f"key-{self.service}-{self.rng.getrandbits(64):x}")
+
+    async def sign(self, idempotency_key: str) -> None:
+        """Send a non-idempotent request; three in ten are sent again elsewhere."""
+        key = self.make_key()
+        self.tally.non_idempotent.add(key)
+        headers = (("idempotency-key", idempotency_key),)
+        sending = Sending(key, "POST", "/sign/deposit", b"amount=100", headers)
+        times = 2 if self.rng.random() < 0.3 else 1
+        await asyncio.gather(*(self.send(sending) for _ in range(times)))
+
+    async def send(self, sending: Sending) -> bool:
+        """Send a request through a daemon; another one if it took no connection.
+
+        :return: whether a backend server answered it.
+        """
+        self.tally.requests += 1
+        for entry in self.rng.sample(self.entries, MAX_ENTRIES_TRIED):
+            request = self.make_request(sending, entry)
+            try:
+                answer = await self.client.send(request)
+                body = await read_all(answer)
+            except TruncatedAnswerError:
+                # A broken transfer is a true outcome, but not in a planned change.
+                self.tally.cut += 1
+                return False
+            except RequestError as error:
+                if error.verdict is Verdict.NOT_RUN:
+                    continue
+                self.tally.cut += 1
+                return False
+            return self.judge(sending, answer, body)
+        self.tally.refused["no-daemon"] = self.tally.refused.get("no-daemon", 0) + 1
+        return False
+
+    def judge(self, sending: Sending, answer: Answer, body: bytes) -> bool:
+        """Count one answer.
+
+        :return: whether a backend server answered the request.
+        """
+        reason = find_header(answer.headers, "wagtailstep-reason")
+        verdict = find_header(answer.headers, "wagtailstep-verdict")
+        if verdict == Verdict.NOT_RUN.value:
+            self.tally.told_not_run.add(sending.key)
+        if reason is not None:
+            self.tally.refused[reason] = self.tally.refused.get(reason, 0) + 1
+            return False
+        if answer.status > MAX_ANSWERED_STATUS:
+            self.tally.refused["status-500"] = (
+                self.tally.refused.get("status-500", 0) + 1
+            )
+            return False
+        self.tally.answered += 1
+        if not is_own_answer(sending, answer, body):
+            self.tally.wrong_answers += 1
+        return True
+
+    def make_request(self, sending: Sending, address: str) -> HttpRequest:
+        """Return the request for a daemon or a backend server."""
+        headers = (
+            ("host", address),
+            ("wagtailstep-service", self.service),
+            ("wagtailstep-timeout-ms", str(int(TIMEOUT.total_seconds() * 1_000))),
+            ("content-length", str(len(sending.body))),
+            ("fake-key", sending.key),
+            *sending.headers,
+        )
+        return HttpRequest(
+            address=address,
+            method=sending.method,
+            path=sending.path,
+            headers=headers,
+            body=yield_chunks(sending.body),
+            idempotent=sending.method != "POST",
+            time_left=TIMEOUT + timedelta(seconds=1),
+        )
+
+
+def is_own_answer(sending: Sending, answer: Answer, body: bytes) -> bool:
+    """Tell whether an answer is whole and belongs to a request."""
+    digest = find_header(answer.headers, "fake-body-digest")
+    return (
+        find_header(answer.headers, "fake-key") == sending.key
+        and body == f"{sending.key}\n".encode()
+        and digest == xxhash.xxh64(sending.body).hexdigest()
+    )
+
+
+async def yield_chunks(data: bytes) -> AsyncIterator[bytes]:
+    """Yield a body in chunks."""
+    for start in range(0, len(data), CHUNK_BYTES):
+        yield data[start : start + CHUNK_BYTES]
+
+
+async def read_all(answer: Answer) -> bytes:
+    """Read an answer to its end."""
+    try:
+        return b"".join([chunk async for chunk in answer.body])
+    finally:
+        await answer.close()
--- a/src/wagtailstep/cli/fakes.py
+++ b/src/wagtailstep/cli/fakes.py
@@ -5,6 +5,9 @@
 from datetime import timedelta
 
 from wagtailstep.cli.run import run_program
+from wagtailstep.commands.read_settings import read_settings_list
+from wagtailstep.commands.run_backend_server import run_backend_servers
+from wagtailstep.fakes.backend_server import BackendServerSettings
 from wagtailstep.fakes.log_server import serve
 from wagtailstep.fakes.log_service import LogFaults
 from wagtailstep.network.log_client import split_address
@@ -40,9 +43,54 @@
     asyncio.run(serve(host, port, faults, print_address, run_time=limit))
 
 
+def run_backend(
+    service: str,
+    *,
+    address: str = "127.0.0.1:0",
+    announce_address: str = "",
+    slots: int = 4,
+    work_ms: float = 5.0,
+    cold_start_ms: int = 0,
+    seed: int = 0,
+) -> None:
+    """Serve one stand-in for a backend server; SIGTERM makes it leave.
+
+    :param service: name of the service.
+    :param address: ``host:port`` to listen on; port 0 lets the system choose.
+    :param announce_address: ``host:port`` where the daemon beside it takes
+        announcements; empty for none.
+    :param slots: requests that it runs at the same time.
+    :param work_ms: time of a request that names none.
+    :param cold_start_ms: time from start to full speed.
+    :param seed: seed of random choices.
+    """
+    split_address(address)
+    settings = BackendServerSettings(
+        service=str(service),
+        address=address,
+        announce_address=announce_address,
+        slots=int(slots),
+        work_ms=float(work_ms),
+        cold_start_ms=int(cold_start_ms),
+        seed=int(seed),
+    )
+    run_backend_servers([settings])
+
+
+def run_backends(file: str) -> None:
+    """Serve many stand-ins for backend servers in one process.
+
+    :param file: path of a JSON list of their settings.
+    """
+    run_backend_servers(read_settings_list(str(file), BackendServerSettings))
+
+
+COMMANDS = {"log": run_log, "backend": run_backend, "backends": run_backends}
+
+
 def main() -> None:
     """Run the program."""
-    sys.exit(run_program({"log": run_log}, "wagtailstep-fakes"))
+    sys.exit(run_program(COMMANDS, "wagtailstep-fakes"))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wagtailstep/cli/timeline.py
@@ -0,0 +1,72 @@
+"""The program ``wagtailstep-timeline``."""
+
+import asyncio
+import pathlib
+import sys
+
+from wagtailstep.cli import status_codes
+from wagtailstep.cli.run import run_program
+from wagtailstep.commands.merge_timeline import (
+    format_chrome_trace,
+    format_text,
+    gather_timeline,
+)
+from wagtailstep.exceptions import SettingsError
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.timeline import MergedTimeline
+from wagtailstep.network.daemon_client import DaemonClient
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.utils.clock import LoopClock
+
+FORMATS = {"text": format_text, "chrome": format_chrome_trace}
+
+
+def show(*addresses: str, format: str = "text", output: str = "") -> int:
+    """Gather the events of daemons and write them as one time line.
+
+    Exit codes: 0 all daemons answered, 2 an argument is wrong, 5 some daemons could
+    not be reached; the output names them.
+
+    :param addresses: caller address, host:port, of each daemon.
+    :param format: text, or chrome for Chrome trace-event JSON.
+    :param output: path of the file to write; standard output if empty.
+    """
+    check_arguments(addresses, format)
+    merged = asyncio.run(gather(addresses))
+    text = FORMATS[format](merged)
+    if output:
+        pathlib.Path(output).write_text(text + "\n", encoding="utf-8")
+    else:
+        print(text)
+    return status_codes.PARTIAL if merged.unreachable else status_codes.SUCCESS
+
+
+def check_arguments(addresses: tuple[str, ...], format: str) -> None:
+    """Refuse arguments that can't be used.
+
+    :raises SettingsError: if an argument is wrong.
+    """
+    if format not in FORMATS:
+        allowed = " or ".join(FORMATS)
+        raise SettingsError(f"--format {format!r} is not allowed; give {allowed}")
+    if not addresses:
+        raise SettingsError("no daemon was named; give addresses as host:port")
+    for address in addresses:
+        host, _, port = str(address).rpartition(":")
+        if not host or not port.isdigit():
+            raise SettingsError(f"address {address!r} is not allowed; give host:port")
+
+
+async def gather(addresses: tuple[str, ...]) -> MergedTimeline:
+    """Ask all daemons."""
+    client = HttpClient(RequestSettings(), LoopClock())
+    return await gather_timeline(DaemonClient(client), addresses)
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run_program({"show": show}, "wagtailstep-timeline"))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wagtailstep/commands/read_settings.py
+++ b/src/wagtailstep/commands/read_settings.py
@@ -44,13 +44,34 @@
     :raises SettingsError: if the file can't be read, is not JSON, or a key or value
         is not allowed; the message is one line and names the key.
     """
+    return structure_settings(read_json(path), cls, path)
+
+
+def read_settings_list(path: str, cls: type[_T]) -> list[_T]:
+    """Read one file with a list of settings.
+
+    :raises SettingsError: as :func:`read_settings`.
+    """
+    raw = read_json(path)
+    if not isinstance(raw, list):
+        raise SettingsError(f"{path}: must be a JSON list")
+    return [
+        structure_settings(item, cls, f"{path}[{index}]")
+        for index, item in enumerate(raw)
+    ]
+
+
+def read_json(path: str) -> Any:
+    """Read and decode a JSON file.
+
+    :raises SettingsError: if the file can't be read or is not JSON.
+    """
     try:
-        raw = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        return json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(f"{path}: can't be read: {error.strerror}") from error
     except ValueError as error:
         raise SettingsError(f"{path}: not valid JSON: {error}") from error
-    return structure_settings(raw, cls, path)
 
 
 def structure_settings(raw: Any, cls: type[_T], source: str) -> _T:
--- a/src/wagtailstep/commands/run_backend_server.py
+++ b/src/wagtailstep/commands/run_backend_server.py
@@ -1,20 +1,24 @@
-"""Run one backend server stand-in as a process."""
+"""Run backend server stand-ins as one process."""
 
 import asyncio
 import signal
+from collections.abc import Sequence
 
 from wagtailstep.fakes.backend_server import BackendServerSettings, serve
 
 
-def run_backend_server(settings: BackendServerSettings) -> None:
-    """Serve until SIGTERM or SIGINT, then leave, finish and return."""
-    asyncio.run(serve_until_signal(settings))
+def run_backend_servers(servers: Sequence[BackendServerSettings]) -> None:
+    """Serve until SIGTERM or SIGINT, then have all leave, finish and return.
 
+    :param servers: settings of each stand-in.
+    """
+    asyncio.run(serve_until_signal(servers))
 
-async def serve_until_signal(settings: BackendServerSettings) -> None:
+
+async def serve_until_signal(servers: Sequence[BackendServerSettings]) -> None:
     """Serve until a signal asks to leave."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    await serve(settings, stop)
+    await asyncio.gather(*(serve(settings, stop) for settings in servers))
--- /dev/null
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -0,0 +1,53 @@
+"""Running one daemon as a process."""
+
+import asyncio
+import logging
+import signal
+
+from wagtailstep.exceptions import SettingsError, WagtailstepError
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.daemon import Daemon
+from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.logging import configure_logging, log_event
+
+LOGGER = logging.getLogger(__name__)
+
+
+def run_daemon(settings: DaemonSettings) -> bool:
+    """Serve until SIGTERM or SIGINT, then shut down gracefully.
+
+    :return: whether all requests in flight ended within the drain limit.
+    :raises SettingsError: if an address can't be listened on.
+    """
+    configure_logging(settings.log_level)
+    try:
+        return asyncio.run(serve_until_signal(settings))
+    except* OSError as group:
+        raise describe_start_failure(group) from None
+
+
+async def serve_until_signal(settings: DaemonSettings) -> bool:
+    """Serve until a signal asks to stop."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    daemon = Daemon(settings, LoopClock())
+    await daemon.start()
+    await stop.wait()
+    log_event(LOGGER, "signal-received")
+    return await daemon.shut_down()
+
+
+def describe_start_failure(group: BaseExceptionGroup) -> WagtailstepError:
+    """Turn failures to listen into one message."""
+    reasons = "; ".join(sorted(str(error) for error in _flatten(group)))
+    return SettingsError(f"an address of the settings can't be used: {reasons}")
+
+
+def _flatten(group: BaseExceptionGroup) -> list[BaseException]:
+    leaves: list[BaseException] = []
+    for error in group.exceptions:
+        is_group = isinstance(error, BaseExceptionGroup)
+        leaves.extend(_flatten(error) if is_group else [error])
+    return leaves
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -109,6 +109,7 @@
     :param max_attempts: attempts at one request, the first one included.
     :param connect_timeout_ms: time to open a connection to a gate.
     :param connection_idle_ms: an idle connection older than this is not reused.
+    :param probe_path: path that a probe of a backend server asks for.
     :param other_zone_cost: factor on the cost of a target in another availability
         zone; 1 ignores zones.
     :param replay_body_bytes: size up to which a request body is kept for a resend.
@@ -127,6 +128,7 @@
     max_attempts: int = positive(3)
     connect_timeout_ms: int = positive(1_000)
     connection_idle_ms: int = positive(5_000)
+    probe_path: str = "/health"
     other_zone_cost: float = positive(1.25)
     replay_body_bytes: int = positive(65_536)
     account_buckets: int = positive(1_024)
--- /dev/null
+++ b/src/wagtailstep/network/daemon.py
@@ -0,0 +1,216 @@
+"""One daemon: its controllers and adapters, wired together."""
+
+import asyncio
+import logging
+import random
+from datetime import timedelta
+
+import msgspec
+from blacksheep import Application
+
+from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.dissemination import DisseminationController
+from wagtailstep.controllers.ejection import EjectionController
+from wagtailstep.controllers.evidence import EvidenceController
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.controllers.table import TableController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.idempotency import RequestDecided
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.status import DaemonStatus, describe_status
+from wagtailstep.network.announcements import add_announcement_routes
+from wagtailstep.network.caller_app import (
+    CallerApp,
+    DaemonEndpoints,
+    choose_handler,
+)
+from wagtailstep.network.entry import EntryService
+from wagtailstep.network.exchange_app import ExchangeApp
+from wagtailstep.network.forwarder import HttpForwarder
+from wagtailstep.network.gate import GateService
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_server import HttpServer
+from wagtailstep.network.log_client import HttpLogService
+from wagtailstep.network.metrics import MetricsRecorder
+from wagtailstep.network.peer_channel import ZeroMqPeerChannel
+from wagtailstep.network.prober import Prober
+from wagtailstep.network.relay import HttpRelay
+from wagtailstep.network.runtime import Outside, Runtime
+from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+LEAVING_NEWS_MS = 1_000
+
+
+class Daemon:
+    """Everything that one daemon process runs.
+
+    :param settings: settings of the daemon.
+    :param clock: the clock of all its components.
+    """
+
+    def __init__(self, settings: DaemonSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.rng = random.Random(settings.seed)
+        self.blackboard = Blackboard(make_member(settings, clock))
+        self.client = HttpClient(settings.requests, clock)
+        self.build_runtime()
+        self.build_entry()
+        self.build_servers()
+
+    def build_runtime(self) -> None:
+        """Make the controllers, the gate and the runtime that drives them."""
+        parts = (self.settings, self.blackboard, self.clock, self.rng)
+        self.routing = RoutingController(*parts)
+        self.guard = DuplicateGuard(*parts)
+        self.metrics = MetricsRecorder(self.blackboard)
+        gate_controller = GateController(*parts)
+        self.gate = GateService(self.settings, gate_controller, self.client, self.clock)
+        self.forwarder = HttpForwarder(self.blackboard, self.client, self.gate)
+        prober = Prober(
+            self.settings.requests,
+            self.blackboard,
+            self.clock,
+            self.rng,
+            self.forwarder,
+        )
+        outside = Outside(
+            log=HttpLogService(self.settings.log),
+            channel=ZeroMqPeerChannel(self.settings, self.clock),
+            probe=prober.probe,
+        )
+        self.runtime = Runtime(*parts, outside)
+        # Each controller sees what those before it have written for an event.
+        self.runtime.controllers = (
+            TableController(*parts),
+            MembershipController(*parts),
+            AnnouncementController(*parts),
+            DisseminationController(*parts),
+            EvidenceController(*parts),
+            EjectionController(*parts),
+            self.routing,
+            self.guard,
+            self.metrics,
+        )
+
+    def build_entry(self) -> None:
+        """Make the entry and let it hear the guard's decisions."""
+        self.entry = EntryService(
+            self.settings,
+            self.blackboard,
+            self.clock,
+            self.rng,
+            routing=self.routing,
+            guard=self.guard,
+            forwarder=self.forwarder,
+            relay=HttpRelay(self.client),
+            dispatch=self.runtime.dispatch,
+            apply=self.runtime.apply_all,
+        )
+        self.runtime.listeners[RequestDecided] = self.entry.settle
+
+    def build_servers(self) -> None:
+        """Make the HTTP servers; none listens yet."""
+        endpoints = DaemonEndpoints(
+            issue_ticket=lambda service: str(self.guard.tickets.issue(service)),
+            describe_status=self.describe_status,
+            describe_metrics=lambda: msgspec.Raw(self.metrics.export_json().encode()),
+            list_events=lambda: list(self.runtime.timeline.events),
+        )
+        caller_app = CallerApp(self.entry.handle, endpoints)
+        gate_app = ExchangeApp(choose_handler(self.gate.handle, self.entry.handle))
+        self.announce_app = Application()
+        add_announcement_routes(
+            self.announce_app, self.runtime.dispatch, self.settings, self.clock
+        )
+        self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
+        self.gate_server = HttpServer(gate_app, lambda: None)
+        self.announce_server = HttpServer(self.announce_app, lambda: None)
+        self.caller_app = caller_app
+
+    async def start(self) -> None:
+        """Listen, join the fleet, and take requests.
+
+        :raises ExceptionGroup: with an ``OSError`` for each address that can't be
+            listened on.
+        """
+        await self.announce_app.start()
+        await self.caller_app.own.start()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.gate_server.start(self.settings.gate_address))
+            group.create_task(
+                self.announce_server.start(self.settings.announce_address)
+            )
+            group.create_task(self.caller_server.start(self.settings.caller_address))
+        await self.runtime.start()
+        self.runtime.record_event(
+            "daemon-started",
+            daemon=self.settings.daemon_id,
+            incarnation=self.blackboard.this_member.incarnation,
+            caller_address=self.settings.caller_address,
+        )
+
+    async def shut_down(self) -> bool:
+        """Leave the fleet without cutting a request.
+
+        The gate refuses new work at once, and the news goes out before the entry
+        stops to listen, so that other daemons pick other targets meanwhile.
+
+        :return: whether all requests in flight ended within the drain limit.
+        """
+        limit = self.find_drain_limit()
+        self.blackboard.draining = True
+        self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
+        await asyncio.sleep(LEAVING_NEWS_MS / 1_000)
+        self.caller_server.stop_accepting()
+        finished = await asyncio.gather(
+            self.caller_server.drain(limit), self.gate_server.drain(limit)
+        )
+        self.runtime.record_event("daemon-stopped", whole=all(finished))
+        await self.close()
+        return all(finished)
+
+    async def close(self) -> None:
+        """Stop at once, whatever is in flight."""
+        await self.runtime.close()
+        for server in (self.caller_server, self.gate_server, self.announce_server):
+            await server.close()
+        self.client.close()
+
+    def find_drain_limit(self) -> timedelta:
+        """Return the longest drain limit of the services served or asked for."""
+        local = {
+            self.blackboard.targets[target_id].service
+            for target_id in self.blackboard.local_targets
+            if target_id in self.blackboard.targets
+        }
+        services = sorted(local | self.blackboard.wanted_services) or [""]
+        table = self.blackboard.table
+        return max(table.service_row(service).drain_limit for service in services)
+
+    def describe_status(self) -> DaemonStatus:
+        """Return what operators and their programs may want to know."""
+        return describe_status(self.blackboard)
+
+
+def make_member(settings: DaemonSettings, clock: Clock) -> Member:
+    """Describe this daemon to the others.
+
+    The incarnation is the wall-clock time of the start in milliseconds, so that a
+    restarted daemon has a higher one although it keeps nothing.
+    """
+    incarnation = int(clock.utc().timestamp() * 1_000)
+    log_event(LOGGER, "incarnation-chosen", logging.DEBUG, incarnation=incarnation)
+    return Member(
+        daemon_id=settings.daemon_id,
+        incarnation=incarnation,
+        peer_address=settings.peer_address,
+        gate_address=settings.gate_address,
+        availability_zone=settings.availability_zone,
+    )
