--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -25,7 +25,9 @@
 MAX_LOG_CONTACTS = 32
 PAGE_INTERVAL_MS = 600
 PAGE_TIMEOUT_MS = 2_000
+FIRST_SYNC_MS = 3_000
 SYNC_INTERVAL_MS = 60_000
+BEFORE_ALL_NAMES = " "
 FIRST_APPEND_MS = 1_000
 APPEND_SPREAD_MS = 4_000
 APPEND_RETRY_MS = 15_000
@@ -48,6 +50,7 @@
     from_log: dict[str, str] = attrs.field(factory=dict)
     rejoin_at: timedelta = timedelta()
     sync_at: timedelta = timedelta()
+    sync_ms: float = FIRST_SYNC_MS
     append_at: timedelta | None = None
     append_id: str = ""
     appended: bool = False
@@ -78,6 +81,7 @@
         """Ask for the member table at the next tick."""
         self.rejoin_at = timedelta()
         self.sync_at = timedelta()
+        self.sync_ms = FIRST_SYNC_MS
 
     def receive_page(self, address: str, page: MembersPage, now: timedelta) -> None:
         """Note where the next page of the member table starts, and who has it.
@@ -125,13 +129,15 @@
         addresses = self._pick(self._lost_addresses(table, this), 4 if alone else 1)
         effects = self._request(this, addresses, "")
         if not alone and now >= self.sync_at:
-            self.sync_at = now + timedelta(milliseconds=SYNC_INTERVAL_MS * jitter)
+            self.sync_at = now + timedelta(milliseconds=self.sync_ms * jitter)
+            self.sync_ms = min(self.sync_ms * 2, SYNC_INTERVAL_MS)
             effects += self._compare_page(table, this)
         return effects
 
     def _compare_page(self, table: MemberTable, this: Member) -> list[Any]:
-        # One page from a random place finds news that was lost on its way.
-        after = self.rng.choice(sorted(table.members))
+        # One page from a random place finds news that was lost on its way. It is
+        # not followed by the next one, so it must not start as a first page does.
+        after = self.rng.choice([BEFORE_ALL_NAMES, *sorted(table.members)[:-1]])
         addresses = self._pick(self._live_addresses(table, this), 1)
         return self._request(this, addresses, after)
 
--- /dev/null
+++ b/src/wagtailstep/fakes/control_bus.py
@@ -0,0 +1,215 @@
+"""A bus that carries control messages between controllers, without any socket."""
+
+import heapq
+import random
+from collections.abc import Sequence
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.dissemination import DisseminationController
+from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import (
+    AppendToLog,
+    Controller,
+    FollowStream,
+    LogAppendSettled,
+    LogRecordsRead,
+    PeerMessageReceived,
+    RecordEvent,
+    SendToPeer,
+    TargetAnnounced,
+    Tick,
+)
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.settings import DaemonSettings, MembershipSettings
+from wagtailstep.network.memory_channel import LinkRules
+from wagtailstep.utils.clock import ManualClock
+from wagtailstep.utils.codec import encode_message
+
+TICK_MS = 100
+ANNOUNCE_MS = 1_000
+
+
+@attrs.define
+class BusNode:
+    """The control plane of one daemon on the bus.
+
+    :param blackboard: what the daemon knows.
+    :param controllers: in the order in which they take events.
+    :param announced: targets whose backend servers renew themselves.
+    :param events: recorded events, oldest first.
+    :param running: whether it takes events at all.
+    :param follows_log: whether it reads the stream of members.
+    :param log_offset: where it reads on.
+    """
+
+    blackboard: Blackboard
+    controllers: Sequence[Controller]
+    announced: dict[str, Target] = attrs.field(factory=dict)
+    events: list[RecordEvent] = attrs.field(factory=list)
+    running: bool = True
+    follows_log: bool = False
+    log_offset: int = 0
+
+    @property
+    def daemon_id(self) -> str:
+        """Return the name of the daemon."""
+        return self.blackboard.this_member.daemon_id
+
+    @property
+    def address(self) -> str:
+        """Return the address of its control channel."""
+        return self.blackboard.this_member.peer_address
+
+    def handle(self, event: Any) -> list[Any]:
+        """Give an event to all controllers and return their effects."""
+        effects: list[Any] = []
+        for controller in self.controllers:
+            effects += controller.handle(event)
+        return effects
+
+
+class ControlBus:
+    """Run the control planes of several daemons on one manual clock.
+
+    :param seed: seed of all random choices.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        self.rules = LinkRules(delay_ms=(0.5, 2.0))
+        self.nodes: dict[str, BusNode] = {}
+        self.addresses: dict[str, BusNode] = {}
+        self.queue: list[tuple[timedelta, int, BusNode, Any]] = []
+        self.sequence = 0
+        self.log: list[LogRecord] = []
+        self.log_away = False
+
+    def add(
+        self,
+        daemon_id: str,
+        membership: MembershipSettings,
+        services: Sequence[str] = (),
+        wanted: Sequence[str] = (),
+        incarnation: int = 0,
+        zone: str = "bole",
+        clock_skew: timedelta = timedelta(),
+    ) -> BusNode:
+        """Start a daemon with one backend server for each of some services.
+
+        :param incarnation: 0 takes the wall-clock time in milliseconds.
+        """
+        address = f"{daemon_id}.test:7003"
+        started_ms = round((self.clock.utc() + clock_skew).timestamp() * 1_000)
+        member = Member(
+            daemon_id=daemon_id,
+            incarnation=incarnation or started_ms,
+            peer_address=address,
+            gate_address=f"{daemon_id}.test:7002",
+            availability_zone=zone,
+        )
+        settings = DaemonSettings(
+            daemon_id=daemon_id,
+            availability_zone=zone,
+            caller_address="127.0.0.1:7001",
+            gate_address="127.0.0.1:7002",
+            peer_address="127.0.0.1:7003",
+            announce_address="127.0.0.1:7004",
+            membership=membership,
+        )
+        node = self._build(settings, Blackboard(member), wanted)
+        for service in services:
+            target_id = f"{service}/{daemon_id}.test:8000"
+            node.announced[target_id] = Target(target_id, service, daemon_id, zone)
+        self.nodes[daemon_id] = self.addresses[address] = node
+        self._schedule(timedelta(), node, Tick())
+        self._schedule(timedelta(), node, None)
+        return node
+
+    def _build(
+        self, settings: DaemonSettings, board: Blackboard, wanted: Sequence[str]
+    ) -> BusNode:
+        board.wanted_services.update(wanted)
+        rng = random.Random(self.rng.random())
+        arguments = (settings, board, self.clock, rng)
+        kinds = (MembershipController, DisseminationController, AnnouncementController)
+        return BusNode(board, [kind(*arguments) for kind in kinds])
+
+    def stop(self, daemon_id: str) -> None:
+        """End a daemon without a word."""
+        self.nodes[daemon_id].running = False
+
+    def run(self, duration: timedelta) -> None:
+        """Let time pass."""
+        end = self.clock.monotonic() + duration
+        while self.queue and self.queue[0][0] <= end:
+            at, _, node, event = heapq.heappop(self.queue)
+            self.clock.advance(max(at - self.clock.monotonic(), timedelta()))
+            if node.running:
+                self._process(node, event)
+        self.clock.advance(end - self.clock.monotonic())
+
+    def dispatch(self, node: BusNode, event: Any) -> None:
+        """Give an event to a daemon and apply the effects."""
+        for effect in node.handle(event):
+            self._apply(node, effect)
+
+    def _process(self, node: BusNode, event: Any) -> None:
+        if event is None:
+            self._renew(node)
+            return
+        if isinstance(event, Tick):
+            self._schedule(timedelta(milliseconds=TICK_MS), node, event)
+            self._read_log(node)
+        self.dispatch(node, event)
+
+    def _renew(self, node: BusNode) -> None:
+        for target in node.announced.values():
+            self.dispatch(node, TargetAnnounced(target))
+        self._schedule(timedelta(milliseconds=ANNOUNCE_MS), node, None)
+
+    def _schedule(self, delay: timedelta, node: BusNode, event: Any) -> None:
+        self.sequence += 1
+        at = self.clock.monotonic() + delay
+        heapq.heappush(self.queue, (at, self.sequence, node, event))
+
+    def _apply(self, node: BusNode, effect: Any) -> None:
+        if isinstance(effect, SendToPeer):
+            self.send(node, effect)
+        elif isinstance(effect, AppendToLog):
+            self._append(node, effect)
+        elif isinstance(effect, FollowStream):
+            node.follows_log = True
+        elif isinstance(effect, RecordEvent):
+            node.events.append(effect)
+
+    def send(self, node: BusNode, effect: SendToPeer) -> None:
+        """Carry one message as the rules allow."""
+        receiver = self.addresses.get(effect.address)
+        if receiver is None:
+            return
+        event = PeerMessageReceived(node.daemon_id, effect.message)
+        for delay in self.rules.delays(node.daemon_id, receiver.daemon_id, self.rng):
+            self._schedule(timedelta(milliseconds=delay), receiver, event)
+
+    def _append(self, node: BusNode, effect: AppendToLog) -> None:
+        offset = None
+        if not self.log_away:
+            offset = len(self.log)
+            self.log.append(LogRecord(offset, encode_message(effect.record)))
+        settled = LogAppendSettled(effect.append_id, offset, may_have_applied=False)
+        self._schedule(timedelta(milliseconds=1), node, settled)
+
+    def _read_log(self, node: BusNode) -> None:
+        if self.log_away or not node.follows_log:
+            return
+        records = tuple(self.log[node.log_offset :])
+        if records:
+            node.log_offset = len(self.log)
+            self.dispatch(node, LogRecordsRead("members", records))
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -296,4 +296,4 @@
 
 def member_reference(daemon_id: str) -> int:
     """Return the 32-bit number that stands for a daemon in digests."""
-    return xxhash.xxh32_intdigest(daemon_id)
+    return xxhash.xxh32_intdigest(daemon_id.encode())
