--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -109,6 +109,14 @@
     :param max_attempts: attempts at one request, the first one included.
     :param connect_timeout_ms: time to open a connection to a gate.
     :param connection_idle_ms: an idle connection older than this is not reused.
+    :param other_zone_cost: factor on the cost of a target in another availability
+        zone; 1 ignores zones.
+    :param replay_body_bytes: size up to which a request body is kept for a resend.
+    :param account_buckets: client accounts whose rates are remembered at once.
+    :param tickets_kept: tickets and claimed keys that one daemon remembers.
+    :param answer_bytes: size up to which the answer of a keyed request is kept.
+    :param answers_kept_bytes: total size of the kept answers.
+    :param claims_kept: claims of other daemons that one daemon remembers.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -119,6 +127,13 @@
     max_attempts: int = positive(3)
     connect_timeout_ms: int = positive(1_000)
     connection_idle_ms: int = positive(5_000)
+    other_zone_cost: float = positive(1.25)
+    replay_body_bytes: int = positive(65_536)
+    account_buckets: int = positive(1_024)
+    tickets_kept: int = positive(10_000)
+    answer_bytes: int = positive(16_384)
+    answers_kept_bytes: int = positive(4_194_304)
+    claims_kept: int = positive(50_000)
 
 
 @attrs.frozen
@@ -174,6 +189,34 @@
     retention_s: float = positive(86_400.0)
 
 
+@attrs.frozen
+class TableSettings:
+    """How daemons pass the table on and keep it in the log.
+
+    :param digest_interval_ms: time between two digests to a random member.
+    :param push_fanout: random members that a new record is passed on to.
+    :param confirm_timeout_ms: a record read from the log waits this long for a
+        member that holds it too, before it takes effect.
+    :param first_answers: members that a daemon without a table hears first, if
+        the log can't be read.
+    :param first_answers_timeout_ms: after this it goes on with fewer of them.
+    :param reply_bytes: most bytes of records in one message.
+    :param chunk_bytes: bytes of a snapshot in one message.
+    :param chunk_timeout_ms: a chunk that did not come by then is asked for again.
+    :param snapshot_edits: records after the last snapshot that make one due.
+    """
+
+    digest_interval_ms: int = positive(1_000)
+    push_fanout: int = positive(3)
+    confirm_timeout_ms: int = positive(1_000)
+    first_answers: int = positive(5)
+    first_answers_timeout_ms: int = positive(5_000)
+    reply_bytes: int = positive(8_192)
+    chunk_bytes: int = positive(16_384)
+    chunk_timeout_ms: int = positive(1_000)
+    snapshot_edits: int = positive(256)
+
+
 @attrs.frozen
 class DaemonSettings:
     """All settings of one daemon.
@@ -201,3 +244,4 @@
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
+    table: TableSettings = TableSettings()
