--- /dev/null
+++ b/benchmarks/histories/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded histories of a small fleet under faults, and their checker."""
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -226,11 +226,11 @@
     def settle_append(self, event: LogAppendSettled) -> list[Any]:
         """Take the end of the append under way."""
         lost = self.appender.settle(event, self.clock.monotonic())
-        effects: list[Any] = [FollowStream(self.stream)]
+        decided: list[Any] = []
         if lost and not event.may_have_applied:
-            effects += self.refuse_pending(lost)
+            decided = list(self.refuse_pending(lost))
         self.appender.requeue([entry for entry in lost if self.is_wanted(entry)])
-        return [*effects, *self.flush()]
+        return [*decided, *self.flush()]
 
     def is_wanted(self, entry: ClaimEntry) -> bool:
         """Tell whether an entry still has to get into the log."""
