--- /dev/null
+++ b/features/steps/histories_steps.py
@@ -0,0 +1,197 @@
+"""Steps for histories of concurrent runs, and the faults planted to be caught."""
+
+import contextlib
+import itertools
+import logging
+from unittest import mock
+
+from behave import given, then, when
+from benchmarks.histories.fleet import FakeFleet, yield_bytes
+from benchmarks.histories.history import Kind
+from benchmarks.histories.schedule import FAULTS, run_schedule
+
+from wagtailstep import exceptions
+from wagtailstep.controllers import claims
+from wagtailstep.controllers.claims import ClaimDesk
+from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.runs import Run, RunBook
+from wagtailstep.controllers.tickets import TicketOffice
+from wagtailstep.models.exchange import Answer
+from wagtailstep.models.verdict import Verdict
+
+FIRST_SEED = 500
+
+
+@contextlib.contextmanager
+def quiet_logs():
+    logging.disable(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+def run_all(context, runs):
+    with quiet_logs():
+        context.results = [run_schedule(seed, faults) for seed, faults in runs]
+
+
+@when("{count:d} schedules run without faults")
+def run_without_faults(context, count):
+    run_all(context, [(FIRST_SEED + index, ()) for index in range(count)])
+
+
+@when('{count:d} schedules run with fault "{fault}"')
+def run_with_fault(context, count, fault):
+    run_all(context, [(FIRST_SEED + index, (fault,)) for index in range(count)])
+
+
+@when("one schedule runs for each pair of faults")
+def run_pairs(context):
+    pairs = list(itertools.combinations(FAULTS, 2))
+    run_all(context, [(FIRST_SEED + index, pair) for index, pair in enumerate(pairs)])
+
+
+@when("schedule {seed:d} runs twice")
+def run_twice(context, seed):
+    run_all(context, [(seed, None), (seed, None)])
+
+
+@then("no promise is broken")
+def check_promises(context):
+    broken = [(r.seed, r.faults, v) for r in context.results for v in r.violations]
+    assert not broken, broken
+
+
+@then("every sending was answered as run")
+def check_all_run(context):
+    sendings = [s for r in context.results for s in r.history.sendings]
+    assert len(sendings) >= 100
+    assert all(s.verdict == "run" and s.status == 200 for s in sendings)
+
+
+@then("some operations of each kind ran")
+def check_some_run(context):
+    sendings = [s for r in context.results for s in r.history.sendings]
+    ran = {s.kind for s in sendings if s.verdict == "run"}
+    assert ran == set(Kind), ran
+
+
+@then("both histories are the same")
+def check_same(context):
+    first, second = context.results
+    assert first.history.executions
+    assert first.history == second.history
+
+
+def win_always(desk, pending):
+    return desk.win(pending)
+
+
+def settle_by_acknowledgment(desk, event):
+    entries = desk.appender.under_way
+    effects = real_settle_append(desk, event)
+    for entry in entries:
+        if event.offset is not None and entry.key in desk.pending:
+            effects = desk.win(desk.pending.pop(entry.key)) + effects
+    return effects
+
+
+def finish_as_not_run(book, run, verdict, answer):
+    if verdict is Verdict.MAY_HAVE_RUN:
+        verdict = Verdict.NOT_RUN
+    return real_finish(book, run, verdict, answer)
+
+
+def run_any_ticket(office, ticket, request, fingerprint):
+    run = office.book.find(str(ticket))
+    if run is None:
+        run = Run(str(ticket), request.service)
+        office.book.add(run)
+    return office.book.start(run, request.request_id, fingerprint)
+
+
+def run_old_ticket(office, ticket, request, fingerprint):
+    if ticket.daemon_id == office.blackboard.this_member.daemon_id:
+        return run_any_ticket(office, ticket, request, fingerprint)
+    return real_decide(office, ticket, request, fingerprint)
+
+
+async def answer_late(fleet, daemon, sending, operation):
+    answer = await real_execute(fleet, daemon, sending, operation)
+    late, fleet.last_answer = getattr(fleet, "last_answer", answer), answer
+    return late
+
+
+async def pass_on_short(fleet, daemon, sending, operation):
+    answer = await real_execute(fleet, daemon, sending, operation)
+    chunks = []
+    with contextlib.suppress(exceptions.TruncatedAnswerError):
+        async for chunk in answer.body:
+            chunks.append(chunk)
+    return Answer(200, (), yield_bytes(b"".join(chunks)), Verdict.RUN)
+
+
+async def call_lost_not_run(fleet, exchange, time_left):
+    try:
+        return await real_wait_for_reply(fleet, exchange, time_left)
+    except exceptions.RequestError as error:
+        error.verdict = Verdict.NOT_RUN
+        raise
+
+
+def refuse_as_not_run(request):
+    error = real_log_away_error(request)
+    error.verdict = Verdict.NOT_RUN
+    return error
+
+
+real_settle_append = ClaimDesk.settle_append
+real_finish = RunBook.finish
+real_decide = TicketOffice.decide
+real_execute = FakeFleet.execute
+real_wait_for_reply = FakeFleet.wait_for_reply
+real_log_away_error = claims.make_log_away_error
+
+PLANTED = {
+    "resend of a non-idempotent request": (
+        RetryPolicy,
+        "take_retry",
+        lambda policy, request, error, attempts: attempts < 3,
+    ),
+    "answer of another request": (FakeFleet, "execute", answer_late),
+    "truncated answer passed on as whole": (FakeFleet, "execute", pass_on_short),
+    "lost answer called not run": (FakeFleet, "wait_for_reply", call_lost_not_run),
+    "claim ignored": (ClaimDesk, "decide", win_always),
+    "claim won by its acknowledgment": (
+        ClaimDesk,
+        "settle_append",
+        settle_by_acknowledgment,
+    ),
+    "claim released after it may have run": (RunBook, "finish", finish_as_not_run),
+    "ticket run again by its issuer": (RunBook, "finish", finish_as_not_run),
+    "ticket run by another daemon": (TicketOffice, "decide", run_any_ticket),
+    "ticket of an earlier incarnation run": (TicketOffice, "decide", run_old_ticket),
+    "refusal with the log away called not run": (
+        claims,
+        "make_log_away_error",
+        refuse_as_not_run,
+    ),
+}
+
+
+@given('the planted fault "{name}"')
+def plant(context, name):
+    context.planted = PLANTED[name]
+
+
+@when('{count:d} schedules run with the planted fault and fault "{fault}"')
+def run_planted(context, count, fault):
+    with mock.patch.object(*context.planted):
+        run_with_fault(context, count, fault)
+
+
+@then('the promise "{promise}" is broken')
+def check_broken_promise(context, promise):
+    broken = {v.promise for r in context.results for v in r.violations}
+    assert promise in broken, broken
