--- /dev/null
+++ b/features/at_most_once.feature
@@ -0,0 +1,162 @@
+Feature: A request with a ticket or a key runs at most once
+
+  Background:
+    Given daemons "a", "b" and "c" that know each other and share a log
+
+  Scenario: A ticket runs once at its issuer, a resend gets the same answer
+    Given a ticket of daemon "a"
+    Then the ticket at "a" is decided as "run"
+    When the run at "a" ends as "run" with the answer "signed"
+    Then the ticket at "a" is decided as "replay" of "signed"
+    And the ticket at "b" is decided as "pass on" to "a"
+
+  Scenario: A ticket runs nowhere else
+    Given a ticket of daemon "a"
+    When daemon "a" is known as dead at "b"
+    Then the ticket at "b" is decided as "refuse" with "may-have-run"
+    And the ticket passed on to "c" by mistake is decided as "refuse" with "may-have-run"
+
+  Scenario: A restarted issuer runs none of its older tickets
+    Given a ticket of daemon "a"
+    When daemon "a" restarts
+    Then the ticket at "a" is decided as "refuse" with "may-have-run"
+
+  Scenario: A ticket is usable again after a fact of "not run"
+    Given a ticket of daemon "a"
+    Then the ticket at "a" is decided as "run"
+    When the run at "a" ends as "not-run"
+    Then the ticket at "a" is decided as "run"
+    When the run at "a" ends as "may-have-run"
+    Then the ticket at "a" is decided as "refuse" with "may-have-run"
+
+  Scenario: A resend while the first sending runs waits for its answer
+    Given a ticket of daemon "a"
+    Then the ticket at "a" is decided as "run"
+    And the ticket at "a" is decided as "wait"
+    When the run at "a" ends as "run" with the answer "signed"
+    Then the waiting request at "a" is decided as "replay" of "signed"
+
+  Scenario: A key used for another request is refused
+    Given a ticket of daemon "a"
+    Then the ticket at "a" is decided as "run"
+    And the ticket at "a" with another body is decided as "refuse" with "not-run"
+
+  Scenario: Many tickets are forgotten, never run twice
+    Given a ticket of daemon "a"
+    When the ticket has run at "a" and 10001 more tickets are issued
+    Then the ticket at "a" is decided as "refuse" with "may-have-run"
+
+  Scenario: Kept answers have a bounded size
+    When 400 tickets run at "a" with answers of 16000 bytes each
+    Then at most 4194304 bytes of answers are kept at "a"
+
+  Scenario: The first claim in the log's order wins at every daemon
+    When "a" and "b" claim the key "k1" at once and the appends of "b" come first
+    Then the request at "b" is decided as "run"
+    And the request at "a" is decided as "pass on" to "b"
+
+  Scenario: Keys of different client accounts are different
+    When client account "union" claims the key "k1" at "a" and client account "hall" at "b"
+    Then the request at "a" is decided as "run"
+    And the request at "b" is decided as "run"
+
+  Scenario: An acknowledgment decides nothing
+    When "a" claims the key "k1" and its append is acknowledged
+    Then the request at "a" is not decided
+    When the log is read everywhere
+    Then the request at "a" is decided as "run"
+
+  Scenario: A lost acknowledgment is settled by reading
+    When "a" claims the key "k1" and its append applies without acknowledgment
+    And the log is read everywhere
+    Then the request at "a" is decided as "run"
+    And nothing is appended again by "a"
+
+  Scenario: A lost append is made again
+    When "a" claims the key "k1" and its append is lost without acknowledgment
+    And 600 ms pass
+    Then the claim of "a" is appended once more
+
+  Scenario: A claim given up and read late is released, not run
+    When "a" claims the key "k1" and its append is lost without acknowledgment
+    And the request at "a" is given up
+    And the lost append of "a" applies late
+    And the log is read everywhere
+    Then the request at "a" is not decided
+    When the appends of "a" are made and read everywhere
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "run"
+
+  Scenario: A copy of a claim that comes after its release is released again
+    When "a" claims the key "k1" and its append is lost without acknowledgment
+    And 600 ms pass
+    And the appends of "a" are made and read everywhere
+    Then the request at "a" is decided as "run"
+    When the claimed run at "a" ends as "not-run"
+    And the appends of "a" are made and read everywhere
+    And the lost append of "a" applies late
+    And the log is read everywhere
+    And the appends of "a" are made and read everywhere
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "run"
+
+  Scenario: A run that ended as not run releases its key, one that may have run doesn't
+    When "a" claims the key "k1"
+    And the claimed run at "a" ends as "not-run"
+    And the appends of "a" are made and read everywhere
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "run"
+    When the claimed run at "b" ends as "may-have-run"
+    And the appends of "b" are made and read everywhere
+    And "c" claims the key "k1"
+    Then the request at "c" is decided as "pass on" to "b"
+
+  Scenario: The key of a holder that is gone stays held
+    When "a" claims the key "k1"
+    And daemon "a" restarts
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "pass on" to "a"
+    And the key "k1" passed on to "a" is decided as "refuse" with "may-have-run"
+
+  Scenario Outline: With the log away a key is refused at once
+    When the log is away
+    And "a" gets a request with key "k1" that is "<sending>"
+    Then the request at "a" is decided as "refuse" with "<verdict>"
+
+    Examples:
+      | sending         | verdict      |
+      | a first sending | not-run      |
+      | perhaps resent  | may-have-run |
+
+  Scenario: With the log away the table may let a service send once
+    Given the table lets "contracts" send once while the log is away
+    When the log is away
+    And "a" gets a request with key "k1" that is "perhaps resent"
+    Then the request at "a" is decided as "run"
+    When the claimed run at "a" ends as "run"
+    And the log is back
+    And the appends of "a" are made and read everywhere
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "pass on" to "a"
+
+  Scenario: A gap in the log decides nothing in favour of running
+    When "a" claims the key "k1" and its append applies without acknowledgment
+    And the log forgets the record before "a" reads it
+    Then the request at "a" is decided as "refuse" with "may-have-run"
+
+  Scenario: Too many keys are refused rather than forgotten
+    When 50000 other keys have been claimed in the log
+    And 1 other key is claimed in the log
+    And "a" gets a request with key "k1" that is "a first sending"
+    Then the request at "a" is decided as "refuse" with "not-run"
+    When the retention of the log has passed
+    And "a" claims the key "k2"
+    Then the request at "a" is decided as "run"
+
+  Scenario: A busy daemon makes few appends
+    When 300 keys are claimed at "a" while its first append is under way
+    Then the appends of "a" are 3 in all
+
+  Scenario: A pause between the decision and the run does not run the request late
+    When a keyed request wins its claim at an entry that pauses past the deadline
+    Then no attempt is made and the key is released
--- /dev/null
+++ b/features/steps/at_most_once_steps.py
@@ -0,0 +1,465 @@
+"""Steps for the duplicate guard: guards of three daemons over one log in memory."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import attrs
+import detangle
+import parse
+from behave import given, register_type, then, when
+from entry_steps import EntryWorld, make_incoming
+from routing_steps import make_member, make_request, make_settings
+
+from wagtailstep.controllers.claims import ClaimDesk
+from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.claims import ClaimBatch, ClaimEntry, name_stream
+from wagtailstep.models.events import (
+    AppendToLog,
+    LogAppendSettled,
+    LogGap,
+    LogRecordsRead,
+    Tick,
+)
+from wagtailstep.models.fleet import MemberState
+from wagtailstep.models.idempotency import (
+    PassOn,
+    Refuse,
+    Replay,
+    RequestDecided,
+    RunHere,
+    StoredAnswer,
+    Wait,
+)
+from wagtailstep.models.log import LogRecord
+from wagtailstep.models.table import LogAwayPolicy, ServiceRow
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.utils.clock import ManualClock
+from wagtailstep.utils.codec import encode_message
+
+
+@parse.with_pattern(r'[^"]*')
+def read_quoted(text):
+    return text
+
+
+register_type(Q=read_quoted)
+
+STREAM = name_stream("contracts")
+DAEMONS = ("a", "b", "c")
+NAMES = {
+    RunHere: "run",
+    Wait: "wait",
+    PassOn: "pass on",
+    Replay: "replay",
+    Refuse: "refuse",
+}
+
+
+class GuardedDaemon:
+    """One daemon's guard; its appends wait until a step makes them."""
+
+    def __init__(self, context, daemon_id, boot=1):
+        self.context = context
+        self.daemon_id = daemon_id
+        members = {name: make_member(name) for name in DAEMONS}
+        self.board = Blackboard(members[daemon_id], members=members)
+        self.board.this_member = make_member(daemon_id, incarnation=boot)
+        self.board.log_reachable = True
+        rng = random.Random(f"{daemon_id}/{boot}")
+        settings = make_settings(daemon_id)
+        self.guard = DuplicateGuard(settings, self.board, context.clock, rng)
+        self.appends = []
+        self.append_count = 0
+        self.lost = []
+        self.offset = 0
+        self.decision = None
+        self.last = None
+
+    def begin(self, key, body="body", **changes):
+        request = attrs.evolve(
+            make_request(self.context), idempotent=False, idempotency_key=key, **changes
+        )
+        self.last = request
+        outcome = self.guard.begin(request, body)
+        self.decision = None
+        if not isinstance(outcome.decision, Wait):
+            self.decision = outcome.decision
+        self.take(outcome.effects)
+        return outcome.decision
+
+    def take(self, effects):
+        for effect in effects:
+            if isinstance(effect, AppendToLog):
+                self.append_count += 1
+                self.appends.append(effect)
+            elif isinstance(effect, RequestDecided):
+                self.decision = effect.decision
+
+    def settle_next(self, applies=True, acknowledged=True):
+        append = self.appends.pop(0)
+        data = encode_message(append.record)
+        if applies:
+            self.context.log.append(data)
+        else:
+            self.lost.append(data)
+        offset = len(self.context.log) - 1 if acknowledged else None
+        event = LogAppendSettled(append.append_id, offset, not acknowledged)
+        self.take(self.guard.handle(event))
+
+    def read(self):
+        numbered = enumerate(self.context.log)
+        new = tuple(LogRecord(n, data) for n, data in numbered if n >= self.offset)
+        self.offset = len(self.context.log)
+        self.take(self.guard.handle(LogRecordsRead(STREAM, new)))
+
+
+def pump(context, *names):
+    for name in names:
+        while context.daemons[name].appends:
+            context.daemons[name].settle_next()
+    read_everywhere(context)
+
+
+def read_everywhere(context):
+    for daemon in context.daemons.values():
+        daemon.read()
+
+
+@given('daemons "a", "b" and "c" that know each other and share a log')
+def set_daemons(context):
+    context.clock = ManualClock()
+    context.log = []
+    context.daemons = {name: GuardedDaemon(context, name) for name in DAEMONS}
+    for daemon in context.daemons.values():
+        daemon.guard.find_desk("contracts")
+
+
+@given('a ticket of daemon "{name:Q}"')
+def get_ticket(context, name):
+    tickets = context.daemons[name].guard.tickets
+    context.ticket = str(tickets.issue("contracts"))
+
+
+def check_decision(decision, expected, detail=None):
+    assert decision is not None, "not decided"
+    assert NAMES[type(decision)] == expected, decision
+    if isinstance(decision, Refuse):
+        assert decision.error.verdict.value == detail, decision.error
+    elif isinstance(decision, PassOn):
+        assert decision.daemon_id == detail, decision
+    elif isinstance(decision, Replay):
+        assert decision.answer.body.decode() == detail
+
+
+def start_ticket(context, name, **changes):
+    daemon = context.daemons[name]
+    decision = daemon.begin(context.ticket, **changes)
+    if isinstance(decision, RunHere):
+        daemon.run_id = decision.run_id
+    return decision
+
+
+@then('the ticket at "{name:Q}" is decided as "{expected:Q}"')
+def check_ticket(context, name, expected):
+    check_decision(start_ticket(context, name), expected)
+
+
+@then('the ticket at "{name:Q}" is decided as "{expected:Q}" with "{detail:Q}"')
+@then('the ticket at "{name:Q}" is decided as "{expected:Q}" of "{detail:Q}"')
+@then('the ticket at "{name:Q}" is decided as "{expected:Q}" to "{detail:Q}"')
+def check_ticket_detail(context, name, expected, detail):
+    check_decision(start_ticket(context, name), expected, detail)
+
+
+@then(
+    'the ticket passed on to "{name:Q}" by mistake '
+    'is decided as "{expected:Q}" with "{v:Q}"'
+)
+def check_relayed_ticket(context, name, expected, v):
+    check_decision(start_ticket(context, name, relayed=True), expected, v)
+
+
+@then(
+    'the ticket at "{name:Q}" with another body '
+    'is decided as "{expected:Q}" with "{v:Q}"'
+)
+def check_other_body(context, name, expected, v):
+    check_decision(start_ticket(context, name, body="other"), expected, v)
+
+
+@then('the waiting request at "{name:Q}" is decided as "{expected:Q}" of "{detail:Q}"')
+def check_waiting(context, name, expected, detail):
+    check_decision(context.daemons[name].decision, expected, detail)
+
+
+def finish(daemon, run_id, verdict, answer=None):
+    stored = StoredAnswer(200, (), answer.encode()) if answer else None
+    daemon.take(daemon.guard.finish(run_id, Verdict(verdict), stored))
+
+
+@when('the run at "{name:Q}" ends as "{verdict:Q}"')
+def end_run(context, name, verdict):
+    daemon = context.daemons[name]
+    finish(daemon, daemon.run_id, verdict)
+
+
+@when('the run at "{name:Q}" ends as "{verdict:Q}" with the answer "{answer:Q}"')
+def end_run_with_answer(context, name, verdict, answer):
+    daemon = context.daemons[name]
+    finish(daemon, daemon.run_id, verdict, answer)
+
+
+@when('daemon "{name:Q}" is known as dead at "{other:Q}"')
+def set_dead(context, name, other):
+    dead = make_member(name, state=MemberState.DEAD)
+    context.daemons[other].board.members[name] = dead
+
+
+@when('daemon "{name:Q}" restarts')
+def restart(context, name):
+    context.daemons[name] = GuardedDaemon(context, name, boot=2)
+    context.daemons[name].guard.find_desk("contracts")
+    context.daemons[name].read()
+
+
+@when('the ticket has run at "{name:Q}" and {count:d} more tickets are issued')
+def issue_many(context, name, count):
+    daemon = context.daemons[name]
+    finish(daemon, start_ticket(context, name).run_id, "run", "signed")
+    for _ in range(count):
+        daemon.guard.tickets.issue("contracts")
+    assert len(daemon.guard.book.runs) <= count
+
+
+@when('{count:d} tickets run at "{name:Q}" with answers of {size:d} bytes each')
+def run_many(context, count, name, size):
+    for _ in range(count):
+        get_ticket(context, name)
+        run_id = start_ticket(context, name).run_id
+        finish(context.daemons[name], run_id, "run", "x" * size)
+
+
+@then('at most {size:d} bytes of answers are kept at "{name:Q}"')
+def check_kept(context, size, name):
+    runs = context.daemons[name].guard.book.runs.values()
+    kept = sum(len(run.answer.body) for run in runs if run.answer is not None)
+    assert size / 2 < kept <= size, kept
+
+
+@when('"a" and "b" claim the key "{key:Q}" at once and the appends of "b" come first')
+def claim_both(context, key):
+    context.daemons["a"].begin(key)
+    context.daemons["b"].begin(key)
+    pump(context, "b", "a")
+
+
+@when(
+    'client account "{x:Q}" claims the key "{key:Q}" at "a" '
+    'and client account "{y:Q}" at "b"'
+)
+def claim_accounts(context, x, key, y):
+    context.daemons["a"].begin(key, account=x)
+    context.daemons["b"].begin(key, account=y)
+    pump(context, "a", "b")
+
+
+@when('"{name:Q}" claims the key "{key:Q}"')
+def claim(context, name, key):
+    context.daemons[name].begin(key)
+    pump(context, name)
+
+
+@when('"{name:Q}" claims the key "{key:Q}" and its append is acknowledged')
+def claim_acknowledged(context, name, key):
+    context.daemons[name].begin(key)
+    context.daemons[name].settle_next()
+
+
+@when(
+    '"{name:Q}" claims the key "{key:Q}" and its append applies without acknowledgment'
+)
+def claim_unacknowledged(context, name, key):
+    context.daemons[name].begin(key)
+    context.daemons[name].settle_next(acknowledged=False)
+
+
+@when(
+    '"{name:Q}" claims the key "{key:Q}" and its append is lost without acknowledgment'
+)
+def claim_lost(context, name, key):
+    context.daemons[name].begin(key)
+    context.daemons[name].settle_next(applies=False, acknowledged=False)
+
+
+@when('the lost append of "{name:Q}" applies late')
+def apply_lost(context, name):
+    context.log.append(context.daemons[name].lost.pop())
+
+
+@when("the log is read everywhere")
+def read_log(context):
+    read_everywhere(context)
+
+
+@when('the appends of "{name:Q}" are made and read everywhere')
+def make_appends(context, name):
+    context.clock.advance(timedelta(seconds=1))
+    daemon = context.daemons[name]
+    daemon.take(daemon.guard.handle(Tick()))
+    pump(context, name)
+
+
+@when("{time:d} ms pass")
+def pass_time(context, time):
+    context.clock.advance(timedelta(milliseconds=time))
+    for daemon in context.daemons.values():
+        daemon.take(daemon.guard.handle(Tick()))
+
+
+@then('the request at "{name:Q}" is not decided')
+def check_undecided(context, name):
+    assert context.daemons[name].decision is None
+
+
+@then('the request at "{name:Q}" is decided as "{expected:Q}"')
+def check_request(context, name, expected):
+    check_decision(context.daemons[name].decision, expected)
+
+
+@then('the request at "{name:Q}" is decided as "{expected:Q}" to "{detail:Q}"')
+@then('the request at "{name:Q}" is decided as "{expected:Q}" with "{detail:Q}"')
+def check_request_detail(context, name, expected, detail):
+    check_decision(context.daemons[name].decision, expected, detail)
+
+
+@then(
+    'the key "{key:Q}" passed on to "{name:Q}" '
+    'is decided as "{expected:Q}" with "{v:Q}"'
+)
+def check_relayed_key(context, key, name, expected, v):
+    decision = context.daemons[name].begin(key, relayed=True)
+    check_decision(decision, expected, v)
+
+
+@then('nothing is appended again by "{name:Q}"')
+def check_no_append(context, name):
+    pass_time(context, 1000)
+    assert not context.daemons[name].appends
+
+
+@then('the claim of "{name:Q}" is appended once more')
+def check_append(context, name):
+    (append,) = context.daemons[name].appends
+    assert len(append.record.entries) == 1
+    assert not append.record.entries[0].released
+
+
+@when('the request at "{name:Q}" is given up')
+def give_up(context, name):
+    daemon = context.daemons[name]
+    daemon.guard.abandon(daemon.last)
+
+
+@when('the claimed run at "{name:Q}" ends as "{verdict:Q}"')
+def end_claimed_run(context, name, verdict):
+    daemon = context.daemons[name]
+    finish(daemon, daemon.decision.run_id, verdict)
+
+
+@when("the log is away")
+def set_log_away(context):
+    for daemon in context.daemons.values():
+        daemon.board.log_reachable = False
+
+
+@when("the log is back")
+def set_log_back(context):
+    for daemon in context.daemons.values():
+        daemon.board.log_reachable = True
+
+
+@given('the table lets "contracts" send once while the log is away')
+def set_send_once(context):
+    row = ServiceRow("contracts", log_away=LogAwayPolicy.SEND_ONCE)
+    for daemon in context.daemons.values():
+        daemon.board.table.services["contracts"] = row
+
+
+@when('"{name:Q}" gets a request with key "{key:Q}" that is "{sending:Q}"')
+def get_request(context, name, key, sending):
+    context.daemons[name].begin(key, first_sending=sending == "a first sending")
+
+
+@when('the log forgets the record before "{name:Q}" reads it')
+def forget_record(context, name):
+    daemon = context.daemons[name]
+    daemon.take(daemon.guard.handle(LogGap(STREAM, len(context.log))))
+
+
+@when("{count:d} other keys have been claimed in the log")
+@when("{count:d} other key is claimed in the log")
+def claim_many(context, count):
+    start = sum(len(data) for data in context.log)
+    entries = tuple(ClaimEntry(f"{start}-{n}", f"c{start}-{n}") for n in range(count))
+    context.log.append(encode_message(ClaimBatch("z", "boot", entries)))
+    read_everywhere(context)
+
+
+@when("the retention of the log has passed")
+def pass_retention(context):
+    context.clock.advance(timedelta(seconds=make_settings().log.retention_s + 1))
+
+
+@when('{count:d} keys are claimed at "{name:Q}" while its first append is under way')
+def claim_while_busy(context, count, name):
+    for number in range(count):
+        context.daemons[name].begin(f"key{number}")
+    pump(context, name)
+
+
+@then('the appends of "{name:Q}" are {count:d} in all')
+def check_append_count(context, name, count):
+    assert context.daemons[name].append_count == count
+    assert len(context.daemons[name].guard.book.runs) == 300
+
+
+@when("a keyed request wins its claim at an entry that pauses past the deadline")
+def pause_after_claim(context):
+    world = EntryWorld(3)
+    context.world = world
+
+    async def call():
+        entry = world.make_entry()
+        world.board.log_reachable = True
+        extra = [(headers.IDEMPOTENCY_KEY, "k1"), (headers.TIMEOUT_MS, "300")]
+        incoming = make_incoming("POST", "/sign", extra)
+        task = asyncio.create_task(entry.handle(incoming))
+        await asyncio.sleep(0.1)
+        (claim_append,) = world.appends
+        loop = asyncio.get_running_loop()
+        paused_until = loop.time() + 1
+        real_time = loop.time
+        desk = entry.guard.desks["contracts"]
+        data = encode_message(claim_append.record)
+        entry.clock.monotonic = lambda: timedelta(
+            seconds=max(real_time(), paused_until)
+        )
+        world.apply(desk.read((LogRecord(0, data),)))
+        context.answer = await task
+
+    detangle.run(call)
+
+
+@then("no attempt is made and the key is released")
+def check_released(context):
+    assert context.answer.status == 504
+    assert context.answer.verdict is Verdict.NOT_RUN
+    assert context.world.forwarder.times_left == []
+    entries = [e for a in context.world.appends for e in a.record.entries]
+    assert [entry.released for entry in entries] == [False]
+    (desk,) = context.world.entry.guard.desks.values()
+    assert isinstance(desk, ClaimDesk)
+    assert [entry.released for entry in desk.appender.queue] == [True]
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -14,6 +14,7 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import AppendToLog
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.idempotency import RequestDecided
@@ -123,6 +124,7 @@
             self.board.members[target.daemon_id] = make_member(target.daemon_id)
         self.forwarder = ScriptedForwarder()
         self.events = []
+        self.appends = []
 
     def make_entry(self):
         rng = random.Random(1)
@@ -142,6 +144,8 @@
         for effect in effects:
             if isinstance(effect, RequestDecided):
                 self.entry.settle(effect)
+            elif isinstance(effect, AppendToLog):
+                self.appends.append(effect)
 
 
 @given('an entry that knows {count:d} targets of service "contracts"')
--- a/src/wagtailstep/controllers/claim_appends.py
+++ b/src/wagtailstep/controllers/claim_appends.py
@@ -47,6 +47,10 @@
         """Drop the claims of an identifier that have not been sent."""
         self.queue = [e for e in self.queue if e.released or e.claim_id != claim_id]
 
+    def note_read(self, entry: ClaimEntry) -> None:
+        """Drop further copies of an entry that is in the log."""
+        self.queue = [e for e in self.queue if e != entry]
+
     def flush(self, now: timedelta) -> list[AppendToLog]:
         """Start an append if there is something to append and none under way.
 
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -272,6 +272,7 @@
         self.fold.apply(batch, entry, self.clock.monotonic())
         if batch.boot_id != self.boot_id:
             return []
+        self.appender.note_read(entry)
         if entry.released:
             self.releasing.discard(entry.claim_id)
             return []
