--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -128,11 +128,11 @@
     connect_timeout_ms: int = positive(1_000)
     connection_idle_ms: int = positive(5_000)
     other_zone_cost: float = positive(1.25)
-    replay_body_bytes: int = not_negative(65_536)
+    replay_body_bytes: int = positive(65_536)
     account_buckets: int = positive(1_024)
     tickets_kept: int = positive(10_000)
-    answer_bytes: int = not_negative(16_384)
-    answers_kept_bytes: int = not_negative(4_194_304)
+    answer_bytes: int = positive(16_384)
+    answers_kept_bytes: int = positive(4_194_304)
     claims_kept: int = positive(50_000)
 
 
@@ -146,14 +146,31 @@
     :param suspicion_timeout_ms: time a suspect daemon has to refute.
     :param lease_ms: a target not renewed for this long has lapsed.
     :param renew_ms: time between two renewals.
+    :param announce_lease_ms: a backend server beside the daemon that doesn't renew
+        its announcement for this long has left.
+    :param indirect_probes: daemons asked to ping a third one that doesn't answer.
+    :param rejoin_ms: time between two attempts to reach a seed or a dead daemon.
+    :param dead_retention_s: how long a dead daemon is remembered and tried again.
+    :param digest_fanout: daemons of one service that a heartbeat is sent to in one
+        round; there are three rounds in each ``renew_ms``.
+    :param digest_sends: times that one daemon passes on one heartbeat of another.
+    :param member_append_s: mean time between two appends to the log's stream of
+        members by the whole fleet.
     """
 
     seeds: tuple[str, ...] = attrs.field(default=(), validator=check_addresses)
     probe_interval_ms: int = positive(1_000)
     probe_timeout_ms: int = positive(300)
     suspicion_timeout_ms: int = positive(3_000)
-    lease_ms: int = positive(2_000)
+    lease_ms: int = positive(1_800)
     renew_ms: int = positive(600)
+    announce_lease_ms: int = positive(3_000)
+    indirect_probes: int = not_negative(3)
+    rejoin_ms: int = positive(5_000)
+    dead_retention_s: float = positive(7_200.0)
+    digest_fanout: int = positive(2)
+    digest_sends: int = positive(4)
+    member_append_s: float = positive(20.0)
 
 
 @attrs.frozen
@@ -172,6 +189,34 @@
     retention_s: float = positive(86_400.0)
 
 
+@attrs.frozen
+class TableSettings:
+    """How daemons pass the table on and keep it in the log.
+
+    :param digest_interval_ms: time between two digests to a random member.
+    :param push_fanout: random members that a new record is passed on to.
+    :param confirm_timeout_ms: a record read from the log waits this long for a
+        member that holds it too, before it takes effect.
+    :param first_answers: members that a daemon without a table hears first, if
+        the log can't be read.
+    :param first_answers_timeout_ms: after this it goes on with fewer of them.
+    :param reply_bytes: most bytes of records in one message.
+    :param chunk_bytes: bytes of a snapshot in one message.
+    :param chunk_timeout_ms: a chunk that did not come by then is asked for again.
+    :param snapshot_edits: records after the last snapshot that make one due.
+    """
+
+    digest_interval_ms: int = positive(1_000)
+    push_fanout: int = positive(3)
+    confirm_timeout_ms: int = positive(1_000)
+    first_answers: int = positive(5)
+    first_answers_timeout_ms: int = positive(5_000)
+    reply_bytes: int = positive(8_192)
+    chunk_bytes: int = positive(16_384)
+    chunk_timeout_ms: int = positive(1_000)
+    snapshot_edits: int = positive(256)
+
+
 @attrs.frozen
 class DaemonSettings:
     """All settings of one daemon.
@@ -199,3 +244,4 @@
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
+    table: TableSettings = TableSettings()
