--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -104,6 +104,16 @@
         super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
 
 
+class NotReadyError(RequestError):
+    """This daemon has just started and takes no request yet."""
+
+    status = 503
+    reason = "not-ready"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
+
+
 class NoTargetError(RequestError):
     """No backend server of the service can take the request now."""
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -17,7 +17,9 @@
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.table import TableController
+from wagtailstep.exceptions import NotReadyError
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.settings import DaemonSettings
@@ -123,8 +125,8 @@
             describe_metrics=lambda: msgspec.Raw(self.metrics.export_json().encode()),
             list_events=lambda: list(self.runtime.timeline.events),
         )
-        caller_app = CallerApp(self.entry.handle, endpoints)
-        gate_app = ExchangeApp(choose_handler(self.gate.handle, self.entry.handle))
+        caller_app = CallerApp(self.handle_caller, endpoints)
+        gate_app = ExchangeApp(choose_handler(self.gate.handle, self.handle_caller))
         self.announce_app = Application()
         add_announcement_routes(
             self.announce_app, self.runtime.dispatch, self.settings, self.clock
@@ -151,8 +153,6 @@
         await self.runtime.start()
         self.runtime.record_event(
             "daemon-started",
-            daemon=self.settings.daemon_id,
-            incarnation=self.blackboard.this_member.incarnation,
             caller_address=self.settings.caller_address,
         )
 
@@ -183,6 +183,15 @@
             await server.close()
         self.client.close()
 
+    async def handle_caller(self, incoming: IncomingRequest) -> Answer:
+        """Take a request, unless this daemon has no table of the fleet yet.
+
+        :raises NotReadyError: if it has none; its limits would be invented.
+        """
+        if not self.blackboard.table_known:
+            raise NotReadyError("this daemon has not read the table yet")
+        return await self.entry.handle(incoming)
+
     def find_drain_limit(self) -> timedelta:
         """Return the longest drain limit of the services served or asked for."""
         local = {
