--- a/src/wagtailstep/fakes/announcer.py
+++ b/src/wagtailstep/fakes/announcer.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from urllib.parse import quote
 
 import attrs
 import msgspec
@@ -45,22 +46,23 @@
         self, announce_address: str, service: str, announcement: Announcement
     ) -> None:
         self.announce_address = announce_address
-        self.service = service
+        self.path = f"/v1/targets/{service}"
         self.announcement = announcement
         self.client = HttpClient(RequestSettings(), LoopClock())
 
     async def run(self) -> None:
         """Announce again and again until cancelled; a failure is tried again."""
         while True:
-            await self.send("PUT")
+            await self.send("PUT", self.path)
             await asyncio.sleep(ANNOUNCE_INTERVAL_MS / 1000)
 
     async def leave(self) -> None:
         """Say that the backend server takes no new work."""
-        await self.send("DELETE")
+        path = f"{self.path}?address={quote(self.announcement.address)}"
+        await self.send("DELETE", path)
         self.client.close()
 
-    async def send(self, method: str) -> bool:
+    async def send(self, method: str, path: str) -> bool:
         """Send one announcement.
 
         :return: whether the daemon accepted it.
@@ -69,7 +71,7 @@
         request = HttpRequest(
             address=self.announce_address,
             method=method,
-            path=f"/v1/targets/{self.service}",
+            path=path,
             headers=(
                 ("content-type", "application/json"),
                 ("content-length", str(len(data))),
--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -21,8 +21,8 @@
 class LogFollower:
     """Read one stream from its oldest retained record on, and never stop.
 
-    Records are dispatched in order and none twice. One dispatch without records
-    says that the end of the stream was reached, at the start and after a gap.
+    Records are dispatched in order and none twice. Each read that finds no further
+    record is dispatched as well: the end of the stream was reached.
 
     :param settings: how often to read.
     :param log: the log service.
@@ -48,7 +48,6 @@
         self.report = report
         self.rng = rng
         self.offset: int | None = None
-        self.end_reached = False
         self.failures = 0
         self.wake_up = asyncio.Event()
 
@@ -90,7 +89,6 @@
             oldest=oldest_offset,
         )
         self.offset = oldest_offset
-        self.end_reached = False
         self.dispatch(LogGap(self.stream, oldest_offset))
 
     def take(self, batch: LogBatch, asked_at: timedelta) -> bool:
