Name claims by the run of their process and a serial

Cause: with a seed in the settings a restarted daemon drew the same identifiers again and could have taken an old claim for its own. Change: a run of a process is named by daemon, incarnation and a random part, and claims count up within it; the fold releases by both. Entries and folded claims are smaller. A deadline within an answer now breaks the transfer as a truncated answer.

--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -403,7 +403,9 @@
 @when("{count:d} other key is claimed in the log")
 def claim_many(context, count):
     start = sum(len(data) for data in context.log)
-    entries = tuple(ClaimEntry(f"{start}-{n}", f"c{start}-{n}") for n in range(count))
+    entries = tuple(
+        ClaimEntry(f"{start}-{n}".encode(), start + n) for n in range(count)
+    )
     context.log.append(encode_message(ClaimBatch("z", "boot", entries)))
     read_everywhere(context)
 
--- a/src/wagtailstep/controllers/claim_appends.py
+++ b/src/wagtailstep/controllers/claim_appends.py
@@ -43,12 +43,8 @@
         """Put an entry behind all others."""
         self.queue.append(entry)
 
-    def withdraw(self, claim_id: str) -> None:
-        """Drop the claims of an identifier that have not been sent."""
-        self.queue = [e for e in self.queue if e.released or e.claim_id != claim_id]
-
-    def note_read(self, entry: ClaimEntry) -> None:
-        """Drop further copies of an entry that is in the log."""
+    def withdraw(self, entry: ClaimEntry) -> None:
+        """Drop the copies of an entry that have not been sent."""
         self.queue = [e for e in self.queue if e != entry]
 
     def flush(self, now: timedelta) -> list[AppendToLog]:
--- a/src/wagtailstep/controllers/claim_fold.py
+++ b/src/wagtailstep/controllers/claim_fold.py
@@ -3,26 +3,13 @@
 Every daemon folds the same records in the same order and so finds the same holders.
 """
 
+import sys
 from collections import OrderedDict
 from datetime import timedelta
 
-import attrs
-
 from wagtailstep.models.claims import ClaimBatch, ClaimEntry, ClaimHolder
 
 
-@attrs.frozen
-class FoldedClaim:
-    """A held key.
-
-    :param holder: who holds it.
-    :param expires: monotonic time when the log has forgotten the claim, too.
-    """
-
-    holder: ClaimHolder
-    expires: timedelta
-
-
 class ClaimFold:
     """The holders of one service's keys, in bounded memory.
 
@@ -36,13 +23,12 @@
     def __init__(self, capacity: int, retention: timedelta) -> None:
         self.capacity = capacity
         self.retention = retention
-        self.claims: OrderedDict[str, FoldedClaim] = OrderedDict()
+        self.claims: OrderedDict[bytes, ClaimHolder] = OrderedDict()
         self.incomplete_until = timedelta()
 
-    def find_holder(self, key: str) -> ClaimHolder | None:
+    def find_holder(self, key: bytes) -> ClaimHolder | None:
         """Return who holds a key, or ``None``."""
-        folded = self.claims.get(key)
-        return None if folded is None else folded.holder
+        return self.claims.get(key)
 
     def is_complete(self, now: timedelta) -> bool:
         """Tell whether no record was left out that the log still keeps.
@@ -58,7 +44,7 @@
         """
         holder = self.find_holder(entry.key)
         if entry.released:
-            if holder is not None and holder.claim_id == entry.claim_id:
+            if holder is not None and is_claim_of(holder, batch.boot_id, entry):
                 del self.claims[entry.key]
             return
         if holder is not None:
@@ -68,8 +54,9 @@
         if len(self.claims) >= self.capacity:
             self.incomplete_until = expires
             return
-        new_holder = ClaimHolder(entry.claim_id, batch.daemon_id, batch.boot_id)
-        self.claims[entry.key] = FoldedClaim(new_holder, expires)
+        # Few daemons make all the claims, so their names are kept once.
+        daemon_id, boot_id = sys.intern(batch.daemon_id), sys.intern(batch.boot_id)
+        self.claims[entry.key] = ClaimHolder(entry.serial, daemon_id, boot_id, expires)
 
     def drop_expired(self, now: timedelta) -> None:
         """Forget claims that the log has forgotten.
@@ -77,11 +64,19 @@
         :param now: monotonic time.
         """
         while self.claims:
-            key, folded = next(iter(self.claims.items()))
-            if folded.expires > now:
+            key, holder = next(iter(self.claims.items()))
+            if holder.expires > now:
                 return
             del self.claims[key]
 
     def clear(self) -> None:
         """Forget all claims, because newer records than these have expired."""
         self.claims.clear()
+
+
+def is_claim_of(holder: ClaimHolder, boot_id: str, entry: ClaimEntry) -> bool:
+    """Tell whether a key is held by a certain claim.
+
+    :param boot_id: run of the process that made the claim.
+    """
+    return holder.boot_id == boot_id and holder.serial == entry.serial
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -6,6 +6,7 @@
 lease is needed, and a claim that nobody waits for any more is never run but released.
 """
 
+import itertools
 import random
 from collections import OrderedDict
 from collections.abc import Callable
@@ -20,7 +21,7 @@
     make_gap_error,
     make_log_away_error,
 )
-from wagtailstep.controllers.claim_fold import ClaimFold
+from wagtailstep.controllers.claim_fold import ClaimFold, is_claim_of
 from wagtailstep.controllers.runs import (
     Run,
     RunBook,
@@ -53,7 +54,6 @@
 from wagtailstep.models.table import LogAwayPolicy
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import decode_message
-from wagtailstep.utils.ids import make_id
 
 MAX_GIVEN_UP = 10_000
 
@@ -90,15 +90,15 @@
         self.boot_id = boot_id
         self.blackboard = blackboard
         self.clock = clock
-        self.rng = rng
         self.book = book
         self.stream = name_stream(service)
         retention = timedelta(seconds=settings.log.retention_s)
         self.fold = ClaimFold(settings.requests.claims_kept, retention)
         self.appender = ClaimAppender(self.stream, settings.daemon_id, boot_id, rng)
-        self.pending: dict[str, PendingClaim] = {}
-        self.releasing: set[str] = set()
-        self.given_up: OrderedDict[str, None] = OrderedDict()
+        self.pending: dict[bytes, PendingClaim] = {}
+        self.releasing: set[int] = set()
+        self.given_up: OrderedDict[int, None] = OrderedDict()
+        self.serials = itertools.count(1)
 
     def begin(
         self, request: RequestContext, fingerprint: str
@@ -116,7 +116,7 @@
         if pending is not None:
             return self.join(pending, request, fingerprint), []
         holder = self.fold.find_holder(key)
-        if holder is not None and holder.claim_id not in self.releasing:
+        if holder is not None and not self.is_releasing(holder):
             return self.respect(holder, request), []
         if not self.blackboard.log_reachable:
             return self.begin_without_log(key, request, fingerprint)
@@ -124,9 +124,17 @@
             return Refuse(make_full_error(request)), []
         return self.claim(key, request, fingerprint)
 
-    def name_run(self, key: str) -> str:
+    def name_run(self, key: bytes) -> str:
         """Return the name of the run for a claimed key."""
-        return f"{self.service}/{key}"
+        return f"{self.service}/{key.hex()}"
+
+    def make_claim(self, key: bytes) -> ClaimEntry:
+        """Return a new claim on a key."""
+        return ClaimEntry(key, next(self.serials))
+
+    def is_releasing(self, holder: ClaimHolder) -> bool:
+        """Tell whether a key is held by an own claim whose release is under way."""
+        return holder.boot_id == self.boot_id and holder.serial in self.releasing
 
     def join(
         self, pending: PendingClaim, request: RequestContext, fingerprint: str
@@ -149,7 +157,7 @@
         return PassOn(holder.daemon_id)
 
     def begin_without_log(
-        self, key: str, request: RequestContext, fingerprint: str
+        self, key: bytes, request: RequestContext, fingerprint: str
     ) -> tuple[Decision, list[Any]]:
         """Refuse a request while the log is away, or run it unclaimed.
 
@@ -159,15 +167,15 @@
         row = self.blackboard.table.service_row(self.service)
         if row.log_away is LogAwayPolicy.REFUSE:
             return Refuse(make_log_away_error(request)), []
-        entry = ClaimEntry(key, make_id(self.rng))
+        entry = self.make_claim(key)
         self.appender.add(entry)
         return self.start_run(entry, fingerprint), [FollowStream(self.stream)]
 
     def claim(
-        self, key: str, request: RequestContext, fingerprint: str
+        self, key: bytes, request: RequestContext, fingerprint: str
     ) -> tuple[Decision, list[Any]]:
         """Append a claim; the decision comes when it has been read back."""
-        entry = ClaimEntry(key, make_id(self.rng))
+        entry = self.make_claim(key)
         self.pending[key] = PendingClaim(entry, fingerprint, [request])
         self.appender.add(entry)
         return Wait(), [FollowStream(self.stream), *self.flush()]
@@ -175,8 +183,7 @@
     def start_run(self, entry: ClaimEntry, fingerprint: str) -> RunHere:
         """Note that this daemon runs the request of a claim now."""
         run_id = self.name_run(entry.key)
-        run = Run(run_id, self.service, RunState.RUNNING, fingerprint)
-        run.claim_id = entry.claim_id
+        run = Run(run_id, self.service, RunState.RUNNING, fingerprint, claim=entry)
         self.book.add(run)
         return RunHere(run_id)
 
@@ -187,13 +194,12 @@
         the release can be read by anybody.
         """
         self.book.forget(run.run_id)
-        key = run.run_id.removeprefix(f"{self.service}/")
-        return self.release(ClaimEntry(key, run.claim_id))
+        return self.release(run.claim)
 
     def release(self, claim: ClaimEntry) -> list[Any]:
         """Append the release of a claim that was not run and never will be."""
         self.give_up(claim)
-        self.releasing.add(claim.claim_id)
+        self.releasing.add(claim.serial)
         self.appender.add(attrs.evolve(claim, released=True))
         return self.flush()
 
@@ -203,7 +209,7 @@
         The memory is bounded; a claim that is no longer in it keeps its key held,
         which is safe.
         """
-        self.given_up[claim.claim_id] = None
+        self.given_up[claim.serial] = None
         if len(self.given_up) > MAX_GIVEN_UP:
             self.given_up.popitem(last=False)
 
@@ -220,7 +226,7 @@
         pending.waiting.remove(request)
         if not pending.waiting:
             del self.pending[key]
-            self.appender.withdraw(pending.entry.claim_id)
+            self.appender.withdraw(pending.entry)
             self.give_up(pending.entry)
 
     def settle_append(self, event: LogAppendSettled) -> list[Any]:
@@ -235,19 +241,19 @@
     def is_wanted(self, entry: ClaimEntry) -> bool:
         """Tell whether an entry still has to get into the log."""
         if entry.released:
-            return entry.claim_id in self.releasing
+            return entry.serial in self.releasing
         pending = self.pending.get(entry.key)
-        if pending is not None and pending.entry.claim_id == entry.claim_id:
+        if pending is not None and pending.entry == entry:
             return True
         run = self.book.find(self.name_run(entry.key))
-        return run is not None and run.claim_id == entry.claim_id
+        return run is not None and run.claim == entry
 
     def refuse_pending(self, entries: tuple[ClaimEntry, ...]) -> list[RequestDecided]:
         """Refuse the requests whose claims the log did not take."""
         decided = []
         for entry in entries:
             pending = self.pending.get(entry.key)
-            if pending is None or pending.entry.claim_id != entry.claim_id:
+            if pending is None or pending.entry != entry:
                 continue
             del self.pending[entry.key]
             self.give_up(entry)
@@ -272,12 +278,12 @@
         self.fold.apply(batch, entry, self.clock.monotonic())
         if batch.boot_id != self.boot_id:
             return []
-        self.appender.note_read(entry)
+        self.appender.withdraw(entry)
         if entry.released:
-            self.releasing.discard(entry.claim_id)
+            self.releasing.discard(entry.serial)
             return []
         pending = self.pending.get(entry.key)
-        if pending is not None and pending.entry.claim_id == entry.claim_id:
+        if pending is not None and pending.entry == entry:
             del self.pending[entry.key]
             return self.decide(pending)
         return self.check_unexpected(entry)
@@ -288,12 +294,12 @@
         One that holds its key and was given up is released.
         """
         holder = self.fold.find_holder(entry.key)
-        won = holder is not None and holder.claim_id == entry.claim_id
-        if won and entry.claim_id in self.given_up:
+        won = holder is not None and is_claim_of(holder, self.boot_id, entry)
+        if won and entry.serial in self.given_up:
             return self.release(entry)
         run = self.book.find(self.name_run(entry.key))
-        if not won and run is not None and run.claim_id == entry.claim_id:
-            fields = {"service": self.service, "key": entry.key}
+        if not won and run is not None and run.claim == entry:
+            fields = {"service": self.service, "key": entry.key.hex()}
             return [RecordEvent("unclaimed-run-conflict", fields)]
         return []
 
@@ -303,10 +309,10 @@
         if holder is None or not self.fold.is_complete(self.clock.monotonic()):
             self.give_up(pending.entry)
             return refuse_all(pending, make_full_error)
-        if holder.claim_id == pending.entry.claim_id:
+        if is_claim_of(holder, self.boot_id, pending.entry):
             return self.win(pending)
         self.give_up(pending.entry)
-        if holder.claim_id in self.releasing:
+        if self.is_releasing(holder):
             return self.claim_again(pending)
         return [
             RequestDecided(request.request_id, self.respect(holder, request))
@@ -323,7 +329,7 @@
 
     def claim_again(self, pending: PendingClaim) -> list[Any]:
         """Claim a key whose holder is an own claim that is being released."""
-        entry = attrs.evolve(pending.entry, claim_id=make_id(self.rng))
+        entry = self.make_claim(pending.entry.key)
         self.pending[entry.key] = attrs.evolve(pending, entry=entry)
         self.appender.add(entry)
         return self.flush()
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -49,7 +49,8 @@
         self.blackboard = blackboard
         self.clock = clock
         self.rng = rng
-        self.boot_id = make_id(rng)
+        member = blackboard.this_member
+        self.boot_id = f"{member.daemon_id}/{member.incarnation}/{make_id(rng)}"
         self.book = RunBook(settings.requests)
         self.tickets = TicketOffice(blackboard, rng, self.book)
         self.desks: dict[str, ClaimDesk] = {}
@@ -107,7 +108,7 @@
         if run is None:
             return []
         decided = self.book.finish(run, verdict, answer)
-        if run.state is RunState.READY and run.claim_id is not None:
+        if run.state is RunState.READY and run.claim is not None:
             return [*decided, *self.find_desk(run.service).finish(run)]
         return list(decided)
 
@@ -130,7 +131,7 @@
         if parse_ticket(request.idempotency_key) is not None:
             return self.book.find(request.idempotency_key)
         key = digest_key(request.account, request.idempotency_key)
-        return self.book.find(f"{request.service}/{key}")
+        return self.book.find(f"{request.service}/{key.hex()}")
 
     def find_desk(self, service: str) -> ClaimDesk:
         """Return the claims of a service; the first call makes the desk."""
--- a/src/wagtailstep/controllers/runs.py
+++ b/src/wagtailstep/controllers/runs.py
@@ -7,6 +7,7 @@
 import attrs
 
 from wagtailstep.exceptions import BadRequestError, DuplicateRequestError
+from wagtailstep.models.claims import ClaimEntry
 from wagtailstep.models.idempotency import (
     Decision,
     Refuse,
@@ -41,7 +42,7 @@
     :param fingerprint: digest of the request that started it; empty before.
     :param answer: its answer, if it is kept.
     :param waiting: ``request_id`` of resends that wait for its end.
-    :param claim_id: the claim that it runs under; ``None`` for a ticket's run.
+    :param claim: the claim that it runs under; ``None`` for a ticket's run.
     """
 
     run_id: str
@@ -50,7 +51,7 @@
     fingerprint: str = ""
     answer: StoredAnswer | None = None
     waiting: list[str] = attrs.field(factory=list)
-    claim_id: str | None = None
+    claim: ClaimEntry | None = None
 
 
 class RunBook:
--- a/src/wagtailstep/models/claims.py
+++ b/src/wagtailstep/models/claims.py
@@ -1,6 +1,7 @@
 """Claims on idempotency keys, as records of the log streams ``claims.<service>``."""
 
 import hashlib
+from datetime import timedelta
 
 import attrs
 
@@ -15,12 +16,12 @@
     """A claim on a key, or the release of one.
 
     :param key: digest of client account and idempotency key.
-    :param claim_id: identifier of the claim, unique over the fleet.
+    :param serial: number of the claim, unique within the run of a process.
     :param released: whether the entry releases that claim.
     """
 
-    key: str
-    claim_id: str
+    key: bytes
+    serial: int
     released: bool = False
 
 
@@ -30,7 +31,7 @@
     """A record of claims and releases by one daemon, in order.
 
     :param daemon_id: the daemon.
-    :param boot_id: tells this run of its process from earlier ones.
+    :param boot_id: tells this run of its process from all others of the fleet.
     :param entries: claims and releases.
     """
 
@@ -43,14 +44,16 @@
 class ClaimHolder:
     """Who holds a key: the first claim in the log's order not released.
 
-    :param claim_id: identifier of that claim.
+    :param serial: number of that claim.
     :param daemon_id: the daemon that appended it.
     :param boot_id: run of that daemon's process.
+    :param expires: monotonic time when the log has forgotten the claim, too.
     """
 
-    claim_id: str
+    serial: int
     daemon_id: str
     boot_id: str
+    expires: timedelta
 
 
 def name_stream(service: str) -> str:
@@ -58,11 +61,11 @@
     return f"{STREAM_PREFIX}{service}"
 
 
-def digest_key(account: str, key: str) -> str:
+def digest_key(account: str, key: str) -> bytes:
     """Return the digest under which a key is claimed.
 
     Keys of different client accounts are different.
     """
     digest = hashlib.blake2b(digest_size=KEY_DIGEST_BYTES)
     digest.update(f"{len(account)}:{account}:{key}".encode())
-    return digest.hexdigest()
+    return digest.digest()
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -6,8 +6,8 @@
 
 from wagtailstep.exceptions import (
     BadRequestError,
-    DeadlineExceededError,
     RequestError,
+    TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
@@ -136,15 +136,14 @@
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk, or ``None`` at the end.
 
-        :raises DeadlineExceededError: if it does not come in time.
+        :raises TruncatedAnswerError: if it does not come in time.
         """
         try:
             async with asyncio.timeout(self.time_left().total_seconds()):
                 return await anext(self.answer.body, None)
         except TimeoutError:
-            raise DeadlineExceededError(
-                "the answer was not whole within the time allowed",
-                Verdict.MAY_HAVE_RUN,
+            raise TruncatedAnswerError(
+                "the answer was not whole within the time allowed"
             ) from None
 
     async def close(self) -> None:
