--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -68,7 +68,7 @@
         self.board = Blackboard(members[daemon_id], members=members)
         self.board.this_member = make_member(daemon_id, incarnation=boot)
         self.board.log_reachable = True
-        rng = random.Random(f"{daemon_id}/{boot}")
+        rng = random.Random(daemon_id)
         settings = make_settings(daemon_id)
         self.guard = DuplicateGuard(settings, self.board, context.clock, rng)
         self.appends = []
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -61,9 +61,9 @@
     async def close(self):
         self.closed += 1
 
-    def make_answer(self, status, text, verdict=Verdict.RUN, extra=(), error=None):
+    def make_answer(self, status, text, error=None):
         body = yield_chunks([text.encode()], error)
-        return Answer(status, tuple(extra), body, verdict, self.close)
+        return Answer(status, (), body, Verdict.RUN, self.close)
 
     async def end_answer(self, request, incoming):
         await self.read_body(incoming)
@@ -87,8 +87,7 @@
         raise exceptions.ConnectionFailedError("lost", MAY_HAVE_RUN)
 
     async def end_gate_overloaded(self, request, incoming):
-        extra = [(headers.REASON, "overloaded"), (headers.RETRY_AFTER, "2")]
-        return self.make_answer(503, "", NOT_RUN, extra)
+        raise exceptions.OverloadedError("no free slot", timedelta(seconds=2))
 
     async def end_gate_overloaded_while_the_body_is_on_its_way(self, request, incoming):
         reading = asyncio.create_task(self.read_body(incoming))
@@ -98,8 +97,7 @@
         return await self.end_gate_overloaded(request, incoming)
 
     async def end_gate_leaving(self, request, incoming):
-        extra = [(headers.REASON, "leaving")]
-        return self.make_answer(503, "", NOT_RUN, extra)
+        raise exceptions.LeavingError("leaving")
 
     async def end_hang(self, request, incoming):
         try:
--- a/src/wagtailstep/network/attempts.py
+++ b/src/wagtailstep/network/attempts.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from functools import singledispatch
 from typing import Any
 
 import attrs
 
-from wagtailstep import exceptions
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models import headers
@@ -20,66 +18,6 @@
 SERVER_ERROR = 500
 MAX_QUEUEING_MS = 86_400_000
 
-_REFUSALS = {
-    exceptions.LeavingError.reason: exceptions.LeavingError,
-    exceptions.NoTargetError.reason: exceptions.NoTargetError,
-}
-
-
-@singledispatch
-def blame_of(error: BaseException) -> Blame:
-    """Return what a failed attempt speaks against."""
-    return Blame.BACKEND_SERVER
-
-
-@blame_of.register
-def _(error: exceptions.ConnectionFailedError) -> Blame:
-    return Blame.CONNECTION if error.verdict is not Verdict.NOT_RUN else Blame.PATH
-
-
-@blame_of.register
-def _(error: exceptions.OverloadedError) -> Blame:
-    return Blame.OVERLOAD
-
-
-@blame_of.register(exceptions.LeavingError)
-@blame_of.register(exceptions.NoTargetError)
-def _(error: RequestError) -> Blame:
-    return Blame.NONE
-
-
-@blame_of.register
-def _(error: exceptions.BadRequestError) -> Blame:
-    return Blame.CALLER
-
-
-def make_refusal(answer: Answer) -> RequestError:
-    """Turn a gate's answer that is not the backend server's into its error.
-
-    :param answer: an answer whose verdict is not ``RUN``.
-    """
-    reason = find_header(answer.headers, headers.REASON) or "request-failed"
-    message = f"the gate ended the request: {reason}"
-    if answer.verdict is Verdict.NOT_RUN and reason in _REFUSALS:
-        return _REFUSALS[reason](message)
-    retry_after = read_retry_after(answer)
-    if answer.verdict is Verdict.NOT_RUN and reason == "overloaded":
-        wait = retry_after or timedelta(seconds=1)
-        return exceptions.OverloadedError(message, wait, answer.status)
-    if reason == exceptions.DeadlineExceededError.reason:
-        return exceptions.DeadlineExceededError(message, answer.verdict)
-    error = RequestError(message, answer.verdict, answer.status, retry_after)
-    error.reason = reason
-    return error
-
-
-def read_retry_after(answer: Answer) -> timedelta | None:
-    """Return the time in an answer's ``Retry-After`` header, if it has one."""
-    value = find_header(answer.headers, headers.RETRY_AFTER) or ""
-    if value.isascii() and value.isdigit() and len(value) <= 6:
-        return timedelta(seconds=int(value))
-    return None
-
 
 def read_queueing(answer: Answer) -> timedelta:
     """Return the time that the gate says the request waited for a slot."""
@@ -149,7 +87,7 @@
     def end_answer(self, verdict: Verdict, error: RequestError | None) -> None:
         """End the attempt with the end of its answer's body."""
         if error is not None:
-            self.end(verdict, blame_of(error))
+            self.end(verdict, error.blame)
         elif verdict is not Verdict.RUN:
             self.end(verdict, Blame.CALLER)
         elif self.status is not None and self.status >= SERVER_ERROR:
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -13,7 +13,7 @@
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict, worst_verdict
-from wagtailstep.network.attempts import Attempt, blame_of, make_refusal
+from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
@@ -90,16 +90,13 @@
         attempt.start()
         try:
             answer = await self.forward(exchange, target)
-            attempt.note_answer(answer)
-            if answer.verdict is not Verdict.RUN:
-                await answer.close()
-                raise make_refusal(answer)
         except RequestError as error:
-            attempt.end(error.verdict, blame_of(error))
+            attempt.end(error.verdict, error.blame)
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
             raise
+        attempt.note_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
         return self.track(answer, attempt, exchange)
 
