Wait a moment for the targets of a service that is new to a daemon

Cause: the first request for a service was refused although its targets were about to get known; a service once asked for stayed wanted for ever. Change: for one second after the first request for a service the entry waits for its targets, later requests are refused at once; services unused for ten minutes are dropped.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -84,6 +84,19 @@
     Then reading the answer fails with verdict "may-have-run"
     And nothing is in flight
 
+  Scenario: The first request for a service waits a moment for its targets
+    Given the targets get known 300 ms after the first request
+    When a caller sends GET "/lookup/7"
+    Then the answer is 200 with verdict "run"
+    And it took at most 330 ms
+
+  Scenario: A service that has no targets is refused at once after that
+    Given the targets get known 5000 ms after the first request
+    When 3 callers send GET "/lookup/7" one after the other
+    Then the answer is 503 with verdict "not-run"
+    And the answer tells when to come back
+    And it took at most 1020 ms
+
   Scenario: The deadline travels as time left and ends the request at once
     Given every attempt hangs
     When a caller sends POST "/sign" with header wagtailstep-timeout-ms "400"
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -97,3 +97,4 @@
   Scenario: Made-up service names do not fill the memory
     When requests for 3000 unknown services are admitted
     Then at most 1024 services are wanted
+    And none of them is wanted any more after 11 minutes
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -122,6 +122,8 @@
             self.board.members[target.daemon_id] = make_member(target.daemon_id)
         self.forwarder = ScriptedForwarder()
         self.events = []
+        self.late_targets = {}
+        self.late_after = 0
         self.appends = []
 
     def make_entry(self):
@@ -138,6 +140,9 @@
         )
         return self.entry
 
+    def reveal_targets(self):
+        self.board.targets.update(self.late_targets)
+
     def apply(self, effects):
         for effect in effects:
             if isinstance(effect, RequestDecided):
@@ -173,6 +178,14 @@
     context.world.forwarder.rest = end
 
 
+@given("the targets get known {time:d} ms after the first request")
+def set_late_targets(context, time):
+    world = context.world
+    world.late_targets = dict(world.board.targets)
+    world.late_after = time / 1000
+    world.board.targets.clear()
+
+
 @given("every attempt hangs")
 def set_hanging(context):
     context.world.forwarder.rest = "hang"
@@ -204,6 +217,9 @@
 def send(context, method, path, extra=(), body=None, count=1):
     async def call():
         entry = context.world.make_entry()
+        asyncio.get_running_loop().call_later(
+            context.world.late_after, context.world.reveal_targets
+        )
         started = asyncio.get_running_loop().time()
         for _ in range(count):
             incoming = make_incoming(method, path, extra, body)
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -9,6 +9,7 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import NoTargetError, OverloadedError, RequestError
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Tick
 from wagtailstep.models.fleet import (
     Member,
     MemberState,
@@ -282,6 +283,17 @@
     assert 0 < len(context.board.wanted_services) <= count
 
 
+@then("none of them is wanted any more after 11 minutes")
+def check_expiry(context):
+    context.clock.advance(timedelta(minutes=9))
+    context.routing.handle(Tick())
+    assert context.board.wanted_services
+    context.clock.advance(timedelta(minutes=2))
+    context.routing.handle(Tick())
+    assert not context.board.wanted_services
+    context.routing.admit(make_request(context))
+
+
 @given("{count:d} targets of {services:d} other services are known")
 def add_other_targets(context, count, services):
     for number in range(count):
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -10,20 +10,22 @@
 import random
 from collections.abc import Collection
 from datetime import timedelta
+from functools import singledispatchmethod
 from typing import Any
 
 import attrs
 
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
+from wagtailstep.controllers.wanted import WantedServices
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Tick
 from wagtailstep.models.fleet import MemberState, Target, TargetHealth, TargetState
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
 MIN_RAMP = 0.05
-MAX_WANTED_SERVICES = 1_024
 CHOICE_LIFETIME = timedelta(milliseconds=50)
 
 _IN_GOOD_STANDING = TargetHealth()
@@ -88,9 +90,16 @@
         self.rng = rng
         self.choices: dict[str, Choice] = {}
         self.accounts = AccountLimiter(settings.requests, clock)
+        self.wanted = WantedServices(blackboard, clock)
 
+    @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
-        """Ignore all events: routing reads the blackboard at each request."""
+        """Take one event; most are ignored, the blackboard is read at each pick."""
+        return []
+
+    @handle.register
+    def _(self, event: Tick) -> list[Any]:
+        self.wanted.expire()
         return []
 
     def admit(self, request: RequestContext) -> None:
@@ -100,23 +109,13 @@
             account is reached; the request is not counted then.
         :raises NoTargetError: if its service is unknown and too many are wanted.
         """
-        self.want_service(request.service)
+        self.wanted.note_request(request.service)
         check_concurrency(self.blackboard, request)
         self.accounts.take(self.blackboard.table, request)
         in_flight = self.blackboard.in_flight
         _increment(in_flight.by_service, request.service)
         _increment(in_flight.by_route, f"{request.service}/{request.route}")
 
-    def want_service(self, service: str) -> None:
-        """Note that callers ask for a service, so that its targets get known.
-
-        :raises NoTargetError: if too many services are wanted.
-        """
-        wanted = self.blackboard.wanted_services
-        if service not in wanted and len(wanted) >= MAX_WANTED_SERVICES:
-            raise NoTargetError(f"service {service!r} is not known to this daemon")
-        wanted.add(service)
-
     def release(self, request: RequestContext) -> None:
         """Count an admitted request out."""
         in_flight = self.blackboard.in_flight
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -19,6 +19,7 @@
 from wagtailstep.utils.clock import Clock
 
 DEADLINE_GRACE_MS = 20
+DISCOVERY_INTERVAL = timedelta(milliseconds=20)
 
 
 class AttemptSender:
@@ -57,6 +58,7 @@
             attempts.
         """
         request = exchange.request
+        await self.wait_for_discovery(request)
         self.retries.record_first_attempt(request.service)
         while True:
             exchange.attempts += 1
@@ -71,6 +73,13 @@
                 if not may_resend:
                     raise
 
+    async def wait_for_discovery(self, request: RequestContext) -> None:
+        """Give the targets of a service that is new here a moment to get known."""
+        while self.routing.wanted.is_being_discovered(request.service):
+            if self.time_left(request) < DISCOVERY_INTERVAL:
+                return
+            await asyncio.sleep(DISCOVERY_INTERVAL.total_seconds())
+
     async def attempt(self, exchange: Exchange) -> Answer:
         """Send a request to one target.
 
