--- a/src/wagtailstep/models/exchange.py
+++ b/src/wagtailstep/models/exchange.py
@@ -66,7 +66,9 @@
     ) -> Answer:
         """Send the request once, never again, and return the answer's head.
 
-        Cancelling the call closes the connection, which tells the gate.
+        The answer's body has to end within ``time_left`` as well; one that doesn't
+        raises :class:`wagtailstep.exceptions.TruncatedAnswerError`. Cancelling the
+        call closes the connection, which tells the gate.
 
         :raises RequestError: with the verdict; ``NOT_RUN`` only as a fact.
         """
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -1,13 +1,10 @@
 """Bodies on their way through the entry."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
-from datetime import timedelta
 
 from wagtailstep.exceptions import (
     BadRequestError,
     RequestError,
-    TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
@@ -99,18 +96,11 @@
     :param answer: the answer, unread.
     :param on_end: called once with ``RUN`` after the whole body, else with
         ``MAY_HAVE_RUN`` and the error, or ``None`` if the reader stopped early.
-    :param time_left: returns the time until the request's deadline.
     """
 
-    def __init__(
-        self,
-        answer: Answer,
-        on_end: OnAnswerEnd,
-        time_left: Callable[[], timedelta],
-    ) -> None:
+    def __init__(self, answer: Answer, on_end: OnAnswerEnd) -> None:
         self.answer = answer
         self.on_end = on_end
-        self.time_left = time_left
         self.ended = False
 
     def make_answer(self) -> Answer:
@@ -126,26 +116,13 @@
         :raises RequestError: if the answer broke off.
         """
         try:
-            while (chunk := await self.read_chunk()) is not None:
+            async for chunk in self.answer.body:
                 yield chunk
         except RequestError as error:
             self.end(Verdict.MAY_HAVE_RUN, error)
             raise
         self.end(Verdict.RUN)
 
-    async def read_chunk(self) -> bytes | None:
-        """Return the next chunk, or ``None`` at the end.
-
-        :raises TruncatedAnswerError: if it does not come in time.
-        """
-        try:
-            async with asyncio.timeout(self.time_left().total_seconds()):
-                return await anext(self.answer.body, None)
-        except TimeoutError:
-            raise TruncatedAnswerError(
-                "the answer was not whole within the time allowed"
-            ) from None
-
     async def close(self) -> None:
         """Release the connection; an unfinished answer ends as cut."""
         self.end(Verdict.MAY_HAVE_RUN)
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -290,7 +290,7 @@
         if member is None:
             raise make_unknown_error("the daemon that may run it is gone")
         answer = await self.pass_on(exchange, member)
-        return self.track(answer, exchange, lambda verdict, _: exchange.release())
+        return self.track(answer, lambda verdict, _: exchange.release())
 
     @follow.register
     async def _(self, decision: RunHere, exchange: Exchange) -> Answer:
@@ -358,10 +358,8 @@
             exchange.end(Verdict.RUN, stored)
             return Answer(answer.status, answer.headers, yield_body(data), Verdict.RUN)
         answer.body = chain_body(chunks, answer.body)
-        return self.track(answer, exchange, lambda verdict, _: exchange.end(verdict))
+        return self.track(answer, lambda verdict, _: exchange.end(verdict))
 
-    def track(self, answer: Answer, exchange: Exchange, on_end: OnAnswerEnd) -> Answer:
+    def track(self, answer: Answer, on_end: OnAnswerEnd) -> Answer:
         """Return the answer with a body whose end is told to ``on_end``."""
-        request = exchange.request
-        stream = AnswerStream(answer, on_end, lambda: self.sender.time_left(request))
-        return stream.make_answer()
+        return AnswerStream(answer, on_end).make_answer()
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -145,5 +145,4 @@
             if exchange.on_end is None:
                 exchange.release()
 
-        stream = AnswerStream(answer, end, lambda: self.time_left(exchange.request))
-        return stream.make_answer()
+        return AnswerStream(answer, end).make_answer()
