--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -68,7 +68,7 @@
         self.board = Blackboard(members[daemon_id], members=members)
         self.board.this_member = make_member(daemon_id, incarnation=boot)
         self.board.log_reachable = True
-        rng = random.Random(f"{daemon_id}/{boot}")
+        rng = random.Random(daemon_id)
         settings = make_settings(daemon_id)
         self.guard = DuplicateGuard(settings, self.board, context.clock, rng)
         self.appends = []
@@ -403,7 +403,9 @@
 @when("{count:d} other key is claimed in the log")
 def claim_many(context, count):
     start = sum(len(data) for data in context.log)
-    entries = tuple(ClaimEntry(f"{start}-{n}", f"c{start}-{n}") for n in range(count))
+    entries = tuple(
+        ClaimEntry(f"{start}-{n}".encode(), start + n) for n in range(count)
+    )
     context.log.append(encode_message(ClaimBatch("z", "boot", entries)))
     read_everywhere(context)
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -61,9 +61,9 @@
     async def close(self):
         self.closed += 1
 
-    def make_answer(self, status, text, verdict=Verdict.RUN, extra=(), error=None):
+    def make_answer(self, status, text, error=None):
         body = yield_chunks([text.encode()], error)
-        return Answer(status, tuple(extra), body, verdict, self.close)
+        return Answer(status, (), body, Verdict.RUN, self.close)
 
     async def end_answer(self, request, incoming):
         await self.read_body(incoming)
@@ -87,8 +87,7 @@
         raise exceptions.ConnectionFailedError("lost", MAY_HAVE_RUN)
 
     async def end_gate_overloaded(self, request, incoming):
-        extra = [(headers.REASON, "overloaded"), (headers.RETRY_AFTER, "2")]
-        return self.make_answer(503, "", NOT_RUN, extra)
+        raise exceptions.OverloadedError("no free slot", timedelta(seconds=2))
 
     async def end_gate_overloaded_while_the_body_is_on_its_way(self, request, incoming):
         reading = asyncio.create_task(self.read_body(incoming))
@@ -98,8 +97,7 @@
         return await self.end_gate_overloaded(request, incoming)
 
     async def end_gate_leaving(self, request, incoming):
-        extra = [(headers.REASON, "leaving")]
-        return self.make_answer(503, "", NOT_RUN, extra)
+        raise exceptions.LeavingError("leaving")
 
     async def end_hang(self, request, incoming):
         try:
@@ -124,6 +122,8 @@
             self.board.members[target.daemon_id] = make_member(target.daemon_id)
         self.forwarder = ScriptedForwarder()
         self.events = []
+        self.late_targets = {}
+        self.late_after = 0
         self.appends = []
 
     def make_entry(self):
@@ -140,6 +140,9 @@
         )
         return self.entry
 
+    def reveal_targets(self):
+        self.board.targets.update(self.late_targets)
+
     def apply(self, effects):
         for effect in effects:
             if isinstance(effect, RequestDecided):
@@ -175,6 +178,14 @@
     context.world.forwarder.rest = end
 
 
+@given("the targets get known {time:d} ms after the first request")
+def set_late_targets(context, time):
+    world = context.world
+    world.late_targets = dict(world.board.targets)
+    world.late_after = time / 1000
+    world.board.targets.clear()
+
+
 @given("every attempt hangs")
 def set_hanging(context):
     context.world.forwarder.rest = "hang"
@@ -206,6 +217,9 @@
 def send(context, method, path, extra=(), body=None, count=1):
     async def call():
         entry = context.world.make_entry()
+        asyncio.get_running_loop().call_later(
+            context.world.late_after, context.world.reveal_targets
+        )
         started = asyncio.get_running_loop().time()
         for _ in range(count):
             incoming = make_incoming(method, path, extra, body)
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -1,12 +1,9 @@
 """Bodies on their way through the entry."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable
-from datetime import timedelta
 
 from wagtailstep.exceptions import (
     BadRequestError,
-    DeadlineExceededError,
     RequestError,
 )
 from wagtailstep.models.exchange import Answer
@@ -99,18 +96,11 @@
     :param answer: the answer, unread.
     :param on_end: called once with ``RUN`` after the whole body, else with
         ``MAY_HAVE_RUN`` and the error, or ``None`` if the reader stopped early.
-    :param time_left: returns the time until the request's deadline.
     """
 
-    def __init__(
-        self,
-        answer: Answer,
-        on_end: OnAnswerEnd,
-        time_left: Callable[[], timedelta],
-    ) -> None:
+    def __init__(self, answer: Answer, on_end: OnAnswerEnd) -> None:
         self.answer = answer
         self.on_end = on_end
-        self.time_left = time_left
         self.ended = False
 
     def make_answer(self) -> Answer:
@@ -126,27 +116,13 @@
         :raises RequestError: if the answer broke off.
         """
         try:
-            while (chunk := await self.read_chunk()) is not None:
+            async for chunk in self.answer.body:
                 yield chunk
         except RequestError as error:
             self.end(Verdict.MAY_HAVE_RUN, error)
             raise
         self.end(Verdict.RUN)
 
-    async def read_chunk(self) -> bytes | None:
-        """Return the next chunk, or ``None`` at the end.
-
-        :raises DeadlineExceededError: if it does not come in time.
-        """
-        try:
-            async with asyncio.timeout(self.time_left().total_seconds()):
-                return await anext(self.answer.body, None)
-        except TimeoutError:
-            raise DeadlineExceededError(
-                "the answer was not whole within the time allowed",
-                Verdict.MAY_HAVE_RUN,
-            ) from None
-
     async def close(self) -> None:
         """Release the connection; an unfinished answer ends as cut."""
         self.end(Verdict.MAY_HAVE_RUN)
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -13,12 +13,13 @@
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict, worst_verdict
-from wagtailstep.network.attempts import Attempt, blame_of, make_refusal
+from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
 
 DEADLINE_GRACE_MS = 20
+DISCOVERY_INTERVAL = timedelta(milliseconds=20)
 
 
 class AttemptSender:
@@ -57,6 +58,7 @@
             attempts.
         """
         request = exchange.request
+        await self.wait_for_discovery(request)
         self.retries.record_first_attempt(request.service)
         while True:
             exchange.attempts += 1
@@ -71,6 +73,13 @@
                 if not may_resend:
                     raise
 
+    async def wait_for_discovery(self, request: RequestContext) -> None:
+        """Give the targets of a service that is new here a moment to get known."""
+        while self.routing.wanted.is_being_discovered(request.service):
+            if self.time_left(request) < DISCOVERY_INTERVAL:
+                return
+            await asyncio.sleep(DISCOVERY_INTERVAL.total_seconds())
+
     async def attempt(self, exchange: Exchange) -> Answer:
         """Send a request to one target.
 
@@ -90,16 +99,13 @@
         attempt.start()
         try:
             answer = await self.forward(exchange, target)
-            attempt.note_answer(answer)
-            if answer.verdict is not Verdict.RUN:
-                await answer.close()
-                raise make_refusal(answer)
         except RequestError as error:
-            attempt.end(error.verdict, blame_of(error))
+            attempt.end(error.verdict, error.blame)
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
             raise
+        attempt.note_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
         return self.track(answer, attempt, exchange)
 
@@ -139,5 +145,4 @@
             if exchange.on_end is None:
                 exchange.release()
 
-        stream = AnswerStream(answer, end, lambda: self.time_left(exchange.request))
-        return stream.make_answer()
+        return AnswerStream(answer, end).make_answer()
