--- a/examples/demo_run.py
+++ b/examples/demo_run.py
@@ -30,7 +30,7 @@
 from wagtailstep.utils.clock import LoopClock
 
 RATES = {"contracts": 100.0, "archive": 15.0, "staffroom": 40.0, "eventday": 15.0}
-JOIN_TIMEOUT_S = 25
+JOIN_TIMEOUT_S = 15
 POLL_S = 0.05
 QUIET_S = 1.0
 BEFORE_FAULT_S = 4
--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -101,9 +101,7 @@
         if batch.records:
             self.dispatch(LogRecordsRead(self.stream, batch.records))
             return True
-        if not self.end_reached:
-            self.end_reached = True
-            self.dispatch(LogRecordsRead(self.stream, ()))
+        self.dispatch(LogCaughtUp(self.stream, batch.next_offset))
         self.dispatch(StreamEndRead(self.stream, asked_at))
         return False
 
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -141,7 +141,13 @@
         """Run a coroutine until it ends or the runtime closes."""
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.end_task)
+
+    def end_task(self, task: asyncio.Task[None]) -> None:
+        """Forget a task; one that failed is a fault of this program and is logged."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("event=task-failed", exc_info=task.exception())
 
     def record_event(self, kind: str, **fields: object) -> None:
         """Put an event on the time line and write it to the log output."""
