--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -1,7 +1,101 @@
 """Settings of the daemon, read from one JSON file."""
 
+import re
+from typing import Any
+
 import attrs
 
+_ADDRESS = re.compile(r"^[^\s:/]+:\d{1,5}$")
+MAX_PORT = 65_535
+
+
+class SettingValueError(ValueError):
+    """A value has the right type and is not allowed.
+
+    :param name: name of the setting.
+    """
+
+    def __init__(self, name: str, message: str) -> None:
+        super().__init__(message)
+        self.name = name
+
+
+def check_positive(_: Any, attribute: attrs.Attribute, value: float) -> None:
+    """Refuse zero and less.
+
+    :raises SettingValueError: if the value is not positive.
+    """
+    if value <= 0:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give a number above 0"
+        )
+
+
+def check_not_negative(_: Any, attribute: attrs.Attribute, value: float) -> None:
+    """Refuse less than zero.
+
+    :raises SettingValueError: if the value is negative.
+    """
+    if value < 0:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give 0 or more"
+        )
+
+
+def check_address(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse what is not ``host:port``.
+
+    :raises SettingValueError: if the value is not an address.
+    """
+    is_address = bool(_ADDRESS.match(value))
+    if not is_address or int(value.rpartition(":")[2]) > MAX_PORT:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give an address as host:port"
+        )
+
+
+def check_addresses(instance: Any, attribute: attrs.Attribute, value: Any) -> None:
+    """Refuse a list with an element that is not ``host:port``.
+
+    :raises SettingValueError: if an element is not an address.
+    """
+    for element in value:
+        check_address(instance, attribute, element)
+
+
+def check_name(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse an empty name and one with spaces or slashes.
+
+    :raises SettingValueError: if the value is not a name.
+    """
+    if not re.fullmatch(r"[A-Za-z0-9._-]+", value):
+        raise SettingValueError(
+            attribute.name,
+            f"{value!r} is not allowed; use letters, digits, dot, dash, underscore",
+        )
+
+
+def check_log_level(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse a name that is not a logging level.
+
+    :raises SettingValueError: if the value is not a level.
+    """
+    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
+    if value not in levels:
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give one of {', '.join(levels)}"
+        )
+
+
+def positive(default: Any) -> Any:
+    """Declare a field whose value must be above 0."""
+    return attrs.field(default=default, validator=check_positive)
+
+
+def not_negative(default: Any) -> Any:
+    """Declare a field whose value must be 0 or more."""
+    return attrs.field(default=default, validator=check_not_negative)
+
 
 @attrs.frozen
 class RequestSettings:
@@ -15,16 +109,33 @@
     :param max_attempts: attempts at one request, the first one included.
     :param connect_timeout_ms: time to open a connection to a gate.
     :param connection_idle_ms: an idle connection older than this is not reused.
+    :param probe_path: path that a probe of a backend server asks for.
+    :param other_zone_cost: factor on the cost of a target in another availability
+        zone; 1 ignores zones.
+    :param replay_body_bytes: size up to which a request body is kept for a resend.
+    :param account_buckets: client accounts whose rates are remembered at once.
+    :param tickets_kept: tickets and claimed keys that one daemon remembers.
+    :param answer_bytes: size up to which the answer of a keyed request is kept.
+    :param answers_kept_bytes: total size of the kept answers.
+    :param claims_kept: claims of other daemons that one daemon remembers.
     """
 
-    default_timeout_ms: int = 30_000
-    queue_length: int = 16
-    queue_timeout_ms: int = 1_000
-    retry_ratio: float = 0.1
-    retry_burst: int = 10
-    max_attempts: int = 3
-    connect_timeout_ms: int = 1_000
-    connection_idle_ms: int = 5_000
+    default_timeout_ms: int = positive(30_000)
+    queue_length: int = not_negative(16)
+    queue_timeout_ms: int = positive(1_000)
+    retry_ratio: float = not_negative(0.1)
+    retry_burst: int = not_negative(10)
+    max_attempts: int = positive(3)
+    connect_timeout_ms: int = positive(1_000)
+    connection_idle_ms: int = positive(5_000)
+    probe_path: str = "/health"
+    other_zone_cost: float = positive(1.25)
+    replay_body_bytes: int = positive(65_536)
+    account_buckets: int = positive(1_024)
+    tickets_kept: int = positive(10_000)
+    answer_bytes: int = positive(16_384)
+    answers_kept_bytes: int = positive(4_194_304)
+    claims_kept: int = positive(50_000)
 
 
 @attrs.frozen
@@ -37,14 +148,31 @@
     :param suspicion_timeout_ms: time a suspect daemon has to refute.
     :param lease_ms: a target not renewed for this long has lapsed.
     :param renew_ms: time between two renewals.
+    :param announce_lease_ms: a backend server beside the daemon that doesn't renew
+        its announcement for this long has left.
+    :param indirect_probes: daemons asked to ping a third one that doesn't answer.
+    :param rejoin_ms: time between two attempts to reach a seed or a dead daemon.
+    :param dead_retention_s: how long a dead daemon is remembered and tried again.
+    :param digest_fanout: daemons of one service that a heartbeat is sent to in one
+        round; there are three rounds in each ``renew_ms``.
+    :param digest_sends: times that one daemon passes on one heartbeat of another.
+    :param member_append_s: mean time between two appends to the log's stream of
+        members by the whole fleet.
     """
 
-    seeds: tuple[str, ...] = ()
-    probe_interval_ms: int = 1_000
-    probe_timeout_ms: int = 300
-    suspicion_timeout_ms: int = 3_000
-    lease_ms: int = 2_000
-    renew_ms: int = 600
+    seeds: tuple[str, ...] = attrs.field(default=(), validator=check_addresses)
+    probe_interval_ms: int = positive(1_000)
+    probe_timeout_ms: int = positive(300)
+    suspicion_timeout_ms: int = positive(3_000)
+    lease_ms: int = positive(1_800)
+    renew_ms: int = positive(600)
+    announce_lease_ms: int = positive(3_000)
+    indirect_probes: int = not_negative(3)
+    rejoin_ms: int = positive(5_000)
+    dead_retention_s: float = positive(7_200.0)
+    digest_fanout: int = positive(2)
+    digest_sends: int = positive(4)
+    member_append_s: float = positive(20.0)
 
 
 @attrs.frozen
@@ -57,10 +185,10 @@
     :param retention_s: how long the log keeps a record.
     """
 
-    address: str = ""
-    timeout_ms: int = 1_000
-    poll_ms: int = 500
-    retention_s: float = 86_400.0
+    address: str = attrs.field(default="127.0.0.1:7400", validator=check_address)
+    timeout_ms: int = positive(1_000)
+    poll_ms: int = positive(500)
+    retention_s: float = positive(86_400.0)
 
 
 @attrs.frozen
@@ -83,17 +211,17 @@
     :param snapshot_edits: records after the last snapshot that make one due.
     """
 
-    digest_interval_ms: int = 1_000
-    repeat_interval_ms: int = 4_000
-    repeat_bytes: int = 1_024
-    push_fanout: int = 3
-    confirm_timeout_ms: int = 1_000
-    first_answers: int = 5
-    first_answers_timeout_ms: int = 5_000
-    reply_bytes: int = 8_192
-    chunk_bytes: int = 16_384
-    chunk_timeout_ms: int = 1_000
-    snapshot_edits: int = 256
+    digest_interval_ms: int = positive(1_000)
+    repeat_interval_ms: int = positive(4_000)
+    repeat_bytes: int = positive(1_024)
+    push_fanout: int = positive(3)
+    confirm_timeout_ms: int = positive(1_000)
+    first_answers: int = positive(5)
+    first_answers_timeout_ms: int = positive(5_000)
+    reply_bytes: int = positive(8_192)
+    chunk_bytes: int = positive(16_384)
+    chunk_timeout_ms: int = positive(1_000)
+    snapshot_edits: int = positive(256)
 
 
 @attrs.frozen
@@ -111,14 +239,14 @@
     :param seed: seed of all random choices; ``None`` takes one from the system.
     """
 
-    daemon_id: str
-    availability_zone: str
-    caller_address: str
-    gate_address: str
-    peer_address: str
-    announce_address: str
-    log_level: str = "INFO"
-    event_ring_size: int = 4_096
+    daemon_id: str = attrs.field(validator=check_name)
+    availability_zone: str = attrs.field(validator=check_name)
+    caller_address: str = attrs.field(validator=check_address)
+    gate_address: str = attrs.field(validator=check_address)
+    peer_address: str = attrs.field(validator=check_address)
+    announce_address: str = attrs.field(validator=check_address)
+    log_level: str = attrs.field(default="INFO", validator=check_log_level)
+    event_ring_size: int = positive(4_096)
     seed: int | None = None
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
