--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from wagtailstep.exceptions import LogError, RecordExpiredError
-from wagtailstep.models.events import LogGap, LogRecordsRead, StreamEndRead
+from wagtailstep.models.events import (
+    LogCaughtUp,
+    LogGap,
+    LogRecordsRead,
+    StreamEndRead,
+)
 from wagtailstep.models.log import LogBatch, LogService
 from wagtailstep.models.settings import LogSettings
 from wagtailstep.utils.logging import log_event
