--- /dev/null
+++ b/features/steps/http_client_steps.py
@@ -0,0 +1,316 @@
+"""Steps for the HTTP client: a scripted server counts what is delivered."""
+
+import asyncio
+from collections import deque
+from datetime import timedelta
+
+import detangle
+import h11
+from behave import given, then, when
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import LoopClock
+
+ADDRESS = "server:80"
+CLIENT_PATIENCE = timedelta(seconds=2)
+
+
+class ScriptedServer:
+    """Reads requests with h11 and ends each as its path says."""
+
+    def __init__(self):
+        self.delivered = []
+        self.connections = 0
+        self.closed_by_client = 0
+        self.body_bytes = 0
+
+    async def listen(self):
+        server = await asyncio.start_server(self.serve, "server", 80)
+        await server.serve_forever()
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        state = h11.Connection(h11.SERVER)
+        try:
+            while await self.serve_one(state, reader, writer):
+                state.start_next_cycle()
+        except OSError:
+            self.closed_by_client += 1
+        except (h11.ProtocolError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def next_event(self, state, reader):
+        event = state.next_event()
+        while event is h11.NEED_DATA:
+            state.receive_data(await reader.read(65_536))
+            event = state.next_event()
+        return event
+
+    async def serve_one(self, state, reader, writer):
+        request = await self.next_event(state, reader)
+        if not isinstance(request, h11.Request):
+            self.closed_by_client += 1
+            return False
+        path = request.target.decode()
+        self.delivered.append(path)
+        if path.startswith("/early"):
+            self.answer(state, writer, 503, b"refused")
+            return False
+        event = await self.next_event(state, reader)
+        while isinstance(event, h11.Data):
+            self.body_bytes += len(event.data)
+            event = await self.next_event(state, reader)
+        return await self.end(path, state, reader, writer)
+
+    async def end(self, path, state, reader, writer):
+        behaviour = path.split("/")[1]
+        if behaviour == "close":
+            return False
+        if behaviour == "garbage":
+            writer.write(b"\x00\x01 not http\r\n\r\n")
+            return False
+        if behaviour == "half-head":
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-le")
+            return False
+        if behaviour == "truncate":
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort")
+            return False
+        if behaviour == "never":
+            await reader.read(1)
+            self.closed_by_client += 1
+            return False
+        if behaviour == "late":
+            await asyncio.sleep(5)
+        if behaviour == "informed":
+            writer.write(b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n")
+        self.answer(state, writer, 200, path.encode())
+        if behaviour == "extra":
+            writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
+        return True
+
+    def answer(self, state, writer, status, body):
+        headers = [("content-length", str(len(body)))]
+        for event in (
+            h11.Response(status_code=status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ):
+            writer.write(state.send(event))
+
+
+class CarelessClient(HttpClient):
+    """Planted fault: keeps the connection of an answer that never came."""
+
+    async def acquire(self, request):
+        connection = await super().acquire(request)
+        connection.close = lambda: self.keep(connection)
+        return connection
+
+    def keep(self, connection):
+        del connection.close
+        connection.state = h11.Connection(h11.CLIENT)
+        connection.consumed = connection.reader.arrived
+        connection.proved_at = self.clock.monotonic()
+        self.pools.setdefault(connection.address, deque()).append(connection)
+
+
+class ResendingClient(HttpClient):
+    """Planted fault: sends a request again when its connection broke."""
+
+    async def send(self, request):
+        try:
+            return await super().send(request)
+        except RequestError:
+            return await super().send(request)
+
+
+class Caller:
+    """Sends requests one after the other and keeps what came of each."""
+
+    def __init__(self, client):
+        self.client = client
+        self.results = []
+
+    async def call(self, path, method="GET", body=None, length=None, patience=None):
+        headers = () if length is None else (("content-length", str(length)),)
+        request = HttpRequest(
+            address=ADDRESS,
+            method=method,
+            path=path,
+            headers=headers,
+            body=body,
+            idempotent=method == "GET",
+            time_left=patience or CLIENT_PATIENCE,
+        )
+        try:
+            answer = await self.client.send(request)
+            text = b"".join([chunk async for chunk in answer.body]).decode()
+            await answer.close()
+            self.results.append((path, answer.status, text))
+        except RequestError as error:
+            self.results.append((path, error.verdict.value, error.reason))
+
+
+def run_with_server(context, scenario, listening=True):
+    """Run a scenario in virtual time beside a scripted server."""
+    context.server = ScriptedServer()
+
+    async def main():
+        if listening:
+            detangle.spawn(context.server.listen(), host="server")
+            await asyncio.sleep(0.01)
+        client = context.client_class(RequestSettings(), LoopClock())
+        context.caller = Caller(client)
+        await scenario(context.caller)
+        await asyncio.sleep(10)
+        client.close()
+
+    detangle.run(main, seed=getattr(context, "schedule", 1))
+
+
+@given("an HTTP client and a scripted server")
+def use_client(context):
+    context.client_class = HttpClient
+
+
+@given('an HTTP client with the planted fault "{name}" and a scripted server')
+def use_faulty_client(context, name):
+    faults = {"careless": CarelessClient, "resending": ResendingClient}
+    context.client_class = faults[name]
+
+
+@when('it sends a non-idempotent request that the server ends with "{behaviour}"')
+def send_failing(context, behaviour):
+    async def scenario(caller):
+        await caller.call(f"/{behaviour}/1", "POST")
+
+    run_with_server(context, scenario)
+
+
+@when('it sends "{first}" and then the same over the kept connection with "{second}"')
+def send_on_kept(context, first, second):
+    async def scenario(caller):
+        await caller.call(f"/{first}/1", "POST")
+        await caller.call(f"/{second}/2", "POST")
+
+    run_with_server(context, scenario)
+
+
+@when("it sends a request while nobody listens")
+def send_to_nobody(context):
+    async def scenario(caller):
+        await caller.call("/ok/1", "POST")
+
+    run_with_server(context, scenario, listening=False)
+
+
+@when("one request times out and another follows before the late answer")
+def send_after_timeout(context):
+    async def scenario(caller):
+        await caller.call("/late/1")
+        await caller.call("/ok/2", patience=timedelta(seconds=60))
+
+    run_with_server(context, scenario)
+
+
+@when("a non-idempotent request follows {gap_s:d} s after another one")
+def send_after_gap(context, gap_s):
+    async def scenario(caller):
+        await caller.call("/ok/1", "POST")
+        await asyncio.sleep(gap_s)
+        await caller.call("/ok/2", "POST")
+
+    run_with_server(context, scenario)
+
+
+@when("an idempotent request follows {gap_s:d} s after another one")
+def send_idempotent_after_gap(context, gap_s):
+    async def scenario(caller):
+        await caller.call("/ok/1")
+        await asyncio.sleep(gap_s)
+        await caller.call("/ok/2")
+
+    run_with_server(context, scenario)
+
+
+@when("it sends a body of {chunks:d} chunks that the server refuses unread")
+def send_refused_body(context, chunks):
+    context.chunks_taken = 0
+
+    async def body():
+        for _ in range(chunks):
+            context.chunks_taken += 1
+            await asyncio.sleep(0.01)
+            yield b"x" * 65_536
+
+    async def scenario(caller):
+        await caller.call("/early/1", "POST", body(), chunks * 65_536)
+        await caller.call("/ok/2", "POST")
+
+    run_with_server(context, scenario)
+
+
+@when("a request is cancelled while the server works on it")
+def cancel_request(context):
+    async def scenario(caller):
+        task = asyncio.create_task(caller.call("/never/1", "POST"))
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await caller.call("/ok/2", "POST")
+
+    run_with_server(context, scenario)
+
+
+@then('the verdict of request {number:d} is "{verdict}"')
+def check_verdict(context, number, verdict):
+    assert context.caller.results[number - 1][1] == verdict, context.caller.results
+
+
+@then('the reason of request {number:d} is "{reason}"')
+def check_reason(context, number, reason):
+    assert context.caller.results[number - 1][2] == reason, context.caller.results
+
+
+@then("request {number:d} got its own answer")
+def check_own_answer(context, number):
+    path, status, text = context.caller.results[number - 1]
+    assert (status, text) == (200, path), context.caller.results
+
+
+@then("request {number:d} got a wrong answer or none")
+def check_wrong_answer(context, number):
+    path, status, text = context.caller.results[number - 1]
+    assert (status, text) != (200, path), context.caller.results
+
+
+@then("request {number:d} was answered with status {status:d}")
+def check_status(context, number, status):
+    assert context.caller.results[number - 1][1] == status, context.caller.results
+
+
+@then("the server was delivered {count:d} request")
+@then("the server was delivered {count:d} requests")
+def check_delivered(context, count):
+    assert len(context.server.delivered) == count, context.server.delivered
+
+
+@then("the server saw {count:d} connection")
+@then("the server saw {count:d} connections")
+def check_connections(context, count):
+    assert context.server.connections == count, context.server.connections
+
+
+@then("the server saw the connection of the cancelled request close")
+def check_closed(context):
+    assert context.server.closed_by_client >= 1
+
+
+@then("fewer than {count:d} chunks of the body were taken")
+def check_chunks(context, count):
+    assert context.chunks_taken < count, context.chunks_taken
--- a/src/wagtailstep/network/caller_app.py
+++ b/src/wagtailstep/network/caller_app.py
@@ -28,7 +28,7 @@
     :param list_events: returns what ``GET /.wagtailstep/events`` shows.
     """
 
-    issue_ticket: Callable[[str], str]
+    issue_ticket: Callable[[str], Awaitable[str]]
     describe_status: Callable[[], Any]
     describe_metrics: Callable[[], Any]
     list_events: Callable[[], Any]
@@ -77,7 +77,7 @@
     async def issue_ticket(request: Request) -> Response:
         service = request.route_values["service"]
         try:
-            ticket = endpoints.issue_ticket(service)
+            ticket = await endpoints.issue_ticket(service)
         except RequestError as error:
             return await render_answer(describe_error(error))
         return render_json(IssuedTicket(ticket), 201)
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -190,7 +190,7 @@
         """Close all idle connections; those in use close when they are released."""
         self.closed = True
         for pool in self.pools.values():
-            for connection in pool:
+            for connection in list(pool):
                 connection.close()
         self.pools.clear()
 
--- /dev/null
+++ b/src/wagtailstep/network/relay.py
@@ -0,0 +1,61 @@
+"""From one daemon's entry to another's, for requests whose key that one issued."""
+
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.headers import (
+    RELAYED,
+    TIMEOUT_MS,
+    Headers,
+    find_header,
+    remove_headers,
+    remove_hop_by_hop,
+)
+from wagtailstep.network.forwarder import read_verdict
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class HttpRelay:
+    """Pass requests on to the entries of other daemons.
+
+    :param client: reaches the gate ports of other daemons.
+    """
+
+    def __init__(self, client: HttpClient) -> None:
+        self.client = client
+
+    async def relay(
+        self, member: Member, incoming: IncomingRequest, time_left: timedelta
+    ) -> Answer:
+        """Send the request once to the entry behind ``member.gate_address``.
+
+        :return: the answer, with the other entry's verdict.
+        :raises RequestError: if there is no answer.
+        """
+        request = HttpRequest(
+            address=member.gate_address,
+            method=incoming.method,
+            path=incoming.path,
+            headers=make_headers(incoming.headers, time_left),
+            body=incoming.body,
+            idempotent=False,
+            time_left=time_left,
+        )
+        answer = await self.client.send(request)
+        return attrs.evolve(answer, verdict=read_verdict(answer.headers))
+
+
+def make_headers(headers: Headers, time_left: timedelta) -> Headers:
+    """Return the caller's headers with the time that is left."""
+    replaced = frozenset({TIMEOUT_MS, RELAYED, "expect"})
+    kept = remove_headers(remove_hop_by_hop(headers), replaced)
+    if find_header(headers, "transfer-encoding") is not None:
+        kept += (("transfer-encoding", "chunked"),)
+    time_left_ms = max(1, int(time_left / MILLISECOND))
+    return (*kept, (TIMEOUT_MS, str(time_left_ms)), (RELAYED, "?1"))
