--- /dev/null
+++ b/benchmarks/histories/fleet.py
@@ -0,0 +1,324 @@
+"""A small fleet of real entries over fakes of network, gates and log service."""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from benchmarks.histories.checker import make_answer
+from benchmarks.histories.history import Execution, RunHistory
+from benchmarks.histories.network import FakeLog, FakeNetwork, Faults
+from wagtailstep import exceptions
+from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.headers import find_header
+from wagtailstep.models.idempotency import RequestDecided
+from wagtailstep.models.log import LogBatch
+from wagtailstep.models.settings import DaemonSettings, LogSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.entry import EntryService
+from wagtailstep.network.runtime import Outside, Runtime
+from wagtailstep.utils.clock import LoopClock
+
+SERVICE = "contracts"
+SENDING = "x-sending"
+ADDRESS = "127.0.0.1:0"
+CONNECT_TIMEOUT_S = 0.1
+
+
+@attrs.define
+class WholeAnswer:
+    """An answer as a caller's HTTP client has it after reading it whole."""
+
+    status: int
+    headers: headers.Headers
+    body: bytes
+
+
+async def yield_bytes(data: bytes) -> Any:
+    """Yield a body in two chunks."""
+    half = len(data) // 2
+    for chunk in (data[:half], data[half:]):
+        if chunk:
+            yield chunk
+
+
+async def yield_truncated(data: bytes) -> Any:
+    """Yield half a body and fail."""
+    yield data[: len(data) // 2]
+    raise exceptions.TruncatedAnswerError("the answer ended early")
+
+
+class SilentChannel:
+    """A control channel that nobody listens to."""
+
+    async def start(self, receive: Any) -> None:
+        """Receive nothing."""
+
+    async def close(self) -> None:
+        """Close nothing."""
+
+    def send(self, address: str, message: object) -> None:
+        """Drop a message."""
+
+
+@attrs.define
+class LogClient:
+    """The log service as one daemon reaches it."""
+
+    daemon_id: str
+    log: FakeLog
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append one record."""
+        return await self.log.append(self.daemon_id, stream, data)
+
+    async def read(self, stream: str, offset: int, limit: int = 1000) -> LogBatch:
+        """Read records."""
+        return await self.log.read(self.daemon_id, stream, offset)
+
+    async def oldest_offset(self, stream: str) -> int:
+        """Return the oldest retained offset."""
+        batch = await self.read(stream, self.log.oldest.get(stream, 0))
+        return batch.oldest_offset
+
+
+class FakeDaemon:
+    """One daemon: a real entry with its controllers, and its gate as a fake."""
+
+    def __init__(self, daemon_id: str, fleet: "FakeFleet") -> None:
+        self.daemon_id = daemon_id
+        self.fleet = fleet
+        self.incarnation = 0
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.tasks: set[asyncio.Task] = set()
+
+    async def boot(self) -> None:
+        """Start with an empty memory."""
+        self.incarnation += 1
+        # The seed stays the same: nothing may depend on fresh random numbers.
+        self.up = True
+        settings = DaemonSettings(
+            self.daemon_id, *["z", ADDRESS, ADDRESS, ADDRESS, ADDRESS]
+        )
+        settings = attrs.evolve(settings, log=LogSettings(poll_ms=50))
+        self.board = self.fleet.make_blackboard(self)
+        rng = random.Random(f"{self.fleet.seed}/{self.daemon_id}")
+        parts = (settings, self.board, LoopClock(), rng)
+        log = LogClient(self.daemon_id, self.fleet.log)
+        self.runtime = Runtime(*parts, Outside(log, SilentChannel(), None))
+        self.routing = RoutingController(*parts)
+        self.guard = DuplicateGuard(*parts)
+        self.entry = EntryService(
+            *parts,
+            routing=self.routing,
+            guard=self.guard,
+            forwarder=self,
+            relay=self,
+            dispatch=self.runtime.dispatch,
+            apply=self.runtime.apply_all,
+        )
+        self.runtime.controllers = (self.routing, self.guard)
+        self.runtime.listeners[RequestDecided] = self.entry.settle
+        await self.runtime.start()
+
+    def crash(self) -> None:
+        """Stop at once; nothing that is still done has an effect."""
+        self.up = False
+        self.runtime.apply_all = lambda effects: None
+        for task in [*self.tasks, *self.runtime.tasks]:
+            task.cancel()
+
+    def spawn(self, coroutine: Any) -> asyncio.Task:
+        """Run a coroutine until it ends or the daemon crashes."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def take(self, incoming: IncomingRequest) -> WholeAnswer:
+        """Handle a request and write its answer, as the HTTP server does.
+
+        :raises RequestError: if the transfer of the answer breaks.
+        """
+        await self.awake.wait()
+        answer = await self.entry.handle(incoming)
+        try:
+            body = b"".join([chunk async for chunk in answer.body])
+        finally:
+            await answer.close()
+        await self.awake.wait()
+        return WholeAnswer(answer.status, answer.headers, body)
+
+    async def forward(
+        self,
+        request: Any,
+        gate: Member,
+        target_id: str,
+        incoming: IncomingRequest,
+        time_left: timedelta,
+    ) -> Answer:
+        """Send one attempt; the interface of the real HTTP client."""
+        await self.awake.wait()
+        gate_daemon = self.fleet.daemons[gate.daemon_id]
+        await self.fleet.connect(self.daemon_id, gate_daemon)
+        body = b"".join([chunk async for chunk in incoming.body])
+        sending = int(find_header(incoming.headers, SENDING))
+        exchange = self.fleet.exchange_with_gate(
+            self.daemon_id, gate_daemon, sending, body
+        )
+        return await self.fleet.wait_for_reply(exchange, time_left)
+
+    async def relay(
+        self, member: Member, incoming: IncomingRequest, time_left: timedelta
+    ) -> Answer:
+        """Pass a request on; the interface of the real HTTP client."""
+        await self.awake.wait()
+        other = self.fleet.daemons[member.daemon_id]
+        exchange = self.fleet.exchange_with_entry(self.daemon_id, other, incoming)
+        whole = await self.fleet.wait_for_reply(exchange, time_left)
+        verdict = Verdict(find_header(whole.headers, headers.VERDICT))
+        return Answer(whole.status, whole.headers, yield_bytes(whole.body), verdict)
+
+
+class FakeFleet:
+    """Some daemons, each beside one backend server."""
+
+    def __init__(self, seed: int, size: int, rows: dict[str, Any]) -> None:
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.faults = Faults()
+        self.network = FakeNetwork(self.rng, self.faults)
+        self.log = FakeLog(self.network)
+        self.history = RunHistory()
+        self.rows = rows
+        self.backend_crashes: dict[str, int] = {}
+        self.tasks: set[asyncio.Task] = set()
+        ids = [f"d{number}" for number in range(1, size + 1)]
+        self.daemons = {daemon_id: FakeDaemon(daemon_id, self) for daemon_id in ids}
+
+    def make_blackboard(self, daemon: FakeDaemon) -> Blackboard:
+        """Return what a daemon knows after it has found the others."""
+        members = {
+            other.daemon_id: Member(
+                other.daemon_id, other.incarnation, ADDRESS, ADDRESS, "z"
+            )
+            for other in self.daemons.values()
+        }
+        board = Blackboard(members[daemon.daemon_id], members=members)
+        board.table.services.update(self.rows)
+        board.log_reachable = True
+        for daemon_id in members:
+            target = Target(f"{SERVICE}/{daemon_id}:80", SERVICE, daemon_id, "z")
+            board.targets[target.target_id] = target
+        return board
+
+    def spawn(self, coroutine: Any) -> asyncio.Task:
+        """Run a coroutine that no daemon's crash ends."""
+        task = asyncio.create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def connect(self, sender: str, daemon: FakeDaemon) -> None:
+        """Open a connection.
+
+        :raises ConnectionFailedError: ``NOT_RUN`` if that fails.
+        """
+        there = await self.network.carry(sender, daemon.daemon_id)
+        back = await self.network.carry(daemon.daemon_id, sender)
+        if not (there and back):
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+        if not (there and back and daemon.up):
+            raise exceptions.ConnectionFailedError("no connection", Verdict.NOT_RUN)
+
+    async def wait_for_reply(self, exchange: Any, time_left: timedelta) -> Any:
+        """Wait for a reply; the other side goes on even if nobody waits.
+
+        :raises RequestError: ``MAY_HAVE_RUN`` if there is none in time.
+        """
+        task = self.spawn(exchange)
+        try:
+            async with asyncio.timeout(time_left.total_seconds()):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            raise exceptions.DeadlineExceededError(
+                "no reply", Verdict.MAY_HAVE_RUN
+            ) from None
+
+    async def carry_or_hang(self, sender: str, receiver: str) -> None:
+        """Carry a message; if it is lost, its receiver waits in vain."""
+        if not await self.network.carry(sender, receiver):
+            await asyncio.sleep(3_600)
+
+    async def exchange_with_entry(
+        self, sender: str, daemon: FakeDaemon, incoming: IncomingRequest
+    ) -> WholeAnswer:
+        """Bring a request to a daemon's entry and the answer back."""
+        await self.connect(sender, daemon)
+        await self.carry_or_hang(sender, daemon.daemon_id)
+        taking = daemon.spawn(daemon.take(incoming))
+        await asyncio.wait([taking])
+        if taking.cancelled():
+            raise exceptions.ConnectionFailedError("reset", Verdict.MAY_HAVE_RUN)
+        answer = taking.result()
+        await self.carry_or_hang(daemon.daemon_id, sender)
+        return answer
+
+    async def exchange_with_gate(
+        self, sender: str, daemon: FakeDaemon, sending: int, body: bytes
+    ) -> Answer:
+        """Bring an attempt to a gate, run it there and bring the answer back."""
+        incarnation = daemon.incarnation
+        await self.carry_or_hang(sender, daemon.daemon_id)
+        await daemon.awake.wait()
+        if not daemon.up or daemon.incarnation != incarnation:
+            raise exceptions.ConnectionFailedError("reset", Verdict.MAY_HAVE_RUN)
+        if self.rng.random() < self.faults.refusal:
+            await self.carry_or_hang(daemon.daemon_id, sender)
+            raise self.make_refusal()
+        answer = await self.execute(daemon, sending, int(body))
+        if not daemon.up or daemon.incarnation != incarnation:
+            raise exceptions.ConnectionFailedError("reset", Verdict.MAY_HAVE_RUN)
+        await self.carry_or_hang(daemon.daemon_id, sender)
+        return answer
+
+    def make_refusal(self) -> exceptions.RequestError:
+        """Return a gate's refusal of a request that it did not run."""
+        if self.rng.random() < 0.5:
+            return exceptions.LeavingError("the backend server is leaving")
+        return exceptions.OverloadedError("no free slot", timedelta(seconds=1))
+
+    async def execute(self, daemon: FakeDaemon, sending: int, operation: int) -> Answer:
+        """Run a request on a backend server; it takes effect halfway.
+
+        :raises ConnectionFailedError: if the backend server crashes meanwhile.
+        """
+        crashes = self.backend_crashes.get(daemon.daemon_id, 0)
+        for is_done in (False, True):
+            await asyncio.sleep(self.rng.uniform(0.001, 0.02))
+            if self.backend_crashes.get(daemon.daemon_id, 0) != crashes:
+                raise exceptions.ConnectionFailedError("crash", Verdict.MAY_HAVE_RUN)
+            if not is_done:
+                now = asyncio.get_running_loop().time()
+                self.history.executions.append(Execution(operation, sending, now))
+        text = make_answer(operation, sending).encode()
+        if self.rng.random() < self.faults.truncation:
+            return Answer(200, (), yield_truncated(text), Verdict.RUN)
+        return Answer(200, (), yield_bytes(text), Verdict.RUN)
+
+    async def close(self) -> None:
+        """Stop all tasks."""
+        for daemon in self.daemons.values():
+            daemon.crash()
+        tasks = [*self.tasks, *self.log.late]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -1,9 +1,13 @@
 """What one daemon knows. Controllers read and write it; nobody else writes."""
 
+from datetime import datetime
+
 import attrs
 
+from wagtailstep.models.evidence import EjectionCandidate
 from wagtailstep.models.fleet import Member, Target, TargetHealth
 from wagtailstep.models.table import Table
+from wagtailstep.models.targets import TargetMap
 
 
 @attrs.define
@@ -28,13 +32,19 @@
 
     :param this_member: this daemon; written by the membership controller.
     :param table: the table in force; written by the table controller.
+    :param table_known: whether ``table`` is a table of the fleet; before that no
+        request may be taken; written by the table controller.
+    :param table_since: wall-clock time since when ``table`` is in force; written
+        by the table controller.
     :param members: known daemons by ``daemon_id``, this one too; written by the
         membership controller.
-    :param targets: known targets by ``target_id``; written by the dissemination
-        controller.
+    :param targets: known targets by ``target_id``, indexed by service; written by
+        the dissemination controller.
     :param local_targets: ``target_id`` of backend servers beside this daemon;
         written by the announcement controller.
     :param health: judgement by ``target_id``; written by the evidence controller.
+    :param ejection_candidates: targets that the evidence of several daemons speaks
+        against, by ``target_id``; written by the evidence controller.
     :param ejected: ``target_id`` of targets out of service fleet-wide; written by
         the ejection controller, from the log's order.
     :param wanted_services: services that callers asked this daemon for; written
@@ -46,10 +56,13 @@
 
     this_member: Member
     table: Table = attrs.field(factory=Table)
+    table_known: bool = False
+    table_since: datetime | None = None
     members: dict[str, Member] = attrs.field(factory=dict)
-    targets: dict[str, Target] = attrs.field(factory=dict)
+    targets: TargetMap = attrs.field(factory=TargetMap, converter=TargetMap)
     local_targets: set[str] = attrs.field(factory=set)
     health: dict[str, TargetHealth] = attrs.field(factory=dict)
+    ejection_candidates: dict[str, EjectionCandidate] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
     wanted_services: set[str] = attrs.field(factory=set)
     in_flight: InFlight = attrs.field(factory=InFlight)
@@ -58,5 +71,5 @@
 
     def targets_of(self, service: str) -> list[Target]:
         """Return all known targets of a service, in the order of their names."""
-        found = [t for t in self.targets.values() if t.service == service]
-        return sorted(found, key=lambda target: target.target_id)
+        found = self.targets.of_service(service)
+        return [found[target_id] for target_id in sorted(found)]
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -42,6 +42,19 @@
     records: tuple[LogRecord, ...]
 
 
+@attrs.frozen
+class StreamEndRead:
+    """A read of a followed stream found nothing new; sent after each such read.
+
+    :param stream: name of the stream.
+    :param asked_at: monotonic time when the read was sent; all records appended
+        before it have been dispatched.
+    """
+
+    stream: str
+    asked_at: timedelta
+
+
 @attrs.frozen
 class LogGap:
     """Records of a followed stream expired before they were read.
@@ -54,6 +67,20 @@
     oldest_offset: int
 
 
+@attrs.frozen
+class LogCaughtUp:
+    """All records of a followed stream that the log had were delivered.
+
+    Sent after each read that found the end of the stream, the first one too.
+
+    :param stream: name of the stream.
+    :param next_offset: offset that the next record will have.
+    """
+
+    stream: str
+    next_offset: int
+
+
 @attrs.frozen
 class LogAppendSettled:
     """An :class:`AppendToLog` effect has ended.
--- a/src/wagtailstep/network/problems.py
+++ b/src/wagtailstep/network/problems.py
@@ -10,7 +10,9 @@
 from wagtailstep.models import headers
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.headers import Headers
+from wagtailstep.models.verdict import Verdict
 
+INTERNAL_SERVER_ERROR = 500
 CONTENT_TYPE = "application/problem+json"
 
 
@@ -75,3 +77,12 @@
         seconds = max(1, math.ceil(error.retry_after.total_seconds()))
         made.append((headers.RETRY_AFTER, str(seconds)))
     return tuple(made)
+
+
+def make_internal_error() -> RequestError:
+    """Make the error for a fault of the daemon itself."""
+    return RequestError(
+        "the daemon failed while it handled the request; its log tells why",
+        Verdict.MAY_HAVE_RUN,
+        INTERNAL_SERVER_ERROR,
+    )
