--- a/benchmarks/detection_faults.py
+++ b/benchmarks/detection_faults.py
@@ -16,6 +16,7 @@
 
     NONE = "none"
     FAILS_WORK = "fails-work"
+    HANGS = "hangs"
     ONE_ROUTE = "one-route"
     STRAGGLER_3 = "straggler-3x"
     STRAGGLER_10 = "straggler-10x"
@@ -34,6 +35,7 @@
 
 HARD = (
     Fault.FAILS_WORK,
+    Fault.HANGS,
     Fault.ONE_ROUTE,
     Fault.FLAP_1,
     Fault.FLAP_5,
@@ -81,6 +83,8 @@
         return Behaviour(factor=10.0)
     if fault in (Fault.FAILS_WORK, Fault.TWO):
         return Behaviour(failed=draw < 0.95)
+    if fault is Fault.HANGS:
+        return Behaviour(lost=True)
     if fault is Fault.ONE_ROUTE:
         return Behaviour(failed=route == "sign")
     if fault is Fault.STRAGGLER_3:
--- a/benchmarks/detection_world.py
+++ b/benchmarks/detection_world.py
@@ -34,11 +34,11 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     AppendToLog,
-    FollowStream,
     LogRecordsRead,
     PeerMessageReceived,
     ProbeFinished,
     ProbeTarget,
+    RecordEvent,
     SendToPeer,
     StreamEndRead,
     Tick,
@@ -56,6 +56,7 @@
 POLL_S = 0.5
 APPEND_S = 0.01
 ATTEMPT_TIMEOUT_S = 1.0
+HANG_S = 30.0
 QUEUE_TIMEOUT_S = 1.0
 SLOTS = 4
 PROBE_S = 0.025
@@ -115,14 +116,13 @@
         return start, start + work_s
 
 
-@attrs.define
+@attrs.define(eq=False)
 class FakeDaemon:
     """One daemon: its blackboard and the controllers under test."""
 
     member: Member
     board: Blackboard
     controllers: list[Any]
-    in_flight: dict[str, int] = attrs.field(factory=dict)
     choices: list[str] = attrs.field(factory=list)
     avoided: set[str] = attrs.field(factory=set)
     offset: int = 0
@@ -165,6 +165,8 @@
         self.lowest_weight = math.inf
         self.floor_broken = 0
         self.requests = 0
+        self.events: list[tuple[float, str, RecordEvent]] = []
+        self.restarted = False
 
     def make_targets(self) -> dict[str, FakeTarget]:
         """Make the targets of the service."""
@@ -254,10 +256,18 @@
         elif isinstance(effect, AppendToLog):
             self.after(APPEND_S, lambda: self.append(daemon, effect))
         elif isinstance(effect, ProbeTarget):
-            event = ProbeFinished(effect.target_id, True, timedelta(seconds=PROBE_S))
-            self.after(PROBE_S, lambda: self.dispatch(daemon, event))
-        elif isinstance(effect, FollowStream):
-            pass
+            self.probe(daemon, effect)
+        elif isinstance(effect, RecordEvent):
+            self.events.append((self.now, daemon.member.daemon_id, effect))
+
+    def probe(self, daemon: FakeDaemon, effect: ProbeTarget) -> None:
+        """Probe a target: it answers well unless a partition is in between."""
+        name = effect.target_id
+        begun = self.now >= self.scenario.onset_s
+        cut = begun and self.scenario.fault in PARTITIONS and self.is_cut(daemon, name)
+        time_s = effect.timeout.total_seconds() if cut else PROBE_S
+        event = ProbeFinished(name, not cut, timedelta(seconds=time_s))
+        self.after(time_s, lambda: self.dispatch(daemon, event))
 
     def append(self, daemon: FakeDaemon, effect: AppendToLog) -> None:
         """Append a record if the log is up; the appender reads at once."""
@@ -321,7 +331,7 @@
 
     def cost(self, daemon: FakeDaemon, name: str) -> float:
         """Return the cost of picking a target."""
-        waiting = daemon.in_flight.get(name, 0) + 1
+        waiting = daemon.board.in_flight.by_target.get(name, 0) + 1
         health = daemon.board.health.get(name)
         if health is None or health.latency is None:
             return float(waiting)
@@ -332,18 +342,20 @@
         self.requests += 1
         fake = self.targets[name]
         if name in self.sick and self.now >= self.scenario.onset_s:
-            fake.sent += 1
+            if daemon in self.concerned(name):
+                fake.sent += 1
         draw, route, median = self.rng.random(), *self.choose_route()
         how = self.behaviour(daemon, name, route, draw)
         near = fake.target.availability_zone == daemon.member.availability_zone
         hop = 0.0002 if near else self.scenario.hop_s
         sent_at = self.now
-        daemon.in_flight[name] = daemon.in_flight.get(name, 0) + 1
+        daemon.board.in_flight.by_target[name] = (
+            daemon.board.in_flight.by_target.get(name, 0) + 1
+        )
         if how.lost:
-            blame = (
-                Blame.PATH if self.scenario.fault in PARTITIONS else Blame.CONNECTION
+            self.finish(
+                daemon, name, route, self.blame_loss(), sent_at, self.loss_time(), 0.0
             )
-            self.finish(daemon, name, route, blame, sent_at, ATTEMPT_TIMEOUT_S, 0.0)
             return
         work = median * math.exp(self.rng.gauss(0, LATENCY_SIGMA)) * how.factor
         if how.failed:
@@ -360,6 +372,18 @@
         queueing = start - self.now - hop
         self.finish(daemon, name, route, blame, sent_at, end + hop - sent_at, queueing)
 
+    def blame_loss(self) -> Blame:
+        """Return what an attempt without an answer speaks against."""
+        if self.scenario.fault in PARTITIONS:
+            return Blame.PATH
+        if self.scenario.fault is Fault.HANGS:
+            return Blame.BACKEND_SERVER
+        return Blame.CONNECTION
+
+    def loss_time(self) -> float:
+        """Return how long an attempt without an answer takes in seconds."""
+        return HANG_S if self.scenario.fault is Fault.HANGS else ATTEMPT_TIMEOUT_S
+
     def choose_route(self) -> tuple[str, float]:
         """Choose a route and return its name and median time in seconds."""
         draw = self.rng.random()
@@ -425,7 +449,7 @@
 
     def take_outcome(self, daemon: FakeDaemon, outcome: RequestOutcome) -> None:
         """Give an outcome to the daemon that waited for it."""
-        daemon.in_flight[outcome.target_id] -= 1
+        daemon.board.in_flight.by_target[outcome.target_id] -= 1
         self.dispatch(daemon, outcome)
 
     def concerned(self, name: str) -> list[FakeDaemon]:
@@ -438,6 +462,7 @@
         """Sample detection, false ejections and the floor."""
         self.after(TICK_S / 5, self.measure)
         if self.now >= self.scenario.onset_s:
+            self.restart_cold()
             self.measure_detection()
         self.measure_false()
         self.measure_floor()
@@ -452,6 +477,16 @@
             if avoiding >= 0.9 * len(concerned):
                 self.detected_at[name] = self.now - self.scenario.onset_s
 
+    def restart_cold(self) -> None:
+        """Announce the restart of a target that starts cold."""
+        if self.scenario.fault is not Fault.COLD_START or self.restarted:
+            return
+        self.restarted = True
+        name = self.sick[0]
+        target = attrs.evolve(self.targets[name].target, incarnation=1)
+        for daemon in self.daemons.values():
+            daemon.board.targets[name] = target
+
     def healthy(self) -> set[str]:
         """Return the targets that are not at fault now."""
         if self.scenario.fault in NOBODY_SICK or self.now < self.scenario.onset_s:
--- a/src/wagtailstep/controllers/evidence.py
+++ b/src/wagtailstep/controllers/evidence.py
@@ -15,14 +15,18 @@
 from wagtailstep.controllers.evidence_judge import Judgement, judge_target
 from wagtailstep.controllers.evidence_sharing import EvidenceSharing
 from wagtailstep.controllers.evidence_state import (
+    CONNECTION_SHARE,
     HEALTHY_FAILED,
     SLOT_CAP,
     ServiceEvidence,
     TargetEvidence,
     hypotheses_for,
+    symptoms_of,
 )
+from wagtailstep.controllers.health import Standings
 from wagtailstep.controllers.sequential_test import TestLimits
-from wagtailstep.controllers.standing import PROBE_TIMEOUT_MS, Phase, Standing
+from wagtailstep.controllers.stall_watch import StallWatch, stall_limit
+from wagtailstep.controllers.standing import PROBE_TIMEOUT_MS, Phase
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     PeerMessageReceived,
@@ -32,6 +36,7 @@
     Tick,
 )
 from wagtailstep.models.evidence import (
+    STALL_ROUTE,
     EjectionCandidate,
     EvidenceDigest,
     EvidenceRequest,
@@ -39,14 +44,13 @@
     SickNotice,
     Symptom,
 )
-from wagtailstep.models.fleet import TargetHealth
 from wagtailstep.models.request import Blame, RequestOutcome
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
-PENALTY_PER_THRESHOLD = 8.0
 CANDIDATE_LIFETIME_S = 10.0
-FORGET_INTERVAL_S = 5.0
+SCAN_INTERVAL_S = 1.0
 
 
 class EvidenceController:
@@ -70,10 +74,11 @@
         self.clock = clock
         self.rng = rng
         self.services: dict[str, ServiceEvidence] = {}
-        self.standings: dict[str, Standing] = {}
+        self.standings = Standings(blackboard)
         self.were_ejected: set[str] = set()
-        self.next_forget = timedelta()
+        self.next_scan = timedelta()
         self.sharing = EvidenceSharing(blackboard, rng)
+        self.stalls = StallWatch()
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -85,23 +90,25 @@
         target = self.find_target(event.target_id)
         if target is None:
             return []
+        self.stalls.note_outcome(event.target_id, self.clock.monotonic())
         if event.blame in (Blame.PATH, Blame.CONNECTION):
-            return self.take_path_outcome(target, failed=True)
+            return self.take_path_failure(target, event.blame)
         if event.blame in (Blame.OVERLOAD, Blame.CALLER):
             return []
+        if event.blame is Blame.NONE and event.verdict is not Verdict.RUN:
+            return []
         return self.take_outcome(target, event)
 
     @handle.register
     def _(self, event: ProbeFinished) -> list[Any]:
-        standing = self.standings.get(event.target_id)
+        standing = self.standings.by_target.get(event.target_id)
         target = self.find_target(event.target_id)
         if standing is None or target is None:
             return []
         standing.take_probe(event.succeeded, self.clock.monotonic())
         if standing.phase is not Phase.RAMPING:
             return []
-        target.clear()
-        self.write_health(target)
+        self.restart(target, Phase.RAMPING)
         return [RecordEvent("target-returns", {"target": event.target_id})]
 
     @handle.register
@@ -112,12 +119,13 @@
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
         effects: list[Any] = list(self.advance_standings(now))
+        effects += self.judge_stalls(now)
         self.expire_candidates(now)
         for service in self.services.values():
             service.change_limits(self.read_limits(service.service), now)
             effects += self.sharing.share(service, now)
-        if now >= self.next_forget:
-            self.forget_departed(now)
+        if now >= self.next_scan:
+            self.scan_targets(now)
         return effects
 
     @singledispatchmethod
@@ -133,7 +141,7 @@
     @take_message.register
     def _(self, message: SickNotice) -> list[Any]:
         target = self.find_target(message.target_id)
-        if target is None or self.standing_of(message.target_id).avoided:
+        if target is None or self.standings.of(message.target_id).avoided:
             return []
         judgement = Judgement(Symptom(message.symptom), message.route, 1.0, False)
         return self.avoid(target, judgement)
@@ -153,12 +161,13 @@
         now = self.clock.monotonic()
         service = self.services[target.service]
         slot = service.limits.slot_at(now)
-        for symptom, count, bad in (
-            (Symptom.FAILING, entry.count, entry.failed),
-            (Symptom.SLOW, entry.timed, entry.slow),
-        ):
-            good = max(0, count - bad)
+        for symptom in symptoms_of(entry.route):
+            failing = symptom is Symptom.FAILING
+            bad = entry.failed if failing else entry.slow
+            good = max(0, (entry.count if failing else entry.timed) - bad)
             service.add_report(target, entry.route, symptom, good, bad, slot)
+        if entry.count > entry.failed and entry.route != STALL_ROUTE:
+            target.note_success(now, own=False)
         if not entry.failed and not entry.slow:
             return []
         target.complaints[reporter] = now
@@ -173,7 +182,10 @@
         slow = self.time_outcome(service, target, outcome, latency, failed)
         route = outcome.request.route
         service.add_outcome(target, route, failed, slow, service.limits.slot_at(now))
-        self.take_path_outcome(target, failed=False)
+        if not failed:
+            target.note_success(now, own=True)
+        self.take_path_success(target)
+        self.count_stall(target, False, now)
         if failed or slow:
             target.complaints[self.blackboard.this_member.daemon_id] = now
             return self.judge(target)
@@ -193,30 +205,80 @@
         """
         if failed:
             return None
+        warming = self.standings.of(target.target_id).phase is Phase.WARMING
         reference = service.comparison(outcome.request.route).reference
         slow = reference.is_slow(latency)
         latency_s = latency.total_seconds()
         target.add_latency(latency_s)
-        if not self.standing_of(target.target_id).avoided:
+        if not warming and not self.standings.of(target.target_id).avoided:
             reference.add(latency_s)
         health = self.blackboard.health.get(target.target_id)
         if health is None:
             self.write_health(target)
         else:
             health.latency = timedelta(seconds=target.latency_s or 0.0)
-        return slow
+        return None if warming else slow
 
-    def take_path_outcome(self, target: TargetEvidence, failed: bool) -> list[Any]:
-        """Count an outcome for or against this daemon's path to a target."""
-        if not failed and not target.path.score and not target.path.gain:
-            return []
+    def take_path_failure(self, target: TargetEvidence, blame: Blame) -> list[Any]:
+        """Count an outcome against this daemon's path to a target.
+
+        A connection that went silent says little of the path: a new one may work.
+        """
+        ratio = hypotheses_for(Symptom.UNREACHABLE, HEALTHY_FAILED).bad
+        if blame is Blame.CONNECTION:
+            ratio *= CONNECTION_SHARE
+        self.add_to_path(target, ratio)
+        return self.judge(target)
+
+    def take_path_success(self, target: TargetEvidence) -> None:
+        """Count an outcome for this daemon's path to a target."""
+        if target.path.score or target.path.gain:
+            ratio = hypotheses_for(Symptom.UNREACHABLE, HEALTHY_FAILED).good
+            self.add_to_path(target, ratio)
+
+    def add_to_path(self, target: TargetEvidence, ratio: float) -> None:
+        """Add a log-likelihood ratio to the test of the path to a target."""
         limits = self.services[target.service].limits
-        hypotheses = hypotheses_for(Symptom.UNREACHABLE, HEALTHY_FAILED)
-        ratio = hypotheses.bad if failed else hypotheses.good
         slot = limits.slot_at(self.clock.monotonic())
         cap = SLOT_CAP[Symptom.UNREACHABLE]
         target.path.add(ratio, cap, slot, limits.score_decay)
-        return self.judge(target) if failed else []
+
+    def judge_stalls(self, now: timedelta) -> list[Any]:
+        """Count targets that hold requests and end none as slow."""
+        self.stalls.follow(self.blackboard.in_flight.by_target, now)
+        effects = []
+        limits = {
+            service.service: stall_limit(service, self.routes_in_use(service.service))
+            for service in self.services.values()
+        }
+        for target_id in list(self.stalls.stalls):
+            target = self.find_target(target_id)
+            limit = None if target is None else limits.get(target.service)
+            if limit is None or self.standings.of(target_id).phase is Phase.WARMING:
+                continue
+            if self.stalls.is_stalled(target_id, limit, now):
+                self.count_stall(target, True, now)
+                effects += self.judge(target)
+        return effects
+
+    def routes_in_use(self, service: str) -> set[str]:
+        """Return the routes of a service with requests in flight here."""
+        prefix = f"{service}/"
+        return {
+            route.removeprefix(prefix)
+            for route in self.blackboard.in_flight.by_route
+            if route.startswith(prefix)
+        }
+
+    def count_stall(
+        self, target: TargetEvidence, stalled: bool, now: timedelta
+    ) -> None:
+        """Count a stall, or the end of a request without one."""
+        service = self.services[target.service]
+        slot = service.limits.slot_at(now)
+        service.add_outcome(target, STALL_ROUTE, False, stalled, slot)
+        if stalled:
+            target.complaints[self.blackboard.this_member.daemon_id] = now
 
     def judge(self, target: TargetEvidence) -> list[Any]:
         """Judge a target after something bad was seen of it."""
@@ -229,7 +291,7 @@
             self.write_health(target)
             return []
         effects = [] if not judgement.shared else self.propose(target, judgement)
-        if not self.standing_of(target.target_id).avoided:
+        if not self.standings.of(target.target_id).avoided:
             effects += self.avoid(target, judgement)
         return effects
 
@@ -257,7 +319,7 @@
 
     def avoid(self, target: TargetEvidence, judgement: Judgement) -> list[Any]:
         """Steer this daemon's picks away from a target for a while."""
-        standing = self.standing_of(target.target_id)
+        standing = self.standings.of(target.target_id)
         standing.strike(self.clock.monotonic())
         self.write_health(target)
         fields = {
@@ -272,9 +334,11 @@
     def advance_standings(self, now: timedelta) -> Iterator[Any]:
         """Follow ejections, send the probes that are due, and advance ramps."""
         for target_id in self.were_ejected - self.blackboard.ejected:
-            self.resume(target_id, now)
+            target = self.find_target(target_id)
+            if target is not None:
+                self.restart(target, Phase.RAMPING)
         self.were_ejected = set(self.blackboard.ejected)
-        for target_id, standing in self.standings.items():
+        for target_id, standing in self.standings.by_target.items():
             if target_id in self.were_ejected or standing.phase is Phase.GOOD:
                 continue
             if standing.probe_due(now):
@@ -283,16 +347,6 @@
             if target is not None:
                 self.write_health(target)
 
-    def resume(self, target_id: str, now: timedelta) -> None:
-        """Start to use a target that is no longer ejected."""
-        self.blackboard.ejection_candidates.pop(target_id, None)
-        target = self.find_target(target_id)
-        if target is None:
-            return
-        target.clear()
-        self.standing_of(target_id).start_ramp(now)
-        self.write_health(target)
-
     def expire_candidates(self, now: timedelta) -> None:
         """Drop candidates that no new evidence was seen against."""
         oldest = now - timedelta(seconds=CANDIDATE_LIFETIME_S)
@@ -300,44 +354,29 @@
         for target_id in [t for t, c in candidates.items() if c.since < oldest]:
             del candidates[target_id]
 
-    def forget_departed(self, now: timedelta) -> None:
-        """Drop the evidence on targets that are no longer known."""
-        self.next_forget = now + timedelta(seconds=FORGET_INTERVAL_S)
+    def scan_targets(self, now: timedelta) -> None:
+        """Drop evidence on targets that left; warm up those that started."""
+        self.next_scan = now + timedelta(seconds=SCAN_INTERVAL_S)
         known = self.blackboard.targets
         for service in self.services.values():
             for target_id in [t for t in service.targets if t not in known]:
                 del service.targets[target_id]
-                self.standings.pop(target_id, None)
-                self.blackboard.health.pop(target_id, None)
-                self.blackboard.ejection_candidates.pop(target_id, None)
+                self.standings.forget(target_id)
+            for target in service.targets.values():
+                incarnation = known[target.target_id].incarnation
+                if incarnation > target.incarnation:
+                    target.incarnation = incarnation
+                    self.restart(target, Phase.WARMING)
 
     def write_health(self, target: TargetEvidence) -> None:
         """Write the judgement of a target to the blackboard."""
-        now = self.clock.monotonic()
-        standing = self.standing_of(target.target_id)
-        service = self.services[target.service]
-        worst = max(
-            (
-                test.value(SLOT_CAP[symptom])
-                for tests in target.routes.values()
-                for symptom, test in tests.own.items()
-            ),
-            default=0.0,
-        )
-        latency = target.latency_s
-        self.blackboard.health[target.target_id] = TargetHealth(
-            penalty=1.0 + PENALTY_PER_THRESHOLD * worst / service.limits.threshold,
-            latency=None if latency is None else timedelta(seconds=latency),
-            steer_away=standing.avoided,
-            ramp=standing.ramp(now),
-        )
+        threshold = self.services[target.service].limits.threshold
+        self.standings.write(target, threshold, self.clock.monotonic())
 
-    def standing_of(self, target_id: str) -> Standing:
-        """Return the standing of a target, made on first use."""
-        found = self.standings.get(target_id)
-        if found is None:
-            found = self.standings[target_id] = Standing()
-        return found
+    def restart(self, target: TargetEvidence, phase: Phase) -> None:
+        """Forget what speaks against a target and start to use it slowly."""
+        threshold = self.services[target.service].limits.threshold
+        self.standings.start(target, threshold, self.clock.monotonic(), phase)
 
     def find_target(self, target_id: str) -> TargetEvidence | None:
         """Return the evidence on a known target, or ``None`` if it is unknown."""
@@ -349,7 +388,11 @@
             limits = self.read_limits(known.service)
             service = ServiceEvidence(known.service, limits)
             self.services[known.service] = service
-        return service.target(target_id, known.availability_zone)
+        if target_id in service.targets:
+            return service.targets[target_id]
+        target = service.target(target_id, known.availability_zone)
+        target.incarnation = known.incarnation
+        return target
 
     def read_limits(self, service: str) -> TestLimits:
         """Return how the table wants the targets of a service judged."""
--- a/src/wagtailstep/controllers/evidence_judge.py
+++ b/src/wagtailstep/controllers/evidence_judge.py
@@ -9,15 +9,24 @@
     SLOT_CAP,
     ServiceEvidence,
     TargetEvidence,
+    symptoms_of,
 )
-from wagtailstep.models.evidence import Symptom
+from wagtailstep.models.evidence import STALL_ROUTE, Symptom
 
 # A test at this share of its threshold is doubtful: too little to decide about
 # its target, enough to see that the cause is not this target alone.
-DOUBT_SHARE = 0.25
+DOUBT_SHARE = 0.15
 COMMON_SHARE = 0.5
+# A path that is avoided costs no other daemon anything, so less evidence will do.
+PATH_SHARE = 0.5
 COMPLAINT_WINDOW_S = 10.0
+# A hanging backend server ends no request of any daemon. If one succeeded within
+# this time, the fault lies in the path or the connection of those that wait.
+QUIET_S = 0.5
 MIN_COMPLAINANTS = 2
+# Part of each route's sum that doesn't count when the routes are added up, since
+# several sums are more likely to be a little above 0 than one.
+ROUTE_ALLOWANCE = 1.0
 
 
 @attrs.frozen
@@ -83,7 +92,7 @@
     others = others_of(service, target)
     if share_in_doubt(service, others, route, symptom, shared) >= COMMON_SHARE:
         return True
-    if symptom is not Symptom.SLOW:
+    if symptom is Symptom.FAILING:
         return False
     near = [other for other in others if other.zone == target.zone]
     return share_in_doubt(service, near, route, symptom, shared) >= COMMON_SHARE
@@ -95,11 +104,31 @@
     """Yield the tests of a target that exceed the threshold."""
     threshold = service.limits.threshold
     for route in target.routes:
-        for symptom in (Symptom.FAILING, Symptom.SLOW):
+        for symptom in symptoms_of(route):
             for shared in (True, False):
                 score = score_of(target, route, symptom, shared)
                 if score >= threshold:
                     yield Judgement(symptom, route, score / threshold, shared)
+    for shared in (True, False):
+        route, score = add_routes(target, shared)
+        if score >= threshold:
+            yield Judgement(Symptom.FAILING, route, score / threshold, shared)
+
+
+def add_routes(target: TargetEvidence, shared: bool) -> tuple[str, float]:
+    """Add up what the routes tell of failures.
+
+    :return: the worst route and the sum over all routes.
+    """
+    total, worst, worst_route = 0.0, 0.0, ""
+    for route in target.routes:
+        if route == STALL_ROUTE:
+            continue
+        score = score_of(target, route, Symptom.FAILING, shared)
+        total += max(0.0, score - ROUTE_ALLOWANCE)
+        if score > worst:
+            worst, worst_route = score, route
+    return worst_route, total
 
 
 def count_complainants(target: TargetEvidence, now: timedelta) -> int:
@@ -122,13 +151,37 @@
     found = [
         crossing
         for crossing in find_crossings(service, target)
-        if corroborated or not crossing.shared
+        if not crossing.shared or corroborated
+        if not (crossing.shared and is_path_fault(crossing.symptom, target, now))
         if not has_common_cause(
             service, target, crossing.route, crossing.symptom, crossing.shared
         )
     ]
-    path_score = target.path.value(SLOT_CAP[Symptom.UNREACHABLE])
-    if path_score >= service.limits.threshold:
-        severity = path_score / service.limits.threshold
-        found.append(Judgement(Symptom.UNREACHABLE, "", severity, False))
+    path = judge_path(service, target)
+    if path is not None:
+        found.append(path)
     return max(found, key=lambda j: (j.shared, j.severity), default=None)
+
+
+def is_path_fault(symptom: Symptom, target: TargetEvidence, now: timedelta) -> bool:
+    """Tell whether a target seems to hang for some daemons only."""
+    quiet = now - target.succeeded_at
+    return symptom is Symptom.HANGING and quiet < timedelta(seconds=QUIET_S)
+
+
+def judge_path(service: ServiceEvidence, target: TargetEvidence) -> Judgement | None:
+    """Judge this daemon's path to a target.
+
+    If the paths to many targets fail, the fault is near this daemon and avoiding
+    some of them is of no use.
+    """
+    least = PATH_SHARE * service.limits.threshold
+    score = target.path.value(SLOT_CAP[Symptom.UNREACHABLE])
+    if score < least:
+        return None
+    others = others_of(service, target)
+    cap = SLOT_CAP[Symptom.UNREACHABLE]
+    failing = sum(o.path.value(cap) >= DOUBT_SHARE * least for o in others)
+    if others and failing >= COMMON_SHARE * len(others):
+        return None
+    return Judgement(Symptom.UNREACHABLE, "", score / least, False)
--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -25,7 +25,6 @@
     EvidenceRequest,
     RouteEvidence,
     SickNotice,
-    Symptom,
 )
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.utils.codec import encode_message
@@ -41,8 +40,8 @@
 BYTES_PER_S = 3_000
 BURST_BYTES = 12_000
 
-# A sum of this many nats is worth telling: one failure, or several slow outcomes.
-DOUBT_NATS = 2.5
+# A sum of this many nats is worth telling: one failure or one slow outcome.
+DOUBT_NATS = 1.4
 
 
 def interested_members(blackboard: Blackboard, service: str) -> list[Member]:
@@ -254,5 +253,4 @@
         test.value(SLOT_CAP[symptom])
         for kind in (tests.own, tests.pooled)
         for symptom, test in kind.items()
-        if symptom is not Symptom.UNREACHABLE
     )
--- a/src/wagtailstep/controllers/evidence_state.py
+++ b/src/wagtailstep/controllers/evidence_state.py
@@ -12,32 +12,58 @@
     SequentialTest,
     TestLimits,
 )
-from wagtailstep.models.evidence import Symptom
+from wagtailstep.models.evidence import STALL_ROUTE, Symptom
 
 # Most that one slot of time may add to a sum, in nats.
 SLOT_CAP = {
-    Symptom.FAILING: 7.0,
+    Symptom.FAILING: 8.0,
     Symptom.SLOW: 2.0,
+    Symptom.HANGING: 4.0,
     Symptom.UNREACHABLE: 7.0,
 }
 HEALTHY_FAILED = 0.01
 HEALTHY_SLOW = 0.1
-SICK_FAILED = 0.3
+HEALTHY_HANGING = 0.05
+SICK_FAILED = 0.5
 SICK_SLOW = 0.45
+SICK_HANGING = 0.9
+SICK_UNREACHABLE = 0.6
+CONNECTION_SHARE = 0.5
 MOST_HEALTHY = 0.65
-MOST_SICK = 0.95
-FAILED_MARGIN = 1.5
-SLOW_MARGIN = 1.2
+MOST_SICK = 0.97
 PRIOR_SAMPLES = 20.0
 LATENCY_WEIGHT = 0.1
 
 
-@functools.lru_cache(maxsize=256)
+SICK = {
+    Symptom.FAILING: SICK_FAILED,
+    Symptom.SLOW: SICK_SLOW,
+    Symptom.HANGING: SICK_HANGING,
+    Symptom.UNREACHABLE: SICK_UNREACHABLE,
+}
+HEALTHY = {
+    Symptom.FAILING: HEALTHY_FAILED,
+    Symptom.SLOW: HEALTHY_SLOW,
+    Symptom.HANGING: HEALTHY_HANGING,
+    Symptom.UNREACHABLE: HEALTHY_FAILED,
+}
+# How much worse than the others a target has to be to count as worse at all.
+MARGIN = 1.3
+LEAST_GAP = 0.3
+
+
+@functools.lru_cache(maxsize=512)
 def hypotheses_for(symptom: Symptom, healthy: float) -> Hypotheses:
     """Return the ratios for a symptom, given how often healthy targets show it."""
-    if symptom is Symptom.SLOW:
-        return Hypotheses.between(healthy, min(max(SICK_SLOW, healthy + 0.3), 0.95))
-    return Hypotheses.between(healthy, min(max(SICK_FAILED, 3 * healthy), MOST_SICK))
+    sick = min(max(SICK[symptom], healthy + LEAST_GAP), MOST_SICK)
+    return Hypotheses.between(healthy, sick)
+
+
+def symptoms_of(route: str) -> tuple[Symptom, ...]:
+    """Return the symptoms that are tested on a route."""
+    if route == STALL_ROUTE:
+        return (Symptom.HANGING,)
+    return (Symptom.FAILING, Symptom.SLOW)
 
 
 @attrs.define
@@ -74,12 +100,11 @@
     unsent: Counts = attrs.field(factory=Counts)
 
 
-def make_tests() -> RouteTests:
-    """Return tests without evidence."""
-    symptoms = (Symptom.FAILING, Symptom.SLOW)
+def make_tests(route: str) -> RouteTests:
+    """Return tests of a route without evidence."""
     return RouteTests(
-        own={symptom: SequentialTest() for symptom in symptoms},
-        pooled={symptom: SequentialTest() for symptom in symptoms},
+        own={symptom: SequentialTest() for symptom in symptoms_of(route)},
+        pooled={symptom: SequentialTest() for symptom in symptoms_of(route)},
     )
 
 
@@ -92,8 +117,10 @@
     :param zone: its availability zone.
     :param routes: tests by route.
     :param path: test of the path from this daemon to the target.
+    :param incarnation: incarnation of the target that the evidence is about.
     :param complaints: monotonic time of the latest bad report, by reporter.
     :param latency_s: smoothed latency in seconds, or ``None``.
+    :param succeeded_at: monotonic time when any daemon last saw a success.
     """
 
     target_id: str
@@ -101,14 +128,16 @@
     zone: str
     routes: dict[str, RouteTests] = attrs.field(factory=dict)
     path: SequentialTest = attrs.field(factory=SequentialTest)
+    incarnation: int = 0
     complaints: dict[str, timedelta] = attrs.field(factory=dict)
     latency_s: float | None = None
+    succeeded_at: timedelta = timedelta()
 
     def tests_of(self, route: str) -> RouteTests:
         """Return the tests of a route, made on first use."""
         tests = self.routes.get(route)
         if tests is None:
-            tests = self.routes[route] = make_tests()
+            tests = self.routes[route] = make_tests(route)
         return tests
 
     def add_latency(self, latency_s: float) -> None:
@@ -117,6 +146,19 @@
             self.latency_s = latency_s
         self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
 
+    def note_success(self, now: timedelta, own: bool) -> None:
+        """Take note that a request succeeded, so the target isn't hanging now.
+
+        :param own: whether this daemon sent it.
+        """
+        self.succeeded_at = now
+        tests = self.routes.get(STALL_ROUTE)
+        if tests is None:
+            return
+        tests.pooled[Symptom.HANGING].clear()
+        if own:
+            tests.own[Symptom.HANGING].clear()
+
     def clear(self) -> None:
         """Forget what speaks against the target."""
         self.path.clear()
@@ -145,15 +187,14 @@
 
         :param target: recent outcomes at the target that is judged.
         """
-        if symptom is Symptom.SLOW:
-            bad, count = self.rates.slow - target.slow, self.rates.timed - target.timed
-            least, margin = HEALTHY_SLOW, SLOW_MARGIN
-        else:
+        if symptom is Symptom.FAILING:
             bad = self.rates.failed - target.failed
             count = self.rates.count - target.count
-            least, margin = HEALTHY_FAILED, FAILED_MARGIN
-        prior = least / margin * PRIOR_SAMPLES
-        share = margin * (max(0.0, bad) + prior) / (max(0.0, count) + PRIOR_SAMPLES)
+        else:
+            bad, count = self.rates.slow - target.slow, self.rates.timed - target.timed
+        least = HEALTHY[symptom]
+        bad = max(0.0, bad) + least / MARGIN * PRIOR_SAMPLES
+        share = MARGIN * bad / (max(0.0, count) + PRIOR_SAMPLES)
         return round(min(max(share, least), MOST_HEALTHY), 2)
 
 
@@ -222,6 +263,9 @@
             rates.advance(slot, decay)
             rates.add(1, failed, timed, bool(slow))
         tests.unsent.add(failed, slow)
+        if route == STALL_ROUTE:
+            self.add_ratio(tests, comparison, Symptom.HANGING, bool(slow), slot)
+            return
         self.add_ratio(tests, comparison, Symptom.FAILING, failed, slot)
         if slow is not None:
             self.add_ratio(tests, comparison, Symptom.SLOW, slow, slot)
--- /dev/null
+++ b/src/wagtailstep/controllers/stall_watch.py
@@ -0,0 +1,85 @@
+"""Noticing targets that hold requests without ending any.
+
+An outcome is known only when a request ends, and a request at a hanging backend
+server ends only at its deadline. While one is in flight and none ends, the oldest
+one has waited at least since the latest end, which is evidence of its own.
+"""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.controllers.evidence_state import ServiceEvidence
+from wagtailstep.models.evidence import STALL_ROUTE
+
+STALL_FACTOR = 2.0
+STALL_MARGIN_S = 0.05
+MAX_DOUBLINGS = 8
+
+
+def stall_limit(service: ServiceEvidence, in_use: set[str]) -> timedelta | None:
+    """Return how long a target may end no request, or ``None`` if unknown.
+
+    It follows the slowest route. While a route without known latencies is in use,
+    nothing can be told.
+
+    :param in_use: routes with requests in flight.
+    """
+    times = {
+        route: comparison.reference.slow_above_s
+        for route, comparison in service.comparisons.items()
+        if route != STALL_ROUTE
+    }
+    if not times or any(times.get(route) is None for route in in_use):
+        return None
+    slowest = max(time or 0.0 for time in times.values())
+    return timedelta(seconds=STALL_FACTOR * slowest + STALL_MARGIN_S)
+
+
+@attrs.define
+class Stall:
+    """How long one target has ended no request.
+
+    :param since: monotonic time of the latest end.
+    :param counted: times that this was found too long.
+    """
+
+    since: timedelta
+    counted: int = 0
+
+
+@attrs.define
+class StallWatch:
+    """Targets with requests in flight.
+
+    :param stalls: by ``target_id``.
+    """
+
+    stalls: dict[str, Stall] = attrs.field(factory=dict)
+
+    def note_outcome(self, target_id: str, now: timedelta) -> None:
+        """Take note that a request at a target has ended."""
+        if target_id in self.stalls:
+            self.stalls[target_id] = Stall(now)
+
+    def follow(self, in_flight: Mapping[str, int], now: timedelta) -> None:
+        """Begin to watch targets with requests in flight, and drop the others."""
+        busy = {target_id for target_id, count in in_flight.items() if count > 0}
+        for target_id in [t for t in self.stalls if t not in busy]:
+            del self.stalls[target_id]
+        for target_id in busy:
+            self.stalls.setdefault(target_id, Stall(now))
+
+    def is_stalled(self, target_id: str, limit: timedelta, now: timedelta) -> bool:
+        """Tell whether a target has ended nothing for too long.
+
+        That is told once when ``limit`` has passed, and again whenever the wait
+        has doubled.
+        """
+        stall = self.stalls[target_id]
+        doublings = min(stall.counted, MAX_DOUBLINGS)
+        if now - stall.since <= limit * 2**doublings:
+            return False
+        stall.counted += 1
+        return True
--- a/src/wagtailstep/controllers/standing.py
+++ b/src/wagtailstep/controllers/standing.py
@@ -16,12 +16,17 @@
 
 
 class Phase(enum.Enum):
-    """Where a target is between being avoided and being used in full."""
+    """Where a target is between being avoided and being used in full.
+
+    A target ramps after a time out, and warms up after its start: only the latter
+    excuses that it is slow.
+    """
 
     GOOD = "good"
     AWAY = "away"
     PROBING = "probing"
     RAMPING = "ramping"
+    WARMING = "warming"
 
 
 def away_time(strikes: int, base_s: float = BASE_AWAY_S) -> timedelta:
@@ -70,9 +75,12 @@
         self.phase = Phase.AWAY
         self.good_probes = 0
 
-    def start_ramp(self, now: timedelta) -> None:
-        """Start to use the target again, little at first."""
-        self.phase = Phase.RAMPING
+    def start_ramp(self, now: timedelta, phase: Phase = Phase.RAMPING) -> None:
+        """Start to use the target, little at first.
+
+        :param phase: whether it ramps or warms up.
+        """
+        self.phase = phase
         self.ramp_start = now
 
     def probe_due(self, now: timedelta) -> bool:
@@ -96,7 +104,7 @@
 
     def ramp(self, now: timedelta) -> float:
         """Return the share of the weight in use; ends the ramp when it is whole."""
-        if self.phase is not Phase.RAMPING:
+        if self.phase not in (Phase.RAMPING, Phase.WARMING):
             return 1.0
         share = (now - self.ramp_start).total_seconds() / RAMP_S
         if share >= 1.0:
--- a/src/wagtailstep/models/evidence.py
+++ b/src/wagtailstep/models/evidence.py
@@ -7,12 +7,16 @@
 
 from wagtailstep.utils.codec import message
 
+# Stands for all routes where waiting requests are counted, whatever they ask for.
+STALL_ROUTE = "*"
+
 
 class Symptom(enum.Enum):
     """What is wrong with a target."""
 
     FAILING = "failing"
     SLOW = "slow"
+    HANGING = "hanging"
     UNREACHABLE = "unreachable"
 
 
@@ -25,7 +29,8 @@
     :param count: outcomes that speak for or against the backend server.
     :param failed: those that ended in a failure of the backend server.
     :param timed: outcomes whose latency was judged.
-    :param slow: those slower than the service's other targets mostly are.
+    :param slow: those slower than the service's other targets mostly are; on
+        :data:`STALL_ROUTE`, those that found the target to end no request.
     """
 
     target_id: str
