--- a/benchmarks/table_fleet.py
+++ b/benchmarks/table_fleet.py
@@ -36,6 +36,7 @@
 
 TICK = timedelta(milliseconds=100)
 DATAGRAM_BYTES = 40
+ADDRESS = "127.0.0.1:1"
 
 _T = TypeVar("_T")
 
@@ -151,7 +152,7 @@
     def start(self, name: str) -> None:
         """Start a daemon that knows nothing, perhaps again."""
         settings = DaemonSettings(
-            *(name, "bole", "", "", f"{name}:1", ""),
+            *(name, "bole", *[ADDRESS] * 4),
             log=self.log_settings,
             table=self.table_settings,
         )
