--- a/benchmarks/table_fleet.py
+++ b/benchmarks/table_fleet.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from typing import Any, TypeVar
@@ -122,6 +123,7 @@
         self.network = NetworkFaults()
         self.queue: list[tuple[timedelta, int, Callable[[], None]]] = []
         self.sequence = itertools.count()
+        self.handling_s = 0.0
         self.events: list[tuple[timedelta, str, RecordEvent]] = []
         names = [f"d{index:04d}" for index in range(size)]
         self.members = {
@@ -185,7 +187,10 @@
         """Give one event to a daemon and carry out its effects."""
         if not daemon.up:
             return
-        for effect in daemon.controller.handle(event):
+        started = time.perf_counter()
+        effects = daemon.controller.handle(event)
+        self.handling_s += time.perf_counter() - started
+        for effect in effects:
             self.apply(daemon, effect)
         self.observe(daemon)
 
--- /dev/null
+++ b/benchmarks/table_size.py
@@ -0,0 +1,130 @@
+"""What a table of the design size costs one daemon."""
+
+import gc
+import os
+import pathlib
+import random
+import time
+import tracemalloc
+from datetime import UTC, datetime
+
+import attrs
+
+from wagtailstep.models.table import RouteRow, ServiceRow, Table
+from wagtailstep.models.table_edits import TableChanges, TableEdit
+from wagtailstep.models.table_fold import TableFold, hash_table
+from wagtailstep.models.table_snapshot import (
+    decode_snapshot,
+    encode_snapshot,
+)
+
+SERVICES = 460
+ROUTES = 10_000
+ACCOUNTS = 47_000
+BACKEND_SERVERS = 19_000
+EDITS = 200
+REMEMBERED_EDITS = 1_024
+
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+
+@attrs.frozen
+class SizeFigures:
+    """Measured cost of a table.
+
+    :param rows: number of rows.
+    :param snapshot_bytes: size of the encoded snapshot.
+    :param encode_ms: time to encode it.
+    :param load_ms: time to decode and check it.
+    :param held_mb: memory held by the fold, as Python counts it.
+    :param resident_mb: growth of the process when it was loaded.
+    :param edit_us: time to decide one edit of one backend server.
+    """
+
+    rows: int
+    snapshot_bytes: int
+    encode_ms: float
+    load_ms: float
+    held_mb: float
+    resident_mb: float
+    edit_us: float
+
+
+def make_snapshot(rng: random.Random) -> bytes:
+    """Return an encoded snapshot of a random table of the design size."""
+    services = [f"service-{index:03d}" for index in range(SERVICES)]
+    table = Table()
+    for name in services:
+        limit = rng.randrange(1_000)
+        table.services[name] = ServiceRow(name, 3.0, concurrency_limit=limit)
+    for index in range(ROUTES):
+        key = f"{rng.choice(services)}/route-{index}"
+        table.routes[key] = RouteRow(key, rng.randrange(100), rng.randrange(100, 9_000))
+    for index in range(BACKEND_SERVERS):
+        host = f"10.{index >> 16 & 255}.{index >> 8 & 255}.{index & 255}"
+        key = f"{services[index % SERVICES]}/{host}:{rng.randrange(1024, 65_536)}"
+        table.backend_servers[key] = table.backend_servers.make_row(
+            key, round(rng.uniform(0.1, 2), 2)
+        )
+    for _ in range(ACCOUNTS):
+        key = f"{rng.choice(services)}/account-{rng.getrandbits(40):010x}"
+        rate = float(rng.randrange(1, 50))
+        table.accounts[key] = table.accounts.make_row(key, rate)
+    fold = TableFold(table, content_hash=hash_table(table))
+    for index in range(REMEMBERED_EDITS):
+        edit_server(fold, index, rng)
+    return encode_snapshot(fold)
+
+
+def edit_server(fold: TableFold, index: int, rng: random.Random) -> None:
+    """Decide an edit of one random backend server."""
+    rows = fold.table.backend_servers
+    key = rows.packed_keys[rng.randrange(len(rows.packed_keys))].decode()
+    row = rows.make_row(key, round(rng.uniform(0.1, 2), 2))
+    utc = datetime(2026, 1, 1, tzinfo=UTC)
+    changes = TableChanges(backend_servers={key: row})
+    edit_id = f"e{rng.getrandbits(64):016x}"
+    edit = TableEdit(edit_id, fold.version, "operator", f"edit {index}", utc, changes)
+    fold.decide(edit, index)
+
+
+def read_resident_mb() -> float:
+    """Return the resident memory of this process in MB."""
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * _PAGE_BYTES / 1e6
+
+
+def measure_size(seed: int) -> SizeFigures:
+    """Measure loading, memory and edits at the design size."""
+    rng = random.Random(seed)
+    data = make_snapshot(rng)
+    gc.collect()
+    resident = read_resident_mb()
+    started = time.perf_counter()
+    fold = decode_snapshot(data)
+    load_ms = (time.perf_counter() - started) * 1e3
+    gc.collect()
+    resident_mb = read_resident_mb() - resident
+    started = time.perf_counter()
+    encode_snapshot(fold)
+    encode_ms = (time.perf_counter() - started) * 1e3
+    started = time.perf_counter()
+    for index in range(EDITS):
+        edit_server(fold, index, rng)
+    edit_us = (time.perf_counter() - started) * 1e6 / EDITS
+    rows = SERVICES + ROUTES + ACCOUNTS + BACKEND_SERVERS
+    held_mb = measure_held(data)
+    return SizeFigures(
+        rows, len(data), encode_ms, load_ms, held_mb, resident_mb, edit_us
+    )
+
+
+def measure_held(data: bytes) -> float:
+    """Return the memory that a loaded fold holds, in MB."""
+    tracemalloc.start()
+    fold = decode_snapshot(data)
+    gc.collect()
+    held = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
+    assert fold.version
+    return held
--- a/src/wagtailstep/models/packed_rows.py
+++ b/src/wagtailstep/models/packed_rows.py
@@ -80,6 +80,9 @@
     def numbers_from(self, prefix: str = "") -> Iterator[tuple[str, float]]:
         """Yield keys that begin with a prefix, and their numbers, in order."""
         start = prefix.encode()
+        if not self.changes:
+            yield from self._packed_from(start)
+            return
         changed = sorted(key for key in self.changes if key.startswith(prefix))
         changed_at = 0
         index = bisect.bisect_left(self.packed_keys, start)
@@ -97,6 +100,14 @@
         for key in changed[changed_at:]:
             yield from self._yield_change(key)
 
+    def _packed_from(self, start: bytes) -> Iterator[tuple[str, float]]:
+        keys, numbers = self.packed_keys, self.numbers
+        for index in range(bisect.bisect_left(keys, start), len(numbers)):
+            raw = keys[index]
+            if not raw.startswith(start):
+                return
+            yield raw.decode(), numbers[index]
+
     def _yield_change(self, key: str) -> Iterator[tuple[str, float]]:
         number = self.changes[key]
         if number is not None:
--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -150,6 +150,10 @@
 }
 
 
+# Rows of these kinds hold one number and are many.
+PACKED_KINDS = frozenset({RowKind.BACKEND_SERVER, RowKind.ACCOUNT})
+
+
 def pack_backend_servers(
     rows: Mapping[str, float] | None = None,
 ) -> PackedRows[BackendServerRow]:
@@ -211,6 +215,10 @@
 
         Servers without a row count as ``unlisted_servers`` says.
         """
-        rows = self.rows_of_service(RowKind.BACKEND_SERVER, service)
-        listed = sum(row.weight for row in rows)
+        rows = self.backend_servers
+        if isinstance(rows, PackedRows):
+            listed = sum(weight for _, weight in rows.numbers_from(f"{service}/"))
+        else:
+            found = self.rows_of_service(RowKind.BACKEND_SERVER, service)
+            listed = sum(row.weight for row in found)
         return listed + self.service_row(service).unlisted_servers * DEFAULT_WEIGHT
--- a/src/wagtailstep/models/table_fold.py
+++ b/src/wagtailstep/models/table_fold.py
@@ -1,6 +1,7 @@
 """The fold over the stream ``table``: every reader decides each record alike."""
 
 import collections
+import struct
 
 import attrs
 import msgspec
@@ -8,7 +9,8 @@
 
 from wagtailstep.exceptions import DecodeError, TableConflictError, TableError
 from wagtailstep.models.log import LogRecord
-from wagtailstep.models.table import Row, Table
+from wagtailstep.models.packed_rows import PackedRows
+from wagtailstep.models.table import PACKED_KINDS, Row, RowKind, Table
 from wagtailstep.models.table_edits import (
     AcceptedEdit,
     EditOutcome,
@@ -24,19 +26,44 @@
 RECENT_EDITS = 1_024
 HASH_MASK = (1 << 64) - 1
 
+_NUMBER = struct.Struct("<d")
+_HASH_SEEDS = {kind: index for index, kind in enumerate(RowKind)}
+
+
+def hash_number(kind: RowKind, key: str, number: float) -> int:
+    """Return the hash of a row that holds one number."""
+    data = key.encode() + _NUMBER.pack(number)
+    return xxhash.xxh64_intdigest(data, _HASH_SEEDS[kind])
+
 
 def hash_row(row_id: RowId, row: Row) -> int:
     """Return the hash of one row.
 
     Columns at their default are left out, so a new column changes no hash.
     """
+    columns = row_id.kind.columns
+    if row_id.kind in PACKED_KINDS:
+        return hash_number(row_id.kind, row_id.key, getattr(row, columns[0].name))
     values = [
         (column.name, getattr(row, column.name))
-        for column in row_id.kind.columns
+        for column in columns
         if getattr(row, column.name) != column.default
     ]
-    data = msgspec.msgpack.encode((row_id.kind, row_id.key, values))
-    return xxhash.xxh64_intdigest(data)
+    data = msgspec.msgpack.encode((row_id.key, values))
+    return xxhash.xxh64_intdigest(data, _HASH_SEEDS[row_id.kind])
+
+
+def hash_table(table: Table) -> int:
+    """Return the content hash of a table, from its rows."""
+    total = 0
+    for kind in RowKind:
+        rows = table.rows(kind)
+        if isinstance(rows, PackedRows):
+            pairs = rows.numbers_from()
+            total += sum(hash_number(kind, key, number) for key, number in pairs)
+            continue
+        total += sum(hash_row(RowId(kind, key), row) for key, row in rows.items())
+    return total & HASH_MASK
 
 
 @attrs.define
--- a/src/wagtailstep/models/table_snapshot.py
+++ b/src/wagtailstep/models/table_snapshot.py
@@ -2,14 +2,16 @@
 
 import collections
 import zlib
+from collections.abc import Mapping
 from datetime import datetime
 
 import attrs
 
 from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.packed_rows import PackedRows
 from wagtailstep.models.table import (
     RouteRow,
-    RowKind,
+    Row,
     ServiceRow,
     Table,
     pack_accounts,
@@ -18,14 +20,14 @@
 from wagtailstep.models.table_edits import (
     AcceptedEdit,
     EditOutcome,
-    RowId,
     TableSnapshotPart,
 )
-from wagtailstep.models.table_fold import HASH_MASK, TableFold, hash_row
+from wagtailstep.models.table_fold import TableFold, hash_table
 from wagtailstep.utils.codec import decode_message, encode_message, message
 
 PART_BYTES = 262_144
 MAX_SNAPSHOT_BYTES = 64_000_000
+COMPRESSION_LEVEL = 1
 
 
 @message
@@ -48,21 +50,24 @@
 def encode_snapshot(fold: TableFold) -> bytes:
     """Encode a fold as compressed bytes."""
     table = fold.table
-    servers = table.backend_servers.values()
-    accounts = table.accounts.values()
     snapshot = TableSnapshot(
         table.version,
         fold.next_offset,
         fold.content_hash,
         fold.horizon,
         tuple(table.services.values()),
-        {row.target_id: row.weight for row in servers},
+        _numbers_by_key(table.backend_servers),
         tuple(table.routes.values()),
-        {row.account_id: row.rate_limit for row in accounts},
+        _numbers_by_key(table.accounts),
         tuple(fold.accepted),
         tuple(fold.refused.values()),
     )
-    return zlib.compress(encode_message(snapshot))
+    return zlib.compress(encode_message(snapshot), COMPRESSION_LEVEL)
+
+
+def _numbers_by_key(rows: Mapping[str, Row]) -> dict[str, float]:
+    assert isinstance(rows, PackedRows)
+    return dict(rows.numbers_from())
 
 
 def decode_snapshot(data: bytes) -> TableFold:
@@ -101,15 +106,6 @@
     )
 
 
-def hash_table(table: Table) -> int:
-    """Return the content hash of a table, from its rows."""
-    total = 0
-    for kind in RowKind:
-        for key, row in table.rows(kind).items():
-            total += hash_row(RowId(kind, key), row)
-    return total & HASH_MASK
-
-
 def split_snapshot(
     snapshot_id: str, fold: TableFold, utc: datetime
 ) -> list[TableSnapshotPart]:
