--- /dev/null
+++ b/benchmarks/table.py
@@ -0,0 +1,281 @@
+"""Measure how fast accepted edits are in force, and what the table costs.
+
+Table controllers of whole fleets run in virtual time over a network with losses;
+loading and memory at the design size are measured in real time.
+``python -m benchmarks.table --seed=1``
+"""
+
+import os
+import pathlib
+import platform
+import random
+import subprocess
+from datetime import timedelta
+
+import attrs
+import fire
+
+from benchmarks.table_fleet import TableFleet
+from benchmarks.table_histories import Oracle, make_change
+from benchmarks.table_size import SizeFigures, measure_size
+from wagtailstep.models.settings import LogSettings
+from wagtailstep.models.table_edits import TableEdit
+
+SIZES = (8, 52, 200, 600, 1_800)
+TODAY_SIZE = 52
+DESIGN_SIZE = 1_800
+BOUND_TODAY_MS = 5_000
+BOUND_DESIGN_MS = 9_000
+EDITS = 12
+EDIT_INTERVAL = timedelta(seconds=2)
+QUIET = timedelta(seconds=20)
+SETTLING = timedelta(seconds=20)
+DROP = 0.01
+MAX_LATENCY_MS = 20.0
+CHANGES_PER_DAY = 1_500
+DAY_S = 86_400
+RARE_POLL_MS = 10_000
+REPORT = pathlib.Path("docs/measurements/table.md")
+
+
+@attrs.frozen
+class FleetFigures:
+    """Figures of one fleet.
+
+    :param scenario: what happened to the log.
+    :param edits: edits appended, copies of the same edit not counted.
+    :param in_force_ms: time from acceptance to in force, for each edit and daemon.
+    :param quiet_bytes_s: bytes a daemon sends in a second without edits.
+    :param edit_bytes: bytes a daemon sends more for each accepted edit.
+    :param quiet_cpu: share of a core for the controller without edits.
+    :param edit_cpu_us: processor time a daemon spends more for each accepted edit.
+    :param reads_per_s: reads of the log by the whole fleet.
+    :param appends_per_s: appends of the operators and the whole fleet.
+    """
+
+    scenario: str
+    size: int
+    edits: int
+    accepted: int
+    in_force_ms: tuple[float, ...]
+    reverted: int
+    lost: int
+    applied_twice: int
+    quiet_bytes_s: float
+    edit_bytes: float
+    quiet_cpu: float
+    edit_cpu_us: float
+    reads_per_s: float
+    appends_per_s: float
+
+    def quantile_ms(self, share: float) -> float:
+        """Return a quantile of the times from acceptance to in force."""
+        last = len(self.in_force_ms) - 1
+        return self.in_force_ms[round(last * share)]
+
+
+def start_fleet(seed: int, size: int, poll_ms: int) -> TableFleet:
+    """Return a fleet whose daemons all have the empty table."""
+    fleet = TableFleet(seed, size, LogSettings(poll_ms=poll_ms))
+    fleet.network.max_latency_ms = MAX_LATENCY_MS
+    fleet.network.drop = DROP
+    fleet.run(timedelta(milliseconds=2 * poll_ms) + timedelta(seconds=5))
+    return fleet
+
+
+def let_one_read(fleet: TableFleet) -> None:
+    """Cut all daemons but one off from reading the log."""
+    for daemon in list(fleet.daemons.values())[1:]:
+        daemon.reads_log = False
+
+
+def append_edits(fleet: TableFleet, oracle: Oracle, rng: random.Random) -> list:
+    """Append edits, some of them twice, and return when each was accepted."""
+    accepted_at: list[tuple[timedelta, int]] = []
+    for index in range(EDITS):
+        utc = fleet.clock.utc()
+        change = make_change(f"s{rng.randrange(4)}", index)
+        base = max(0, oracle.version - rng.choice((0, 0, 1)))
+        edit = TableEdit(f"e{index}", base, "operator", "benchmark", utc, change)
+        version = oracle.version
+        for _ in range(rng.choice((1, 1, 2))):
+            fleet.append_edit(edit)
+            oracle.take(edit)
+        if oracle.version > version:
+            accepted_at.append((fleet.clock.monotonic(), oracle.version))
+        fleet.run(EDIT_INTERVAL)
+    fleet.run(SETTLING)
+    return accepted_at
+
+
+def find_in_force(fleet: TableFleet, accepted_at: list) -> list[float]:
+    """Return the time until each version was in force, for each daemon, in ms."""
+    times: list[float] = []
+    for daemon in fleet.daemons.values():
+        for when, version in accepted_at:
+            seen = (at for at, found in daemon.versions if found >= version)
+            at = next(seen, None)
+            if at is not None:
+                times.append((at - when).total_seconds() * 1e3)
+    return sorted(times)
+
+
+def measure_fleet(
+    seed: int, size: int, scenario: str, poll_ms: int = 500
+) -> FleetFigures:
+    """Run one fleet: quiet for a while, then with edits."""
+    fleet = start_fleet(seed, size, poll_ms)
+    if scenario == "one daemon reads the log":
+        let_one_read(fleet)
+    quiet = run_quiet(fleet)
+    bytes_before = count_bytes(fleet)
+    cpu_before = fleet.handling_s
+    appends_before = fleet.log.append_count
+    started = fleet.clock.monotonic()
+    oracle = Oracle()
+    accepted_at = append_edits(fleet, oracle, random.Random(seed))
+    duration = (fleet.clock.monotonic() - started).total_seconds()
+    times = find_in_force(fleet, accepted_at)
+    versions = [d.blackboard.table.version for d in fleet.daemons.values()]
+    edit_bytes = (count_bytes(fleet) - bytes_before) / size - quiet[0] * duration
+    edit_cpu = (fleet.handling_s - cpu_before) / size - quiet[1] * duration
+    return FleetFigures(
+        scenario,
+        size,
+        EDITS,
+        oracle.version,
+        tuple(times),
+        len(fleet.find_reverts()),
+        len(accepted_at) * size - len(times),
+        sum(max(0, version - oracle.version) for version in versions),
+        quiet[0],
+        edit_bytes / oracle.version,
+        quiet[1],
+        edit_cpu * 1e6 / oracle.version,
+        quiet[2],
+        (fleet.log.append_count - appends_before) / duration,
+    )
+
+
+def run_quiet(fleet: TableFleet) -> tuple[float, float, float]:
+    """Let a fleet run without edits.
+
+    :return: bytes a second and share of a core of one daemon, and reads of the log
+        a second of all.
+    """
+    size = len(fleet.daemons)
+    bytes_before = count_bytes(fleet)
+    cpu_before, reads_before = fleet.handling_s, fleet.log.read_count
+    fleet.run(QUIET)
+    seconds = QUIET.total_seconds()
+    return (
+        (count_bytes(fleet) - bytes_before) / size / seconds,
+        (fleet.handling_s - cpu_before) / size / seconds,
+        (fleet.log.read_count - reads_before) / seconds,
+    )
+
+
+def count_bytes(fleet: TableFleet) -> int:
+    """Return the bytes that all daemons sent."""
+    return sum(daemon.bytes_sent for daemon in fleet.daemons.values())
+
+
+def describe_fleet(figures: FleetFigures) -> str:
+    """Return one row of the report."""
+    day_bytes = figures.quiet_bytes_s + figures.edit_bytes * CHANGES_PER_DAY / DAY_S
+    day_cpu = figures.quiet_cpu + figures.edit_cpu_us / 1e6 * CHANGES_PER_DAY / DAY_S
+    return (
+        f"| {figures.size} | {figures.scenario} | {figures.quantile_ms(0.5):.0f} | "
+        f"{figures.quantile_ms(0.99):.0f} | {figures.quantile_ms(1):.0f} | "
+        f"{figures.reverted} | {figures.lost} | {figures.applied_twice} | "
+        f"{figures.quiet_bytes_s:.0f} | {figures.edit_bytes:.0f} | {day_bytes:.0f} | "
+        f"{day_cpu * 100:.3f} | {figures.reads_per_s:.0f} |"
+    )
+
+
+def write_report(figures: list[FleetFigures], size: SizeFigures, seed: int) -> None:
+    """Write all figures as a Markdown page."""
+    git = ["git", "rev-parse", "--short", "HEAD"]
+    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
+    lines = [
+        "# The table: time to in force, and cost",
+        "",
+        f"Machine: {platform.machine()}, {os.cpu_count()} cores, shared with other "
+        f"work; Python {platform.python_version()}; seed {seed}; code of commit "
+        f"{commit}.",
+        "",
+        "Fleets of table controllers in virtual time. Messages take 0.5 ms to "
+        f"{MAX_LATENCY_MS:g} ms and {DROP:.0%} of them get lost; each daemon knows all "
+        "others and reads the log every 0.5 s, or every "
+        f"{RARE_POLL_MS / 1e3:g} s in the scenario of rare reads. Times run from the "
+        "append that was accepted until a daemon has the version in force, over all "
+        "edits and daemons. Bytes are sent ones, with 40 bytes of overhead for each "
+        "message; about as many are received. The bytes and the share of a core "
+        f"for a day hold {CHANGES_PER_DAY} changes. Processor time is that of the "
+        "controller alone.",
+        "",
+        f"Bounds: {BOUND_TODAY_MS} ms up to {TODAY_SIZE} daemons, {BOUND_DESIGN_MS} ms "
+        "at the design size.",
+        "",
+        "| daemons | scenario | p50 ms | p99 ms | worst ms | reverted | lost | "
+        "applied twice | quiet B/s | B per edit | B/s over a day | % of a core | "
+        "log reads/s of all |",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+        *(describe_fleet(item) for item in figures),
+        "",
+        "## At the design size",
+        "",
+        "460 services, 10,000 routes, 47,000 client accounts and 19,000 backend "
+        "servers, 1,024 edits remembered.",
+        "",
+        "| rows | snapshot bytes | encode ms | load ms | held MB | resident MB | "
+        "decide one edit us |",
+        "|---|---|---|---|---|---|---|",
+        f"| {size.rows} | {size.snapshot_bytes} | {size.encode_ms:.0f} | "
+        f"{size.load_ms:.0f} | {size.held_mb:.1f} | {size.resident_mb:.1f} | "
+        f"{size.edit_us:.0f} |",
+    ]
+    REPORT.parent.mkdir(parents=True, exist_ok=True)
+    REPORT.write_text("\n".join(lines) + "\n")
+
+
+def main(seed: int = 1, largest: int = DESIGN_SIZE) -> None:
+    """Measure, write the report and print the figures.
+
+    :param largest: leave out fleets of more daemons than this.
+    """
+    results: list[FleetFigures] = []
+    for size in (size for size in SIZES if size <= largest):
+        for scenario in ("all daemons read the log", "one daemon reads the log"):
+            results.append(measure_fleet(seed, size, scenario))
+            print(describe_fleet(results[-1]), flush=True)
+    rare = "all read the log rarely"
+    results.append(measure_fleet(seed, min(largest, DESIGN_SIZE), rare, RARE_POLL_MS))
+    print(describe_fleet(results[-1]), flush=True)
+    size_figures = measure_size(seed)
+    print(size_figures, flush=True)
+    write_report(results, size_figures, seed)
+    print_summary(results)
+
+
+def print_summary(results: list[FleetFigures]) -> None:
+    """Print the line that the issue names, for the largest fleet."""
+    reading = [r for r in results if r.scenario.startswith("all daemons")]
+    cut_off = [r for r in results if r.scenario.startswith("one")]
+    largest = reading[-1]
+    print(
+        f"edits={sum(r.edits for r in results)} "
+        f"accepted={sum(r.accepted for r in results)} "
+        f"in_force_p50_ms={largest.quantile_ms(0.5):.0f} "
+        f"in_force_p99_ms={largest.quantile_ms(0.99):.0f} "
+        f"in_force_max_ms={max(r.quantile_ms(1) for r in reading):.0f} "
+        f"in_force_max_log_away_ms={max(r.quantile_ms(1) for r in cut_off):.0f} "
+        f"reverted={sum(r.reverted for r in results)} "
+        f"lost={sum(r.lost for r in results)} "
+        f"applied_twice={sum(r.applied_twice for r in results)} "
+        f"appends_per_s={largest.appends_per_s:.2f}"
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
