--- a/features/steps/table_program_steps.py
+++ b/features/steps/table_program_steps.py
@@ -13,6 +13,7 @@
 from log_service_steps import start_log_server
 
 from wagtailstep.cli import table as program
+from wagtailstep.cli import table_arguments
 from wagtailstep.cli.run import run_program
 
 
@@ -21,8 +22,10 @@
     out, err = io.StringIO(), io.StringIO()
     with (
         mock.patch.object(sys, "argv", words),
-        mock.patch.dict("os.environ", {program.LOG_VARIABLE: context.log_address}),
-        mock.patch.object(program, "LOG_TIMEOUT_MS", 400),
+        mock.patch.dict(
+            "os.environ", {table_arguments.LOG_VARIABLE: context.log_address}
+        ),
+        mock.patch.object(table_arguments, "LOG_TIMEOUT_MS", 400),
         contextlib.redirect_stdout(out),
         contextlib.redirect_stderr(err),
     ):
@@ -66,8 +69,10 @@
 
 @then("the table in the log has version {version:d}")
 def check_log_version(context, version):
-    with mock.patch.dict("os.environ", {program.LOG_VARIABLE: context.log_address}):
-        table = asyncio.run(program._make_client("").read_table())
+    with mock.patch.dict(
+        "os.environ", {table_arguments.LOG_VARIABLE: context.log_address}
+    ):
+        table = asyncio.run(table_arguments.make_client("").read_table())
     assert table.version == version, table.version
 
 
--- a/src/wagtailstep/cli/table.py
+++ b/src/wagtailstep/cli/table.py
@@ -1,41 +1,36 @@
 """The program ``wagtailstep-table``: operators edit the table with it."""
 
 import asyncio
-import getpass
-import os
 import pathlib
-import random
 import sys
 from collections.abc import Awaitable, Callable, Iterable
+from datetime import timedelta
 from typing import Any
 
+from wagtailstep.cli import status_codes
 from wagtailstep.cli.run import run_program
+from wagtailstep.cli.table_arguments import (
+    check_addresses,
+    check_number,
+    check_seconds,
+    make_client,
+    make_daemon_client,
+    make_proposal,
+    read_file,
+)
 from wagtailstep.commands import table_edit
-from wagtailstep.commands.table_client import Proposal, TableClient, check_outcome
-from wagtailstep.commands.table_csv import TableFile, read_csv, write_csv
+from wagtailstep.commands.table_client import Proposal, check_outcome
+from wagtailstep.commands.table_csv import write_csv
+from wagtailstep.commands.table_restore import check_lost, restore_table
 from wagtailstep.commands.table_show import show_history, show_rows
+from wagtailstep.commands.table_status import (
+    DaemonReport,
+    ask_daemons,
+    describe_reports,
+)
+from wagtailstep.commands.table_watch import read_or_none, watch_table
 from wagtailstep.exceptions import AppendUnknownError, SettingsError
-from wagtailstep.models.settings import LogSettings
-from wagtailstep.network.log_client import HttpLogService, split_address
-from wagtailstep.utils.clock import LoopClock
-
-LOG_VARIABLE = "WAGTAILSTEP_LOG"
-LOG_TIMEOUT_MS = 5_000
-
-
-def _make_client(log: str) -> TableClient:
-    address = log or os.environ.get(LOG_VARIABLE, "")
-    if not address:
-        raise SettingsError(f"--log is missing: give host:port or set {LOG_VARIABLE}")
-    split_address(str(address))
-    settings = LogSettings(address=str(address), timeout_ms=LOG_TIMEOUT_MS)
-    return TableClient(HttpLogService(settings), LoopClock(), random.SystemRandom())
-
-
-def _make_proposal(author: str, reason: str) -> Proposal:
-    if not str(reason).strip():
-        raise SettingsError("--reason is missing: say why, for the history")
-    return Proposal(str(author or getpass.getuser()), str(reason))
+from wagtailstep.models.table_fold import TableFold
 
 
 def _print_lines(lines: Iterable[str]) -> None:
@@ -43,22 +38,6 @@
         print(line)
 
 
-def _read_file(path: str) -> TableFile:
-    try:
-        return read_csv(pathlib.Path(str(path)).read_text(encoding="utf-8-sig"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"file {path!r} can't be read: {error}") from error
-
-
-def _check_number(name: str, version: Any, lowest: int) -> int:
-    if not isinstance(version, int) or version < lowest:
-        raise SettingsError(
-            f"--{name}={version!r} is not allowed, allowed is a whole number of at "
-            f"least {lowest}"
-        )
-    return version
-
-
 def _run(call: Callable[[], Awaitable[Iterable[str]]]) -> None:
     async def print_result() -> None:
         _print_lines(await call())
@@ -78,8 +57,8 @@
     """
 
     async def read_rows() -> Iterable[str]:
-        wanted = None if version is None else _check_number("version", version, 0)
-        table = await _make_client(log).read_table(wanted)
+        wanted = None if version is None else check_number("version", version, 0)
+        table = await make_client(log).read_table(wanted)
         return show_rows(table, str(kind), str(prefix))
 
     _run(read_rows)
@@ -92,8 +71,8 @@
     :param version: an older version that the log still knows.
     :param log: ``host:port`` of the log service.
     """
-    wanted = None if version is None else _check_number("version", version, 0)
-    table = asyncio.run(_make_client(log).read_table(wanted))
+    wanted = None if version is None else check_number("version", version, 0)
+    table = asyncio.run(make_client(log).read_table(wanted))
     if path == "-":
         sys.stdout.write(write_csv(table))
         return
@@ -127,8 +106,8 @@
     """
 
     async def submit_change() -> Iterable[str]:
-        client = _make_client(log)
-        proposal = _make_proposal(author, reason)
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
         fold = await client.read_fold()
         cells = {name: str(value) for name, value in columns.items()}
         changes = table_edit.plan_row_change(fold, str(kind), str(key), cells, remove)
@@ -166,15 +145,15 @@
     :param dry_run: show the effect and change nothing.
     :param log: ``host:port`` of the log service.
     """
-    _apply_file(path, _make_proposal(author, reason), remove, dry_run, log)
+    _apply_file(path, make_proposal(author, reason), remove, dry_run, log)
 
 
 def _apply_file(
     path: str, proposal: Proposal, remove: bool, dry_run: bool, log: str
 ) -> None:
     async def submit_file() -> Iterable[str]:
-        client = _make_client(log)
-        file = _read_file(path)
+        client = make_client(log)
+        file = read_file(path)
         fold = await client.read_fold()
         base, changes = await table_edit.plan_file(client, fold, file, remove)
         return await table_edit.submit(client, fold, base, changes, proposal, dry_run)
@@ -202,14 +181,12 @@
     """
 
     async def submit_import() -> Iterable[str]:
-        client = _make_client(log)
-        proposal = _make_proposal(author, reason)
-        file = _read_file(path)
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
+        file = read_file(path)
         fold = await client.read_fold()
         changes = table_edit.plan_import(fold, file, remove)
-        return await table_edit.submit(
-            client, fold, fold.version, changes, proposal, dry_run
-        )
+        return await table_edit.submit_parts(client, changes, proposal, dry_run)
 
     _run(submit_import)
 
@@ -232,10 +209,10 @@
     """
 
     async def submit_revert() -> Iterable[str]:
-        client = _make_client(log)
-        proposal = _make_proposal(author, reason)
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
         fold = await client.read_fold()
-        wanted = _check_number("version", version, 0)
+        wanted = check_number("version", version, 0)
         changes = await table_edit.plan_revert(client, fold, wanted)
         return await table_edit.submit(
             client, fold, fold.version, changes, proposal, dry_run
@@ -253,8 +230,8 @@
     """
 
     async def read_history() -> Iterable[str]:
-        fold = await _make_client(log).read_fold()
-        return show_history(fold, str(row), _check_number("limit", limit, 1))
+        fold = await make_client(log).read_fold()
+        return show_history(fold, str(row), check_number("limit", limit, 1))
 
     _run(read_history)
 
@@ -267,7 +244,7 @@
     """
 
     async def read_outcome() -> Iterable[str]:
-        fold = await _make_client(log).read_fold()
+        fold = await make_client(log).read_fold()
         found = fold.outcome_of(str(edit_id))
         if found is None:
             raise AppendUnknownError(
@@ -280,6 +257,85 @@
     _run(read_outcome)
 
 
+def status(*addresses: str, log: str = "") -> int:
+    """Show the version in force at daemons, which are behind and since when.
+
+    Exit codes: 0 all daemons answered, 2 an argument is wrong, 5 some daemons could
+    not be reached; the output names them.
+
+    :param addresses: caller address, ``host:port``, of each daemon.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    client = make_client(log)
+
+    async def ask() -> tuple[TableFold | None, list[DaemonReport]]:
+        reports = await ask_daemons(make_daemon_client(), wanted)
+        return await read_or_none(client), reports
+
+    fold, reports = asyncio.run(ask())
+    _print_lines(describe_reports(fold, reports))
+    unreachable = any(report.status is None for report in reports)
+    return status_codes.PARTIAL if unreachable else status_codes.SUCCESS
+
+
+def watch(
+    *addresses: str,
+    interval_s: float = 2.0,
+    run_time_s: float = 3_600.0,
+    log: str = "",
+) -> None:
+    """Show new edits as they are accepted, and where they are in force.
+
+    :param addresses: caller address, ``host:port``, of each daemon.
+    :param interval_s: seconds between two looks.
+    :param run_time_s: seconds after which the program ends.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    client = make_client(log)
+    interval = timedelta(seconds=check_seconds("interval_s", interval_s))
+    run_time = timedelta(seconds=check_seconds("run_time_s", run_time_s))
+
+    def show_line(line: str) -> None:
+        print(line, flush=True)
+
+    daemons = make_daemon_client()
+    asyncio.run(watch_table(client, daemons, wanted, interval, run_time, show_line))
+
+
+def restore(
+    path: str,
+    *addresses: str,
+    version: int,
+    reason: str,
+    author: str = "",
+    log: str = "",
+) -> None:
+    """Bring back a table that the log and all daemons have lost.
+
+    :param path: the newest exported CSV file.
+    :param addresses: caller address, ``host:port``, of each daemon; none of them
+        may have a table.
+    :param version: version of the restored table, above any that was in force.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    proposal = make_proposal(author, reason)
+    number = check_number("version", version, 1)
+    file = read_file(path)
+    client = make_client(log)
+
+    async def append() -> Iterable[str]:
+        check_lost(await ask_daemons(make_daemon_client(), wanted))
+        count = await restore_table(client, file, number, proposal)
+        return [f"restored version={number} records={count}"]
+
+    _run(append)
+
+
 COMMANDS = {
     "show": show,
     "export": export,
@@ -290,6 +346,9 @@
     "history": history,
     "revert": revert,
     "outcome": outcome,
+    "status": status,
+    "watch": watch,
+    "restore": restore,
 }
 
 
--- a/src/wagtailstep/commands/table_client.py
+++ b/src/wagtailstep/commands/table_client.py
@@ -64,6 +64,7 @@
         self.clock = clock
         self.rng = rng
         self.settle_time = settle_time
+        self.reader: TableReader | None = None
 
     async def read(self, stop_version: int | None = None) -> TableReader:
         """Fold the stream from its oldest record on.
@@ -76,12 +77,24 @@
         offset = await self.log.oldest_offset(TABLE_STREAM)
         if offset == 0:
             reader.start_empty()
+        await self._read_on(reader, offset, stop_version)
+        self._check_found(reader, stop_version)
+        return reader
+
+    async def _read_on(
+        self, reader: TableReader, offset: int, stop_version: int | None = None
+    ) -> int:
+        """Feed a reader from an offset on, and return where it stopped.
+
+        :raises LogError: if the log can't be read, or not without a gap.
+        """
         while not _has_version(reader, stop_version):
             try:
                 batch = await self.log.read(TABLE_STREAM, offset)
             except RecordExpiredError as error:
-                offset = error.oldest
-                continue
+                raise LogUnavailableError(
+                    "records of the table expired while they were read; try again"
+                ) from error
             if not batch.records:
                 break
             for record in batch.records:
@@ -89,11 +102,10 @@
                     break
                 reader.read_log(record)
             offset = batch.next_offset
-        self._check_found(reader, stop_version)
-        return reader
+        return offset
 
     def _check_found(self, reader: TableReader, stop_version: int | None) -> None:
-        if reader.fold is None:
+        if reader.fold is None or reader.pending:
             raise LogError(
                 "the log holds no usable snapshot of the table; if a daemon still "
                 "has the table, it writes one within an eighth of the log's retention"
@@ -106,12 +118,17 @@
             )
 
     async def read_fold(self) -> TableFold:
-        """Return the fold of the whole stream.
+        """Return the fold of the whole stream, which the next call changes.
 
         :raises LogError: if the log can't be read.
         """
-        reader = await self.read()
+        reader = self.reader or await self.read()
+        self.reader = None
+        if reader.fold is not None:
+            await self._read_on(reader, reader.position)
+        self._check_found(reader, None)
         assert reader.fold is not None
+        self.reader = reader
         return reader.fold
 
     async def read_table(self, version: int | None = None) -> Table:
--- a/src/wagtailstep/commands/table_edit.py
+++ b/src/wagtailstep/commands/table_edit.py
@@ -14,8 +14,13 @@
 from wagtailstep.commands.table_client import Proposal, TableClient, check_outcome
 from wagtailstep.commands.table_csv import TableFile
 from wagtailstep.exceptions import SettingsError
-from wagtailstep.models.table_edits import TableChanges, TableEdit
+from wagtailstep.models.table import Row
+from wagtailstep.models.table_edits import RowId, TableChanges, TableEdit
 from wagtailstep.models.table_fold import TableFold
+from wagtailstep.utils.codec import encode_message
+
+MAX_EDIT_BYTES = 524_288
+MAX_ROWS_PER_EDIT = 1_000
 
 
 def plan_row_change(
@@ -93,6 +98,19 @@
     return find_changes(fold.table, table_rows(wanted))
 
 
+def check_size(edit: TableEdit) -> None:
+    """Refuse an edit that is too long for one record of the log.
+
+    :raises SettingsError: if it is too long.
+    """
+    size = len(encode_message(edit))
+    if size > MAX_EDIT_BYTES:
+        raise SettingsError(
+            f"the edit has {size} bytes, allowed is at most {MAX_EDIT_BYTES}; make "
+            f"several smaller edits, or use import, which splits it"
+        )
+
+
 def check_edit(fold: TableFold, edit: TableEdit) -> Iterator[str]:
     """Decide an edit on a copy of the table.
 
@@ -105,6 +123,42 @@
     yield from describe_effect(fold.table, after.table, edit.changes)
 
 
+def split_changes(changes: TableChanges) -> list[TableChanges]:
+    """Split changes into some of a bounded number of rows, each service whole.
+
+    A service of more rows than that still stays whole.
+    """
+    by_service: dict[str, list[tuple[RowId, Row | None]]] = {}
+    for row_id, row in changes.items():
+        by_service.setdefault(row_id.service, []).append((row_id, row))
+    parts: list[TableChanges] = []
+    for rows in by_service.values():
+        if not parts or len(parts[-1]) + len(rows) > MAX_ROWS_PER_EDIT:
+            parts.append(TableChanges())
+        for row_id, row in rows:
+            parts[-1].rows(row_id.kind)[row_id.key] = row
+    return parts
+
+
+async def submit_parts(
+    client: TableClient, changes: TableChanges, proposal: Proposal, dry_run: bool
+) -> Iterator[str]:
+    """Submit changes to the newest table as one edit, or as several if they are many.
+
+    Each edit is accepted or refused on its own; the first refusal ends it, and the
+    same command goes on from there.
+
+    :return: lines that tell what became of them.
+    :raises TableError: if an edit is refused.
+    :raises AppendUnknownError: if that stays unknown.
+    """
+    lines: list[str] = []
+    for part in split_changes(changes) or [changes]:
+        fold = await client.read_fold()
+        lines += await submit(client, fold, fold.version, part, proposal, dry_run)
+    return iter(lines)
+
+
 async def submit(
     client: TableClient,
     fold: TableFold,
@@ -122,6 +176,7 @@
     if not len(changes):
         return iter([f"unchanged version={fold.version}"])
     edit = client.make_edit(base_version, changes, proposal)
+    check_size(edit)
     lines = list(check_edit(fold, edit))
     if dry_run:
         return iter([*lines, f"dry-run {count_changes(changes)}"])
--- /dev/null
+++ b/src/wagtailstep/commands/table_status.py
@@ -0,0 +1,112 @@
+"""Which version of the table is in force at which daemon."""
+
+import asyncio
+from collections.abc import Iterator
+from datetime import datetime
+from typing import Protocol
+
+import attrs
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.status import DaemonStatus
+from wagtailstep.models.table_edits import AcceptedEdit
+from wagtailstep.models.table_fold import TableFold
+from wagtailstep.utils.logging import format_fields
+
+MAX_AT_ONCE = 32
+
+
+class StatusClient(Protocol):
+    """Asks daemons for their status."""
+
+    async def fetch_status(self, address: str) -> DaemonStatus:
+        """Return a daemon's status.
+
+        :raises RequestError: if it did not answer.
+        """
+
+
+@attrs.frozen
+class DaemonReport:
+    """What is known of one daemon.
+
+    :param address: where it was asked.
+    :param status: its answer, or ``None``.
+    :param problem: why there is no answer.
+    """
+
+    address: str
+    status: DaemonStatus | None = None
+    problem: str = ""
+
+
+async def ask_daemons(
+    client: StatusClient, addresses: tuple[str, ...]
+) -> list[DaemonReport]:
+    """Ask daemons for their status, a bounded number of them at once."""
+    turns = asyncio.Semaphore(MAX_AT_ONCE)
+
+    async def ask(address: str) -> DaemonReport:
+        async with turns:
+            try:
+                return DaemonReport(address, await client.fetch_status(address))
+            except RequestError as error:
+                return DaemonReport(address, problem=str(error))
+
+    return list(await asyncio.gather(*map(ask, addresses)))
+
+
+def describe_reports(
+    fold: TableFold | None, reports: list[DaemonReport]
+) -> Iterator[str]:
+    """Yield one line for each daemon and one that sums up.
+
+    :param fold: the table by the log, or ``None`` if the log can't be read; the
+        newest version of the daemons stands for it then.
+    """
+    versions = [r.status.table_version for r in reports if r.status is not None]
+    newest = max(versions, default=0) if fold is None else fold.version
+    edits = {} if fold is None else {edit.version: edit for edit in fold.accepted}
+    for report in reports:
+        yield format_fields(_describe(report, newest, edits))
+    behind = sum(r.status is not None and _is_behind(r.status, newest) for r in reports)
+    answered = sum(r.status is not None for r in reports)
+    yield format_fields(
+        {
+            "newest_version": newest,
+            "log": "unreachable" if fold is None else "read",
+            "daemons": len(reports),
+            "in_force": answered - behind,
+            "behind": behind,
+            "unreachable": len(reports) - answered,
+        }
+    )
+
+
+def _is_behind(status: DaemonStatus, newest: int) -> bool:
+    return not status.table_known or status.table_version < newest
+
+
+def _describe(
+    report: DaemonReport, newest: int, edits: dict[int, AcceptedEdit]
+) -> dict[str, object]:
+    status = report.status
+    if status is None:
+        return {"daemon": report.address, "state": "unreachable", "why": report.problem}
+    fields: dict[str, object] = {"daemon": status.daemon_id, "address": report.address}
+    if not status.table_known:
+        return fields | {"state": "no-table", "log_reachable": status.log_reachable}
+    fields |= {"version": status.table_version, "since": _write(status.table_since_utc)}
+    if not _is_behind(status, newest):
+        return fields | {"state": "in-force"}
+    missed = edits.get(status.table_version + 1)
+    behind_since = None if missed is None else missed.utc
+    return fields | {
+        "state": "behind",
+        "behind_since": _write(behind_since),
+        "log_reachable": status.log_reachable,
+    }
+
+
+def _write(utc: datetime | None) -> str:
+    return "unknown" if utc is None else utc.isoformat(timespec="seconds")
--- /dev/null
+++ b/src/wagtailstep/commands/table_watch.py
@@ -0,0 +1,59 @@
+"""Following the table: edits as they are decided, and where they take hold."""
+
+import asyncio
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+from wagtailstep.commands.table_client import TableClient
+from wagtailstep.commands.table_show import show_history
+from wagtailstep.commands.table_status import (
+    StatusClient,
+    ask_daemons,
+    describe_reports,
+)
+from wagtailstep.exceptions import LogError
+from wagtailstep.models.table_fold import TableFold
+
+
+async def watch_table(
+    client: TableClient,
+    daemons: StatusClient,
+    addresses: tuple[str, ...],
+    interval: timedelta,
+    run_time: timedelta,
+    show: Callable[[str], None],
+) -> None:
+    """Show each new accepted edit, and each change of the daemons' summary.
+
+    :param interval: time between two looks.
+    :param run_time: how long to watch.
+    :param show: takes the lines.
+    """
+    end = client.clock.monotonic() + run_time
+    last_version: int | None = None
+    last_summary = ""
+    while client.clock.monotonic() < end:
+        fold = await read_or_none(client)
+        if fold is not None:
+            for line in list_new_edits(fold, last_version):
+                show(line)
+            last_version = fold.version
+        *_, summary = describe_reports(fold, await ask_daemons(daemons, addresses))
+        if summary != last_summary:
+            show(summary)
+        last_summary = summary
+        await asyncio.sleep(interval.total_seconds())
+
+
+async def read_or_none(client: TableClient) -> TableFold | None:
+    """Return the newest fold, or ``None`` if the log can't be read."""
+    try:
+        return await client.read_fold()
+    except LogError:
+        return None
+
+
+def list_new_edits(fold: TableFold, last_version: int | None) -> Iterator[str]:
+    """Return lines for the edits after a version, oldest first; none at first."""
+    count = 0 if last_version is None else fold.version - last_version
+    return reversed(list(show_history(fold, limit=count)))
--- a/src/wagtailstep/models/table_fold.py
+++ b/src/wagtailstep/models/table_fold.py
@@ -207,11 +207,15 @@
             edit.utc,
             tuple(row_id for row_id, _ in edit.changes.items()),
         )
-        self.accepted.append(accepted)
-        self._index(accepted)
+        self.remember(accepted)
+        return EditOutcome(edit.edit_id, EditVerdict.ACCEPTED, self.version)
+
+    def remember(self, edit: AcceptedEdit) -> None:
+        """Remember the newest accepted edit, and forget the oldest of too many."""
+        self.accepted.append(edit)
+        self._index(edit)
         if len(self.accepted) > RECENT_EDITS:
             self._forget_oldest()
-        return EditOutcome(edit.edit_id, EditVerdict.ACCEPTED, self.version)
 
     def _index(self, edit: AcceptedEdit) -> None:
         self.by_id[edit.edit_id] = edit
