--- a/features/steps/table_program_steps.py
+++ b/features/steps/table_program_steps.py
@@ -7,6 +7,7 @@
 import shlex
 import sys
 import tempfile
+from datetime import UTC, datetime
 from unittest import mock
 
 from behave import given, then, when
@@ -15,6 +16,14 @@
 from wagtailstep.cli import table as program
 from wagtailstep.cli import table_arguments
 from wagtailstep.cli.run import run_program
+from wagtailstep.commands.table_csv import write_csv
+from wagtailstep.exceptions import ConnectionFailedError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.status import describe_status
+from wagtailstep.models.table import AccountRow, ServiceRow, Table
+from wagtailstep.models.table_edits import TABLE_STREAM
+from wagtailstep.models.verdict import Verdict
 
 
 def run_table_program(context, arguments):
@@ -113,3 +122,63 @@
 @when("the log is away for the table program")
 def take_away(context):
     context.log_server.set_faults(away=True)
+
+
+class ToldDaemons:
+    """Daemons that answer with what a scenario told."""
+
+    def __init__(self, rows):
+        self.rows = {row["address"]: row for row in rows}
+
+    async def fetch_status(self, address):
+        row = self.rows[address]
+        if not row["version"]:
+            raise ConnectionFailedError("no answer", Verdict.NOT_RUN)
+        board = Blackboard(Member(address, 1, address, address, "bole"))
+        board.table.version = int(row["version"])
+        board.table_known = row["known"] == "yes"
+        board.table_since = datetime(2026, 1, 1, tzinfo=UTC)
+        return describe_status(board)
+
+
+@given("daemons that tell of the table")
+def tell_daemons(context):
+    daemons = ToldDaemons(context.table)
+    patch = mock.patch.object(program, "make_daemon_client", lambda: daemons)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("a CSV file of {services:d} services with {accounts:d} client accounts each")
+def write_large_file(context, services, accounts):
+    table = Table()
+    for index in range(services):
+        name = f"s{index:03d}"
+        table.services[name] = ServiceRow(name)
+        for number in range(accounts):
+            key = f"{name}/account-with-a-long-name-{number}"
+            table.accounts[key] = AccountRow(key, number)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.large_file = pathlib.Path(folder.name, "large.csv")
+    context.large_file.write_text(write_csv(table))
+
+
+@when("the table program imports the file")
+def import_large_file(context):
+    run_table_program(context, f"import {context.large_file} --remove --reason=large")
+
+
+@given("the records of the table expired")
+def expire_records(context):
+    context.log_server.set_faults(retention_records=1)
+    log = table_arguments.make_client(context.log_address).log
+    asyncio.run(log.append(TABLE_STREAM, b"nonsense"))
+    context.log_server.set_faults(retention_records=0)
+
+
+@when('the {name} operator restores the file as version {version:d} with daemon "{at}"')
+def restore_file(context, name, version, at):
+    path = context.files[name]
+    words = f"restore {path} {at} --version={version} --reason=lost"
+    run_table_program(context, words)
--- a/features/table_program.feature
+++ b/features/table_program.feature
@@ -80,3 +80,82 @@
     When the log is away for the table program
     And the table program runs "edit service contracts --drain_limit_s=9 --reason=r"
     Then it exits with 1 and one line that names "the log"
+
+  Scenario: The status tells which daemons are behind and since when
+    Given the table program ran "edit service contracts --drain_limit_s=9 --reason=r"
+    And daemons that tell of the table
+      | address | version | known |
+      | d1:1    | 2       | yes   |
+      | d2:1    | 1       | yes   |
+      | d3:1    | 0       | no    |
+      | d4:1    |         |       |
+    When the table program runs "status d1:1 d2:1 d3:1 d4:1"
+    Then it exits with 5 and prints "daemon=d1:1 address=d1:1 version=2"
+    And it prints "state=in-force"
+    And it prints "state=behind behind_since=20"
+    And it prints "daemon=d3:1 address=d3:1 state=no-table"
+    And it prints "daemon=d4:1 state=unreachable why="no answer""
+    And it prints "newest_version=2 log=read daemons=4 in_force=1 behind=2 unreachable=1"
+
+  Scenario: The status works while the log is away
+    Given daemons that tell of the table
+      | address | version | known |
+      | d1:1    | 7       | yes   |
+      | d2:1    | 6       | yes   |
+    When the log is away for the table program
+    And the table program runs "status d1:1 d2:1"
+    Then it exits with 0 and prints "newest_version=7 log=unreachable daemons=2 in_force=1 behind=1"
+
+  Scenario: A watch shows new edits and where they are in force
+    Given daemons that tell of the table
+      | address | version | known |
+      | d1:1    | 1       | yes   |
+    When the table program runs "watch d1:1 --interval_s=0.01 --run_time_s=0.02"
+    Then it exits with 0 and prints "in_force=1 behind=0"
+
+  Scenario: A large import becomes several edits that hold whole services
+    Given a CSV file of 460 services with 10 client accounts each
+    When the table program imports the file
+    Then it exits with 0 and prints "accepted"
+    And the table in the log has version 7
+    When the table program imports the file
+    Then it exits with 0 and prints "unchanged version=7"
+
+  Scenario: A large edit that can't be split is refused before it is appended
+    Given a CSV file of 1 services with 9000 client accounts each
+    When the table program imports the file
+    Then it exits with 2 and one line that names "allowed is at most 524288"
+    And the table in the log has version 1
+
+  Scenario: A table that log and daemons have lost is restored from a file
+    Given the table was exported to a file for each of two operators
+    And the records of the table expired
+    And daemons that tell of the table
+      | address | version | known |
+      | d1:1    | 0       | no    |
+    When the table program runs "show"
+    Then it exits with 1 and one line that names "no usable snapshot"
+    When the first operator restores the file as version 1 with daemon "d1:1"
+    Then it exits with 2 and one line that names "at least 2"
+    When the first operator restores the file as version 9 with daemon "d1:1"
+    Then it exits with 0 and prints "restored version=9"
+    And the table in the log has version 9
+    When the table program runs "edit service contracts --drain_limit_s=9 --reason=r"
+    Then it exits with 0 and prints "version=10"
+
+  Scenario Outline: A table that is not lost is not restored
+    Given the table was exported to a file for each of two operators
+    And daemons that tell of the table
+      | address | version | known |
+      | d1:1    | 1       | yes   |
+      | d2:1    | 0       | no    |
+      | d3:1    |         |       |
+    When the first operator restores the file as version 9 with daemon "<daemon>"
+    Then it exits with 3 and one line that names "<message>"
+    And the table in the log has version 1
+
+    Examples:
+      | daemon | message                          |
+      | d1:1   | has version 1 of the table       |
+      | d2:1   | the log still has version 1      |
+      | d3:1   | does not answer                  |
