--- a/benchmarks/table_fleet.py
+++ b/benchmarks/table_fleet.py
@@ -150,8 +150,9 @@
 
     def start(self, name: str) -> None:
         """Start a daemon that knows nothing, perhaps again."""
+        address = f"{name}:1"
         settings = DaemonSettings(
-            *(name, "bole", "", "", f"{name}:1", ""),
+            *(name, "bole", address, address, address, address),
             log=self.log_settings,
             table=self.table_settings,
         )
--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -277,7 +277,7 @@
     assert context.fleet.versions_in_force() == {None}
 
 
-@when("the log is back")
+@when("the log with the table is back")
 def bring_back(context):
     context.fleet.log.faults.away = False
 
--- a/features/table.feature
+++ b/features/table.feature
@@ -91,7 +91,7 @@
     Given a fleet of 5 daemons with a table in force
     When all daemons are replaced while the log is away
     Then no daemon knows a table
-    When the log is back
+    When the log with the table is back
     Then all daemons have the newest table
 
   Scenario Outline: Daemons cut off from the log still get new versions
--- a/src/wagtailstep/cli/table.py
+++ b/src/wagtailstep/cli/table.py
@@ -16,7 +16,7 @@
 from wagtailstep.commands.table_show import show_history, show_rows
 from wagtailstep.exceptions import AppendUnknownError, SettingsError
 from wagtailstep.models.settings import LogSettings
-from wagtailstep.network.log_client import HttpLogService
+from wagtailstep.network.log_client import HttpLogService, split_address
 from wagtailstep.utils.clock import LoopClock
 
 LOG_VARIABLE = "WAGTAILSTEP_LOG"
@@ -27,6 +27,7 @@
     address = log or os.environ.get(LOG_VARIABLE, "")
     if not address:
         raise SettingsError(f"--log is missing: give host:port or set {LOG_VARIABLE}")
+    split_address(str(address))
     settings = LogSettings(address=str(address), timeout_ms=LOG_TIMEOUT_MS)
     return TableClient(HttpLogService(settings), LoopClock(), random.SystemRandom())
 
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from wagtailstep.exceptions import SettingsError
+
 _ADDRESS = re.compile(r"^[^\s:/]+:\d{1,5}$")
 MAX_PORT = 65_535
 
 
-class SettingValueError(ValueError):
+class SettingValueError(SettingsError, ValueError):
     """A value has the right type and is not allowed.
 
     :param name: name of the setting.
