--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -46,6 +46,17 @@
     When the ticket has run at "a" and 10001 more tickets are issued
     Then the ticket at "a" is decided as "refuse" with "may-have-run"
 
+  Scenario: A ticket that runs is not forgotten
+    Given a ticket of daemon "a"
+    Then the ticket at "a" is decided as "run"
+    When 10001 more tickets are issued at "a"
+    Then the ticket at "a" is decided as "wait"
+
+  Scenario: A ticket is for one service
+    Given a ticket of daemon "a"
+    Then the ticket at "a" for service "archive" is decided as "refuse" with "not-run"
+    And the ticket at "a" is decided as "run"
+
   Scenario: Kept answers have a bounded size
     When 400 tickets run at "a" with answers of 16000 bytes each
     Then at most 4194304 bytes of answers are kept at "a"
@@ -139,6 +150,59 @@
     And "b" claims the key "k1"
     Then the request at "b" is decided as "pass on" to "a"
 
+  Scenario: A restarted daemon does not take an old claim for its own
+    When "a" claims the key "k1"
+    And the claimed run at "a" ends as "may-have-run"
+    And daemon "a" restarts before it has read the log
+    And "a" claims the key "k1"
+    Then the request at "a" is decided as "refuse" with "may-have-run"
+
+  Scenario: A release frees only the claim that it names
+    When "b" claims the key "k1"
+    And the log holds a release of a claim of "a" on "k1" with the same number
+    And "c" claims the key "k1"
+    Then the request at "c" is decided as "pass on" to "b"
+
+  Scenario: A resend at the same daemon waits for the claim, another request doesn't
+    When "a" claims the key "k1" and its append is acknowledged
+    Then the key "k1" at "a" is decided as "wait"
+    And the key "k1" with another body at "a" is decided as "refuse" with "not-run"
+
+  Scenario: A claim that the log refuses ends its request at once
+    When "a" gets a request with key "k1" that is "a first sending"
+    And the append of "a" is refused by the log
+    Then the request at "a" is decided as "refuse" with "not-run"
+    And nothing is appended again by "a"
+
+  Scenario: A new request takes over from a given-up claim that holds the key
+    When "a" claims the key "k1" and its append is lost without acknowledgment
+    And the request at "a" is given up
+    And the lost append of "a" applies late
+    And "a" gets a request with key "k1" that is "perhaps resent"
+    And the appends of "a" are made and read everywhere
+    And the appends of "a" are made and read everywhere
+    Then the request at "a" is decided as "run"
+
+  Scenario: A claim given up before its append is never sent
+    When "a" claims the key "k1" and its append is lost without acknowledgment
+    And "a" gets a request with key "k2" that is "a first sending"
+    And the request at "a" is given up
+    And 600 ms pass
+    Then the claim of "a" is appended once more
+
+  Scenario: A key whose record has expired may be used again
+    When "a" claims the key "k1"
+    And the claimed run at "a" ends as "run"
+    And the log forgets the record before "b" reads it
+    And "b" claims the key "k1"
+    Then the request at "b" is decided as "run"
+
+  Scenario: Keys left out for lack of room decide nothing
+    When 50000 other keys have been claimed in the log
+    And "b" gets a request with key "k1" although it has no room
+    And the retention of the log has nearly passed
+    Then the request at "b" is decided as "refuse" with "may-have-run"
+
   Scenario: A gap in the log decides nothing in favour of running
     When "a" claims the key "k1" and its append applies without acknowledgment
     And the log forgets the record before "a" reads it
@@ -157,6 +221,24 @@
     When 300 keys are claimed at "a" while its first append is under way
     Then the appends of "a" are 3 in all
 
+  Scenario: A caller that goes away leaves no claim and no run behind
+    When a caller goes away while its key is claimed
+    Then the claim is released after it has been read
+
+  Scenario: A caller that goes away in the same step as the decision leaves no run
+    When a caller goes away in the step in which its claim is won
+    Then the claim is released after it has been read
+
+  Scenario Outline: A ticket used for another request at the entry is refused
+    When a ticket is used at an entry and then again with another <part>
+    Then the second answer is 422 with verdict "not-run"
+
+    Examples:
+      | part    |
+      | path    |
+      | body    |
+      | account |
+
   Scenario: A pause between the decision and the run does not run the request late
     When a keyed request wins its claim at an entry that pauses past the deadline
     Then no attempt is made and the key is released
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -8,14 +8,18 @@
 import detangle
 import parse
 from behave import given, register_type, then, when
-from entry_steps import EntryWorld, make_incoming
+from entry_steps import EntryWorld, make_incoming, read_answer, yield_chunks
 from routing_steps import make_member, make_request, make_settings
 
-from wagtailstep.controllers.claims import ClaimDesk
 from wagtailstep.controllers.guard import DuplicateGuard
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.claims import ClaimBatch, ClaimEntry, name_stream
+from wagtailstep.models.claims import (
+    ClaimBatch,
+    ClaimEntry,
+    digest_key,
+    name_stream,
+)
 from wagtailstep.models.events import (
     AppendToLog,
     LogAppendSettled,
@@ -143,6 +147,76 @@
     context.ticket = str(tickets.issue("contracts"))
 
 
+@when('{count:d} more tickets are issued at "{name:Q}"')
+def issue_more(context, count, name):
+    for _ in range(count):
+        context.daemons[name].guard.tickets.issue("contracts")
+
+
+@then(
+    'the ticket at "{name:Q}" for service "{service:Q}" '
+    'is decided as "{e:Q}" with "{v:Q}"'
+)
+def check_ticket_service(context, name, service, e, v):
+    check_decision(start_ticket(context, name, service=service), e, v)
+
+
+@when('daemon "{name:Q}" restarts before it has read the log')
+def restart_unread(context, name):
+    context.daemons[name] = GuardedDaemon(context, name, boot=2)
+    context.daemons[name].guard.find_desk("contracts")
+
+
+@when(
+    'the log holds a release of a claim of "{name:Q}" on "{key:Q}" with the same number'
+)
+def add_release(context, name, key):
+    entry = ClaimEntry(digest_key("", key), 1, released=True)
+    batch = ClaimBatch(name, context.daemons[name].guard.boot_id, (entry,))
+    context.log.append(encode_message(batch))
+    read_everywhere(context)
+
+
+@then('the key "{key:Q}" at "{name:Q}" is decided as "{expected:Q}"')
+def check_key(context, key, name, expected):
+    check_decision(context.daemons[name].begin(key), expected)
+
+
+@then(
+    'the key "{key:Q}" with another body at "{name:Q}" '
+    'is decided as "{e:Q}" with "{v:Q}"'
+)
+def check_key_body(context, key, name, e, v):
+    check_decision(context.daemons[name].begin(key, body="other"), e, v)
+
+
+@when('the append of "{name:Q}" is refused by the log')
+def refuse_append(context, name):
+    daemon = context.daemons[name]
+    append = daemon.appends.pop()
+    daemon.take(daemon.guard.handle(LogAppendSettled(append.append_id, None, False)))
+
+
+@when('"{name:Q}" gets a request with key "{key:Q}" although it has no room')
+def claim_without_room(context, name, key):
+    daemon = context.daemons[name]
+    fold = daemon.guard.find_desk("contracts").fold
+    daemon.begin(key)
+    # The claim of another daemon on the same key comes first and finds no room;
+    # room is made before the own claim is read.
+    entry = ClaimEntry(digest_key("", key), 1)
+    other = ClaimBatch("z", "boot", (entry,))
+    context.log.append(encode_message(other))
+    daemon.read()
+    fold.claims.popitem(last=False)
+    pump(context, name)
+
+
+@when("the retention of the log has nearly passed")
+def pass_most_retention(context):
+    context.clock.advance(timedelta(seconds=make_settings().log.retention_s - 1))
+
+
 def check_decision(decision, expected, detail=None):
     assert decision is not None, "not decided"
     assert NAMES[type(decision)] == expected, decision
@@ -428,28 +502,90 @@
     assert len(context.daemons[name].guard.book.runs) == 300
 
 
+def start_keyed(world, entry, **changes):
+    world.board.log_reachable = True
+    extra = [(headers.IDEMPOTENCY_KEY, "k1"), (headers.TIMEOUT_MS, "300")]
+    return asyncio.create_task(entry.handle(make_incoming("POST", "/sign", extra)))
+
+
+def read_claim(world):
+    record = LogRecord(0, encode_message(world.appends[0].record))
+    world.apply(world.entry.guard.handle(LogRecordsRead(STREAM, (record,))))
+
+
+@when("a caller goes away while its key is claimed")
+def leave_while_claimed(context):
+    world = context.world = EntryWorld(3)
+
+    async def call():
+        task = start_keyed(world, world.make_entry())
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        read_claim(world)
+
+    detangle.run(call)
+
+
+@when("a caller goes away in the step in which its claim is won")
+def leave_with_decision(context):
+    world = context.world = EntryWorld(3)
+
+    async def call():
+        task = start_keyed(world, world.make_entry())
+        await asyncio.sleep(0.1)
+        read_claim(world)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    detangle.run(call)
+
+
+@then("the claim is released after it has been read")
+def check_claim_released(context):
+    assert context.world.forwarder.times_left == []
+    (desk,) = context.world.entry.guard.desks.values()
+    assert [entry.released for entry in desk.appender.queue] == [True]
+    assert not context.world.board.in_flight.by_service
+
+
+@when("a ticket is used at an entry and then again with another {part:w}")
+def use_twice(context, part):
+    world = EntryWorld(3)
+
+    async def call():
+        entry = world.make_entry()
+        key = (headers.IDEMPOTENCY_KEY, await entry.issue_ticket("contracts"))
+        for other in (False, True):
+            changed = part if other else ""
+            path = "/cancel" if changed == "path" else "/sign"
+            body = b"two" if changed == "body" else b"one"
+            account = "hall" if changed == "account" else "union"
+            extra = [key, (headers.ACCOUNT, account)]
+            incoming = make_incoming("POST", path, extra, yield_chunks([body]))
+            await read_answer(context, await entry.handle(incoming))
+
+    detangle.run(call)
+    assert len(world.forwarder.times_left) == 1
+
+
+@then('the second answer is {status:d} with verdict "{verdict:Q}"')
+def check_second(context, status, verdict):
+    assert context.answer.status == status
+    assert context.answer.verdict.value == verdict
+
+
 @when("a keyed request wins its claim at an entry that pauses past the deadline")
 def pause_after_claim(context):
-    world = EntryWorld(3)
-    context.world = world
+    world = context.world = EntryWorld(3)
 
     async def call():
         entry = world.make_entry()
-        world.board.log_reachable = True
-        extra = [(headers.IDEMPOTENCY_KEY, "k1"), (headers.TIMEOUT_MS, "300")]
-        incoming = make_incoming("POST", "/sign", extra)
-        task = asyncio.create_task(entry.handle(incoming))
+        task = start_keyed(world, entry)
         await asyncio.sleep(0.1)
-        (claim_append,) = world.appends
-        loop = asyncio.get_running_loop()
-        paused_until = loop.time() + 1
-        real_time = loop.time
-        desk = entry.guard.desks["contracts"]
-        data = encode_message(claim_append.record)
-        entry.clock.monotonic = lambda: timedelta(
-            seconds=max(real_time(), paused_until)
-        )
-        world.apply(desk.read((LogRecord(0, data),)))
+        late = timedelta(seconds=asyncio.get_running_loop().time() + 1)
+        entry.clock.monotonic = lambda: late
+        read_claim(world)
         context.answer = await task
 
     detangle.run(call)
@@ -459,9 +595,4 @@
 def check_released(context):
     assert context.answer.status == 504
     assert context.answer.verdict is Verdict.NOT_RUN
-    assert context.world.forwarder.times_left == []
-    entries = [e for a in context.world.appends for e in a.record.entries]
-    assert [entry.released for entry in entries] == [False]
-    (desk,) = context.world.entry.guard.desks.values()
-    assert isinstance(desk, ClaimDesk)
-    assert [entry.released for entry in desk.appender.queue] == [True]
+    check_claim_released(context)
