--- a/benchmarks/check_histories.py
+++ b/benchmarks/check_histories.py
@@ -5,6 +5,9 @@
 
 import collections
 import logging
+import pathlib
+import platform
+import subprocess
 import sys
 
 import fire
@@ -12,6 +15,7 @@
 from benchmarks.histories.schedule import RunResult, run_schedule
 
 PROGRESS_RUNS = 50
+REPORT = pathlib.Path("docs/measurements/histories.md")
 
 
 def count_ends(result: RunResult, ends: collections.Counter) -> None:
@@ -20,11 +24,31 @@
         ends[f"{sending.kind.value}/{sending.verdict or 'no-answer'}"] += 1
 
 
-def main(seed: int = 1, runs: int = 200) -> None:
+def write_report(seed: int, counts: dict[str, int], verdict: str) -> None:
+    """Write what was run and found as a page."""
+    git = ["git", "rev-parse", "--short", "HEAD"]
+    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
+    lines = [
+        "# Histories",
+        "",
+        f"`python -m benchmarks.check_histories --seed={seed}`, code of commit "
+        f"{commit}, Python {platform.python_version()}: `{verdict}`. Sendings by kind "
+        "and verdict, and schedules by fault (one or two in each):",
+        "",
+        "| count of | number |",
+        "|---|---|",
+        *[f"| {name} | {count} |" for name, count in sorted(counts.items())],
+    ]
+    REPORT.parent.mkdir(parents=True, exist_ok=True)
+    REPORT.write_text("\n".join(lines) + "\n")
+
+
+def main(seed: int = 1, runs: int = 200, report: bool = False) -> None:
     """Run schedules with the seeds that follow from one seed and print the verdict.
 
     :param seed: first seed.
     :param runs: number of schedules.
+    :param report: whether to write the page with the counts.
     """
     logging.disable(logging.CRITICAL)
     violations = 0
@@ -44,7 +68,10 @@
             print(f"runs={index + 1} violations={violations}", flush=True)
     for name, count in sorted({**ends, **faults}.items()):
         print(f"count {name}={count}")
-    print(f"histories={runs} violations={violations}")
+    verdict = f"histories={runs} violations={violations}"
+    if report:
+        write_report(seed, {**ends, **faults}, verdict)
+    print(verdict)
     sys.exit(1 if violations else 0)
 
 
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -66,6 +66,7 @@
     When the first attempt ends as "connect refused after reading the body" again
     And a caller sends POST "/book" with a body of 200000 bytes
     Then the answer is 502 with verdict "not-run"
+    And the answer tells when to come back
 
   Scenario: A body whose reading was cancelled never looks complete
     Given the first attempt ends as "gate overloaded while the body is on its way"
--- a/src/wagtailstep/network/problems.py
+++ b/src/wagtailstep/network/problems.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import AsyncIterator
+from datetime import timedelta
 
 import attrs
 import msgspec
@@ -13,6 +14,7 @@
 from wagtailstep.models.verdict import Verdict
 
 INTERNAL_SERVER_ERROR = 500
+DEFAULT_RETRY_AFTER = timedelta(seconds=1)
 CONTENT_TYPE = "application/problem+json"
 
 
@@ -73,12 +75,23 @@
         (headers.REASON, error.reason),
         (headers.REQUEST_ID, request_id),
     ]
-    if error.retry_after is not None:
-        seconds = max(1, math.ceil(error.retry_after.total_seconds()))
+    retry_after = find_retry_after(error)
+    if retry_after is not None:
+        seconds = max(1, math.ceil(retry_after.total_seconds()))
         made.append((headers.RETRY_AFTER, str(seconds)))
     return tuple(made)
 
 
+def find_retry_after(error: RequestError) -> timedelta | None:
+    """Return when the caller may come back; a refusal always says so."""
+    if error.retry_after is not None:
+        return error.retry_after
+    refused = error.verdict is Verdict.NOT_RUN
+    if refused and error.status >= INTERNAL_SERVER_ERROR:
+        return DEFAULT_RETRY_AFTER
+    return None
+
+
 def make_internal_error() -> RequestError:
     """Make the error for a fault of the daemon itself."""
     return RequestError(
