--- a/src/wagtailstep/controllers/evidence.py
+++ b/src/wagtailstep/controllers/evidence.py
@@ -25,7 +25,7 @@
 )
 from wagtailstep.controllers.health import Standings
 from wagtailstep.controllers.sequential_test import TestLimits
-from wagtailstep.controllers.stall_watch import StallWatch, stall_limit
+from wagtailstep.controllers.stall_watch import StallWatch
 from wagtailstep.controllers.standing import PROBE_TIMEOUT_MS, Phase
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
@@ -149,7 +149,7 @@
     @take_message.register
     def _(self, message: EvidenceDigest) -> list[Any]:
         effects = []
-        for entry in message.entries:
+        for entry in message.entries():
             effects += self.take_report(message.daemon_id, entry)
         return effects
 
@@ -161,11 +161,15 @@
         now = self.clock.monotonic()
         service = self.services[target.service]
         slot = service.limits.slot_at(now)
+        asked = self.sharing.was_asked(target.service, entry.target_id, now)
         for symptom in symptoms_of(entry.route):
             failing = symptom is Symptom.FAILING
             bad = entry.failed if failing else entry.slow
             good = max(0, (entry.count if failing else entry.timed) - bad)
-            service.add_report(target, entry.route, symptom, good, bad, slot)
+            if asked or failing:
+                service.add_report(target, entry.route, symptom, good, bad, slot)
+        if not asked:
+            self.sharing.alert(target.service, entry.target_id)
         if entry.count > entry.failed and entry.route != STALL_ROUTE:
             target.note_success(now, own=False)
         if not entry.failed and not entry.slow:
@@ -244,38 +248,29 @@
         target.path.add(ratio, cap, slot, limits.score_decay)
 
     def judge_stalls(self, now: timedelta) -> list[Any]:
-        """Count targets that hold requests and end none as slow."""
-        self.stalls.follow(self.blackboard.in_flight.by_target, now)
+        """Count targets that hold requests and end none as hanging."""
         effects = []
-        limits = {
-            service.service: stall_limit(service, self.routes_in_use(service.service))
-            for service in self.services.values()
-        }
-        for target_id in list(self.stalls.stalls):
-            target = self.find_target(target_id)
-            limit = None if target is None else limits.get(target.service)
-            if limit is None or self.standings.of(target_id).phase is Phase.WARMING:
+        in_flight = self.blackboard.in_flight
+        for target, again in self.stalls.find(self.services, in_flight, now):
+            if self.standings.of(target.target_id).phase is Phase.WARMING:
                 continue
-            if self.stalls.is_stalled(target_id, limit, now):
-                self.count_stall(target, True, now)
-                effects += self.judge(target)
+            self.count_stall(target, True, now, again)
+            effects += self.judge(target)
         return effects
 
-    def routes_in_use(self, service: str) -> set[str]:
-        """Return the routes of a service with requests in flight here."""
-        prefix = f"{service}/"
-        return {
-            route.removeprefix(prefix)
-            for route in self.blackboard.in_flight.by_route
-            if route.startswith(prefix)
-        }
-
     def count_stall(
-        self, target: TargetEvidence, stalled: bool, now: timedelta
+        self, target: TargetEvidence, stalled: bool, now: timedelta, again: bool = False
     ) -> None:
-        """Count a stall, or the end of a request without one."""
+        """Count a stall, or the end of a request without one.
+
+        :param again: whether the same wait was counted before; it then tells more
+            of this daemon's path, but nothing new of the backend server.
+        """
         service = self.services[target.service]
         slot = service.limits.slot_at(now)
+        if again:
+            service.add_own_stall(target, slot)
+            return
         service.add_outcome(target, STALL_ROUTE, False, stalled, slot)
         if stalled:
             target.complaints[self.blackboard.this_member.daemon_id] = now
--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 import attrs
@@ -15,9 +15,10 @@
 from wagtailstep.controllers.evidence_state import (
     SLOT_CAP,
     Counts,
-    RouteTests,
     ServiceEvidence,
+    TargetEvidence,
 )
+from wagtailstep.controllers.sequential_test import SequentialTest
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import SendToPeer
 from wagtailstep.models.evidence import (
@@ -25,22 +26,28 @@
     EvidenceRequest,
     RouteEvidence,
     SickNotice,
+    Symptom,
 )
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.utils.codec import encode_message
 
 COLLECTORS = 2
-MAX_ENTRIES = 16
-MAX_NOTIFIED = 200
+MAX_ENTRIES = 32
+MAX_ASKED_DAEMONS = 32
+MAX_NOTIFIED_DAEMONS = 200
 DIGEST_INTERVAL_S = 0.1
 DIGEST_INTERVAL_PER_DAEMON_S = 0.005
-ASKED_FOR_S = 2.0
-ASK_INTERVAL_S = 1.0
+ASKED_FOR_S = 1.0
+ASK_AGAIN_S = 0.4
+LATE_REPORT_S = 0.5
 REFRESH_S = 1.0
-BYTES_PER_S = 3_000
-BURST_BYTES = 12_000
+BYTES_PER_S = 5_000
+BURST_BYTES = 20_000
 
-# A sum of this many nats is worth telling: one failure or one slow outcome.
+# A daemon's own sum of this many nats makes it tell without being asked: one
+# failure, or several slow outcomes.
+ALERT_NATS = 1.4
+# While the pooled sum has this many nats, a collector goes on asking.
 DOUBT_NATS = 1.4
 
 
@@ -98,7 +105,7 @@
 
     :param next_digest: monotonic time of the next digest.
     :param asked_until: until when digests on a target were asked for.
-    :param next_ask: monotonic time of the next request of this collector.
+    :param alerted: targets that another daemon told about unasked.
     :param members: daemons with an interest in the service.
     :param collectors: those of them that collect the evidence.
     :param next_refresh: monotonic time when both are looked up again.
@@ -106,7 +113,7 @@
 
     next_digest: timedelta = timedelta()
     asked_until: dict[str, timedelta] = attrs.field(factory=dict)
-    next_ask: timedelta = timedelta()
+    alerted: set[str] = attrs.field(factory=set)
     members: list[Member] = attrs.field(factory=list)
     collectors: list[Member] = attrs.field(factory=list)
     next_refresh: timedelta = timedelta()
@@ -151,7 +158,7 @@
         digest = self.make_digest(service, sharing, now)
         effects = self.send(sharing.collectors, digest, now) if digest else []
         if self.blackboard.this_member in sharing.collectors:
-            effects += self.ask(service, sharing, members, now)
+            effects += self.ask(service, sharing, now)
         return effects
 
     def refresh(
@@ -164,65 +171,66 @@
             sharing.collectors = choose_collectors(sharing.members, service)
         return sharing
 
+    def was_asked(self, service: str, target_id: str, now: timedelta) -> bool:
+        """Tell whether a report on a target answers a request.
+
+        Whoever tells unasked does so because the outcome was bad; counting such
+        reports like answers would make healthy targets look bad.
+        """
+        until = self.sharing_of(service).asked_until.get(target_id)
+        return until is not None and now < until + timedelta(seconds=LATE_REPORT_S)
+
+    def alert(self, service: str, target_id: str) -> None:
+        """Take note that another daemon doubts a target."""
+        self.sharing_of(service).alerted.add(target_id)
+
     def make_digest(
         self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
     ) -> EvidenceDigest | None:
         """Return what is worth telling, and count from zero again."""
-        doubtful: list[tuple[float, RouteEvidence]] = []
-        for target in service.targets.values():
-            asked = sharing.asked_until.get(target.target_id, now) > now
-            for route, tests in target.routes.items():
-                doubt = measure_doubt(tests)
-                unsent = tests.unsent
-                if not unsent.count:
-                    continue
-                tests.unsent = Counts()
-                if asked or doubt >= DOUBT_NATS:
-                    entry = RouteEvidence(
-                        target_id=target.target_id,
-                        route=route,
-                        count=unsent.count,
-                        failed=unsent.failed,
-                        timed=unsent.timed,
-                        slow=unsent.slow,
-                    )
-                    doubtful.append((doubt, entry))
-        if not doubtful:
+        entries = list(take_entries(service, sharing.asked_until, now))
+        if not entries:
             return None
-        doubtful.sort(key=lambda pair: -pair[0])
-        entries = tuple(entry for _, entry in doubtful[:MAX_ENTRIES])
+        if len(entries) > MAX_ENTRIES:
+            entries = self.rng.sample(entries, MAX_ENTRIES)
         this_id = self.blackboard.this_member.daemon_id
-        return EvidenceDigest(this_id, service.service, entries)
+        return EvidenceDigest.from_entries(this_id, service.service, entries)
 
     def ask(
-        self,
-        service: ServiceEvidence,
-        sharing: ServiceSharing,
-        members: list[Member],
-        now: timedelta,
+        self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
     ) -> list[SendToPeer]:
-        """Ask the other daemons about targets that are in doubt here."""
-        if now < sharing.next_ask:
+        """Ask other daemons about targets that are in doubt here."""
+        names = self.names_to_ask(service, sharing, now)
+        sharing.alerted.clear()
+        if not names:
             return []
-        doubtful = [
+        this_id = self.blackboard.this_member.daemon_id
+        request = EvidenceRequest(this_id, service.service, tuple(names))
+        self.note_request(request, now)
+        members = sharing.members
+        if len(members) > MAX_ASKED_DAEMONS:
+            members = self.rng.sample(members, MAX_ASKED_DAEMONS)
+        return self.send(members, request, now)
+
+    def names_to_ask(
+        self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
+    ) -> list[str]:
+        """Return the targets in doubt whose last request has nearly ended."""
+        soon = now + timedelta(seconds=ASK_AGAIN_S)
+        asked = sharing.asked_until
+        names = [
             target.target_id
             for target in service.targets.values()
-            if any(measure_doubt(t) >= DOUBT_NATS for t in target.routes.values())
+            if asked.get(target.target_id, now) <= soon
+            if target.target_id in sharing.alerted or is_in_doubt(target)
         ]
-        if not doubtful:
-            return []
-        sharing.next_ask = now + timedelta(seconds=ASK_INTERVAL_S)
-        this_id = self.blackboard.this_member.daemon_id
-        names = tuple(doubtful[:MAX_ENTRIES])
-        request = EvidenceRequest(this_id, service.service, names)
-        self.note_request(request, now)
-        return self.send(members[:MAX_NOTIFIED], request, now)
+        return names[:MAX_ENTRIES]
 
     def notify(self, notice: SickNotice, now: timedelta) -> list[SendToPeer]:
         """Tell the other daemons that a target is sick."""
         sharing = self.sharing_of(notice.service)
         members = self.refresh(sharing, notice.service, now).members
-        return self.send(members[:MAX_NOTIFIED], notice, now, urgent=True)
+        return self.send(members[:MAX_NOTIFIED_DAEMONS], notice, now, urgent=True)
 
     def send(
         self,
@@ -247,10 +255,33 @@
         return effects
 
 
-def measure_doubt(tests: RouteTests) -> float:
-    """Return the largest sum of a target's tests on one route, in nats."""
-    return max(
-        test.value(SLOT_CAP[symptom])
-        for kind in (tests.own, tests.pooled)
-        for symptom, test in kind.items()
-    )
+def take_entries(
+    service: ServiceEvidence, asked_until: dict[str, timedelta], now: timedelta
+) -> Iterator[RouteEvidence]:
+    """Yield what is to be told, and start to count all outcomes from zero."""
+    for target in service.targets.values():
+        asked = asked_until.get(target.target_id, now) > now
+        for route, tests in target.routes.items():
+            unsent = tests.unsent
+            if not unsent.count:
+                continue
+            tests.unsent = Counts()
+            if asked or strongest(tests.own) >= ALERT_NATS:
+                yield RouteEvidence(
+                    target_id=target.target_id,
+                    route=route,
+                    count=unsent.count,
+                    failed=unsent.failed,
+                    timed=unsent.timed,
+                    slow=unsent.slow,
+                )
+
+
+def is_in_doubt(target: TargetEvidence) -> bool:
+    """Tell whether what all daemons saw speaks against a target."""
+    return any(strongest(t.pooled) >= DOUBT_NATS for t in target.routes.values())
+
+
+def strongest(tests: dict[Symptom, SequentialTest]) -> float:
+    """Return the largest sum of some tests, in nats."""
+    return max(test.value(SLOT_CAP[symptom]) for symptom, test in tests.items())
--- a/src/wagtailstep/controllers/evidence_state.py
+++ b/src/wagtailstep/controllers/evidence_state.py
@@ -18,12 +18,12 @@
 SLOT_CAP = {
     Symptom.FAILING: 8.0,
     Symptom.SLOW: 2.0,
-    Symptom.HANGING: 4.0,
+    Symptom.HANGING: 8.0,
     Symptom.UNREACHABLE: 7.0,
 }
 HEALTHY_FAILED = 0.01
 HEALTHY_SLOW = 0.1
-HEALTHY_HANGING = 0.05
+HEALTHY_HANGING = 0.1
 SICK_FAILED = 0.5
 SICK_SLOW = 0.45
 SICK_HANGING = 0.9
@@ -286,6 +286,13 @@
         tests.own[symptom].add(ratio, cap, slot, decay)
         tests.pooled[symptom].add(ratio, cap, slot, decay)
 
+    def add_own_stall(self, target: TargetEvidence, slot: int) -> None:
+        """Add one more stall to this daemon's own test only."""
+        tests = target.tests_of(STALL_ROUTE)
+        ratio = hypotheses_for(Symptom.HANGING, HEALTHY_HANGING).bad
+        cap = SLOT_CAP[Symptom.HANGING]
+        tests.own[Symptom.HANGING].add(ratio, cap, slot, self.limits.score_decay)
+
     def add_report(
         self,
         target: TargetEvidence,
--- a/src/wagtailstep/controllers/stall_watch.py
+++ b/src/wagtailstep/controllers/stall_watch.py
@@ -10,7 +10,8 @@
 
 import attrs
 
-from wagtailstep.controllers.evidence_state import ServiceEvidence
+from wagtailstep.controllers.evidence_state import ServiceEvidence, TargetEvidence
+from wagtailstep.models.blackboard import InFlight
 from wagtailstep.models.evidence import STALL_ROUTE
 
 STALL_FACTOR = 2.0
@@ -83,3 +84,34 @@
             return False
         stall.counted += 1
         return True
+
+    def find(
+        self,
+        services: Mapping[str, ServiceEvidence],
+        in_flight: InFlight,
+        now: timedelta,
+    ) -> list[tuple[TargetEvidence, bool]]:
+        """Return the targets that are stalled now, and whether not for the first time.
+
+        :param services: evidence by service; targets without any are not judged.
+        :param in_flight: requests that have not ended.
+        """
+        self.follow(in_flight.by_target, now)
+        found = []
+        for service in services.values():
+            busy = [t for t in service.targets.values() if t.target_id in self.stalls]
+            if not busy:
+                continue
+            limit = stall_limit(service, routes_in_use(in_flight, service.service))
+            for target in busy:
+                if limit and self.is_stalled(target.target_id, limit, now):
+                    again = self.stalls[target.target_id].counted > 1
+                    found.append((target, again))
+        return found
+
+
+def routes_in_use(in_flight: InFlight, service: str) -> set[str]:
+    """Return the routes of a service with requests in flight."""
+    prefix = f"{service}/"
+    routes = in_flight.by_route
+    return {r.removeprefix(prefix) for r in routes if r.startswith(prefix)}
