Batch pulls and measure the control plane

Cause: heartbeats that digests missed were pulled one by one, half from their owner. Change: stale heartbeats are asked of a peer in one message, then of the owner; the stamp of control messages is array-like; benchmarks.control drives whole fleets.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,236 @@
+"""Measure bytes, processor time and memory of membership and dissemination.
+
+Run with ``python -m benchmarks.control --seed=1``. Controllers of whole fleets run
+on an in-memory bus with a manual clock; a few daemons are observed, and what they
+send and receive is really encoded and decoded. ``--largest=600`` leaves out the
+size that takes minutes.
+"""
+
+import pathlib
+
+import attrs
+import fire
+
+from benchmarks.control_channel import ChannelCost, measure_channel
+from benchmarks.control_fleet import (
+    FleetShape,
+    Load,
+    build_fleet,
+    count_lapses,
+    count_missing,
+    measure,
+    pull_everything,
+    restart_daemons,
+)
+from benchmarks.control_memory import MemoryUse, measure_memory
+from benchmarks.report import Report, fit_slope
+from wagtailstep.models.settings import MembershipSettings
+
+PAGE = pathlib.Path("docs/measurements/control.md")
+DESIGN_DAEMONS = 1_800
+DESIGN_SERVICES = 460
+RESTARTS_PER_DAY = 5_800 + 66
+DESIGN_SETTINGS = MembershipSettings(renew_ms=1_000, lease_ms=3_000)
+DEFAULT_SETTINGS = MembershipSettings()
+WARM_UP_S = 5.0
+DURATION_S = 6.0
+RESTARTS_PER_S = 5
+BASE_MEMORY_MB = 44.0
+
+
+@attrs.frozen
+class Case:
+    """One measured fleet.
+
+    :param name: what is varied.
+    :param shape: the fleet.
+    :param settings: how it is set.
+    :param pulls: whether heartbeats are pulled only.
+    :param restarts: daemons restarted per second.
+    """
+
+    name: str
+    shape: FleetShape
+    settings: MembershipSettings = DESIGN_SETTINGS
+    pulls: bool = False
+    restarts: int = 0
+
+
+@attrs.frozen
+class Result:
+    """What one observed daemon did in a case, on average and per second.
+
+    :param interested: other daemons with targets that concern it.
+    :param load: its load.
+    :param lapses: leases of healthy targets that lapsed during the measurement.
+    :param missing: targets that it lacked at the end, of all that it needed.
+    :param needed: targets that it needed.
+    """
+
+    case: Case
+    interested: float
+    load: Load
+    lapses: int
+    missing: int
+    needed: int
+
+    @property
+    def sent_bytes(self) -> float:
+        """Return bytes sent per second."""
+        return sum(self.load.sent_bytes.values())
+
+    @property
+    def total_bytes(self) -> float:
+        """Return bytes sent and received per second."""
+        return self.sent_bytes + self.load.received_bytes
+
+    @property
+    def messages(self) -> float:
+        """Return messages sent and received per second."""
+        return sum(self.load.sent.values()) + self.load.received
+
+
+def make_shape(
+    daemons: int, wants: int = 6, targets_per_service: int = 4
+) -> FleetShape:
+    """Return a fleet with as many services per daemon as the design size has."""
+    services = max(2, round(daemons * DESIGN_SERVICES / DESIGN_DAEMONS))
+    return FleetShape(daemons, services, 3, wants, targets_per_service)
+
+
+def make_cases(largest: int) -> list[Case]:
+    """Return all cases, the cheap ones first."""
+    today = FleetShape(26, 2, 1, 1, 1)
+    cases = [
+        Case("today", today, DEFAULT_SETTINGS),
+        Case("today, pull only", today, DEFAULT_SETTINGS, pulls=True),
+    ]
+    cases += [Case("pull only", make_shape(200), pulls=True)]
+    cases += [Case("targets", make_shape(200, 6, count)) for count in (1, 10)]
+    cases += [Case("wanted services", make_shape(200, count)) for count in (0, 12, 24)]
+    cases += [Case("restarts", make_shape(200), restarts=RESTARTS_PER_S)]
+    cases += [Case("default settings", make_shape(200), DEFAULT_SETTINGS)]
+    sizes = [count for count in (50, 200, 600, 1_800) if count <= largest]
+    return cases + [Case("daemons", make_shape(count)) for count in sizes]
+
+
+def run_case(case: Case, seed: int) -> Result:
+    """Run one fleet and observe some of its daemons."""
+    bus = build_fleet(case.shape, case.settings, seed)
+    if case.pulls:
+        pull_everything(bus)
+    if case.restarts:
+        restart_daemons(bus, case.restarts, WARM_UP_S, WARM_UP_S + DURATION_S)
+    load = measure(bus, WARM_UP_S, DURATION_S)
+    observed = [bus.nodes[name] for name in bus.observed]
+    interested = [len(node.controllers[1].interest.needed) for node in observed]
+    missing, needed = count_missing(bus)
+    mean = sum(interested) / len(interested)
+    lapses = count_lapses(bus) - bus.lapses_before
+    return Result(case, mean, load, lapses, missing, needed)
+
+
+def format_result(result: Result) -> list[str]:
+    """Return the columns of one row."""
+    shape = result.case.shape
+    return [
+        result.case.name,
+        f"{shape.daemons}",
+        f"{shape.targets}",
+        f"{shape.services}",
+        f"{result.interested:.0f}",
+        f"{result.sent_bytes:.0f}",
+        f"{result.load.received_bytes:.0f}",
+        f"{result.messages:.0f}",
+        f"{result.load.cpu_s * 100:.2f}",
+        f"{result.lapses}",
+        f"{result.missing} of {result.needed}",
+    ]
+
+
+HEADINGS = [
+    "varied",
+    "daemons",
+    "targets",
+    "services",
+    "interested daemons",
+    "sent B/s",
+    "received B/s",
+    "messages/s",
+    "CPU %",
+    "false lapses",
+    "missing targets",
+]
+
+
+def summarise(
+    results: list[Result], memory: list[MemoryUse], cost: ChannelCost, report: Report
+) -> dict[str, float]:
+    """Work out slopes and the figures at the design size."""
+    base = [r for r in results if r.case.name in ("daemons", "wanted services")]
+    by_interest = fit_slope([(r.interested, r.total_bytes) for r in base])
+    cpu_slope = fit_slope([(r.interested, r.load.cpu_s * 100) for r in base])
+    largest = max(
+        (r for r in results if r.case.name == "daemons"),
+        key=lambda r: r.case.shape.daemons,
+    )
+    plain = next(r for r in results if r.case == Case("daemons", make_shape(200)))
+    churned = next(r for r in results if r.case.restarts)
+    per_restart = (churned.total_bytes - plain.total_bytes) / churned.case.restarts
+    restarts = per_restart * RESTARTS_PER_DAY / 86_400
+    channel_cpu = 100 * largest.messages / 2 * cost.seconds_per_message
+    table = fit_slope([(use.members, use.table_bytes) for use in memory])
+    report.add_text(
+        f"Bytes/s both ways against interested daemons: {by_interest[0]:.0f} "
+        f"+ {by_interest[1]:.1f} each. CPU %: {cpu_slope[0]:.2f} + "
+        f"{cpu_slope[1]:.4f} each. One restart costs each daemon {per_restart:.0f} "
+        f"bytes; {RESTARTS_PER_DAY} a day are {restarts:.0f} B/s. Memory: "
+        f"{table[1]:.0f} bytes a member. The channel costs "
+        f"{cost.seconds_per_message * 1e6:.0f} µs of processor time for a message "
+        f"sent and received, {cost.seconds_per_connection * 1e6:.0f} µs for a new "
+        f"connection; at {largest.case.shape.daemons} daemons that is "
+        f"{channel_cpu:.2f} % of a core, connections left out."
+    )
+    memory_mb = (table[0] + table[1] * DESIGN_DAEMONS) / 1e6
+    return {
+        "control_bytes_per_s_at_1800": largest.total_bytes + restarts,
+        "control_cpu_percent_at_1800": largest.load.cpu_s * 100 + channel_cpu,
+        "control_memory_mb_at_1800": memory_mb,
+    }
+
+
+def main(seed: int = 1, largest: int = DESIGN_DAEMONS) -> None:
+    """Measure all cases and write the page.
+
+    :param seed: seed of all random choices.
+    :param largest: largest fleet that is run, in daemons.
+    """
+    report = Report("Membership and dissemination", "control", seed)
+    cost = measure_channel()
+    print(f"channel: {cost}", flush=True)
+    memory = [measure_memory(count) for count in (200, 600, 1_800)]
+    print(f"memory: {memory}", flush=True)
+    results = []
+    for case in make_cases(largest):
+        results.append(run_case(case, seed))
+        print(" ".join(format_result(results[-1])), flush=True)
+    report.add_text(
+        "Bytes are encoded messages with sender and logical time, without the "
+        "headers of ZeroMQ, TCP and IP. CPU is that of controllers and codec. "
+        f"Settings: renew {DESIGN_SETTINGS.renew_ms} ms, lease "
+        f"{DESIGN_SETTINGS.lease_ms} ms; in rows `today` and `default settings` "
+        f"{DEFAULT_SETTINGS.renew_ms} and {DEFAULT_SETTINGS.lease_ms} ms."
+    )
+    report.add_table(HEADINGS, [format_result(result) for result in results])
+    report.add_table(
+        ["members", "member table and targets, bytes"],
+        [[f"{use.members}", f"{use.table_bytes}"] for use in memory],
+    )
+    figures = summarise(results, memory, cost, report)
+    line = " ".join(f"{key}={value:.2f}" for key, value in figures.items())
+    report.write(PAGE, line)
+    print(line)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/benchmarks/control_channel.py
@@ -0,0 +1,94 @@
+"""Processor time that the ZeroMQ channel takes for a message and a connection."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import attrs
+
+from wagtailstep.models.membership import Digest
+from wagtailstep.models.peer import StampedMessage
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.peer_channel import ZeroMqPeerChannel
+from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.codec import encode_message
+
+MESSAGES = 4_000
+BURST = 8
+BURST_INTERVAL_S = 0.01
+CONNECTIONS = 200
+
+
+@attrs.frozen
+class ChannelCost:
+    """Processor time of both ends together, ZeroMQ's own thread included.
+
+    :param seconds_per_message: for one message sent and received.
+    :param seconds_per_connection: for one connection opened, used once, closed.
+    """
+
+    seconds_per_message: float
+    seconds_per_connection: float
+
+
+def make_channel(daemon_id: str) -> ZeroMqPeerChannel:
+    """Make a channel on a free port of loopback."""
+    address = "127.0.0.1:0"
+    settings = DaemonSettings(daemon_id, "bole", address, address, address, address)
+    return ZeroMqPeerChannel(settings, LoopClock())
+
+
+async def run_channels() -> ChannelCost:
+    """Send messages between two channels of this process."""
+    sender, receiver = make_channel("sender"), make_channel("receiver")
+    await sender.start(ignore)
+    await receiver.start(ignore)
+    rows = tuple(range(40))
+    body = encode_message(Digest(1, rows))
+    message = StampedMessage(1_000_000, body)
+    idle = await measure_cpu(lambda: None, 50)
+    busy = await measure_cpu(
+        lambda: send_burst(sender, receiver.address, message), MESSAGES // BURST
+    )
+    per_pause = idle / 50
+    used = busy - per_pause * (MESSAGES // BURST)
+    reopened = await measure_cpu(
+        lambda: reopen(sender, receiver.address, message), CONNECTIONS
+    )
+    per_message = used / max(1, receiver.counters.received)
+    per_connection = reopened / CONNECTIONS - per_pause - per_message
+    await sender.close()
+    await receiver.close()
+    return ChannelCost(per_message, per_connection)
+
+
+def ignore(sender: str, message: object) -> None:
+    """Take a message and do nothing."""
+
+
+def send_burst(sender: ZeroMqPeerChannel, address: str, message: object) -> None:
+    """Send a few messages."""
+    for _ in range(BURST):
+        sender.send(address, message)
+
+
+def reopen(sender: ZeroMqPeerChannel, address: str, message: object) -> None:
+    """Send one message on a new connection."""
+    connection = sender.connections.pop(address, None)
+    if connection is not None:
+        connection.socket.close()
+    sender.send(address, message)
+
+
+async def measure_cpu(action: Callable[[], None], times: int) -> float:
+    """Return the processor time of this process while an action is repeated."""
+    started = time.process_time()
+    for _ in range(times):
+        action()
+        await asyncio.sleep(BURST_INTERVAL_S)
+    return time.process_time() - started
+
+
+def measure_channel() -> ChannelCost:
+    """Measure the channel on loopback."""
+    return asyncio.run(run_channels())
--- /dev/null
+++ b/benchmarks/control_fleet.py
@@ -0,0 +1,276 @@
+"""Fleets of real membership and dissemination controllers on the in-memory bus."""
+
+import functools
+import random
+import time
+from collections import Counter
+from datetime import timedelta
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.digests import DigestQueue
+from wagtailstep.fakes.control_bus import BusNode, ControlBus
+from wagtailstep.models.events import SendToPeer
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.membership import MemberEntry
+from wagtailstep.models.peer import StampedMessage
+from wagtailstep.models.settings import MembershipSettings
+from wagtailstep.utils.codec import decode_message, encode_message
+
+OBSERVED = 6
+LAMPORT_EXAMPLE = 1_000_000
+
+
+@attrs.frozen
+class FleetShape:
+    """What a fleet consists of.
+
+    :param daemons: number of daemons.
+    :param services: number of services.
+    :param serves: services that each daemon has backend servers of.
+    :param wants: further services that each daemon asks for.
+    :param targets_per_service: backend servers of one service beside one daemon.
+    """
+
+    daemons: int
+    services: int
+    serves: int
+    wants: int
+    targets_per_service: int
+
+    @property
+    def targets(self) -> int:
+        """Return the number of targets of the fleet."""
+        return self.daemons * self.serves * self.targets_per_service
+
+
+@attrs.define
+class Load:
+    """What the observed daemons did during a measurement.
+
+    :param sent: messages sent by type.
+    :param sent_bytes: their encoded size by type, sender and stamp included.
+    :param received: messages received.
+    :param received_bytes: their encoded size.
+    :param cpu_s: processor time of controllers and codec.
+    """
+
+    sent: Counter[str] = attrs.field(factory=Counter)
+    sent_bytes: Counter[str] = attrs.field(factory=Counter)
+    received: int = 0
+    received_bytes: int = 0
+    cpu_s: float = 0.0
+
+
+def encode_stamped(sender: str, message: Any) -> list[bytes]:
+    """Encode a message as the runtime does, with its sender and logical time."""
+    body = encode_message(message)
+    return [sender.encode(), encode_message(StampedMessage(LAMPORT_EXAMPLE, body))]
+
+
+def decode_stamped(frames: list[bytes]) -> Any:
+    """Decode what :func:`encode_stamped` made."""
+    return decode_message(decode_message(frames[1]).body)
+
+
+@functools.lru_cache(maxsize=100_000)
+def intern_member(entry: MemberEntry) -> Member:
+    """Make one member for all daemons of this process."""
+    return _TO_MEMBER(entry)
+
+
+_TO_MEMBER = MemberEntry.to_member
+MemberEntry.to_member = intern_member
+
+
+class MeasuredBus(ControlBus):
+    """A bus that measures what some of its daemons do.
+
+    :param seed: seed of all random choices.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.observed: set[str] = set()
+        self.lapses_before = 0
+        self.restarts: list[timedelta] = []
+        self.load = Load()
+
+    def send(self, node: BusNode, effect: SendToPeer) -> None:
+        """Carry one message, and encode it if an observed daemon is at an end."""
+        receiver = self.addresses.get(effect.address)
+        sends = node.daemon_id in self.observed
+        receives = receiver is not None and receiver.daemon_id in self.observed
+        if sends or receives:
+            started = time.process_time()
+            frames = encode_stamped(node.daemon_id, effect.message)
+            size = sum(map(len, frames))
+            if sends:
+                self.load.cpu_s += time.process_time() - started
+                name = type(effect.message).__name__
+                self.load.sent[name] += 1
+                self.load.sent_bytes[name] += size
+            if receives:
+                self._receive(frames, size)
+        super().send(node, effect)
+
+    def _receive(self, frames: list[bytes], size: int) -> None:
+        started = time.process_time()
+        decode_stamped(frames)
+        self.load.cpu_s += time.process_time() - started
+        self.load.received += 1
+        self.load.received_bytes += size
+
+    def dispatch(self, node: BusNode, event: Any) -> None:
+        """Give an event to a daemon, and take the time if it is observed."""
+        if node.daemon_id not in self.observed:
+            super().dispatch(node, event)
+            return
+        started = time.process_time()
+        effects = node.handle(event)
+        self.load.cpu_s += time.process_time() - started
+        for effect in effects:
+            self._apply(node, effect)
+
+
+def build_fleet(shape: FleetShape, settings: MembershipSettings, seed: int) -> Any:
+    """Start a fleet whose daemons all know each other.
+
+    :return: the bus.
+    """
+    bus = MeasuredBus(seed)
+    rng = random.Random(seed)
+    for index in range(shape.daemons):
+        first = index * shape.serves
+        serves = [name_service(first + i, shape) for i in range(shape.serves)]
+        others = [
+            i for i in range(shape.services) if name_service(i, shape) not in serves
+        ]
+        picked = rng.sample(others, min(shape.wants, len(others)))
+        wanted = [name_service(i, shape) for i in picked]
+        node = bus.add(
+            f"daemon-{index:04d}",
+            settings,
+            serves,
+            wanted,
+            zone=f"zone-{index % 14:02d}",
+            targets_per_service=shape.targets_per_service,
+        )
+        introduce(node, tuple(sorted(set(serves))), tuple(sorted(wanted)))
+    members = {name: node.blackboard.this_member for name, node in bus.nodes.items()}
+    for node in bus.nodes.values():
+        node.blackboard.members.update(members)
+    bus.observed = set(rng.sample(sorted(bus.nodes), min(OBSERVED, shape.daemons)))
+    return bus
+
+
+def name_service(index: int, shape: FleetShape) -> str:
+    """Return the name of a service."""
+    return f"service-{index % shape.services:03d}"
+
+
+def introduce(node: BusNode, serves: tuple[str, ...], wants: tuple[str, ...]) -> None:
+    """Fill in the services of a daemon as if it had announced them."""
+    member = attrs.evolve(
+        node.blackboard.this_member, serves=serves, services=serves + wants
+    )
+    node.blackboard.this_member = member
+    node.blackboard.members[node.daemon_id] = member
+
+
+def measure(bus: MeasuredBus, warm_up_s: float, duration_s: float) -> Load:
+    """Run a fleet and return the load of one observed daemon, per second."""
+    run_with_restarts(bus, warm_up_s)
+    bus.load = Load()
+    bus.lapses_before = count_lapses(bus)
+    run_with_restarts(bus, duration_s)
+    return scale(bus.load, 1.0 / (duration_s * len(bus.observed)))
+
+
+def restart_daemons(
+    bus: MeasuredBus, per_second: int, start_s: float, end_s: float
+) -> None:
+    """Plan restarts of daemons that are not observed, at a steady rate."""
+    count = round((end_s - start_s) * per_second)
+    bus.restarts = [
+        timedelta(seconds=start_s + index / per_second) for index in range(count)
+    ]
+
+
+def run_with_restarts(bus: MeasuredBus, duration_s: float) -> None:
+    """Let time pass and restart daemons when planned."""
+    end = bus.clock.monotonic() + timedelta(seconds=duration_s)
+    while bus.restarts and bus.restarts[0] < end:
+        bus.run(bus.restarts.pop(0) - bus.clock.monotonic())
+        restart_one(bus)
+    bus.run(end - bus.clock.monotonic())
+
+
+def restart_one(bus: MeasuredBus) -> None:
+    """Replace a daemon by one of the same name that knows one other daemon."""
+    names = sorted(name for name in bus.nodes if name not in bus.observed)
+    daemon_id = bus.rng.choice(names)
+    old = bus.nodes[daemon_id]
+    old.running = False
+    seed = bus.nodes[bus.rng.choice(names)].address
+    settings = attrs.evolve(old.controllers[0].settings, seeds=(seed,))
+    this = old.blackboard.this_member
+    services = sorted({target.service for target in old.announced.values()})
+    wanted = [name for name in this.services if name not in services]
+    per_service = len(old.announced) // len(services)
+    bus.add(
+        daemon_id,
+        settings,
+        services,
+        wanted,
+        zone=this.availability_zone,
+        targets_per_service=per_service,
+    )
+
+
+def scale(load: Load, factor: float) -> Load:
+    """Return a load multiplied by a factor."""
+    return Load(
+        sent=Counter({k: v * factor for k, v in load.sent.items()}),
+        sent_bytes=Counter({k: v * factor for k, v in load.sent_bytes.items()}),
+        received=load.received * factor,
+        received_bytes=load.received_bytes * factor,
+        cpu_s=load.cpu_s * factor,
+    )
+
+
+def count_missing(bus: MeasuredBus) -> tuple[int, int]:
+    """Return how many targets observed daemons lack, and how many they need."""
+    missing = needed = 0
+    targets = [t for node in bus.nodes.values() for t in node.announced.values()]
+    for name in bus.observed:
+        board = bus.nodes[name].blackboard
+        wanted = [t for t in targets if t.service in board.this_member.services]
+        needed += len(wanted)
+        missing += sum(t.target_id not in board.targets for t in wanted)
+    return missing, needed
+
+
+def count_lapses(bus: MeasuredBus) -> int:
+    """Return the leases of observed daemons that lapsed so far."""
+    return sum(
+        event.kind == "targets-lapsed"
+        for name in bus.observed
+        for event in bus.nodes[name].events
+    )
+
+
+class SilentQueue(DigestQueue):
+    """A queue that sends no digests unasked, so that all heartbeats are pulled."""
+
+    def add(self, daemon_id: str, services: frozenset[str]) -> None:
+        """Send nothing."""
+
+
+def pull_everything(bus: MeasuredBus) -> None:
+    """Make all daemons of a fleet pull heartbeats instead of pushing them."""
+    for node in bus.nodes.values():
+        controller = node.controllers[1]
+        queue = controller.digests
+        controller.digests = SilentQueue(queue.settings, queue.interest, queue.rng)
--- /dev/null
+++ b/benchmarks/control_memory.py
@@ -0,0 +1,118 @@
+"""Memory of the member table and of the targets that one daemon holds."""
+
+import gc
+import random
+import tracemalloc
+
+import attrs
+import msgspec
+
+from wagtailstep.controllers.dissemination import DisseminationController
+from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import PeerMessageReceived, Tick
+from wagtailstep.models.fleet import Member
+from wagtailstep.models.membership import (
+    MemberEntry,
+    MembersPage,
+    TargetEntry,
+    TargetsUpdate,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import ManualClock
+
+SERVICES = 460
+SERVICES_PER_DAEMON = 9
+SERVED = 3
+TARGETS_PER_SERVICE = 4
+PAGE = 40
+
+
+@attrs.frozen
+class MemoryUse:
+    """Memory of one daemon's control plane.
+
+    :param members: daemons in the member table.
+    :param table_bytes: memory allocated by filling it, targets included.
+    """
+
+    members: int
+    table_bytes: int
+
+
+def make_entry(index: int) -> MemberEntry:
+    """Return the entry of a daemon, decoded as one from the network is."""
+    first = index * SERVED
+    names = [f"service-{(first + i) % SERVICES:03d}" for i in range(SERVED)]
+    wants = [
+        f"service-{(first + 7 * i + 11) % SERVICES:03d}"
+        for i in range(SERVICES_PER_DAEMON - SERVED)
+    ]
+    entry = MemberEntry(
+        f"daemon-{index:04d}",
+        1_767_225_600_000 + index,
+        0,
+        f"10.{index // 250}.{index % 250}.10:7003",
+        f"10.{index // 250}.{index % 250}.10:7002",
+        f"zone-{index % 14:02d}",
+        tuple(names),
+        tuple(wants),
+    )
+    data = msgspec.msgpack.encode(entry)
+    return msgspec.msgpack.decode(data, type=MemberEntry)
+
+
+def make_update(entry: MemberEntry) -> TargetsUpdate:
+    """Return the targets beside a daemon."""
+    targets = [
+        TargetEntry(f"{service}/{entry.daemon_id}.test:{8000 + port}", 4, 1, 1)
+        for service in entry.serves
+        for port in range(TARGETS_PER_SERVICE)
+    ]
+    return TargetsUpdate(
+        entry.daemon_id,
+        entry.availability_zone,
+        1,
+        0,
+        1,
+        entry.serves,
+        tuple(targets),
+    )
+
+
+def fill(members: int) -> tuple[MembershipController, DisseminationController]:
+    """Let one daemon hear of a whole fleet, and of the targets that concern it."""
+    settings = DaemonSettings(
+        "observed", "bole", "a:1", "a:2", "a:3", "127.0.0.1:4", log_level="ERROR"
+    )
+    member = Member("observed", 1, "a:3", "a:2", "bole")
+    board = Blackboard(member)
+    board.wanted_services.update(f"service-{i:03d}" for i in range(SERVICES_PER_DAEMON))
+    clock, rng = ManualClock(), random.Random(1)
+    membership = MembershipController(settings, board, clock, rng)
+    dissemination = DisseminationController(settings, board, clock, rng)
+    for start in range(0, members, PAGE):
+        entries = tuple(make_entry(i) for i in range(start, min(start + PAGE, members)))
+        page = MembersPage("", entries, "")
+        membership.handle(PeerMessageReceived("daemon-0000", page))
+    dissemination.handle(Tick())
+    for index in range(members):
+        entry = make_entry(index)
+        if entry.daemon_id in dissemination.interest.needed:
+            event = PeerMessageReceived(entry.daemon_id, make_update(entry))
+            dissemination.handle(event)
+    return membership, dissemination
+
+
+def measure_memory(members: int) -> MemoryUse:
+    """Return the memory that a member table of some size takes."""
+    fill(10)
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    controllers = fill(members)
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(controllers[0].blackboard.members) == members + 1
+    return MemoryUse(members, used)
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -7,6 +7,7 @@
 
 from wagtailstep.controllers.digests import DigestQueue
 from wagtailstep.controllers.interest import InterestIndex
+from wagtailstep.controllers.pulls import PullSchedule
 from wagtailstep.controllers.target_leases import Holding, TargetLeases
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
@@ -15,7 +16,7 @@
     SendToPeer,
     Tick,
 )
-from wagtailstep.models.fleet import MemberState, Target, TargetState
+from wagtailstep.models.fleet import Member, MemberState, Target, TargetState
 from wagtailstep.models.membership import (
     AGE_UNIT_MS,
     BEAT_MS,
@@ -32,7 +33,6 @@
 ROUNDS_PER_RENEWAL = 3
 OWN_UPDATE_FANOUT = 8
 FORWARD_FANOUT = 4
-PULL_INTERVAL_MS = 400
 PULLS_PER_TICK = 10
 REFRESH_SHARE_OF_LEASE = 0.65
 MAX_VERSION = 0xFFFF
@@ -69,10 +69,11 @@
         self.beat_at = timedelta()
         self.version = 0
         self.own_targets: tuple[Target, ...] = ()
-        self.renew_at = timedelta()
+        # Daemons that start together don't renew in step.
+        first_ms = self.settings.renew_ms * rng.random()
+        self.renew_at = self.started_at + timedelta(milliseconds=first_ms)
         self.round_at = timedelta()
-        self.pulled_at: dict[str, timedelta] = {}
-        self.pull_count = 0
+        self.pulls = PullSchedule()
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -275,7 +276,7 @@
             unneeded = daemon_id not in self.interest.needed
             if unneeded or (is_dead and not holding.published):
                 self.leases.drop(daemon_id)
-                self.pulled_at.pop(daemon_id, None)
+                self.pulls.forget(daemon_id)
 
     def _send_digests(self, now: timedelta) -> list[Any]:
         if now < self.round_at:
@@ -310,54 +311,58 @@
         return rows
 
     def _pull(self, now: timedelta) -> list[Any]:
-        refresh_age = self.lease * REFRESH_SHARE_OF_LEASE
-        interval = timedelta(milliseconds=PULL_INTERVAL_MS)
+        oldest = now - self.lease * REFRESH_SHARE_OF_LEASE
         effects: list[Any] = []
         stale: list[str] = []
         for daemon_id, needed in self.interest.needed.items():
             holding = self.leases.holdings.get(daemon_id)
-            if not _lacks(holding, needed, now - refresh_age):
-                continue
-            last = self.pulled_at.get(daemon_id)
-            if last is not None and now - last < interval:
+            if not _lacks(holding, needed, oldest):
                 continue
             if len(effects) >= PULLS_PER_TICK:
                 break
-            self.pulled_at[daemon_id] = now
+            if not self.pulls.start(daemon_id, now):
+                continue
             if holding is not None and _is_complete(holding, needed):
                 stale.append(daemon_id)
             else:
                 effects += self._request_targets(daemon_id, needed)
-        return effects + self._request_digest(stale)
+        return effects + self._request_digests(stale)
 
     def _request_targets(self, daemon_id: str, needed: frozenset[str]) -> list[Any]:
         this = self.blackboard.this_member
         request = TargetsRequest(this.peer_address, daemon_id, tuple(sorted(needed)))
-        address = self._whom_to_ask(daemon_id, needed)
-        return [SendToPeer(address, request)] if address else []
+        peer = self._choose_other(daemon_id)
+        if peer is None or self.pulls.asks_owner(daemon_id):
+            peer = self.blackboard.members.get(daemon_id)
+        return [] if peer is None else [SendToPeer(peer.peer_address, request)]
 
-    def _whom_to_ask(self, daemon_id: str, needed: frozenset[str]) -> str:
-        # Every other time somebody else is asked, since the path may be cut one way.
-        self.pull_count += 1
+    def _choose_other(self, daemon_id: str) -> Member | None:
+        needed = self.interest.needed[daemon_id]
         others = self.interest.choose_interested(needed, 1, self.rng)
-        owner = self.blackboard.members.get(daemon_id)
-        if others and (owner is None or self.pull_count % 2 == 0):
-            return others[0].peer_address
-        return "" if owner is None else owner.peer_address
+        return others[0] if others else None
 
-    def _request_digest(self, stale: list[str]) -> list[Any]:
-        this = self.blackboard.this_member
-        by_address: dict[str, list[int]] = {}
+    def _request_digests(self, stale: list[str]) -> list[Any]:
+        effects: list[Any] = []
+        shared = [name for name in stale if not self.pulls.asks_owner(name)]
         for daemon_id in stale:
-            needed = self.interest.needed[daemon_id]
-            address = self._whom_to_ask(daemon_id, needed)
-            if address:
-                references = by_address.setdefault(address, [])
-                references.append(member_reference(daemon_id))
-        return [
-            SendToPeer(address, DigestRequest(this.peer_address, tuple(references)))
-            for address, references in by_address.items()
-        ]
+            if daemon_id not in shared:
+                owner = self.blackboard.members.get(daemon_id)
+                effects += self._request_digest(owner, [daemon_id])
+        while shared:
+            peer = self._choose_other(shared[0])
+            services = frozenset(peer.services if peer else ())
+            asked = [n for n in shared if services & self.interest.needed[n]]
+            asked = asked or shared[:1]
+            effects += self._request_digest(peer, asked)
+            shared = [name for name in shared if name not in asked]
+        return effects
+
+    def _request_digest(self, peer: Member | None, names: list[str]) -> list[Any]:
+        if peer is None:
+            return []
+        references = tuple(member_reference(name) for name in names)
+        reply_to = self.blackboard.this_member.peer_address
+        return [SendToPeer(peer.peer_address, DigestRequest(reply_to, references))]
 
 
 def _is_complete(holding: Holding, needed: frozenset[str]) -> bool:
--- a/src/wagtailstep/controllers/probing.py
+++ b/src/wagtailstep/controllers/probing.py
@@ -63,16 +63,20 @@
     probe: Probe | None = None
     relays: dict[int, Relay] = attrs.field(factory=dict)
     round: list[str] = attrs.field(factory=list)
-    next_at: timedelta = timedelta()
+    next_at: timedelta | None = None
 
     def start(self, now: timedelta) -> Member | None:
         """Start the next probe if it is due.
 
         :return: the member to ping, or ``None``.
         """
+        interval = timedelta(milliseconds=self.settings.probe_interval_ms)
+        if self.next_at is None:
+            # Daemons that start together don't ping in step.
+            self.next_at = now + interval * self.rng.random()
         if self.probe is not None or now < self.next_at:
             return None
-        self.next_at = now + timedelta(milliseconds=self.settings.probe_interval_ms)
+        self.next_at = now + interval
         member = self._next_member()
         if member is not None:
             self.sequence += 1
--- /dev/null
+++ b/src/wagtailstep/controllers/pulls.py
@@ -0,0 +1,55 @@
+"""When to ask for what did not arrive by itself, and whom."""
+
+from datetime import timedelta
+
+import attrs
+
+PULL_INTERVAL = timedelta(milliseconds=200)
+
+
+@attrs.define
+class Pull:
+    """Requests for news of one daemon that have not helped yet.
+
+    :param asked_at: monotonic time of the last request.
+    :param attempts: number of requests.
+    """
+
+    asked_at: timedelta
+    attempts: int = 1
+
+
+@attrs.define
+class PullSchedule:
+    """Spread requests over time, and over the daemon itself and its peers.
+
+    :param pulls: by the ``daemon_id`` of the daemon that is asked about.
+    """
+
+    pulls: dict[str, Pull] = attrs.field(factory=dict)
+
+    def start(self, daemon_id: str, now: timedelta) -> bool:
+        """Count a request, unless it is too early for another one.
+
+        :return: whether to send it.
+        """
+        pull = self.pulls.get(daemon_id)
+        if pull is None or now - pull.asked_at >= 3 * PULL_INTERVAL:
+            self.pulls[daemon_id] = Pull(now)
+            return True
+        if now - pull.asked_at < PULL_INTERVAL:
+            return False
+        pull.asked_at = now
+        pull.attempts += 1
+        return True
+
+    def asks_owner(self, daemon_id: str) -> bool:
+        """Tell whether to ask the daemon itself, and not one of its peers.
+
+        They are asked in turns, since the path to either may be cut one way.
+        """
+        return self.pulls[daemon_id].attempts % 2 == 0
+
+    def forget(self, daemon_id: str) -> None:
+        """Forget the requests about a daemon."""
+        self.pulls.pop(daemon_id, None)
--- a/src/wagtailstep/fakes/control_bus.py
+++ b/src/wagtailstep/fakes/control_bus.py
@@ -100,8 +100,9 @@
         incarnation: int = 0,
         zone: str = "bole",
         clock_skew: timedelta = timedelta(),
+        targets_per_service: int = 1,
     ) -> BusNode:
-        """Start a daemon with one backend server for each of some services.
+        """Start a daemon with backend servers of some services.
 
         :param incarnation: 0 takes the wall-clock time in milliseconds.
         """
@@ -125,10 +126,13 @@
         )
         node = self._build(settings, Blackboard(member), wanted)
         for service in services:
-            target_id = f"{service}/{daemon_id}.test:8000"
-            node.announced[target_id] = Target(target_id, service, daemon_id, zone)
+            for port in range(8_000, 8_000 + targets_per_service):
+                target_id = f"{service}/{daemon_id}.test:{port}"
+                node.announced[target_id] = Target(target_id, service, daemon_id, zone)
         self.nodes[daemon_id] = self.addresses[address] = node
-        self._schedule(timedelta(), node, Tick())
+        # Daemons don't tick in step.
+        phase = timedelta(milliseconds=self.rng.uniform(0, TICK_MS))
+        self._schedule(phase, node, Tick())
         self._schedule(timedelta(), node, None)
         return node
 
--- a/src/wagtailstep/models/peer.py
+++ b/src/wagtailstep/models/peer.py
@@ -3,14 +3,13 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import attrs
+import msgspec
 
 from wagtailstep.utils.codec import message
 
 
 @message
-@attrs.frozen
-class StampedMessage:
+class StampedMessage(msgspec.Struct, array_like=True, frozen=True):
     """A control message with the logical time at which it was sent.
 
     :param lamport: logical time of the sender.
