--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from wagtailstep.exceptions import LogError, RecordExpiredError
-from wagtailstep.models.events import LogGap, LogRecordsRead, StreamEndRead
+from wagtailstep.models.events import (
+    LogCaughtUp,
+    LogGap,
+    LogRecordsRead,
+    StreamEndRead,
+)
 from wagtailstep.models.log import LogBatch, LogService
 from wagtailstep.models.settings import LogSettings
 from wagtailstep.utils.logging import log_event
@@ -101,9 +106,7 @@
         if batch.records:
             self.dispatch(LogRecordsRead(self.stream, batch.records))
             return True
-        if not self.end_reached:
-            self.end_reached = True
-            self.dispatch(LogRecordsRead(self.stream, ()))
+        self.dispatch(LogCaughtUp(self.stream, batch.next_offset))
         self.dispatch(StreamEndRead(self.stream, asked_at))
         return False
 
