--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -48,12 +48,16 @@
     :param name: name of the module under ``benchmarks``.
     :param seed: seed of the run.
     :param blocks: paragraphs and tables so far.
+    :param commit: the commit when the run began.
+    :param machine: the machine, with its load when the run began.
     """
 
     title: str
     name: str
     seed: int
     blocks: list[str] = attrs.field(factory=list)
+    commit: str = attrs.field(factory=read_commit)
+    machine: str = attrs.field(factory=describe_machine)
 
     def add_text(self, text: str) -> None:
         """Add a paragraph."""
@@ -70,7 +74,7 @@
         today = datetime.datetime.now(datetime.UTC).date()
         head = (
             f"# {self.title}\n\n`python -m benchmarks.{self.name} --seed={self.seed}` "
-            f"on {today}, commit {read_commit()}; {describe_machine()}."
+            f"on {today}, commit {self.commit}; {self.machine}."
         )
         path.parent.mkdir(parents=True, exist_ok=True)
         text = "\n\n".join([head, *self.blocks, f"    {last_line}"])
