--- /dev/null
+++ b/benchmarks/control_daemons.py
@@ -0,0 +1,249 @@
+"""Measure idle daemons as real processes: processor time, memory, control bytes.
+
+Run with ``python -m benchmarks.control_daemons --seed=1``. Starts one log-service
+stand-in, one process with all backend servers, and daemons on loopback; each is
+ended by its own id.
+"""
+
+import contextlib
+import json
+import os
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+
+import attrs
+import fire
+
+from benchmarks.report import Report, fit_slope
+from wagtailstep.fakes.backend_server import BackendServerSettings
+from wagtailstep.models.settings import (
+    DaemonSettings,
+    LogSettings,
+    MembershipSettings,
+)
+
+PAGE = pathlib.Path("docs/measurements/control_daemons.md")
+SIZES = (4, 16, 32, 56)
+WARM_UP_S = 12.0
+DURATION_S = 20.0
+END_LIMIT_S = 60.0
+HOST = "127.0.0.1"
+PROGRAM = "from wagtailstep.cli.{name} import main; main()"
+
+
+@attrs.frozen
+class ProcessLoad:
+    """What one daemon used.
+
+    :param cpu_percent: processor time in percent of a core.
+    :param resident_mb: resident memory.
+    :param private_mb: resident memory that it shares with no other process.
+    :param sent_bytes: control bytes sent per second.
+    :param received_bytes: control bytes received per second.
+    :param messages: control messages sent and received per second.
+    :param connections: control connections opened per second.
+    :param dropped: control messages dropped per second.
+    """
+
+    cpu_percent: float
+    resident_mb: float
+    private_mb: float
+    sent_bytes: float
+    received_bytes: float
+    messages: float
+    connections: float
+    dropped: float
+
+
+@contextlib.contextmanager
+def hold_ports(count: int) -> Iterator[list[str]]:
+    """Find free loopback ports, and free them at the end of the block."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    yield [f"{HOST}:{each.getsockname()[1]}" for each in sockets]
+    for each in sockets:
+        each.close()
+
+
+def plan_daemons(count: int, seed: int, log_address: str) -> list[DaemonSettings]:
+    """Return the settings of all daemons on free ports."""
+    with hold_ports(4 * count) as ports:
+        seeds = tuple(ports[2::4][:3])
+        return [
+            DaemonSettings(
+                f"daemon-{index:02d}",
+                f"zone-{index % 3}",
+                *ports[4 * index : 4 * index + 4],
+                seed=seed * 1_000 + index,
+                membership=MembershipSettings(seeds=seeds),
+                log=LogSettings(address=log_address),
+            )
+            for index in range(count)
+        ]
+
+
+def start_program(name: str, *arguments: str, output: pathlib.Path) -> subprocess.Popen:
+    """Start one of the programs of the package."""
+    command = [sys.executable, "-c", PROGRAM.format(name=name), *arguments]
+    with output.open("w") as file:
+        return subprocess.Popen(command, stdout=file, stderr=subprocess.STDOUT)
+
+
+def read_cpu_s(pid: int) -> float:
+    """Return the processor time of a process so far."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def read_memory_mb(pid: int) -> tuple[float, float]:
+    """Return resident memory of a process, and the part that it does not share."""
+    text = pathlib.Path(f"/proc/{pid}/smaps_rollup").read_text()
+    sizes = dict(re.findall(r"^(\w+):\s+(\d+) kB", text, re.MULTILINE))
+    private = int(sizes["Private_Clean"]) + int(sizes["Private_Dirty"])
+    return int(sizes["Rss"]) / 1_024, private / 1_024
+
+
+def read_counters(output: pathlib.Path) -> dict[str, float]:
+    """Return what a daemon's channel carried, from its last log lines."""
+    found = re.findall(r"event=channel-closed (.*)", output.read_text())
+    pairs = (pair.split("=") for pair in found[-1].split())
+    return {key: float(value) for key, value in pairs}
+
+
+def end(process: subprocess.Popen) -> None:
+    """End a process by its own id."""
+    if process.poll() is None:
+        process.send_signal(signal.SIGTERM)
+    try:
+        process.wait(END_LIMIT_S)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+
+
+def run_size(count: int, seed: int, folder: pathlib.Path) -> list[ProcessLoad]:
+    """Run a fleet of some size and return the load of each daemon."""
+    with hold_ports(1 + count) as ports:
+        log_address, *backend_addresses = ports
+    daemons = plan_daemons(count, seed, log_address)
+    servers = [
+        BackendServerSettings(
+            service="contracts" if index % 4 else "archive",
+            address=address,
+            announce_address=daemon.announce_address,
+        )
+        for index, (address, daemon) in enumerate(
+            zip(backend_addresses, daemons, strict=True)
+        )
+    ]
+    servers_file = folder / "backends.json"
+    servers_file.write_text(json.dumps([attrs.asdict(server) for server in servers]))
+    helpers = [
+        start_program(
+            "fakes", "log", f"--address={log_address}", output=folder / "log.out"
+        )
+    ]
+    processes = {}
+    try:
+        for daemon in daemons:
+            file = folder / f"{daemon.daemon_id}.json"
+            file.write_text(json.dumps(attrs.asdict(daemon)))
+            output = folder / f"{daemon.daemon_id}.out"
+            processes[output] = start_program("daemon", "run", str(file), output=output)
+        helpers.append(
+            start_program(
+                "fakes", "backends", str(servers_file), output=folder / "backends.out"
+            )
+        )
+        return observe(processes)
+    finally:
+        for process in [*processes.values(), *helpers]:
+            end(process)
+
+
+def observe(processes: dict[pathlib.Path, subprocess.Popen]) -> list[ProcessLoad]:
+    """Measure running daemons, end them, and read what their channels carried."""
+    started = time.monotonic()
+    time.sleep(WARM_UP_S)
+    before = {path: read_cpu_s(each.pid) for path, each in processes.items()}
+    time.sleep(DURATION_S)
+    after = {path: read_cpu_s(each.pid) for path, each in processes.items()}
+    memory = {path: read_memory_mb(each.pid) for path, each in processes.items()}
+    lifetime = time.monotonic() - started
+    for process in processes.values():
+        process.send_signal(signal.SIGTERM)
+    for process in processes.values():
+        end(process)
+    loads = []
+    for path in processes:
+        counters = read_counters(path)
+        loads.append(
+            ProcessLoad(
+                cpu_percent=100 * (after[path] - before[path]) / DURATION_S,
+                resident_mb=memory[path][0],
+                private_mb=memory[path][1],
+                sent_bytes=counters["sent_bytes"] / lifetime,
+                received_bytes=counters["received_bytes"] / lifetime,
+                messages=(counters["sent"] + counters["received"]) / lifetime,
+                connections=counters["connections"] / lifetime,
+                dropped=counters["dropped"] / lifetime,
+            )
+        )
+    return loads
+
+
+def mean(loads: list[ProcessLoad], name: str) -> float:
+    """Return the mean of one figure over all daemons."""
+    return sum(getattr(load, name) for load in loads) / len(loads)
+
+
+def main(seed: int = 1, sizes: tuple[int, ...] = SIZES) -> None:
+    """Measure fleets of several sizes and write the page.
+
+    :param seed: seed of the daemons' random choices.
+    :param sizes: numbers of daemons.
+    """
+    report = Report("Daemons as processes", "control_daemons", seed)
+    names = [field.name for field in attrs.fields(ProcessLoad)]
+    rows, points = [], []
+    for count in sizes:
+        with tempfile.TemporaryDirectory() as folder:
+            loads = run_size(count, seed, pathlib.Path(folder))
+        figures = {name: mean(loads, name) for name in names}
+        rows.append([str(count), *(f"{figures[name]:.2f}" for name in names)])
+        points.append((count, figures))
+        print(dict(zip(["daemons", *names], rows[-1], strict=True)), flush=True)
+    report.add_text(
+        "Idle daemons, each beside one backend server that renews twice a second; "
+        "three in four serve one service, the rest another. Mean of all daemons. "
+        f"Processor time and memory over {DURATION_S:.0f} s after a start of "
+        f"{WARM_UP_S:.0f} s; bytes and messages from the start on, as the channel "
+        "counts them (without headers of ZeroMQ, TCP and IP)."
+    )
+    report.add_table(["daemons", *names], rows)
+    last = points[-1][1]
+    cpu = fit_slope([(count, figures["cpu_percent"]) for count, figures in points])
+    memory = fit_slope([(count, figures["resident_mb"]) for count, figures in points])
+    line = (
+        f"daemon_cpu_percent={last['cpu_percent']:.2f} "
+        f"daemon_resident_mb={last['resident_mb']:.1f} "
+        f"daemon_private_mb={last['private_mb']:.1f} "
+        f"daemon_control_sent_bytes_per_s={last['sent_bytes']:.0f} "
+        f"daemon_control_received_bytes_per_s={last['received_bytes']:.0f} "
+        f"cpu_percent_per_daemon={cpu[1]:.4f} "
+        f"resident_mb_per_daemon={memory[1]:.4f}"
+    )
+    report.write(PAGE, line)
+    print(line)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/wagtailstep/network/peer_channel.py
+++ b/src/wagtailstep/network/peer_channel.py
@@ -129,10 +129,11 @@
             self._wait_for_connection(connection, frames, urgent)
 
     async def close(self) -> None:
-        """Stop receiving and drop what was not sent."""
+        """Stop receiving, drop what was not sent, and log what was carried."""
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        log_event(LOGGER, "channel-closed", **attrs.asdict(self.counters))
         for connection in self.connections.values():
             connection.socket.close()
         for socket in self.retired:
