Read the log's stream of members every 10 s

Cause: each daemon read a stream that changes every 20 s twice a second. Change: a followed stream can name its own poll interval.

--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -37,6 +37,7 @@
 from wagtailstep.utils.clock import Clock
 
 PAGE_ENTRIES = 40
+MEMBERS_POLL_MS = 10_000
 PAUSE_LIMIT_MS = 10_000
 PRUNE_INTERVAL_MS = 5_000
 SERVICES_UPDATE_MS = 1_000
@@ -277,7 +278,7 @@
         last, self.last_tick = self.last_tick, now
         if last is None:
             self._put(self.blackboard.this_member, whole=True)
-            return [FollowStream(MEMBERS_STREAM)]
+            return [FollowStream(MEMBERS_STREAM, MEMBERS_POLL_MS)]
         if now - last > timedelta(milliseconds=PAUSE_LIMIT_MS):
             # What was known before a long pause is no news to anybody any more.
             self.updates.clear()
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -158,9 +158,14 @@
 
 @attrs.frozen
 class FollowStream:
-    """Effect: read a stream from its oldest record on, now and ever after."""
+    """Effect: read a stream from its oldest record on, now and ever after.
+
+    :param stream: name of the stream.
+    :param poll_ms: time between two reads; 0 takes it from the settings.
+    """
 
     stream: str
+    poll_ms: int = 0
 
 
 @attrs.frozen
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -183,12 +183,18 @@
         if follower is not None:
             follower.wake_up.set()
 
-    def follow(self, stream: str) -> None:
-        """Begin to follow a stream; a second call has no effect."""
+    def follow(self, stream: str, poll_ms: int = 0) -> None:
+        """Begin to follow a stream; a second call has no effect.
+
+        :param poll_ms: time between two reads; 0 takes it from the settings.
+        """
         if stream in self.followers:
             return
+        settings = self.settings.log
+        if poll_ms:
+            settings = attrs.evolve(settings, poll_ms=poll_ms)
         follower = LogFollower(
-            self.settings.log,
+            settings,
             self.outside.log,
             stream,
             self.dispatch,
@@ -226,7 +232,7 @@
 
 @apply_effect.register
 def _(effect: FollowStream, runtime: Runtime) -> None:
-    runtime.follow(effect.stream)
+    runtime.follow(effect.stream, effect.poll_ms)
 
 
 @apply_effect.register
