Drop values out of range before they count as news

Cause: an update with a target state that doesn't exist had renewed its daemon's heartbeat before it was refused. Change: the targets are read first; ages beyond the lease are ignored.

--- a/features/dissemination.feature
+++ b/features/dissemination.feature
@@ -58,6 +58,13 @@
     And the update that was kept back reaches d00
     Then no daemon of the bus sends new work to the target beside d03
 
+  Scenario: Values out of range from a peer change nothing
+    When 20 seconds pass on the bus
+    And daemon d00 hears ages and states that can't be
+    And 5 seconds pass on the bus
+    Then daemon d00 uses 12 targets of "contracts"
+    And every running daemon knows 16 alive daemons
+
   Scenario: Losses, duplicates and delays lapse no healthy target
     Given 5 percent of the messages on the bus get lost and 5 percent twice
     When 20 seconds pass on the bus
--- a/features/steps/control_bus_steps.py
+++ b/features/steps/control_bus_steps.py
@@ -15,11 +15,14 @@
 from wagtailstep.models.events import PeerMessageReceived, TargetWithdrawn
 from wagtailstep.models.fleet import MemberState, TargetState
 from wagtailstep.models.membership import (
+    Digest,
     MemberChange,
     MemberEntry,
     Ping,
+    TargetEntry,
     TargetsUpdate,
     Updates,
+    member_reference,
 )
 from wagtailstep.models.settings import MembershipSettings
 from wagtailstep.utils.codec import encode_message
@@ -202,6 +205,24 @@
     hear(context, daemon_id, context.kept)
 
 
+@when("daemon {daemon_id} hears ages and states that can't be")
+def hear_nonsense(context, daemon_id):
+    reference = member_reference("d03")
+    far = 2**62
+    target = TargetEntry("contracts/d03.test:9", 4, 99, 1)
+    change = MemberChange("d03", far, 99)
+    entry = MemberEntry("d99", 1, 99, "d99.test:7003", "d99.test:7002", "bole")
+    for message in (
+        Digest(0, (reference, far, far, 1)),
+        Digest(0, (reference, far, -far, 1, 7)),
+        Digest(far, (reference,)),
+        TargetsUpdate("d03", "bole", far, far, 1, ("contracts",), ()),
+        TargetsUpdate("d03", "bole", far, 0, 1, ("contracts",), (target,)),
+        Ping(1, SEEDS[0], Updates((entry,), (change,))),
+    ):
+        hear(context, daemon_id, message)
+
+
 def running(context):
     return [node for node in context.bus.nodes.values() if node.running]
 
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -108,6 +108,8 @@
         for index in range(0, len(rows) - 3, 4):
             reference, beat, age, version = rows[index : index + 4]
             beat += message.base
+            if not 0 <= age * AGE_UNIT_MS <= self.settings.lease_ms:
+                continue
             made_at = now - timedelta(milliseconds=age * AGE_UNIT_MS)
             if reference == self.reference:
                 self._surpass(beat)
@@ -143,7 +145,9 @@
     @_receive.register
     def _(self, message: TargetsUpdate, sender: str) -> list[Any]:
         this_id = self.blackboard.this_member.daemon_id
-        if message.daemon_id == this_id or message.age_ms < 0:
+        if message.daemon_id == this_id:
+            return []
+        if not 0 <= message.age_ms <= self.settings.lease_ms:
             return []
         if self.interest.services.isdisjoint(message.services):
             return []
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -77,15 +77,15 @@
         :return: whether it changed what is held.
         :raises IndexError: if a target is in a state that doesn't exist.
         """
+        targets = tuple(
+            entry.to_target(update.daemon_id, update.availability_zone)
+            for entry in update.targets
+        )
         made_at = now - timedelta(milliseconds=update.age_ms)
         self.renew(update.daemon_id, update.beat, made_at, update.version)
         holding = self.holdings.get(update.daemon_id)
         if holding is None or not self._adds(update, holding):
             return False
-        targets = tuple(
-            entry.to_target(update.daemon_id, update.availability_zone)
-            for entry in update.targets
-        )
         # Targets of services that the update leaves out stay until they are pulled.
         covered = frozenset(update.services)
         others = tuple(t for t in holding.targets if t.service not in covered)
