--- /dev/null
+++ b/benchmarks/control_bad_hours.py
@@ -0,0 +1,236 @@
+"""Measure membership and dissemination while much fails at once.
+
+Run with ``python -m benchmarks.control_bad_hours --seed=1``. A fleet of real
+controllers on the in-memory bus loses an availability zone, loses a region and gets
+it back, and is restarted as a whole.
+"""
+
+import pathlib
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import attrs
+import fire
+
+from benchmarks.control import DESIGN_SETTINGS, make_shape
+from benchmarks.control_fleet import Load, MeasuredBus, build_fleet, restart_one
+from benchmarks.report import Report
+from wagtailstep.fakes.control_bus import BusNode
+from wagtailstep.models.fleet import MemberState
+
+PAGE = pathlib.Path("docs/measurements/control_bad_hours.md")
+DAEMONS = 200
+ZONES_OF_A_REGION = ("zone-00", "zone-01")
+STEP = timedelta(seconds=0.5)
+SETTLE_S = 8.0
+CUT_S = 40.0
+LIMIT_S = 90.0
+RESTART_STEP_S = 0.25
+
+
+@attrs.frozen
+class BadHour:
+    """What was seen.
+
+    :param name: what happened.
+    :param seconds: time until the fleet agreed, negative if it didn't in time.
+    :param peak_bytes: most bytes sent and received by a daemon in half a second,
+        per second, on average of the observed daemons.
+    :param mean_bytes: bytes sent and received per second, on average.
+    :param cpu_percent: processor time of controllers and codec, on average.
+    """
+
+    name: str
+    seconds: float
+    peak_bytes: float
+    mean_bytes: float
+    cpu_percent: float
+
+
+def run_until(
+    bus: MeasuredBus, name: str, agreed: Callable[[], bool], limit_s: float
+) -> BadHour:
+    """Let time pass until the fleet agrees or the time is over."""
+    started = bus.clock.monotonic()
+    rates, cpu_s, seconds = [], 0.0, -1.0
+    while bus.clock.monotonic() - started < timedelta(seconds=limit_s):
+        bus.load = Load()
+        bus.run(STEP)
+        total = sum(bus.load.sent_bytes.values()) + bus.load.received_bytes
+        rates.append(total / len(bus.observed) / STEP.total_seconds())
+        cpu_s += bus.load.cpu_s / len(bus.observed)
+        if agreed():
+            seconds = (bus.clock.monotonic() - started).total_seconds()
+            break
+    mean = sum(rates) / len(rates)
+    cpu = 100 * cpu_s / (len(rates) * STEP.total_seconds())
+    return BadHour(name, seconds, max(rates), mean, cpu)
+
+
+def of_zones(bus: MeasuredBus, zones: Iterable[str]) -> list[BusNode]:
+    """Return the daemons of some availability zones."""
+    wanted = set(zones)
+    return [
+        node
+        for node in bus.nodes.values()
+        if node.blackboard.this_member.availability_zone in wanted
+    ]
+
+
+def uses_any(nodes: list[BusNode], gone: set[str]) -> bool:
+    """Tell whether daemons still use targets beside others."""
+    return any(
+        target.daemon_id in gone
+        for node in nodes
+        for target in node.blackboard.targets.values()
+    )
+
+
+def all_have_state(nodes: list[BusNode], names: set[str], state: MemberState) -> bool:
+    """Tell whether daemons all believe the same of others."""
+    return all(
+        node.blackboard.members[name].state is state
+        for node in nodes
+        for name in names
+        if name in node.blackboard.members
+    )
+
+
+def all_know(nodes: list[BusNode]) -> bool:
+    """Tell whether daemons all hold each other for alive."""
+    names = {node.daemon_id for node in nodes}
+    return all(
+        names <= node.blackboard.members.keys() for node in nodes
+    ) and all_have_state(nodes, names, MemberState.ALIVE)
+
+
+def count_targets(nodes: list[BusNode]) -> int:
+    """Return the targets that daemons use, added up."""
+    return sum(len(node.blackboard.targets) for node in nodes)
+
+
+def lose_zone(bus: MeasuredBus) -> list[BadHour]:
+    """End all daemons of a zone at once."""
+    lost = of_zones(bus, ["zone-00"])
+    names = {node.daemon_id for node in lost}
+    rest = [node for node in bus.nodes.values() if node.daemon_id not in names]
+    bus.observed -= names
+    for node in lost:
+        bus.stop(node.daemon_id)
+    return [
+        run_until(
+            bus,
+            f"zone of {len(lost)} daemons lost: none of its targets in use",
+            lambda: not uses_any(rest, names),
+            LIMIT_S,
+        ),
+        run_until(
+            bus,
+            "zone lost: all its daemons known to be dead",
+            lambda: all_have_state(rest, names, MemberState.DEAD),
+            LIMIT_S,
+        ),
+    ]
+
+
+def lose_region(bus: MeasuredBus) -> list[BadHour]:
+    """Cut a region off both ways and mend the cut."""
+    inside = of_zones(bus, ZONES_OF_A_REGION)
+    names = {node.daemon_id for node in inside}
+    outside = [node for node in bus.nodes.values() if node.daemon_id not in names]
+    others = {node.daemon_id for node in outside}
+    bus.rules.cut(sorted(names), sorted(others))
+    bus.rules.cut(sorted(others), sorted(names))
+    used = count_targets(outside + inside)
+    hours = [
+        run_until(
+            bus,
+            f"region of {len(inside)} daemons cut: no target across the cut in use",
+            lambda: not (uses_any(outside, names) or uses_any(inside, others)),
+            LIMIT_S,
+        ),
+        run_until(bus, f"region cut: the next {CUT_S:.0f} s", lambda: False, CUT_S),
+    ]
+    bus.rules.cuts.clear()
+    hours.append(
+        run_until(
+            bus,
+            "region back: 99 % of the targets in use again",
+            lambda: count_targets(outside + inside) >= 0.99 * used,
+            LIMIT_S,
+        )
+    )
+    hours.append(
+        run_until(
+            bus,
+            "region back: all daemons hold each other for alive",
+            lambda: all_know(outside + inside),
+            LIMIT_S,
+        )
+    )
+    return hours
+
+
+def restart_all(bus: MeasuredBus) -> list[BadHour]:
+    """Restart as many daemons as there are, in turns of an even rate."""
+    bus.load = Load()
+    count = DAEMONS // 2
+    planned = iter(range(count))
+
+    def restart_next() -> bool:
+        for _ in range(round(STEP.total_seconds() / RESTART_STEP_S)):
+            if next(planned, None) is None:
+                return True
+            restart_one(bus)
+        return False
+
+    name = f"{1 / RESTART_STEP_S:.0f} restarts/s for {count * RESTART_STEP_S:.0f} s"
+    return [run_until(bus, name, restart_next, LIMIT_S)]
+
+
+def main(seed: int = 1) -> None:
+    """Measure the bad hours and write the page.
+
+    :param seed: seed of all random choices.
+    """
+    report = Report("Bad hours of the control plane", "control_bad_hours", seed)
+    hours: list[BadHour] = []
+    for happen in (lose_zone, lose_region, restart_all):
+        bus = build_fleet(make_shape(DAEMONS), DESIGN_SETTINGS, seed)
+        hours.append(
+            run_until(bus, f"before: {happen.__name__}", lambda: False, SETTLE_S)
+        )
+        hours += happen(bus)
+        for hour in hours[-5:]:
+            print(hour, flush=True)
+    report.add_text(
+        f"{DAEMONS} daemons in 14 zones, renew {DESIGN_SETTINGS.renew_ms} ms, lease "
+        f"{DESIGN_SETTINGS.lease_ms} ms. Bytes are sent and received together, of one "
+        "daemon. A time of -1 means that it did not end within the time watched."
+    )
+    headings = [field.name for field in attrs.fields(BadHour)]
+    rows = [
+        [
+            hour.name,
+            f"{hour.seconds:.1f}",
+            f"{hour.peak_bytes:.0f}",
+            f"{hour.mean_bytes:.0f}",
+            f"{hour.cpu_percent:.2f}",
+        ]
+        for hour in hours
+    ]
+    report.add_table(headings, rows)
+    line = (
+        f"zone_lost_lapse_s={hours[1].seconds:.1f} "
+        f"zone_lost_dead_s={hours[2].seconds:.1f} "
+        f"region_cut_lapse_s={hours[4].seconds:.1f} "
+        f"region_back_targets_s={hours[6].seconds:.1f} "
+        f"region_back_members_s={hours[7].seconds:.1f} "
+        f"peak_bytes_per_s={max(hour.peak_bytes for hour in hours):.0f}"
+    )
+    report.write(PAGE, line)
+    print(line)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
