--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -33,6 +33,10 @@
 CLOSE_HEADER = (b"connection", b"close")
 
 
+class FramingError(BadRequestError):
+    """It is in doubt where the request ends."""
+
+
 class ExchangeApp:
     """Pass each request to a handler and stream its answer back.
 
@@ -69,7 +73,7 @@
                 verdict=error.verdict.value,
                 error=str(error),
             )
-            return add_blame(describe_error(error), error)
+            return add_headers(describe_error(error), error)
         except Exception as error:
             logger.exception("event=handler-failed path=%s", scope["path"])
             return describe_error(describe_internal_error(error))
@@ -94,10 +98,15 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
-def add_blame(answer: Answer, error: RequestError) -> Answer:
-    """Return the answer with what the failure speaks against."""
-    header = (BLAME, error.blame.value)
-    return attrs.evolve(answer, headers=(*answer.headers, header))
+def add_headers(answer: Answer, error: RequestError) -> Answer:
+    """Return the answer with what the failure speaks against.
+
+    After a request whose end is in doubt the connection can't be used again.
+    """
+    added = [(BLAME, error.blame.value)]
+    if isinstance(error, FramingError):
+        added.append(("connection", "close"))
+    return attrs.evolve(answer, headers=(*answer.headers, *added))
 
 
 def describe_internal_error(error: Exception) -> RequestError:
@@ -123,11 +132,11 @@
 def check_framing(headers: Headers) -> None:
     """Refuse a request with two announced lengths, which hides a second request.
 
-    :raises BadRequestError: if both kinds of framing are present.
+    :raises FramingError: if both kinds of framing are present.
     """
     chunked = find_header(headers, "transfer-encoding") is not None
     if chunked and find_header(headers, "content-length") is not None:
-        raise BadRequestError(
+        raise FramingError(
             "a request may have content-length or transfer-encoding, not both"
         )
 
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -48,6 +48,9 @@
         try:
             await self.served_app(scope, receive, send)
         except asyncio.CancelledError:
+            log_event(
+                logger, "request-cancelled", path=scope["path"], client=self.client
+            )
             self.break_connection()
         finally:
             self.handler = None
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -73,7 +73,9 @@
             self.server.close()
 
     async def drain(self, limit: timedelta) -> bool:
-        """Wait until no request is in flight.
+        """Wait until no request is in flight, then close the idle connections.
+
+        With the listener closed before, nothing can arrive afterwards.
 
         :param limit: longest time to wait.
         :return: whether all requests ended in time.
@@ -82,6 +84,8 @@
         ends_at = loop.time() + limit.total_seconds()
         while self.state.tasks and loop.time() < ends_at:
             await asyncio.wait(set(self.state.tasks), timeout=ends_at - loop.time())
+        for connection in list(self.state.connections):
+            connection.shutdown()
         return not self.state.tasks
 
     async def close(self) -> None:
