Bar an attempt at the gate when its connection has gone silent

Cause: a request lost on a silent connection ended as may-have-run, and the backend server got the blame. Change: the entry asks the gate over a new connection; a gate that has not seen the attempt refuses it for good and says so. Large bodies wait for the gate's word. Conclusion: not run becomes a fact that the gate states.

--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
@@ -14,6 +14,7 @@
 import attrs
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.controllers.request_memory import RequestMemory
 from wagtailstep.exceptions import (
     DeadlineExceededError,
     DuplicateRequestError,
@@ -25,6 +26,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import Target, TargetState
 from wagtailstep.models.gate import (
+    AttemptRevoked,
     GateRequest,
     GateRequestAbandoned,
     GateRequestArrived,
@@ -32,12 +34,12 @@
     RefuseRequest,
     RunResult,
     StartRequest,
+    TellAttemptState,
 )
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
-ACCEPTED_MEMORY = timedelta(minutes=10)
 MIN_RETRY_AFTER = timedelta(milliseconds=200)
 
 
@@ -115,8 +117,7 @@
         self.rng = rng
         self.queues: dict[str, TargetQueue] = {}
         self.queue_of_serial: dict[int, TargetQueue] = {}
-        self.accepted: set[str] = set()
-        self.accepted_order: deque[tuple[timedelta, str]] = deque()
+        self.memory = RequestMemory(clock)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -131,7 +132,7 @@
         if error is not None:
             return [RefuseRequest(request.serial, error)]
         queue = self.find_queue(request.target_id)
-        self.remember(request)
+        self.memory.accept(request)
         self.queue_of_serial[request.serial] = queue
         if queue.has_free_slot and not queue.waiting:
             return [self.start(queue, request)]
@@ -145,6 +146,7 @@
         if queue is None:
             return []
         entry = queue.running.pop(event.serial)
+        self.memory.end(entry.request)
         queue.limit.record(
             entry.request.route,
             event.result,
@@ -163,16 +165,22 @@
         if event.serial in queue.running:
             return self.end(GateRequestEnded(event.serial, RunResult.ABANDONED))
         del self.queue_of_serial[event.serial]
-        self.forget(queue.waiting.pop(event.serial))
+        self.memory.forget(queue.waiting.pop(event.serial))
         return []
 
+    @handle.register
+    def revoke(self, event: AttemptRevoked) -> list[Any]:
+        """Bar an attempt that has not arrived, and tell what became of it."""
+        return [TellAttemptState(self.memory.revoke(event.attempt_id))]
+
     def find_refusal(self, request: GateRequest) -> RequestError | None:
         """Return why a request can't be taken, or ``None``."""
-        if request.request_id in self.accepted:
-            return DuplicateRequestError(
-                f"request {request.request_id} was accepted before",
-                Verdict.MAY_HAVE_RUN,
-            )
+        if self.memory.is_revoked(request.attempt_id):
+            message = f"attempt {request.attempt_id} was revoked by its entry"
+            return DuplicateRequestError(message, Verdict.NOT_RUN)
+        if self.memory.was_accepted(request):
+            message = f"request {request.request_id} was accepted before"
+            return DuplicateRequestError(message, Verdict.MAY_HAVE_RUN)
         if request.deadline <= self.clock.monotonic():
             return DeadlineExceededError(
                 "the deadline had passed when the request arrived", Verdict.NOT_RUN
@@ -232,22 +240,9 @@
                 effects.append(self.start(queue, request))
                 continue
             del self.queue_of_serial[serial]
-            self.forget(request)
+            self.memory.forget(request)
             error = DeadlineExceededError(
                 "the deadline passed while the request waited", Verdict.NOT_RUN
             )
             effects.append(RefuseRequest(serial, error))
         return effects
-
-    def remember(self, request: GateRequest) -> None:
-        """Keep the identifier of a non-idempotent request that was accepted."""
-        now = self.clock.monotonic()
-        while self.accepted_order and self.accepted_order[0][0] < now - ACCEPTED_MEMORY:
-            self.accepted.discard(self.accepted_order.popleft()[1])
-        if not request.idempotent:
-            self.accepted.add(request.request_id)
-            self.accepted_order.append((now, request.request_id))
-
-    def forget(self, request: GateRequest) -> None:
-        """Drop the identifier of a request that was certainly not started."""
-        self.accepted.discard(request.request_id)
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -14,6 +14,7 @@
 
     :param serial: number given by the gate; unique for its lifetime.
     :param request_id: identifier made by the entry.
+    :param attempt_id: identifier of this sending of the request.
     :param target_id: the backend server asked for.
     :param route: name of the route; service times are learned per route.
     :param idempotent: whether running it twice does no harm.
@@ -22,6 +23,7 @@
 
     serial: int
     request_id: str
+    attempt_id: str
     target_id: str
     route: str
     idempotent: bool
@@ -69,6 +71,33 @@
     serial: int
 
 
+class AttemptState(enum.Enum):
+    """What a gate knows of one sending of a request.
+
+    ``REVOKED`` means that it had not arrived and is refused if it ever does, so it
+    was not run and never will be. ``HELD`` waits or runs. ``ENDED`` was answered,
+    or broken off after it had been started.
+    """
+
+    REVOKED = "revoked"
+    HELD = "held"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class AttemptRevoked:
+    """An entry has heard nothing of an attempt and asks to bar it."""
+
+    attempt_id: str
+
+
+@attrs.frozen
+class TellAttemptState:
+    """Effect: the answer to :class:`AttemptRevoked`."""
+
+    state: AttemptState
+
+
 @attrs.frozen
 class StartRequest:
     """Effect: send a request to its backend server now."""
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -1,5 +1,6 @@
 """From the entry to the gate beside a target, on this instance or another."""
 
+import itertools
 from datetime import timedelta
 
 import msgspec
@@ -19,6 +20,7 @@
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.headers import (
+    ATTEMPT_ID,
     BLAME,
     FLEET_PREFIX,
     IDEMPOTENT,
@@ -42,6 +44,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 GATE_MARGIN = timedelta(milliseconds=20)
 MAX_PROBLEM_BYTES = 16_384
+SMALL_BODY_BYTES = 65_536
 
 ERROR_TYPES: dict[str, type[RequestError]] = {
     error_type.reason: error_type
@@ -73,6 +76,7 @@
         self.blackboard = blackboard
         self.client = client
         self.gate = gate
+        self.attempts = itertools.count(1)
 
     async def forward(
         self,
@@ -86,23 +90,30 @@
 
         :raises RequestError: with the verdict; ``NOT_RUN`` only as a fact.
         """
+        attempt_id = f"{request.request_id}.{next(self.attempts)}"
         headers = make_headers(request, target_id, incoming, time_left)
+        headers += ((ATTEMPT_ID, attempt_id),)
         if gate.daemon_id == self.blackboard.this_member.daemon_id:
             local = IncomingRequest(
                 incoming.method, request.path, headers, incoming.body
             )
             return await self.gate.handle(local)
-        answer = await self.client.send(
-            HttpRequest(
-                address=gate.gate_address,
-                method=incoming.method,
-                path=request.path,
-                headers=headers,
-                body=incoming.body,
-                idempotent=request.idempotent,
-                time_left=time_left,
-            )
+        sent = HttpRequest(
+            address=gate.gate_address,
+            method=incoming.method,
+            path=request.path,
+            headers=ask_before_body(headers),
+            body=incoming.body,
+            idempotent=request.idempotent,
+            time_left=time_left,
+            attempt_id=attempt_id,
         )
+        try:
+            answer = await self.client.send(sent)
+        except DeadlineExceededError as error:
+            # A gate that can be reached tells of a deadline itself, a little earlier.
+            error.blame = Blame.PATH
+            raise
         return await check_answer(answer, request.request_id)
 
 
@@ -135,6 +146,19 @@
     return kept + own_headers
 
 
+def ask_before_body(headers: Headers) -> Headers:
+    """Have a large body wait until the gate wants it.
+
+    A gate that refuses the request then leaves the body unread, so that it can be
+    sent to another one. A small body is kept by the entry and needs no such wait.
+    """
+    length = find_header(headers, "content-length") or "0"
+    chunked = find_header(headers, "transfer-encoding") is not None
+    if chunked or int(length) > SMALL_BODY_BYTES:
+        return (*headers, ("expect", "100-continue"))
+    return headers
+
+
 async def check_answer(answer: Answer, request_id: str) -> Answer:
     """Return the backend server's answer.
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -4,9 +4,11 @@
 import itertools
 from datetime import timedelta
 from functools import singledispatchmethod
+from http import HTTPStatus
 from typing import Any
 
 import attrs
+import msgspec
 
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.exceptions import (
@@ -17,6 +19,7 @@
 )
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.gate import (
+    AttemptRevoked,
     GateRequest,
     GateRequestAbandoned,
     GateRequestArrived,
@@ -26,7 +29,9 @@
     StartRequest,
 )
 from wagtailstep.models.headers import (
+    ATTEMPT_ID,
     FLEET_PREFIX,
+    GATE_ID,
     IDEMPOTENT,
     LOAD,
     QUEUEING_MS,
@@ -44,6 +49,8 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
+from wagtailstep.network.silence import REVOCATION_PATH, AttemptStateAnswer
 from wagtailstep.utils.clock import Clock
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -72,6 +79,25 @@
         self.clock = clock
         self.serials = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[None]] = {}
+        member = controller.blackboard.this_member
+        # A restarted gate knows nothing of what its predecessor took.
+        self.gate_id = f"{member.daemon_id}.{member.incarnation}"
+
+    async def handle_revocation(self, incoming: IncomingRequest) -> Answer:
+        """Tell an entry what became of an attempt, and bar it if it never came.
+
+        :raises BadRequestError: if the attempt was sent to an earlier process.
+        """
+        if find_header(incoming.headers, GATE_ID) != self.gate_id:
+            raise BadRequestError("another gate is asked for", HTTPStatus.CONFLICT)
+        attempt_id = incoming.path.removeprefix(REVOCATION_PATH)
+        (effect,) = self.controller.handle(AttemptRevoked(attempt_id))
+        data = msgspec.json.encode(AttemptStateAnswer(effect.state))
+        headers = (
+            ("content-type", "application/json"),
+            ("content-length", str(len(data))),
+        )
+        return Answer(HTTPStatus.OK, headers, yield_body(data), Verdict.RUN)
 
     async def handle(self, incoming: IncomingRequest) -> Answer:
         """Run one request as soon as its backend server has a free slot.
@@ -79,6 +105,8 @@
         :raises RequestError: ``NOT_RUN`` only if nothing was sent to the backend
             server.
         """
+        if incoming.path.startswith(REVOCATION_PATH):
+            return await self.handle_revocation(incoming)
         request = self.read_request(incoming)
         arrived_at = self.clock.monotonic()
         await self.wait_for_slot(request)
@@ -87,6 +115,7 @@
         own_headers = (
             (VERDICT, Verdict.RUN.value),
             (REQUEST_ID, request.request_id),
+            (GATE_ID, self.gate_id),
             (QUEUEING_MS, f"{queueing / MILLISECOND:.1f}"),
             (LOAD, f"{self.controller.queues[request.target_id].load:.2f}"),
         )
@@ -98,9 +127,11 @@
         :raises BadRequestError: if a header is missing or wrong.
         """
         headers = incoming.headers
+        request_id = require_header(headers, REQUEST_ID)
         return GateRequest(
             serial=next(self.serials),
-            request_id=require_header(headers, REQUEST_ID),
+            request_id=request_id,
+            attempt_id=find_header(headers, ATTEMPT_ID) or request_id,
             target_id=require_header(headers, TARGET),
             route=find_header(headers, ROUTE) or "",
             idempotent=find_header(headers, IDEMPOTENT) == "?1",
@@ -267,7 +298,7 @@
 
 
 def blame_backend_server(error: RequestError) -> RequestError:
-    """Return the error; over loopback there is no path to blame."""
-    if error.blame is Blame.PATH:
+    """Return the error; over loopback there is nothing else to blame."""
+    if error.blame in (Blame.PATH, Blame.CONNECTION):
         error.blame = Blame.BACKEND_SERVER
     return error
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -17,7 +17,8 @@
     TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer
-from wagtailstep.models.headers import remove_hop_by_hop
+from wagtailstep.models.headers import GATE_ID, find_header, remove_hop_by_hop
+from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import (
@@ -26,6 +27,7 @@
     decode_headers,
     open_connection,
 )
+from wagtailstep.network.silence import SilenceWatch
 from wagtailstep.utils.clock import Clock
 
 MAX_IDLE_PER_ADDRESS = 8
@@ -115,6 +117,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + request.time_left.total_seconds()
         connection = await self.acquire(request)
+        watch = self.watch(connection, request)
         try:
             async with asyncio.timeout_at(deadline):
                 head = await connection.exchange_heads(request)
@@ -126,10 +129,22 @@
             if isinstance(error, RequestError):
                 error.verdict = verdict_of(connection)
             raise
+        finally:
+            if watch is not None:
+                watch.stop()
         body = AnswerBody(self, connection, deadline)
         headers = remove_hop_by_hop(decode_headers(head.headers))
+        connection.gate_id = find_header(headers, GATE_ID) or ""
         return Answer(head.status_code, headers, body, Verdict.RUN, body.close)
 
+    def watch(
+        self, connection: HttpConnection, request: HttpRequest
+    ) -> SilenceWatch | None:
+        """Watch a kept connection to a gate for silence."""
+        if connection.gate_id and request.attempt_id:
+            return SilenceWatch(connection, request, self.send)
+        return None
+
     async def acquire(self, request: HttpRequest) -> HttpConnection:
         """Return a kept or a new connection.
 
@@ -137,8 +152,7 @@
 
         :raises ConnectionFailedError: if none can be opened; nothing was sent.
         """
-        max_age = self.idle_limit if request.idempotent else PROOF_AGE
-        connection = self.take_idle(request.address, max_age)
+        connection = self.take_idle(request.address, self.max_age(request))
         if connection is not None:
             return connection
         limit = timedelta(milliseconds=self.settings.connect_timeout_ms)
@@ -152,6 +166,10 @@
                 Verdict.NOT_RUN,
             ) from error
 
+    def max_age(self, request: HttpRequest) -> timedelta:
+        """Return how long ago a kept connection must have been proved."""
+        return self.idle_limit if request.idempotent else PROOF_AGE
+
     def take_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
         """Return the connection that was used last, if it is young enough."""
         pool = self.pools.get(address)
@@ -202,9 +220,14 @@
 
 def describe_failure(error: Exception, connection: HttpConnection) -> RequestError:
     """Turn a failed exchange into an error with a true verdict."""
+    if connection.failure is not None:
+        return connection.failure
     verdict = verdict_of(connection)
     address = connection.address
     if isinstance(error, TimeoutError):
         return DeadlineExceededError(f"no answer of {address} in time", verdict)
     message = f"the connection to {address} failed: {error}"
-    return ConnectionFailedError(message, verdict)
+    failure = ConnectionFailedError(message, verdict)
+    if connection.reused:
+        failure.blame = Blame.CONNECTION
+    return failure
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -1,17 +1,21 @@
 """One HTTP/1.1 connection seen from its client: one request at a time."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import AsyncIterator, Iterable
 from datetime import timedelta
 
 import attrs
 import h11
 
-from wagtailstep.exceptions import BadRequestError
+from wagtailstep.exceptions import BadRequestError, RequestError
 from wagtailstep.models.headers import Headers, find_header
 
 READ_SIZE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+CONTINUE = 100
+LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -26,6 +30,9 @@
     :param body: chunks of the body, read as fast as the connection takes them.
     :param idempotent: whether running it twice does no harm.
     :param time_left: time until the whole answer must have arrived.
+    :param attempt_id: what a gate calls this sending; empty if it goes to no gate.
+    :param silence_after: time without an answer after which a gate is asked, over a
+        new connection, what became of the request.
     """
 
     address: str
@@ -35,6 +42,13 @@
     body: AsyncIterator[bytes] | None
     idempotent: bool
     time_left: timedelta
+    attempt_id: str = ""
+    silence_after: timedelta = timedelta(seconds=1)
+
+    @property
+    def waits_to_continue(self) -> bool:
+        """Tell whether the server must ask for the body before it is sent."""
+        return find_header(self.headers, "expect") is not None
 
     @property
     def has_body(self) -> bool:
@@ -84,6 +98,8 @@
         self.idle_since = now
         self.reused = False
         self.bytes_sent = False
+        self.gate_id = ""
+        self.failure: RequestError | None = None
         self.consumed = 0
         self.sender: asyncio.Task[None] | None = None
         self.state = h11.Connection(
@@ -165,6 +181,25 @@
         event = await self.read_event()
         while isinstance(event, h11.InformationalResponse):
             event = await self.read_event()
+        return self.require_head(event)
+
+    async def read_go_ahead(self) -> h11.Response | None:
+        """Wait until the server asks for the body.
+
+        :return: the head of its final answer if it doesn't want the body.
+        """
+        event = await self.read_event()
+        while isinstance(event, h11.InformationalResponse):
+            if event.status_code == CONTINUE:
+                return None
+            event = await self.read_event()
+        return self.require_head(event)
+
+    def require_head(self, event: h11.Event) -> h11.Response:
+        """Return the event if it is the head of an answer.
+
+        :raises ConnectionResetError: if the server closed the connection instead.
+        """
         if not isinstance(event, h11.Response):
             raise ConnectionResetError("the server closed the connection")
         return event
@@ -179,6 +214,10 @@
         self.start_request(request)
         if request.body is None or not request.has_body:
             return await self.read_head()
+        if request.waits_to_continue:
+            refusal = await self.read_go_ahead()
+            if refusal is not None:
+                return refusal
         self.sender = asyncio.create_task(self.send_body(request.body))
         head = asyncio.create_task(self.read_head())
         head.add_done_callback(_forget_result)
@@ -221,13 +260,29 @@
         self.reused = True
         return self.is_clean
 
+    def fail(self, failure: RequestError) -> None:
+        """Break the exchange on this connection for a known reason."""
+        self.failure = failure
+        reset_transport(self.writer.transport)
+
     def close(self) -> None:
         """Close at once, whatever is still buffered; may be called repeatedly."""
         if self.sender is not None:
             self.sender.cancel()
             self.sender.add_done_callback(_forget_result)
             self.sender = None
-        self.writer.transport.abort()
+        reset_transport(self.writer.transport)
+
+
+def reset_transport(transport: asyncio.WriteTransport) -> None:
+    """Close at once and have the kernel drop what it has not delivered.
+
+    Otherwise it would go on delivering a request that was given up.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
+    transport.abort()
 
 
 def _forget_result(task: asyncio.Task[None]) -> None:
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 import sys
 from http import HTTPStatus
 from typing import Any
@@ -18,12 +16,12 @@
 
 from wagtailstep.models.headers import REASON, VERDICT
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
 
 CONNECTION_KEY = "wagtailstep.connection"
-LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
 # uvicorn logs a malformed request and an unfinished answer on its own; each is
 # logged once, by this package, as a key=value line.
@@ -68,12 +66,7 @@
         Without chunked framing the end of a connection ends an answer, but a reset
         never does.
         """
-        if self.transport.is_closing():
-            return
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
-        self.transport.abort()
+        reset_transport(self.transport)
 
     def send_400_response(self, msg: str) -> None:
         """Answer a malformed request, or break the exchange it is part of."""
