Prove admission, silent connections and planned changes on the real path

Cause: nothing showed that a leave or a drain cuts nothing, nor that a false not-run would be caught. Change: gate, path and drain features on real adapters in virtual time; a truncated answer keeps its head, a drain ends only when all bytes have left. Conclusion: the planted faults (a gate that does not bar, a resending client, a reused connection) are caught.

--- /dev/null
+++ b/features/gate.feature
@@ -0,0 +1,110 @@
+Feature: The gate admits what its backend server can do, and knows what did not run
+  Scenario: Slots are filled and the rest waits in order
+    Given a gate before a backend server with 4 slots
+    When 6 requests arrive at the gate
+    Then requests 1,2,3,4 run
+    And request 5 waits
+    When request 2 ends
+    Then requests 1,3,4,5 run
+    And request 6 waits
+    And nothing is refused
+
+  Scenario: A full queue sheds at once
+    Given a gate before a backend server with 4 slots
+    When 21 requests arrive at the gate
+    Then requests 1,2,3,4 run
+    And request 20 waits
+    And request 21 is refused as "overloaded" with verdict "not-run"
+
+  Scenario: A queue that is too long for its time sheds early and says when to return
+    Given a gate before a backend server with 1 slots
+    And requests that take 400 ms each have been run
+    When 5 requests arrive at the gate
+    Then requests 1 run
+    And request 3 waits
+    And request 5 is refused as "overloaded" with verdict "not-run"
+    And request 5 is told to come back after 1000 to 2000 ms
+
+  Scenario: A request that can't be answered in time is refused before it waits
+    Given a gate before a backend server with 1 slots
+    And requests that take 400 ms each have been run
+    When 1 requests arrive at the gate
+    And request 2 arrives at the gate with 500 ms left
+    And request 3 arrives at the gate with 700 ms left
+    Then request 2 is refused as "overloaded" with verdict "not-run"
+    And request 3 waits
+
+  Scenario: A request past its deadline is not run
+    Given a gate before a backend server with 1 slots
+    When 1 requests arrive at the gate
+    And request 2 arrives at the gate with 100 ms left
+    And request 3 arrives at the gate with 0 ms left
+    And 200 ms pass at the gate
+    And request 1 ends
+    Then request 2 is refused as "deadline-exceeded" with verdict "not-run"
+    And request 3 is refused as "deadline-exceeded" with verdict "not-run"
+
+  Scenario: A leaving backend server gets no new work, and what waits is still run
+    Given a gate before a backend server with 1 slots
+    When 2 requests arrive at the gate
+    And the backend server starts to leave
+    And request 3 arrives at the gate with 1000 ms left
+    And request 1 ends
+    Then request 3 is refused as "leaving" with verdict "not-run"
+    And requests 2 run
+
+  Scenario: A target that is not beside the gate is refused
+    Given a gate before a backend server with 4 slots
+    When request 1 arrives for a target that is not beside the gate
+    Then request 1 is refused as "no-target" with verdict "not-run"
+
+  Scenario: A caller that goes away frees its slot or its place
+    Given a gate before a backend server with 1 slots
+    When 3 requests arrive at the gate
+    And the caller of request 2 goes away
+    And the caller of request 1 goes away
+    Then requests 3 run
+
+  Scenario: A non-idempotent request is not accepted twice
+    Given a gate before a backend server with 4 slots
+    When 1 requests arrive at the gate
+    And request 1 ends
+    And request 1 arrives again as request 2
+    Then request 2 is refused as "duplicate" with verdict "may-have-run"
+
+  Scenario: A request that left the queue unrun may come again
+    Given a gate before a backend server with 1 slots
+    When 2 requests arrive at the gate
+    And the caller of request 2 goes away
+    And request 2 arrives again as request 3
+    Then request 3 waits
+
+  Scenario: An attempt that never arrived is barred for good
+    Given a gate before a backend server with 4 slots
+    When attempt 1 is revoked by its entry
+    Then the entry is told that the attempt is "revoked"
+    When 300000 ms pass at the gate
+    And 1 requests arrive at the gate
+    Then request 1 is refused as "connection-failed" with verdict "not-run"
+
+  Scenario: An attempt that arrived can't be revoked
+    Given a gate before a backend server with 1 slots
+    When 2 requests arrive at the gate
+    And attempt 2 is revoked by its entry
+    Then the entry is told that the attempt is "held"
+    When request 1 ends
+    And attempt 1 is revoked by its entry
+    Then the entry is told that the attempt is "ended"
+
+  Scenario: The limit falls when the backend server sheds, and rises again
+    Given a gate before a backend server with 4 slots
+    When the backend server sheds 10 requests one after the other
+    Then 1 request may run at once
+    When 60 rounds of full load run 0 ms for each request beside it
+    Then 4 requests may run at once
+
+  Scenario: The limit follows a backend server that runs one request at a time
+    Given a gate before a backend server with 4 slots
+    And requests that take 10 ms each have been run
+    When 20 rounds of full load run 10 ms for each request beside it
+    Then between 2 and 3 requests may run at once
--- /dev/null
+++ b/features/gate_path.feature
@@ -0,0 +1,57 @@
+Feature: From entry through gate to backend server, every ending is true
+  Scenario: A silent connection is found, and the backend server keeps its good name
+    Given a backend server behind its gate, and an entry
+    When the kept connection goes silent before a non-idempotent request
+    Then "lost" ended as "connection-failed" with verdict "not-run" and blame "connection"
+    And the backend server was sent "lost" 0 times
+    And "again" got its own whole answer
+
+  Scenario: The check for a false "not run" catches a gate that does not bar
+    Given a backend server behind a gate that forgets what it barred, and an entry
+    When the kept connection goes silent before a non-idempotent request
+    Then "lost" ended as "connection-failed" with verdict "not-run" and blame "connection"
+    And the backend server was sent "lost" 1 times
+
+  Scenario: A slow request is not taken for a silent connection
+    Given a backend server behind its gate, and an entry
+    When a request takes 5000 ms on a kept connection that works
+    Then "slow" got its own whole answer
+    And the backend server ran "slow" 1 times
+
+  Scenario: A lost answer is told as may-have-run
+    Given a backend server behind its gate, and an entry
+    When an answer is lost on a kept connection
+    Then "unheard" ended as "connection-failed" with verdict "may-have-run" and blame "connection"
+    And the backend server ran "unheard" 1 times
+
+  Scenario: A cancelled request is cancelled at the backend server
+    Given a backend server behind its gate, and an entry
+    When a caller cancels a request that the backend server is running
+    Then the backend server was told of the cancellation and its slot is free
+
+  Scenario: The gate tells of a deadline before the entry gives up
+    Given a backend server behind its gate, and an entry
+    When the backend server never answers a request with 2000 ms left
+    Then "hanging" ended as "deadline-exceeded" with verdict "may-have-run" and blame "backend-server"
+
+  Scenario Outline: A broken answer of the backend server is told as such
+    Given a backend server behind its gate, and an entry
+    When the backend server has the fault "<fault>"
+    Then "faulty" ended as "<reason>" with verdict "may-have-run" and blame "backend-server"
+    And the backend server ran "faulty" 1 times
+
+    Examples:
+      | fault          | reason            |
+      | truncate_share | truncated-answer  |
+      | lose_share     | connection-failed |
+
+  Scenario: A crashed backend server certainly did not run a request
+    Given a backend server behind its gate, and an entry
+    When the backend server has crashed
+    Then "unsent" ended as "connection-failed" with verdict "not-run" and blame "backend-server"
+
+  Scenario: A refused upload stays with its caller
+    Given a backend server behind its gate, and an entry
+    When a large upload is sent to a gate that refuses it
+    Then "upload" ended as "leaving" with verdict "not-run" and blame "none"
+    And the body of the upload was not touched
--- /dev/null
+++ b/features/steps/gate_steps.py
@@ -0,0 +1,215 @@
+"""Steps for the gate: admission without sockets, on a clock that is set by hand."""
+
+import random
+from datetime import timedelta
+
+import attrs
+from behave import given, then, when
+
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Member, Target, TargetState
+from wagtailstep.models.gate import (
+    AttemptRevoked,
+    GateRequest,
+    GateRequestAbandoned,
+    GateRequestArrived,
+    GateRequestEnded,
+    RefuseRequest,
+    RunResult,
+    StartRequest,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import ManualClock
+
+TARGET_ID = "contracts/127.0.0.1:9000"
+MILLISECOND = timedelta(milliseconds=1)
+
+
+class GateWorld:
+    """A gate controller, and what it said of each request."""
+
+    def __init__(self, slots):
+        self.clock = ManualClock()
+        member = Member("gate-1", 1, "", "", "bole")
+        self.blackboard = Blackboard(member)
+        self.blackboard.targets[TARGET_ID] = Target(
+            TARGET_ID, "contracts", "gate-1", "bole", slots=slots
+        )
+        settings = DaemonSettings("gate-1", "bole", "a:1", "a:2", "a:3", "127.0.0.1:4")
+        self.settings = settings.requests
+        self.controller = GateController(
+            settings, self.blackboard, self.clock, random.Random(1)
+        )
+        self.requests = {}
+        self.running = []
+        self.refusals = {}
+
+    def arrive(self, serial, **changes):
+        values = {
+            "serial": serial,
+            "request_id": f"request-{serial}",
+            "attempt_id": f"attempt-{serial}",
+            "target_id": TARGET_ID,
+            "route": "sign",
+            "idempotent": False,
+            "deadline": self.clock.monotonic() + timedelta(seconds=30),
+        }
+        request = GateRequest(**{**values, **changes})
+        self.requests[serial] = request
+        self.tell(GateRequestArrived(request))
+
+    def end(self, serial, result=RunResult.ANSWERED):
+        self.running.remove(serial)
+        self.tell(GateRequestEnded(serial, result))
+
+    def tell(self, event):
+        for effect in self.controller.handle(event):
+            if isinstance(effect, StartRequest):
+                self.running.append(effect.serial)
+            elif isinstance(effect, RefuseRequest):
+                self.refusals[effect.serial] = effect.error
+
+    def work(self, count, time_ms):
+        """Run requests one after the other, each alone."""
+        for serial in range(-count, 0):
+            self.arrive(serial)
+            self.clock.advance(time_ms * MILLISECOND)
+            self.end(serial)
+
+    @property
+    def queue(self):
+        return self.controller.queues[TARGET_ID]
+
+
+@given("a gate before a backend server with {slots:d} slots")
+def make_gate(context, slots):
+    context.gate = GateWorld(slots)
+
+
+@given("requests that take {time_ms:d} ms each have been run")
+def run_before(context, time_ms):
+    context.gate.work(20, time_ms)
+
+
+@given("the backend server is leaving")
+@when("the backend server starts to leave")
+def start_leaving(context):
+    targets = context.gate.blackboard.targets
+    targets[TARGET_ID] = attrs.evolve(targets[TARGET_ID], state=TargetState.LEAVING)
+
+
+@when("{count:d} requests arrive at the gate")
+def arrive(context, count):
+    for serial in range(1, count + 1):
+        context.gate.arrive(serial)
+
+
+@when("request {serial:d} arrives at the gate with {time_ms:d} ms left")
+def arrive_with_deadline(context, serial, time_ms):
+    deadline = context.gate.clock.monotonic() + time_ms * MILLISECOND
+    context.gate.arrive(serial, deadline=deadline)
+
+
+@when("request {serial:d} arrives for a target that is not beside the gate")
+def arrive_for_other(context, serial):
+    context.gate.arrive(serial, target_id="contracts/127.0.0.1:9999")
+
+
+@when("{time_ms:d} ms pass at the gate")
+def pass_time(context, time_ms):
+    context.gate.clock.advance(time_ms * MILLISECOND)
+
+
+@when("request {serial:d} ends")
+def end(context, serial):
+    context.gate.end(serial)
+
+
+@when("the caller of request {serial:d} goes away")
+def abandon(context, serial):
+    if serial in context.gate.running:
+        context.gate.running.remove(serial)
+    context.gate.tell(GateRequestAbandoned(serial))
+
+
+@when("request {first:d} arrives again as request {second:d}")
+def arrive_again(context, first, second):
+    sent = context.gate.requests[first]
+    context.gate.arrive(second, request_id=sent.request_id, deadline=sent.deadline)
+
+
+@when("attempt {serial:d} is revoked by its entry")
+def revoke(context, serial):
+    event = AttemptRevoked(f"attempt-{serial}")
+    (effect,) = context.gate.controller.handle(event)
+    context.told = effect.state.value
+
+
+@when("the backend server sheds {count:d} requests one after the other")
+def shed(context, count):
+    for serial in range(1000, 1000 + count):
+        context.gate.arrive(serial)
+        context.gate.clock.advance(MILLISECOND)
+        context.gate.end(serial, RunResult.OVERLOADED)
+
+
+@when("{rounds:d} rounds of full load run {time_ms:d} ms for each request beside it")
+def run_full_load(context, rounds, time_ms):
+    serial = 2000
+    for _ in range(rounds):
+        count = context.gate.queue.limit.whole
+        serials = range(serial, serial + count)
+        for number in serials:
+            context.gate.arrive(number)
+        context.gate.clock.advance(time_ms * count * MILLISECOND)
+        for number in serials:
+            context.gate.end(number)
+        serial += count
+
+
+@then("requests {serials} run")
+def check_running(context, serials):
+    expected = [int(serial) for serial in serials.split(",")]
+    assert context.gate.running == expected, context.gate.running
+
+
+@then('request {serial:d} is refused as "{reason}" with verdict "{verdict}"')
+def check_refusal(context, serial, reason, verdict):
+    error = context.gate.refusals.get(serial)
+    assert error is not None, (context.gate.refusals, context.gate.running)
+    assert (error.reason, error.verdict.value) == (reason, verdict), error
+
+
+@then("request {serial:d} is told to come back after {low:d} to {high:d} ms")
+def check_retry_after(context, serial, low, high):
+    retry_after = context.gate.refusals[serial].retry_after
+    assert low * MILLISECOND <= retry_after <= high * MILLISECOND, retry_after
+
+
+@then("request {serial:d} waits")
+def check_waits(context, serial):
+    assert serial in context.gate.queue.waiting, context.gate.refusals
+    assert serial not in context.gate.running
+
+
+@then("nothing is refused")
+def check_nothing_refused(context):
+    assert not context.gate.refusals, context.gate.refusals
+
+
+@then('the entry is told that the attempt is "{state}"')
+def check_told(context, state):
+    assert context.told == state, context.told
+
+
+@then("between {low:d} and {high:d} requests may run at once")
+def check_limit_range(context, low, high):
+    limit = context.gate.queue.limit
+    assert low <= limit.whole <= high, limit.value
+
+
+@then("{limit:d} request may run at once")
+@then("{limit:d} requests may run at once")
+def check_limit(context, limit):
+    assert context.gate.queue.limit.whole == limit, context.gate.queue.limit.value
--- a/src/wagtailstep/controllers/concurrency.py
+++ b/src/wagtailstep/controllers/concurrency.py
@@ -8,7 +8,8 @@
 
 DECREASE_FACTOR = 0.7
 INCREASE_STEP = 0.25
-LATENCY_TOLERANCE = 2.5
+DECREASE_SLOWDOWN = 2.5
+INCREASE_SLOWDOWN = 1.5
 AVERAGE_WEIGHT = 0.1
 
 
@@ -23,8 +24,8 @@
 class RouteTimes:
     """Times in seconds that requests of one route took at the backend server.
 
-    :param alone: average of those that started while nothing else ran.
-    :param shared: average of those that started beside others.
+    :param alone: average of those that ran alone from start to end.
+    :param shared: average of the others.
     :param overall: average of all.
     """
 
@@ -44,8 +45,8 @@
     """Additive increase, multiplicative decrease within 1 and the slots.
 
     It falls when the backend server refuses or times out, and when requests take
-    much longer side by side than alone. It rises while it is used up and all is
-    well.
+    much longer side by side than alone. It rises while it is used up and requests
+    take about as long as alone.
 
     :param slots: requests that the backend server says it can run at once.
     """
@@ -86,7 +87,7 @@
         :param result: how the backend server dealt with it.
         :param started_at: monotonic time when it was sent.
         :param ended_at: monotonic time when it ended.
-        :param beside: other requests that ran when it was sent.
+        :param beside: most other requests that ran at the same time.
         """
         if result is RunResult.ABANDONED:
             return
@@ -95,10 +96,10 @@
             return
         times = self.routes.setdefault(route, RouteTimes())
         learn_time(times, (ended_at - started_at).total_seconds(), beside)
-        if beside and times.slowdown > LATENCY_TOLERANCE:
+        if beside and times.slowdown > DECREASE_SLOWDOWN:
             self.decrease(started_at, ended_at)
             times.shared = None
-        elif beside + 1 >= self.whole:
+        elif beside + 1 >= self.whole and times.slowdown <= INCREASE_SLOWDOWN:
             self.value = min(self.slots, self.value + INCREASE_STEP / self.value)
 
     def decrease(self, started_at: timedelta, ended_at: timedelta) -> None:
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -16,6 +16,7 @@
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
 from wagtailstep.controllers.request_memory import RequestMemory
 from wagtailstep.exceptions import (
+    ConnectionFailedError,
     DeadlineExceededError,
     DuplicateRequestError,
     LeavingError,
@@ -36,6 +37,7 @@
     StartRequest,
     TellAttemptState,
 )
+from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
@@ -49,7 +51,7 @@
 
     :param request: the request.
     :param started_at: monotonic time when it was sent.
-    :param beside: other requests that ran at that moment.
+    :param beside: most other requests that ran at the same time.
     """
 
     request: GateRequest
@@ -176,8 +178,7 @@
     def find_refusal(self, request: GateRequest) -> RequestError | None:
         """Return why a request can't be taken, or ``None``."""
         if self.memory.is_revoked(request.attempt_id):
-            message = f"attempt {request.attempt_id} was revoked by its entry"
-            return DuplicateRequestError(message, Verdict.NOT_RUN)
+            return describe_revoked(request)
         if self.memory.was_accepted(request):
             message = f"request {request.request_id} was accepted before"
             return DuplicateRequestError(message, Verdict.MAY_HAVE_RUN)
@@ -228,6 +229,8 @@
         """Give a slot to a request."""
         now = self.clock.monotonic()
         beside = len(queue.running)
+        for entry in queue.running.values():
+            entry.beside = max(entry.beside, beside)
         queue.running[request.serial] = RunningRequest(request, now, beside)
         return StartRequest(request.serial)
 
@@ -246,3 +249,13 @@
             )
             effects.append(RefuseRequest(serial, error))
         return effects
+
+
+def describe_revoked(request: GateRequest) -> RequestError:
+    """Describe why an attempt that arrives too late is refused."""
+    error = ConnectionFailedError(
+        f"attempt {request.attempt_id} arrived after its entry had given it up",
+        Verdict.NOT_RUN,
+    )
+    error.blame = Blame.CONNECTION
+    return error
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -176,6 +176,7 @@
 
     async def do_work(self, request: Request) -> Response:
         """Run one real request, or shed it if too many wait."""
+        self.count_late_work()
         if self.inside >= self.settings.slots + self.settings.queue_length:
             self.counts.shed += 1
             return Response(503, [(b"retry-after", b"1")])
@@ -194,7 +195,7 @@
     async def run(self, work: Work, request: Request) -> Response:
         """Spend the time of a request, count it, and answer with its faults."""
         faults = self.faults.active(self.clock.monotonic() / timedelta(milliseconds=1))
-        self.count_late_work()
+        self.counts.started[work.key] += 1
         if faults.fails(work.route, self.rng):
             self.counts.failed += 1
             return Response(500)
@@ -206,7 +207,7 @@
         if draw(self.rng, faults.lose_share):
             connection.break_connection()
         cut = draw(self.rng, faults.truncate_share)
-        return work.answer(self.address, connection.break_connection if cut else None)
+        return work.answer(self.address, connection.transport.close if cut else None)
 
     def count_late_work(self) -> None:
         """Note how long after leaving new work still came."""
--- a/src/wagtailstep/fakes/work.py
+++ b/src/wagtailstep/fakes/work.py
@@ -17,14 +17,16 @@
 class WorkCounts:
     """What a stand-in saw.
 
-    :param runs: how often each key was run.
+    :param started: how often each key began to run.
+    :param runs: how often each key was run to its end.
     :param shed: requests refused because too many waited.
     :param failed: requests ended with status 500 by a fault.
     :param cancelled: requests whose connection was closed before the answer.
     :param most_inside: most requests that were inside at the same time.
-    :param late_work_ms: latest start of new work after leaving, in milliseconds.
+    :param late_work_ms: latest arrival of new work after leaving, in milliseconds.
     """
 
+    started: Counter[str] = attrs.field(factory=Counter)
     runs: Counter[str] = attrs.field(factory=Counter)
     shed: int = 0
     failed: int = 0
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -56,7 +56,7 @@
             await self.send_answer(answer, send)
         except TruncatedAnswerError as error:
             log_event(logger, "answer-truncated", path=scope["path"], error=str(error))
-            connection.break_connection()
+            connection.break_answer()
         finally:
             await answer.close()
 
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -80,10 +80,16 @@
             await self.close()
             message = f"the answer of {address} was not whole at its deadline"
             raise TruncatedAnswerError(message) from error
-        except (OSError, h11.RemoteProtocolError) as error:
+        except h11.RemoteProtocolError as error:
             await self.close()
             message = f"the answer of {address} ended early: {error}"
             raise TruncatedAnswerError(message) from error
+        except OSError as error:
+            await self.close()
+            message = f"the connection to {address} broke within an answer: {error}"
+            broken = TruncatedAnswerError(message)
+            broken.blame = Blame.PATH
+            raise broken from error
         except BaseException:
             await self.close()
             raise
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import sys
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -29,6 +30,10 @@
 uvicorn_logger.setLevel(logging.CRITICAL)
 
 
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 class ServerConnection(H11Protocol):
     """One connection of a caller or of another daemon."""
 
@@ -38,6 +43,7 @@
         self.served_app = self.app
         self.app = self.run_handler
         self.handler: asyncio.Task[None] | None = None
+        self.on_lost: Callable[[], None] = do_nothing
 
     async def run_handler(self, scope: Any, receive: Any, send: Any) -> None:
         """Run the application; being cancelled by the caller's leaving is no error."""
@@ -59,13 +65,22 @@
         super().connection_lost(exc)
         if self.handler is not None and not answered:
             self.handler.cancel()
+        self.on_lost()
 
-    def break_connection(self) -> None:
-        """Reset the connection, so that a cut answer can't look whole.
+    def break_answer(self) -> None:
+        """End the connection so that the answer on it can't look whole.
 
-        Without chunked framing the end of a connection ends an answer, but a reset
-        never does.
+        HTTP/1.1 frames its answers, so the end of the connection shows that this one
+        is cut, and what was written still arrives. An answer of HTTP/1.0 ends with
+        its connection; only a reset shows that it is cut.
         """
+        if self.scope["http_version"] == "1.0":
+            self.break_connection()
+        else:
+            self.transport.close()
+
+    def break_connection(self) -> None:
+        """Reset the connection; what was not delivered yet is dropped."""
         reset_transport(self.transport)
 
     def send_400_response(self, msg: str) -> None:
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -27,6 +27,7 @@
     def __init__(self, app: Any, announce_closing: Callable[[], None]) -> None:
         self.announce_closing = announce_closing
         self.state = ServerState()
+        self.connection_lost = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.config = uvicorn.Config(
             app=app,
@@ -59,9 +60,11 @@
 
     def make_connection(self) -> ServerConnection:
         """Return the protocol of a new connection."""
-        return ServerConnection(
+        connection = ServerConnection(
             config=self.config, server_state=self.state, app_state={}
         )
+        connection.on_lost = self.connection_lost.set
+        return connection
 
     def stop_accepting(self) -> None:
         """Take no new connection; kept ones are told to close at their next answer.
@@ -75,18 +78,30 @@
     async def drain(self, limit: timedelta) -> bool:
         """Wait until no request is in flight, then close the idle connections.
 
-        With the listener closed before, nothing can arrive afterwards.
+        With the listener closed before, nothing can arrive afterwards. Returns only
+        when the last bytes of the answers have left this process.
 
         :param limit: longest time to wait.
         :return: whether all requests ended in time.
         """
-        loop = asyncio.get_running_loop()
-        ends_at = loop.time() + limit.total_seconds()
-        while self.state.tasks and loop.time() < ends_at:
-            await asyncio.wait(set(self.state.tasks), timeout=ends_at - loop.time())
-        for connection in list(self.state.connections):
-            connection.shutdown()
-        return not self.state.tasks
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                while self.state.tasks:
+                    await asyncio.wait(set(self.state.tasks))
+                await self.close_idle_connections()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close_idle_connections(self) -> None:
+        """Close connections without a request and wait until they are flushed."""
+        while self.state.connections:
+            self.connection_lost.clear()
+            for connection in list(self.state.connections):
+                if not connection.transport.is_closing():
+                    connection.shutdown()
+            if self.state.connections:
+                await self.connection_lost.wait()
 
     async def close(self) -> None:
         """Close the listener and all connections, in use or not."""
