--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -7,9 +7,8 @@
 
 import asyncio
 import logging
-import socket
-import struct
 import sys
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any
 
@@ -18,12 +17,12 @@
 
 from wagtailstep.models.headers import REASON, VERDICT
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
 
 CONNECTION_KEY = "wagtailstep.connection"
-LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
 # uvicorn logs a malformed request and an unfinished answer on its own; each is
 # logged once, by this package, as a key=value line.
@@ -31,6 +30,10 @@
 uvicorn_logger.setLevel(logging.CRITICAL)
 
 
+def do_nothing() -> None:
+    """Do nothing."""
+
+
 class ServerConnection(H11Protocol):
     """One connection of a caller or of another daemon."""
 
@@ -40,6 +43,7 @@
         self.served_app = self.app
         self.app = self.run_handler
         self.handler: asyncio.Task[None] | None = None
+        self.on_lost: Callable[[], None] = do_nothing
 
     async def run_handler(self, scope: Any, receive: Any, send: Any) -> None:
         """Run the application; being cancelled by the caller's leaving is no error."""
@@ -48,6 +52,9 @@
         try:
             await self.served_app(scope, receive, send)
         except asyncio.CancelledError:
+            log_event(
+                logger, "request-cancelled", path=scope["path"], client=self.client
+            )
             self.break_connection()
         finally:
             self.handler = None
@@ -58,19 +65,23 @@
         super().connection_lost(exc)
         if self.handler is not None and not answered:
             self.handler.cancel()
+        self.on_lost()
 
-    def break_connection(self) -> None:
-        """Reset the connection, so that a cut answer can't look whole.
+    def break_answer(self) -> None:
+        """End the connection so that the answer on it can't look whole.
 
-        Without chunked framing the end of a connection ends an answer, but a reset
-        never does.
+        HTTP/1.1 frames its answers, so the end of the connection shows that this one
+        is cut, and what was written still arrives. An answer of HTTP/1.0 ends with
+        its connection; only a reset shows that it is cut.
         """
-        if self.transport.is_closing():
-            return
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
-        self.transport.abort()
+        if self.scope["http_version"] == "1.0":
+            self.break_connection()
+        else:
+            self.transport.close()
+
+    def break_connection(self) -> None:
+        """Reset the connection; what was not delivered yet is dropped."""
+        reset_transport(self.transport)
 
     def send_400_response(self, msg: str) -> None:
         """Answer a malformed request, or break the exchange it is part of."""
