--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 import msgspec
-from blacksheep import Application
+from blacksheep import Application, Router
 
 from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.dissemination import DisseminationController
@@ -127,7 +127,8 @@
         )
         caller_app = CallerApp(self.handle_caller, endpoints)
         gate_app = ExchangeApp(choose_handler(self.gate.handle, self.handle_caller))
-        self.announce_app = Application()
+        # Without a router of its own it would share one with all applications.
+        self.announce_app = Application(router=Router())
         add_announcement_routes(
             self.announce_app, self.runtime.dispatch, self.settings, self.clock
         )
