--- a/features/steps/table_races_steps.py
+++ b/features/steps/table_races_steps.py
@@ -61,9 +61,7 @@
 class LenientController(TableController):
     """Follows the table with the lenient fold."""
 
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.reader = LenientReader()
+    reader_class = LenientReader
 
 
 class CarelessReader(TableReader):
@@ -81,9 +79,7 @@
 class CarelessController(TableController):
     """Follows the table with the careless reader."""
 
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.reader = CarelessReader()
+    reader_class = CarelessReader
 
 
 class RepeatingClient(TableClient):
--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -20,6 +20,7 @@
     pack_accounts,
 )
 from wagtailstep.models.table_edits import RowId, TableChanges, TableEdit
+from wagtailstep.models.table_fold import hash_table
 from wagtailstep.models.table_reader import TableReader
 from wagtailstep.models.table_snapshot import split_snapshot
 from wagtailstep.utils.codec import encode_message
@@ -338,3 +339,32 @@
         context.fleet.stop(name)
     context.fleet.start("d0000")
     check_newest(context)
+
+
+@when("the log holds nothing but a wrong snapshot and a daemon is replaced")
+def replace_with_wrong_snapshot(context):
+    fleet = context.fleet
+    fold = copy_fold(fleet.daemons["d0001"].controller.reader.fold)
+    fold.table.services["contracts"] = ServiceRow("contracts", drain_limit_s=1.0)
+    fold.content_hash = hash_table(fold.table)
+    for part in split_snapshot("wrong", fold, fleet.clock.utc()):
+        fleet.log.store("table", encode_message(part))
+    fleet.log.faults.retention_records = 1
+    fleet.log.expire("table")
+    cuts = {(name, "d0000") for name in fleet.daemons}
+    fleet.network.cuts |= cuts
+    fleet.restart("d0000", timedelta(seconds=1))
+    fleet.run(timedelta(seconds=1.5))
+    assert fleet.daemons["d0000"].controller.reader.position > 0
+    fleet.network.cuts -= cuts
+
+
+@then("the replaced daemon has the rows of the others and reported the difference")
+def check_difference(context):
+    fleet = context.fleet
+    tables = [daemon.blackboard.table for daemon in fleet.daemons.values()]
+    assert all(table_rows(table) == table_rows(tables[1]) for table in tables)
+    assert tables[0].services["contracts"].drain_limit_s == 30.0
+    kinds = {(name, event.kind) for _, name, event in fleet.events}
+    assert ("d0000", "table-diverged") in kinds
+    assert ("d0001", "table-snapshot-rejected") in kinds
--- a/features/table.feature
+++ b/features/table.feature
@@ -115,3 +115,9 @@
     When 5 times the log's retention passes
     Then between 8 and 24 snapshots were written
     And a daemon that is replaced then has the newest table
+
+  Scenario: A daemon that starts from a wrong snapshot in the log takes the others' table
+    Given a fleet of 5 daemons with a table in force
+    When the log holds nothing but a wrong snapshot and a daemon is replaced
+    Then all daemons have the newest table
+    And the replaced daemon has the rows of the others and reported the difference
--- a/src/wagtailstep/controllers/table.py
+++ b/src/wagtailstep/controllers/table.py
@@ -7,10 +7,9 @@
 from typing import Any
 
 from wagtailstep.controllers.table_exchange import (
-    make_digest,
     report_outcome,
-    take_first_records,
 )
+from wagtailstep.controllers.table_gossip import CAUGHT_UP_FOR, TableGossip
 from wagtailstep.controllers.table_members import TableMembers
 from wagtailstep.controllers.table_snapshots import SnapshotWriter
 from wagtailstep.controllers.table_start import FirstTable
@@ -24,7 +23,6 @@
     LogRecordsRead,
     PeerMessageReceived,
     RecordEvent,
-    SendToPeer,
     Tick,
 )
 from wagtailstep.models.log import LogRecord
@@ -39,8 +37,6 @@
 from wagtailstep.models.table_reader import TableReader
 from wagtailstep.utils.clock import Clock
 
-CAUGHT_UP_FOR = timedelta(seconds=5)
-
 
 class TableController:
     """Keeps the newest accepted table in force, from the log and from members.
@@ -56,6 +52,8 @@
     :param rng: source of all random choices.
     """
 
+    reader_class = TableReader
+
     def __init__(
         self,
         settings: DaemonSettings,
@@ -69,15 +67,23 @@
         self.rng = rng
         self.members = TableMembers(settings.daemon_id, blackboard, rng)
         self.first_table = FirstTable(settings.table, clock)
-        self.reader = TableReader()
+        self.reader = self.reader_class()
         self.sender = SnapshotSender(settings.table, clock, rng)
         self.receiver = SnapshotReceiver(settings.table, clock)
         self.writer = SnapshotWriter(settings, clock, rng)
+        self.gossip = TableGossip(
+            settings.table,
+            blackboard,
+            clock,
+            rng,
+            self.reader,
+            self.members,
+            self.first_table,
+            self.receiver,
+        )
         self.following = False
         self.unconfirmed: list[LogRecord] = []
         self.unconfirmed_since = timedelta()
-        self.next_digest_at = timedelta()
-        self.next_repeat_at = timedelta()
         self.version_in_force = -1
 
     @functools.singledispatchmethod
@@ -92,13 +98,21 @@
             self.following = True
             effects.append(FollowStream(TABLE_STREAM))
         effects += self.confirm_late()
-        effects += self.send_digests()
-        effects += self.repeat_records()
+        effects += self.pass_on()
         effects += self.receiver.tick()
         effects += self.write_snapshot()
         self.sender.drop_stale()
         return effects + self.check_known()
 
+    def pass_on(self) -> list[Any]:
+        """Send digests and the newest records, from time to time."""
+        effects: list[Any] = list(self.gossip.repeat_records())
+        if not self.gossip.is_digest_due():
+            return effects
+        if self.unconfirmed:
+            effects += self.push_unconfirmed()
+        return effects + self.gossip.send_digest()
+
     @handle.register
     def _(self, event: LogRecordsRead) -> list[Any]:
         if event.stream != TABLE_STREAM:
@@ -142,12 +156,13 @@
 
     @take_message.register
     def _(self, message: TableDigest, sender: str) -> list[Any]:
-        self.first_table.note_digest(sender, message)
+        if not self.blackboard.table_known:
+            self.first_table.note_digest(sender, message)
         effects = self.confirm_before(message.position)
         if effects and self.unconfirmed:
             effects += self.push_unconfirmed()
         effects += self.compare_content(message, sender)
-        effects += self.answer_digest(message, sender)
+        effects += self.gossip.answer_digest(message, sender)
         return effects + self.check_known()
 
     @take_message.register
@@ -155,7 +170,7 @@
         effects = self.take_peer_records(message.records)
         behind = message.records and message.records[-1].offset >= self.reader.position
         if message.wants_answer or behind:
-            effects += self.members.send_to(sender, self.make_digest())
+            effects += self.members.send_to(sender, self.gossip.make_digest())
         return effects + self.check_known()
 
     @take_message.register
@@ -205,15 +220,7 @@
 
     def push_unconfirmed(self) -> list[Any]:
         """Send the records that wait to a few random members."""
-        return self.push(self.unconfirmed, wants_answer=True)
-
-    def push(self, records: Iterable[LogRecord], wants_answer: bool) -> list[Any]:
-        """Send records to a few random members, within the size of a message."""
-        kept = take_first_records(records, self.settings.table.reply_bytes)
-        message = TableRecords(kept, wants_answer)
-        fanout = self.settings.table.push_fanout if kept else 0
-        members = self.members.pick(fanout)
-        return [SendToPeer(m.peer_address, message, urgent=True) for m in members]
+        return self.gossip.push(self.unconfirmed, wants_answer=True)
 
     def confirm_before(self, position: int) -> list[Any]:
         """Fold the waiting records before an offset that another daemon holds."""
@@ -249,88 +256,9 @@
         effects += self.note_progress(before, outcomes)
         if self.reader.position > before and self.blackboard.table_known:
             fresh = self.reader.tail.read(before, self.settings.table.reply_bytes)
-            effects += self.push(fresh, wants_answer=False)
+            effects += self.gossip.push(fresh, wants_answer=False)
         return effects
 
-    # Digests
-
-    def make_digest(self, wants_answer: bool = False) -> TableDigest:
-        """Return how far this daemon's table is."""
-        return make_digest(self.reader, self.blackboard.table_known, wants_answer)
-
-    def send_digests(self) -> list[Any]:
-        """Tell a random member how far the table is, from time to time."""
-        now = self.clock.monotonic()
-        if now < self.next_digest_at:
-            return []
-        interval = timedelta(milliseconds=self.settings.table.digest_interval_ms)
-        self.next_digest_at = now + interval * self.rng.uniform(0.75, 1.25)
-        if not self.blackboard.table_known:
-            return self.ask_first_members()
-        effects: list[Any] = []
-        if self.unconfirmed:
-            effects += self.push_unconfirmed()
-        digest = self.make_digest()
-        members = self.members.pick(1)
-        return effects + [SendToPeer(m.peer_address, digest) for m in members]
-
-    def repeat_records(self) -> list[Any]:
-        """Send the newest records to a random member, from time to time."""
-        now = self.clock.monotonic()
-        if now < self.next_repeat_at or not self.blackboard.table_known:
-            return []
-        interval = timedelta(milliseconds=self.settings.table.repeat_interval_ms)
-        self.next_repeat_at = now + interval * self.rng.uniform(0.75, 1.25)
-        records = self.reader.tail.read_last(self.settings.table.repeat_bytes)
-        members = self.members.pick(1) if records else []
-        message = TableRecords(records)
-        return [SendToPeer(m.peer_address, message) for m in members]
-
-    def ask_first_members(self) -> list[Any]:
-        """Ask some members for their digests, with no table in force yet."""
-        self.first_table.note_asking()
-        digest = self.make_digest(wants_answer=True)
-        members = self.members.pick(self.settings.table.first_answers)
-        return [SendToPeer(m.peer_address, digest) for m in members]
-
-    def answer_digest(self, digest: TableDigest, sender: str) -> list[Any]:
-        """Send what the sender lacks, or ask for what this daemon lacks."""
-        mine = self.reader.position
-        if digest.position < mine:
-            return self.send_missing(digest, sender)
-        if digest.position > mine:
-            return self.ask_missing(digest, sender)
-        return (
-            self.members.send_to(sender, self.make_digest())
-            if digest.wants_answer
-            else []
-        )
-
-    def send_missing(self, digest: TableDigest, sender: str) -> list[Any]:
-        """Send records after the sender's position, or tell how far this one is."""
-        effects: list[Any] = []
-        if digest.wants_answer:
-            effects = self.members.send_to(sender, self.make_digest())
-        tail = self.reader.tail
-        start = max(digest.position, 0)
-        if start < tail.start:
-            return effects or self.members.send_to(sender, self.make_digest())
-        records = tail.read(start, self.settings.table.reply_bytes)
-        more = bool(records) and records[-1].offset + 1 < self.reader.position
-        wants_answer = more or not self.blackboard.table_known
-        message = TableRecords(records, wants_answer)
-        return effects + self.members.send_to(sender, message)
-
-    def ask_missing(self, digest: TableDigest, sender: str) -> list[Any]:
-        """Ask a daemon that is ahead for records or for a snapshot."""
-        mine = max(self.reader.position, 0)
-        if digest.tail_start <= mine:
-            return self.members.send_to(sender, self.make_digest())
-        member = self.blackboard.members.get(sender)
-        if member is None:
-            return []
-        return list(self.receiver.start(sender, member.peer_address))
-
     def compare_content(self, digest: TableDigest, sender: str) -> list[Any]:
         """Report a daemon whose table differs at the same version."""
         fold = self.reader.fold
@@ -343,8 +271,8 @@
         effects: list[Any] = [RecordEvent("table-diverged", fields)]
         if not self.blackboard.table_known:
             # Only a wrong snapshot makes them differ; the member's table is older.
-            self.reader = TableReader()
-            effects += self.ask_missing(digest, sender)
+            self.reader.reset()
+            effects += self.gossip.ask_missing(digest, sender)
         return effects
 
     # The table in force
@@ -381,6 +309,10 @@
             return []
         if not self.first_table.accepts(self.reader.position, self.members.count()):
             return []
+        for sender, digest in self.first_table.heard.items():
+            differences = self.compare_content(digest, sender)
+            if differences:
+                return differences
         self.blackboard.table_known = True
         return self.put_in_force()
 
--- a/src/wagtailstep/controllers/table_start.py
+++ b/src/wagtailstep/controllers/table_start.py
@@ -13,7 +13,7 @@
 class FirstTable:
     """What a daemon has heard of the table since it started.
 
-    :param heard: furthest position that each member told; -1 with no table.
+    :param heard: furthest digest that each member sent.
     :param heard_in_force: whether a member told of a table that is in force.
     :param asking_since: when this daemon began to ask members.
     :param first_caught_up_at: when the log's end was first reached; ``None`` if
@@ -24,7 +24,7 @@
 
     settings: TableSettings
     clock: Clock
-    heard: dict[str, int] = attrs.field(factory=dict)
+    heard: dict[str, TableDigest] = attrs.field(factory=dict)
     heard_in_force: bool = False
     asking_since: timedelta | None = None
     first_caught_up_at: timedelta | None = None
@@ -38,9 +38,15 @@
 
     def note_digest(self, member: str, digest: TableDigest) -> None:
         """Note how far a member's table is."""
-        self.heard[member] = max(digest.position, self.heard.get(member, -1))
+        before = self.heard.get(member)
+        if before is None or before.position <= digest.position:
+            self.heard[member] = digest
         self.heard_in_force = self.heard_in_force or digest.in_force
 
+    def furthest(self) -> int:
+        """Return the furthest position that was heard of; -1 for none."""
+        return max((digest.position for digest in self.heard.values()), default=-1)
+
     def note_caught_up(self, offset: int) -> None:
         """Note that the log's end was reached."""
         self.caught_up_at = self.clock.monotonic()
@@ -60,7 +66,7 @@
         :param position: offset of the next record of its fold; -1 for no table.
         :param other_count: number of other members known.
         """
-        if position < 0 or position < max(self.heard.values(), default=-1):
+        if position < 0 or position < self.furthest():
             return False
         if self.caught_up_at is not None:
             is_held = self.held_elsewhere(position, other_count)
@@ -69,7 +75,7 @@
 
     def held_elsewhere(self, position: int, other_count: int) -> bool:
         """Tell whether another daemon has the table too, or none told in time."""
-        if not other_count or max(self.heard.values(), default=-1) >= position:
+        if not other_count or self.furthest() >= position:
             return True
         assert self.first_caught_up_at is not None
         timeout = timedelta(milliseconds=self.settings.confirm_timeout_ms)
--- a/src/wagtailstep/models/table_reader.py
+++ b/src/wagtailstep/models/table_reader.py
@@ -122,6 +122,13 @@
         """Return the offset of the next record, or -1 with no table yet."""
         return -1 if self.fold is None else self.fold.next_offset
 
+    def reset(self) -> None:
+        """Forget all, to begin with another daemon's snapshot."""
+        self.fold = None
+        self.tail.reset(0)
+        self.pending.clear()
+        self.open_parts.clear()
+
     def start_empty(self) -> None:
         """Start with the empty table, for a stream whose first record is retained."""
         if self.fold is None:
