Share the room for claims among all services of a daemon

Cause: each service could fill its own 50,000 claims, at 294 bytes each (50,000 folded claims in one process) more than the 64 MB of a daemon allow. Change: one room for all services, 20,000 claims; steps about the log's absence got texts of their own, since another feature has taken them. Conclusion: at most about 6 MB of claims.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -130,7 +130,7 @@
     And the key "k1" passed on to "a" is decided as "refuse" with "may-have-run"
 
   Scenario Outline: With the log away a key is refused at once
-    When the log is away
+    When the log is away for all three daemons
     And "a" gets a request with key "k1" that is "<sending>"
     Then the request at "a" is decided as "refuse" with "<verdict>"
 
@@ -141,11 +141,11 @@
 
   Scenario: With the log away the table may let a service send once
     Given the table lets "contracts" send once while the log is away
-    When the log is away
+    When the log is away for all three daemons
     And "a" gets a request with key "k1" that is "perhaps resent"
     Then the request at "a" is decided as "run"
     When the claimed run at "a" ends as "run"
-    And the log is back
+    And the log is back for all three daemons
     And the appends of "a" are made and read everywhere
     And "b" claims the key "k1"
     Then the request at "b" is decided as "pass on" to "a"
@@ -198,7 +198,7 @@
     Then the request at "b" is decided as "run"
 
   Scenario: Keys left out for lack of room decide nothing
-    When 50000 other keys have been claimed in the log
+    When 20000 other keys have been claimed in the log
     And "b" gets a request with key "k1" although it has no room
     And the retention of the log has nearly passed
     Then the request at "b" is decided as "refuse" with "may-have-run"
@@ -209,7 +209,7 @@
     Then the request at "a" is decided as "refuse" with "may-have-run"
 
   Scenario: Too many keys are refused rather than forgotten
-    When 50000 other keys have been claimed in the log
+    When 20000 other keys have been claimed in the log
     And 1 other key is claimed in the log
     And "a" gets a request with key "k1" that is "a first sending"
     Then the request at "a" is decided as "refuse" with "not-run"
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -208,7 +208,7 @@
     other = ClaimBatch("z", "boot", (entry,))
     context.log.append(encode_message(other))
     daemon.read()
-    fold.claims.popitem(last=False)
+    fold.forget(next(iter(fold.claims)))
     pump(context, name)
 
 
@@ -443,13 +443,13 @@
     finish(daemon, daemon.decision.run_id, verdict)
 
 
-@when("the log is away")
+@when("the log is away for all three daemons")
 def set_log_away(context):
     for daemon in context.daemons.values():
         daemon.board.log_reachable = False
 
 
-@when("the log is back")
+@when("the log is back for all three daemons")
 def set_log_back(context):
     for daemon in context.daemons.values():
         daemon.board.log_reachable = True
--- a/src/wagtailstep/controllers/claim_fold.py
+++ b/src/wagtailstep/controllers/claim_fold.py
@@ -7,21 +7,33 @@
 from collections import OrderedDict
 from datetime import timedelta
 
+import attrs
+
 from wagtailstep.models.claims import ClaimBatch, ClaimEntry, ClaimHolder
 
 
+@attrs.define
+class ClaimRoom:
+    """Room for claims, shared by all services of a daemon.
+
+    :param left: number of further claims that can be remembered.
+    """
+
+    left: int
+
+
 class ClaimFold:
     """The holders of one service's keys, in bounded memory.
 
     When there is no room for another key the fold is incomplete until all records
     that it left out have expired; an incomplete fold must decide nothing.
 
-    :param capacity: number of keys remembered.
+    :param room: number of keys that can be remembered.
     :param retention: how long the log keeps a record.
     """
 
-    def __init__(self, capacity: int, retention: timedelta) -> None:
-        self.capacity = capacity
+    def __init__(self, room: ClaimRoom, retention: timedelta) -> None:
+        self.room = room
         self.retention = retention
         self.claims: OrderedDict[bytes, ClaimHolder] = OrderedDict()
         self.incomplete_until = timedelta()
@@ -45,15 +57,16 @@
         holder = self.find_holder(entry.key)
         if entry.released:
             if holder is not None and is_claim_of(holder, batch.boot_id, entry):
-                del self.claims[entry.key]
+                self.forget(entry.key)
             return
         if holder is not None:
             return
         self.drop_expired(now)
         expires = now + self.retention
-        if len(self.claims) >= self.capacity:
+        if self.room.left <= 0:
             self.incomplete_until = expires
             return
+        self.room.left -= 1
         # Few daemons make all the claims, so their names are kept once.
         daemon_id, boot_id = sys.intern(batch.daemon_id), sys.intern(batch.boot_id)
         self.claims[entry.key] = ClaimHolder(entry.serial, daemon_id, boot_id, expires)
@@ -67,10 +80,16 @@
             key, holder = next(iter(self.claims.items()))
             if holder.expires > now:
                 return
-            del self.claims[key]
+            self.forget(key)
+
+    def forget(self, key: bytes) -> None:
+        """Forget the claim that holds a key."""
+        del self.claims[key]
+        self.room.left += 1
 
     def clear(self) -> None:
         """Forget all claims, because newer records than these have expired."""
+        self.room.left += len(self.claims)
         self.claims.clear()
 
 
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -21,7 +21,7 @@
     make_gap_error,
     make_log_away_error,
 )
-from wagtailstep.controllers.claim_fold import ClaimFold, is_claim_of
+from wagtailstep.controllers.claim_fold import ClaimFold, ClaimRoom, is_claim_of
 from wagtailstep.controllers.runs import (
     Run,
     RunBook,
@@ -85,6 +85,7 @@
         clock: Clock,
         rng: random.Random,
         book: RunBook,
+        room: ClaimRoom,
     ) -> None:
         self.service = service
         self.boot_id = boot_id
@@ -93,7 +94,7 @@
         self.book = book
         self.stream = name_stream(service)
         retention = timedelta(seconds=settings.log.retention_s)
-        self.fold = ClaimFold(settings.requests.claims_kept, retention)
+        self.fold = ClaimFold(room, retention)
         self.appender = ClaimAppender(self.stream, settings.daemon_id, boot_id, rng)
         self.pending: dict[bytes, PendingClaim] = {}
         self.releasing: set[int] = set()
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -12,6 +12,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from wagtailstep.controllers.claim_fold import ClaimRoom
 from wagtailstep.controllers.claims import ClaimDesk
 from wagtailstep.controllers.runs import Run, RunBook, RunState
 from wagtailstep.controllers.tickets import TicketOffice
@@ -52,6 +53,7 @@
         member = blackboard.this_member
         self.boot_id = f"{member.daemon_id}/{member.incarnation}/{make_id(rng)}"
         self.book = RunBook(settings.requests)
+        self.room = ClaimRoom(settings.requests.claims_kept)
         self.tickets = TicketOffice(blackboard, rng, self.book)
         self.desks: dict[str, ClaimDesk] = {}
 
@@ -145,6 +147,7 @@
                 self.clock,
                 self.rng,
                 self.book,
+                self.room,
             )
         return desk
 
