--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -52,6 +52,17 @@
     When 10001 more tickets are issued at "a"
     Then the ticket at "a" is decided as "wait"
 
+  Scenario: A daemon that leaves knows of the tickets that are still to be used
+    Given a ticket of daemon "a"
+    Then "a" has open tickets
+    And the ticket at "a" is decided as "run"
+    And "a" has open tickets
+    When the run at "a" ends as "run"
+    Then "a" has no open tickets
+    Given a ticket of daemon "a"
+    When 10001 ms pass
+    Then "a" has no open tickets
+
   Scenario: A ticket is for one service
     Given a ticket of daemon "a"
     Then the ticket at "a" for service "archive" is decided as "refuse" with "not-run"
--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -147,6 +147,16 @@
     context.ticket = str(tickets.issue("contracts"))
 
 
+@then('"{name:Q}" has open tickets')
+def check_open(context, name):
+    assert context.daemons[name].guard.tickets.has_open_tickets()
+
+
+@then('"{name:Q}" has no open tickets')
+def check_none_open(context, name):
+    assert not context.daemons[name].guard.tickets.has_open_tickets()
+
+
 @when('{count:d} more tickets are issued at "{name:Q}"')
 def issue_more(context, count, name):
     for _ in range(count):
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -54,7 +54,9 @@
         self.boot_id = f"{member.daemon_id}/{member.incarnation}/{make_id(rng)}"
         self.book = RunBook(settings.requests)
         self.room = ClaimRoom(settings.requests.claims_kept)
-        self.tickets = TicketOffice(blackboard, rng, self.book)
+        self.tickets = TicketOffice(
+            settings.requests, blackboard, clock, rng, self.book
+        )
         self.desks: dict[str, ClaimDesk] = {}
 
     @singledispatchmethod
--- a/src/wagtailstep/controllers/tickets.py
+++ b/src/wagtailstep/controllers/tickets.py
@@ -1,18 +1,44 @@
 """Tickets: keys that only the daemon that issued them can run, and only once."""
 
 import random
+from collections import deque
+from datetime import timedelta
 
-from wagtailstep.controllers.runs import Run, RunBook, make_unknown_error
+import attrs
+
+from wagtailstep.controllers.runs import (
+    Run,
+    RunBook,
+    RunState,
+    make_unknown_error,
+)
 from wagtailstep.exceptions import BadRequestError, LeavingError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import MemberState
 from wagtailstep.models.idempotency import Decision, PassOn, Refuse, Ticket
 from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
 SERIAL_BITS = 128
 
+TICKET_GRACE = timedelta(seconds=10)
+
 _GONE = frozenset({MemberState.DEAD})
+_OPEN_STATES = frozenset({RunState.READY, RunState.RUNNING})
+
+
+@attrs.frozen
+class IssuedTicket:
+    """When a ticket was issued.
+
+    :param run_id: the ticket.
+    :param time: monotonic time.
+    """
+
+    run_id: str
+    time: timedelta
 
 
 class TicketOffice:
@@ -24,11 +50,18 @@
     """
 
     def __init__(
-        self, blackboard: Blackboard, rng: random.Random, book: RunBook
+        self,
+        settings: RequestSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+        book: RunBook,
     ) -> None:
         self.blackboard = blackboard
+        self.clock = clock
         self.rng = rng
         self.book = book
+        self.issued: deque[IssuedTicket] = deque(maxlen=settings.tickets_kept)
 
     def issue(self, service: str) -> Ticket:
         """Make a ticket for one request to a service.
@@ -41,8 +74,24 @@
         serial = make_id(self.rng, SERIAL_BITS)
         ticket = Ticket(member.daemon_id, member.incarnation, serial)
         self.book.add(Run(str(ticket), service))
+        self.issued.append(IssuedTicket(str(ticket), self.clock.monotonic()))
         return ticket
 
+    def has_open_tickets(self) -> bool:
+        """Tell whether a ticket issued lately has not been used.
+
+        A daemon that exits then makes its caller's request end as "may have run", so
+        a graceful shutdown waits for a while; see ``TICKET_GRACE``.
+        """
+        oldest = self.clock.monotonic() - TICKET_GRACE
+        for issued in reversed(self.issued):
+            if issued.time < oldest:
+                return False
+            run = self.book.find(issued.run_id)
+            if run is not None and run.state in _OPEN_STATES:
+                return True
+        return False
+
     def decide(
         self, ticket: Ticket, request: RequestContext, fingerprint: str
     ) -> Decision:
