Await the entry's tickets at the caller's port

Cause: CallerApp awaits DaemonEndpoints.issue_ticket, the daemon passed a function that returns a string, so POST /.wagtailstep/tickets/{service} failed with 500. Change: the daemon passes EntryService.issue_ticket. Figures: a trial with two daemons, two stand-ins of backend servers and the log on loopback: before, 500; after, a ticket and a key, each sent three times through both daemons, ran once each.

--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -120,7 +120,7 @@
     def build_servers(self) -> None:
         """Make the HTTP servers; none listens yet."""
         endpoints = DaemonEndpoints(
-            issue_ticket=lambda service: str(self.guard.tickets.issue(service)),
+            issue_ticket=self.entry.issue_ticket,
             describe_status=self.describe_status,
             describe_metrics=lambda: msgspec.Raw(self.metrics.export_json().encode()),
             list_events=lambda: list(self.runtime.timeline.events),
