--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -12,6 +12,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from wagtailstep.controllers.claim_fold import ClaimRoom
 from wagtailstep.controllers.claims import ClaimDesk
 from wagtailstep.controllers.runs import Run, RunBook, RunState
 from wagtailstep.controllers.tickets import TicketOffice
@@ -52,7 +53,10 @@
         member = blackboard.this_member
         self.boot_id = f"{member.daemon_id}/{member.incarnation}/{make_id(rng)}"
         self.book = RunBook(settings.requests)
-        self.tickets = TicketOffice(blackboard, rng, self.book)
+        self.room = ClaimRoom(settings.requests.claims_kept)
+        self.tickets = TicketOffice(
+            settings.requests, blackboard, clock, rng, self.book
+        )
         self.desks: dict[str, ClaimDesk] = {}
 
     @singledispatchmethod
@@ -145,6 +149,7 @@
                 self.clock,
                 self.rng,
                 self.book,
+                self.room,
             )
         return desk
 
