--- a/src/wagtailstep/controllers/evidence.py
+++ b/src/wagtailstep/controllers/evidence.py
@@ -43,13 +43,13 @@
     RouteEvidence,
     SickNotice,
     Symptom,
+    unpack_row,
 )
 from wagtailstep.models.request import Blame, RequestOutcome
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
-CANDIDATE_LIFETIME_S = 10.0
 SCAN_INTERVAL_S = 1.0
 
 
@@ -120,7 +120,7 @@
         now = self.clock.monotonic()
         effects: list[Any] = list(self.advance_standings(now))
         effects += self.judge_stalls(now)
-        self.expire_candidates(now)
+        self.standings.expire_candidates(now)
         for service in self.services.values():
             service.change_limits(self.read_limits(service.service), now)
             effects += self.sharing.share(service, now)
@@ -149,27 +149,37 @@
     @take_message.register
     def _(self, message: EvidenceDigest) -> list[Any]:
         effects = []
-        for entry in message.entries():
-            effects += self.take_report(message.daemon_id, entry)
+        for row in message.answers:
+            entry = unpack_row(message.service, row)
+            effects += self.take_report(message.daemon_id, entry, True)
+        for row in message.alerts:
+            entry = unpack_row(message.service, row)
+            self.sharing.alert(message.service, entry.target_id)
+            effects += self.take_report(message.daemon_id, entry, False)
         return effects
 
-    def take_report(self, reporter: str, entry: RouteEvidence) -> list[Any]:
-        """Add what another daemon saw at one target and route."""
+    def take_report(
+        self, reporter: str, entry: RouteEvidence, asked: bool
+    ) -> list[Any]:
+        """Add what another daemon saw at one target and route.
+
+        Who tells unasked does so because outcomes were bad. Counting slow ones
+        among these would make healthy targets look slow.
+
+        :param asked: whether the report would have come if all had been good.
+        """
         target = self.find_target(entry.target_id)
         if target is None:
             return []
         now = self.clock.monotonic()
         service = self.services[target.service]
         slot = service.limits.slot_at(now)
-        asked = self.sharing.was_asked(target.service, entry.target_id, now)
         for symptom in symptoms_of(entry.route):
             failing = symptom is Symptom.FAILING
             bad = entry.failed if failing else entry.slow
             good = max(0, (entry.count if failing else entry.timed) - bad)
-            if asked or failing:
+            if asked or symptom is not Symptom.SLOW:
                 service.add_report(target, entry.route, symptom, good, bad, slot)
-        if not asked:
-            self.sharing.alert(target.service, entry.target_id)
         if entry.count > entry.failed and entry.route != STALL_ROUTE:
             target.note_success(now, own=False)
         if not entry.failed and not entry.slow:
@@ -342,13 +352,6 @@
             if target is not None:
                 self.write_health(target)
 
-    def expire_candidates(self, now: timedelta) -> None:
-        """Drop candidates that no new evidence was seen against."""
-        oldest = now - timedelta(seconds=CANDIDATE_LIFETIME_S)
-        candidates = self.blackboard.ejection_candidates
-        for target_id in [t for t, c in candidates.items() if c.since < oldest]:
-            del candidates[target_id]
-
     def scan_targets(self, now: timedelta) -> None:
         """Drop evidence on targets that left; warm up those that started."""
         self.next_scan = now + timedelta(seconds=SCAN_INTERVAL_S)
--- a/src/wagtailstep/controllers/evidence_judge.py
+++ b/src/wagtailstep/controllers/evidence_judge.py
@@ -23,6 +23,8 @@
 # A hanging backend server ends no request of any daemon. If one succeeded within
 # this time, the fault lies in the path or the connection of those that wait.
 QUIET_S = 0.5
+# By this time after they were first asked, other daemons have told of successes.
+ANSWER_S = 0.3
 MIN_COMPLAINANTS = 2
 # Part of each route's sum that doesn't count when the routes are added up, since
 # several sums are more likely to be a little above 0 than one.
@@ -168,8 +170,11 @@
 
 def is_path_fault(symptom: Symptom, target: TargetEvidence, now: timedelta) -> bool:
     """Tell whether a target seems to hang for some daemons only."""
-    quiet = now - target.succeeded_at
-    return symptom is Symptom.HANGING and quiet < timedelta(seconds=QUIET_S)
+    if symptom is not Symptom.HANGING:
+        return False
+    answered = now - target.asked_at >= timedelta(seconds=ANSWER_S)
+    quiet = now - target.succeeded_at >= timedelta(seconds=QUIET_S)
+    return not answered or not quiet
 
 
 def judge_path(service: ServiceEvidence, target: TargetEvidence) -> Judgement | None:
--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -24,9 +24,11 @@
 from wagtailstep.models.evidence import (
     EvidenceDigest,
     EvidenceRequest,
+    EvidenceRow,
     RouteEvidence,
     SickNotice,
     Symptom,
+    pack_entry,
 )
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.utils.codec import encode_message
@@ -39,7 +41,6 @@
 DIGEST_INTERVAL_PER_DAEMON_S = 0.005
 ASKED_FOR_S = 1.0
 ASK_AGAIN_S = 0.4
-LATE_REPORT_S = 0.5
 REFRESH_S = 1.0
 BYTES_PER_S = 5_000
 BURST_BYTES = 20_000
@@ -171,15 +172,6 @@
             sharing.collectors = choose_collectors(sharing.members, service)
         return sharing
 
-    def was_asked(self, service: str, target_id: str, now: timedelta) -> bool:
-        """Tell whether a report on a target answers a request.
-
-        Whoever tells unasked does so because the outcome was bad; counting such
-        reports like answers would make healthy targets look bad.
-        """
-        until = self.sharing_of(service).asked_until.get(target_id)
-        return until is not None and now < until + timedelta(seconds=LATE_REPORT_S)
-
     def alert(self, service: str, target_id: str) -> None:
         """Take note that another daemon doubts a target."""
         self.sharing_of(service).alerted.add(target_id)
@@ -188,13 +180,25 @@
         self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
     ) -> EvidenceDigest | None:
         """Return what is worth telling, and count from zero again."""
-        entries = list(take_entries(service, sharing.asked_until, now))
-        if not entries:
+        answers, alerts = [], []
+        for target in service.targets.values():
+            asked = sharing.asked_until.get(target.target_id, now) > now
+            for entry in take_entries(target, asked):
+                (answers if asked else alerts).append(pack_entry(entry))
+        if not answers and not alerts:
             return None
-        if len(entries) > MAX_ENTRIES:
-            entries = self.rng.sample(entries, MAX_ENTRIES)
-        this_id = self.blackboard.this_member.daemon_id
-        return EvidenceDigest.from_entries(this_id, service.service, entries)
+        return EvidenceDigest(
+            daemon_id=self.blackboard.this_member.daemon_id,
+            service=service.service,
+            answers=self.sample(answers),
+            alerts=self.sample(alerts),
+        )
+
+    def sample(self, rows: list[EvidenceRow]) -> tuple[EvidenceRow, ...]:
+        """Return as many rows as a digest may have, chosen whatever they say."""
+        if len(rows) > MAX_ENTRIES:
+            rows = self.rng.sample(rows, MAX_ENTRIES)
+        return tuple(rows)
 
     def ask(
         self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
@@ -205,6 +209,9 @@
         if not names:
             return []
         this_id = self.blackboard.this_member.daemon_id
+        for name in names:
+            if sharing.asked_until.get(name, now) <= now:
+                service.targets[name].asked_at = now
         request = EvidenceRequest(this_id, service.service, tuple(names))
         self.note_request(request, now)
         members = sharing.members
@@ -255,26 +262,25 @@
         return effects
 
 
-def take_entries(
-    service: ServiceEvidence, asked_until: dict[str, timedelta], now: timedelta
-) -> Iterator[RouteEvidence]:
-    """Yield what is to be told, and start to count all outcomes from zero."""
-    for target in service.targets.values():
-        asked = asked_until.get(target.target_id, now) > now
-        for route, tests in target.routes.items():
-            unsent = tests.unsent
-            if not unsent.count:
-                continue
-            tests.unsent = Counts()
-            if asked or strongest(tests.own) >= ALERT_NATS:
-                yield RouteEvidence(
-                    target_id=target.target_id,
-                    route=route,
-                    count=unsent.count,
-                    failed=unsent.failed,
-                    timed=unsent.timed,
-                    slow=unsent.slow,
-                )
+def take_entries(target: TargetEvidence, asked: bool) -> Iterator[RouteEvidence]:
+    """Yield what is to be told of a target, and count from zero again.
+
+    :param asked: whether a collector asked for all outcomes.
+    """
+    for route, tests in target.routes.items():
+        unsent = tests.unsent
+        if not unsent.count:
+            continue
+        tests.unsent = Counts()
+        if asked or strongest(tests.own) >= ALERT_NATS:
+            yield RouteEvidence(
+                target_id=target.target_id,
+                route=route,
+                count=unsent.count,
+                failed=unsent.failed,
+                timed=unsent.timed,
+                slow=unsent.slow,
+            )
 
 
 def is_in_doubt(target: TargetEvidence) -> bool:
--- a/src/wagtailstep/controllers/evidence_state.py
+++ b/src/wagtailstep/controllers/evidence_state.py
@@ -121,6 +121,7 @@
     :param complaints: monotonic time of the latest bad report, by reporter.
     :param latency_s: smoothed latency in seconds, or ``None``.
     :param succeeded_at: monotonic time when any daemon last saw a success.
+    :param asked_at: since when the other daemons are asked about the target.
     """
 
     target_id: str
@@ -132,6 +133,7 @@
     complaints: dict[str, timedelta] = attrs.field(factory=dict)
     latency_s: float | None = None
     succeeded_at: timedelta = timedelta()
+    asked_at: timedelta = timedelta()
 
     def tests_of(self, route: str) -> RouteTests:
         """Return the tests of a route, made on first use."""
--- a/src/wagtailstep/controllers/health.py
+++ b/src/wagtailstep/controllers/health.py
@@ -7,6 +7,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import TargetHealth
 
+CANDIDATE_LIFETIME_S = 10.0
 PENALTY_PER_THRESHOLD = 8.0
 # Doubt below this share of the threshold costs a target no work: with less work
 # there would be less evidence, and the decision would come later.
@@ -36,6 +37,13 @@
         self.blackboard.health.pop(target_id, None)
         self.blackboard.ejection_candidates.pop(target_id, None)
 
+    def expire_candidates(self, now: timedelta) -> None:
+        """Drop candidates that no new evidence was seen against."""
+        oldest = now - timedelta(seconds=CANDIDATE_LIFETIME_S)
+        candidates = self.blackboard.ejection_candidates
+        for target_id in [t for t, c in candidates.items() if c.since < oldest]:
+            del candidates[target_id]
+
     def start(
         self, target: TargetEvidence, threshold: float, now: timedelta, phase: Phase
     ) -> None:
