--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -5,6 +5,7 @@
 same members choose the same ones, and no one has to be told.
 """
 
+import math
 import random
 from collections.abc import Iterable, Iterator
 from datetime import timedelta
@@ -18,7 +19,11 @@
     ServiceEvidence,
     TargetEvidence,
 )
-from wagtailstep.controllers.sequential_test import SequentialTest
+from wagtailstep.controllers.sequential_test import (
+    SLOTS_PER_WINDOW,
+    SequentialTest,
+    TestLimits,
+)
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import SendToPeer
 from wagtailstep.models.evidence import (
@@ -39,17 +44,22 @@
 MAX_NOTIFIED_DAEMONS = 200
 DIGEST_INTERVAL_S = 0.1
 DIGEST_INTERVAL_PER_DAEMON_S = 0.005
-ASKED_FOR_S = 1.0
+ASKED_FOR_S = 2.0
 ASK_AGAIN_S = 0.4
 REFRESH_S = 1.0
-BYTES_PER_S = 5_000
-BURST_BYTES = 20_000
+BYTES_PER_S = 8_000
+BURST_BYTES = 24_000
 
 # A daemon's own sum of this many nats makes it tell without being asked: one
 # failure, or several slow outcomes.
 ALERT_NATS = 1.4
 # While the pooled sum has this many nats, a collector goes on asking.
-DOUBT_NATS = 1.4
+DOUBT_NATS = 2.0
+# A target is asked about once there are this many times the alerts, and this many
+# more, than on the service's targets on average.
+ALERT_FACTOR = 2.0
+ALERT_SURPLUS = 2.0
+LEAST_ALERTS = 0.05
 
 
 def interested_members(blackboard: Blackboard, service: str) -> list[Member]:
@@ -106,7 +116,9 @@
 
     :param next_digest: monotonic time of the next digest.
     :param asked_until: until when digests on a target were asked for.
-    :param alerted: targets that another daemon told about unasked.
+    :param alerts: how many times other daemons told about a target unasked; old
+        ones fade.
+    :param faded_at: monotonic time when they faded last.
     :param members: daemons with an interest in the service.
     :param collectors: those of them that collect the evidence.
     :param next_refresh: monotonic time when both are looked up again.
@@ -114,7 +126,8 @@
 
     next_digest: timedelta = timedelta()
     asked_until: dict[str, timedelta] = attrs.field(factory=dict)
-    alerted: set[str] = attrs.field(factory=set)
+    alerts: dict[str, float] = attrs.field(factory=dict)
+    faded_at: timedelta = timedelta()
     members: list[Member] = attrs.field(factory=list)
     collectors: list[Member] = attrs.field(factory=list)
     next_refresh: timedelta = timedelta()
@@ -174,7 +187,8 @@
 
     def alert(self, service: str, target_id: str) -> None:
         """Take note that another daemon doubts a target."""
-        self.sharing_of(service).alerted.add(target_id)
+        alerts = self.sharing_of(service).alerts
+        alerts[target_id] = alerts.get(target_id, 0.0) + 1.0
 
     def make_digest(
         self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
@@ -204,8 +218,7 @@
         self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
     ) -> list[SendToPeer]:
         """Ask other daemons about targets that are in doubt here."""
-        names = self.names_to_ask(service, sharing, now)
-        sharing.alerted.clear()
+        names = names_to_ask(service, sharing, now)
         if not names:
             return []
         this_id = self.blackboard.this_member.daemon_id
@@ -214,25 +227,10 @@
                 service.targets[name].asked_at = now
         request = EvidenceRequest(this_id, service.service, tuple(names))
         self.note_request(request, now)
-        members = sharing.members
-        if len(members) > MAX_ASKED_DAEMONS:
-            members = self.rng.sample(members, MAX_ASKED_DAEMONS)
+        count = min(len(sharing.members), MAX_ASKED_DAEMONS)
+        members = self.rng.sample(sharing.members, count)
         return self.send(members, request, now)
 
-    def names_to_ask(
-        self, service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
-    ) -> list[str]:
-        """Return the targets in doubt whose last request has nearly ended."""
-        soon = now + timedelta(seconds=ASK_AGAIN_S)
-        asked = sharing.asked_until
-        names = [
-            target.target_id
-            for target in service.targets.values()
-            if asked.get(target.target_id, now) <= soon
-            if target.target_id in sharing.alerted or is_in_doubt(target)
-        ]
-        return names[:MAX_ENTRIES]
-
     def notify(self, notice: SickNotice, now: timedelta) -> list[SendToPeer]:
         """Tell the other daemons that a target is sick."""
         sharing = self.sharing_of(notice.service)
@@ -262,6 +260,37 @@
         return effects
 
 
+def names_to_ask(
+    service: ServiceEvidence, sharing: ServiceSharing, now: timedelta
+) -> list[str]:
+    """Return the targets in doubt whose last request has nearly ended."""
+    fade_alerts(sharing, service.limits, now)
+    soon = now + timedelta(seconds=ASK_AGAIN_S)
+    asked = sharing.asked_until
+    mean = sum(sharing.alerts.values()) / max(1, len(service.targets))
+    least = ALERT_FACTOR * mean + ALERT_SURPLUS
+    names = [
+        target.target_id
+        for target in service.targets.values()
+        if asked.get(target.target_id, now) <= soon
+        if sharing.alerts.get(target.target_id, 0.0) >= least or is_in_doubt(target)
+    ]
+    return names[:MAX_ENTRIES]
+
+
+def fade_alerts(sharing: ServiceSharing, limits: TestLimits, now: timedelta) -> None:
+    """Let old alerts count less, by half the service's window."""
+    window_s = limits.slot_s * SLOTS_PER_WINDOW
+    age_s = (now - sharing.faded_at).total_seconds()
+    factor = math.exp(-2 * age_s / window_s)
+    sharing.faded_at = now
+    for target_id, count in list(sharing.alerts.items()):
+        if count * factor < LEAST_ALERTS:
+            del sharing.alerts[target_id]
+        else:
+            sharing.alerts[target_id] = count * factor
+
+
 def take_entries(target: TargetEvidence, asked: bool) -> Iterator[RouteEvidence]:
     """Yield what is to be told of a target, and count from zero again.
 
