Shorten the frequent control messages

Cause: of about 150 bytes of a digest, 56 were sender, stamp and names. Change: frequent messages have one-letter wire names; heartbeats count from 2020, so that they fit 32 bits.

--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -19,6 +19,7 @@
 from wagtailstep.models.fleet import Member, MemberState, Target, TargetState
 from wagtailstep.models.membership import (
     AGE_UNIT_MS,
+    BEAT_EPOCH_MS,
     BEAT_MS,
     Digest,
     DigestRequest,
@@ -188,7 +189,7 @@
     def _next_beat(self, now: timedelta) -> None:
         uptime_ms = (now - self.started_at) // timedelta(milliseconds=1)
         wall_ms = self.blackboard.this_member.incarnation + uptime_ms
-        self.beat = max(self.beat + 1, wall_ms // BEAT_MS)
+        self.beat = max(self.beat + 1, (wall_ms - BEAT_EPOCH_MS) // BEAT_MS)
         self.beat_at = now
 
     def _surpass(self, beat: int) -> None:
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -4,6 +4,8 @@
 encoded with the name of every field, which these frequent messages can't afford.
 """
 
+from typing import ClassVar
+
 import msgspec
 import xxhash
 
@@ -12,6 +14,7 @@
 
 MEMBERS_STREAM = "members"
 BEAT_MS = 100
+BEAT_EPOCH_MS = 1_577_836_800_000
 AGE_UNIT_MS = 20
 
 _STATES = tuple(MemberState)
@@ -122,6 +125,8 @@
     :param reply_to: ``host:port`` of the control channel for the answer.
     """
 
+    wire_name: ClassVar[str] = "P"
+
     sequence: int
     reply_to: str
     updates: Updates = Updates()
@@ -131,6 +136,8 @@
 class Ack(msgspec.Struct, array_like=True, frozen=True):
     """Answer to a ping; ``sequence`` as in the ping."""
 
+    wire_name: ClassVar[str] = "A"
+
     sequence: int
     updates: Updates = Updates()
 
@@ -239,6 +246,8 @@
         version of its targets.
     """
 
+    wire_name: ClassVar[str] = "D"
+
     base: int
     rows: tuple[int, ...]
 
@@ -251,6 +260,8 @@
     :param references: references of the daemons.
     """
 
+    wire_name: ClassVar[str] = "Q"
+
     reply_to: str
     references: tuple[int, ...]
 
--- a/src/wagtailstep/models/peer.py
+++ b/src/wagtailstep/models/peer.py
@@ -1,7 +1,7 @@
 """The envelope of all control messages and the channel that carries them."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import ClassVar, Protocol
 
 import msgspec
 
@@ -16,6 +16,8 @@
     :param body: an encoded message.
     """
 
+    wire_name: ClassVar[str] = "S"
+
     lamport: int
     body: bytes
 
--- a/src/wagtailstep/utils/codec.py
+++ b/src/wagtailstep/utils/codec.py
@@ -1,7 +1,8 @@
 """Encoding of messages between daemons and of records in the log.
 
 A message is an attrs class that was registered with :func:`message`. On the wire
-it is a MessagePack pair of the class name and the fields.
+it is a MessagePack pair of a name and the fields. The name is that of the class, or
+the shorter ``wire_name`` of a class whose messages are frequent.
 """
 
 from typing import Any, TypeVar
@@ -12,6 +13,7 @@
 
 _T = TypeVar("_T", bound=type)
 _MESSAGE_TYPES: dict[str, type] = {}
+_WIRE_NAMES: dict[type, str] = {}
 
 
 class _Envelope(msgspec.Struct, array_like=True):
@@ -24,9 +26,11 @@
 
     :raises ValueError: if another class of the same name is registered.
     """
-    if cls.__name__ in _MESSAGE_TYPES:
-        raise ValueError(f"two messages are named {cls.__name__}")
-    _MESSAGE_TYPES[cls.__name__] = cls
+    name = getattr(cls, "wire_name", cls.__name__)
+    if name in _MESSAGE_TYPES:
+        raise ValueError(f"two messages are named {name}")
+    _MESSAGE_TYPES[name] = cls
+    _WIRE_NAMES[cls] = name
     return cls
 
 
@@ -35,9 +39,9 @@
 
     :raises TypeError: if the class of ``value`` is not registered.
     """
-    name = type(value).__name__
-    if _MESSAGE_TYPES.get(name) is not type(value):
-        raise TypeError(f"{name} is not a registered message")
+    name = _WIRE_NAMES.get(type(value))
+    if name is None:
+        raise TypeError(f"{type(value).__name__} is not a registered message")
     fields = msgspec.Raw(msgspec.msgpack.encode(value))
     return msgspec.msgpack.encode(_Envelope(name, fields))
 
