--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -48,10 +48,7 @@
         self.chunks_made = 0
         self.proceed = asyncio.Event()
         self.app = ExchangeApp(self.handle)
-        self.server = HttpServer(self.app, self.announce_closing)
-
-    def announce_closing(self):
-        self.app.closing = True
+        self.server = HttpServer(self.app, self.app.announce_closing)
 
     async def handle(self, incoming):
         self.handled.append(incoming.path)
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -61,16 +61,13 @@
             self.settings, self.controller, self.make_client(), self.clock
         )
         self.app = ExchangeApp(self.gate.handle)
-        self.server = HttpServer(self.app, self.announce_closing)
+        self.server = HttpServer(self.app, self.app.announce_closing)
         entry_board = Blackboard(Member("entry-1", 1, "", "", "bole"))
         self.forwarder = HttpForwarder(entry_board, self.make_client(), self.gate)
 
     def make_client(self):
         return HttpClient(self.settings.requests, self.clock)
 
-    def announce_closing(self):
-        self.app.closing = True
-
     async def start(self, **changes):
         """Start the backend server and the gate."""
         settings = BackendServerSettings("contracts", "127.0.0.1:9000", **changes)
--- a/src/wagtailstep/network/caller_app.py
+++ b/src/wagtailstep/network/caller_app.py
@@ -67,7 +67,7 @@
 
     def announce_closing(self) -> None:
         """Have every answer from now on close its connection."""
-        self.exchange.closing = True
+        self.exchange.announce_closing()
 
 
 def make_own_application(endpoints: DaemonEndpoints) -> Application:
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -132,7 +132,7 @@
             self.announce_app, self.runtime.dispatch, self.settings, self.clock
         )
         self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
-        self.gate_server = HttpServer(gate_app, lambda: None)
+        self.gate_server = HttpServer(gate_app, gate_app.announce_closing)
         self.announce_server = HttpServer(self.announce_app, lambda: None)
         self.caller_app = caller_app
 
@@ -159,8 +159,8 @@
     async def shut_down(self) -> bool:
         """Leave the fleet without cutting a request.
 
-        The gate refuses new work at once, and the news goes out before the entry
-        stops to listen, so that other daemons pick other targets meanwhile.
+        The news goes out before entry and gate stop to listen, so that other daemons
+        pick other targets meanwhile; what arrives nevertheless is still served.
 
         :return: whether all requests in flight ended within the drain limit.
         """
@@ -169,6 +169,7 @@
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
         await asyncio.sleep(LEAVING_NEWS_MS / 1_000)
         self.caller_server.stop_accepting()
+        self.gate_server.stop_accepting()
         finished = await asyncio.gather(
             self.caller_server.drain(limit), self.gate_server.drain(limit)
         )
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -60,6 +60,10 @@
         finally:
             await answer.close()
 
+    def announce_closing(self) -> None:
+        """Have every answer from now on close its connection."""
+        self.closing = True
+
     async def find_answer(self, scope: Any, receive: Any) -> Answer:
         """Return the handler's answer, or one that describes its failure."""
         try:
