--- /dev/null
+++ b/benchmarks/requests_load.py
@@ -0,0 +1,186 @@
+"""Callers of the request benchmark, as a process of its own.
+
+``python -m benchmarks.requests_load SPEC RESULT`` reads a :class:`LoadSpec` as JSON,
+sends its requests to loopback, and writes a :class:`LoadResult`. Arrivals are drawn
+from the seed, so two systems can be given the same ones.
+"""
+
+import asyncio
+import pathlib
+import random
+import sys
+from collections.abc import AsyncIterator
+from datetime import timedelta
+
+import attrs
+import msgspec
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.headers import SERVICE, TIMEOUT_MS, VERDICT, find_header
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import LoopClock
+
+UNREPEATABLE_SHARE = 0.3
+WORK_SIGMA = 0.3
+MAX_IN_FLIGHT = 4_000
+SERVICE_NAME = "contracts"
+
+
+@attrs.frozen
+class LoadSpec:
+    """What one process of callers does.
+
+    :param name: prefix of all request keys.
+    :param groups: groups of addresses, ``host:port`` each; requests go to the groups in
+        turns, and to a random address of the group.
+    :param rate: requests a second over all groups; 0 keeps ``concurrency`` requests
+        under way all the time.
+    :param concurrency: callers that send one request after another, if rate is 0.
+    :param seconds: how long requests are sent.
+    :param warmup_s: requests sent before this time are not measured.
+    :param work_ms: mean time of a request at its backend server.
+    :param timeout_ms: time allowed to each request.
+    :param seed: seed of arrivals, work and choice of address.
+    """
+
+    name: str
+    groups: list[list[str]]
+    rate: float
+    concurrency: int
+    seconds: float
+    warmup_s: float
+    work_ms: float
+    timeout_ms: int
+    seed: int
+
+
+@attrs.define
+class Outcome:
+    """How one request ended, as its caller saw it.
+
+    :param key: key of the request.
+    :param group: index of the group of addresses.
+    :param repeatable: whether it was sent as idempotent.
+    :param status: HTTP status, or 0 if there was no whole answer.
+    :param verdict: verdict in the answer, or an empty string.
+    :param latency_ms: from the time it was due to its end.
+    :param wrong: whether the answer was another request's.
+    :param measured: whether it was sent after the warm-up.
+    """
+
+    key: str
+    group: int
+    repeatable: bool
+    status: int = 0
+    verdict: str = ""
+    latency_ms: float = 0.0
+    wrong: bool = False
+    measured: bool = True
+
+
+class Load:
+    """Send the requests of one specification."""
+
+    def __init__(self, spec: LoadSpec) -> None:
+        self.spec = spec
+        self.rng = random.Random(spec.seed)
+        self.client = HttpClient(RequestSettings(), LoopClock())
+        self.outcomes: list[Outcome] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.number = 0
+
+    async def run(self) -> list[Outcome]:
+        """Send all requests and return how they ended."""
+        self.started = asyncio.get_running_loop().time()
+        if self.spec.rate:
+            await self.run_open()
+        else:
+            callers = [self.run_caller() for _ in range(self.spec.concurrency)]
+            await asyncio.gather(*callers)
+        if self.tasks:
+            await asyncio.wait(set(self.tasks))
+        self.client.close()
+        return self.outcomes
+
+    async def run_open(self) -> None:
+        """Send at random times, whatever is still under way."""
+        loop = asyncio.get_running_loop()
+        due = self.started
+        while due - self.started < self.spec.seconds:
+            due += self.rng.expovariate(self.spec.rate)
+            request, outcome = self.make_request()
+            await asyncio.sleep(due - loop.time())
+            if len(self.tasks) < MAX_IN_FLIGHT:
+                task = asyncio.create_task(self.send(request, outcome, due))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+    async def run_caller(self) -> None:
+        """Send one request after the other."""
+        loop = asyncio.get_running_loop()
+        while loop.time() - self.started < self.spec.seconds:
+            request, outcome = self.make_request()
+            await self.send(request, outcome, loop.time())
+
+    def make_request(self) -> tuple[HttpRequest, Outcome]:
+        """Draw the next request; the draws don't depend on earlier answers."""
+        spec = self.spec
+        group = self.number % len(spec.groups)
+        self.number += 1
+        key = f"{spec.name}-{self.number}"
+        repeatable = self.rng.random() >= UNREPEATABLE_SHARE
+        work_ms = spec.work_ms * self.rng.lognormvariate(
+            -WORK_SIGMA * WORK_SIGMA / 2, WORK_SIGMA
+        )
+        address = self.rng.choice(spec.groups[group])
+        headers = (
+            (SERVICE, SERVICE_NAME),
+            (TIMEOUT_MS, str(spec.timeout_ms)),
+            ("fake-key", key),
+            ("fake-work-ms", f"{work_ms:.2f}"),
+        )
+        request = HttpRequest(
+            address=address,
+            method="GET" if repeatable else "POST",
+            path="/lookup/1" if repeatable else "/sign/1",
+            headers=headers if repeatable else (*headers, ("content-length", "2")),
+            body=None if repeatable else yield_body(),
+            idempotent=repeatable,
+            time_left=timedelta(milliseconds=spec.timeout_ms + 200),
+        )
+        return request, Outcome(key, group, repeatable)
+
+    async def send(self, request: HttpRequest, outcome: Outcome, due: float) -> None:
+        """Send one request and note how it ended."""
+        loop = asyncio.get_running_loop()
+        try:
+            answer = await self.client.send(request)
+            data = b"".join([chunk async for chunk in answer.body])
+            await answer.close()
+            outcome.status = answer.status
+            outcome.verdict = find_header(answer.headers, VERDICT) or ""
+            is_own = data == f"{outcome.key}\n".encode()
+            outcome.wrong = answer.status == 200 and not is_own
+        except RequestError:
+            pass
+        outcome.latency_ms = (loop.time() - due) * 1_000
+        outcome.measured = due - self.started >= self.spec.warmup_s
+        self.outcomes.append(outcome)
+
+
+async def yield_body() -> AsyncIterator[bytes]:
+    """Yield the small body of an unrepeatable request."""
+    yield b"{}"
+
+
+def main(spec_path: str, result_path: str) -> None:
+    """Run one specification."""
+    spec = msgspec.json.decode(pathlib.Path(spec_path).read_bytes(), type=LoadSpec)
+    outcomes = asyncio.run(Load(spec).run())
+    pathlib.Path(result_path).write_bytes(msgspec.json.encode(outcomes))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
