Decide the gate's concurrency by refusals, not by latency

Change: the limit falls on refusals of the backend server and on missed deadlines of requests that had several times the usual time. The scenario on slowdown is replaced by three on refusals, hanging and hurried callers. Conclusion: latency side by side can't tell a mixed route from an overload.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -100,11 +100,23 @@
     Given a gate before a backend server with 4 slots
     When the backend server sheds 10 requests one after the other
     Then 1 request may run at once
-    When 60 rounds of full load run 0 ms for each request beside it
+    When 60 rounds of full load run, of which it sustains 4 at once
     Then 4 requests may run at once
 
-  Scenario: The limit follows a backend server that runs one request at a time
+  Scenario: The limit follows a backend server that sustains less than it said
     Given a gate before a backend server with 4 slots
     And requests that take 10 ms each have been run
-    When 20 rounds of full load run 10 ms for each request beside it
+    When 60 rounds of full load run, of which it sustains 2 at once
     Then between 2 and 3 requests may run at once
+
+  Scenario: A backend server that hangs gets less at once
+    Given a gate before a backend server with 4 slots
+    And requests that take 10 ms each have been run
+    When 10 requests miss their deadline after 1000 ms at the backend server
+    Then 1 request may run at once
+
+  Scenario: A caller in a hurry takes no capacity from the others
+    Given a gate before a backend server with 4 slots
+    And requests that take 10 ms each have been run
+    When 10 requests miss their deadline after 5 ms at the backend server
+    Then 4 requests may run at once
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -151,23 +151,35 @@
     for serial in range(1000, 1000 + count):
         context.gate.arrive(serial)
         context.gate.clock.advance(MILLISECOND)
-        context.gate.end(serial, RunResult.OVERLOADED)
+        context.gate.end(serial, RunResult.REFUSED)
 
 
-@when("{rounds:d} rounds of full load run {time_ms:d} ms for each request beside it")
-def run_full_load(context, rounds, time_ms):
+@when("{rounds:d} rounds of full load run, of which it sustains {sustained:d} at once")
+def run_full_load(context, rounds, sustained):
     serial = 2000
     for _ in range(rounds):
         count = context.gate.queue.limit.whole
         serials = range(serial, serial + count)
         for number in serials:
             context.gate.arrive(number)
-        context.gate.clock.advance(time_ms * count * MILLISECOND)
-        for number in serials:
-            context.gate.end(number)
+        context.gate.clock.advance(10 * MILLISECOND)
+        for place, number in enumerate(serials):
+            is_refused = place >= sustained
+            result = RunResult.REFUSED if is_refused else RunResult.ANSWERED
+            context.gate.end(number, result)
         serial += count
 
 
+@when(
+    "{count:d} requests miss their deadline after {time_ms:d} ms at the backend server"
+)
+def miss_deadlines(context, count, time_ms):
+    for serial in range(3000, 3000 + count):
+        context.gate.arrive(serial)
+        context.gate.clock.advance(time_ms * MILLISECOND)
+        context.gate.end(serial, RunResult.TIMED_OUT)
+
+
 @then("requests {serials} run")
 def check_running(context, serials):
     expected = [int(serial) for serial in serials.split(",")]
--- a/src/wagtailstep/controllers/concurrency.py
+++ b/src/wagtailstep/controllers/concurrency.py
@@ -2,51 +2,21 @@
 
 from datetime import timedelta
 
-import attrs
-
 from wagtailstep.models.gate import RunResult
 
 DECREASE_FACTOR = 0.7
 INCREASE_STEP = 0.25
-DECREASE_SLOWDOWN = 2.5
-INCREASE_SLOWDOWN = 1.5
 AVERAGE_WEIGHT = 0.1
-
-
-def move_average(average: float | None, sample: float) -> float:
-    """Return an exponentially weighted average with one more sample."""
-    if average is None:
-        return sample
-    return average + AVERAGE_WEIGHT * (sample - average)
-
-
-@attrs.define
-class RouteTimes:
-    """Times in seconds that requests of one route took at the backend server.
-
-    :param alone: average of those that ran alone from start to end.
-    :param shared: average of the others.
-    :param overall: average of all.
-    """
-
-    alone: float | None = None
-    shared: float | None = None
-    overall: float | None = None
-
-    @property
-    def slowdown(self) -> float:
-        """Return how much longer requests take beside others than alone."""
-        if not self.alone or self.shared is None:
-            return 1.0
-        return self.shared / self.alone
+SLOW_FACTOR = 3.0
 
 
 class ConcurrencyLimit:
     """Additive increase, multiplicative decrease within 1 and the slots.
 
-    It falls when the backend server refuses or times out, and when requests take
-    much longer side by side than alone. It rises while it is used up and requests
-    take about as long as alone.
+    It falls when the backend server refuses requests, or takes a multiple of the
+    usual time and still misses the deadline. It rises while it is used up and all is
+    well. The time alone decides nothing: a route's requests differ, and a backend
+    server may answer as many requests a second side by side as one by one.
 
     :param slots: requests that the backend server says it can run at once.
     """
@@ -54,7 +24,7 @@
     def __init__(self, slots: int) -> None:
         self.slots = slots
         self.value = float(slots)
-        self.routes: dict[str, RouteTimes] = {}
+        self.average_s: dict[str, float] = {}
         self.decreased_at = timedelta.min
 
     @property
@@ -70,8 +40,7 @@
 
     def typical_time(self, route: str) -> timedelta:
         """Return the time that a request of a route takes; zero if unknown."""
-        times = self.routes.get(route)
-        return timedelta(seconds=times.overall or 0.0) if times else timedelta()
+        return timedelta(seconds=self.average_s.get(route, 0.0))
 
     def record(
         self,
@@ -89,31 +58,30 @@
         :param ended_at: monotonic time when it ended.
         :param beside: most other requests that ran at the same time.
         """
-        if result is RunResult.ABANDONED:
-            return
-        if result is RunResult.OVERLOADED:
+        seconds = (ended_at - started_at).total_seconds()
+        if self.is_overload(route, result, seconds):
             self.decrease(started_at, ended_at)
+        if result is not RunResult.ANSWERED:
             return
-        times = self.routes.setdefault(route, RouteTimes())
-        learn_time(times, (ended_at - started_at).total_seconds(), beside)
-        if beside and times.slowdown > DECREASE_SLOWDOWN:
-            self.decrease(started_at, ended_at)
-            times.shared = None
-        elif beside + 1 >= self.whole and times.slowdown <= INCREASE_SLOWDOWN:
+        average_s = self.average_s.get(route, seconds)
+        self.average_s[route] = average_s + AVERAGE_WEIGHT * (seconds - average_s)
+        if beside + 1 >= self.whole:
             self.value = min(self.slots, self.value + INCREASE_STEP / self.value)
 
+    def is_overload(self, route: str, result: RunResult, seconds: float) -> bool:
+        """Tell whether a request shows that too many ran at once.
+
+        A missed deadline shows it only if the request had a multiple of the usual
+        time, so a caller in a hurry takes no capacity from the others.
+        """
+        if result is RunResult.REFUSED:
+            return True
+        usual_s = self.average_s.get(route, 0.0)
+        return result is RunResult.TIMED_OUT and seconds > SLOW_FACTOR * usual_s
+
     def decrease(self, started_at: timedelta, ended_at: timedelta) -> None:
         """Lower the limit once for all requests that ran at the same time."""
         if started_at < self.decreased_at:
             return
         self.decreased_at = ended_at
         self.value = max(1.0, self.value * DECREASE_FACTOR)
-
-
-def learn_time(times: RouteTimes, seconds: float, beside: int) -> None:
-    """Add one sample to the averages that it belongs to."""
-    times.overall = move_average(times.overall, seconds)
-    if beside:
-        times.shared = move_average(times.shared, seconds)
-    else:
-        times.alone = move_average(times.alone, seconds)
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -33,12 +33,13 @@
 class RunResult(enum.Enum):
     """How the backend server dealt with a request that it was sent.
 
-    ``OVERLOADED`` is a refusal or a timeout, ``ABANDONED`` says nothing of the
-    backend server, since the caller went away or the exchange broke.
+    ``REFUSED`` is an answer that says it has too much to do. ``ABANDONED`` says
+    nothing of the backend server, since the caller went away or the exchange broke.
     """
 
     ANSWERED = "answered"
-    OVERLOADED = "overloaded"
+    REFUSED = "refused"
+    TIMED_OUT = "timed-out"
     ABANDONED = "abandoned"
 
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -205,7 +205,7 @@
         """Return the answer; the slot is free when its body has ended."""
         result = RunResult.ANSWERED
         if answer.status in OVERLOAD_STATUSES:
-            result = RunResult.OVERLOADED
+            result = RunResult.REFUSED
         body = answer.body
 
         async def close() -> None:
@@ -293,7 +293,7 @@
 def judge_failure(error: RequestError) -> RunResult:
     """Say what a failed exchange tells of the backend server's capacity."""
     if isinstance(error, DeadlineExceededError):
-        return RunResult.OVERLOADED
+        return RunResult.TIMED_OUT
     return RunResult.ABANDONED
 
 
