--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -120,7 +120,7 @@
     def build_servers(self) -> None:
         """Make the HTTP servers; none listens yet."""
         endpoints = DaemonEndpoints(
-            issue_ticket=lambda service: str(self.guard.tickets.issue(service)),
+            issue_ticket=self.entry.issue_ticket,
             describe_status=self.describe_status,
             describe_metrics=lambda: msgspec.Raw(self.metrics.export_json().encode()),
             list_events=lambda: list(self.runtime.timeline.events),
@@ -133,7 +133,7 @@
             self.announce_app, self.runtime.dispatch, self.settings, self.clock
         )
         self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
-        self.gate_server = HttpServer(gate_app, lambda: None)
+        self.gate_server = HttpServer(gate_app, gate_app.announce_closing)
         self.announce_server = HttpServer(self.announce_app, lambda: None)
         self.caller_app = caller_app
 
@@ -160,8 +160,8 @@
     async def shut_down(self) -> bool:
         """Leave the fleet without cutting a request.
 
-        The gate refuses new work at once, and the news goes out before the entry
-        stops to listen, so that other daemons pick other targets meanwhile.
+        The news goes out before entry and gate stop to listen, so that other daemons
+        pick other targets meanwhile; what arrives nevertheless is still served.
 
         :return: whether all requests in flight ended within the drain limit.
         """
@@ -170,6 +170,7 @@
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
         await asyncio.sleep(LEAVING_NEWS_MS / 1_000)
         self.caller_server.stop_accepting()
+        self.gate_server.stop_accepting()
         finished = await asyncio.gather(
             self.caller_server.drain(limit), self.gate_server.drain(limit)
         )
