Wait for fresh tickets before a draining daemon closes its gate

Cause: a daemon that exits takes its issued tickets with it; their callers' requests would end as may-have-run although the exit was planned.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -46,3 +46,10 @@
     And the rest of the upload is sent
     Then the upload is answered whole and the second daemon exits with nothing cut
     And the first daemon sends no new request to the target that left
+
+  Scenario: A daemon that exits waits for the tickets that it has just issued
+    Given two daemons and a backend server beside the second, with a table
+    And the first daemon has issued a ticket and is told to exit
+    When the ticket is used at the second daemon
+    Then the caller has the whole answer to its own request
+    And the first daemon exits with nothing cut
--- a/features/run_tests.py
+++ b/features/run_tests.py
@@ -42,7 +42,7 @@
         report = pathlib.Path(folder, "report.json")
         subprocess.run(
             [
-                *[sys.executable, "-m", "behave", "--logging-level", "CRITICAL"],
+                *[sys.executable, "-m", "behave", "--logging-level", "WARNING"],
                 *["--format", "json", "--outfile", str(report)],
                 *["--format", "progress"],
                 "features",
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -289,13 +289,15 @@
             membership=MembershipSettings(seeds=(seed_address,)),
         )
 
-    def make_request(self, method, body, length):
+    def make_request(self, method, body, length, ticket=None):
         headers = (
             ("host", self.entry),
             ("wagtailstep-service", SERVICE),
             ("fake-key", f"key-{method}"),
             ("content-length", str(length)),
         )
+        if ticket is not None:
+            headers += (("idempotency-key", ticket),)
         time_left = timedelta(seconds=30)
         return HttpRequest(
             self.entry, method, "/lookup", headers, body, True, time_left
@@ -340,6 +342,8 @@
 
 @when("a caller sends a lookup through the first daemon")
 def send_lookup(context):
+    context.sent_key = "key-GET"
+
     async def look_up():
         request = context.fleet.make_request("GET", yield_nothing(), 0)
         context.answer = await context.fleet.client.send(request)
@@ -361,7 +365,9 @@
 
 @then("the caller has the whole answer to its own request")
 def check_own_answer(context):
-    assert (context.answer.status, context.body) == (200, b"key-GET\n")
+    key = find_header(context.answer.headers, "fake-key")
+    assert (context.answer.status, context.body) == (200, f"{key}\n".encode())
+    assert key == context.sent_key
     verdict = find_header(context.answer.headers, "wagtailstep-verdict")
     assert verdict == "run"
 
@@ -414,3 +420,37 @@
     assert context.answer.status == 503
     assert find_header(context.answer.headers, "wagtailstep-verdict") == "not-run"
     assert sum(context.fleet.server.counts.runs.values()) == 2
+
+
+@given("the first daemon has issued a ticket and is told to exit")
+def exit_with_open_ticket(context):
+    async def begin():
+        first, second = context.fleet.daemons
+        context.ticket = await first.entry.issue_ticket(SERVICE)
+        context.exit = asyncio.create_task(first.shut_down())
+        # The server of the caller's port is closed after the news has gone out.
+        await wait_until(lambda: not first.caller_server.server.is_serving())
+        assert second.blackboard.table_known
+
+    context.runner_loop.run(begin())
+
+
+@when("the ticket is used at the second daemon")
+def use_ticket(context):
+    context.sent_key = "key-POST"
+
+    async def sign():
+        context.fleet.entry = context.fleet.daemons[1].settings.caller_address
+        request = context.fleet.make_request("POST", yield_nothing(), 0, context.ticket)
+        context.answer = await context.fleet.client.send(request)
+        context.body = await read_all(context.answer)
+
+    context.runner_loop.run(sign())
+
+
+@then("the first daemon exits with nothing cut")
+def check_exit(context):
+    async def finish():
+        return await context.exit
+
+    assert context.runner_loop.run(finish()) is True
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -47,6 +47,7 @@
 
 LOGGER = logging.getLogger(__name__)
 LEAVING_NEWS_MS = 1_000
+TICKET_POLL_MS = 50
 
 
 class Daemon:
@@ -170,6 +171,7 @@
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
         await asyncio.sleep(LEAVING_NEWS_MS / 1_000)
         self.caller_server.stop_accepting()
+        await self.wait_for_tickets(limit)
         self.gate_server.stop_accepting()
         finished = await asyncio.gather(
             self.caller_server.drain(limit), self.gate_server.drain(limit)
@@ -178,6 +180,17 @@
         await self.close()
         return all(finished)
 
+    async def wait_for_tickets(self, limit: timedelta) -> None:
+        """Wait while a ticket issued lately may still be used at another daemon.
+
+        :param limit: longest time to wait.
+        """
+        ends_at = self.clock.monotonic() + limit
+        while self.guard.tickets.has_open_tickets():
+            if self.clock.monotonic() >= ends_at:
+                return
+            await asyncio.sleep(TICKET_POLL_MS / 1_000)
+
     async def close(self) -> None:
         """Stop at once, whatever is in flight."""
         await self.runtime.close()
