--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -35,6 +35,9 @@
 CHANGES_PER_DAY = 1_500
 DAY_S = 86_400
 RARE_POLL_MS = 10_000
+SNAPSHOT_SIZES = (8, 52, 200)
+SNAPSHOT_RETENTION_S = 300.0
+SNAPSHOT_RETENTIONS = 3
 REPORT = pathlib.Path("docs/measurements/table.md")
 
 
@@ -180,6 +183,34 @@
     return sum(daemon.bytes_sent for daemon in fleet.daemons.values())
 
 
+@attrs.frozen
+class SnapshotFigures:
+    """Snapshots that a fleet wrote.
+
+    :param due: how often one was due.
+    :param written: how many were appended.
+    """
+
+    size: int
+    due: int
+    written: int
+
+
+def measure_snapshots(seed: int, size: int) -> SnapshotFigures:
+    """Let some times the log's retention pass and count the snapshots."""
+    log_settings = LogSettings(retention_s=SNAPSHOT_RETENTION_S)
+    fleet = TableFleet(seed, size, log_settings)
+    fleet.network.max_latency_ms = MAX_LATENCY_MS
+    fleet.network.drop = DROP
+    utc = fleet.clock.utc()
+    edit = TableEdit("e", 0, "operator", "benchmark", utc, make_change("s", 1))
+    fleet.append_edit(edit)
+    fleet.run(timedelta(seconds=SNAPSHOT_RETENTION_S * SNAPSHOT_RETENTIONS))
+    # The time until a snapshot is written is half of the retention and a bit.
+    due = 2 * SNAPSHOT_RETENTIONS - 1
+    return SnapshotFigures(size, due, fleet.log.append_count - 1)
+
+
 def describe_fleet(figures: FleetFigures) -> str:
     """Return one row of the report."""
     day_bytes = figures.quiet_bytes_s + figures.edit_bytes * CHANGES_PER_DAY / DAY_S
@@ -193,7 +224,12 @@
     )
 
 
-def write_report(figures: list[FleetFigures], size: SizeFigures, seed: int) -> None:
+def write_report(
+    figures: list[FleetFigures],
+    size: SizeFigures,
+    snapshots: list[SnapshotFigures],
+    seed: int,
+) -> None:
     """Write all figures as a Markdown page."""
     git = ["git", "rev-parse", "--short", "HEAD"]
     commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
@@ -234,6 +270,16 @@
         f"| {size.rows} | {size.snapshot_bytes} | {size.encode_ms:.0f} | "
         f"{size.load_ms:.0f} | {size.held_mb:.1f} | {size.resident_mb:.1f} | "
         f"{size.edit_us:.0f} |",
+        "",
+        "## Snapshots",
+        "",
+        f"Retention {SNAPSHOT_RETENTION_S:g} s, {SNAPSHOT_RETENTIONS} times over; a "
+        "snapshot is due after half of it, and each daemon draws its moment within "
+        f"{SNAPSHOT_RETENTION_S / 8:g} s (3 hours with a retention of a day).",
+        "",
+        "| daemons | due | written |",
+        "|---|---|---|",
+        *(f"| {item.size} | {item.due} | {item.written} |" for item in snapshots),
     ]
     REPORT.parent.mkdir(parents=True, exist_ok=True)
     REPORT.write_text("\n".join(lines) + "\n")
@@ -254,7 +300,9 @@
     print(describe_fleet(results[-1]), flush=True)
     size_figures = measure_size(seed)
     print(size_figures, flush=True)
-    write_report(results, size_figures, seed)
+    snapshots = [measure_snapshots(seed, count) for count in SNAPSHOT_SIZES]
+    print(snapshots, flush=True)
+    write_report(results, size_figures, snapshots, seed)
     print_summary(results)
 
 
--- a/src/wagtailstep/controllers/table.py
+++ b/src/wagtailstep/controllers/table.py
@@ -9,7 +9,7 @@
 from wagtailstep.controllers.table_exchange import (
     report_outcome,
 )
-from wagtailstep.controllers.table_gossip import CAUGHT_UP_FOR, TableGossip
+from wagtailstep.controllers.table_gossip import TableGossip
 from wagtailstep.controllers.table_members import TableMembers
 from wagtailstep.controllers.table_snapshots import SnapshotWriter
 from wagtailstep.controllers.table_start import FirstTable
@@ -37,6 +37,8 @@
 from wagtailstep.models.table_reader import TableReader
 from wagtailstep.utils.clock import Clock
 
+RECENT_POLLS = 6
+
 
 class TableController:
     """Keeps the newest accepted table in force, from the log and from members.
@@ -66,7 +68,8 @@
         self.clock = clock
         self.rng = rng
         self.members = TableMembers(settings.daemon_id, blackboard, rng)
-        self.first_table = FirstTable(settings.table, clock)
+        recent_for = timedelta(milliseconds=RECENT_POLLS * settings.log.poll_ms)
+        self.first_table = FirstTable(settings.table, clock, recent_for)
         self.reader = self.reader_class()
         self.sender = SnapshotSender(settings.table, clock, rng)
         self.receiver = SnapshotReceiver(settings.table, clock)
@@ -253,6 +256,8 @@
         outcomes: list[EditOutcome] = []
         for record in records:
             outcomes += self.reader.offer(record)
+            if not record.data:
+                self.writer.put_off()
         effects += self.note_progress(before, outcomes)
         if self.reader.position > before and self.blackboard.table_known:
             fresh = self.reader.tail.read(before, self.settings.table.reply_bytes)
@@ -321,5 +326,5 @@
         fold = self.reader.fold
         if fold is None or not self.blackboard.table_known:
             return []
-        caught_up = self.first_table.is_recent(CAUGHT_UP_FOR)
+        caught_up = self.first_table.is_recent()
         return list(self.writer.tick(fold, caught_up))
--- a/src/wagtailstep/controllers/table_gossip.py
+++ b/src/wagtailstep/controllers/table_gossip.py
@@ -18,8 +18,6 @@
 from wagtailstep.models.table_reader import TableReader
 from wagtailstep.utils.clock import Clock
 
-CAUGHT_UP_FOR = timedelta(seconds=5)
-
 
 @attrs.define
 class TableGossip:
@@ -120,7 +118,7 @@
     def log_delivers(self) -> bool:
         """Tell whether the log will deliver what this daemon lacks."""
         has_gap = self.reader.position < 0 or bool(self.reader.pending)
-        return not has_gap and self.first_table.is_recent(CAUGHT_UP_FOR)
+        return not has_gap and self.first_table.is_recent()
 
     def push(
         self, records: Iterable[LogRecord], wants_answer: bool
--- a/src/wagtailstep/controllers/table_snapshots.py
+++ b/src/wagtailstep/controllers/table_snapshots.py
@@ -57,6 +57,10 @@
         if self.last_seen is None and fold.accepted:
             self.last_seen = self._when(fold.accepted[0].utc)
 
+    def put_off(self) -> None:
+        """Draw another time, since a member has seen a snapshot in the log."""
+        self.due_at = None
+
     def note_seen(self, snapshots: Iterable[SeenSnapshot]) -> list[RecordEvent]:
         """Put off the next snapshot after a right one, and report wrong ones."""
         events: list[RecordEvent] = []
--- a/src/wagtailstep/controllers/table_start.py
+++ b/src/wagtailstep/controllers/table_start.py
@@ -13,6 +13,7 @@
 class FirstTable:
     """What a daemon has heard of the table since it started.
 
+    :param recent_for: how long a read of the log counts as recent.
     :param heard: furthest digest that each member sent.
     :param heard_in_force: whether a member told of a table that is in force.
     :param asking_since: when this daemon began to ask members.
@@ -24,6 +25,7 @@
 
     settings: TableSettings
     clock: Clock
+    recent_for: timedelta
     heard: dict[str, TableDigest] = attrs.field(factory=dict)
     heard_in_force: bool = False
     asking_since: timedelta | None = None
@@ -54,11 +56,11 @@
             self.first_caught_up_at = self.caught_up_at
         self.caught_up_offset = offset
 
-    def is_recent(self, limit: timedelta) -> bool:
-        """Tell whether the log's end was reached within a time."""
+    def is_recent(self) -> bool:
+        """Tell whether the log's end was reached a moment ago."""
         if self.caught_up_at is None:
             return False
-        return self.clock.monotonic() - self.caught_up_at < limit
+        return self.clock.monotonic() - self.caught_up_at < self.recent_for
 
     def accepts(self, position: int, other_count: int) -> bool:
         """Tell whether a table is as new as any that was heard of.
--- a/src/wagtailstep/fakes/log_service.py
+++ b/src/wagtailstep/fakes/log_service.py
@@ -15,6 +15,7 @@
 from wagtailstep.utils.clock import Clock
 
 APPEND_WINDOW_S = 1.0
+MAX_READ_BYTES = 4_000_000
 
 
 @attrs.define
@@ -66,6 +67,23 @@
         return self.next_offset
 
 
+def take_records(stream: Stream, first: int, limit: int) -> tuple[LogRecord, ...]:
+    """Return some records of a stream, at least one if there is any.
+
+    :param first: index of the first one.
+    :param limit: most records.
+    """
+    taken: list[LogRecord] = []
+    size = 0
+    for index in range(first, min(first + limit, len(stream.records))):
+        record = stream.records[index].record
+        size += len(record.data)
+        if taken and size > MAX_READ_BYTES:
+            break
+        taken.append(record)
+    return tuple(taken)
+
+
 class InMemoryLogService(LogService):
     """Streams in memory behind the interface of the log service.
 
@@ -103,9 +121,7 @@
         oldest = found.oldest_offset
         if offset < oldest:
             raise RecordExpiredError(oldest)
-        first = offset - oldest
-        last = min(first + limit, len(found.records))
-        records = tuple(found.records[i].record for i in range(first, last))
+        records = take_records(found, offset - oldest, limit)
         return LogBatch(records, offset + len(records), oldest)
 
     async def oldest_offset(self, stream: str) -> int:
