--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -11,7 +11,7 @@
 from wagtailstep.commands.table_csv import read_csv, write_csv
 from wagtailstep.exceptions import SettingsError
 from wagtailstep.models.log import LogRecord
-from wagtailstep.models.settings import LogSettings
+from wagtailstep.models.settings import LogSettings, TableSettings
 from wagtailstep.models.table import (
     AccountRow,
     BackendServerRow,
@@ -203,6 +203,13 @@
     context.file = read_csv(write_csv(context.reader.fold.table))
 
 
+@when('the table is exported as CSV with ";" and read back')
+def export_with_semicolons(context):
+    append_edit(context, "account", 1, account_change(7))
+    text = write_csv(context.reader.fold.table).replace(",", ";")
+    context.file = read_csv("\ufeff" + text.replace("\n", "\r\n"))
+
+
 @then("the file has the same rows and base version {version:d}")
 def check_file(context, version):
     assert context.file.base_version == version + 1
@@ -258,7 +265,8 @@
 
 @given("a fleet of {count:d} daemons with a table in force")
 def make_fleet(context, count):
-    context.fleet = TableFleet(3, count, LogSettings(retention_s=120.0))
+    settings = TableSettings(chunk_bytes=128)
+    context.fleet = TableFleet(3, count, LogSettings(retention_s=120.0), settings)
     context.version = 0
     accept(context, TableChanges({"contracts": ServiceRow("contracts")}))
     context.fleet.run(timedelta(seconds=10))
@@ -310,6 +318,27 @@
     "{count:d} more rows are accepted, then the log goes away and a daemon is replaced"
 )
 def accept_rows(context, count):
+    lose_log_after_rows(context, count)
+    context.fleet.restart("d0000", timedelta(seconds=1))
+
+
+@when(
+    "{count:d} more rows are accepted, then the log goes away and all but one "
+    "are replaced"
+)
+def accept_rows_and_replace(context, count):
+    lose_log_after_rows(context, count)
+    for name in list(context.fleet.daemons)[1:]:
+        context.fleet.restart(name, timedelta(seconds=1))
+
+
+@then("all daemons have the newest table after {seconds:d} seconds")
+def check_newest_after(context, seconds):
+    context.fleet.run(timedelta(seconds=seconds))
+    check_newest(context)
+
+
+def lose_log_after_rows(context, count):
     accounts = {f"contracts/{n:064d}": None for n in range(count)}
     rows = {key: AccountRow(key, n + 0.5) for n, key in enumerate(accounts)}
     accept(context, TableChanges(accounts=rows))
@@ -317,7 +346,6 @@
     tail = context.fleet.daemons["d0001"].controller.reader.tail
     assert tail.start > 0, "the records are short enough to do without a snapshot"
     context.fleet.log.faults.away = True
-    context.fleet.restart("d0000", timedelta(seconds=1))
 
 
 @when("{count:d} times the log's retention passes")
--- a/features/table.feature
+++ b/features/table.feature
@@ -72,6 +72,10 @@
     When the table is exported as CSV and read back
     Then the file has the same rows and base version 1
 
+  Scenario: A file with semicolons, as spreadsheet programs write it, is read
+    When the table is exported as CSV with ";" and read back
+    Then the file has the same rows and base version 1
+
   Scenario Outline: A faulty file is explained
     When the exported CSV has "<old>" replaced by "<new>"
     Then reading it fails and the message names "<message>"
@@ -121,3 +125,8 @@
     When the log holds nothing but a wrong snapshot and a daemon is replaced
     Then all daemons have the newest table
     And the replaced daemon has the rows of the others and reported the difference
+
+  Scenario: Daemons that start together get a long table from the only one that has it
+    Given a fleet of 10 daemons with a table in force
+    When 1200 more rows are accepted, then the log goes away and all but one are replaced
+    Then all daemons have the newest table after 90 seconds
--- a/src/wagtailstep/commands/table_csv.py
+++ b/src/wagtailstep/commands/table_csv.py
@@ -57,7 +57,11 @@
 
     :raises CellError: naming line or row, column, value and what is allowed.
     """
-    reader = csv.DictReader(io.StringIO(text.removeprefix("\ufeff")))
+    text = text.removeprefix("\ufeff")
+    # Spreadsheet programs of many countries write semicolons.
+    first_line = text.partition("\n")[0]
+    delimiter = ";" if ";" in first_line else ","
+    reader = csv.DictReader(io.StringIO(text), delimiter=delimiter)
     _check_header(list(reader.fieldnames or []))
     rows: dict[RowId, Row] = {}
     versions: set[str] = set()
--- a/src/wagtailstep/controllers/table.py
+++ b/src/wagtailstep/controllers/table.py
@@ -319,6 +319,7 @@
             if differences:
                 return differences
         self.blackboard.table_known = True
+        self.first_table.heard.clear()
         return self.put_in_force()
 
     def write_snapshot(self) -> list[Any]:
--- a/src/wagtailstep/controllers/table_transfer.py
+++ b/src/wagtailstep/controllers/table_transfer.py
@@ -17,9 +17,10 @@
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
-KEEP_ENCODED = timedelta(seconds=30)
+KEEP_UNUSED = timedelta(seconds=30)
+KEEP_LONGEST = timedelta(minutes=5)
 MAX_CHUNKS_PER_S = 8
-MAX_ATTEMPTS = 3
+MAX_ATTEMPTS = 10
 
 
 @attrs.define
@@ -36,6 +37,7 @@
     snapshot_id: str = ""
     data: bytes = b""
     encoded_at: timedelta = timedelta()
+    used_at: timedelta = timedelta()
     window_start: timedelta = timedelta()
     sent_in_window: int = 0
 
@@ -43,6 +45,7 @@
         self, request: TableSnapshotRequest, fold: TableFold
     ) -> TableSnapshotChunk | None:
         """Return the chunk that was asked for, or ``None`` beyond the rate."""
+        self.used_at = self.clock.monotonic()
         if not self._take_turn():
             return None
         if request.snapshot_id != self.snapshot_id or not self.data:
@@ -52,8 +55,10 @@
         return self._make_chunk(min(request.index, count - 1))
 
     def drop_stale(self) -> None:
-        """Free the encoded snapshot when nobody asked for a while."""
-        if self.data and self.clock.monotonic() - self.encoded_at > KEEP_ENCODED:
+        """Free the encoded snapshot when it is old or nobody asked for a while."""
+        now = self.clock.monotonic()
+        is_old = now - self.encoded_at > KEEP_LONGEST
+        if self.data and (is_old or now - self.used_at > KEEP_UNUSED):
             self.data = b""
 
     def _take_turn(self) -> bool:
@@ -65,12 +70,11 @@
         return self.sent_in_window <= MAX_CHUNKS_PER_S
 
     def _encode(self, fold: TableFold) -> None:
-        now = self.clock.monotonic()
-        if self.data and now - self.encoded_at <= KEEP_ENCODED:
+        if self.data:
             return
         self.snapshot_id = make_id(self.rng)
         self.data = encode_snapshot(fold)
-        self.encoded_at = now
+        self.encoded_at = self.clock.monotonic()
 
     def _count_chunks(self) -> int:
         return -(-len(self.data) // self.settings.chunk_bytes)
