--- a/features/entry.feature
+++ b/features/entry.feature
@@ -44,6 +44,13 @@
     When a caller sends POST "/book"
     Then the answer is 200 with verdict "run"
 
+  Scenario: A request without a target uses up no retries
+    Given all targets are ejected
+    When 30 callers send POST "/book" one after the other
+    Then the answer is 503 with verdict "not-run"
+    And the answer tells when to come back
+    And all 10 retries are left
+
   Scenario: The verdict covers all attempts
     Given the first attempt ends as "connection lost"
     And every later attempt ends as "connect refused"
--- a/features/retries.feature
+++ b/features/retries.feature
@@ -32,3 +32,4 @@
       | 1        | connection refused | 4    | non-idempotent | not allowed |
       | 1        | connection lost    | 500  | non-idempotent | not allowed |
       | 1        | connection lost    | 500  | idempotent     | allowed     |
+      | 1        | bad request        | 500  | idempotent     | not allowed |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -186,6 +186,17 @@
     world.board.targets.clear()
 
 
+@given("all targets are ejected")
+def eject_all(context):
+    context.world.board.ejected.update(context.world.board.targets)
+
+
+@then("all {count:d} retries are left")
+def check_budget(context, count):
+    retries = context.world.entry.sender.retries
+    assert retries.find_budget("contracts").tokens == count
+
+
 @given("every attempt hangs")
 def set_hanging(context):
     context.world.forwarder.rest = "hang"
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -16,6 +16,7 @@
     "connection refused": exceptions.ConnectionFailedError("", Verdict.NOT_RUN),
     "connection lost": exceptions.ConnectionFailedError("", Verdict.MAY_HAVE_RUN),
     "overloaded": exceptions.OverloadedError("", timedelta(seconds=1)),
+    "bad request": exceptions.BadRequestError(""),
     "leaving": exceptions.LeavingError(""),
 }
 
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -6,7 +6,12 @@
 
 import attrs
 
-from wagtailstep.exceptions import LeavingError, OverloadedError, RequestError
+from wagtailstep.exceptions import (
+    BadRequestError,
+    LeavingError,
+    OverloadedError,
+    RequestError,
+)
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.utils.clock import Clock
@@ -58,7 +63,7 @@
         """
         if not error.verdict.allows_resend(request.idempotent):
             return False
-        if not self.has_time(request):
+        if isinstance(error, BadRequestError) or not self.has_time(request):
             return False
         if isinstance(error, LeavingError):
             return attempts < MAX_LEAVING_ATTEMPTS
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -8,7 +8,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
@@ -21,8 +21,10 @@
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
+from wagtailstep.models.fleet import Member
 from wagtailstep.models.headers import find_header, replace_headers
 from wagtailstep.models.idempotency import (
+    Decision,
     PassOn,
     Refuse,
     Replay,
@@ -94,7 +96,7 @@
         self.sender = AttemptSender(
             blackboard, clock, routing, retries, forwarder, dispatch
         )
-        self.undecided: dict[str, asyncio.Future[Any]] = {}
+        self.undecided: dict[str, asyncio.Future[Decision]] = {}
 
     async def handle(self, incoming: IncomingRequest) -> Answer:
         """Bring one request to its end.
@@ -205,7 +207,9 @@
             self.apply(list(outcome.effects))
         return await self.follow(decision, exchange)
 
-    async def within_deadline(self, exchange: Exchange, reading: Any) -> Any:
+    async def within_deadline(
+        self, exchange: Exchange, reading: Awaitable[bytes]
+    ) -> bytes:
         """Await the reading of the caller's body until the deadline.
 
         :raises RequestError: if the caller cut the body or was too slow.
@@ -224,7 +228,7 @@
 
     async def wait_for_decision(
         self, request: RequestContext, effects: tuple[Any, ...]
-    ) -> Any:
+    ) -> Decision:
         """Wait until :meth:`settle` brings the guard's decision.
 
         :raises RequestError: if the deadline passes first.
@@ -249,7 +253,7 @@
                 self.give_up_waiting(request, future)
 
     def give_up_waiting(
-        self, request: RequestContext, future: asyncio.Future[Any]
+        self, request: RequestContext, future: asyncio.Future[Decision]
     ) -> None:
         """Tell the guard that nobody waits for a decision any more.
 
@@ -260,13 +264,13 @@
         elif future.done() and not future.cancelled():
             self.decline(future.result())
 
-    def decline(self, decision: Any) -> None:
+    def decline(self, decision: Decision) -> None:
         """Give back the right to run a request that nobody waits for."""
         if isinstance(decision, RunHere):
             self.apply(self.guard.finish(decision.run_id, Verdict.NOT_RUN))
 
     @singledispatchmethod
-    async def follow(self, decision: Any, exchange: Exchange) -> Answer:
+    async def follow(self, decision: Decision, exchange: Exchange) -> Answer:
         """Do what the guard decided.
 
         :raises RequestError: if no answer can be had.
@@ -306,26 +310,34 @@
             exchange.end(exchange.verdict_if_cancelled)
             raise
 
-    async def pass_on(self, exchange: Exchange, member: Any) -> Answer:
+    async def pass_on(self, exchange: Exchange, member: Member) -> Answer:
         """Have another daemon serve a keyed request.
 
         It may be sent again: the other daemon recognises the key.
 
         :raises RequestError: ``MAY_HAVE_RUN`` if there is no answer.
         """
-        for attempt in range(MAX_RELAY_ATTEMPTS):
-            time_left = self.sender.time_left(exchange.request)
-            incoming = self.make_relayed(exchange, time_left)
+        attempts_left = MAX_RELAY_ATTEMPTS
+        while True:
+            attempts_left -= 1
             try:
-                async with asyncio.timeout(time_left.total_seconds()):
-                    return await self.relay.relay(member, incoming, time_left)
+                return await self.pass_on_once(exchange, member)
             except (RequestError, TimeoutError) as error:
-                last = attempt + 1 == MAX_RELAY_ATTEMPTS
-                if last or not exchange.body.replayable:
+                if attempts_left == 0 or not exchange.body.replayable:
                     raise make_unknown_error(
                         f"daemon {member.daemon_id} may know, but can't be reached"
                     ) from error
-        raise AssertionError("the loop returns or raises")
+
+    async def pass_on_once(self, exchange: Exchange, member: Member) -> Answer:
+        """Send a keyed request to another daemon, within its deadline.
+
+        :raises RequestError: if there is no answer.
+        :raises TimeoutError: if there is none in time.
+        """
+        time_left = self.sender.time_left(exchange.request)
+        incoming = self.make_relayed(exchange, time_left)
+        async with asyncio.timeout(time_left.total_seconds()):
+            return await self.relay.relay(member, incoming, time_left)
 
     def make_relayed(self, exchange: Exchange, left: timedelta) -> IncomingRequest:
         """Return the request as the other daemon's entry gets it."""
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -79,6 +79,11 @@
             error.verdict = Verdict.MAY_HAVE_RUN
         return error
 
+    def cover(self, error: RequestError) -> None:
+        """Have an error's verdict cover the attempts before it, too."""
+        error.verdict = worst_verdict(error.verdict, self.verdict)
+        self.verdict = error.verdict
+
     def end(self, verdict: Verdict, answer: StoredAnswer | None = None) -> None:
         """End a guarded run and count the request out; later calls do nothing."""
         if not self.ended:
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -12,7 +12,7 @@
 from wagtailstep.models.exchange import Answer, Forwarder
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.request import Blame, RequestContext
-from wagtailstep.models.verdict import Verdict, worst_verdict
+from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream
 from wagtailstep.network.exchanges import Exchange
@@ -61,18 +61,36 @@
         await self.wait_for_discovery(request)
         self.retries.record_first_attempt(request.service)
         while True:
+            target = self.pick(exchange)
             exchange.attempts += 1
             try:
-                return await self.attempt(exchange)
+                return await self.attempt(exchange, target)
             except RequestError as error:
-                error.verdict = worst_verdict(error.verdict, exchange.verdict)
-                exchange.verdict = error.verdict
+                exchange.cover(error)
                 may_resend = exchange.body.replayable and self.retries.take_retry(
                     request, error, exchange.attempts
                 )
                 if not may_resend:
                     raise
 
+    def pick(self, exchange: Exchange) -> Target:
+        """Pick the target of the next attempt.
+
+        :raises RequestError: if there is no target or no time; its verdict covers
+            all attempts.
+        """
+        request = exchange.request
+        try:
+            if self.time_left(request) <= timedelta():
+                raise DeadlineExceededError(
+                    "the time allowed had passed before the request was sent",
+                    Verdict.NOT_RUN,
+                )
+            return self.routing.pick(request.service, exchange.tried)
+        except RequestError as error:
+            exchange.cover(error)
+            raise
+
     async def wait_for_discovery(self, request: RequestContext) -> None:
         """Give the targets of a service that is new here a moment to get known."""
         while self.routing.wanted.is_being_discovered(request.service):
@@ -80,18 +98,12 @@
                 return
             await asyncio.sleep(DISCOVERY_INTERVAL.total_seconds())
 
-    async def attempt(self, exchange: Exchange) -> Answer:
+    async def attempt(self, exchange: Exchange, target: Target) -> Answer:
         """Send a request to one target.
 
         :raises RequestError: how the attempt ended without an answer.
         """
         request = exchange.request
-        if self.time_left(request) <= timedelta():
-            raise DeadlineExceededError(
-                "the time allowed had passed before the request was sent",
-                Verdict.NOT_RUN,
-            )
-        target = self.routing.pick(request.service, exchange.tried)
         exchange.tried.add(target.target_id)
         attempt = Attempt(
             request, target.target_id, self.routing, self.dispatch, self.clock
