--- a/benchmarks/check_histories.py
+++ b/benchmarks/check_histories.py
@@ -6,13 +6,12 @@
 import collections
 import logging
 import pathlib
-import platform
-import subprocess
 import sys
 
 import fire
 
 from benchmarks.histories.schedule import RunResult, run_schedule
+from benchmarks.report import Report
 
 PROGRESS_RUNS = 50
 REPORT = pathlib.Path("docs/measurements/histories.md")
@@ -24,25 +23,6 @@
         ends[f"{sending.kind.value}/{sending.verdict or 'no-answer'}"] += 1
 
 
-def write_report(seed: int, counts: dict[str, int], verdict: str) -> None:
-    """Write what was run and found as a page."""
-    git = ["git", "rev-parse", "--short", "HEAD"]
-    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
-    lines = [
-        "# Histories",
-        "",
-        f"`python -m benchmarks.check_histories --seed={seed}`, code of commit "
-        f"{commit}, Python {platform.python_version()}: `{verdict}`. Sendings by kind "
-        "and verdict, and schedules by fault (one or two in each):",
-        "",
-        "| count of | number |",
-        "|---|---|",
-        *[f"| {name} | {count} |" for name, count in sorted(counts.items())],
-    ]
-    REPORT.parent.mkdir(parents=True, exist_ok=True)
-    REPORT.write_text("\n".join(lines) + "\n")
-
-
 def main(seed: int = 1, runs: int = 200, report: bool = False) -> None:
     """Run schedules with the seeds that follow from one seed and print the verdict.
 
@@ -51,6 +31,7 @@
     :param report: whether to write the page with the counts.
     """
     logging.disable(logging.CRITICAL)
+    page = Report("Histories", "check_histories", seed)
     violations = 0
     ends = collections.Counter()
     faults = collections.Counter()
@@ -70,7 +51,12 @@
         print(f"count {name}={count}")
     verdict = f"histories={runs} violations={violations}"
     if report:
-        write_report(seed, {**ends, **faults}, verdict)
+        page.add_text(
+            "Sendings by kind and verdict, and schedules by fault, one or two in each."
+        )
+        rows = sorted({**ends, **faults}.items())
+        page.add_table(["count of", "number"], [[n, str(c)] for n, c in rows])
+        page.write(REPORT, verdict)
     print(verdict)
     sys.exit(1 if violations else 0)
 
--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -6,17 +6,15 @@
 """
 
 import asyncio
-import os
 import pathlib
-import platform
 import random
-import subprocess
 import time
 from typing import Any
 
 import attrs
 import fire
 
+from benchmarks.report import Report
 from wagtailstep.controllers.guard import DuplicateGuard
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.fakes.log_server import serve
@@ -187,32 +185,29 @@
     return cells
 
 
-def write_report(cells: list[Cell], seed: int) -> None:
-    """Write the table of all cells."""
-    git = ["git", "rev-parse", "--short", "HEAD"]
-    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
-    lines = [
-        "# Cost of tickets and idempotency keys",
-        "",
-        f"Machine: {platform.machine()}, {os.cpu_count()} cores, shared with other "
-        f"work; Python {platform.python_version()}; seed {seed}; code of commit "
-        f"{commit}. Entry, runtime, log client and the stand-in of the log service "
-        "share one process and one core, so the processor time of a keyed request "
-        "includes the stand-in's.",
-        "",
-        "| log delay ms | callers | kind | requests | p50 ms | p99 ms | appends per "
-        "1,000 requests | CPU us per request |",
-        "|---|---|---|---|---|---|---|---|",
+def add_cells(report: Report, cells: list[Cell]) -> None:
+    """Add the table of all cells to the page."""
+    report.add_text(
+        "Entry, runtime, log client and the stand-in of the log service share one "
+        "process and one core, so the processor time of a keyed request includes the "
+        "stand-in's."
+    )
+    headings = ["log delay ms", "callers", "kind", "requests", "p50 ms", "p99 ms"]
+    headings += ["appends per 1,000 requests", "CPU us per request"]
+    rows = [
+        [
+            str(cell.log_delay_ms),
+            str(cell.concurrency),
+            cell.kind,
+            str(cell.requests),
+            f"{cell.p50_ms:.2f}",
+            f"{cell.p99_ms:.2f}",
+            f"{1_000 * cell.appends / cell.requests:.0f}",
+            f"{cell.cpu_us:.0f}",
+        ]
+        for cell in cells
     ]
-    for cell in cells:
-        rate = 1_000 * cell.appends / cell.requests
-        lines.append(
-            f"| {cell.log_delay_ms} | {cell.concurrency} | {cell.kind} | "
-            f"{cell.requests} | {cell.p50_ms:.2f} | {cell.p99_ms:.2f} | {rate:.0f} | "
-            f"{cell.cpu_us:.0f} |"
-        )
-    REPORT.parent.mkdir(parents=True, exist_ok=True)
-    REPORT.write_text("\n".join(lines) + "\n")
+    report.add_table(headings, rows)
 
 
 def find(cells: list[Cell], kind: str, delay_ms: int, concurrency: int) -> Cell:
@@ -226,17 +221,20 @@
 
     :param requests: requests in each cell.
     """
+    report = Report("Cost of tickets and idempotency keys", "keys", seed)
     cells = asyncio.run(measure(seed, requests))
-    write_report(cells, seed)
+    add_cells(report, cells)
     plain = find(cells, "unkeyed", 5, 16)
     ticket, key = find(cells, "ticket", 5, 16), find(cells, "key", 5, 16)
-    print(
+    last_line = (
         f"ticket_added_ms_p50={ticket.p50_ms - plain.p50_ms:.2f} "
         f"key_added_ms_p50={key.p50_ms - plain.p50_ms:.2f} "
         f"key_added_ms_p99={key.p99_ms - plain.p99_ms:.2f} "
         f"appends_per_1000_keys={1_000 * key.appends / key.requests:.0f} "
         f"unkeyed_cpu_us={plain.cpu_us:.0f} ticket_cpu_us={ticket.cpu_us:.0f}"
     )
+    report.write(REPORT, last_line)
+    print(last_line)
 
 
 if __name__ == "__main__":
