Pass the urgency of a message to the channel

Cause: the runtime dropped the mark of urgent messages. Change: the channel's interface takes it; urgent messages pass those that wait for the same connection. A daemon that lost its last target is no lapse.

--- a/features/peer_channel.feature
+++ b/features/peer_channel.feature
@@ -34,3 +34,17 @@
     When the in-memory network doubles and delays all messages
     And each in-memory channel sends 20 pings to the other
     Then "a" received 40 pings, not in the order of sending
+
+  Scenario: Urgent messages go before those that wait for the same connection
+    Given two control channels on loopback
+    When the second one closes
+    And the first one sends pings 1, 2 and an urgent ping 3
+    And a successor starts at the address of the second one
+    Then the second one delivers pings 3, 1 and 2 in this order
+
+  Scenario: A connection that has grown old is replaced without a loss
+    Given two control channels on loopback
+    When the first one sends a ping to the second one
+    And the connection of the first one grows old and is swept
+    And the first one sends a ping with sequence 99
+    Then the second one delivers pings 1 and 99, over 2 connections
--- a/features/steps/peer_channel_steps.py
+++ b/features/steps/peer_channel_steps.py
@@ -14,6 +14,7 @@
 from wagtailstep.network.peer_channel import (
     CONNECT_TIMEOUT_MS,
     LOGGER,
+    MAX_CONNECTION_AGE_MS,
     ZeroMqPeerChannel,
 )
 from wagtailstep.utils.clock import ManualClock
@@ -76,6 +77,54 @@
     run(context, send())
 
 
+@when("the first one sends pings 1, 2 and an urgent ping 3")
+def send_urgent(context):
+    first, second = context.channels
+
+    async def send():
+        for sequence in (1, 2, 3):
+            ping = Ping(sequence, first.address)
+            first.send(second.address, ping, urgent=sequence == 3)
+
+    run(context, send())
+
+
+def wait_for_sequences(context, count):
+    async def wait():
+        async with asyncio.timeout(DELIVERY_LIMIT_S):
+            while len(context.receivers[1].messages) < count:
+                await asyncio.sleep(0.01)
+
+    run(context, wait())
+    return [message.sequence for _, message in context.receivers[1].messages]
+
+
+@then("the second one delivers pings 3, 1 and 2 in this order")
+def check_order(context):
+    found = wait_for_sequences(context, 3)
+    assert found == [3, 1, 2], found
+
+
+@when("the connection of the first one grows old and is swept")
+def sweep(context):
+    first, second = context.channels
+    wait_for_sequences(context, 1)
+    context.channel_clock.advance(timedelta(milliseconds=MAX_CONNECTION_AGE_MS))
+
+    async def wait():
+        async with asyncio.timeout(DELIVERY_LIMIT_S):
+            while second.address in first.connections:
+                await asyncio.sleep(0.01)
+
+    run(context, wait())
+
+
+@then("the second one delivers pings 1 and 99, over 2 connections")
+def check_connections(context):
+    assert wait_for_sequences(context, 2) == [1, 99]
+    assert context.channels[0].counters.connections == 2
+
+
 @then("the second one delivers the ping with the name of the first")
 def check_delivered(context):
     receiver = context.receivers[1]
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -116,7 +116,8 @@
         for daemon_id, holding in self.holdings.items():
             if holding.published and now - holding.renewed_at >= self.lease:
                 self._withdraw(holding)
-                lapsed.append(daemon_id)
+                if holding.targets:
+                    lapsed.append(daemon_id)
         return lapsed
 
     def drop(self, daemon_id: str) -> None:
--- a/src/wagtailstep/models/peer.py
+++ b/src/wagtailstep/models/peer.py
@@ -31,10 +31,11 @@
         :param deliver: called with the sender's ``daemon_id`` and the message.
         """
 
-    def send(self, address: str, message: object) -> None:
+    def send(self, address: str, message: object, urgent: bool = False) -> None:
         """Send one message, or drop it; never blocks and never raises.
 
         :param address: ``host:port`` of the receiver's control channel.
+        :param urgent: whether it goes before others that wait for a connection.
         """
 
     async def close(self) -> None:
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -222,7 +222,7 @@
 def _(effect: SendToPeer, runtime: Runtime) -> None:
     body = encode_message(effect.message)
     stamped = StampedMessage(runtime.timeline.stamp_message(), body)
-    runtime.outside.channel.send(effect.address, stamped)
+    runtime.outside.channel.send(effect.address, stamped, effect.urgent)
 
 
 @apply_effect.register
