Bind the controllers' handlers once

Cause: Python looks up a single-dispatch method on each access, nine times an event. Change: the runtime binds them when the controllers are set. Figures (20,000 events that no controller takes, two runs each): 28.6 and 32.6 us of processor time per event before, 11.9 and 12.0 us after.

--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -73,11 +73,21 @@
         self.rng = rng
         self.outside = outside
         self.timeline = Timeline(settings, blackboard, clock)
-        self.controllers: Sequence[Controller] = ()
+        self.handlers: list[tuple[Controller, Callable[[Any], list[Any]]]] = []
         self.listeners: dict[type, Callable[[Any], None]] = {}
         self.followers: dict[str, LogFollower] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def controllers(self) -> Sequence[Controller]:
+        """The controllers, in the order in which they take events."""
+        return tuple(controller for controller, _ in self.handlers)
+
+    @controllers.setter
+    def controllers(self, controllers: Sequence[Controller]) -> None:
+        # Looking up a single-dispatch method costs more than calling it.
+        self.handlers = [(each, each.handle) for each in controllers]
+
     async def start(self) -> None:
         """Start receiving messages and ticking."""
         await self.outside.channel.start(self.receive)
@@ -95,9 +105,9 @@
 
         An error of one controller is logged and keeps nothing from the others.
         """
-        for controller in self.controllers:
+        for controller, handle in self.handlers:
             try:
-                effects = controller.handle(event)
+                effects = handle(event)
             except Exception:
                 LOGGER.exception(
                     "event=controller-failed controller=%s on=%s",
