--- a/features/gate_path.feature
+++ b/features/gate_path.feature
@@ -55,3 +55,18 @@
     When a large upload is sent to a gate that refuses it
     Then "upload" ended as "leaving" with verdict "not-run" and blame "none"
     And the body of the upload was not touched
+
+  Scenario: No schedule of bytes, faults and cancellations makes an ending untrue
+    Given a backend server behind its gate, and an entry
+    When 40 schedules run with split and delayed bytes, faults and cancellations
+    Then in no schedule a caller was told a lie or a request ran twice
+
+  Scenario Outline: The check of schedules catches planted faults
+    Given the same with the planted client fault "<fault>"
+    When 40 schedules run with split and delayed bytes, faults and cancellations
+    Then some schedule shows a lie or a request that ran twice
+
+    Examples:
+      | fault     |
+      | careless  |
+      | resending |
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -129,6 +129,9 @@
             return await super().send(request)
 
 
+CLIENT_FAULTS = {"careless": CarelessClient, "resending": ResendingClient}
+
+
 class Caller:
     """Sends requests one after the other and keeps what came of each."""
 
@@ -180,8 +183,7 @@
 
 @given('an HTTP client with the planted fault "{name}" and a scripted server')
 def use_faulty_client(context, name):
-    faults = {"careless": CarelessClient, "resending": ResendingClient}
-    context.client_class = faults[name]
+    context.client_class = CLIENT_FAULTS[name]
 
 
 @when('it sends a non-idempotent request that the server ends with "{behaviour}"')
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -9,6 +9,7 @@
 
 import detangle
 from behave import given, then, when
+from http_client_steps import CLIENT_FAULTS
 
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.exceptions import RequestError
@@ -45,7 +46,8 @@
 class PathWorld:
     """One backend server, its gate, and the forwarder of another daemon."""
 
-    def __init__(self, gate_class=GateController):
+    def __init__(self, gate_class=GateController, client_class=HttpClient):
+        self.client_class = client_class
         self.clock = LoopClock()
         self.results = {}
         self.refused = set()
@@ -66,7 +68,7 @@
         self.forwarder = HttpForwarder(entry_board, self.make_client(), self.gate)
 
     def make_client(self):
-        return HttpClient(self.settings.requests, self.clock)
+        return self.client_class(self.settings.requests, self.clock)
 
     async def start(self, **changes):
         """Start the backend server and the gate."""
@@ -148,11 +150,11 @@
     yield b""
 
 
-def run_path(context, scenario, **backend_changes):
+def run_path(context, scenario, seed=1, net=None, **backend_changes):
     """Run a scenario in virtual time."""
 
     async def main():
-        world = PathWorld(getattr(context, "gate_class", GateController))
+        world = PathWorld(context.gate_class, context.client_class)
         context.path = world
         await world.start(**backend_changes)
         await scenario(world)
@@ -160,17 +162,25 @@
         await world.server.close()
         await world.backend.stop()
 
-    detangle.run(main, seed=1)
+    detangle.run(main, seed=seed, net=net or {})
 
 
 @given("a backend server behind its gate, and an entry")
 def use_path(context):
     context.gate_class = GateController
+    context.client_class = HttpClient
+
+
+@given('the same with the planted client fault "{name}"')
+def use_faulty_path_client(context, name):
+    context.gate_class = GateController
+    context.client_class = CLIENT_FAULTS[name]
 
 
 @given("a backend server behind a gate that forgets what it barred, and an entry")
 def use_forgetful_gate(context):
     context.gate_class = ForgetfulGate
+    context.client_class = HttpClient
 
 
 @when("the kept connection goes silent before a non-idempotent request")
@@ -306,6 +316,41 @@
     run_path(context, scenario)
 
 
+@when("{count:d} schedules run with split and delayed bytes, faults and cancellations")
+def run_schedules(context, count):
+    context.worlds = []
+
+    async def keep_calling(world, caller, rng):
+        for number in range(6):
+            idempotent = rng.random() < 0.5
+            call = world.call(
+                f"{caller}-{number}",
+                idempotent=idempotent,
+                time_left_ms=rng.choice((50, 2_000, 20_000)),
+                work_ms=rng.choice((0, 10, 200)),
+            )
+            task = asyncio.create_task(call)
+            if rng.random() < 0.2:
+                await asyncio.sleep(rng.random() * 0.3)
+                task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await asyncio.sleep(rng.choice((0, 0, 1)))
+
+    for seed in range(count):
+
+        async def scenario(world, seed=seed):
+            context.worlds.append(world)
+            rng = random.Random(seed)
+            world.backend.faults = Faults(
+                truncate_share=0.1, lose_share=0.1, hang_share=0.05
+            )
+            callers = [keep_calling(world, n, rng) for n in range(6)]
+            await asyncio.gather(*callers)
+
+        net = {"latency": (0.0005, 0.02), "fragment": 0.3}
+        run_path(context, scenario, seed=seed, net=net)
+
+
 @then('"{key}" ended as "{reason}" with verdict "{verdict}" and blame "{blame}"')
 def check_error(context, key, reason, verdict, blame):
     error = context.path.results[key]
@@ -366,3 +411,33 @@
 def check_late_work(context, limit_ms):
     late_ms = context.path.backend.counts.late_work_ms
     assert late_ms <= limit_ms, late_ms
+
+
+def find_violations(worlds):
+    """Return every ending that was not true, and the kinds of endings."""
+    kinds = set()
+    violations = []
+    for seed, world in enumerate(worlds):
+        for key, result in world.results.items():
+            started = world.backend.counts.started[key]
+            is_error = isinstance(result, RequestError)
+            kind = result.verdict.value if is_error else "answered"
+            kinds.add(kind)
+            is_lie = kind == "not-run" and started
+            is_wrong = kind == "answered" and result != (200, f"{key}\n")
+            if started > 1 or is_lie or is_wrong:
+                violations.append((seed, key, started, str(result)))
+    return violations, kinds
+
+
+@then("in no schedule a caller was told a lie or a request ran twice")
+def check_schedules(context):
+    violations, kinds = find_violations(context.worlds)
+    assert not violations, violations
+    assert kinds == {"answered", "not-run", "may-have-run"}, kinds
+
+
+@then("some schedule shows a lie or a request that ran twice")
+def check_schedules_catch(context):
+    violations, _ = find_violations(context.worlds)
+    assert violations
