--- a/features/gate_path.feature
+++ b/features/gate_path.feature
@@ -34,6 +34,12 @@
     When the backend server never answers a request with 2000 ms left
     Then "hanging" ended as "deadline-exceeded" with verdict "may-have-run" and blame "backend-server"
 
+  Scenario: A request that waited past its deadline speaks against no backend server
+    Given a backend server behind its gate, and an entry
+    When the deadline of a request passes while it waits for a slot
+    Then "waiting" ended as "deadline-exceeded" with verdict "not-run" and blame "overload"
+    And the backend server was sent "waiting" 0 times
+
   Scenario Outline: A broken answer of the backend server is told as such
     Given a backend server behind its gate, and an entry
     When the backend server has the fault "<fault>"
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -238,6 +238,20 @@
     run_path(context, scenario)
 
 
+@when("the deadline of a request passes while it waits for a slot")
+def wait_past_deadline(context):
+    async def scenario(world):
+        running = [
+            asyncio.create_task(world.call(f"running-{n}", work_ms=1_000))
+            for n in range(4)
+        ]
+        await asyncio.sleep(0.1)
+        await world.call("waiting", time_left_ms=200)
+        await asyncio.gather(*running)
+
+    run_path(context, scenario)
+
+
 @when('the backend server has the fault "{name}"')
 def have_fault(context, name):
     async def scenario(world):
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -144,12 +144,27 @@
 
 
 class DeadlineExceededError(RequestError):
-    """The time that the caller allowed has passed."""
+    """The time that the caller allowed has passed.
+
+    If the request was not run by then, it waited for a slot, which speaks against
+    no backend server.
+    """
 
     status = 504
     reason = "deadline-exceeded"
     blame = Blame.BACKEND_SERVER
 
+    def __init__(
+        self,
+        message: str,
+        verdict: Verdict,
+        status: int | None = None,
+        retry_after: timedelta | None = None,
+    ) -> None:
+        super().__init__(message, verdict, status, retry_after)
+        if verdict is Verdict.NOT_RUN:
+            self.blame = Blame.OVERLOAD
+
 
 class DuplicateRequestError(RequestError):
     """A request with the same idempotency key or ticket was accepted before."""
