--- a/features/gate_path.feature
+++ b/features/gate_path.feature
@@ -64,12 +64,12 @@
 
   Scenario: No schedule of bytes, faults and cancellations makes an ending untrue
     Given a backend server behind its gate, and an entry
-    When 40 schedules run with split and delayed bytes, faults and cancellations
+    When 25 schedules run with split and delayed bytes, faults and cancellations
     Then in no schedule a caller was told a lie or a request ran twice
 
   Scenario Outline: The check of schedules catches planted faults
     Given the same with the planted client fault "<fault>"
-    When 40 schedules run with split and delayed bytes, faults and cancellations
+    When 8 schedules run with split and delayed bytes, faults and cancellations
     Then some schedule shows a lie or a request that ran twice
 
     Examples:
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -75,6 +75,11 @@
     Then request 2 got its own answer
     And the server saw 2 connections
 
+  Scenario: A connection that nobody uses is closed
+    Given an HTTP client and a scripted server
+    When it sends "ok" and then the same over the kept connection with "ok"
+    Then the kept connection was closed when it had been idle for too long
+
   Scenario: A refusal is heard while the body is still being sent
     Given an HTTP client and a scripted server
     When it sends a body of 100 chunks that the server refuses unread
--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -44,6 +44,11 @@
     When a caller asks over "1.1" for "/broken"
     Then the answer has status "500" and verdict may-have-run
 
+  Scenario: A caller can't hold a connection with an endless head
+    Given an HTTP server in memory
+    When a caller sends the head of a request one byte every 10 s
+    Then the server closes the connection before the head is whole
+
   Scenario: A caller that goes away cancels its request
     Given an HTTP server in memory
     When a caller goes away while its request is handled
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -171,6 +171,8 @@
         context.caller = Caller(client)
         await scenario(context.caller)
         await asyncio.sleep(10)
+        context.kept = len(client.pools)
+        context.closed_while_idle = context.server.closed_by_client
         client.close()
 
     detangle.run(main, seed=getattr(context, "schedule", 1))
@@ -296,6 +298,12 @@
     assert context.caller.results[number - 1][1] == status, context.caller.results
 
 
+@then("the kept connection was closed when it had been idle for too long")
+def check_swept(context):
+    assert context.kept == 0
+    assert context.closed_while_idle == 1, context.closed_while_idle
+
+
 @then("the server was delivered {count:d} request")
 @then("the server was delivered {count:d} requests")
 def check_delivered(context, count):
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -201,6 +201,24 @@
     run_server(context, scenario, on_sockets=True)
 
 
+@when("a caller sends the head of a request one byte every {pause_s:d} s")
+def send_slowly(context, pause_s):
+    async def scenario(world):
+        reader, writer = await connect()
+        closing = asyncio.create_task(reader.read())
+        context.bytes_taken = 0
+        for byte in GOOD_REQUEST:
+            if closing.done():
+                break
+            writer.write(bytes([byte]))
+            context.bytes_taken += 1
+            await asyncio.sleep(pause_s)
+        closing.cancel()
+        writer.close()
+
+    run_server(context, scenario)
+
+
 @when("a caller goes away while its request is handled")
 def go_away(context):
     async def scenario(world):
@@ -355,6 +373,12 @@
     assert context.made_before_reading < count, context.made_before_reading
 
 
+@then("the server closes the connection before the head is whole")
+def check_slow_head(context):
+    assert context.bytes_taken < len(GOOD_REQUEST), context.bytes_taken
+    assert context.world.handled == [], context.world.handled
+
+
 @then("the whole huge answer arrived")
 def check_huge(context):
     assert context.huge_bytes == HUGE_CHUNKS * len(CHUNK), context.huge_bytes
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -220,11 +220,19 @@
         slots = self.blackboard.targets[target_id].slots
         queue = self.queues.get(target_id)
         if queue is None:
+            self.drop_old_queues()
             queue = TargetQueue(ConcurrencyLimit(slots))
             self.queues[target_id] = queue
         queue.limit.resize(slots)
         return queue
 
+    def drop_old_queues(self) -> None:
+        """Forget backend servers that are gone and have nothing left to end."""
+        for target_id, queue in list(self.queues.items()):
+            is_empty = not queue.running and not queue.waiting
+            if is_empty and target_id not in self.blackboard.targets:
+                del self.queues[target_id]
+
     def start(self, queue: TargetQueue, request: GateRequest) -> StartRequest:
         """Give a slot to a request."""
         now = self.clock.monotonic()
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -114,6 +114,7 @@
         self.pools: dict[str, deque[HttpConnection]] = {}
         self.idle_limit = timedelta(milliseconds=settings.connection_idle_ms)
         self.closed = False
+        self.sweep_timer: asyncio.TimerHandle | None = None
 
     async def send(self, request: HttpRequest) -> Answer:
         """Send one request once and return the head of its answer.
@@ -200,19 +201,32 @@
         pool.append(connection)
         if len(pool) > MAX_IDLE_PER_ADDRESS:
             pool.popleft().close()
+        if self.sweep_timer is None:
+            self.start_sweep_timer()
+
+    def start_sweep_timer(self) -> None:
+        """Have old idle connections closed a while from now."""
+        loop = asyncio.get_running_loop()
+        delay = self.idle_limit.total_seconds()
+        self.sweep_timer = loop.call_later(delay, self.close_idle)
 
     def close_idle(self) -> None:
-        """Close connections that were idle for too long; call it now and then."""
+        """Close connections that were idle for too long, again and again."""
         now = self.clock.monotonic()
         for address, pool in list(self.pools.items()):
             while pool and now - pool[0].idle_since > self.idle_limit:
                 pool.popleft().close()
             if not pool:
                 del self.pools[address]
+        self.sweep_timer = None
+        if self.pools:
+            self.start_sweep_timer()
 
     def close(self) -> None:
         """Close all idle connections; those in use close when they are released."""
         self.closed = True
+        if self.sweep_timer is not None:
+            self.sweep_timer.cancel()
         for pool in self.pools.values():
             for connection in list(pool):
                 connection.close()
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -22,6 +22,7 @@
 
 logger = logging.getLogger(__name__)
 
+HEAD_TIMEOUT_S = 75
 CONNECTION_KEY = "wagtailstep.connection"
 
 # uvicorn logs a malformed request and an unfinished answer on its own; each is
@@ -44,10 +45,29 @@
         self.app = self.run_handler
         self.handler: asyncio.Task[None] | None = None
         self.on_lost: Callable[[], None] = do_nothing
+        self.head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begin to wait for a request."""
+        super().connection_made(transport)
+        self.wait_for_head()
+
+    def wait_for_head(self) -> None:
+        """Close the connection if no whole head of a request arrives in time.
+
+        uvicorn's own limit begins anew with each byte.
+        """
+        self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self.transport.close)
+
+    def stop_waiting_for_head(self) -> None:
+        """Leave the connection open for as long as its request takes."""
+        if self.head_timer is not None:
+            self.head_timer.cancel()
 
     async def run_handler(self, scope: Any, receive: Any, send: Any) -> None:
         """Run the application; being cancelled by the caller's leaving is no error."""
         self.handler = asyncio.current_task()
+        self.stop_waiting_for_head()
         scope[CONNECTION_KEY] = self
         try:
             await self.served_app(scope, receive, send)
@@ -58,9 +78,12 @@
             self.break_connection()
         finally:
             self.handler = None
+            if not self.transport.is_closing():
+                self.wait_for_head()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler: nobody waits for its answer any more."""
+        self.stop_waiting_for_head()
         answered = self.cycle is None or self.cycle.response_complete
         super().connection_lost(exc)
         if self.handler is not None and not answered:
