--- a/benchmarks/table.py
+++ b/benchmarks/table.py
@@ -229,10 +229,9 @@
     size: SizeFigures,
     snapshots: list[SnapshotFigures],
     seed: int,
+    commit: str,
 ) -> None:
     """Write all figures as a Markdown page."""
-    git = ["git", "rev-parse", "--short", "HEAD"]
-    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
     lines = [
         "# The table: time to in force, and cost",
         "",
@@ -256,7 +255,7 @@
         "| daemons | scenario | p50 ms | p99 ms | worst ms | reverted | lost | "
         "applied twice | quiet B/s | B per edit | B/s over a day | % of a core | "
         "log reads/s of all |",
-        "|---|---|---|---|---|---|---|---|---|---|---|---|---|",
+        f"|{'---|' * 13}",
         *(describe_fleet(item) for item in figures),
         "",
         "## At the design size",
@@ -290,6 +289,8 @@
 
     :param largest: leave out fleets of more daemons than this.
     """
+    git = ["git", "rev-parse", "--short", "HEAD"]
+    commit = subprocess.run(git, capture_output=True, text=True).stdout.strip()
     results: list[FleetFigures] = []
     for size in (size for size in SIZES if size <= largest):
         for scenario in ("all daemons read the log", "one daemon reads the log"):
@@ -302,7 +303,7 @@
     print(size_figures, flush=True)
     snapshots = [measure_snapshots(seed, count) for count in SNAPSHOT_SIZES]
     print(snapshots, flush=True)
-    write_report(results, size_figures, snapshots, seed)
+    write_report(results, size_figures, snapshots, seed, commit)
     print_summary(results)
 
 
