Copy a fold by sharing its packed rows

Cause: wagtailstep-table encoded and decoded the whole table to try an edit on a copy. Change: the copy shares the packed form of rows, which is never changed in place.

--- a/src/wagtailstep/commands/table_changes.py
+++ b/src/wagtailstep/commands/table_changes.py
@@ -1,13 +1,13 @@
 """Differences between tables, and what an edit would do."""
 
 import collections
+import copy
 from collections.abc import Iterator, Mapping
 
 from wagtailstep.commands.table_cells import format_cell
 from wagtailstep.models.table import Row, RowKind, Table
 from wagtailstep.models.table_edits import RowId, TableChanges
 from wagtailstep.models.table_fold import TableFold
-from wagtailstep.models.table_snapshot import decode_snapshot, encode_snapshot
 
 
 def table_rows(table: Table) -> dict[RowId, Row]:
@@ -83,4 +83,13 @@
 
 def copy_fold(fold: TableFold) -> TableFold:
     """Return a fold that can be changed without changing the first one."""
-    return decode_snapshot(encode_snapshot(fold))
+    rows = {kind.field_name: copy.copy(fold.table.rows(kind)) for kind in RowKind}
+    table = Table(fold.version, **rows)
+    return TableFold(
+        table,
+        fold.next_offset,
+        fold.content_hash,
+        fold.horizon,
+        fold.accepted.copy(),
+        dict(fold.refused),
+    )
--- a/src/wagtailstep/models/packed_rows.py
+++ b/src/wagtailstep/models/packed_rows.py
@@ -55,6 +55,15 @@
         self.count = 0
         self._pack(sorted((key.encode(), number) for key, number in rows))
 
+    def __copy__(self) -> "PackedRows[_Row]":
+        """Return a copy that shares the packed form, which is never changed."""
+        other = PackedRows(self.make_row, self.number_of)
+        other.numbers = self.numbers
+        other.packed_keys = self.packed_keys
+        other.changes = dict(self.changes)
+        other.count = self.count
+        return other
+
     def _pack(self, pairs: list[tuple[bytes, float]]) -> None:
         self.numbers = array.array("d", (number for _, number in pairs))
         ends = array.array("I")
