--- a/features/steps/table_steps.py
+++ b/features/steps/table_steps.py
@@ -251,6 +251,17 @@
     assert prefixed == sorted(key for key in plain if key.startswith("b1"))
 
 
+@then("packed rows refuse keys that are out of order")
+def check_order(context):
+    for keys in (("b", "a"), ("a", "a")):
+        try:
+            pack_accounts().load_sorted((key, 1.0) for key in keys)
+        except ValueError as error:
+            assert "does not come after" in str(error)
+        else:
+            raise AssertionError(f"{keys} were taken")
+
+
 # Daemons
 
 
--- a/features/table.feature
+++ b/features/table.feature
@@ -91,6 +91,9 @@
   Scenario: Packed rows behave like a dictionary
     Then packed rows agree with a dictionary over 4000 random operations
 
+  Scenario: Packed rows that are out of order are refused
+    Then packed rows refuse keys that are out of order
+
   Scenario: A fleet that is replaced while the log is away takes no request
     Given a fleet of 5 daemons with a table in force
     When all daemons are replaced while the log is away
--- a/src/wagtailstep/models/packed_rows.py
+++ b/src/wagtailstep/models/packed_rows.py
@@ -32,6 +32,17 @@
         return self.blob[start : self.ends[index]]
 
 
+def _check_sorted(
+    pairs: Iterable[tuple[bytes, float]],
+) -> Iterator[tuple[bytes, float]]:
+    last: bytes | None = None
+    for key, number in pairs:
+        if last is not None and key <= last:
+            raise ValueError(f"key {key!r} does not come after {last!r}")
+        last = key
+        yield key, number
+
+
 class PackedRows(MutableMapping[str, _Row], Generic[_Row]):
     """Rows of one key and one number, in about the space of their keys.
 
@@ -64,16 +75,27 @@
         other.count = self.count
         return other
 
-    def _pack(self, pairs: list[tuple[bytes, float]]) -> None:
-        self.numbers = array.array("d", (number for _, number in pairs))
+    def _pack(self, pairs: Iterable[tuple[bytes, float]]) -> None:
+        """Take over pairs of key and number, sorted by key, one at a time."""
+        blob = bytearray()
         ends = array.array("I")
-        end = 0
-        for key, _ in pairs:
-            end += len(key)
-            ends.append(end)
-        self.packed_keys = _KeyView(b"".join(key for key, _ in pairs), ends)
+        numbers = array.array("d")
+        for key, number in pairs:
+            blob += key
+            ends.append(len(blob))
+            numbers.append(number)
+        self.numbers = numbers
+        self.packed_keys = _KeyView(bytes(blob), ends)
         self.changes.clear()
-        self.count = len(pairs)
+        self.count = len(numbers)
+
+    def load_sorted(self, rows: Iterable[tuple[str, float]]) -> None:
+        """Replace all rows, holding no more than one of them as an object.
+
+        :param rows: keys and numbers, in the order in which this mapping gives them.
+        :raises ValueError: if they are in another order.
+        """
+        self._pack(_check_sorted((key.encode(), number) for key, number in rows))
 
     def _find_packed(self, key: str) -> float | None:
         wanted = key.encode()
--- a/src/wagtailstep/models/table_snapshot.py
+++ b/src/wagtailstep/models/table_snapshot.py
@@ -1,11 +1,13 @@
 """Snapshots of the fold, for readers that can't read from the first record."""
 
 import collections
+import itertools
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from datetime import datetime
 
 import attrs
+import msgspec
 
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.packed_rows import PackedRows
@@ -28,21 +30,26 @@
 PART_BYTES = 262_144
 MAX_SNAPSHOT_BYTES = 64_000_000
 COMPRESSION_LEVEL = 1
+GROUP_ROWS = 2_048
 
 
 @message
 @attrs.frozen
 class TableSnapshot:
-    """All that a fold holds; the fields are those of :class:`TableFold`."""
+    """All that a fold holds; the fields are those of :class:`TableFold`.
+
+    Rows of one number come as encoded dictionaries of a bounded number of rows, so
+    that a reader never holds all of them as objects.
+    """
 
     version: int
     next_offset: int
     content_hash: int
     horizon: int
     services: tuple[ServiceRow, ...]
-    backend_servers: dict[str, float]
+    backend_servers: tuple[msgspec.Raw, ...]
     routes: tuple[RouteRow, ...]
-    accounts: dict[str, float]
+    accounts: tuple[msgspec.Raw, ...]
     accepted: tuple[AcceptedEdit, ...]
     refused: tuple[EditOutcome, ...]
 
@@ -56,18 +63,27 @@
         fold.content_hash,
         fold.horizon,
         tuple(table.services.values()),
-        _numbers_by_key(table.backend_servers),
+        _encode_numbers(table.backend_servers),
         tuple(table.routes.values()),
-        _numbers_by_key(table.accounts),
+        _encode_numbers(table.accounts),
         tuple(fold.accepted),
         tuple(fold.refused.values()),
     )
     return zlib.compress(encode_message(snapshot), COMPRESSION_LEVEL)
 
 
-def _numbers_by_key(rows: Mapping[str, Row]) -> dict[str, float]:
+def _encode_numbers(rows: Mapping[str, Row]) -> tuple[msgspec.Raw, ...]:
     assert isinstance(rows, PackedRows)
-    return dict(rows.numbers_from())
+    pairs = rows.numbers_from()
+    groups: list[msgspec.Raw] = []
+    while group := dict(itertools.islice(pairs, GROUP_ROWS)):
+        groups.append(msgspec.Raw(msgspec.msgpack.encode(group)))
+    return tuple(groups)
+
+
+def _decode_numbers(groups: Iterable[msgspec.Raw]) -> Iterator[tuple[str, float]]:
+    for group in groups:
+        yield from msgspec.msgpack.decode(group, type=dict[str, float]).items()
 
 
 def decode_snapshot(data: bytes) -> TableFold:
@@ -83,16 +99,23 @@
     snapshot = decode_message(unpacked)
     if not isinstance(snapshot, TableSnapshot):
         raise DecodeError("a table snapshot is damaged: it is another message")
-    return _restore(snapshot)
+    try:
+        return _restore(snapshot)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DecodeError(f"a table snapshot is damaged: {error}") from error
 
 
 def _restore(snapshot: TableSnapshot) -> TableFold:
+    servers = pack_backend_servers()
+    servers.load_sorted(_decode_numbers(snapshot.backend_servers))
+    accounts = pack_accounts()
+    accounts.load_sorted(_decode_numbers(snapshot.accounts))
     table = Table(
         snapshot.version,
         {row.service: row for row in snapshot.services},
-        pack_backend_servers(snapshot.backend_servers),
+        servers,
         {row.route_id: row for row in snapshot.routes},
-        pack_accounts(snapshot.accounts),
+        accounts,
     )
     if hash_table(table) != snapshot.content_hash:
         raise DecodeError("a table snapshot is damaged: its rows have another hash")
