Check that no key stays held without a run

Cause: the histories checked safety only; a release that got lost would not show. Change: where the faults leave no doubt about a run, each keyed operation that has not run is sent once more after they have gone and must run; a forgotten release is planted and caught.

--- a/benchmarks/histories/callers.py
+++ b/benchmarks/histories/callers.py
@@ -30,6 +30,7 @@
         self.number = number
         self.fleet = fleet
         self.rng = random.Random(f"{fleet.seed}/caller/{number}")
+        self.keys: dict[int, tuple[Kind, str]] = {}
 
     async def run(self, operations: int) -> None:
         """Do some operations of random kinds."""
@@ -47,6 +48,7 @@
         key = await self.get_key(operation, kind)
         if kind.keyed and key is None:
             return
+        self.keys[operation] = (kind, key)
         for attempt in range(MAX_SENDINGS):
             double = kind.keyed and self.rng.random() < 0.2
             sendings = [
@@ -58,6 +60,13 @@
                 return
             await asyncio.sleep(self.rng.uniform(0, 0.4))
 
+    async def send_once_more(self) -> None:
+        """Send each keyed operation that has not run once more."""
+        ran = {execution.operation for execution in self.fleet.history.executions}
+        for operation, (kind, key) in self.keys.items():
+            if kind.keyed and operation not in ran:
+                await self.send(operation, kind, key, False)
+
     async def get_key(self, operation: int, kind: Kind) -> str | None:
         """Return a key, or ask a daemon for a ticket."""
         if kind is not Kind.TICKET:
--- a/benchmarks/histories/checker.py
+++ b/benchmarks/histories/checker.py
@@ -85,6 +85,14 @@
                 yield Violation("not-run-is-a-fact", f"{sending} but {execution}")
 
 
+def check_not_stuck(history: RunHistory) -> Iterator[Violation]:
+    """Find keyed operations that did not run although all faults had gone."""
+    ran = {execution.operation for execution in history.executions}
+    for operation in {s.operation: s for s in history.sendings if s.kind.keyed}:
+        if operation not in ran:
+            yield Violation("not-stuck", f"operation {operation}")
+
+
 class OnceModel(detangle.lin.Model):
     """A keyed operation: it has run or not; answers agree with that.
 
--- a/benchmarks/histories/schedule.py
+++ b/benchmarks/histories/schedule.py
@@ -8,7 +8,7 @@
 import detangle
 
 from benchmarks.histories.callers import CALLER, Caller
-from benchmarks.histories.checker import check_history
+from benchmarks.histories.checker import check_history, check_not_stuck
 from benchmarks.histories.fleet import SERVICE, FakeFleet
 from benchmarks.histories.history import RunHistory, Violation
 from benchmarks.histories.network import LOG
@@ -18,6 +18,7 @@
 CALLERS = 4
 OPERATIONS = 3
 FAULTS_BEGIN_S = 1.5
+RECOVERY_S = 8.0
 MAX_STEPS = 2_000_000
 
 Fault = Callable[[FakeFleet, random.Random], Awaitable[None]]
@@ -113,6 +114,10 @@
 }
 
 
+# These leave no doubt about a run, so that no key may stay held without one.
+HARMLESS_FAULTS = frozenset({"refusals", "log-away", "lost-acknowledgments"})
+
+
 @attrs.define
 class RunResult:
     """One run and what the checker found.
@@ -148,6 +153,8 @@
 
     fleet = detangle.run(run, seed=seed, max_steps=MAX_STEPS, fail_on_unobserved=False)
     violations = check_history(fleet.history)
+    if HARMLESS_FAULTS.issuperset(faults):
+        violations += check_not_stuck(fleet.history)
     return RunResult(seed, faults, fleet.history, violations, fleet.log.appends)
 
 
@@ -155,11 +162,14 @@
     """Run callers and faults beside each other, and stop."""
     for daemon in fleet.daemons.values():
         await daemon.boot()
-    callers = [
-        Caller(number, fleet).run(OPERATIONS) for number in range(1, CALLERS + 1)
-    ]
+    callers = [Caller(number, fleet) for number in range(1, CALLERS + 1)]
+    working = [caller.run(OPERATIONS) for caller in callers]
     running = [begin_fault(fleet, name, rng) for name in faults]
-    await asyncio.gather(*callers, *running)
+    await asyncio.gather(*working, *running)
+    if HARMLESS_FAULTS.issuperset(faults):
+        await asyncio.sleep(RECOVERY_S)
+        for caller in callers:
+            await caller.send_once_more()
     await fleet.close()
 
 
--- a/features/histories.feature
+++ b/features/histories.feature
@@ -28,6 +28,10 @@
     Then no promise is broken
     And some operations of each kind ran
 
+  Scenario: No key stays held without a run once the faults have gone
+    When 20 schedules run with faults "refusals, log-away, lost-acknowledgments"
+    Then no promise is broken
+
   Scenario: The same seed gives the same history
     When schedule 77 runs twice
     Then both histories are the same
@@ -49,4 +53,5 @@
       | ticket run by another daemon              | lost-answers         | at-most-once      |
       | ticket run again by its issuer            | truncated-answers    | at-most-once      |
       | ticket of an earlier incarnation run      | daemon-crash         | at-most-once      |
+      | release forgotten                         | refusals             | not-stuck         |
       | refusal with the log away called not run  | log-away             | not-run-is-a-fact |
--- a/features/steps/histories_steps.py
+++ b/features/steps/histories_steps.py
@@ -46,6 +46,12 @@
     run_all(context, [(FIRST_SEED + index, (fault,)) for index in range(count)])
 
 
+@when('{count:d} schedules run with faults "{faults}"')
+def run_with_faults(context, count, faults):
+    names = tuple(faults.split(", "))
+    run_all(context, [(FIRST_SEED + index, names) for index in range(count)])
+
+
 @when("one schedule runs for each pair of faults")
 def run_pairs(context):
     pairs = list(itertools.combinations(FAULTS, 2))
@@ -172,6 +178,7 @@
     "ticket run again by its issuer": (RunBook, "finish", finish_as_not_run),
     "ticket run by another daemon": (TicketOffice, "decide", run_any_ticket),
     "ticket of an earlier incarnation run": (TicketOffice, "decide", run_old_ticket),
+    "release forgotten": (ClaimDesk, "release", lambda desk, claim: []),
     "refusal with the log away called not run": (
         claims,
         "make_log_away_error",
