Decide a claim by its acknowledgment where all before it is read

Cause: each plain key waited for an append and then for a read of the same record. Change: an acknowledged offset that follows directly on what has been read lets the own record be folded at once; the record is skipped when it is read. The scenario that an acknowledgment decides nothing is replaced by two: it decides nothing while an earlier record is unread, and decides once all are read.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -82,11 +82,22 @@
     Then the request at "a" is decided as "run"
     And the request at "b" is decided as "run"
 
-  Scenario: An acknowledgment decides nothing
-    When "a" claims the key "k1" and its append is acknowledged
+  Scenario: An acknowledgment decides nothing while an earlier record is unread
+    When "b" claims the key "k1" and its append applies without acknowledgment
+    And "a" claims the key "k1" and its append is acknowledged
     Then the request at "a" is not decided
     When the log is read everywhere
+    Then the request at "a" is decided as "pass on" to "b"
+
+  Scenario: An acknowledgment decides once all earlier records are read
+    When "b" claims the key "k1"
+    And the claimed run at "b" ends as "not-run"
+    And the appends of "b" are made and read everywhere
+    And "a" claims the key "k1" and its append is acknowledged
     Then the request at "a" is decided as "run"
+    When the log is read everywhere
+    And "c" claims the key "k1"
+    Then the request at "c" is decided as "pass on" to "a"
 
   Scenario: A lost acknowledgment is settled by reading
     When "a" claims the key "k1" and its append applies without acknowledgment
@@ -175,7 +186,7 @@
     Then the request at "c" is decided as "pass on" to "b"
 
   Scenario: A resend at the same daemon waits for the claim, another request doesn't
-    When "a" claims the key "k1" and its append is acknowledged
+    When "a" claims the key "k1" and its append applies without acknowledgment
     Then the key "k1" at "a" is decided as "wait"
     And the key "k1" with another body at "a" is decided as "refuse" with "not-run"
 
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -1,9 +1,10 @@
 """Claims on plain idempotency keys, ordered by the log.
 
-A daemon that wants to run a keyed request appends a claim and decides when it reads
-its own record back: whoever's claim comes first in the stream holds the key. Reading
-the own record means that all earlier ones were read, so no acknowledgment, clock or
-lease is needed, and a claim that nobody waits for any more is never run but released.
+A daemon that wants to run a keyed request appends a claim and decides when it has read
+the stream up to its own record: whoever's claim comes first holds the key. An
+acknowledgment spares reading the own record only if all earlier ones were read. No
+clock or lease is needed, and a claim that nobody waits for any more is never run but
+released.
 """
 
 import itertools
@@ -100,6 +101,7 @@
         self.releasing: set[int] = set()
         self.given_up: OrderedDict[int, None] = OrderedDict()
         self.serials = itertools.count(1)
+        self.next_offset = 0
 
     def begin(
         self, request: RequestContext, fingerprint: str
@@ -232,13 +234,25 @@
 
     def settle_append(self, event: LogAppendSettled) -> list[Any]:
         """Take the end of the append under way."""
+        sent = self.appender.under_way
         lost = self.appender.settle(event, self.clock.monotonic())
         decided: list[Any] = []
         if lost and not event.may_have_applied:
             decided = list(self.refuse_pending(lost))
         self.appender.requeue([entry for entry in lost if self.is_wanted(entry)])
+        if event.offset == self.next_offset:
+            decided = self.take_own_record(sent, event.offset)
         return [*decided, *self.flush()]
 
+    def take_own_record(
+        self, entries: tuple[ClaimEntry, ...], offset: int
+    ) -> list[Any]:
+        """Fold an own record at once, since all records before it have been read."""
+        self.next_offset = offset + 1
+        return self.read_batch(
+            ClaimBatch(self.appender.daemon_id, self.boot_id, entries)
+        )
+
     def is_wanted(self, entry: ClaimEntry) -> bool:
         """Tell whether an entry still has to get into the log."""
         if entry.released:
@@ -265,13 +279,22 @@
         """Take the next records of the stream."""
         effects: list[Any] = []
         for record in records:
+            if record.offset < self.next_offset:
+                continue
+            self.next_offset = record.offset + 1
             try:
                 batch = decode_message(record.data)
             except DecodeError:
                 continue
             if isinstance(batch, ClaimBatch):
-                for entry in batch.entries:
-                    effects += self.read_entry(batch, entry)
+                effects += self.read_batch(batch)
+        return effects
+
+    def read_batch(self, batch: ClaimBatch) -> list[Any]:
+        """Fold one record and decide what it decides."""
+        effects: list[Any] = []
+        for entry in batch.entries:
+            effects += self.read_entry(batch, entry)
         return effects
 
     def read_entry(self, batch: ClaimBatch, entry: ClaimEntry) -> list[Any]:
@@ -335,9 +358,10 @@
         self.appender.add(entry)
         return self.flush()
 
-    def skip_gap(self) -> list[Any]:
+    def skip_gap(self, oldest_offset: int) -> list[Any]:
         """Forget what the log has forgotten; undecided claims are never run."""
         self.fold.clear()
+        self.next_offset = oldest_offset
         lost, self.pending = self.pending, {}
         decided = []
         for pending in lost.values():
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -76,7 +76,7 @@
     @handle.register
     def _(self, event: LogGap) -> list[Any]:
         desk = self.find_desk_of_stream(event.stream)
-        return desk.skip_gap() if desk is not None else []
+        return desk.skip_gap(event.oldest_offset) if desk is not None else []
 
     @handle.register
     def _(self, event: LogAppendSettled) -> list[Any]:
