--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -129,6 +129,9 @@
             return await super().send(request)
 
 
+CLIENT_FAULTS = {"careless": CarelessClient, "resending": ResendingClient}
+
+
 class Caller:
     """Sends requests one after the other and keeps what came of each."""
 
@@ -168,6 +171,8 @@
         context.caller = Caller(client)
         await scenario(context.caller)
         await asyncio.sleep(10)
+        context.kept = len(client.pools)
+        context.closed_while_idle = context.server.closed_by_client
         client.close()
 
     detangle.run(main, seed=getattr(context, "schedule", 1))
@@ -180,8 +185,7 @@
 
 @given('an HTTP client with the planted fault "{name}" and a scripted server')
 def use_faulty_client(context, name):
-    faults = {"careless": CarelessClient, "resending": ResendingClient}
-    context.client_class = faults[name]
+    context.client_class = CLIENT_FAULTS[name]
 
 
 @when('it sends a non-idempotent request that the server ends with "{behaviour}"')
@@ -294,6 +298,12 @@
     assert context.caller.results[number - 1][1] == status, context.caller.results
 
 
+@then("the kept connection was closed when it had been idle for too long")
+def check_swept(context):
+    assert context.kept == 0
+    assert context.closed_while_idle == 1, context.closed_while_idle
+
+
 @then("the server was delivered {count:d} request")
 @then("the server was delivered {count:d} requests")
 def check_delivered(context, count):
