--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -39,7 +39,8 @@
 class ScriptedForwarder:
     """Ends attempts as a script says, the rest with an answer."""
 
-    def __init__(self):
+    def __init__(self, board):
+        self.board = board
         self.script = []
         self.rest = "answer"
         self.bodies = []
@@ -86,6 +87,10 @@
     async def end_connection_lost(self, request, incoming):
         raise exceptions.ConnectionFailedError("lost", MAY_HAVE_RUN)
 
+    async def end_connection_lost_as_all_targets_go(self, request, incoming):
+        self.board.ejected.update(self.board.targets)
+        raise exceptions.ConnectionFailedError("lost", MAY_HAVE_RUN)
+
     async def end_gate_overloaded(self, request, incoming):
         raise exceptions.OverloadedError("no free slot", timedelta(seconds=2))
 
@@ -120,7 +125,7 @@
             target = make_target(number)
             self.board.targets[target.target_id] = target
             self.board.members[target.daemon_id] = make_member(target.daemon_id)
-        self.forwarder = ScriptedForwarder()
+        self.forwarder = ScriptedForwarder(self.board)
         self.events = []
         self.late_targets = {}
         self.late_after = 0
