--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -254,15 +254,15 @@
 
 
 async def serve(settings: BackendServerSettings, stop: asyncio.Event) -> None:
-    """Run a stand-in until it has left.
+    """Run a stand-in until it is told to stop, then leave and finish.
 
-    :param stop: set it to make the stand-in leave.
+    One that has left by ``POST /drain`` still tells its counts until then.
+
+    :param stop: set it to make the stand-in leave and end.
     """
     server = BackendServer(settings)
     await server.start()
-    stopping = asyncio.create_task(stop.wait())
-    leaving = asyncio.create_task(server.left.wait())
-    await asyncio.wait({stopping, leaving}, return_when=asyncio.FIRST_COMPLETED)
+    await stop.wait()
     await server.leave()
     await server.left.wait()
     await server.stop()
