Expect a wait by the slots that move on

Change: the expected wait fills the slots in the order of the queue. The scenarios on waits get the exact bounds of the new estimate in place of halved ones.

--- a/benchmarks/requests_load.py
+++ b/benchmarks/requests_load.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from wagtailstep.exceptions import RequestError
-from wagtailstep.models.headers import SERVICE, TIMEOUT_MS, VERDICT, find_header
+from wagtailstep.models.headers import REASON, SERVICE, TIMEOUT_MS, VERDICT, find_header
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
@@ -65,6 +65,7 @@
     :param repeatable: whether it was sent as idempotent.
     :param status: HTTP status, or 0 if there was no whole answer.
     :param verdict: verdict in the answer, or an empty string.
+    :param reason: reason of a failure, of a daemon's or of the caller's own client.
     :param latency_ms: from the time it was due to its end.
     :param wrong: whether the answer was another request's.
     :param measured: whether it was due after the warm-up.
@@ -76,6 +77,7 @@
     repeatable: bool
     status: int = 0
     verdict: str = ""
+    reason: str = ""
     latency_ms: float = 0.0
     wrong: bool = False
     measured: bool = True
@@ -165,8 +167,9 @@
             outcome.verdict = find_header(answer.headers, VERDICT) or ""
             is_own = data == f"{outcome.key}\n".encode()
             outcome.wrong = answer.status == 200 and not is_own
-        except RequestError:
-            pass
+            outcome.reason = find_header(answer.headers, REASON) or ""
+        except RequestError as error:
+            outcome.reason = f"{error.reason} ({error.verdict.value})"
         outcome.latency_ms = (loop.time() - due) * 1_000
         outcome.ended_s = loop.time() - self.started
         outcome.measured = due - self.started >= self.spec.warmup_s
--- a/features/gate.feature
+++ b/features/gate.feature
@@ -23,14 +23,23 @@
     Then requests 1 run
     And request 3 waits
     And request 5 is refused as "overloaded" with verdict "not-run"
-    And request 5 is told to come back after 1000 to 2000 ms
+    And request 5 is told to come back after 1200 to 1200 ms
+
+  Scenario: Long requests in some slots do not close a queue that moves on
+    Given a gate before a backend server with 4 slots
+    And requests that take 100 ms each have been run
+    And 3 requests of a route that takes 10000 ms run
+    When 6 requests arrive at the gate
+    Then requests 101,102,103,1 run
+    And request 6 waits
+    And nothing is refused
 
   Scenario: A request that can't be answered in time is refused before it waits
     Given a gate before a backend server with 1 slots
     And requests that take 400 ms each have been run
     When 1 requests arrive at the gate
-    And request 2 arrives at the gate with 500 ms left
-    And request 3 arrives at the gate with 700 ms left
+    And request 2 arrives at the gate with 700 ms left
+    And request 3 arrives at the gate with 900 ms left
     Then request 2 is refused as "overloaded" with verdict "not-run"
     And request 3 waits
 
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -70,10 +70,10 @@
             elif isinstance(effect, RefuseRequest):
                 self.refusals[effect.serial] = effect.error
 
-    def work(self, count, time_ms):
+    def work(self, count, time_ms, route="sign", first=-100):
         """Run requests one after the other, each alone."""
-        for serial in range(-count, 0):
-            self.arrive(serial)
+        for serial in range(first, first + count):
+            self.arrive(serial, route=route, idempotent=True)
             self.clock.advance(time_ms * MILLISECOND)
             self.end(serial)
 
@@ -92,7 +92,13 @@
     context.gate.work(20, time_ms)
 
 
-@given("the backend server is leaving")
+@given("{count:d} requests of a route that takes {time_ms:d} ms run")
+def run_long(context, count, time_ms):
+    context.gate.work(20, time_ms, "upload", -200)
+    for serial in range(101, 101 + count):
+        context.gate.arrive(serial, route="upload")
+
+
 @when("the backend server starts to leave")
 def start_leaving(context):
     targets = context.gate.blackboard.targets
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -6,15 +6,13 @@
 """
 
 import random
-from collections import OrderedDict
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
 
-import attrs
-
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
 from wagtailstep.controllers.request_memory import RequestMemory
+from wagtailstep.controllers.target_queue import RunningRequest, TargetQueue
 from wagtailstep.exceptions import (
     ConnectionFailedError,
     DeadlineExceededError,
@@ -45,58 +43,6 @@
 MIN_RETRY_AFTER = timedelta(milliseconds=200)
 
 
-@attrs.define
-class RunningRequest:
-    """A request that was sent to the backend server.
-
-    :param request: the request.
-    :param started_at: monotonic time when it was sent.
-    :param beside: most other requests that ran at the same time.
-    """
-
-    request: GateRequest
-    started_at: timedelta
-    beside: int
-
-
-@attrs.define
-class TargetQueue:
-    """What runs and waits at one backend server.
-
-    :param limit: how many may run at once.
-    :param running: requests that were sent, by serial.
-    :param waiting: requests that wait, by serial, oldest first.
-    """
-
-    limit: ConcurrencyLimit
-    running: dict[int, RunningRequest] = attrs.field(factory=dict)
-    waiting: OrderedDict[int, GateRequest] = attrs.field(factory=OrderedDict)
-
-    @property
-    def has_free_slot(self) -> bool:
-        """Tell whether one more request may run now."""
-        return len(self.running) < self.limit.whole
-
-    @property
-    def load(self) -> float:
-        """Return running and waiting requests per request that may run."""
-        return (len(self.running) + len(self.waiting)) / self.limit.whole
-
-    def expected_wait(self) -> timedelta:
-        """Return how long a request that joins the queue now will wait for a slot.
-
-        The running requests count half, since they have been running for a while.
-        """
-        ahead = [entry.request for entry in self.running.values()]
-        total = sum(map(self.time_of, ahead), timedelta()) / 2
-        total += sum(map(self.time_of, self.waiting.values()), timedelta())
-        return total / self.limit.whole
-
-    def time_of(self, request: GateRequest) -> timedelta:
-        """Return the time that a request is expected to take."""
-        return self.limit.typical_time(request.route)
-
-
 class GateController:
     """Decide which request runs, waits or is refused.
 
@@ -198,7 +144,7 @@
         queue = self.find_queue(request.target_id)
         if queue.has_free_slot and not queue.waiting:
             return None
-        wait = queue.expected_wait()
+        wait = queue.expected_wait(self.clock.monotonic())
         retry_after = max(MIN_RETRY_AFTER, wait)
         if len(queue.waiting) >= self.settings.queue_length:
             return OverloadedError(f"the queue of {request.target_id} is full", wait)
