--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -139,10 +139,18 @@
         self.client = client
         self.results = []
 
-    async def call(self, path, method="GET", body=None, length=None, patience=None):
+    async def call(
+        self,
+        path,
+        method="GET",
+        body=None,
+        length=None,
+        patience=None,
+        address=ADDRESS,
+    ):
         headers = () if length is None else (("content-length", str(length)),)
         request = HttpRequest(
-            address=ADDRESS,
+            address=address,
             method=method,
             path=path,
             headers=headers,
