Check the stand-ins' arguments as settings are checked

Change: arguments go through the settings check; an address that can't be listened on is a settings error.

--- /dev/null
+++ b/features/steps/programs_steps.py
@@ -0,0 +1,68 @@
+"""Steps for the arguments of the programs, run in this process."""
+
+import contextlib
+import io
+import json
+import pathlib
+import shlex
+import socket
+import sys
+import tempfile
+from unittest import mock
+
+from behave import given, then, when
+
+from wagtailstep.cli import daemon, fakes, timeline
+
+PROGRAMS = {"daemon": daemon.main, "fakes": fakes.main, "timeline": timeline.main}
+
+
+def run_program(context, program, arguments):
+    output = io.StringIO()
+    with (
+        mock.patch.object(sys, "argv", [program, *arguments]),
+        contextlib.redirect_stderr(output),
+        contextlib.redirect_stdout(output),
+    ):
+        try:
+            PROGRAMS[program]()
+        except SystemExit as stop:
+            context.code = stop.code
+    context.output = output.getvalue()
+
+
+@when('the program "{program}" runs with ""')
+def run_without_arguments(context, program):
+    run_program(context, program, [])
+
+
+@when('the program "{program}" runs with "{arguments}"')
+def run_with_arguments(context, program, arguments):
+    run_program(context, program, shlex.split(arguments))
+
+
+@then('it ends with code {code:d} and one line that contains "{text}"')
+def check_one_line(context, code, text):
+    assert context.code == code, (context.code, context.output)
+    lines = [line for line in context.output.splitlines() if "level=" not in line]
+    assert len(lines) == 1, context.output
+    assert text in lines[0], context.output
+
+
+@given("a settings file whose caller address is taken")
+def take_address(context):
+    taken = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(taken.close)
+    settings = json.loads(pathlib.Path("examples/daemon.json").read_text())
+    for key in ("gate_address", "peer_address", "announce_address"):
+        settings[key] = "127.0.0.1:0"
+    settings["caller_address"] = f"127.0.0.1:{taken.getsockname()[1]}"
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.file = pathlib.Path(folder.name, "daemon.json")
+    context.file.write_text(json.dumps(settings))
+
+
+@when("the daemon is run with that file")
+def run_with_file(context):
+    run_program(context, "daemon", ["run", str(context.file)])
--- a/src/wagtailstep/cli/fakes.py
+++ b/src/wagtailstep/cli/fakes.py
@@ -3,15 +3,39 @@
 import asyncio
 import sys
 from datetime import timedelta
+from typing import Any, TypeVar
+
+import attrs
 
 from wagtailstep.cli.run import run_program
-from wagtailstep.commands.read_settings import read_settings_list
+from wagtailstep.commands.read_settings import read_settings_list, structure_settings
 from wagtailstep.commands.run_backend_server import run_backend_servers
 from wagtailstep.fakes.backend_server import BackendServerSettings
 from wagtailstep.fakes.log_server import serve
 from wagtailstep.fakes.log_service import LogFaults
+from wagtailstep.models.settings import positive
 from wagtailstep.network.log_client import split_address
 
+_T = TypeVar("_T")
+
+
+@attrs.frozen
+class RunTime:
+    """How long a stand-in runs.
+
+    :param run_time_s: the program ends by itself after this time.
+    """
+
+    run_time_s: float = positive(3_600.0)
+
+
+def read_arguments(cls: type[_T], **values: Any) -> _T:
+    """Check arguments as settings are checked.
+
+    :raises SettingsError: if one is wrong; the message names it.
+    """
+    return structure_settings(values, cls, "arguments")
+
 
 def run_log(
     *,
@@ -29,13 +53,14 @@
     :param appends_per_s: appends allowed in one second; 0 is any number.
     :param run_time_s: the program ends by itself after this time.
     """
-    host, port = split_address(address)
-    faults = LogFaults(
-        retention_s=float(retention_s),
-        retention_records=int(retention_records),
-        appends_per_s=int(appends_per_s),
+    host, port = split_address(str(address))
+    faults = read_arguments(
+        LogFaults,
+        retention_s=retention_s,
+        retention_records=retention_records,
+        appends_per_s=appends_per_s,
     )
-    limit = timedelta(seconds=run_time_s)
+    limit = timedelta(seconds=read_arguments(RunTime, run_time_s=run_time_s).run_time_s)
 
     def print_address(bound_port: int) -> None:
         print(f"listening={host}:{bound_port}", flush=True)
@@ -64,15 +89,15 @@
     :param cold_start_ms: time from start to full speed.
     :param seed: seed of random choices.
     """
-    split_address(address)
-    settings = BackendServerSettings(
-        service=str(service),
+    settings = read_arguments(
+        BackendServerSettings,
+        service=service,
         address=address,
         announce_address=announce_address,
-        slots=int(slots),
-        work_ms=float(work_ms),
-        cold_start_ms=int(cold_start_ms),
-        seed=int(seed),
+        slots=slots,
+        work_ms=work_ms,
+        cold_start_ms=cold_start_ms,
+        seed=seed,
     )
     run_backend_servers([settings])
 
--- a/src/wagtailstep/commands/run_backend_server.py
+++ b/src/wagtailstep/commands/run_backend_server.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Sequence
 
+from wagtailstep.exceptions import SettingsError
 from wagtailstep.fakes.backend_server import BackendServerSettings, serve
 
 
@@ -11,8 +12,12 @@
     """Serve until SIGTERM or SIGINT, then have all leave, finish and return.
 
     :param servers: settings of each stand-in.
+    :raises SettingsError: if an address can't be listened on.
     """
-    asyncio.run(serve_until_signal(servers))
+    try:
+        asyncio.run(serve_until_signal(servers))
+    except OSError as error:
+        raise SettingsError(f"an address can't be listened on: {error}") from error
 
 
 async def serve_until_signal(servers: Sequence[BackendServerSettings]) -> None:
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -26,6 +26,12 @@
 from wagtailstep.fakes.announcer import Announcement, Announcer
 from wagtailstep.fakes.faults import Faults, draw, read_faults
 from wagtailstep.fakes.work import Work, WorkCounts, read_work
+from wagtailstep.models.settings import (
+    check_address,
+    check_name,
+    not_negative,
+    positive,
+)
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.utils.clock import LoopClock
 
@@ -46,15 +52,15 @@
     :param seed: seed of random choices.
     """
 
-    service: str
-    address: str = "127.0.0.1:0"
+    service: str = attrs.field(validator=check_name)
+    address: str = attrs.field(default="127.0.0.1:0", validator=check_address)
     announce_address: str = ""
-    slots: int = 4
-    queue_length: int = 32
-    work_ms: float = 5.0
-    cold_start_ms: int = 0
-    cold_factor: float = 4.0
-    drain_limit_s: float = 30.0
+    slots: int = positive(4)
+    queue_length: int = not_negative(32)
+    work_ms: float = not_negative(5.0)
+    cold_start_ms: int = not_negative(0)
+    cold_factor: float = positive(4.0)
+    drain_limit_s: float = positive(30.0)
     seed: int = 0
 
 
