--- /dev/null
+++ b/src/wagtailstep/cli/table.py
@@ -0,0 +1,361 @@
+"""The program ``wagtailstep-table``: operators edit the table with it."""
+
+import asyncio
+import pathlib
+import sys
+from collections.abc import Awaitable, Callable, Iterable
+from datetime import timedelta
+from typing import Any
+
+from wagtailstep.cli import status_codes
+from wagtailstep.cli.run import run_program
+from wagtailstep.cli.table_arguments import (
+    check_addresses,
+    check_number,
+    check_seconds,
+    make_client,
+    make_daemon_client,
+    make_proposal,
+    read_file,
+)
+from wagtailstep.commands import table_edit
+from wagtailstep.commands.table_client import Proposal, check_outcome
+from wagtailstep.commands.table_csv import write_csv
+from wagtailstep.commands.table_restore import check_lost, restore_table
+from wagtailstep.commands.table_show import show_history, show_rows
+from wagtailstep.commands.table_status import (
+    DaemonReport,
+    ask_daemons,
+    describe_reports,
+)
+from wagtailstep.commands.table_watch import read_or_none, watch_table
+from wagtailstep.exceptions import AppendUnknownError, SettingsError
+from wagtailstep.models.table_fold import TableFold
+
+
+def _print_lines(lines: Iterable[str]) -> None:
+    for line in lines:
+        print(line)
+
+
+def _run(call: Callable[[], Awaitable[Iterable[str]]]) -> None:
+    async def print_result() -> None:
+        _print_lines(await call())
+
+    asyncio.run(print_result())
+
+
+def show(
+    kind: str = "", prefix: str = "", *, version: int | None = None, log: str = ""
+) -> None:
+    """Show the table, or some rows of it.
+
+    :param kind: service, backend_server, route or account; all if empty.
+    :param prefix: only rows whose keys begin so.
+    :param version: an older version that the log still knows.
+    :param log: ``host:port`` of the log service.
+    """
+
+    async def read_rows() -> Iterable[str]:
+        wanted = None if version is None else check_number("version", version, 0)
+        table = await make_client(log).read_table(wanted)
+        return show_rows(table, str(kind), str(prefix))
+
+    _run(read_rows)
+
+
+def export(path: str = "-", *, version: int | None = None, log: str = "") -> None:
+    """Write the table as a CSV file for a spreadsheet program.
+
+    :param path: the file; ``-`` for standard output.
+    :param version: an older version that the log still knows.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = None if version is None else check_number("version", version, 0)
+    table = asyncio.run(make_client(log).read_table(wanted))
+    if path == "-":
+        sys.stdout.write(write_csv(table))
+        return
+    try:
+        pathlib.Path(str(path)).write_text(write_csv(table), encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"file {path!r} can't be written: {error}") from error
+
+
+def edit(
+    kind: str,
+    key: str,
+    *,
+    reason: str,
+    author: str = "",
+    remove: bool = False,
+    dry_run: bool = False,
+    log: str = "",
+    **columns: Any,
+) -> None:
+    """Change one row: ``edit service contracts --floor_weight=3 --reason="..."``.
+
+    :param kind: service, backend_server, route or account.
+    :param key: key of the row.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param remove: remove the row.
+    :param dry_run: show the effect and change nothing.
+    :param log: ``host:port`` of the log service.
+    :param columns: the columns to change, by their names.
+    """
+
+    async def submit_change() -> Iterable[str]:
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
+        fold = await client.read_fold()
+        cells = {name: str(value) for name, value in columns.items()}
+        changes = table_edit.plan_row_change(fold, str(kind), str(key), cells, remove)
+        return await table_edit.submit(
+            client, fold, fold.version, changes, proposal, dry_run
+        )
+
+    _run(submit_change)
+
+
+def diff(path: str, *, log: str = "") -> None:
+    """Show what a file changes against the version that it was exported from.
+
+    :param path: the CSV file.
+    :param log: ``host:port`` of the log service.
+    """
+    _apply_file(path, Proposal("", ""), True, True, log)
+
+
+def apply(
+    path: str,
+    *,
+    reason: str,
+    author: str = "",
+    remove: bool = False,
+    dry_run: bool = False,
+    log: str = "",
+) -> None:
+    """Apply the changes made to an exported file, and only those.
+
+    :param path: the CSV file.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param remove: remove the rows that the file lacks.
+    :param dry_run: show the effect and change nothing.
+    :param log: ``host:port`` of the log service.
+    """
+    _apply_file(path, make_proposal(author, reason), remove, dry_run, log)
+
+
+def _apply_file(
+    path: str, proposal: Proposal, remove: bool, dry_run: bool, log: str
+) -> None:
+    async def submit_file() -> Iterable[str]:
+        client = make_client(log)
+        file = read_file(path)
+        fold = await client.read_fold()
+        base, changes = await table_edit.plan_file(client, fold, file, remove)
+        return await table_edit.submit(client, fold, base, changes, proposal, dry_run)
+
+    _run(submit_file)
+
+
+def import_file(
+    path: str,
+    *,
+    reason: str,
+    author: str = "",
+    remove: bool = False,
+    dry_run: bool = False,
+    log: str = "",
+) -> None:
+    """Make the newest table equal to a file, whatever version it came from.
+
+    :param path: the CSV file.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param remove: remove the rows that the file lacks.
+    :param dry_run: show the effect and change nothing.
+    :param log: ``host:port`` of the log service.
+    """
+
+    async def submit_import() -> Iterable[str]:
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
+        file = read_file(path)
+        fold = await client.read_fold()
+        changes = table_edit.plan_import(fold, file, remove)
+        return await table_edit.submit_parts(client, changes, proposal, dry_run)
+
+    _run(submit_import)
+
+
+def revert(
+    version: int,
+    *,
+    reason: str,
+    author: str = "",
+    dry_run: bool = False,
+    log: str = "",
+) -> None:
+    """Make a new version with the rows of an older one.
+
+    :param version: the older version.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param dry_run: show the effect and change nothing.
+    :param log: ``host:port`` of the log service.
+    """
+
+    async def submit_revert() -> Iterable[str]:
+        client = make_client(log)
+        proposal = make_proposal(author, reason)
+        fold = await client.read_fold()
+        wanted = check_number("version", version, 0)
+        changes = await table_edit.plan_revert(client, fold, wanted)
+        return await table_edit.submit(
+            client, fold, fold.version, changes, proposal, dry_run
+        )
+
+    _run(submit_revert)
+
+
+def history(row: str = "", *, limit: int = 20, log: str = "") -> None:
+    """Show who changed the table, when and why, newest first.
+
+    :param row: only edits of rows whose names hold this text.
+    :param limit: at most so many edits.
+    :param log: ``host:port`` of the log service.
+    """
+
+    async def read_history() -> Iterable[str]:
+        fold = await make_client(log).read_fold()
+        return show_history(fold, str(row), check_number("limit", limit, 1))
+
+    _run(read_history)
+
+
+def outcome(edit_id: str, *, log: str = "") -> None:
+    """Tell what became of an edit.
+
+    :param edit_id: its identifier.
+    :param log: ``host:port`` of the log service.
+    """
+
+    async def read_outcome() -> Iterable[str]:
+        fold = await make_client(log).read_fold()
+        found = fold.outcome_of(str(edit_id))
+        if found is None:
+            raise AppendUnknownError(
+                f"edit {edit_id} is not in the log; it may still arrive if its "
+                f"program ended less than a minute ago"
+            )
+        check_outcome(found)
+        return [f"accepted edit={edit_id} version={found.version}"]
+
+    _run(read_outcome)
+
+
+def status(*addresses: str, log: str = "") -> int:
+    """Show the version in force at daemons, which are behind and since when.
+
+    Exit codes: 0 all daemons answered, 2 an argument is wrong, 5 some daemons could
+    not be reached; the output names them.
+
+    :param addresses: caller address, ``host:port``, of each daemon.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    client = make_client(log)
+
+    async def ask() -> tuple[TableFold | None, list[DaemonReport]]:
+        reports = await ask_daemons(make_daemon_client(), wanted)
+        return await read_or_none(client), reports
+
+    fold, reports = asyncio.run(ask())
+    _print_lines(describe_reports(fold, reports))
+    unreachable = any(report.status is None for report in reports)
+    return status_codes.PARTIAL if unreachable else status_codes.SUCCESS
+
+
+def watch(
+    *addresses: str,
+    interval_s: float = 2.0,
+    run_time_s: float = 3_600.0,
+    log: str = "",
+) -> None:
+    """Show new edits as they are accepted, and where they are in force.
+
+    :param addresses: caller address, ``host:port``, of each daemon.
+    :param interval_s: seconds between two looks.
+    :param run_time_s: seconds after which the program ends.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    client = make_client(log)
+    interval = timedelta(seconds=check_seconds("interval_s", interval_s))
+    run_time = timedelta(seconds=check_seconds("run_time_s", run_time_s))
+
+    def show_line(line: str) -> None:
+        print(line, flush=True)
+
+    daemons = make_daemon_client()
+    asyncio.run(watch_table(client, daemons, wanted, interval, run_time, show_line))
+
+
+def restore(
+    path: str,
+    *addresses: str,
+    version: int,
+    reason: str,
+    author: str = "",
+    log: str = "",
+) -> None:
+    """Bring back a table that the log and all daemons have lost.
+
+    :param path: the newest exported CSV file.
+    :param addresses: caller address, ``host:port``, of each daemon; none of them
+        may have a table.
+    :param version: version of the restored table, above any that was in force.
+    :param reason: why, for the history.
+    :param author: who; your login name if empty.
+    :param log: ``host:port`` of the log service.
+    """
+    wanted = check_addresses(addresses)
+    proposal = make_proposal(author, reason)
+    number = check_number("version", version, 1)
+    file = read_file(path)
+    client = make_client(log)
+
+    async def append() -> Iterable[str]:
+        check_lost(await ask_daemons(make_daemon_client(), wanted))
+        count = await restore_table(client, file, number, proposal)
+        return [f"restored version={number} records={count}"]
+
+    _run(append)
+
+
+COMMANDS = {
+    "show": show,
+    "export": export,
+    "import": import_file,
+    "edit": edit,
+    "diff": diff,
+    "apply": apply,
+    "history": history,
+    "revert": revert,
+    "outcome": outcome,
+    "status": status,
+    "watch": watch,
+    "restore": restore,
+}
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run_program(COMMANDS, "wagtailstep-table"))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -67,6 +67,20 @@
     oldest_offset: int
 
 
+@attrs.frozen
+class LogCaughtUp:
+    """All records of a followed stream that the log had were delivered.
+
+    Sent after each read that found the end of the stream, the first one too.
+
+    :param stream: name of the stream.
+    :param next_offset: offset that the next record will have.
+    """
+
+    stream: str
+    next_offset: int
+
+
 @attrs.frozen
 class LogAppendSettled:
     """An :class:`AppendToLog` effect has ended.
@@ -144,9 +158,14 @@
 
 @attrs.frozen
 class FollowStream:
-    """Effect: read a stream from its oldest record on, now and ever after."""
+    """Effect: read a stream from its oldest record on, now and ever after.
+
+    :param stream: name of the stream.
+    :param poll_ms: time between two reads; 0 takes it from the settings.
+    """
 
     stream: str
+    poll_ms: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/wagtailstep/models/gate.py
@@ -0,0 +1,118 @@
+"""Events and effects of the gate, which hands requests to one backend server."""
+
+import enum
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.exceptions import RequestError
+
+
+@attrs.frozen
+class GateRequest:
+    """A request as the gate sees it.
+
+    :param serial: number given by the gate; unique for its lifetime.
+    :param request_id: identifier made by the entry.
+    :param attempt_id: identifier of this sending of the request.
+    :param target_id: the backend server asked for.
+    :param route: name of the route; service times are learned per route.
+    :param idempotent: whether running it twice does no harm.
+    :param deadline: monotonic time when it must have ended.
+    """
+
+    serial: int
+    request_id: str
+    attempt_id: str
+    target_id: str
+    route: str
+    idempotent: bool
+    deadline: timedelta
+
+
+class RunResult(enum.Enum):
+    """How the backend server dealt with a request that it was sent.
+
+    ``REFUSED`` is an answer that says it has too much to do. ``ABANDONED`` says
+    nothing of the backend server, since the caller went away or the exchange broke.
+    """
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    TIMED_OUT = "timed-out"
+    ABANDONED = "abandoned"
+
+
+@attrs.frozen
+class GateRequestArrived:
+    """A request arrived at the gate."""
+
+    request: GateRequest
+
+
+@attrs.frozen
+class GateRequestEnded:
+    """A request that was started has ended.
+
+    :param serial: as in the request.
+    :param result: how the backend server dealt with it.
+    """
+
+    serial: int
+    result: RunResult
+
+
+@attrs.frozen
+class GateRequestAbandoned:
+    """The caller of a request went away, or it waited for too long.
+
+    :param serial: as in the request; it may be waiting or running.
+    """
+
+    serial: int
+
+
+class AttemptState(enum.Enum):
+    """What a gate knows of one sending of a request.
+
+    ``REVOKED`` means that it had not arrived and is refused if it ever does, so it
+    was not run and never will be. ``HELD`` waits or runs. ``ENDED`` was answered,
+    or broken off after it had been started.
+    """
+
+    REVOKED = "revoked"
+    HELD = "held"
+    ENDED = "ended"
+
+
+@attrs.frozen
+class AttemptRevoked:
+    """An entry has heard nothing of an attempt and asks to bar it."""
+
+    attempt_id: str
+
+
+@attrs.frozen
+class TellAttemptState:
+    """Effect: the answer to :class:`AttemptRevoked`."""
+
+    state: AttemptState
+
+
+@attrs.frozen
+class StartRequest:
+    """Effect: send a request to its backend server now."""
+
+    serial: int
+
+
+@attrs.frozen
+class RefuseRequest:
+    """Effect: end a request that was not started.
+
+    :param serial: as in the request.
+    :param error: the refusal for the caller.
+    """
+
+    serial: int
+    error: RequestError
--- a/src/wagtailstep/models/peer.py
+++ b/src/wagtailstep/models/peer.py
@@ -1,22 +1,23 @@
 """The envelope of all control messages and the channel that carries them."""
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import ClassVar, Protocol
 
-import attrs
+import msgspec
 
 from wagtailstep.utils.codec import message
 
 
 @message
-@attrs.frozen
-class StampedMessage:
+class StampedMessage(msgspec.Struct, array_like=True, frozen=True):
     """A control message with the logical time at which it was sent.
 
     :param lamport: logical time of the sender.
     :param body: an encoded message.
     """
 
+    wire_name: ClassVar[str] = "S"
+
     lamport: int
     body: bytes
 
@@ -30,10 +31,11 @@
         :param deliver: called with the sender's ``daemon_id`` and the message.
         """
 
-    def send(self, address: str, message: object) -> None:
+    def send(self, address: str, message: object, urgent: bool = False) -> None:
         """Send one message, or drop it; never blocks and never raises.
 
         :param address: ``host:port`` of the receiver's control channel.
+        :param urgent: whether it goes before others that wait for a connection.
         """
 
     async def close(self) -> None:
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -5,11 +5,13 @@
 
 import attrs
 
+from wagtailstep.exceptions import SettingsError
+
 _ADDRESS = re.compile(r"^[^\s:/]+:\d{1,5}$")
 MAX_PORT = 65_535
 
 
-class SettingValueError(ValueError):
+class SettingValueError(SettingsError, ValueError):
     """A value has the right type and is not allowed.
 
     :param name: name of the setting.
@@ -103,12 +105,21 @@
 
     :param default_timeout_ms: time allowed to a request that names no deadline.
     :param queue_length: requests that may wait at the gate for one target.
-    :param queue_timeout_ms: longest wait at the gate before shedding.
+    :param queue_timeout_ms: expected wait at the gate from which on it sheds.
     :param retry_ratio: retries allowed per first attempt, on average.
     :param retry_burst: retries allowed at once when there were none before.
     :param max_attempts: attempts at one request, the first one included.
     :param connect_timeout_ms: time to open a connection to a gate.
     :param connection_idle_ms: an idle connection older than this is not reused.
+    :param probe_path: path that a probe of a backend server asks for.
+    :param other_zone_cost: factor on the cost of a target in another availability
+        zone; 1 ignores zones.
+    :param replay_body_bytes: size up to which a request body is kept for a resend.
+    :param account_buckets: client accounts whose rates are remembered at once.
+    :param tickets_kept: tickets and claimed keys that one daemon remembers.
+    :param answer_bytes: size up to which the answer of a keyed request is kept.
+    :param answers_kept_bytes: total size of the kept answers.
+    :param claims_kept: claims that one daemon remembers, all services together.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -119,6 +130,14 @@
     max_attempts: int = positive(3)
     connect_timeout_ms: int = positive(1_000)
     connection_idle_ms: int = positive(5_000)
+    probe_path: str = "/health"
+    other_zone_cost: float = positive(1.25)
+    replay_body_bytes: int = positive(65_536)
+    account_buckets: int = positive(1_024)
+    tickets_kept: int = positive(10_000)
+    answer_bytes: int = positive(16_384)
+    answers_kept_bytes: int = positive(4_194_304)
+    claims_kept: int = positive(20_000)
 
 
 @attrs.frozen
@@ -131,14 +150,31 @@
     :param suspicion_timeout_ms: time a suspect daemon has to refute.
     :param lease_ms: a target not renewed for this long has lapsed.
     :param renew_ms: time between two renewals.
+    :param announce_lease_ms: a backend server beside the daemon that doesn't renew
+        its announcement for this long has left.
+    :param indirect_probes: daemons asked to ping a third one that doesn't answer.
+    :param rejoin_ms: time between two attempts to reach a seed or a dead daemon.
+    :param dead_retention_s: how long a dead daemon is remembered and tried again.
+    :param digest_fanout: daemons of one service that a heartbeat is sent to in one
+        round; there are three rounds in each ``renew_ms``.
+    :param digest_sends: times that one daemon passes on one heartbeat of another.
+    :param member_append_s: mean time between two appends to the log's stream of
+        members by the whole fleet.
     """
 
     seeds: tuple[str, ...] = attrs.field(default=(), validator=check_addresses)
     probe_interval_ms: int = positive(1_000)
     probe_timeout_ms: int = positive(300)
     suspicion_timeout_ms: int = positive(3_000)
-    lease_ms: int = positive(2_000)
+    lease_ms: int = positive(1_800)
     renew_ms: int = positive(600)
+    announce_lease_ms: int = positive(3_000)
+    indirect_probes: int = not_negative(3)
+    rejoin_ms: int = positive(5_000)
+    dead_retention_s: float = positive(7_200.0)
+    digest_fanout: int = positive(2)
+    digest_sends: int = positive(4)
+    member_append_s: float = positive(20.0)
 
 
 @attrs.frozen
@@ -157,6 +193,39 @@
     retention_s: float = positive(86_400.0)
 
 
+@attrs.frozen
+class TableSettings:
+    """How daemons pass the table on and keep it in the log.
+
+    :param digest_interval_ms: time between two digests to a random member.
+    :param repeat_interval_ms: time between two repetitions of the newest records to
+        a random member, which may be able to hear and unable to ask.
+    :param repeat_bytes: most bytes of older records that go with newer ones.
+    :param push_fanout: random members that a new record is passed on to.
+    :param confirm_timeout_ms: a record read from the log waits this long for a
+        member that holds it too, before it takes effect.
+    :param first_answers: members that a daemon without a table hears first, if
+        the log can't be read.
+    :param first_answers_timeout_ms: after this it goes on with fewer of them.
+    :param reply_bytes: most bytes of records in one message.
+    :param chunk_bytes: bytes of a snapshot in one message.
+    :param chunk_timeout_ms: a chunk that did not come by then is asked for again.
+    :param snapshot_edits: records after the last snapshot that make one due.
+    """
+
+    digest_interval_ms: int = positive(1_000)
+    repeat_interval_ms: int = positive(4_000)
+    repeat_bytes: int = positive(1_024)
+    push_fanout: int = positive(3)
+    confirm_timeout_ms: int = positive(1_000)
+    first_answers: int = positive(5)
+    first_answers_timeout_ms: int = positive(5_000)
+    reply_bytes: int = positive(8_192)
+    chunk_bytes: int = positive(16_384)
+    chunk_timeout_ms: int = positive(1_000)
+    snapshot_edits: int = positive(256)
+
+
 @attrs.frozen
 class DaemonSettings:
     """All settings of one daemon.
@@ -184,3 +253,4 @@
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
+    table: TableSettings = TableSettings()
--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -8,7 +8,12 @@
 from typing import Any
 
 from wagtailstep.exceptions import LogError, RecordExpiredError
-from wagtailstep.models.events import LogGap, LogRecordsRead, StreamEndRead
+from wagtailstep.models.events import (
+    LogCaughtUp,
+    LogGap,
+    LogRecordsRead,
+    StreamEndRead,
+)
 from wagtailstep.models.log import LogBatch, LogService
 from wagtailstep.models.settings import LogSettings
 from wagtailstep.utils.logging import log_event
@@ -21,8 +26,8 @@
 class LogFollower:
     """Read one stream from its oldest retained record on, and never stop.
 
-    Records are dispatched in order and none twice. One dispatch without records
-    says that the end of the stream was reached, at the start and after a gap.
+    Records are dispatched in order and none twice. Each read that finds no further
+    record is dispatched as well: the end of the stream was reached.
 
     :param settings: how often to read.
     :param log: the log service.
@@ -48,7 +53,6 @@
         self.report = report
         self.rng = rng
         self.offset: int | None = None
-        self.end_reached = False
         self.failures = 0
         self.wake_up = asyncio.Event()
 
@@ -90,7 +94,6 @@
             oldest=oldest_offset,
         )
         self.offset = oldest_offset
-        self.end_reached = False
         self.dispatch(LogGap(self.stream, oldest_offset))
 
     def take(self, batch: LogBatch, asked_at: timedelta) -> bool:
@@ -103,9 +106,7 @@
         if batch.records:
             self.dispatch(LogRecordsRead(self.stream, batch.records))
             return True
-        if not self.end_reached:
-            self.end_reached = True
-            self.dispatch(LogRecordsRead(self.stream, ()))
+        self.dispatch(LogCaughtUp(self.stream, batch.next_offset))
         self.dispatch(StreamEndRead(self.stream, asked_at))
         return False
 
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -73,11 +73,21 @@
         self.rng = rng
         self.outside = outside
         self.timeline = Timeline(settings, blackboard, clock)
-        self.controllers: Sequence[Controller] = ()
+        self.handlers: list[tuple[Controller, Callable[[Any], list[Any]]]] = []
         self.listeners: dict[type, Callable[[Any], None]] = {}
         self.followers: dict[str, LogFollower] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def controllers(self) -> Sequence[Controller]:
+        """The controllers, in the order in which they take events."""
+        return tuple(controller for controller, _ in self.handlers)
+
+    @controllers.setter
+    def controllers(self, controllers: Sequence[Controller]) -> None:
+        # Looking up a single-dispatch method costs more than calling it.
+        self.handlers = [(each, each.handle) for each in controllers]
+
     async def start(self) -> None:
         """Start receiving messages and ticking."""
         await self.outside.channel.start(self.receive)
@@ -95,9 +105,9 @@
 
         An error of one controller is logged and keeps nothing from the others.
         """
-        for controller in self.controllers:
+        for controller, handle in self.handlers:
             try:
-                effects = controller.handle(event)
+                effects = handle(event)
             except Exception:
                 LOGGER.exception(
                     "event=controller-failed controller=%s on=%s",
@@ -141,7 +151,13 @@
         """Run a coroutine until it ends or the runtime closes."""
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self.end_task)
+
+    def end_task(self, task: asyncio.Task[None]) -> None:
+        """Forget a task; one that failed is a fault of this program and is logged."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOGGER.error("event=task-failed", exc_info=task.exception())
 
     def record_event(self, kind: str, **fields: object) -> None:
         """Put an event on the time line and write it to the log output."""
@@ -177,12 +193,18 @@
         if follower is not None:
             follower.wake_up.set()
 
-    def follow(self, stream: str) -> None:
-        """Begin to follow a stream; a second call has no effect."""
+    def follow(self, stream: str, poll_ms: int = 0) -> None:
+        """Begin to follow a stream; a second call has no effect.
+
+        :param poll_ms: time between two reads; 0 takes it from the settings.
+        """
         if stream in self.followers:
             return
+        settings = self.settings.log
+        if poll_ms:
+            settings = attrs.evolve(settings, poll_ms=poll_ms)
         follower = LogFollower(
-            self.settings.log,
+            settings,
             self.outside.log,
             stream,
             self.dispatch,
@@ -210,7 +232,7 @@
 def _(effect: SendToPeer, runtime: Runtime) -> None:
     body = encode_message(effect.message)
     stamped = StampedMessage(runtime.timeline.stamp_message(), body)
-    runtime.outside.channel.send(effect.address, stamped)
+    runtime.outside.channel.send(effect.address, stamped, effect.urgent)
 
 
 @apply_effect.register
@@ -220,7 +242,7 @@
 
 @apply_effect.register
 def _(effect: FollowStream, runtime: Runtime) -> None:
-    runtime.follow(effect.stream)
+    runtime.follow(effect.stream, effect.poll_ms)
 
 
 @apply_effect.register
