Catch up with fuller member tables, and try suspects again

Change: answers tell how many living members are known, and a daemon that knows fewer reads the table; each second a suspect is pinged through other daemons, and one that was reached is not called dead.

--- a/features/steps/control_bus_steps.py
+++ b/features/steps/control_bus_steps.py
@@ -48,6 +48,14 @@
         context.bus.add(f"d{index:02d}", context.membership, [service])
 
 
+@given("a bus of {count:d} daemons that know only a seed that is gone")
+def make_lost_bus(context, count):
+    context.bus = ControlBus(3)
+    settings = attrs.evolve(SETTINGS, seeds=("gone.test:7003",))
+    for index in range(count):
+        context.bus.add(f"d{index:03d}", settings)
+
+
 @given('{count:d} more daemons on the bus that serve "{service}" and want nothing')
 def add_daemons(context, count, service):
     first = len(context.bus.nodes)
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -28,6 +28,8 @@
 FIRST_SYNC_MS = 3_000
 SYNC_INTERVAL_MS = 60_000
 BEFORE_ALL_NAMES = " "
+TOLERATED_SHARE = 0.01
+CATCH_UP_MS = 100
 FIRST_APPEND_MS = 1_000
 APPEND_SPREAD_MS = 4_000
 APPEND_RETRY_MS = 15_000
@@ -51,6 +53,7 @@
     rejoin_at: timedelta = timedelta()
     sync_at: timedelta = timedelta()
     sync_ms: float = FIRST_SYNC_MS
+    catch_up_at: timedelta = timedelta()
     append_at: timedelta | None = None
     append_id: str = ""
     appended: bool = False
@@ -83,16 +86,40 @@
         self.sync_at = timedelta()
         self.sync_ms = FIRST_SYNC_MS
 
-    def receive_page(self, address: str, page: MembersPage, now: timedelta) -> None:
+    def receive_page(
+        self, address: str, page: MembersPage, now: timedelta, table: MemberTable
+    ) -> None:
         """Note where the next page of the member table starts, and who has it.
 
         :param address: ``host:port`` that sent the page.
         """
         expected = self.page_after if self.reading else ""
-        if page.start != expected:
+        if page.start == expected:
+            self._read_on(address, page.after, now)
+        self.catch_up(address, page.known, now, table)
+
+    def catch_up(
+        self, address: str, known: int, now: timedelta, table: MemberTable
+    ) -> None:
+        """Read the member table of a daemon that knows more than this one.
+
+        It is read at once if many are missing; for a few, which news on its way may
+        bring, only from time to time.
+
+        :param known: number of living daemons that it knows.
+        """
+        living = table.count_living()
+        many = known - living > living * TOLERATED_SHARE
+        few = known > living and now >= self.catch_up_at
+        if self.reading or not (many or few):
             return
-        self.reading = bool(page.after)
-        self.page_after = page.after
+        self._read_on(address, "", now)
+        self.reading = True
+        self.catch_up_at = now + timedelta(milliseconds=living * CATCH_UP_MS)
+
+    def _read_on(self, address: str, after: str, now: timedelta) -> None:
+        self.reading = bool(after)
+        self.page_after = after
         self.page_source = address
         self.page_at = now + timedelta(milliseconds=PAGE_INTERVAL_MS)
 
--- a/src/wagtailstep/controllers/member_table.py
+++ b/src/wagtailstep/controllers/member_table.py
@@ -100,6 +100,10 @@
         """Give all suspects their whole time again, after this daemon had paused."""
         self.suspected_at.update(dict.fromkeys(self.suspected_at, now))
 
+    def count_living(self) -> int:
+        """Return the number of members that are not known to be dead."""
+        return len(self.members) - len(self.died_at)
+
     def dead(self) -> list[Member]:
         """Return the members that are known to be dead."""
         return [self.members[name] for name in self.died_at]
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -73,7 +73,12 @@
         self.updates = UpdateQueue(blackboard.members)
         self.contacts = MemberContacts(self.settings, this, rng)
         self.prober = Prober(
-            self.settings, blackboard.members, self.self_id, this.peer_address, rng
+            self.settings,
+            blackboard.members,
+            self.self_id,
+            this.peer_address,
+            rng,
+            self.table.suspected_at,
         )
         self.last_tick: timedelta | None = None
         self.heard_at: dict[str, timedelta] = {}
@@ -129,13 +134,25 @@
     @_receive.register
     def _(self, message: Ping, sender: str) -> list[Any]:
         effects = self._merge(message.updates)
-        ack = Ack(message.sequence, self._updates_for(sender))
+        known = self.table.count_living()
+        ack = Ack(message.sequence, known, self._updates_for(sender))
         return [SendToPeer(message.reply_to, ack), *effects]
 
     @_receive.register
     def _(self, message: Ack, sender: str) -> list[Any]:
         effects = self._merge(message.updates)
-        return effects + self.prober.answer(message.sequence, self._updates_for(""))
+        now = self.clock.monotonic()
+        reached = self.prober.take_answered(message.sequence)
+        if reached is not None:
+            self.heard_at[reached] = now
+        source = self.blackboard.members.get(sender)
+        if source is not None:
+            address = source.peer_address
+            self.contacts.catch_up(address, message.known, now, self.table)
+        if message.sequence in self.prober.relays:
+            updates = self._updates_for("")
+            effects.append(self.prober.pass_on(message.sequence, updates))
+        return effects
 
     @_receive.register
     def _(self, message: PingRequest, sender: str) -> list[Any]:
@@ -159,7 +176,8 @@
         source = self.blackboard.members.get(sender)
         if source is not None:
             now = self.clock.monotonic()
-            self.contacts.receive_page(source.peer_address, message, now)
+            address = source.peer_address
+            self.contacts.receive_page(address, message, now, self.table)
         return effects
 
     def _make_page(self, after: str, requester: str) -> MembersPage:
@@ -171,7 +189,7 @@
             # The requester learns a higher incarnation of itself, if there is one.
             entries.append(MemberEntry.from_member(members[requester]))
         last = page[-1] if len(names) > PAGE_ENTRIES else ""
-        return MembersPage(after, tuple(entries), last)
+        return MembersPage(after, tuple(entries), last, self.table.count_living())
 
     def _make_ping(self, receiver: str) -> Ping:
         self.prober.sequence += 1
@@ -322,6 +340,10 @@
         timeout = timedelta(milliseconds=self.settings.suspicion_timeout_ms)
         effects: list[Any] = []
         for daemon_id in self.table.expired_suspects(now, timeout):
+            if self._heard_lately(daemon_id):
+                # It lives; its refutation is still on its way.
+                self.table.suspected_at[daemon_id] = now
+                continue
             member = self.blackboard.members[daemon_id]
             effects += self._put(attrs.evolve(member, state=MemberState.DEAD))
         if effects:
--- a/src/wagtailstep/controllers/probing.py
+++ b/src/wagtailstep/controllers/probing.py
@@ -1,6 +1,7 @@
 """Pings to other daemons: one at a time, directly and then through others."""
 
 import random
+from collections.abc import Mapping
 from datetime import timedelta
 
 import attrs
@@ -52,6 +53,7 @@
     :param self_id: ``daemon_id`` of this daemon.
     :param address: ``host:port`` of this daemon's control channel.
     :param rng: source of random choices.
+    :param suspects: names of members under suspicion, and since when.
     """
 
     settings: MembershipSettings
@@ -59,6 +61,7 @@
     self_id: str
     address: str
     rng: random.Random
+    suspects: Mapping[str, timedelta]
     sequence: int = 0
     probe: Probe | None = None
     relays: dict[int, Relay] = attrs.field(factory=dict)
@@ -111,14 +114,24 @@
         self.probe = None
         return probe
 
-    def answer(self, sequence: int, updates: Updates) -> list[SendToPeer]:
-        """Take an answer: end the probe, or pass it on to who asked for it."""
-        if self.probe is not None and self.probe.sequence == sequence:
-            self.probe = None
-        relay = self.relays.pop(sequence, None)
-        if relay is None:
-            return []
-        return [SendToPeer(relay.reply_to, Ack(relay.sequence, updates))]
+    def take_answered(self, sequence: int) -> str | None:
+        """End the probe that an answer belongs to, if there is one.
+
+        :return: the daemon that was reached, directly or through another one.
+        """
+        probe = self.probe
+        if probe is None or probe.sequence != sequence:
+            return None
+        self.probe = None
+        return probe.daemon_id
+
+    def pass_on(self, sequence: int, updates: Updates) -> SendToPeer:
+        """Pass an answer on to the daemon that asked for the ping.
+
+        :raises KeyError: if ``sequence`` is not in ``relays``.
+        """
+        relay = self.relays.pop(sequence)
+        return SendToPeer(relay.reply_to, Ack(relay.sequence, updates=updates))
 
     def relay(
         self, request: PingRequest, updates: Updates, now: timedelta
@@ -138,6 +151,9 @@
             del self.relays[key]
 
     def _next_member(self) -> Member | None:
+        if self.suspects:
+            # A suspect is tried again, through other daemons than before.
+            return self.members.get(self.rng.choice(sorted(self.suspects)))
         while True:
             if not self.round:
                 self.round = self._candidates()
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -134,11 +134,16 @@
 
 @message
 class Ack(msgspec.Struct, array_like=True, frozen=True):
-    """Answer to a ping; ``sequence`` as in the ping."""
+    """Answer to a ping.
+
+    :param sequence: as in the ping.
+    :param known: number of daemons, dead ones left out, that the sender knows.
+    """
 
     wire_name: ClassVar[str] = "A"
 
     sequence: int
+    known: int = 0
     updates: Updates = Updates()
 
 
@@ -176,11 +181,13 @@
     :param start: ``after`` of the request.
     :param entries: the page.
     :param after: where the next page starts; empty after the last page.
+    :param known: number of daemons, dead ones left out, that the sender knows.
     """
 
     start: str
     entries: tuple[MemberEntry, ...]
     after: str
+    known: int = 0
 
 
 @message
