--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -14,6 +14,7 @@
       | two lengths       | 400    |
       | length and chunks | 400    |
       | no host           | 400    |
+      | tunnel            | 405    |
 
   Scenario: A body that the caller cuts is told to the handler
     Given an HTTP server in memory
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -24,6 +24,7 @@
     b"content-length: 6\r\n\r\nhello",
     "length and chunks": b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 5\r\n"
     b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    "tunnel": b"CONNECT b:1 HTTP/1.1\r\nhost: a\r\n\r\n",
     "no host": b"GET / HTTP/1.1\r\n\r\n",
 }
 
@@ -321,7 +322,7 @@
 
 @then("its handler was not called")
 def check_not_handled(context):
-    assert "/" not in context.world.handled, context.world.handled
+    assert context.world.handled == ["/wait"], context.world.handled
 
 
 @then("the good request was answered")
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -123,8 +123,12 @@
 def read_request(scope: Any, receive: Any) -> IncomingRequest:
     """Turn an ASGI scope into a request.
 
-    :raises BadRequestError: if its length is announced twice.
+    :raises BadRequestError: if its length is announced twice, or it asks for a
+        tunnel.
     """
+    if scope["method"] == "CONNECT":
+        status = HTTPStatus.METHOD_NOT_ALLOWED
+        raise FramingError("tunnels (CONNECT) are not served", status)
     headers = decode_headers(scope["headers"])
     check_framing(headers)
     path = scope["raw_path"].decode("ascii")
