--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -26,6 +26,12 @@
 from wagtailstep.fakes.announcer import Announcement, Announcer
 from wagtailstep.fakes.faults import Faults, draw, read_faults
 from wagtailstep.fakes.work import Work, WorkCounts, read_work
+from wagtailstep.models.settings import (
+    check_address,
+    check_name,
+    not_negative,
+    positive,
+)
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.utils.clock import LoopClock
 
@@ -46,15 +52,15 @@
     :param seed: seed of random choices.
     """
 
-    service: str
-    address: str = "127.0.0.1:0"
+    service: str = attrs.field(validator=check_name)
+    address: str = attrs.field(default="127.0.0.1:0", validator=check_address)
     announce_address: str = ""
-    slots: int = 4
-    queue_length: int = 32
-    work_ms: float = 5.0
-    cold_start_ms: int = 0
-    cold_factor: float = 4.0
-    drain_limit_s: float = 30.0
+    slots: int = positive(4)
+    queue_length: int = not_negative(32)
+    work_ms: float = not_negative(5.0)
+    cold_start_ms: int = not_negative(0)
+    cold_factor: float = positive(4.0)
+    drain_limit_s: float = positive(30.0)
     seed: int = 0
 
 
@@ -254,15 +260,15 @@
 
 
 async def serve(settings: BackendServerSettings, stop: asyncio.Event) -> None:
-    """Run a stand-in until it has left.
+    """Run a stand-in until it is told to stop, then leave and finish.
 
-    :param stop: set it to make the stand-in leave.
+    One that has left by ``POST /drain`` still tells its counts until then.
+
+    :param stop: set it to make the stand-in leave and end.
     """
     server = BackendServer(settings)
     await server.start()
-    stopping = asyncio.create_task(stop.wait())
-    leaving = asyncio.create_task(server.left.wait())
-    await asyncio.wait({stopping, leaving}, return_when=asyncio.FIRST_COMPLETED)
+    await stop.wait()
     await server.leave()
     await server.left.wait()
     await server.stop()
