--- a/features/steps/at_most_once_steps.py
+++ b/features/steps/at_most_once_steps.py
@@ -134,7 +134,7 @@
     context.log = []
     context.daemons = {name: GuardedDaemon(context, name) for name in DAEMONS}
     for daemon in context.daemons.values():
-        daemon.guard.find_desk("contracts")
+        daemon.guard.find_claims("contracts")
 
 
 @given('a ticket of daemon "{name:Q}"')
@@ -170,7 +170,7 @@
 @when('daemon "{name:Q}" restarts before it has read the log')
 def restart_unread(context, name):
     context.daemons[name] = GuardedDaemon(context, name, boot=2)
-    context.daemons[name].guard.find_desk("contracts")
+    context.daemons[name].guard.find_claims("contracts")
 
 
 @when(
@@ -206,7 +206,7 @@
 @when('"{name:Q}" gets a request with key "{key:Q}" although it has no room')
 def claim_without_room(context, name, key):
     daemon = context.daemons[name]
-    fold = daemon.guard.find_desk("contracts").fold
+    fold = daemon.guard.find_claims("contracts").fold
     daemon.begin(key)
     # The claim of another daemon on the same key comes first and finds no room;
     # room is made before the own claim is read.
@@ -301,7 +301,7 @@
 @when('daemon "{name:Q}" restarts')
 def restart(context, name):
     context.daemons[name] = GuardedDaemon(context, name, boot=2)
-    context.daemons[name].guard.find_desk("contracts")
+    context.daemons[name].guard.find_claims("contracts")
     context.daemons[name].read()
 
 
@@ -311,7 +311,7 @@
     finish(daemon, start_ticket(context, name).run_id, "run", "signed")
     for _ in range(count):
         daemon.guard.tickets.issue("contracts")
-    assert len(daemon.guard.book.runs) <= count
+    assert len(daemon.guard.runs.by_id) <= count
 
 
 @when('{count:d} tickets run at "{name:Q}" with answers of {size:d} bytes each')
@@ -324,7 +324,7 @@
 
 @then('at most {size:d} bytes of answers are kept at "{name:Q}"')
 def check_kept(context, size, name):
-    runs = context.daemons[name].guard.book.runs.values()
+    runs = context.daemons[name].guard.runs.by_id.values()
     kept = sum(len(run.answer.body) for run in runs if run.answer is not None)
     assert size / 2 < kept <= size, kept
 
@@ -505,4 +505,4 @@
 @then('the appends of "{name:Q}" are {count:d} in all')
 def check_append_count(context, name, count):
     assert context.daemons[name].append_count == count
-    assert len(context.daemons[name].guard.book.runs) == 300
+    assert len(context.daemons[name].guard.runs.by_id) == 300
--- a/features/steps/histories_steps.py
+++ b/features/steps/histories_steps.py
@@ -12,10 +12,10 @@
 
 from wagtailstep import exceptions
 from wagtailstep.controllers import claims
-from wagtailstep.controllers.claims import ClaimDesk
+from wagtailstep.controllers.claims import ServiceClaims
 from wagtailstep.controllers.retries import RetryPolicy
-from wagtailstep.controllers.runs import Run, RunBook
-from wagtailstep.controllers.tickets import TicketOffice
+from wagtailstep.controllers.runs import Run, RunStore
+from wagtailstep.controllers.tickets import TicketIssuer
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
 
@@ -90,37 +90,37 @@
     assert first.history == second.history
 
 
-def win_always(desk, pending):
-    return desk.win(pending)
+def win_always(claims, pending):
+    return claims.win(pending)
 
 
-def settle_by_acknowledgment(desk, event):
-    entries = desk.appender.under_way
-    effects = real_settle_append(desk, event)
+def settle_by_acknowledgment(claims, event):
+    entries = claims.appender.under_way
+    effects = real_settle_append(claims, event)
     for entry in entries:
-        if event.offset is not None and entry.key in desk.pending:
-            effects = desk.win(desk.pending.pop(entry.key)) + effects
+        if event.offset is not None and entry.key in claims.pending:
+            effects = claims.win(claims.pending.pop(entry.key)) + effects
     return effects
 
 
-def finish_as_not_run(book, run, verdict, answer):
+def finish_as_not_run(store, run, verdict, answer):
     if verdict is Verdict.MAY_HAVE_RUN:
         verdict = Verdict.NOT_RUN
-    return real_finish(book, run, verdict, answer)
+    return real_finish(store, run, verdict, answer)
 
 
-def run_any_ticket(office, ticket, request, fingerprint):
-    run = office.book.find(str(ticket))
+def run_any_ticket(issuer, ticket, request, fingerprint):
+    run = issuer.runs.find(str(ticket))
     if run is None:
         run = Run(str(ticket), request.service)
-        office.book.add(run)
-    return office.book.start(run, request.request_id, fingerprint)
+        issuer.runs.add(run)
+    return issuer.runs.start(run, request.request_id, fingerprint)
 
 
-def run_old_ticket(office, ticket, request, fingerprint):
-    if ticket.daemon_id == office.blackboard.this_member.daemon_id:
-        return run_any_ticket(office, ticket, request, fingerprint)
-    return real_decide(office, ticket, request, fingerprint)
+def run_old_ticket(issuer, ticket, request, fingerprint):
+    if ticket.daemon_id == issuer.blackboard.this_member.daemon_id:
+        return run_any_ticket(issuer, ticket, request, fingerprint)
+    return real_decide(issuer, ticket, request, fingerprint)
 
 
 async def answer_late(fleet, daemon, sending, operation):
@@ -152,9 +152,9 @@
     return error
 
 
-real_settle_append = ClaimDesk.settle_append
-real_finish = RunBook.finish
-real_decide = TicketOffice.decide
+real_settle_append = ServiceClaims.settle_append
+real_finish = RunStore.finish
+real_decide = TicketIssuer.decide
 real_execute = FakeFleet.execute
 real_wait_for_reply = FakeFleet.wait_for_reply
 real_log_away_error = claims.make_log_away_error
@@ -168,17 +168,17 @@
     "answer of another request": (FakeFleet, "execute", answer_late),
     "truncated answer passed on as whole": (FakeFleet, "execute", pass_on_short),
     "lost answer called not run": (FakeFleet, "wait_for_reply", call_lost_not_run),
-    "claim ignored": (ClaimDesk, "decide", win_always),
+    "claim ignored": (ServiceClaims, "decide", win_always),
     "claim won by its acknowledgment": (
-        ClaimDesk,
+        ServiceClaims,
         "settle_append",
         settle_by_acknowledgment,
     ),
-    "claim released after it may have run": (RunBook, "finish", finish_as_not_run),
-    "ticket run again by its issuer": (RunBook, "finish", finish_as_not_run),
-    "ticket run by another daemon": (TicketOffice, "decide", run_any_ticket),
-    "ticket of an earlier incarnation run": (TicketOffice, "decide", run_old_ticket),
-    "release forgotten": (ClaimDesk, "release", lambda desk, claim: []),
+    "claim released after it may have run": (RunStore, "finish", finish_as_not_run),
+    "ticket run again by its issuer": (RunStore, "finish", finish_as_not_run),
+    "ticket run by another daemon": (TicketIssuer, "decide", run_any_ticket),
+    "ticket of an earlier incarnation run": (TicketIssuer, "decide", run_old_ticket),
+    "release forgotten": (ServiceClaims, "release", lambda claims, claim: []),
     "refusal with the log away called not run": (
         claims,
         "make_log_away_error",
--- a/features/steps/keyed_entry_steps.py
+++ b/features/steps/keyed_entry_steps.py
@@ -57,8 +57,8 @@
 @then("the claim is released after it has been read")
 def check_claim_released(context):
     assert context.world.forwarder.times_left == []
-    (desk,) = context.world.entry.guard.desks.values()
-    assert [entry.released for entry in desk.appender.queue] == [True]
+    (claims,) = context.world.entry.guard.claims_by_service.values()
+    assert [entry.released for entry in claims.appender.queue] == [True]
     assert not context.world.board.in_flight.by_service
 
 
--- a/src/wagtailstep/controllers/claim_fold.py
+++ b/src/wagtailstep/controllers/claim_fold.py
@@ -13,7 +13,7 @@
 
 
 @attrs.define
-class ClaimRoom:
+class ClaimCapacity:
     """Room for claims, shared by all services of a daemon.
 
     :param left: number of further claims that can be remembered.
@@ -28,12 +28,12 @@
     When there is no room for another key the fold is incomplete until all records
     that it left out have expired; an incomplete fold must decide nothing.
 
-    :param room: number of keys that can be remembered.
+    :param capacity: number of keys that can be remembered.
     :param retention: how long the log keeps a record.
     """
 
-    def __init__(self, room: ClaimRoom, retention: timedelta) -> None:
-        self.room = room
+    def __init__(self, capacity: ClaimCapacity, retention: timedelta) -> None:
+        self.capacity = capacity
         self.retention = retention
         self.claims: OrderedDict[bytes, ClaimHolder] = OrderedDict()
         self.incomplete_until = timedelta()
@@ -63,10 +63,10 @@
             return
         self.drop_expired(now)
         expires = now + self.retention
-        if self.room.left <= 0:
+        if self.capacity.left <= 0:
             self.incomplete_until = expires
             return
-        self.room.left -= 1
+        self.capacity.left -= 1
         # Few daemons make all the claims, so their names are kept once.
         daemon_id, boot_id = sys.intern(batch.daemon_id), sys.intern(batch.boot_id)
         self.claims[entry.key] = ClaimHolder(entry.serial, daemon_id, boot_id, expires)
@@ -85,11 +85,11 @@
     def forget(self, key: bytes) -> None:
         """Forget the claim that holds a key."""
         del self.claims[key]
-        self.room.left += 1
+        self.capacity.left += 1
 
     def clear(self) -> None:
         """Forget all claims, because newer records than these have expired."""
-        self.room.left += len(self.claims)
+        self.capacity.left += len(self.claims)
         self.claims.clear()
 
 
--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -22,11 +22,11 @@
     make_gap_error,
     make_log_away_error,
 )
-from wagtailstep.controllers.claim_fold import ClaimFold, ClaimRoom, is_claim_of
+from wagtailstep.controllers.claim_fold import ClaimCapacity, ClaimFold, is_claim_of
 from wagtailstep.controllers.runs import (
     Run,
-    RunBook,
     RunState,
+    RunStore,
     make_mismatch_error,
     make_unknown_error,
 )
@@ -74,7 +74,7 @@
     waiting: list[RequestContext]
 
 
-class ClaimDesk:
+class ServiceClaims:
     """The claims of one service at one daemon."""
 
     def __init__(
@@ -85,17 +85,17 @@
         blackboard: Blackboard,
         clock: Clock,
         rng: random.Random,
-        book: RunBook,
-        room: ClaimRoom,
+        runs: RunStore,
+        capacity: ClaimCapacity,
     ) -> None:
         self.service = service
         self.boot_id = boot_id
         self.blackboard = blackboard
         self.clock = clock
-        self.book = book
+        self.runs = runs
         self.stream = name_stream(service)
         retention = timedelta(seconds=settings.log.retention_s)
-        self.fold = ClaimFold(room, retention)
+        self.fold = ClaimFold(capacity, retention)
         self.appender = ClaimAppender(self.stream, settings.daemon_id, boot_id, rng)
         self.pending: dict[bytes, PendingClaim] = {}
         self.releasing: set[int] = set()
@@ -112,9 +112,9 @@
         :return: the decision and effects for the runtime.
         """
         key = digest_key(request.account, request.idempotency_key)
-        run = self.book.find(self.name_run(key))
+        run = self.runs.find(self.name_run(key))
         if run is not None:
-            return self.book.start(run, request.request_id, fingerprint), []
+            return self.runs.start(run, request.request_id, fingerprint), []
         pending = self.pending.get(key)
         if pending is not None:
             return self.join(pending, request, fingerprint), []
@@ -187,7 +187,7 @@
         """Note that this daemon runs the request of a claim now."""
         run_id = self.name_run(entry.key)
         run = Run(run_id, self.service, RunState.RUNNING, fingerprint, claim=entry)
-        self.book.add(run)
+        self.runs.add(run)
         return RunHere(run_id)
 
     def finish(self, run: Run) -> list[Any]:
@@ -196,7 +196,7 @@
         Nothing runs under the claim afterwards: its run is forgotten here before
         the release can be read by anybody.
         """
-        self.book.forget(run.run_id)
+        self.runs.forget(run.run_id)
         return self.release(run.claim)
 
     def release(self, claim: ClaimEntry) -> list[Any]:
@@ -260,7 +260,7 @@
         pending = self.pending.get(entry.key)
         if pending is not None and pending.entry == entry:
             return True
-        run = self.book.find(self.name_run(entry.key))
+        run = self.runs.find(self.name_run(entry.key))
         return run is not None and run.claim == entry
 
     def refuse_pending(self, entries: tuple[ClaimEntry, ...]) -> list[RequestDecided]:
@@ -321,7 +321,7 @@
         won = holder is not None and is_claim_of(holder, self.boot_id, entry)
         if won and entry.serial in self.given_up:
             return self.release(entry)
-        run = self.book.find(self.name_run(entry.key))
+        run = self.runs.find(self.name_run(entry.key))
         if not won and run is not None and run.claim == entry:
             fields = {"service": self.service, "key": entry.key.hex()}
             return [RecordEvent("unclaimed-run-conflict", fields)]
@@ -347,7 +347,7 @@
         """Run the first request that waits for a claim; the others wait for it."""
         first, *others = pending.waiting
         decision = self.start_run(pending.entry, pending.fingerprint)
-        run = self.book.find(decision.run_id)
+        run = self.runs.find(decision.run_id)
         run.waiting = [request.request_id for request in others]
         return [RequestDecided(first.request_id, decision)]
 
--- a/src/wagtailstep/controllers/guard.py
+++ b/src/wagtailstep/controllers/guard.py
@@ -12,10 +12,10 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from wagtailstep.controllers.claim_fold import ClaimRoom
-from wagtailstep.controllers.claims import ClaimDesk
-from wagtailstep.controllers.runs import Run, RunBook, RunState
-from wagtailstep.controllers.tickets import TicketOffice
+from wagtailstep.controllers.claim_fold import ClaimCapacity
+from wagtailstep.controllers.claims import ServiceClaims
+from wagtailstep.controllers.runs import Run, RunState, RunStore
+from wagtailstep.controllers.tickets import TicketIssuer
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.claims import STREAM_PREFIX, digest_key
 from wagtailstep.models.events import (
@@ -52,12 +52,12 @@
         self.rng = rng
         member = blackboard.this_member
         self.boot_id = f"{member.daemon_id}/{member.incarnation}/{make_id(rng)}"
-        self.book = RunBook(settings.requests)
-        self.room = ClaimRoom(settings.requests.claims_kept)
-        self.tickets = TicketOffice(
-            settings.requests, blackboard, clock, rng, self.book
+        self.runs = RunStore(settings.requests)
+        self.capacity = ClaimCapacity(settings.requests.claims_kept)
+        self.tickets = TicketIssuer(
+            settings.requests, blackboard, clock, rng, self.runs
         )
-        self.desks: dict[str, ClaimDesk] = {}
+        self.claims_by_service: dict[str, ServiceClaims] = {}
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -66,23 +66,27 @@
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
-        return [effect for desk in self.desks.values() for effect in desk.flush()]
+        return [
+            effect
+            for claims in self.claims_by_service.values()
+            for effect in claims.flush()
+        ]
 
     @handle.register
     def _(self, event: LogRecordsRead) -> list[Any]:
-        desk = self.find_desk_of_stream(event.stream)
-        return desk.read(event.records) if desk is not None else []
+        claims = self.find_claims_of_stream(event.stream)
+        return claims.read(event.records) if claims is not None else []
 
     @handle.register
     def _(self, event: LogGap) -> list[Any]:
-        desk = self.find_desk_of_stream(event.stream)
-        return desk.skip_gap(event.oldest_offset) if desk is not None else []
+        claims = self.find_claims_of_stream(event.stream)
+        return claims.skip_gap(event.oldest_offset) if claims is not None else []
 
     @handle.register
     def _(self, event: LogAppendSettled) -> list[Any]:
-        for desk in self.desks.values():
-            if desk.appender.append_id == event.append_id:
-                return desk.settle_append(event)
+        for claims in self.claims_by_service.values():
+            if claims.appender.append_id == event.append_id:
+                return claims.settle_append(event)
         return []
 
     def begin(self, request: RequestContext, fingerprint: str) -> GuardOutcome:
@@ -96,8 +100,8 @@
         ticket = parse_ticket(request.idempotency_key)
         if ticket is not None:
             return GuardOutcome(self.tickets.decide(ticket, request, fingerprint))
-        desk = self.find_desk(request.service)
-        decision, effects = desk.begin(request, fingerprint)
+        claims = self.find_claims(request.service)
+        decision, effects = claims.begin(request, fingerprint)
         return GuardOutcome(decision, tuple(effects))
 
     def finish(
@@ -108,19 +112,19 @@
         :param verdict: how it ended; ``NOT_RUN`` only as a fact.
         :param answer: its whole answer, if it is small enough to keep.
         """
-        run = self.book.find(run_id)
+        run = self.runs.find(run_id)
         if run is None:
             return []
-        decided = self.book.finish(run, verdict, answer)
+        decided = self.runs.finish(run, verdict, answer)
         if run.state is RunState.READY and run.claim is not None:
-            return [*decided, *self.find_desk(run.service).finish(run)]
+            return [*decided, *self.find_claims(run.service).finish(run)]
         return list(decided)
 
     def abandon(self, request: RequestContext) -> None:
         """Forget a request that was told to wait and has been given up."""
-        desk = self.desks.get(request.service)
-        if desk is not None:
-            desk.abandon(request)
+        claims = self.claims_by_service.get(request.service)
+        if claims is not None:
+            claims.abandon(request)
         run = self.find_run(request)
         if run is not None and request.request_id in run.waiting:
             run.waiting.remove(request.request_id)
@@ -133,28 +137,28 @@
     def find_run(self, request: RequestContext) -> Run | None:
         """Return the run that this daemon remembers for a guarded request."""
         if parse_ticket(request.idempotency_key) is not None:
-            return self.book.find(request.idempotency_key)
+            return self.runs.find(request.idempotency_key)
         key = digest_key(request.account, request.idempotency_key)
-        return self.book.find(f"{request.service}/{key.hex()}")
+        return self.runs.find(f"{request.service}/{key.hex()}")
 
-    def find_desk(self, service: str) -> ClaimDesk:
-        """Return the claims of a service; the first call makes the desk."""
-        desk = self.desks.get(service)
-        if desk is None:
-            desk = self.desks[service] = ClaimDesk(
+    def find_claims(self, service: str) -> ServiceClaims:
+        """Return the claims of a service; the first call makes the claims."""
+        claims = self.claims_by_service.get(service)
+        if claims is None:
+            claims = self.claims_by_service[service] = ServiceClaims(
                 service,
                 self.boot_id,
                 self.settings,
                 self.blackboard,
                 self.clock,
                 self.rng,
-                self.book,
-                self.room,
+                self.runs,
+                self.capacity,
             )
-        return desk
+        return claims
 
-    def find_desk_of_stream(self, stream: str) -> ClaimDesk | None:
-        """Return the desk that follows a stream, or ``None``."""
+    def find_claims_of_stream(self, stream: str) -> ServiceClaims | None:
+        """Return the claims that follows a stream, or ``None``."""
         if not stream.startswith(STREAM_PREFIX):
             return None
-        return self.desks.get(stream.removeprefix(STREAM_PREFIX))
+        return self.claims_by_service.get(stream.removeprefix(STREAM_PREFIX))
--- a/src/wagtailstep/controllers/runs.py
+++ b/src/wagtailstep/controllers/runs.py
@@ -54,42 +54,42 @@
     claim: ClaimEntry | None = None
 
 
-class RunBook:
+class RunStore:
     """A bounded memory of runs.
 
     When it is full, the oldest run that is not running is forgotten. The owner of
-    the book must treat a forgotten run as one that may have run.
+    the store must treat a forgotten run as one that may have run.
     """
 
     def __init__(self, settings: RequestSettings) -> None:
         self.settings = settings
-        self.runs: OrderedDict[str, Run] = OrderedDict()
+        self.by_id: OrderedDict[str, Run] = OrderedDict()
         self.answered: OrderedDict[str, int] = OrderedDict()
         self.answers_bytes = 0
 
     def find(self, run_id: str) -> Run | None:
         """Return a run, or ``None`` if it is unknown or forgotten."""
-        return self.runs.get(run_id)
+        return self.by_id.get(run_id)
 
     def add(self, run: Run) -> None:
         """Remember a run, forgetting old ones where needed."""
-        self.runs[run.run_id] = run
-        excess = len(self.runs) - self.settings.tickets_kept
+        self.by_id[run.run_id] = run
+        excess = len(self.by_id) - self.settings.tickets_kept
         if excess <= 0:
             return
-        idle = (r for r in self.runs.values() if r.state is not RunState.RUNNING)
+        idle = (r for r in self.by_id.values() if r.state is not RunState.RUNNING)
         for forgotten in list(itertools.islice(idle, excess)):
             self.forget(forgotten.run_id)
 
     def forget(self, run_id: str) -> None:
         """Drop a run and its answer, if they are remembered."""
-        self.runs.pop(run_id, None)
+        self.by_id.pop(run_id, None)
         self.drop_answer(run_id)
 
     def drop_answer(self, run_id: str) -> None:
         """Drop the kept answer of a run, if there is one."""
         self.answers_bytes -= self.answered.pop(run_id, 0)
-        run = self.runs.get(run_id)
+        run = self.by_id.get(run_id)
         if run is not None:
             run.answer = None
 
--- a/src/wagtailstep/controllers/tickets.py
+++ b/src/wagtailstep/controllers/tickets.py
@@ -8,8 +8,8 @@
 
 from wagtailstep.controllers.runs import (
     Run,
-    RunBook,
     RunState,
+    RunStore,
     make_unknown_error,
 )
 from wagtailstep.exceptions import BadRequestError, LeavingError
@@ -41,7 +41,7 @@
     time: timedelta
 
 
-class TicketOffice:
+class TicketIssuer:
     """Issue tickets and decide about requests that carry one.
 
     A ticket needs no log, no lease and no clock: whoever is not its issuer never
@@ -55,12 +55,12 @@
         blackboard: Blackboard,
         clock: Clock,
         rng: random.Random,
-        book: RunBook,
+        runs: RunStore,
     ) -> None:
         self.blackboard = blackboard
         self.clock = clock
         self.rng = rng
-        self.book = book
+        self.runs = runs
         self.issued: deque[IssuedTicket] = deque(maxlen=settings.tickets_kept)
 
     def issue(self, service: str) -> Ticket:
@@ -73,7 +73,7 @@
         member = self.blackboard.this_member
         serial = make_id(self.rng, SERIAL_BITS)
         ticket = Ticket(member.daemon_id, member.incarnation, serial)
-        self.book.add(Run(str(ticket), service))
+        self.runs.add(Run(str(ticket), service))
         self.issued.append(IssuedTicket(str(ticket), self.clock.monotonic()))
         return ticket
 
@@ -87,7 +87,7 @@
         for issued in reversed(self.issued):
             if issued.time < oldest:
                 return False
-            run = self.book.find(issued.run_id)
+            run = self.runs.find(issued.run_id)
             if run is not None and run.state in _OPEN_STATES:
                 return True
         return False
@@ -112,7 +112,7 @@
         self, ticket: Ticket, request: RequestContext, fingerprint: str
     ) -> Decision:
         """Decide about a request whose ticket names this daemon."""
-        run = self.book.find(str(ticket))
+        run = self.runs.find(str(ticket))
         if run is None:
             return Refuse(make_unknown_error("the issuer has forgotten its ticket"))
         if run.service != request.service:
@@ -122,4 +122,4 @@
                     f"{request.service!r}; ask for a ticket of the right service"
                 )
             )
-        return self.book.start(run, request.request_id, fingerprint)
+        return self.runs.start(run, request.request_id, fingerprint)
