--- /dev/null
+++ b/benchmarks/detection_cost.py
@@ -0,0 +1,164 @@
+"""Measure what evidence costs a daemon: processor time, memory and bytes.
+
+Run as ``python -m benchmarks.detection_cost --seed=1``. Writes
+``docs/measurements/detection_cost.md``.
+"""
+
+import pathlib
+import platform
+import random
+import subprocess
+import time
+import tracemalloc
+from datetime import timedelta
+
+import attrs
+import fire
+
+from benchmarks.detection_users import ADDIS
+from benchmarks.detection_world import World
+from wagtailstep.controllers.evidence import EvidenceController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Tick
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.request import Blame, RequestContext, RequestOutcome
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.utils.clock import ManualClock
+
+REPORT = pathlib.Path(__file__).parent.parent / "docs/measurements/detection_cost.md"
+OUTCOMES = 20_000
+TICKS = 300
+OUTCOMES_PER_S = 200
+ROUTES = 3
+SIZES = ((20, 1), (80, 2), (320, 8), (960, 24))
+DAEMONS = (13, 26, 52)
+
+
+@attrs.frozen
+class Cost:
+    """Cost at one size.
+
+    :param targets: targets asked for, over all services.
+    :param services: services asked for.
+    :param outcome_us: microseconds for one outcome.
+    :param tick_us: microseconds for one tick.
+    :param kilobytes: memory of the evidence.
+    """
+
+    targets: int
+    services: int
+    outcome_us: float
+    tick_us: float
+    kilobytes: float
+
+
+def make_controller(
+    targets: int, services: int, seed: int
+) -> tuple[EvidenceController, ManualClock, list[str]]:
+    """Make a controller that knows targets of several services."""
+    names = [f"s{number % services}/10.0.{number}.1:80" for number in range(targets)]
+    known = {
+        name: Target(name, name.partition("/")[0], f"d{number}", f"z{number % 3}")
+        for number, name in enumerate(names)
+    }
+    wanted = tuple(f"s{number}" for number in range(services))
+    members = {
+        f"d{number}": Member(f"d{number}", 0, f"d{number}", "", "z0", wanted)
+        for number in range(26)
+    }
+    board = Blackboard(members["d0"], members=members, targets=known)
+    addresses = [f"127.0.0.1:{port}" for port in range(9_001, 9_005)]
+    settings = DaemonSettings("d0", "z0", *addresses)
+    clock = ManualClock()
+    controller = EvidenceController(settings, board, clock, random.Random(seed))
+    return controller, clock, names
+
+
+def make_outcome(name: str, route: int, rng: random.Random) -> RequestOutcome:
+    """Make the outcome of a request that went well."""
+    service = name.partition("/")[0]
+    request = RequestContext(
+        "r", service, f"route{route}", "", "GET", "/", True, None, timedelta()
+    )
+    latency = timedelta(seconds=0.02 * rng.lognormvariate(0, 0.5))
+    return RequestOutcome(request, name, Verdict.RUN, 200, Blame.NONE, latency)
+
+
+def measure_size(targets: int, services: int, seed: int) -> Cost:
+    """Measure the cost at one size."""
+    rng = random.Random(seed)
+    controller, clock, names = make_controller(targets, services, seed)
+    outcomes = [
+        make_outcome(rng.choice(names), rng.randrange(ROUTES), rng)
+        for _ in range(OUTCOMES)
+    ]
+    tracemalloc.start()
+    for name in names:
+        for route in range(ROUTES):
+            controller.handle(make_outcome(name, route, rng))
+    kilobytes = tracemalloc.get_traced_memory()[0] / 1_000
+    tracemalloc.stop()
+    step = timedelta(seconds=1 / OUTCOMES_PER_S)
+    started = time.process_time()
+    for outcome in outcomes:
+        clock.advance(step)
+        controller.handle(outcome)
+    outcome_us = (time.process_time() - started) / OUTCOMES * 1e6
+    started = time.process_time()
+    for _ in range(TICKS):
+        clock.advance(timedelta(milliseconds=100))
+        controller.handle(Tick())
+    tick_us = (time.process_time() - started) / TICKS * 1e6
+    return Cost(targets, services, outcome_us, tick_us, kilobytes)
+
+
+def measure_bytes(daemons: int, seed: int) -> float:
+    """Return bytes a second that a daemon sends while all targets are healthy."""
+    scenario = attrs.evolve(ADDIS[0], daemons=daemons, end_s=10.0)
+    world = World(scenario, seed).run()
+    return world.bytes_sent / scenario.end_s / daemons
+
+
+def main(seed: int = 1) -> None:
+    """Measure all sizes, print and write the table.
+
+    :param seed: seed of all random choices.
+    """
+    commit = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True
+    ).stdout.strip()
+    lines = [
+        "# Cost of evidence for one daemon",
+        "",
+        f"`python -m benchmarks.detection_cost --seed={seed}`, commit {commit}, "
+        f"{platform.machine()}, Python {platform.python_version()}; processor time. "
+        f"{ROUTES} routes a service; memory is that of all targets on all routes.",
+        "",
+        "| targets | services | us an outcome | us a tick | kB | kB a target and route |",
+        "|---|---|---|---|---|---|",
+    ]
+    for targets, services in SIZES:
+        cost = measure_size(targets, services, seed)
+        each = cost.kilobytes / targets / ROUTES
+        lines.append(
+            f"| {targets} | {services} | {cost.outcome_us:.1f} | {cost.tick_us:.0f} "
+            f"| {cost.kilobytes:.0f} | {each:.2f} |"
+        )
+        print(lines[-1], flush=True)
+    lines += [
+        "",
+        "Bytes of evidence that a daemon sends, mean over all daemons, all targets "
+        "healthy, 20 targets with 20 requests a second each:",
+        "",
+        "| daemons | bytes a second |",
+        "|---|---|",
+    ]
+    for daemons in DAEMONS:
+        lines.append(f"| {daemons} | {measure_bytes(daemons, seed):.0f} |")
+        print(lines[-1], flush=True)
+    REPORT.write_text("\n".join([*lines, ""]))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
