--- a/benchmarks/detection_cost.py
+++ b/benchmarks/detection_cost.py
@@ -133,9 +133,9 @@
         "",
         f"`python -m benchmarks.detection_cost --seed={seed}`, commit {commit}, "
         f"{platform.machine()}, Python {platform.python_version()}; processor time. "
-        f"{ROUTES} routes a service; memory is that of all targets on all routes.",
+        f"{ROUTES} routes a service; memory of all targets, and of one on one route.",
         "",
-        "| targets | services | us an outcome | us a tick | kB | kB a target and route |",
+        "| targets | services | us an outcome | us a tick | kB | kB a route |",
         "|---|---|---|---|---|---|",
     ]
     for targets, services in SIZES:
