Make a tick of the evidence controller cheaper

Cause: collectors worked out the doubt about each target twice, and looked at tests without evidence (960 targets of 24 services). Change: once per request round, and idle tests are skipped; only targets with new outcomes go into a digest.

--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -196,7 +196,8 @@
     ) -> EvidenceDigest | None:
         """Return what is worth telling, and count from zero again."""
         answers, alerts = [], []
-        for target in service.targets.values():
+        names, service.unsent = service.unsent, {}
+        for target in [service.targets[n] for n in names if n in service.targets]:
             asked = sharing.asked_until.get(target.target_id, now) > now
             for entry in take_entries(target, asked):
                 (answers if asked else alerts).append(pack_entry(entry))
@@ -270,27 +271,21 @@
     asked = sharing.asked_until
     mean = sum(sharing.alerts.values()) / max(1, len(service.targets))
     least = ALERT_FACTOR * mean + ALERT_SURPLUS
-    zones = suspect_zones(service)
+    doubts = {t.target_id: measure_doubt(t) for t in service.targets.values()}
+    suspect = SUSPECT_SHARE * service.limits.threshold
+    # The neighbours of a suspect tell whether its whole zone is to blame.
+    zones = {t.zone for t in service.targets.values() if doubts[t.target_id] >= suspect}
     names = [
         target.target_id
         for target in service.targets.values()
         if asked.get(target.target_id, now) <= soon
         if sharing.alerts.get(target.target_id, 0.0) >= least
-        or is_in_doubt(target, DOUBT_NATS)
+        or doubts[target.target_id] >= DOUBT_NATS
         or target.zone in zones
     ]
     return names[:MAX_ENTRIES]
 
 
-def suspect_zones(service: ServiceEvidence) -> set[str]:
-    """Return the zones of targets that may soon be found sick.
-
-    Their neighbours are asked about as well, to tell a sick target from a zone.
-    """
-    least = SUSPECT_SHARE * service.limits.threshold
-    return {t.zone for t in service.targets.values() if is_in_doubt(t, least)}
-
-
 def fade_alerts(sharing: ServiceSharing, limits: TestLimits, now: timedelta) -> None:
     """Let old alerts count less, by half the service's window."""
     window_s = limits.slot_s * SLOTS_PER_WINDOW
@@ -325,14 +320,15 @@
             )
 
 
-def is_in_doubt(target: TargetEvidence, least: float) -> bool:
-    """Tell whether what all daemons saw speaks against a target.
-
-    :param least: sum in nats that makes it doubtful.
-    """
-    return any(strongest(tests.pooled) >= least for tests in target.routes.values())
+def measure_doubt(target: TargetEvidence) -> float:
+    """Return the strongest sum in nats of what all daemons saw of a target."""
+    return max((strongest(t.pooled) for t in target.routes.values()), default=0.0)
 
 
 def strongest(tests: dict[Symptom, SequentialTest]) -> float:
     """Return the largest sum of some tests, in nats."""
-    return max(test.value(SLOT_CAP[symptom]) for symptom, test in tests.items())
+    largest = 0.0
+    for symptom, test in tests.items():
+        if test.score or test.gain > 0:
+            largest = max(largest, test.value(SLOT_CAP[symptom]))
+    return largest
--- a/src/wagtailstep/controllers/evidence_state.py
+++ b/src/wagtailstep/controllers/evidence_state.py
@@ -208,12 +208,14 @@
     :param limits: how its targets are judged.
     :param targets: evidence by ``target_id``.
     :param comparisons: by route.
+    :param unsent: targets with outcomes since the last digest, as keys.
     """
 
     service: str
     limits: TestLimits
     targets: dict[str, TargetEvidence] = attrs.field(factory=dict)
     comparisons: dict[str, RouteComparison] = attrs.field(factory=dict)
+    unsent: dict[str, None] = attrs.field(factory=dict)
 
     def target(self, target_id: str, zone: str) -> TargetEvidence:
         """Return the evidence on a target, made on first use."""
@@ -265,6 +267,7 @@
             rates.advance(slot, decay)
             rates.add(1, failed, timed, bool(slow))
         tests.unsent.add(failed, slow)
+        self.unsent[target.target_id] = None
         if route == STALL_ROUTE:
             self.add_ratio(tests, comparison, Symptom.HANGING, bool(slow), slot)
             return
--- a/src/wagtailstep/controllers/sequential_test.py
+++ b/src/wagtailstep/controllers/sequential_test.py
@@ -6,6 +6,7 @@
 harmless cause, such as a pause of the process, so what one slot can add is capped.
 """
 
+import functools
 import math
 from datetime import timedelta
 
@@ -36,6 +37,7 @@
     rate_decay: float
 
     @classmethod
+    @functools.lru_cache(maxsize=1_024)
     def from_row(cls, row: ServiceRow) -> "TestLimits":
         """Compute the limits from the two settings of a service's row."""
         window_s = max(row.detection_window_ms, MIN_WINDOW_MS) / 1_000
--- a/src/wagtailstep/controllers/stall_watch.py
+++ b/src/wagtailstep/controllers/stall_watch.py
@@ -97,7 +97,9 @@
         :param in_flight: requests that have not ended.
         """
         self.follow(in_flight.by_target, now)
-        found = []
+        found: list[tuple[TargetEvidence, bool]] = []
+        if not self.stalls:
+            return found
         for service in services.values():
             busy = [t for t in service.targets.values() if t.target_id in self.stalls]
             if not busy:
