--- a/src/wagtailstep/controllers/claims.py
+++ b/src/wagtailstep/controllers/claims.py
@@ -1,9 +1,10 @@
 """Claims on plain idempotency keys, ordered by the log.
 
-A daemon that wants to run a keyed request appends a claim and decides when it reads
-its own record back: whoever's claim comes first in the stream holds the key. Reading
-the own record means that all earlier ones were read, so no acknowledgment, clock or
-lease is needed, and a claim that nobody waits for any more is never run but released.
+A daemon that wants to run a keyed request appends a claim and decides when it has read
+the stream up to its own record: whoever's claim comes first holds the key. An
+acknowledgment spares reading the own record only if all earlier ones were read. No
+clock or lease is needed, and a claim that nobody waits for any more is never run but
+released.
 """
 
 import itertools
@@ -21,11 +22,11 @@
     make_gap_error,
     make_log_away_error,
 )
-from wagtailstep.controllers.claim_fold import ClaimFold, ClaimRoom, is_claim_of
+from wagtailstep.controllers.claim_fold import ClaimCapacity, ClaimFold, is_claim_of
 from wagtailstep.controllers.runs import (
     Run,
-    RunBook,
     RunState,
+    RunStore,
     make_mismatch_error,
     make_unknown_error,
 )
@@ -73,7 +74,7 @@
     waiting: list[RequestContext]
 
 
-class ClaimDesk:
+class ServiceClaims:
     """The claims of one service at one daemon."""
 
     def __init__(
@@ -84,22 +85,23 @@
         blackboard: Blackboard,
         clock: Clock,
         rng: random.Random,
-        book: RunBook,
-        room: ClaimRoom,
+        runs: RunStore,
+        capacity: ClaimCapacity,
     ) -> None:
         self.service = service
         self.boot_id = boot_id
         self.blackboard = blackboard
         self.clock = clock
-        self.book = book
+        self.runs = runs
         self.stream = name_stream(service)
         retention = timedelta(seconds=settings.log.retention_s)
-        self.fold = ClaimFold(room, retention)
+        self.fold = ClaimFold(capacity, retention)
         self.appender = ClaimAppender(self.stream, settings.daemon_id, boot_id, rng)
         self.pending: dict[bytes, PendingClaim] = {}
         self.releasing: set[int] = set()
         self.given_up: OrderedDict[int, None] = OrderedDict()
         self.serials = itertools.count(1)
+        self.next_offset = 0
 
     def begin(
         self, request: RequestContext, fingerprint: str
@@ -110,9 +112,9 @@
         :return: the decision and effects for the runtime.
         """
         key = digest_key(request.account, request.idempotency_key)
-        run = self.book.find(self.name_run(key))
+        run = self.runs.find(self.name_run(key))
         if run is not None:
-            return self.book.start(run, request.request_id, fingerprint), []
+            return self.runs.start(run, request.request_id, fingerprint), []
         pending = self.pending.get(key)
         if pending is not None:
             return self.join(pending, request, fingerprint), []
@@ -185,7 +187,7 @@
         """Note that this daemon runs the request of a claim now."""
         run_id = self.name_run(entry.key)
         run = Run(run_id, self.service, RunState.RUNNING, fingerprint, claim=entry)
-        self.book.add(run)
+        self.runs.add(run)
         return RunHere(run_id)
 
     def finish(self, run: Run) -> list[Any]:
@@ -194,7 +196,7 @@
         Nothing runs under the claim afterwards: its run is forgotten here before
         the release can be read by anybody.
         """
-        self.book.forget(run.run_id)
+        self.runs.forget(run.run_id)
         return self.release(run.claim)
 
     def release(self, claim: ClaimEntry) -> list[Any]:
@@ -232,13 +234,25 @@
 
     def settle_append(self, event: LogAppendSettled) -> list[Any]:
         """Take the end of the append under way."""
+        sent = self.appender.under_way
         lost = self.appender.settle(event, self.clock.monotonic())
         decided: list[Any] = []
         if lost and not event.may_have_applied:
             decided = list(self.refuse_pending(lost))
         self.appender.requeue([entry for entry in lost if self.is_wanted(entry)])
+        if event.offset == self.next_offset:
+            decided = self.take_own_record(sent, event.offset)
         return [*decided, *self.flush()]
 
+    def take_own_record(
+        self, entries: tuple[ClaimEntry, ...], offset: int
+    ) -> list[Any]:
+        """Fold an own record at once, since all records before it have been read."""
+        self.next_offset = offset + 1
+        return self.read_batch(
+            ClaimBatch(self.appender.daemon_id, self.boot_id, entries)
+        )
+
     def is_wanted(self, entry: ClaimEntry) -> bool:
         """Tell whether an entry still has to get into the log."""
         if entry.released:
@@ -246,7 +260,7 @@
         pending = self.pending.get(entry.key)
         if pending is not None and pending.entry == entry:
             return True
-        run = self.book.find(self.name_run(entry.key))
+        run = self.runs.find(self.name_run(entry.key))
         return run is not None and run.claim == entry
 
     def refuse_pending(self, entries: tuple[ClaimEntry, ...]) -> list[RequestDecided]:
@@ -265,13 +279,22 @@
         """Take the next records of the stream."""
         effects: list[Any] = []
         for record in records:
+            if record.offset < self.next_offset:
+                continue
+            self.next_offset = record.offset + 1
             try:
                 batch = decode_message(record.data)
             except DecodeError:
                 continue
             if isinstance(batch, ClaimBatch):
-                for entry in batch.entries:
-                    effects += self.read_entry(batch, entry)
+                effects += self.read_batch(batch)
+        return effects
+
+    def read_batch(self, batch: ClaimBatch) -> list[Any]:
+        """Fold one record and decide what it decides."""
+        effects: list[Any] = []
+        for entry in batch.entries:
+            effects += self.read_entry(batch, entry)
         return effects
 
     def read_entry(self, batch: ClaimBatch, entry: ClaimEntry) -> list[Any]:
@@ -298,7 +321,7 @@
         won = holder is not None and is_claim_of(holder, self.boot_id, entry)
         if won and entry.serial in self.given_up:
             return self.release(entry)
-        run = self.book.find(self.name_run(entry.key))
+        run = self.runs.find(self.name_run(entry.key))
         if not won and run is not None and run.claim == entry:
             fields = {"service": self.service, "key": entry.key.hex()}
             return [RecordEvent("unclaimed-run-conflict", fields)]
@@ -324,7 +347,7 @@
         """Run the first request that waits for a claim; the others wait for it."""
         first, *others = pending.waiting
         decision = self.start_run(pending.entry, pending.fingerprint)
-        run = self.book.find(decision.run_id)
+        run = self.runs.find(decision.run_id)
         run.waiting = [request.request_id for request in others]
         return [RequestDecided(first.request_id, decision)]
 
@@ -335,9 +358,10 @@
         self.appender.add(entry)
         return self.flush()
 
-    def skip_gap(self) -> list[Any]:
+    def skip_gap(self, oldest_offset: int) -> list[Any]:
         """Forget what the log has forgotten; undecided claims are never run."""
         self.fold.clear()
+        self.next_offset = oldest_offset
         lost, self.pending = self.pending, {}
         decided = []
         for pending in lost.values():
