--- a/src/wagtailstep/controllers/evidence_sharing.py
+++ b/src/wagtailstep/controllers/evidence_sharing.py
@@ -60,6 +60,7 @@
 ALERT_FACTOR = 2.0
 ALERT_SURPLUS = 2.0
 LEAST_ALERTS = 0.05
+SUSPECT_SHARE = 0.3
 
 
 def interested_members(blackboard: Blackboard, service: str) -> list[Member]:
@@ -195,7 +196,8 @@
     ) -> EvidenceDigest | None:
         """Return what is worth telling, and count from zero again."""
         answers, alerts = [], []
-        for target in service.targets.values():
+        names, service.unsent = service.unsent, {}
+        for target in [service.targets[n] for n in names if n in service.targets]:
             asked = sharing.asked_until.get(target.target_id, now) > now
             for entry in take_entries(target, asked):
                 (answers if asked else alerts).append(pack_entry(entry))
@@ -269,11 +271,17 @@
     asked = sharing.asked_until
     mean = sum(sharing.alerts.values()) / max(1, len(service.targets))
     least = ALERT_FACTOR * mean + ALERT_SURPLUS
+    doubts = {t.target_id: measure_doubt(t) for t in service.targets.values()}
+    suspect = SUSPECT_SHARE * service.limits.threshold
+    # The neighbours of a suspect tell whether its whole zone is to blame.
+    zones = {t.zone for t in service.targets.values() if doubts[t.target_id] >= suspect}
     names = [
         target.target_id
         for target in service.targets.values()
         if asked.get(target.target_id, now) <= soon
-        if sharing.alerts.get(target.target_id, 0.0) >= least or is_in_doubt(target)
+        if sharing.alerts.get(target.target_id, 0.0) >= least
+        or doubts[target.target_id] >= DOUBT_NATS
+        or target.zone in zones
     ]
     return names[:MAX_ENTRIES]
 
@@ -312,11 +320,15 @@
             )
 
 
-def is_in_doubt(target: TargetEvidence) -> bool:
-    """Tell whether what all daemons saw speaks against a target."""
-    return any(strongest(t.pooled) >= DOUBT_NATS for t in target.routes.values())
+def measure_doubt(target: TargetEvidence) -> float:
+    """Return the strongest sum in nats of what all daemons saw of a target."""
+    return max((strongest(t.pooled) for t in target.routes.values()), default=0.0)
 
 
 def strongest(tests: dict[Symptom, SequentialTest]) -> float:
     """Return the largest sum of some tests, in nats."""
-    return max(test.value(SLOT_CAP[symptom]) for symptom, test in tests.items())
+    largest = 0.0
+    for symptom, test in tests.items():
+        if test.score or test.gain > 0:
+            largest = max(largest, test.value(SLOT_CAP[symptom]))
+    return largest
--- a/src/wagtailstep/controllers/probing.py
+++ b/src/wagtailstep/controllers/probing.py
@@ -52,6 +52,7 @@
     :param self_id: ``daemon_id`` of this daemon.
     :param address: ``host:port`` of this daemon's control channel.
     :param rng: source of random choices.
+    :param silent: daemons that did not answer lately, to be tried again.
     """
 
     settings: MembershipSettings
@@ -63,6 +64,8 @@
     probe: Probe | None = None
     relays: dict[int, Relay] = attrs.field(factory=dict)
     round: list[str] = attrs.field(factory=list)
+    silent: list[str] = attrs.field(factory=list)
+    retries_next: bool = False
     next_at: timedelta | None = None
 
     def start(self, now: timedelta) -> Member | None:
@@ -109,16 +112,27 @@
         if probe is None or now - probe.started_at < limit:
             return None
         self.probe = None
+        self.silent.append(probe.daemon_id)
         return probe
 
-    def answer(self, sequence: int, updates: Updates) -> list[SendToPeer]:
-        """Take an answer: end the probe, or pass it on to who asked for it."""
-        if self.probe is not None and self.probe.sequence == sequence:
-            self.probe = None
-        relay = self.relays.pop(sequence, None)
-        if relay is None:
-            return []
-        return [SendToPeer(relay.reply_to, Ack(relay.sequence, updates))]
+    def take_answered(self, sequence: int) -> str | None:
+        """End the probe that an answer belongs to, if there is one.
+
+        :return: the daemon that was reached, directly or through another one.
+        """
+        probe = self.probe
+        if probe is None or probe.sequence != sequence:
+            return None
+        self.probe = None
+        return probe.daemon_id
+
+    def pass_on(self, sequence: int, updates: Updates) -> SendToPeer:
+        """Pass an answer on to the daemon that asked for the ping.
+
+        :raises KeyError: if ``sequence`` is not in ``relays``.
+        """
+        relay = self.relays.pop(sequence)
+        return SendToPeer(relay.reply_to, Ack(relay.sequence, updates=updates))
 
     def relay(
         self, request: PingRequest, updates: Updates, now: timedelta
@@ -138,6 +152,9 @@
             del self.relays[key]
 
     def _next_member(self) -> Member | None:
+        again = self._next_silent()
+        if again is not None:
+            return again
         while True:
             if not self.round:
                 self.round = self._candidates()
@@ -148,6 +165,16 @@
             if member is not None and member.state is not MemberState.DEAD:
                 return member
 
+    def _next_silent(self) -> Member | None:
+        # What was silent is tried again, through other daemons than before, but only
+        # in every second turn: after a large failure the others must be found too.
+        self.retries_next = not self.retries_next
+        while self.silent and self.retries_next:
+            member = self.members.get(self.silent.pop())
+            if member is not None and member.state is MemberState.SUSPECT:
+                return member
+        return None
+
     def _candidates(self) -> list[str]:
         return sorted(
             member.daemon_id
