--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -193,6 +193,7 @@
     processes = drop_ended(processes)
     before = {path: read_cpu_s(each.pid) for path, each in processes.items()}
     time.sleep(DURATION_S)
+    processes = drop_ended(processes)
     after = {path: read_cpu_s(each.pid) for path, each in processes.items()}
     memory = {path: read_memory_mb(each.pid) for path, each in processes.items()}
     lifetime = time.monotonic() - started
@@ -221,11 +222,11 @@
 def drop_ended(
     processes: dict[pathlib.Path, subprocess.Popen],
 ) -> dict[pathlib.Path, subprocess.Popen]:
-    """Leave out daemons that did not start, and print why."""
+    """Leave out daemons that have ended, and print their last line."""
     for path, process in processes.items():
         if process.poll() is not None:
             last = path.read_text().splitlines()[-1:]
-            print(f"ended at the start: {path.stem} {last}", flush=True)
+            print(f"ended early: {path.stem} {last}", flush=True)
     return {path: each for path, each in processes.items() if each.poll() is None}
 
 
