--- a/features/ejection.feature
+++ b/features/ejection.feature
@@ -58,3 +58,8 @@
     Given a stream whose last ejection was never renewed or ended
     When a daemon reads it from the beginning
     Then nobody is out in its view
+
+  Scenario: What is kept of a stream doesn't grow with time
+    Given a fleet in which one daemon ejected a target
+    When the fleet goes on for 300 s
+    Then no daemon remembers more reads than settling needs
--- a/features/steps/ejection_steps.py
+++ b/features/steps/ejection_steps.py
@@ -5,9 +5,10 @@
 import attrs
 from behave import given, then, when
 
-from ejection_world import SERVICE, STREAM, Daemon, EjectionWorld
+from ejection_world import SERVICE, STEP_S, STREAM, Daemon, EjectionWorld
 from wagtailstep.controllers.ejection import EjectionController
 from wagtailstep.controllers.ejection_fold import EjectionFold
+from wagtailstep.controllers.ejection_state import SETTLE_MS
 from wagtailstep.controllers.floor import sum_in_service
 from wagtailstep.models.evidence import EjectionCandidate, Symptom
 from wagtailstep.models.table import ServiceRow, Table
@@ -207,3 +208,16 @@
 def check_nobody_out(context):
     assert context.fresh.controller.streams[STREAM].fold.out
     assert not context.fresh.board.ejected
+
+
+@when("the fleet goes on for {seconds:d} s")
+def go_on(context, seconds):
+    context.world.run(seconds)
+
+
+@then("no daemon remembers more reads than settling needs")
+def check_history(context):
+    most = SETTLE_MS / 1_000 / STEP_S + 2
+    for daemon in context.world.daemons:
+        history = daemon.controller.streams[STREAM].history
+        assert 0 < len(history) <= 2 * most, len(history)
--- a/src/wagtailstep/controllers/ejection.py
+++ b/src/wagtailstep/controllers/ejection.py
@@ -100,7 +100,7 @@
         effects = []
         for record in event.records:
             effects += self.take_record(state, record, now)
-        state.history.append((now, state.fold.next_offset))
+        state.note_read(now)
         self.write_ejected()
         return effects
 
@@ -110,7 +110,7 @@
         if state is not None:
             state.live = True
             state.fresh_until = event.asked_at + timedelta(milliseconds=FRESH_MS)
-            state.history.append((self.clock.monotonic(), state.fold.next_offset))
+            state.note_read(self.clock.monotonic())
             self.write_ejected()
         return []
 
--- a/src/wagtailstep/controllers/ejection_state.py
+++ b/src/wagtailstep/controllers/ejection_state.py
@@ -68,11 +68,15 @@
     strikes: dict[str, Strikes] = attrs.field(factory=dict)
     history: list[tuple[timedelta, int]] = attrs.field(factory=list)
 
-    def settled_offset(self, now: timedelta) -> int:
-        """Return the first offset not read for at least :data:`SETTLE_MS`."""
+    def note_read(self, now: timedelta) -> None:
+        """Remember how far the stream was read, as long as that matters."""
+        self.history.append((now, self.fold.next_offset))
         oldest = now - timedelta(milliseconds=SETTLE_MS)
         while len(self.history) > 1 and self.history[1][0] <= oldest:
             self.history.pop(0)
-        if not self.history or self.history[0][0] > oldest:
-            return 0
-        return self.history[0][1]
+
+    def settled_offset(self, now: timedelta) -> int:
+        """Return the first offset not read for at least :data:`SETTLE_MS`."""
+        oldest = now - timedelta(milliseconds=SETTLE_MS)
+        settled = [offset for at, offset in self.history if at <= oldest]
+        return settled[-1] if settled else 0
