--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,8 @@
 check-histories: install
 	$(PY) -m benchmarks.check_histories --seed=$(SEED) --runs=$(RUNS)
 
-bench: bench-requests bench-detection bench-table bench-control
+bench: bench-requests bench-streams bench-keys bench-detection bench-detection_cost \
+	bench-table bench-control bench-control_daemons bench-control_bad_hours
 
 bench-%: install
 	$(PY) -m benchmarks.$* --seed=$(SEED)
