--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: install test lint demo bench bench-requests bench-detection bench-table \
-	bench-control check-histories
+.PHONY: install test lint demo bench check-histories
 
 install: $(VENV)/.installed
 
