Frame and filter passed-on headers in one place; one internal error

Cause: duplicates showed the same header filter in forwarder, gate and relay, and two errors for a fault of the daemon. Change: pass_on_headers, remove_fleet_headers and make_internal_error serve all.

--- a/features/steps/backend_server_steps.py
+++ b/features/steps/backend_server_steps.py
@@ -9,7 +9,6 @@
 from blacksheep import Application
 from http_client_steps import Caller
 
-from wagtailstep.fakes.announcer import yield_chunk
 from wagtailstep.fakes.backend_server import BackendServer, BackendServerSettings
 from wagtailstep.models.events import TargetAnnounced, TargetWithdrawn
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
@@ -17,6 +16,7 @@
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.http_server import HttpServer
+from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import LoopClock
 
 ANNOUNCE_ADDRESS = "127.0.0.1:4000"
@@ -52,7 +52,7 @@
             method=method,
             path=path,
             headers=(("content-length", str(len(data))), ("fake-key", path)),
-            body=yield_chunk(data),
+            body=yield_body(data),
             idempotent=True,
             time_left=patience,
         )
--- a/src/wagtailstep/fakes/announcer.py
+++ b/src/wagtailstep/fakes/announcer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
 from datetime import timedelta
 from urllib.parse import quote
 
@@ -13,6 +12,7 @@
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import LoopClock
 from wagtailstep.utils.logging import log_event
 
@@ -76,7 +76,7 @@
                 ("content-type", "application/json"),
                 ("content-length", str(len(data))),
             ),
-            body=yield_chunk(data),
+            body=yield_body(data),
             idempotent=True,
             time_left=ANNOUNCE_TIMEOUT,
         )
@@ -90,8 +90,3 @@
         if answer.status >= 300:
             log_event(logger, "announcement-refused", status=answer.status)
         return answer.status < 300
-
-
-async def yield_chunk(data: bytes) -> AsyncIterator[bytes]:
-    """Yield one chunk."""
-    yield data
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -71,6 +71,23 @@
     return remove_headers(headers, HOP_BY_HOP | listed)
 
 
+def pass_on_headers(headers: Headers) -> Headers:
+    """Return a caller's headers for the next hop, framed for a body sent again.
+
+    A chunked body is chunked anew, so that framing is kept; ``Expect`` is each hop's
+    own affair.
+    """
+    kept = remove_headers(remove_hop_by_hop(headers), frozenset({"expect"}))
+    if find_header(headers, "transfer-encoding") is not None:
+        kept += (("transfer-encoding", "chunked"),)
+    return kept
+
+
+def remove_fleet_headers(headers: Headers) -> Headers:
+    """Return the headers without those that only daemons may set."""
+    return tuple(pair for pair in headers if not pair[0].startswith(FLEET_PREFIX))
+
+
 def replace_headers(headers: Headers, *replacements: tuple[str, str]) -> Headers:
     """Return headers in which some names have exactly one, new value.
 
--- a/src/wagtailstep/network/daemon_client.py
+++ b/src/wagtailstep/network/daemon_client.py
@@ -11,7 +11,7 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
-from wagtailstep.network.prober import yield_nothing
+from wagtailstep.network.problems import yield_body
 
 ASK_TIMEOUT = timedelta(seconds=3)
 OK = 200
@@ -51,7 +51,7 @@
             method="GET",
             path=f"/.wagtailstep/{name}",
             headers=(("host", address),),
-            body=yield_nothing(),
+            body=yield_body(b""),
             idempotent=True,
             time_left=ASK_TIMEOUT,
         )
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -20,10 +20,9 @@
 )
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.headers import BLAME, Headers, find_header
-from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import decode_headers, encode_headers
 from wagtailstep.network.http_protocol import CONNECTION_KEY, ServerConnection
-from wagtailstep.network.problems import describe_error
+from wagtailstep.network.problems import describe_error, make_internal_error
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
@@ -78,9 +77,9 @@
                 error=str(error),
             )
             return add_headers(describe_error(error), error)
-        except Exception as error:
+        except Exception:
             logger.exception("event=handler-failed path=%s", scope["path"])
-            return describe_error(describe_internal_error(error))
+            return describe_error(make_internal_error())
 
     async def send_answer(self, answer: Answer, send: Any) -> None:
         """Write an answer, chunk by chunk, as fast as the connection takes it."""
@@ -113,13 +112,6 @@
     return attrs.evolve(answer, headers=(*answer.headers, *added))
 
 
-def describe_internal_error(error: Exception) -> RequestError:
-    """Describe a fault of the daemon itself; nothing is known of the request."""
-    message = f"the daemon failed: {type(error).__name__}"
-    status = HTTPStatus.INTERNAL_SERVER_ERROR
-    return RequestError(message, Verdict.MAY_HAVE_RUN, status)
-
-
 def read_request(scope: Any, receive: Any) -> IncomingRequest:
     """Turn an ASGI scope into a request.
 
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -22,7 +22,6 @@
 from wagtailstep.models.headers import (
     ATTEMPT_ID,
     BLAME,
-    FLEET_PREFIX,
     IDEMPOTENT,
     REASON,
     REQUEST_ID,
@@ -33,7 +32,8 @@
     VERDICT,
     Headers,
     find_header,
-    remove_hop_by_hop,
+    pass_on_headers,
+    remove_fleet_headers,
 )
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
@@ -137,14 +137,7 @@
         (IDEMPOTENT, "?1" if request.idempotent else "?0"),
         (TIMEOUT_MS, str(max(0, int((time_left - margin) / MILLISECOND)))),
     )
-    kept = tuple(
-        pair
-        for pair in remove_hop_by_hop(incoming.headers)
-        if not pair[0].startswith(FLEET_PREFIX) and pair[0] != "expect"
-    )
-    if find_header(incoming.headers, "transfer-encoding") is not None:
-        kept += (("transfer-encoding", "chunked"),)
-    return kept + own_headers
+    return remove_fleet_headers(pass_on_headers(incoming.headers)) + own_headers
 
 
 def ask_before_body(headers: Headers) -> Headers:
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -30,7 +30,6 @@
 )
 from wagtailstep.models.headers import (
     ATTEMPT_ID,
-    FLEET_PREFIX,
     GATE_ID,
     IDEMPOTENT,
     LOAD,
@@ -42,7 +41,8 @@
     VERDICT,
     Headers,
     find_header,
-    remove_hop_by_hop,
+    pass_on_headers,
+    remove_fleet_headers,
 )
 from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import DaemonSettings
@@ -198,7 +198,8 @@
             address=request.target_id.rpartition("/")[2],
             method=incoming.method,
             path=incoming.path,
-            headers=pass_headers(incoming.headers) + own_headers,
+            headers=remove_fleet_headers(pass_on_headers(incoming.headers))
+            + own_headers,
             body=incoming.body,
             idempotent=request.idempotent,
             time_left=time_left,
@@ -216,9 +217,7 @@
             await answer.close()
             self.end(request, result if whole else RunResult.ABANDONED)
 
-        headers = tuple(
-            pair for pair in answer.headers if not pair[0].startswith(FLEET_PREFIX)
-        )
+        headers = remove_fleet_headers(answer.headers)
         return Answer(answer.status, headers, body, Verdict.RUN, close)
 
     def end(self, request: GateRequest, result: RunResult) -> None:
@@ -278,21 +277,6 @@
     return int(text) * MILLISECOND
 
 
-def pass_headers(headers: Headers) -> Headers:
-    """Return the caller's headers, without the fleet's and the connection's own.
-
-    The framing of a chunked body is kept, since it is chunked again.
-    """
-    kept = tuple(
-        pair
-        for pair in remove_hop_by_hop(headers)
-        if not pair[0].startswith(FLEET_PREFIX) and pair[0] != "expect"
-    )
-    if find_header(headers, "transfer-encoding") is not None:
-        kept += (("transfer-encoding", "chunked"),)
-    return kept
-
-
 def judge_failure(error: RequestError) -> RunResult:
     """Say what a failed exchange tells of the backend server's capacity."""
     if isinstance(error, DeadlineExceededError):
--- a/src/wagtailstep/network/prober.py
+++ b/src/wagtailstep/network/prober.py
@@ -1,7 +1,6 @@
 """Probes of backend servers, through their gates like any request."""
 
 import random
-from collections.abc import AsyncIterator
 from datetime import timedelta
 
 from wagtailstep.exceptions import RequestError
@@ -10,6 +9,7 @@
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
@@ -17,12 +17,6 @@
 FIRST_ERROR_STATUS = 500
 
 
-async def yield_nothing() -> AsyncIterator[bytes]:
-    """Yield the chunks of an empty body."""
-    return
-    yield b""
-
-
 class Prober:
     """Send one harmless request to a target and judge the answer.
 
@@ -60,7 +54,7 @@
         if target is None or gate is None:
             return False
         path = self.settings.probe_path
-        incoming = IncomingRequest("GET", path, (), yield_nothing())
+        incoming = IncomingRequest("GET", path, (), yield_body(b""))
         request = self.make_request(target.service, path, effect.timeout)
         try:
             answer = await self.forwarder.forward(
--- a/src/wagtailstep/network/relay.py
+++ b/src/wagtailstep/network/relay.py
@@ -10,9 +10,8 @@
     RELAYED,
     TIMEOUT_MS,
     Headers,
-    find_header,
-    remove_headers,
-    remove_hop_by_hop,
+    pass_on_headers,
+    replace_headers,
 )
 from wagtailstep.network.forwarder import read_verdict
 from wagtailstep.network.http_client import HttpClient
@@ -53,9 +52,7 @@
 
 def make_headers(headers: Headers, time_left: timedelta) -> Headers:
     """Return the caller's headers with the time that is left."""
-    replaced = frozenset({TIMEOUT_MS, RELAYED, "expect"})
-    kept = remove_headers(remove_hop_by_hop(headers), replaced)
-    if find_header(headers, "transfer-encoding") is not None:
-        kept += (("transfer-encoding", "chunked"),)
     time_left_ms = max(1, int(time_left / MILLISECOND))
-    return (*kept, (TIMEOUT_MS, str(time_left_ms)), (RELAYED, "?1"))
+    return replace_headers(
+        pass_on_headers(headers), (TIMEOUT_MS, str(time_left_ms)), (RELAYED, "?1")
+    )
