--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: install test lint demo bench bench-requests bench-detection bench-table \
-	bench-control check-histories
+.PHONY: install test lint demo bench check-histories
 
 install: $(VENV)/.installed
 
@@ -28,7 +27,8 @@
 check-histories: install
 	$(PY) -m benchmarks.check_histories --seed=$(SEED) --runs=$(RUNS)
 
-bench: bench-requests bench-detection bench-table bench-control
+bench: bench-requests bench-streams bench-keys bench-detection bench-detection_cost \
+	bench-table bench-control bench-control_daemons bench-control_bad_hours
 
 bench-%: install
 	$(PY) -m benchmarks.$* --seed=$(SEED)
