Blame the caller for a deadline that healthy targets would miss too

Cause: every deadline that passed counted as a failure of the backend server, so a few callers with tiny deadlines could have healthy targets steered away from. Change: an attempt that was given less than 4 times the target's usual latency speaks against its caller.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -119,6 +119,17 @@
     And the hanging attempt was cancelled
     And nothing is in flight
 
+  Scenario Outline: A deadline speaks against a target only if others would have met it
+    Given every attempt hangs
+    And the targets usually take <usual> ms
+    When a caller sends POST "/sign" with header wagtailstep-timeout-ms "<allowed>"
+    Then the outcome blames "<blame>" with verdict "may-have-run"
+
+    Examples:
+      | usual | allowed | blame          |
+      | 100   | 200     | caller         |
+      | 100   | 1000    | backend-server |
+
   Scenario: A route's longest time binds
     Given every attempt hangs
     And the table allows route "sign" of "contracts" 200 ms
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -16,6 +16,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import AppendToLog
 from wagtailstep.models.exchange import Answer, IncomingRequest
+from wagtailstep.models.fleet import TargetHealth
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.request import RequestOutcome
@@ -207,6 +208,14 @@
     context.world.forwarder.rest = "hang"
 
 
+@given("the targets usually take {usual:d} ms")
+def set_usual_latency(context, usual):
+    board = context.world.board
+    for target_id in board.targets:
+        health = TargetHealth(latency=timedelta(milliseconds=usual))
+        board.health[target_id] = health
+
+
 @given('the table allows route "{route}" of "contracts" {timeout:d} ms')
 def set_route_timeout(context, route, timeout):
     route_id = f"contracts/{route}"
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -19,6 +19,7 @@
 from wagtailstep.utils.clock import Clock
 
 DEADLINE_GRACE_MS = 20
+HURRIED_FACTOR = 4
 DISCOVERY_INTERVAL = timedelta(milliseconds=20)
 
 
@@ -112,7 +113,7 @@
         try:
             answer = await self.forward(exchange, target)
         except RequestError as error:
-            attempt.end(error.verdict, error.blame)
+            attempt.end(error.verdict, self.find_blame(error, attempt))
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
@@ -121,6 +122,22 @@
         exchange.verdict = Verdict.MAY_HAVE_RUN
         return self.track(answer, attempt, exchange)
 
+    def find_blame(self, error: RequestError, attempt: Attempt) -> Blame:
+        """Return what the failure of an attempt speaks against.
+
+        A deadline that a target in good standing would often miss as well is the
+        caller's choice, so that callers in a hurry can't have targets ejected.
+        """
+        is_late = isinstance(error, DeadlineExceededError)
+        if not is_late or error.blame is not Blame.BACKEND_SERVER:
+            return error.blame
+        health = self.blackboard.health.get(attempt.target_id)
+        if health is None or health.latency is None:
+            return error.blame
+        waited = self.clock.monotonic() - attempt.started
+        hurried = waited < HURRIED_FACTOR * health.latency
+        return Blame.CALLER if hurried else error.blame
+
     async def forward(self, exchange: Exchange, target: Target) -> Answer:
         """Send a request to the gate of a target, within its deadline.
 
