--- a/benchmarks/requests_fleet.py
+++ b/benchmarks/requests_fleet.py
@@ -14,7 +14,6 @@
 
 from benchmarks.requests_load import SERVICE_NAME, LoadSpec, Outcome
 from wagtailstep.exceptions import RequestError
-from wagtailstep.fakes.announcer import yield_chunk
 from wagtailstep.fakes.backend_server import BackendServerSettings
 from wagtailstep.fakes.faults import Faults
 from wagtailstep.models.settings import (
@@ -25,6 +24,7 @@
 )
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import LoopClock
 
 HOST = "127.0.0.1"
@@ -181,7 +181,7 @@
                 ("wagtailstep-service", SERVICE_NAME),
                 ("content-length", str(len(body))),
             ),
-            body=yield_chunk(body),
+            body=yield_body(body),
             idempotent=True,
             time_left=timedelta(seconds=10),
         )
--- a/features/run_tests.py
+++ b/features/run_tests.py
@@ -25,6 +25,7 @@
         "format": [*ruff, "format", "--check", *SOURCES],
         "lint": [*ruff, "check", *SOURCES],
         "layers": [sys.executable, "features/check_layers.py"],
+        "imports": [sys.executable, "features/check_imports.py"],
     }
     results = []
     for name, command in commands.items():
