Read the log over the shared HTTP client; one event for a stream's end

Cause: the log client had its own h11 exchange and one connection for each call, and LogCaughtUp and StreamEndRead told the same moment. Change: HttpLogService uses HttpClient (reads may use a kept connection, an append only one that was proved lately); LogCaughtUp carries asked_at. Ruled out: that connections to the log make up the idle cost. Conclusion: kept for the single exchange.

--- a/benchmarks/detection_world.py
+++ b/benchmarks/detection_world.py
@@ -34,13 +34,13 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     AppendToLog,
+    LogCaughtUp,
     LogRecordsRead,
     PeerMessageReceived,
     ProbeFinished,
     ProbeTarget,
     RecordEvent,
     SendToPeer,
-    StreamEndRead,
     Tick,
 )
 from wagtailstep.models.fleet import Member, Target
@@ -291,7 +291,9 @@
         daemon.offset = len(self.stream)
         if records:
             self.dispatch(daemon, LogRecordsRead(stream, records))
-        self.dispatch(daemon, StreamEndRead(stream, self.clock.monotonic()))
+        self.dispatch(
+            daemon, LogCaughtUp(stream, daemon.offset, self.clock.monotonic())
+        )
         self.refresh_choices(daemon)
 
     def tick(self, daemon: FakeDaemon) -> None:
--- a/benchmarks/table_fleet.py
+++ b/benchmarks/table_fleet.py
@@ -241,7 +241,12 @@
                 continue
             daemon.offset = batch.next_offset
             if not batch.records:
-                self.feed(daemon, LogCaughtUp(TABLE_STREAM, batch.next_offset))
+                self.feed(
+                    daemon,
+                    LogCaughtUp(
+                        TABLE_STREAM, batch.next_offset, self.clock.monotonic()
+                    ),
+                )
                 return
             self.feed(daemon, LogRecordsRead(TABLE_STREAM, batch.records))
 
--- a/features/ejection_world.py
+++ b/features/ejection_world.py
@@ -10,10 +10,10 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     AppendToLog,
+    LogCaughtUp,
     LogRecordsRead,
     ProbeFinished,
     ProbeTarget,
-    StreamEndRead,
     Tick,
 )
 from wagtailstep.models.evidence import EjectionCandidate, Symptom
@@ -108,7 +108,7 @@
         daemon.offset = len(self.stream)
         if records:
             self.handle(daemon, LogRecordsRead(STREAM, records))
-        self.handle(daemon, StreamEndRead(STREAM, self.clock.monotonic()))
+        self.handle(daemon, LogCaughtUp(STREAM, daemon.offset, self.clock.monotonic()))
 
     def handle(self, daemon, event):
         for effect in daemon.controller.handle(event):
--- a/features/steps/log_service_steps.py
+++ b/features/steps/log_service_steps.py
@@ -61,8 +61,14 @@
     return context.log_server
 
 
+def start_runner(context):
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+
+
 @given("a log service in memory")
 def make_log_in_memory(context):
+    start_runner(context)
     context.log_server = None
     context.clock = ManualClock()
     context.log = InMemoryLogService(context.clock)
@@ -70,6 +76,7 @@
 
 @given("a log service over HTTP")
 def make_log_over_http(context):
+    start_runner(context)
     server = start_log_server(context)
     context.log = HttpLogService(LogSettings(server.address, timeout_ms=TIMEOUT_MS))
 
@@ -102,20 +109,20 @@
     context.refused = 0
     for data in (b"a", b"b", b"c"):
         try:
-            asyncio.run(context.log.append(stream, data))
+            context.runner.run(context.log.append(stream, data))
         except LogUnavailableError:
             context.refused += 1
 
 
 def read_all(context, stream):
-    batch = asyncio.run(context.log.read(stream, 0))
+    batch = context.runner.run(context.log.read(stream, 0))
     return [(record.offset, record.data) for record in batch.records]
 
 
 @then('the stream "{stream}" gives "a", "b" and "c" at the offsets 0, 1 and 2')
 def check_letters(context, stream):
     assert read_all(context, stream) == [(0, b"a"), (1, b"b"), (2, b"c")]
-    batch = asyncio.run(context.log.read(stream, 1, limit=1))
+    batch = context.runner.run(context.log.read(stream, 1, limit=1))
     assert [record.data for record in batch.records] == [b"b"]
     assert (batch.next_offset, batch.oldest_offset) == (2, 0)
 
@@ -123,7 +130,7 @@
 @then('the stream "{stream}" is empty from offset 0 on')
 def check_empty(context, stream):
     assert read_all(context, stream) == []
-    assert asyncio.run(context.log.oldest_offset(stream)) == 0
+    assert context.runner.run(context.log.oldest_offset(stream)) == 0
 
 
 @then("an append ends in {error} and leaves {count:d} records")
@@ -136,7 +143,7 @@
 @then("an append ends in {error:w}")
 def check_error(context, error):
     try:
-        asyncio.run(context.log.append("x", b"data"))
+        context.runner.run(context.log.append("x", b"data"))
     except (AppendUnknownError, LogUnavailableError) as found:
         assert type(found).__name__ == error, found
     else:
@@ -152,12 +159,12 @@
 @then('reading the stream "{stream}" from offset 0 reports {oldest:d} as oldest')
 def check_expired(context, stream, oldest):
     try:
-        asyncio.run(context.log.read(stream, 0))
+        context.runner.run(context.log.read(stream, 0))
     except RecordExpiredError as error:
         assert error.oldest == oldest
     else:
         raise AssertionError("expired records were read")
-    assert asyncio.run(context.log.oldest_offset(stream)) == oldest
+    assert context.runner.run(context.log.oldest_offset(stream)) == oldest
 
 
 @then('setting the fault "{name}" is refused with status {status:d}')
--- a/src/wagtailstep/controllers/ejection.py
+++ b/src/wagtailstep/controllers/ejection.py
@@ -37,12 +37,12 @@
 from wagtailstep.models.events import (
     AppendToLog,
     FollowStream,
+    LogCaughtUp,
     LogGap,
     LogRecordsRead,
     ProbeFinished,
     ProbeTarget,
     RecordEvent,
-    StreamEndRead,
     Tick,
 )
 from wagtailstep.models.evidence import EjectionCandidate
@@ -105,7 +105,7 @@
         return effects
 
     @handle.register
-    def _(self, event: StreamEndRead) -> list[Any]:
+    def _(self, event: LogCaughtUp) -> list[Any]:
         state = self.streams.get(event.stream)
         if state is not None:
             state.live = True
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -42,19 +42,6 @@
     records: tuple[LogRecord, ...]
 
 
-@attrs.frozen
-class StreamEndRead:
-    """A read of a followed stream found nothing new; sent after each such read.
-
-    :param stream: name of the stream.
-    :param asked_at: monotonic time when the read was sent; all records appended
-        before it have been dispatched.
-    """
-
-    stream: str
-    asked_at: timedelta
-
-
 @attrs.frozen
 class LogGap:
     """Records of a followed stream expired before they were read.
@@ -75,10 +62,13 @@
 
     :param stream: name of the stream.
     :param next_offset: offset that the next record will have.
+    :param asked_at: monotonic time when the read was sent; all records appended
+        before it have been dispatched.
     """
 
     stream: str
     next_offset: int
+    asked_at: timedelta
 
 
 @attrs.frozen
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -83,8 +83,9 @@
             self.rng,
             self.forwarder,
         )
+        self.log = HttpLogService(self.settings.log)
         outside = Outside(
-            log=HttpLogService(self.settings.log),
+            log=self.log,
             channel=ZeroMqPeerChannel(self.settings, self.clock),
             probe=prober.probe,
         )
@@ -197,6 +198,7 @@
         for server in (self.caller_server, self.gate_server, self.announce_server):
             await server.close()
         self.client.close()
+        self.log.close()
 
     async def handle_caller(self, incoming: IncomingRequest) -> Answer:
         """Take a request, unless this daemon has no table of the fleet yet.
--- a/src/wagtailstep/network/log_client.py
+++ b/src/wagtailstep/network/log_client.py
@@ -1,26 +1,31 @@
 """Client of the platform's log service over HTTP/1.1."""
 
-import asyncio
-import contextlib
 from datetime import timedelta
 from typing import TypeVar
 from urllib.parse import quote
 
 import attrs
-import h11
 import msgspec
 
 from wagtailstep.exceptions import (
     AppendUnknownError,
+    LogError,
     LogUnavailableError,
     RecordExpiredError,
+    RequestError,
     SettingsError,
 )
 from wagtailstep.models.log import LogBatch, LogRecord, LogService
 from wagtailstep.models.log_wire import AppendReply, ReadReply, StreamReply
-from wagtailstep.models.settings import LogSettings
+from wagtailstep.models.settings import LogSettings, RequestSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
+from wagtailstep.utils.clock import LoopClock
 
-READ_CHUNK_BYTES = 65_536
+# Shorter than servers commonly keep an idle connection, so that few reads fail.
+IDLE_LIMIT_MS = 2_000
 
 _CREATED = 201
 _OK = 200
@@ -46,8 +51,8 @@
 class HttpLogService(LogService):
     """The log service behind ``host:port``.
 
-    Each call opens its own connection and sends its request once. An append that
-    was sent and not answered is reported as unknown, never sent again.
+    Each call sends its request once. An append that was sent and not answered is
+    reported as unknown, never sent again.
 
     :param settings: where the service is and how long a call may take.
     :raises SettingsError: if the address is not ``host:port``.
@@ -56,11 +61,17 @@
     def __init__(self, settings: LogSettings) -> None:
         self.settings = settings
         self.timeout = timedelta(milliseconds=settings.timeout_ms)
-        self.host, self.port = split_address(settings.address)
+        split_address(settings.address)
+        self.client = HttpClient(
+            RequestSettings(connection_idle_ms=IDLE_LIMIT_MS), LoopClock()
+        )
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append one record; see :meth:`LogService.append`."""
-        reply = await self.call("POST", f"{_path(stream)}/records", data)
+        try:
+            reply = await self.call("POST", f"{_path(stream)}/records", data)
+        except RequestError as error:
+            raise describe_append_failure(error) from error
         if reply.status == _CREATED:
             return _decode(reply, AppendReply).offset
         text = f"append to stream {stream!r} got HTTP status {reply.status}"
@@ -71,7 +82,7 @@
     async def read(self, stream: str, offset: int, limit: int = 1000) -> LogBatch:
         """Read records; see :meth:`LogService.read`."""
         query = f"offset={offset}&limit={limit}"
-        reply = await self.call_idempotent(f"{_path(stream)}/records?{query}")
+        reply = await self.read_reply(f"{_path(stream)}/records?{query}")
         if reply.status == _GONE:
             raise RecordExpiredError(_decode(reply, StreamReply).oldest_offset)
         answer = _decode_ok(reply, ReadReply)
@@ -80,84 +91,54 @@
 
     async def oldest_offset(self, stream: str) -> int:
         """Return the oldest offset; see :meth:`LogService.oldest_offset`."""
-        reply = await self.call_idempotent(_path(stream))
+        reply = await self.read_reply(_path(stream))
         return _decode_ok(reply, StreamReply).oldest_offset
 
-    async def call_idempotent(self, path: str) -> HttpReply:
+    async def read_reply(self, path: str) -> HttpReply:
         """Send a ``GET``; any failure means that the log can't be read now.
 
         :raises LogUnavailableError: if there was no whole answer in time.
         """
         try:
             return await self.call("GET", path, b"")
-        except AppendUnknownError as error:
+        except RequestError as error:
             raise LogUnavailableError(f"the log can't be read: {error}") from error
 
     async def call(self, method: str, path: str, body: bytes) -> HttpReply:
-        """Send one request on a connection of its own, once.
+        """Send one request, once; only reads may use an old kept connection.
 
-        :raises LogUnavailableError: if nothing was sent.
-        :raises AppendUnknownError: if it was sent and not answered in time.
+        :raises RequestError: ``NOT_RUN`` only if nothing was sent.
         """
-        address = self.settings.address
-        sent = False
+        request = HttpRequest(
+            address=self.settings.address,
+            method=method,
+            path=path,
+            headers=(
+                ("host", self.settings.address),
+                ("content-type", "application/octet-stream"),
+                ("content-length", str(len(body))),
+            ),
+            body=yield_body(body),
+            idempotent=method == "GET",
+            time_left=self.timeout,
+        )
+        answer = await self.client.send(request)
         try:
-            async with asyncio.timeout(self.timeout.total_seconds()):
-                reader, writer = await asyncio.open_connection(self.host, self.port)
-                with contextlib.closing(writer):
-                    sent = True
-                    return await self.exchange(reader, writer, method, path, body)
-        except (OSError, EOFError, TimeoutError, h11.ProtocolError) as error:
-            text = f"log service at {address}: {type(error).__name__} {error}"
-            if not sent:
-                raise LogUnavailableError(f"{text}; nothing was sent") from error
-            raise AppendUnknownError(f"{text}; sent and not answered") from error
-
-    async def exchange(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        method: str,
-        path: str,
-        body: bytes,
-    ) -> HttpReply:
-        """Write one request and read its whole answer.
-
-        :raises EOFError: if the connection ended before the answer did.
-        """
-        connection = h11.Connection(h11.CLIENT)
-        headers = [
-            ("Host", self.settings.address),
-            ("Content-Length", str(len(body))),
-            ("Content-Type", "application/octet-stream"),
-            ("Connection", "close"),
-        ]
-        request = h11.Request(method=method, target=path, headers=headers)
-        writer.write(connection.send(request))
-        writer.write(connection.send(h11.Data(body)))
-        writer.write(connection.send(h11.EndOfMessage()))
-        await writer.drain()
-        return await _read_reply(connection, reader)
-
-
-async def _read_reply(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> HttpReply:
-    status = 0
-    chunks: list[bytes] = []
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            data = await reader.read(READ_CHUNK_BYTES)
-            if not data and connection.their_state is h11.SEND_RESPONSE:
-                raise EOFError("the connection ended before the answer")
-            connection.receive_data(data)
-        elif isinstance(event, h11.Response):
-            status = event.status_code
-        elif isinstance(event, h11.Data):
-            chunks.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage):
-            return HttpReply(status, b"".join(chunks))
+            chunks = [chunk async for chunk in answer.body]
+        finally:
+            await answer.close()
+        return HttpReply(answer.status, b"".join(chunks))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.client.close()
+
+
+def describe_append_failure(error: RequestError) -> LogError:
+    """Say what a failed request means for an append."""
+    if error.verdict is Verdict.NOT_RUN:
+        return LogUnavailableError(f"{error}; the append was not sent")
+    return AppendUnknownError(f"{error}; the append was sent and not answered")
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/src/wagtailstep/network/log_follower.py
+++ b/src/wagtailstep/network/log_follower.py
@@ -12,7 +12,6 @@
     LogCaughtUp,
     LogGap,
     LogRecordsRead,
-    StreamEndRead,
 )
 from wagtailstep.models.log import LogBatch, LogService
 from wagtailstep.models.settings import LogSettings
@@ -106,8 +105,7 @@
         if batch.records:
             self.dispatch(LogRecordsRead(self.stream, batch.records))
             return True
-        self.dispatch(LogCaughtUp(self.stream, batch.next_offset))
-        self.dispatch(StreamEndRead(self.stream, asked_at))
+        self.dispatch(LogCaughtUp(self.stream, batch.next_offset, asked_at))
         return False
 
     def note_failure(self, error: LogError) -> None:
