Pick ports that outgoing connections don't take

Cause: two runs of benchmarks.control_daemons lost daemons 15 and 12 to 'address already in use': a port picked and released was given to an outgoing connection.

--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -5,24 +5,22 @@
 ended by its own id.
 """
 
-import contextlib
 import json
 import os
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
 
 import attrs
 import fire
 
 from benchmarks.report import Report, fit_slope
 from wagtailstep.fakes.backend_server import BackendServerSettings
+from wagtailstep.fakes.ports import pick_addresses
 from wagtailstep.models.settings import (
     DaemonSettings,
     LogSettings,
@@ -64,32 +62,23 @@
     dropped: float
 
 
-@contextlib.contextmanager
-def hold_ports(count: int) -> Iterator[list[str]]:
-    """Find free loopback ports, and free them at the end of the block."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((HOST, 0))
-    yield [f"{HOST}:{each.getsockname()[1]}" for each in sockets]
-    for each in sockets:
-        each.close()
-
-
-def plan_daemons(count: int, seed: int, log_address: str) -> list[DaemonSettings]:
-    """Return the settings of all daemons on free ports."""
-    with hold_ports(4 * count) as ports:
-        seeds = tuple(ports[2::4][:3])
-        return [
-            DaemonSettings(
-                f"daemon-{index:02d}",
-                f"zone-{index % 3}",
-                *ports[4 * index : 4 * index + 4],
-                seed=seed * 1_000 + index,
-                membership=MembershipSettings(seeds=seeds),
-                log=LogSettings(address=log_address),
-            )
-            for index in range(count)
-        ]
+def plan_daemons(ports: list[str], seed: int, log_address: str) -> list[DaemonSettings]:
+    """Return the settings of all daemons.
+
+    :param ports: four free addresses for each daemon.
+    """
+    seeds = tuple(ports[2::4][:3])
+    return [
+        DaemonSettings(
+            f"daemon-{index:02d}",
+            f"zone-{index % 3}",
+            *ports[4 * index : 4 * index + 4],
+            seed=seed * 1_000 + index,
+            membership=MembershipSettings(seeds=seeds),
+            log=LogSettings(address=log_address),
+        )
+        for index in range(len(ports) // 4)
+    ]
 
 
 def start_program(name: str, *arguments: str, output: pathlib.Path) -> subprocess.Popen:
@@ -133,9 +122,9 @@
 
 def run_size(count: int, seed: int, folder: pathlib.Path) -> list[ProcessLoad]:
     """Run a fleet of some size and return the load of each daemon."""
-    with hold_ports(1 + count) as ports:
-        log_address, *backend_addresses = ports
-    daemons = plan_daemons(count, seed, log_address)
+    log_address, *ports = pick_addresses(1 + 5 * count)
+    backend_addresses = ports[:count]
+    daemons = plan_daemons(ports[count:], seed, log_address)
     servers = [
         BackendServerSettings(
             service="contracts" if index % 4 else "archive",
--- a/benchmarks/requests_fleet.py
+++ b/benchmarks/requests_fleet.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 from datetime import timedelta
 
@@ -16,6 +15,7 @@
 from wagtailstep.exceptions import RequestError
 from wagtailstep.fakes.backend_server import BackendServerSettings
 from wagtailstep.fakes.faults import Faults
+from wagtailstep.fakes.ports import pick_addresses
 from wagtailstep.models.settings import (
     DaemonSettings,
     LogSettings,
@@ -253,14 +253,3 @@
             except TimeoutError:
                 program.process.kill()
                 await program.process.wait()
-
-
-def pick_addresses(count: int) -> list[str]:
-    """Return addresses with ports that were free just now."""
-    listeners = [socket.socket() for _ in range(count)]
-    for listener in listeners:
-        listener.bind((HOST, 0))
-    addresses = [f"{HOST}:{listener.getsockname()[1]}" for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return addresses
--- a/examples/demo_fleet.py
+++ b/examples/demo_fleet.py
@@ -6,19 +6,18 @@
 
 import json
 import pathlib
-import socket
 import sys
 
 import attrs
 
 from wagtailstep.fakes.backend_server import BackendServerSettings
+from wagtailstep.fakes.ports import PortPicker
 from wagtailstep.models.settings import (
     DaemonSettings,
     LogSettings,
     MembershipSettings,
 )
 
-HOST = "127.0.0.1"
 SEED_COUNT = 3
 
 
@@ -74,25 +73,6 @@
     places: tuple[Place, ...]
 
 
-class PortPicker:
-    """Pick free loopback ports; all stay bound until :meth:`release`."""
-
-    def __init__(self) -> None:
-        self.sockets: list[socket.socket] = []
-
-    def pick(self) -> str:
-        """Return the address of a port that was free."""
-        listener = socket.socket()
-        listener.bind((HOST, 0))
-        self.sockets.append(listener)
-        return f"{HOST}:{listener.getsockname()[1]}"
-
-    def release(self) -> None:
-        """Free all picked ports for the processes of the demo."""
-        for listener in self.sockets:
-            listener.close()
-
-
 def plan_fleet(user: User, ports: PortPicker, seed: int) -> Fleet:
     """Give every process of a user its addresses."""
     log_address = ports.pick()
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -218,14 +218,23 @@
     assert str(event.may_have_applied) == applied
 
 
-def pick_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for listener in sockets:
-        listener.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in sockets]
-    for listener in sockets:
-        listener.close()
-    return addresses
+class PortHolder:
+    """Ports chosen by the system and kept from outgoing connections.
+
+    They stay bound but not listened on, so that servers, which allow the reuse of
+    addresses, can bind them as well.
+    """
+
+    def __init__(self, count):
+        self.sockets = [socket.socket() for _ in range(count)]
+        for holder in self.sockets:
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            holder.bind(("127.0.0.1", 0))
+        self.addresses = [f"127.0.0.1:{s.getsockname()[1]}" for s in self.sockets]
+
+    def release(self):
+        for holder in self.sockets:
+            holder.close()
 
 
 async def wait_until(condition):
@@ -250,7 +259,8 @@
         self.log_settings = LogSettings(address=log_address, poll_ms=50)
         if self.has_table:
             await self.publish_table()
-        ports = pick_ports(8)
+        self.ports = PortHolder(8)
+        ports = self.ports.addresses
         self.daemons = [
             Daemon(self.make_settings("one", ports[:4], ports[6]), self.clock),
             Daemon(self.make_settings("two", ports[4:], ports[2]), self.clock),
@@ -309,6 +319,7 @@
             await daemon.close()
         await self.server.stop()
         await self.log.close()
+        self.ports.release()
 
 
 async def yield_nothing():
