--- a/benchmarks/control_daemons.py
+++ b/benchmarks/control_daemons.py
@@ -28,7 +28,7 @@
 )
 
 PAGE = pathlib.Path("docs/measurements/control_daemons.md")
-SIZES = (4, 16, 32, 52)
+SIZES = (4, 16, 32, 64)
 WARM_UP_S = 12.0
 DURATION_S = 20.0
 END_LIMIT_S = 60.0
