Claim 'not run' for a keyed request only where it is known, without a table too

Cause: a daemon without a table told every request 'not run', also a resend with a key whose earlier sending may have run at another daemon. Change: the entry makes that refusal and limits its claim as it does for all others; one base class for refusals that ask to come back in a second.

--- a/benchmarks/histories/fleet.py
+++ b/benchmarks/histories/fleet.py
@@ -212,7 +212,7 @@
             )
             for other in self.daemons.values()
         }
-        board = Blackboard(members[daemon.daemon_id], members=members)
+        board = Blackboard(members[daemon.daemon_id], members=members, table_known=True)
         board.table.services.update(self.rows)
         board.log_reachable = True
         for daemon_id in members:
--- a/benchmarks/keys.py
+++ b/benchmarks/keys.py
@@ -103,7 +103,9 @@
     settings = DaemonSettings("d1", "z", ADDRESS, ADDRESS, ADDRESS, ADDRESS)
     settings = attrs.evolve(settings, log=LogSettings(address=log_address))
     member = Member("d1", 1, ADDRESS, ADDRESS, "z")
-    board = Blackboard(member, members={"d1": member}, log_reachable=True)
+    board = Blackboard(
+        member, members={"d1": member}, table_known=True, log_reachable=True
+    )
     for number in range(TARGETS):
         target_id = f"{SERVICE}/10.0.0.{number}:80"
         board.targets[target_id] = Target(target_id, SERVICE, "d1", "z")
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -130,6 +130,18 @@
       | 100   | 200     | caller         |
       | 100   | 1000    | backend-server |
 
+  Scenario Outline: A daemon without a table claims only what it knows
+    Given this daemon has not read the table yet
+    When a caller sends POST "/sign" with header <header> "<value>"
+    Then the answer is 503 with verdict "<verdict>"
+    And the answer tells when to come back
+    And 0 attempts were made
+
+    Examples:
+      | header                 | value | verdict      |
+      | wagtailstep-timeout-ms | 400   | not-run      |
+      | idempotency-key        | k1    | may-have-run |
+
   Scenario: A route's longest time binds
     Given every attempt hangs
     And the table allows route "sign" of "contracts" 200 ms
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -121,7 +121,7 @@
 
     def __init__(self, target_count):
         self.settings = make_settings()
-        self.board = Blackboard(make_member("d1"))
+        self.board = Blackboard(make_member("d1"), table_known=True)
         for number in range(1, target_count + 1):
             target = make_target(number)
             self.board.targets[target.target_id] = target
@@ -208,6 +208,11 @@
     context.world.forwarder.rest = "hang"
 
 
+@given("this daemon has not read the table yet")
+def forget_table(context):
+    context.world.board.table_known = False
+
+
 @given("the targets usually take {usual:d} ms")
 def set_usual_latency(context, usual):
     board = context.world.board
--- a/src/wagtailstep/cli/status_codes.py
+++ b/src/wagtailstep/cli/status_codes.py
@@ -4,7 +4,7 @@
 :data ERROR: the command failed and changed nothing that lasts.
 :data USAGE: an argument or a setting is wrong; nothing was started.
 :data REFUSED: an edit of the table was refused; the table is unchanged.
-:data UNKNOWN: an edit may have been accepted; ``status`` tells later.
+:data UNKNOWN: an edit may have been accepted; ``outcome`` tells later.
 :data PARTIAL: some daemons could not be reached; the output names them.
 """
 
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -5,6 +5,8 @@
 from wagtailstep.models.request import Blame
 from wagtailstep.models.verdict import Verdict
 
+COME_BACK = timedelta(seconds=1)
+
 
 class WagtailstepError(Exception):
     """Base class of all errors of this package."""
@@ -94,35 +96,32 @@
         super().__init__(message, Verdict.NOT_RUN, status, retry_after)
 
 
-class LeavingError(RequestError):
-    """The backend server or daemon is leaving and takes no new request."""
+class RefusedForNowError(RequestError):
+    """The request was refused before it ran, and may be welcome in a second."""
 
     status = 503
-    reason = "leaving"
 
     def __init__(self, message: str) -> None:
-        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
+        super().__init__(message, Verdict.NOT_RUN, retry_after=COME_BACK)
+
+
+class LeavingError(RefusedForNowError):
+    """The backend server or daemon is leaving and takes no new request."""
+
+    reason = "leaving"
 
 
-class NotReadyError(RequestError):
+class NotReadyError(RefusedForNowError):
     """This daemon has just started and takes no request yet."""
 
-    status = 503
     reason = "not-ready"
 
-    def __init__(self, message: str) -> None:
-        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
-
 
-class NoTargetError(RequestError):
+class NoTargetError(RefusedForNowError):
     """No backend server of the service can take the request now."""
 
-    status = 503
     reason = "no-target"
 
-    def __init__(self, message: str) -> None:
-        super().__init__(message, Verdict.NOT_RUN, retry_after=timedelta(seconds=1))
-
 
 class ConnectionFailedError(RequestError):
     """A connection could not be used; the verdict says if bytes had been sent."""
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -17,9 +17,7 @@
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.table import TableController
-from wagtailstep.exceptions import NotReadyError
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.settings import DaemonSettings
@@ -127,8 +125,8 @@
             describe_metrics=lambda: msgspec.Raw(self.metrics.export_json().encode()),
             list_events=lambda: list(self.runtime.timeline.events),
         )
-        caller_app = CallerApp(self.handle_caller, endpoints)
-        gate_app = ExchangeApp(choose_handler(self.gate.handle, self.handle_caller))
+        caller_app = CallerApp(self.entry.handle, endpoints)
+        gate_app = ExchangeApp(choose_handler(self.gate.handle, self.entry.handle))
         # Without a router of its own it would share one with all applications.
         self.announce_app = Application(router=Router())
         add_announcement_routes(
@@ -200,15 +198,6 @@
         self.client.close()
         self.log.close()
 
-    async def handle_caller(self, incoming: IncomingRequest) -> Answer:
-        """Take a request, unless this daemon has no table of the fleet yet.
-
-        :raises NotReadyError: if it has none; its limits would be invented.
-        """
-        if not self.blackboard.table_known:
-            raise NotReadyError("this daemon has not read the table yet")
-        return await self.entry.handle(incoming)
-
     def find_drain_limit(self) -> timedelta:
         """Return the longest drain limit of the services served or asked for."""
         local = {
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -17,7 +17,7 @@
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.runs import make_unknown_error
-from wagtailstep.exceptions import DeadlineExceededError, RequestError
+from wagtailstep.exceptions import DeadlineExceededError, NotReadyError, RequestError
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
@@ -156,6 +156,7 @@
         limit = self.settings.requests.replay_body_bytes
         body = ReplayableBody(incoming.body, limit)
         try:
+            self.check_ready()
             self.routing.admit(request)
         except RequestError as error:
             raise self.limit_claim(request, error) from error
@@ -166,6 +167,14 @@
             exchange.release()
             raise
 
+    def check_ready(self) -> None:
+        """Refuse requests while the limits of the table are not known.
+
+        :raises NotReadyError: if this daemon has no table yet.
+        """
+        if not self.blackboard.table_known:
+            raise NotReadyError("this daemon has not read the table yet")
+
     async def serve_admitted(self, exchange: Exchange) -> Answer:
         """Run a request, or have its guard say what to do with it."""
         if exchange.request.guarded:
--- a/src/wagtailstep/utils/logging.py
+++ b/src/wagtailstep/utils/logging.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import time
 from typing import Any
 
 _QUOTED_CHARACTERS = set(' "=\n\r\t')
@@ -47,7 +48,7 @@
             datefmt="%Y-%m-%dT%H:%M:%S",
         )
     )
-    logging.Formatter.converter = __import__("time").gmtime
+    logging.Formatter.converter = time.gmtime
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
