Read whole answers in one place

Cause: the read-through found the same loop, read to the end and close, in the log client, the daemons' client and the demo. Change: bodies.read_whole serves all three; behaviour is the same.

--- a/examples/demo_run.py
+++ b/examples/demo_run.py
@@ -18,12 +18,13 @@
 import msgspec
 
 from demo_fleet import Fleet
-from demo_traffic import Callers, Sending, Tally, Told, read_all
+from demo_traffic import Callers, Sending, Tally, Told
 from wagtailstep.commands.table_client import Proposal, TableClient
 from wagtailstep.commands.table_edit import plan_row_change
 from wagtailstep.models.settings import LogSettings, RequestSettings
 from wagtailstep.models.status import DaemonStatus
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.daemon_client import DaemonClient
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.log_client import HttpLogService
@@ -181,7 +182,7 @@
         """Send a command to a stand-in and return its JSON answer."""
         callers = self.callers[0]
         request = callers.make_request(Sending("", method, path, body), address)
-        return msgspec.json.decode(await read_all(await self.client.send(request)))
+        return msgspec.json.decode(await read_whole(await self.client.send(request)))
 
     async def fail_one_backend_server(self) -> None:
         """Make a backend server fail all real work while its health check passes."""
--- a/examples/demo_traffic.py
+++ b/examples/demo_traffic.py
@@ -13,6 +13,7 @@
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.utils.clock import LoopClock
@@ -149,7 +150,7 @@
         address = self.rng.choice(self.backends)
         try:
             answer = await self.client.send(self.make_request(sending, address))
-            await read_all(answer)
+            await read_whole(answer)
         except RequestError:
             return
         if answer.status <= MAX_ANSWERED_STATUS:
@@ -170,7 +171,7 @@
         )
         try:
             answer = await self.client.send(request)
-            ticket = (await read_all(answer)).decode().split('"')[3]
+            ticket = (await read_whole(answer)).decode().split('"')[3]
         except (RequestError, IndexError):
             return
         await self.sign(ticket)
@@ -199,7 +200,7 @@
             request = self.make_request(sending, entry)
             try:
                 answer = await self.client.send(request)
-                body = await read_all(answer)
+                body = await read_whole(answer)
             except TruncatedAnswerError:
                 # A broken transfer is a true outcome, but not in a planned change.
                 self.tally.cut += 1
@@ -279,11 +280,3 @@
     """Yield a body in chunks."""
     for start in range(0, len(data), CHUNK_BYTES):
         yield data[start : start + CHUNK_BYTES]
-
-
-async def read_all(answer: Answer) -> bytes:
-    """Read an answer to its end."""
-    try:
-        return b"".join([chunk async for chunk in answer.body])
-    finally:
-        await answer.close()
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -162,3 +162,14 @@
         yield chunk
     async for chunk in rest:
         yield chunk
+
+
+async def read_whole(answer: Answer) -> bytes:
+    """Read an answer to its end and close it, whole or not.
+
+    :raises TruncatedAnswerError: if it ends early.
+    """
+    try:
+        return b"".join([chunk async for chunk in answer.body])
+    finally:
+        await answer.close()
--- a/src/wagtailstep/network/daemon_client.py
+++ b/src/wagtailstep/network/daemon_client.py
@@ -9,6 +9,7 @@
 from wagtailstep.models.events import TimelineEvent
 from wagtailstep.models.status import DaemonStatus
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
@@ -56,10 +57,7 @@
             time_left=ASK_TIMEOUT,
         )
         answer = await self.client.send(request)
-        try:
-            data = b"".join([chunk async for chunk in answer.body])
-        finally:
-            await answer.close()
+        data = await read_whole(answer)
         try:
             if answer.status == OK:
                 return msgspec.json.decode(data, type=kind)
--- a/src/wagtailstep/network/log_client.py
+++ b/src/wagtailstep/network/log_client.py
@@ -19,6 +19,7 @@
 from wagtailstep.models.log_wire import AppendReply, ReadReply, StreamReply
 from wagtailstep.models.settings import LogSettings, RequestSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
@@ -123,11 +124,7 @@
             time_left=self.timeout,
         )
         answer = await self.client.send(request)
-        try:
-            chunks = [chunk async for chunk in answer.body]
-        finally:
-            await answer.close()
-        return HttpReply(answer.status, b"".join(chunks))
+        return HttpReply(answer.status, await read_whole(answer))
 
     def close(self) -> None:
         """Close the kept connections."""
