--- a/features/steps/histories_steps.py
+++ b/features/steps/histories_steps.py
@@ -163,7 +163,7 @@
     "resend of a non-idempotent request": (
         RetryPolicy,
         "take_retry",
-        lambda policy, request, error, attempts: attempts < 3,
+        lambda policy, request, error, attempts, sent=0: attempts < 3,
     ),
     "answer of another request": (FakeFleet, "execute", answer_late),
     "truncated answer passed on as whole": (FakeFleet, "execute", pass_on_short),
--- a/src/wagtailstep/cli/daemon.py
+++ b/src/wagtailstep/cli/daemon.py
@@ -7,6 +7,8 @@
 from wagtailstep.commands.read_settings import read_settings
 from wagtailstep.commands.run_daemon import run_daemon
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.daemon import Daemon
+from wagtailstep.utils.clock import LoopClock
 
 
 def run(file: str) -> int:
@@ -17,7 +19,12 @@
 
     :param file: path of the JSON settings file.
     """
-    whole = run_daemon(read_settings(str(file), DaemonSettings))
+    settings = read_settings(str(file), DaemonSettings)
+    whole = run_daemon(
+        settings,
+        lambda: Daemon(settings, LoopClock()),
+        lambda: read_settings(str(file), DaemonSettings),
+    )
     return status_codes.SUCCESS if whole else status_codes.ERROR
 
 
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -4,36 +4,51 @@
 import gc
 import logging
 import signal
+from collections.abc import Callable
+
+import attrs
 
 from wagtailstep.exceptions import SettingsError, WagtailstepError
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.daemon import Daemon
-from wagtailstep.utils.clock import LoopClock
 from wagtailstep.utils.logging import configure_logging, log_event
 
 LOGGER = logging.getLogger(__name__)
 
+MakeDaemon = Callable[[], Daemon]
+
 
-def run_daemon(settings: DaemonSettings) -> bool:
+def run_daemon(
+    settings: DaemonSettings,
+    make_daemon: MakeDaemon,
+    read_again: Callable[[], DaemonSettings],
+) -> bool:
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
+    :param make_daemon: makes the daemon inside its event loop.
+    :param read_again: reads the settings again after SIGHUP.
     :return: whether all requests in flight ended within the drain limit.
     :raises SettingsError: if an address can't be listened on.
     """
     configure_logging(settings.log_level)
     try:
-        return asyncio.run(serve_until_signal(settings))
+        return asyncio.run(serve_until_signal(settings, make_daemon, read_again))
     except* OSError as group:
         raise describe_start_failure(group) from None
 
 
-async def serve_until_signal(settings: DaemonSettings) -> bool:
+async def serve_until_signal(
+    settings: DaemonSettings,
+    make_daemon: MakeDaemon,
+    read_again: Callable[[], DaemonSettings],
+) -> bool:
     """Serve until a signal asks to stop."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    daemon = Daemon(settings, LoopClock())
+    loop.add_signal_handler(signal.SIGHUP, reload_settings, settings, read_again)
+    daemon = make_daemon()
     await daemon.start()
     exempt_startup_objects()
     await stop.wait()
@@ -41,6 +56,20 @@
     return await daemon.shut_down()
 
 
+def reload_settings(
+    settings: DaemonSettings, read_again: Callable[[], DaemonSettings]
+) -> None:
+    """Take the log level of a changed settings file, and say what needs a restart."""
+    try:
+        changed = read_again()
+    except SettingsError as error:
+        log_event(LOGGER, "settings-not-reloaded", logging.ERROR, error=error)
+        return
+    logging.getLogger().setLevel(changed.log_level)
+    needs_restart = attrs.evolve(changed, log_level=settings.log_level) != settings
+    log_event(LOGGER, "settings-reloaded", needs_restart=needs_restart)
+
+
 def exempt_startup_objects() -> None:
     """Have the garbage collector pass over what exists now.
 
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -1,6 +1,7 @@
 """Backend servers beside this daemon: announced, renewed, leaving and gone."""
 
 import random
+from collections import OrderedDict
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
@@ -14,10 +15,13 @@
     TargetWithdrawn,
     Tick,
 )
-from wagtailstep.models.fleet import Target, TargetState
+from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
+# Processes of backend servers beside one daemon whose late announcements are told.
+MAX_REGISTRATIONS = 64
+
 
 @attrs.define
 class LocalLease:
@@ -31,6 +35,35 @@
     leaving_since: timedelta | None = None
 
 
+@attrs.define
+class Registration:
+    """The newest announcement of a backend server, kept after it has left.
+
+    :param born: when its process started.
+    :param sequence: number of the announcement.
+    :param left: whether that process said that it leaves.
+    """
+
+    born: int = 0
+    sequence: int = 0
+    left: bool = False
+
+    def take(self, born: int, sequence: int) -> bool:
+        """Take an announcement.
+
+        :return: whether it is newer than all before it.
+        """
+        if born and born < self.born:
+            return False
+        if born > self.born:
+            self.born, self.sequence, self.left = born, sequence, False
+            return True
+        if sequence and sequence <= self.sequence:
+            return False
+        self.sequence = sequence
+        return True
+
+
 class AnnouncementController:
     """Hold a lease, by the local clock, for each backend server beside this daemon.
 
@@ -49,6 +82,7 @@
         self.blackboard = blackboard
         self.clock = clock
         self.leases: dict[str, LocalLease] = {}
+        self.registrations: OrderedDict[str, Registration] = OrderedDict()
         self.incarnation = 0
 
     @singledispatchmethod
@@ -59,6 +93,11 @@
     @handle.register
     def _(self, event: TargetAnnounced) -> list[Any]:
         target_id = event.target.target_id
+        if not self._is_newest(event):
+            return []
+        if event.target.state is TargetState.LEAVING:
+            self.registrations[target_id].left = True
+            return self._start_leaving(target_id, "announced")
         known = self.blackboard.targets.get(target_id)
         lease = self.leases.get(target_id)
         is_leaving = lease is not None and lease.leaving_since is not None
@@ -68,13 +107,56 @@
         is_renewal = lease is not None and not is_leaving
         self.leases[target_id] = LocalLease(self.clock.monotonic())
         if is_renewal and known is not None:
-            renewed = attrs.evolve(event.target, incarnation=known.incarnation)
+            renewed = attrs.evolve(
+                event.target,
+                incarnation=known.incarnation,
+                standing=_keep_judgement(known.standing, event.target.standing),
+            )
             return self._store(self._fit(renewed), known)
         target = attrs.evolve(event.target, incarnation=self._next_incarnation())
         return self._store(self._fit(target), known)
 
+    def _is_newest(self, event: TargetAnnounced) -> bool:
+        """Tell whether an announcement is neither late nor of a process that left."""
+        target = event.target
+        if event.born and event.born < self._born_at(target.address):
+            return False
+        registration = self.registrations.setdefault(target.target_id, Registration())
+        self.registrations.move_to_end(target.target_id)
+        while len(self.registrations) > MAX_REGISTRATIONS:
+            self.registrations.popitem(last=False)
+        if not registration.take(event.born, event.sequence):
+            return False
+        if registration.left and event.born:
+            return False
+        self._replace_at(target)
+        return True
+
+    def _born_at(self, address: str) -> int:
+        """Return when the newest process known at an address started."""
+        board = self.blackboard
+        return max(
+            (
+                self.registrations[name].born
+                for name in board.local_targets
+                if address and board.targets[name].address == address
+            ),
+            default=0,
+        )
+
+    def _replace_at(self, target: Target) -> None:
+        """Drop an older backend server whose address another one has now."""
+        board = self.blackboard
+        for name in list(board.local_targets):
+            same = target.address and board.targets[name].address == target.address
+            if same and name != target.target_id:
+                self._remove(name)
+
     @handle.register
     def _(self, event: TargetWithdrawn) -> list[Any]:
+        registration = self.registrations.get(event.target_id)
+        if registration is not None:
+            registration.left = True
         return self._start_leaving(event.target_id, "withdrawn")
 
     @handle.register
@@ -140,3 +222,8 @@
         self.blackboard.targets.pop(target_id, None)
         self.blackboard.local_targets.discard(target_id)
         return [RecordEvent("target-gone", {"target": target_id})]
+
+
+def _keep_judgement(known: TargetStanding, announced: TargetStanding) -> TargetStanding:
+    """Return a gate's judgement of a target, or else what the target says."""
+    return known if known >= TargetStanding.DOUBTED else announced
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -8,7 +8,13 @@
 
 from wagtailstep.controllers.member_table import MemberTable
 from wagtailstep.exceptions import DecodeError
-from wagtailstep.models.events import AppendToLog, LogAppendSettled, SendToPeer
+from wagtailstep.models.events import (
+    AppendToLog,
+    ListMembers,
+    LogAppendSettled,
+    RegisterMember,
+    SendToPeer,
+)
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.models.log import LogRecord
 from wagtailstep.models.membership import (
@@ -33,6 +39,10 @@
 FIRST_APPEND_MS = 1_000
 APPEND_SPREAD_MS = 4_000
 APPEND_RETRY_MS = 15_000
+# A list that names no daemon that answers is out of date; each list is a call.
+REGISTER_AGAIN_MS = 2_000
+LIST_AGAIN_MS = 2_000
+LONGEST_LIST_AGAIN_MS = 30_000
 
 
 @attrs.define
@@ -61,6 +71,50 @@
     page_source: str = ""
     page_after: str = ""
     page_at: timedelta = timedelta()
+    register_at: timedelta | None = timedelta()
+    list_at: timedelta | None = None
+    list_again_ms: float = LIST_AGAIN_MS
+
+    @property
+    def uses_registry(self) -> bool:
+        """Tell whether contacts come from a registry."""
+        return self.settings.member_source == "registry"
+
+    def take_list(self, addresses: dict[str, str], this: Member) -> list[Any]:
+        """Introduce this daemon to daemons that the registry names.
+
+        Each daemon writes its record before it lists the others, so of any two one
+        finds the other.
+        """
+        others = [name for name in sorted(addresses) if name != this.daemon_id]
+        chosen = self.rng.sample(others, min(len(others), MAX_LOG_CONTACTS))
+        self.from_log.update((name, addresses[name]) for name in chosen)
+        while len(self.from_log) > MAX_LOG_CONTACTS:
+            del self.from_log[next(iter(self.from_log))]
+        return self._request(this, [addresses[name] for name in chosen], "")
+
+    def settle_registration(self, succeeded: bool, now: timedelta) -> None:
+        """Take the end of writing this daemon's record; the list is read next."""
+        self.list_at = now
+        if not succeeded:
+            delay = REGISTER_AGAIN_MS * (0.5 + self.rng.random())
+            self.register_at = now + timedelta(milliseconds=delay)
+
+    def _use_registry(
+        self, now: timedelta, table: MemberTable, this: Member
+    ) -> list[Any]:
+        effects: list[Any] = []
+        if self.register_at is not None and now >= self.register_at:
+            self.register_at = None
+            effects.append(RegisterMember(this.daemon_id, this.peer_address))
+        if self.list_at is not None and now >= self.list_at:
+            self.list_at = None
+            effects.append(ListMembers())
+        elif self.list_at is None and table.count_living() <= 1:
+            self.list_again_ms = min(LONGEST_LIST_AGAIN_MS, 1.5 * self.list_again_ms)
+            delay = self.list_again_ms * (0.5 + self.rng.random())
+            self.list_at = now + timedelta(milliseconds=delay)
+        return effects
 
     def add_records(self, records: tuple[LogRecord, ...]) -> None:
         """Take the addresses of daemons that wrote to the log, newest last."""
@@ -135,10 +189,11 @@
 
     def tick(self, now: timedelta, table: MemberTable, this: Member) -> list[Any]:
         """Return requests for the member table and appends that are due."""
+        source = self._use_registry if self.uses_registry else self._append
         return [
             *self._ask_contacts(now, table, this),
             *self._ask_next_page(now, table, this),
-            *self._append(now, table, this),
+            *source(now, table, this),
         ]
 
     def _ask_contacts(
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -16,6 +16,8 @@
     FollowStream,
     LogAppendSettled,
     LogRecordsRead,
+    MemberRegistered,
+    MembersListed,
     PeerMessageReceived,
     RecordEvent,
     SendToPeer,
@@ -109,6 +111,15 @@
             self.contacts.add_records(event.records)
         return []
 
+    @handle.register
+    def _(self, event: MembersListed) -> list[Any]:
+        return self.contacts.take_list(event.addresses, self.blackboard.this_member)
+
+    @handle.register
+    def _(self, event: MemberRegistered) -> list[Any]:
+        self.contacts.settle_registration(event.succeeded, self.clock.monotonic())
+        return []
+
     @handle.register
     def _(self, event: LogAppendSettled) -> list[Any]:
         self.contacts.settle_append(event, self.clock.monotonic())
@@ -293,6 +304,8 @@
         last, self.last_tick = self.last_tick, now
         if last is None:
             self._put(self.blackboard.this_member, whole=True)
+            if self.contacts.uses_registry:
+                return []
             return [FollowStream(MEMBERS_STREAM, MEMBERS_POLL_MS)]
         if now - last > timedelta(milliseconds=PAUSE_LIMIT_MS):
             # What was known before a long pause is no news to anybody any more.
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -4,6 +4,10 @@
 ``retry_ratio`` of the work in the long run consists of retries, however much fails.
 """
 
+from collections import deque
+from collections.abc import Callable
+from datetime import timedelta
+
 import attrs
 
 from wagtailstep.exceptions import (
@@ -18,6 +22,11 @@
 
 MIN_TIME_LEFT_MS = 5
 MAX_LEAVING_ATTEMPTS = 8
+# Gates refuse in a few milliseconds; after as many refusals the service is full.
+MAX_UNSENT_ATTEMPTS = 6
+MAX_BUSY_ATTEMPTS = 3
+# Before a daemon knows the others it takes itself for one of at least so many.
+FEWEST_DAEMONS = 16
 
 
 @attrs.define
@@ -30,16 +39,77 @@
     tokens: float
 
 
+class SharedRetryBudget:
+    """This daemon's share of the retries that all daemons may make for a service.
+
+    In any window of ``retry_window_ms`` a daemon makes at most ``retry_ratio`` times
+    the requests that it took for the service in that window or the one before, and
+    its equal part of ``retry_slack``. The sum over all daemons keeps within the
+    fleet's budget without a message, as long as none counts too few daemons.
+
+    :param count_daemons: returns the number of daemons that is known now.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        clock: Clock,
+        count_daemons: Callable[[], int],
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.count_daemons = count_daemons
+        self.most_daemons = FEWEST_DAEMONS
+        self.window = timedelta(milliseconds=settings.retry_window_ms)
+        self.requests: dict[str, deque[timedelta]] = {}
+        self.retries: dict[str, deque[timedelta]] = {}
+
+    def note_request(self, service: str) -> None:
+        """Count a request for a service."""
+        self._recent(self.requests, service).append(self.clock.monotonic())
+
+    def take(self, service: str) -> bool:
+        """Take one retry from the budget of a service if it has one."""
+        self.most_daemons = max(self.most_daemons, self.count_daemons())
+        retries = self._recent(self.retries, service)
+        allowed = self.settings.retry_ratio * len(self._recent(self.requests, service))
+        allowed += self.settings.retry_slack / self.most_daemons
+        if len(retries) + 1 > allowed:
+            return False
+        retries.append(self.clock.monotonic())
+        return True
+
+    def _recent(
+        self, counted: dict[str, deque[timedelta]], service: str
+    ) -> deque[timedelta]:
+        times = counted.setdefault(service, deque())
+        oldest = self.clock.monotonic() - self.window
+        while times and times[0] <= oldest:
+            times.popleft()
+        return times
+
+
 class RetryPolicy:
     """Decide on retries by verdict, idempotency, attempts, time and budget."""
 
-    def __init__(self, settings: RequestSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: RequestSettings,
+        clock: Clock,
+        count_daemons: Callable[[], int] = lambda: 1,
+    ) -> None:
         self.settings = settings
         self.clock = clock
+        self.shared = None
+        if settings.retry_slack:
+            self.shared = SharedRetryBudget(settings, clock, count_daemons)
         self.budgets: dict[str, RetryBudget] = {}
 
     def record_first_attempt(self, service: str) -> None:
         """Add a first attempt's share to the budget of its service."""
+        if self.shared is not None:
+            self.shared.note_request(service)
+            return
         budget = self.find_budget(service)
         filled = budget.tokens + self.settings.retry_ratio
         budget.tokens = min(float(self.settings.retry_burst), filled)
@@ -53,13 +123,18 @@
         return budget
 
     def take_retry(
-        self, request: RequestContext, error: RequestError, attempts: int
+        self,
+        request: RequestContext,
+        error: RequestError,
+        attempts: int,
+        sent: int = 0,
     ) -> bool:
         """Tell whether to send again, and pay for it from the budget.
 
         :param request: the request.
         :param error: how the last attempt ended.
         :param attempts: attempts made so far, the first one included.
+        :param sent: those of them that a backend server may have got.
         """
         if not error.verdict.allows_resend(request.idempotent):
             return False
@@ -67,12 +142,38 @@
             return False
         if isinstance(error, LeavingError):
             return attempts < MAX_LEAVING_ATTEMPTS
+        if self.shared is not None:
+            return self.take_shared(request, error, attempts, sent)
         if isinstance(error, OverloadedError) and attempts > 1:
             return False
         if attempts >= self.settings.max_attempts:
             return False
         return self.take_token(request.service)
 
+    def take_shared(
+        self, request: RequestContext, error: RequestError, attempts: int, sent: int
+    ) -> bool:
+        """Tell whether to send again within the budget of all daemons.
+
+        What no backend server got costs nothing of the budget until one gets it.
+        """
+        assert self.shared is not None
+        if attempts >= MAX_UNSENT_ATTEMPTS + sent:
+            return False
+        if sent >= min(request.max_attempts, self.settings.max_attempts):
+            return False
+        if isinstance(error, OverloadedError) and attempts > MAX_BUSY_ATTEMPTS:
+            return False
+        return not sent or self.shared.take(request.service)
+
+    def take_replacement(self, request: RequestContext, sent: int) -> bool:
+        """Tell whether a failure that a backend server answered is to be replaced."""
+        if self.shared is None or not request.idempotent:
+            return False
+        if sent >= min(request.max_attempts, self.settings.max_attempts):
+            return False
+        return self.has_time(request) and self.shared.take(request.service)
+
     def has_time(self, request: RequestContext) -> bool:
         """Tell whether enough time is left for another attempt."""
         left = request.deadline - self.clock.monotonic()
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -20,13 +20,27 @@
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Tick
-from wagtailstep.models.fleet import MemberState, Target, TargetHealth, TargetState
+from wagtailstep.models.fleet import (
+    MemberState,
+    Target,
+    TargetHealth,
+    TargetStanding,
+    TargetState,
+)
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
 MIN_RAMP = 0.05
 CHOICE_LIFETIME = timedelta(milliseconds=50)
+# Cost factors. A cold backend server takes about twice as long for its work; a
+# doubted one is likely to fail it, which costs a second attempt.
+STANDING_COST = {
+    TargetStanding.GOOD: 1.0,
+    TargetStanding.WARMING: 2.0,
+    TargetStanding.DOUBTED: 4.0,
+    TargetStanding.FAILING: 16.0,
+}
 
 _IN_GOOD_STANDING = TargetHealth()
 _USABLE_MEMBERS = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
@@ -88,7 +102,7 @@
         self.blackboard = blackboard
         self.clock = clock
         self.rng = rng
-        self.choices: dict[str, Choice] = {}
+        self.choices: dict[tuple[str, bool], Choice] = {}
         self.accounts = AccountLimiter(settings.requests, clock)
         self.wanted = WantedServices(blackboard, clock)
 
@@ -130,48 +144,57 @@
         """Count an attempt at a target out."""
         _decrement(self.blackboard.in_flight.by_target, target_id)
 
-    def pick(self, service: str, tried: Collection[str] = ()) -> Target:
+    def pick(
+        self, service: str, tried: Collection[str] = (), cautious: bool = False
+    ) -> Target:
         """Pick the target of the next attempt.
 
         :param service: the service asked for.
         :param tried: ``target_id`` of targets that failed this request before;
             picked again only if there is no other.
+        :param cautious: whether targets that their gates doubt are left out, since
+            a failure could not be made good.
         :raises NoTargetError: if no target may take new work.
         """
         if tried:
             return self.pick_untried(service, tried)
         while True:
-            choice = self.find_choice(service)
+            choice = self.find_choice(service, cautious)
             first, second = choice.draw(self.rng)
             if self.is_current(first) and self.is_current(second):
                 return self.cheaper(first, second, choice.mean_share).target
-            del self.choices[service]
+            del self.choices[service, cautious]
 
     def pick_untried(self, service: str, tried: Collection[str]) -> Target:
         """Pick a target that was not tried, or any one if all were."""
-        candidates = self.find_choice(service, fresh=True).candidates
+        candidates = self.find_choice(service, True, fresh=True).candidates
         untried = [c for c in candidates if c.target.target_id not in tried]
         choice = Choice(untried or candidates, self.clock.monotonic())
         return self.cheaper(*choice.draw(self.rng), choice.mean_share).target
 
-    def find_choice(self, service: str, fresh: bool = False) -> Choice:
+    def find_choice(
+        self, service: str, cautious: bool = False, fresh: bool = False
+    ) -> Choice:
         """Return the candidates of a service, as found not long ago.
 
+        :param cautious: whether targets that their gates doubt are left out.
         :param fresh: whether to look at the targets now.
         :raises NoTargetError: if no target may take new work.
         """
         now = self.clock.monotonic()
-        choice = self.choices.get(service)
+        key = (service, cautious)
+        choice = self.choices.get(key)
         if choice is not None and not fresh and now < choice.made + CHOICE_LIFETIME:
             return choice
-        self.choices.pop(service, None)
+        self.choices.pop(key, None)
         candidates = self.find_candidates(service)
         if not candidates:
             raise NoTargetError(
                 f"no backend server of service {service!r} takes requests now; "
                 "come back after the time in Retry-After"
             )
-        choice = self.choices[service] = Choice(self.steer(service, candidates), now)
+        kept = leave_out_doubted(self.steer(service, candidates), cautious)
+        choice = self.choices[key] = Choice(kept, now)
         return choice
 
     def is_current(self, candidate: Candidate) -> bool:
@@ -181,6 +204,8 @@
         target = board.targets.by_id.get(target_id)
         if target is None or target.state is not TargetState.SERVING:
             return False
+        if target.standing is not candidate.target.standing:
+            return False
         if target_id in board.ejected or not self.has_gate(target):
             return False
         health = board.health.get(target_id, _IN_GOOD_STANDING)
@@ -251,7 +276,24 @@
         cost = 1 + outstanding * mean_share / candidate.share
         if target.availability_zone != self.settings.availability_zone:
             cost *= self.settings.requests.other_zone_cost
-        return cost * candidate.health.penalty
+        return cost * candidate.health.penalty * STANDING_COST[target.standing]
+
+
+def leave_out_doubted(candidates: list[Candidate], cautious: bool) -> list[Candidate]:
+    """Leave out targets that their gates doubt, unless there is no better one.
+
+    Gates judge by what fails at their own backend server, so that the others' work
+    never counts against one; a sound target is soon back. Few good ones that refuse
+    what is too much serve more than many that fail it.
+
+    :param cautious: whether doubted targets are left out, not only failing ones.
+    """
+    limits = [TargetStanding.DOUBTED] if cautious else []
+    for limit in (*limits, TargetStanding.FAILING):
+        kept = [c for c in candidates if c.target.standing < limit]
+        if kept:
+            return kept
+    return candidates
 
 
 def _standing(candidate: Candidate) -> tuple[float, str]:
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -57,6 +57,8 @@
     status = 502
     reason = "request-failed"
     blame = Blame.NONE
+    # Whether a backend server got the request, even if it turned it away.
+    reached_server = False
 
     def __init__(
         self,
@@ -71,6 +73,11 @@
         if status is not None:
             self.status = status
 
+    @property
+    def counts_as_sent(self) -> bool:
+        """Tell whether a backend server may have got the request."""
+        return self.reached_server or self.verdict is not Verdict.NOT_RUN
+
 
 class BadRequestError(RequestError):
     """The request itself is wrong; resending it unchanged is useless."""
@@ -96,6 +103,20 @@
         super().__init__(message, Verdict.NOT_RUN, status, retry_after)
 
 
+class NoRouteError(BadRequestError):
+    """No route of the table matches host and path."""
+
+    status = 404
+    reason = "no-route"
+
+
+class NotExecutedError(OverloadedError):
+    """The backend server says that it turned the request away unexecuted."""
+
+    reason = "not-executed"
+    reached_server = True
+
+
 class RefusedForNowError(RequestError):
     """The request was refused before it ran, and may be welcome in a second."""
 
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -94,9 +94,16 @@
 
 @attrs.frozen
 class TargetAnnounced:
-    """The backend server beside this daemon announced or renewed itself."""
+    """The backend server beside this daemon announced or renewed itself.
+
+    :param target: the target; ``LEAVING`` if it says that it leaves.
+    :param born: when its process started, in any unit that rises; 0 if unknown.
+    :param sequence: rises with each announcement of a process; 0 if unknown.
+    """
 
     target: Target
+    born: int = 0
+    sequence: int = 0
 
 
 @attrs.frozen
@@ -106,6 +113,53 @@
     target_id: str
 
 
+@attrs.frozen
+class GateSilent:
+    """A gate could not be reached to ask about a request that it was sent.
+
+    :param gate_address: ``host:port`` of the gate.
+    """
+
+    gate_address: str
+
+
+@attrs.frozen
+class MembersListed:
+    """The registry of members was listed.
+
+    :param addresses: ``host:port`` of control channels by ``daemon_id``.
+    """
+
+    addresses: dict[str, str]
+
+
+@attrs.frozen
+class MemberRegistered:
+    """A :class:`RegisterMember` effect has ended.
+
+    :param succeeded: whether the registry acknowledged the record.
+    """
+
+    succeeded: bool
+
+
+@attrs.frozen
+class ListMembers:
+    """Effect: list the registry of members; ends in :class:`MembersListed`."""
+
+
+@attrs.frozen
+class RegisterMember:
+    """Effect: write this daemon's record to the registry of members.
+
+    :param daemon_id: key of the record.
+    :param peer_address: its value; empty to remove the record.
+    """
+
+    daemon_id: str
+    peer_address: str
+
+
 @attrs.frozen
 class ProbeFinished:
     """A :class:`ProbeTarget` effect has ended.
--- a/src/wagtailstep/models/exchange.py
+++ b/src/wagtailstep/models/exchange.py
@@ -25,12 +25,14 @@
     :param headers: pairs of lower-case name and value.
     :param body: chunks of the body; reading it applies back-pressure. It raises
         :class:`wagtailstep.exceptions.BadRequestError` if the caller cut it.
+    :param peer: IP number of the caller; empty if it is not known.
     """
 
     method: str
     path: str
     headers: Headers
     body: AsyncIterator[bytes]
+    peer: str = ""
 
 
 @attrs.define
--- a/src/wagtailstep/models/fleet.py
+++ b/src/wagtailstep/models/fleet.py
@@ -14,17 +14,34 @@
     LEAVING = "leaving"
 
 
+class TargetStanding(enum.IntEnum):
+    """How a backend server does its work, as its gate sees it.
+
+    ``DOUBTED`` has failed lately and takes work only where a failure does no harm;
+    ``FAILING`` takes none but what finds out whether it still fails.
+    """
+
+    GOOD = 0
+    WARMING = 1
+    DOUBTED = 2
+    FAILING = 3
+
+
 @attrs.frozen
 class Target:
     """One backend server of one service.
 
-    :param target_id: ``service/host:port`` of the backend server; unique.
+    :param target_id: ``service/host:port`` of the backend server, or ``service/``
+        and its own identifier if it announced one; unique.
     :param service: name of the service.
     :param daemon_id: identifier of the daemon (gate) beside it.
     :param availability_zone: availability zone of the instance.
     :param slots: requests that it runs at the same time.
     :param state: where it is between start and end.
     :param incarnation: rises with each announcement after a restart.
+    :param standing: what its gate sees of its work.
+    :param address: ``host:port``, known to its gate only; an empty string stands for
+        the one in ``target_id``.
     """
 
     target_id: str
@@ -34,6 +51,18 @@
     slots: int = 4
     state: TargetState = TargetState.SERVING
     incarnation: int = 0
+    standing: TargetStanding = TargetStanding.GOOD
+    address: str = ""
+
+    @property
+    def instance_id(self) -> str:
+        """Return what the backend server calls itself; else its address."""
+        return self.target_id.partition("/")[2]
+
+    @property
+    def dial_address(self) -> str:
+        """Return ``host:port`` for its gate."""
+        return self.address or self.instance_id
 
 
 class MemberState(enum.Enum):
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -116,3 +116,69 @@
 
     serial: int
     error: RequestError
+
+
+class WorkResult(enum.Enum):
+    """How a backend server did one piece of work, as its gate saw it.
+
+    ``FAILED`` is an answer that says so. ``BROKEN`` is none, or one that can't be
+    used. ``LATE`` was not answered by its deadline. ``UNREACHABLE`` could not be
+    sent. ``TURNED_AWAY`` was refused unexecuted.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    BROKEN = "broken"
+    LATE = "late"
+    UNREACHABLE = "unreachable"
+    TURNED_AWAY = "turned-away"
+
+
+@attrs.frozen
+class WorkStarted:
+    """A request was sent to the backend server beside this daemon.
+
+    :param serial: number given by the gate.
+    """
+
+    serial: int
+    target_id: str
+    route: str
+
+
+@attrs.frozen
+class WorkStopped:
+    """A backend server has begun to answer, or will not.
+
+    :param serial: as in :class:`WorkStarted`.
+    """
+
+    serial: int
+
+
+@attrs.frozen
+class LocalCallFailed:
+    """A call of the backend server beside this daemon got a failure.
+
+    :param path: path of the call.
+    """
+
+    path: str
+
+
+@attrs.frozen
+class WorkEnded:
+    """A backend server has ended a request, well or not.
+
+    :param target_id: the backend server.
+    :param route: name of the route.
+    :param idempotent: whether the request may run more than once.
+    :param result: how it ended.
+    :param took: time from sending to the end of the answer.
+    """
+
+    target_id: str
+    route: str
+    idempotent: bool
+    result: WorkResult
+    took: timedelta
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -21,8 +21,20 @@
 IDEMPOTENCY_KEY = "idempotency-key"
 RETRY_AFTER = "retry-after"
 TRACEPARENT = "traceparent"
+# Set on what backend servers get.
+CALLER_SERVICE = "wagtailstep-caller-service"
+EXPECTED_INSTANCE = "wagtailstep-expected-instance"
+# Set by backend servers.
+NOT_EXECUTED = "wagtailstep-not-executed"
 FLEET_PREFIX = "wagtailstep-"
 
+# Only daemons may set these on an answer.
+DAEMON_ANSWER_HEADERS = frozenset(
+    {VERDICT, ATTEMPT_ID, GATE_ID, TARGET, REASON, BLAME, QUEUEING_MS, LOAD}
+)
+# These tell the entry about the gate and mean nothing to a caller.
+GATE_ANSWER_HEADERS = frozenset({GATE_ID, QUEUEING_MS, LOAD, BLAME})
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
 # RFC 9110 section 7.6.1: these belong to one connection and are never passed on.
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -9,7 +9,13 @@
 import msgspec
 import xxhash
 
-from wagtailstep.models.fleet import Member, MemberState, Target, TargetState
+from wagtailstep.models.fleet import (
+    Member,
+    MemberState,
+    Target,
+    TargetStanding,
+    TargetState,
+)
 from wagtailstep.utils.codec import message
 
 MEMBERS_STREAM = "members"
@@ -209,18 +215,22 @@
     :param slots: requests that it runs at the same time.
     :param state: position of the state in :class:`TargetState`.
     :param incarnation: rises with each announcement after a restart.
+    :param standing: value of :class:`TargetStanding`.
     """
 
     target_id: str
     slots: int
     state: int
     incarnation: int
+    standing: int = 0
 
     @classmethod
     def from_target(cls, target: Target) -> "TargetEntry":
         """Make the entry of a target."""
         state = _TARGET_STATES.index(target.state)
-        return cls(target.target_id, target.slots, state, target.incarnation)
+        return cls(
+            target.target_id, target.slots, state, target.incarnation, target.standing
+        )
 
     @property
     def service(self) -> str:
@@ -232,6 +242,8 @@
 
         :raises IndexError: if the entry names a state that doesn't exist.
         """
+        if not 0 <= self.standing < len(TargetStanding):
+            raise IndexError(f"no standing {self.standing}")
         return Target(
             target_id=self.target_id,
             service=self.service,
@@ -240,6 +252,7 @@
             slots=self.slots,
             state=_TARGET_STATES[self.state],
             incarnation=self.incarnation,
+            standing=TargetStanding(self.standing),
         )
 
 
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -5,8 +5,11 @@
 
 import attrs
 
+from wagtailstep.models.host_routes import RouteKind
 from wagtailstep.models.verdict import Verdict
 
+NO_LIMIT = 1_000
+
 
 @attrs.frozen
 class RequestContext:
@@ -24,6 +27,12 @@
     :param first_sending: whether the caller says that it never sent the request
         with this key before.
     :param relayed: whether another daemon passed it on because of its key.
+    :param kind: kind of its route, or ``None`` if the route is not in the table.
+    :param aim: time within which an answer is of full use; zero if unknown.
+    :param priority: rank among the routes of its service; 0 goes first.
+    :param max_attempts: targets that it may be sent to.
+    :param given_up_at: monotonic time when the caller stops waiting; it may be later
+        than ``deadline``, which a route can bring forward.
     """
 
     request_id: str
@@ -37,6 +46,11 @@
     deadline: timedelta
     first_sending: bool = False
     relayed: bool = False
+    kind: RouteKind | None = None
+    aim: timedelta = timedelta()
+    priority: int = 0
+    max_attempts: int = NO_LIMIT
+    given_up_at: timedelta | None = None
 
     @property
     def guarded(self) -> bool:
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -89,6 +89,17 @@
         )
 
 
+def check_member_source(_: Any, attribute: attrs.Attribute, value: str) -> None:
+    """Refuse what is no source of members.
+
+    :raises SettingValueError: if the value is not allowed.
+    """
+    if value not in ("stream", "registry"):
+        raise SettingValueError(
+            attribute.name, f"{value!r} is not allowed; give stream or registry"
+        )
+
+
 def positive(default: Any) -> Any:
     """Declare a field whose value must be above 0."""
     return attrs.field(default=default, validator=check_positive)
@@ -120,6 +131,14 @@
     :param answer_bytes: size up to which the answer of a keyed request is kept.
     :param answers_kept_bytes: total size of the kept answers.
     :param claims_kept: claims that one daemon remembers, all services together.
+    :param unsafe_idle_ms: an idle connection older than this takes no non-idempotent
+        request.
+    :param caller_request_ids: whether callers name their requests, backend servers
+        repeat the name in their answers, and say whether they executed a request.
+    :param retry_slack: retries that all daemons together may make for a service in
+        ``retry_window_ms`` beyond ``retry_ratio``; 0 gives each daemon its own
+        ``retry_burst``.
+    :param retry_window_ms: length of any window in which the retries are counted.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -138,6 +157,10 @@
     answer_bytes: int = positive(16_384)
     answers_kept_bytes: int = positive(4_194_304)
     claims_kept: int = positive(20_000)
+    unsafe_idle_ms: int = not_negative(500)
+    caller_request_ids: bool = False
+    retry_slack: float = not_negative(0.0)
+    retry_window_ms: int = positive(10_000)
 
 
 @attrs.frozen
@@ -160,6 +183,8 @@
     :param digest_sends: times that one daemon passes on one heartbeat of another.
     :param member_append_s: mean time between two appends to the log's stream of
         members by the whole fleet.
+    :param member_source: ``stream`` reads the log's stream of members; ``registry``
+        lists a registry that holds one record for each daemon.
     """
 
     seeds: tuple[str, ...] = attrs.field(default=(), validator=check_addresses)
@@ -175,6 +200,7 @@
     digest_fanout: int = positive(2)
     digest_sends: int = positive(4)
     member_append_s: float = positive(20.0)
+    member_source: str = attrs.field(default="stream", validator=check_member_source)
 
 
 @attrs.frozen
@@ -239,6 +265,13 @@
     :param log_level: name of a level of the :mod:`logging` module.
     :param event_ring_size: events kept in memory for the time line.
     :param seed: seed of all random choices; ``None`` takes one from the system.
+    :param service: service of the backend server beside the daemon, which backend
+        servers are told as the caller of requests that begin here; may be empty.
+    :param ready_address: ``host:port`` where readiness is asked for; empty for none.
+    :param shutdown_ms: longest time between SIGTERM and the end of the process; 0
+        takes the drain limits of the table.
+    :param shutdown_notice_ms: time for which the daemon takes new connections after
+        SIGTERM, so that whoever watches its readiness sees it end first.
     """
 
     daemon_id: str = attrs.field(validator=check_name)
@@ -250,6 +283,10 @@
     log_level: str = attrs.field(default="INFO", validator=check_log_level)
     event_ring_size: int = positive(4_096)
     seed: int | None = None
+    service: str = ""
+    ready_address: str = ""
+    shutdown_ms: int = not_negative(0)
+    shutdown_notice_ms: int = positive(1_000)
     requests: RequestSettings = RequestSettings()
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from wagtailstep.models.host_routes import HostRoutes
 from wagtailstep.models.packed_rows import PackedRows
 
 DEFAULT_WEIGHT = 1.0
@@ -172,7 +173,8 @@
 class Table:
     """The table in force: rows by their keys.
 
-    :param version: number of accepted edits; only rises.
+    :param version: number of accepted edits, or of the published table; only rises.
+    :param host_routes: routes by host and path, if the table was published whole.
     """
 
     version: int = 0
@@ -182,6 +184,7 @@
     )
     routes: MutableMapping[str, RouteRow] = attrs.field(factory=dict)
     accounts: MutableMapping[str, AccountRow] = attrs.field(factory=pack_accounts)
+    host_routes: HostRoutes = attrs.field(factory=HostRoutes, eq=False)
 
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, or one of defaults if it has none."""
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -5,6 +5,7 @@
 from wagtailstep.exceptions import (
     BadRequestError,
     RequestError,
+    TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
@@ -173,3 +174,15 @@
         return b"".join([chunk async for chunk in answer.body])
     finally:
         await answer.close()
+
+
+async def discard_answer(answer: Answer) -> None:
+    """Read an answer that nobody wants, so that its connection can be used again."""
+    try:
+        async for _ in answer.body:
+            pass
+    except TruncatedAnswerError:
+        # What the head said holds; the connection is closed already.
+        pass
+    finally:
+        await answer.close()
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from datetime import timedelta
+from typing import Any
 
 import msgspec
 from blacksheep import Application, Router
@@ -18,8 +19,10 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.table import TableController
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Controller
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
+from wagtailstep.models.keyed_store import KeyedStore, NoKeyedStore
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.status import DaemonStatus, describe_status
 from wagtailstep.network.announcements import add_announcement_routes
@@ -38,13 +41,13 @@
 from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.network.peer_channel import ZeroMqPeerChannel
 from wagtailstep.network.prober import Prober
+from wagtailstep.network.readiness import add_ready_route
 from wagtailstep.network.relay import HttpRelay
 from wagtailstep.network.runtime import Outside, Runtime
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
-LEAVING_NEWS_MS = 1_000
 TICKET_POLL_MS = 50
 
 
@@ -72,8 +75,12 @@
         self.guard = DuplicateGuard(*parts)
         self.metrics = MetricsRecorder(self.blackboard)
         gate_controller = GateController(*parts)
-        self.gate = GateService(self.settings, gate_controller, self.client, self.clock)
-        self.forwarder = HttpForwarder(self.blackboard, self.client, self.gate)
+        self.gate = GateService(
+            self.settings, gate_controller, self.client, self.clock, self.dispatch
+        )
+        self.forwarder = HttpForwarder(
+            self.blackboard, self.client, self.gate, self.settings.service
+        )
         prober = Prober(
             self.settings.requests,
             self.blackboard,
@@ -86,10 +93,15 @@
             log=self.log,
             channel=ZeroMqPeerChannel(self.settings, self.clock),
             probe=prober.probe,
+            store=self.find_store(),
         )
         self.runtime = Runtime(*parts, outside)
-        # Each controller sees what those before it have written for an event.
-        self.runtime.controllers = (
+        self.runtime.controllers = self.make_controllers()
+
+    def make_controllers(self) -> tuple[Controller, ...]:
+        """Return the controllers; each sees what those before it wrote for an event."""
+        parts = (self.settings, self.blackboard, self.clock, self.rng)
+        return (
             TableController(*parts),
             MembershipController(*parts),
             AnnouncementController(*parts),
@@ -101,6 +113,14 @@
             self.metrics,
         )
 
+    def find_store(self) -> KeyedStore:
+        """Return the platform's keyed store, or one without records."""
+        return NoKeyedStore()
+
+    def add_announcements(self, app: Application) -> None:
+        """Let the backend servers beside this daemon announce themselves."""
+        add_announcement_routes(app, self.runtime.dispatch, self.settings, self.clock)
+
     def build_entry(self) -> None:
         """Make the entry and let it hear the guard's decisions."""
         self.entry = EntryService(
@@ -129,12 +149,13 @@
         gate_app = ExchangeApp(choose_handler(self.gate.handle, self.entry.handle))
         # Without a router of its own it would share one with all applications.
         self.announce_app = Application(router=Router())
-        add_announcement_routes(
-            self.announce_app, self.runtime.dispatch, self.settings, self.clock
-        )
+        self.add_announcements(self.announce_app)
+        self.ready_app = Application(router=Router())
+        add_ready_route(self.ready_app, self.blackboard)
         self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
         self.gate_server = HttpServer(gate_app, gate_app.announce_closing)
         self.announce_server = HttpServer(self.announce_app, lambda: None)
+        self.ready_server = HttpServer(self.ready_app, lambda: None)
         self.caller_app = caller_app
 
     async def start(self) -> None:
@@ -144,6 +165,7 @@
             listened on.
         """
         await self.announce_app.start()
+        await self.ready_app.start()
         await self.caller_app.own.start()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.gate_server.start(self.settings.gate_address))
@@ -151,6 +173,8 @@
                 self.announce_server.start(self.settings.announce_address)
             )
             group.create_task(self.caller_server.start(self.settings.caller_address))
+            if self.settings.ready_address:
+                group.create_task(self.ready_server.start(self.settings.ready_address))
         await self.runtime.start()
         self.runtime.record_event(
             "daemon-started",
@@ -165,10 +189,12 @@
 
         :return: whether all requests in flight ended within the drain limit.
         """
-        limit = self.find_drain_limit()
+        notice = timedelta(milliseconds=self.settings.shutdown_notice_ms)
+        limit = self.find_shutdown_limit(notice)
         self.blackboard.draining = True
+        self.caller_app.announce_closing()
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
-        await asyncio.sleep(LEAVING_NEWS_MS / 1_000)
+        await asyncio.sleep(notice.total_seconds())
         self.caller_server.stop_accepting()
         await self.wait_for_tickets(limit)
         self.gate_server.stop_accepting()
@@ -176,6 +202,7 @@
             self.caller_server.drain(limit), self.gate_server.drain(limit)
         )
         self.runtime.record_event("daemon-stopped", whole=all(finished))
+        await self.runtime.unregister_member()
         await self.close()
         return all(finished)
 
@@ -193,11 +220,27 @@
     async def close(self) -> None:
         """Stop at once, whatever is in flight."""
         await self.runtime.close()
-        for server in (self.caller_server, self.gate_server, self.announce_server):
+        for server in (
+            self.caller_server,
+            self.gate_server,
+            self.announce_server,
+            self.ready_server,
+        ):
             await server.close()
         self.client.close()
         self.log.close()
 
+    def dispatch(self, event: Any) -> None:
+        """Give an event to the controllers; the gate exists before the runtime."""
+        self.runtime.dispatch(event)
+
+    def find_shutdown_limit(self, notice: timedelta) -> timedelta:
+        """Return how long requests in flight may take after the notice."""
+        if not self.settings.shutdown_ms:
+            return self.find_drain_limit()
+        longest = timedelta(milliseconds=self.settings.shutdown_ms)
+        return max(timedelta(), longest - notice)
+
     def find_drain_limit(self) -> timedelta:
         """Return the longest drain limit of the services served or asked for."""
         local = {
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -17,12 +17,13 @@
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.runs import make_unknown_error
-from wagtailstep.exceptions import DeadlineExceededError, NotReadyError, RequestError
+from wagtailstep.exceptions import DeadlineExceededError, RequestError
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
 from wagtailstep.models.fleet import Member
-from wagtailstep.models.headers import find_header, replace_headers
+from wagtailstep.models.gate import LocalCallFailed
+from wagtailstep.models.headers import find_header, remove_headers, replace_headers
 from wagtailstep.models.idempotency import (
     Decision,
     PassOn,
@@ -44,15 +45,17 @@
     read_small_body,
 )
 from wagtailstep.network.exchanges import Exchange
-from wagtailstep.network.interpret import digest_request, interpret_request
+from wagtailstep.network.interpret import digest_request
 from wagtailstep.network.problems import (
     describe_error,
     make_internal_error,
     yield_body,
 )
-from wagtailstep.network.sender import AttemptSender
+from wagtailstep.network.request_reader import RequestReader, is_local
+from wagtailstep.network.sender import FIRST_FAILURE_STATUS, AttemptSender
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
+from wagtailstep.utils.logging import log_event
 
 MAX_RELAY_ATTEMPTS = 2
 
@@ -92,7 +95,8 @@
         self.guard = guard
         self.relay = relay
         self.apply = apply
-        retries = RetryPolicy(settings.requests, clock)
+        retries = RetryPolicy(settings.requests, clock, lambda: len(blackboard.members))
+        self.reader = RequestReader(settings.requests, blackboard, clock, rng)
         self.sender = AttemptSender(
             blackboard, clock, routing, retries, forwarder, dispatch
         )
@@ -106,20 +110,46 @@
         """
         request_id = make_id(self.rng)
         try:
-            request = self.interpret(incoming, request_id)
+            request_id = self.reader.find_request_id(incoming) or request_id
+            request = self.reader.read(incoming, request_id)
             answer = await self.serve(request, incoming)
         except RequestError as error:
+            self.note_failure(incoming, request_id, error)
+            self.note_call(incoming, error.status)
             return describe_error(error, request_id)
         except Exception:
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
             return describe_error(make_internal_error(), request_id)
+        self.note_call(incoming, answer.status)
         answer.headers = replace_headers(
-            answer.headers,
+            remove_headers(answer.headers, headers.GATE_ANSWER_HEADERS),
             (headers.VERDICT, answer.verdict.value),
             (headers.REQUEST_ID, request_id),
         )
         return answer
 
+    def note_call(self, incoming: IncomingRequest, status: int) -> None:
+        """Tell the controllers that a call of the local backend server failed."""
+        if status >= FIRST_FAILURE_STATUS and is_local(incoming.peer, self.settings):
+            self.sender.dispatch(LocalCallFailed(incoming.path))
+
+    def note_failure(
+        self, incoming: IncomingRequest, request_id: str, error: RequestError
+    ) -> None:
+        """Log a request that gets no answer of a backend server."""
+        log_event(
+            _LOGGER,
+            "request-unanswered",
+            request_id=request_id,
+            path=incoming.path,
+            reason=error.reason,
+            verdict=error.verdict.value,
+            status=error.status,
+            blame=error.blame.value,
+            error=str(error),
+            table_version=self.blackboard.table.version,
+        )
+
     async def issue_ticket(self, service: str) -> str:
         """Return a new ticket for one request to a service.
 
@@ -135,19 +165,6 @@
         else:
             self.decline(effect.decision)
 
-    def interpret(self, incoming: IncomingRequest, request_id: str) -> RequestContext:
-        """Read a request's headers.
-
-        :raises BadRequestError: if one of them is wrong.
-        """
-        return interpret_request(
-            incoming,
-            request_id,
-            self.blackboard.table,
-            self.settings.requests,
-            self.clock.monotonic(),
-        )
-
     async def serve(self, request: RequestContext, incoming: IncomingRequest) -> Answer:
         """Admit a request and bring it to its end.
 
@@ -156,7 +173,7 @@
         limit = self.settings.requests.replay_body_bytes
         body = ReplayableBody(incoming.body, limit)
         try:
-            self.check_ready()
+            self.reader.check_ready()
             self.routing.admit(request)
         except RequestError as error:
             raise self.limit_claim(request, error) from error
@@ -167,14 +184,6 @@
             exchange.release()
             raise
 
-    def check_ready(self) -> None:
-        """Refuse requests while the limits of the table are not known.
-
-        :raises NotReadyError: if this daemon has no table yet.
-        """
-        if not self.blackboard.table_known:
-            raise NotReadyError("this daemon has not read the table yet")
-
     async def serve_admitted(self, exchange: Exchange) -> Answer:
         """Run a request, or have its guard say what to do with it."""
         if exchange.request.guarded:
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -126,7 +126,8 @@
     path = scope["raw_path"].decode("ascii")
     if scope["query_string"]:
         path += "?" + scope["query_string"].decode("ascii")
-    return IncomingRequest(scope["method"], path, headers, read_body(receive))
+    peer = scope["client"][0] if scope.get("client") else ""
+    return IncomingRequest(scope["method"], path, headers, read_body(receive), peer)
 
 
 def check_framing(headers: Headers) -> None:
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -25,6 +25,7 @@
     :param body: its body.
     :param routing: counts it out when it ends.
     :param attempts: attempts made.
+    :param sent: attempts that a backend server may have got.
     :param tried: ``target_id`` of targets that were tried.
     :param verdict: verdict of all attempts that have ended.
     :param sending: whether an attempt is under way.
@@ -38,6 +39,7 @@
     body: ReplayableBody
     routing: RoutingController
     attempts: int = 0
+    sent: int = 0
     tried: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
     sending: bool = False
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -12,6 +12,7 @@
     DuplicateRequestError,
     LeavingError,
     NoTargetError,
+    NotExecutedError,
     OverloadedError,
     RequestError,
     TruncatedAnswerError,
@@ -22,6 +23,7 @@
 from wagtailstep.models.headers import (
     ATTEMPT_ID,
     BLAME,
+    CALLER_SERVICE,
     IDEMPOTENT,
     REASON,
     REQUEST_ID,
@@ -54,6 +56,7 @@
         DeadlineExceededError,
         DuplicateRequestError,
         LeavingError,
+        NotExecutedError,
         NoTargetError,
         OverloadedError,
         RequestError,
@@ -68,14 +71,20 @@
     :param blackboard: read for this daemon's own identifier.
     :param client: reaches the gates of other daemons.
     :param gate: the gate of this daemon.
+    :param caller_service: service on whose instance the requests begin, if known.
     """
 
     def __init__(
-        self, blackboard: Blackboard, client: HttpClient, gate: GateService
+        self,
+        blackboard: Blackboard,
+        client: HttpClient,
+        gate: GateService,
+        caller_service: str = "",
     ) -> None:
         self.blackboard = blackboard
         self.client = client
         self.gate = gate
+        self.caller_service = caller_service
         self.attempts = itertools.count(1)
 
     async def forward(
@@ -93,6 +102,8 @@
         attempt_id = f"{request.request_id}.{next(self.attempts)}"
         headers = make_headers(request, target_id, incoming, time_left)
         headers += ((ATTEMPT_ID, attempt_id),)
+        if self.caller_service:
+            headers += ((CALLER_SERVICE, self.caller_service),)
         if gate.daemon_id == self.blackboard.this_member.daemon_id:
             local = IncomingRequest(
                 incoming.method, request.path, headers, incoming.body
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import logging
+from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -14,6 +16,7 @@
 from wagtailstep.exceptions import (
     BadRequestError,
     DeadlineExceededError,
+    NoTargetError,
     OverloadedError,
     RequestError,
 )
@@ -27,9 +30,15 @@
     RefuseRequest,
     RunResult,
     StartRequest,
+    WorkEnded,
+    WorkStarted,
+    WorkStopped,
 )
 from wagtailstep.models.headers import (
     ATTEMPT_ID,
+    CALLER_SERVICE,
+    DAEMON_ANSWER_HEADERS,
+    EXPECTED_INSTANCE,
     GATE_ID,
     IDEMPOTENT,
     LOAD,
@@ -39,20 +48,29 @@
     TARGET,
     TIMEOUT_MS,
     VERDICT,
-    Headers,
     find_header,
     pass_on_headers,
     remove_fleet_headers,
+    remove_headers,
 )
-from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.gate_answers import (
+    blame_backend_server,
+    check_answer,
+    judge_failure,
+    judge_work,
+    read_timeout,
+    require_header,
+)
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
 from wagtailstep.network.silence import REVOCATION_PATH, AttemptStateAnswer
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.logging import log_event
 
+LOGGER = logging.getLogger(__name__)
 MILLISECOND = timedelta(milliseconds=1)
 # What was queued for an expected wait may wait longer, since giving it up would waste
 # the time that it has waited; a leaving backend server must get no work after 2 s.
@@ -60,6 +78,10 @@
 OVERLOAD_STATUSES = frozenset({429, 503})
 
 
+def ignore_event(event: Any) -> None:
+    """Do nothing with an event."""
+
+
 class GateService:
     """Take requests for the backend servers beside this daemon.
 
@@ -67,6 +89,7 @@
     :param controller: decides on admission.
     :param client: reaches the backend servers over loopback.
     :param clock: source of monotonic time.
+    :param dispatch: is told of the work of the backend servers.
     """
 
     def __init__(
@@ -75,13 +98,16 @@
         controller: GateController,
         client: HttpClient,
         clock: Clock,
+        dispatch: Callable[[Any], None] = ignore_event,
     ) -> None:
         self.settings = settings.requests
         self.controller = controller
         self.client = client
         self.clock = clock
         self.serials = itertools.count(1)
+        self.dispatch = dispatch
         self.waiting: dict[int, asyncio.Future[None]] = {}
+        self.started: dict[int, timedelta] = {}
         member = controller.blackboard.this_member
         # A restarted gate knows nothing of what its predecessor took.
         self.gate_id = f"{member.daemon_id}.{member.incarnation}"
@@ -114,7 +140,15 @@
         arrived_at = self.clock.monotonic()
         await self.wait_for_slot(request)
         queueing = self.clock.monotonic() - arrived_at
-        answer = await self.run(request, incoming)
+        self.started[request.serial] = self.clock.monotonic()
+        self.dispatch(WorkStarted(request.serial, request.target_id, request.route))
+        try:
+            answer = await self.run(request, incoming)
+        except BaseException:
+            self.started.pop(request.serial, None)
+            self.dispatch(WorkStopped(request.serial))
+            raise
+        self.dispatch(WorkStopped(request.serial))
         own_headers = (
             (VERDICT, Verdict.RUN.value),
             (REQUEST_ID, request.request_id),
@@ -176,9 +210,13 @@
     async def run(self, request: GateRequest, incoming: IncomingRequest) -> Answer:
         """Send the request to its backend server, once."""
         try:
-            answer = await self.client.send(self.make_request(request, incoming))
+            sent = self.make_request(request, incoming)
+            answer = await self.client.send(sent)
+            if self.settings.caller_request_ids:
+                await check_answer(request, answer)
         except RequestError as error:
             self.end(request, judge_failure(error))
+            self.tell(request, error)
             raise blame_backend_server(error) from error
         except BaseException:
             self.abandon(request)
@@ -188,21 +226,33 @@
     def make_request(
         self, request: GateRequest, incoming: IncomingRequest
     ) -> HttpRequest:
-        """Return the request for the backend server, with the time left to it."""
+        """Return the request for the backend server, with the time left to it.
+
+        :raises NoTargetError: if the backend server has left meanwhile.
+        """
+        target = self.controller.blackboard.targets.get(request.target_id)
+        if target is None:
+            raise NoTargetError(f"{request.target_id} has left")
         time_left = request.deadline - self.clock.monotonic()
-        own_headers = (
+        own_headers = [
             (REQUEST_ID, request.request_id),
             (TIMEOUT_MS, str(max(1, int(time_left / MILLISECOND)))),
-        )
+        ]
+        if target.address:
+            own_headers.append((EXPECTED_INSTANCE, target.instance_id))
+        caller_service = find_header(incoming.headers, CALLER_SERVICE)
+        if caller_service is not None:
+            own_headers.append((CALLER_SERVICE, caller_service))
         return HttpRequest(
-            address=request.target_id.rpartition("/")[2],
+            address=target.dial_address,
             method=incoming.method,
             path=incoming.path,
             headers=remove_fleet_headers(pass_on_headers(incoming.headers))
-            + own_headers,
+            + tuple(own_headers),
             body=incoming.body,
             idempotent=request.idempotent,
             time_left=time_left,
+            expected_id=request.request_id if self.settings.caller_request_ids else "",
         )
 
     def track_answer(self, request: GateRequest, answer: Answer) -> Answer:
@@ -216,10 +266,50 @@
             whole = body.whole
             await answer.close()
             self.end(request, result if whole else RunResult.ABANDONED)
+            self.tell(request, None, answer.status, whole, body.failed)
 
-        headers = remove_fleet_headers(answer.headers)
+        headers = remove_headers(answer.headers, DAEMON_ANSWER_HEADERS)
         return Answer(answer.status, headers, body, Verdict.RUN, close)
 
+    def tell(
+        self,
+        request: GateRequest,
+        error: RequestError | None,
+        status: int = 0,
+        whole: bool = True,
+        cut: bool = False,
+    ) -> None:
+        """Tell the controllers what the backend server made of a request.
+
+        :param whole: whether the whole answer was read.
+        :param cut: whether the backend server broke the answer off.
+        """
+        work = judge_work(error, status, whole, cut)
+        started_at = self.started.pop(request.serial, None)
+        if work is None or started_at is None:
+            return
+        now = self.clock.monotonic()
+        log_event(
+            LOGGER,
+            "work-ended",
+            request_id=request.request_id,
+            target=request.target_id,
+            route=request.route,
+            result=work.value,
+            status=status,
+            took_ms=(now - started_at) // MILLISECOND,
+            error=error or "",
+        )
+        self.dispatch(
+            WorkEnded(
+                request.target_id,
+                request.route,
+                request.idempotent,
+                work,
+                now - started_at,
+            )
+        )
+
     def end(self, request: GateRequest, result: RunResult) -> None:
         """Free the slot of a request."""
         event = GateRequestEnded(request.serial, result)
@@ -253,39 +343,3 @@
         future = self.waiting.get(effect.serial)
         if future is not None and not future.done():
             future.set_exception(effect.error)
-
-
-def require_header(headers: Headers, name: str) -> str:
-    """Return the value of a header.
-
-    :raises BadRequestError: if it is missing.
-    """
-    value = find_header(headers, name)
-    if not value:
-        raise BadRequestError(f"a request to the gate needs the header {name}")
-    return value
-
-
-def read_timeout(headers: Headers) -> timedelta:
-    """Return the time left to a request.
-
-    :raises BadRequestError: if the header is missing or no number.
-    """
-    text = require_header(headers, TIMEOUT_MS)
-    if not text.isascii() or not text.isdigit():
-        raise BadRequestError(f"{TIMEOUT_MS} is {text!r}, not a number of ms")
-    return int(text) * MILLISECOND
-
-
-def judge_failure(error: RequestError) -> RunResult:
-    """Say what a failed exchange tells of the backend server's capacity."""
-    if isinstance(error, DeadlineExceededError):
-        return RunResult.TIMED_OUT
-    return RunResult.ABANDONED
-
-
-def blame_backend_server(error: RequestError) -> RequestError:
-    """Return the error; over loopback there is nothing else to blame."""
-    if error.blame in (Blame.PATH, Blame.CONNECTION):
-        error.blame = Blame.BACKEND_SERVER
-    return error
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -31,7 +31,6 @@
 from wagtailstep.utils.clock import Clock
 
 MAX_IDLE_PER_ADDRESS = 8
-PROOF_AGE = timedelta(milliseconds=500)
 
 
 class AnswerBody:
@@ -50,6 +49,7 @@
         self.deadline = deadline
         self.ended = False
         self.whole = False
+        self.failed = False
 
     def __aiter__(self) -> "AnswerBody":
         """Return the body itself."""
@@ -78,14 +78,17 @@
                 return await self.connection.read_event()
         except TimeoutError as error:
             await self.close()
+            self.failed = True
             message = f"the answer of {address} was not whole at its deadline"
             raise TruncatedAnswerError(message) from error
         except h11.RemoteProtocolError as error:
             await self.close()
+            self.failed = True
             message = f"the answer of {address} ended early: {error}"
             raise TruncatedAnswerError(message) from error
         except OSError as error:
             await self.close()
+            self.failed = True
             message = f"the connection to {address} broke within an answer: {error}"
             broken = TruncatedAnswerError(message)
             broken.blame = Blame.PATH
@@ -176,7 +179,9 @@
 
     def max_age(self, request: HttpRequest) -> timedelta:
         """Return how long ago a kept connection must have been proved."""
-        return self.idle_limit if request.idempotent else PROOF_AGE
+        if request.idempotent:
+            return self.idle_limit
+        return timedelta(milliseconds=self.settings.unsafe_idle_ms)
 
     def take_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
         """Return the connection that was used last, if it is young enough."""
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -10,7 +10,7 @@
 import h11
 
 from wagtailstep.exceptions import BadRequestError, RequestError
-from wagtailstep.models.headers import Headers, find_header
+from wagtailstep.models.headers import REQUEST_ID, Headers, find_header
 
 READ_SIZE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -31,6 +31,8 @@
     :param idempotent: whether running it twice does no harm.
     :param time_left: time until the whole answer must have arrived.
     :param attempt_id: what a gate calls this sending; empty if it goes to no gate.
+    :param expected_id: request identifier that the answer repeats; a leftover answer
+        with another one is passed over. Empty if answers aren't told apart.
     :param silence_after: time without an answer after which a gate is asked, over a
         new connection, what became of the request.
     """
@@ -43,6 +45,7 @@
     idempotent: bool
     time_left: timedelta
     attempt_id: str = ""
+    expected_id: str = ""
     silence_after: timedelta = timedelta(seconds=1)
 
     @property
@@ -213,7 +216,7 @@
         self.bytes_sent = False
         self.start_request(request)
         if request.body is None or not request.has_body:
-            return await self.read_head()
+            return await self.pass_leftovers(await self.read_head(), request)
         if request.waits_to_continue:
             refusal = await self.read_go_ahead()
             if refusal is not None:
@@ -225,10 +228,48 @@
             await asyncio.wait({self.sender, head}, return_when=asyncio.FIRST_COMPLETED)
             if not head.done():
                 self.check_sender()
-            return await head
+            found = await head
+            if self.sender.done():
+                return await self.pass_leftovers(found, request)
+            return found
         finally:
             head.cancel()
 
+    async def pass_leftovers(
+        self, head: h11.Response, request: HttpRequest
+    ) -> h11.Response:
+        """Pass over late answers to earlier requests, as their identifiers show.
+
+        :return: the head of the first answer that may be to this request.
+        """
+        while request.expected_id and self.reused and is_leftover(head, request):
+            await self.skip_answer()
+            head = await self.read_head()
+        return head
+
+    async def skip_answer(self) -> None:
+        """Read an answer to its end and expect another one to the same request."""
+        event = await self.read_event()
+        while isinstance(event, h11.Data):
+            event = await self.read_event()
+        if not isinstance(event, h11.EndOfMessage) or self.state.our_state is not (
+            h11.DONE
+        ):
+            raise ConnectionResetError("a leftover answer ended the connection")
+        rest, closed = self.state.trailing_data
+        if closed:
+            raise ConnectionResetError("a leftover answer ended the connection")
+        # A state that has sent its request and awaits the answer; nothing is written.
+        self.state = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.state.send(
+            h11.Request(method="GET", target="/", headers=[("host", "leftover")])
+        )
+        self.state.send(h11.EndOfMessage())
+        if rest:
+            self.state.receive_data(rest)
+
     def check_sender(self) -> None:
         """Raise what ended the body early, unless the connection itself broke.
 
@@ -274,6 +315,12 @@
         reset_transport(self.writer.transport)
 
 
+def is_leftover(head: h11.Response, request: HttpRequest) -> bool:
+    """Tell whether an answer names another request than the one it follows."""
+    found = find_header(decode_headers(head.headers), REQUEST_ID)
+    return found is not None and found != request.expected_id
+
+
 def reset_transport(transport: asyncio.WriteTransport) -> None:
     """Close at once and have the kernel drop what it has not delivered.
 
--- a/src/wagtailstep/network/interpret.py
+++ b/src/wagtailstep/network/interpret.py
@@ -3,10 +3,11 @@
 import hashlib
 from datetime import timedelta
 
-from wagtailstep.exceptions import BadRequestError
+from wagtailstep.exceptions import BadRequestError, NoRouteError
 from wagtailstep.models import headers
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.headers import find_header
+from wagtailstep.models.host_routes import HostRoute
 from wagtailstep.models.idempotency import MAX_KEY_LENGTH
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
@@ -54,6 +55,66 @@
     )
 
 
+def interpret_routed_request(
+    incoming: IncomingRequest,
+    request_id: str,
+    route: HostRoute,
+    service: str,
+    settings: RequestSettings,
+    now: timedelta,
+) -> RequestContext:
+    """Read a request whose route was found by host and path.
+
+    :param route: its route.
+    :param service: the part of the route that takes it.
+    :param now: monotonic time.
+    :raises BadRequestError: if the time allowed is not a number.
+    """
+    allowed = timedelta(
+        milliseconds=read_timeout_ms(incoming, settings.default_timeout_ms)
+    )
+    return RequestContext(
+        request_id=request_id,
+        service=service,
+        route=route.name,
+        account="",
+        method=incoming.method,
+        path=incoming.path,
+        idempotent=route.kind.idempotent,
+        idempotency_key=None,
+        deadline=now + min(allowed, route.timeout),
+        kind=route.kind,
+        aim=route.aim,
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        given_up_at=now + allowed,
+    )
+
+
+def find_route(incoming: IncomingRequest, table: Table) -> HostRoute:
+    """Return the route of a request by its host and path.
+
+    :raises NoRouteError: if there is none.
+    """
+    host = find_header(incoming.headers, "host") or ""
+    route = table.host_routes.find(host, incoming.path)
+    if route is None:
+        raise NoRouteError(f"no route for host {host!r} and this path")
+    return route
+
+
+def read_caller_request_id(incoming: IncomingRequest) -> str:
+    """Return the identifier that the caller gave its request.
+
+    :raises BadRequestError: if there is none, or it is too long.
+    """
+    value = find_header(incoming.headers, headers.REQUEST_ID) or ""
+    if not 0 < len(value) <= MAX_NAME_LENGTH:
+        allowed = f"1 to {MAX_NAME_LENGTH} characters"
+        raise make_header_error(headers.REQUEST_ID, value, allowed)
+    return value
+
+
 def default_route(path: str) -> str:
     """Return the first segment of a path, the route where no header names one."""
     return path.partition("?")[0].lstrip("/").partition("/")[0][:MAX_NAME_LENGTH]
--- /dev/null
+++ b/src/wagtailstep/network/request_reader.py
@@ -0,0 +1,82 @@
+"""What the entry reads from a caller's request, with the table in force."""
+
+import random
+
+from wagtailstep.controllers.route_split import RouteSplitter
+from wagtailstep.exceptions import NotReadyError
+from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.headers import find_header
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.network.interpret import (
+    find_route,
+    interpret_request,
+    interpret_routed_request,
+    read_caller_request_id,
+)
+from wagtailstep.utils.clock import Clock
+
+
+class RequestReader:
+    """Turn callers' requests into what the fleet knows of them.
+
+    A request that names no service goes by its host and path.
+
+    :param blackboard: read for the table.
+    """
+
+    def __init__(
+        self,
+        settings: RequestSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.blackboard = blackboard
+        self.clock = clock
+        self.splitter = RouteSplitter(rng)
+
+    def find_request_id(self, incoming: IncomingRequest) -> str:
+        """Return the caller's name for its request; empty if callers give none.
+
+        :raises BadRequestError: if it is missing and has to be there.
+        """
+        if not self.settings.caller_request_ids:
+            return ""
+        return read_caller_request_id(incoming)
+
+    def check_ready(self) -> None:
+        """Refuse requests while the limits of the table are not known.
+
+        :raises NotReadyError: if this daemon has no table yet.
+        """
+        if not self.blackboard.table_known:
+            raise NotReadyError("this daemon has not read the table yet")
+
+    def read(self, incoming: IncomingRequest, request_id: str) -> RequestContext:
+        """Read a request's head.
+
+        :raises NotReadyError: if its route can't be told yet.
+        :raises BadRequestError: if a header is wrong or no route matches.
+        """
+        now = self.clock.monotonic()
+        table = self.blackboard.table
+        names_service = find_header(incoming.headers, headers.SERVICE) is not None
+        if self.settings.caller_request_ids:
+            self.check_ready()
+        elif names_service or not table.host_routes:
+            return interpret_request(incoming, request_id, table, self.settings, now)
+        route = find_route(incoming, table)
+        service = self.splitter.choose(route)
+        return interpret_routed_request(
+            incoming, request_id, route, service, self.settings, now
+        )
+
+
+def is_local(peer: str, settings: DaemonSettings) -> bool:
+    """Tell whether a caller is a process of this instance."""
+    own_host = settings.caller_address.rpartition(":")[0]
+    return peer == own_host or peer.startswith("127.")
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -16,14 +16,19 @@
     AppendToLog,
     Controller,
     FollowStream,
+    ListMembers,
     LogAppendSettled,
     LogReachability,
+    MemberRegistered,
+    MembersListed,
     PeerMessageReceived,
     ProbeTarget,
     RecordEvent,
+    RegisterMember,
     SendToPeer,
     Tick,
 )
+from wagtailstep.models.keyed_store import Collection, KeyedStore, NoKeyedStore
 from wagtailstep.models.log import LogService
 from wagtailstep.models.peer import PeerChannel, StampedMessage
 from wagtailstep.models.settings import DaemonSettings
@@ -43,11 +48,13 @@
     :param log: the platform's log service.
     :param channel: control channel to the other daemons.
     :param probe: runs a probe; its result is dispatched as an event.
+    :param store: the platform's keyed store.
     """
 
     log: LogService
     channel: PeerChannel
     probe: Callable[[ProbeTarget], Any]
+    store: KeyedStore = NoKeyedStore()
 
 
 class Runtime:
@@ -214,6 +221,36 @@
         self.followers[stream] = follower
         self.spawn(follower.run())
 
+    async def register_member(self, effect: RegisterMember) -> None:
+        """Write this daemon's record to the registry of members."""
+        data = effect.peer_address.encode()
+        succeeded = True
+        try:
+            await self.outside.store.put(Collection.MEMBERS, effect.daemon_id, data)
+        except LogError as error:
+            succeeded = False
+            log_event(LOGGER, "member-not-registered", error=error)
+        self.dispatch(MemberRegistered(succeeded))
+
+    async def unregister_member(self) -> None:
+        """Remove this daemon's record from the registry, if there is one."""
+        if self.settings.membership.member_source == "registry":
+            await self.register_member(RegisterMember(self.settings.daemon_id, ""))
+
+    async def list_members(self) -> None:
+        """Read the registry of members and dispatch what it names."""
+        try:
+            records = await self.outside.store.read_newest(Collection.MEMBERS)
+        except LogError as error:
+            log_event(LOGGER, "members-not-listed", error=error)
+            return
+        addresses = {
+            name: value.decode(errors="replace")
+            for name, value in records.values.items()
+            if value
+        }
+        self.dispatch(MembersListed(addresses))
+
     async def run_probe(self, effect: ProbeTarget) -> None:
         """Probe a target and dispatch the result."""
         self.dispatch(await self.outside.probe(effect))
@@ -253,3 +290,13 @@
 @apply_effect.register
 def _(effect: RecordEvent, runtime: Runtime) -> None:
     runtime.record_event(effect.kind, **effect.fields)
+
+
+@apply_effect.register
+def _(effect: RegisterMember, runtime: Runtime) -> None:
+    runtime.spawn(runtime.register_member(effect))
+
+
+@apply_effect.register
+def _(effect: ListMembers, runtime: Runtime) -> None:
+    runtime.spawn(runtime.list_members())
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -1,6 +1,7 @@
 """Attempts at a request, one after the other, until one answers."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -14,10 +15,13 @@
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempts import Attempt
-from wagtailstep.network.bodies import AnswerStream
+from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.logging import log_event
 
+LOGGER = logging.getLogger(__name__)
+FIRST_FAILURE_STATUS = 500
 DEADLINE_GRACE_MS = 20
 HURRIED_FACTOR = 4
 DISCOVERY_INTERVAL = timedelta(milliseconds=20)
@@ -65,14 +69,41 @@
             target = self.pick(exchange)
             exchange.attempts += 1
             try:
-                return await self.attempt(exchange, target)
+                answer = await self.attempt(exchange, target)
             except RequestError as error:
+                exchange.sent += error.counts_as_sent
                 exchange.cover(error)
                 may_resend = exchange.body.replayable and self.retries.take_retry(
-                    request, error, exchange.attempts
+                    request, error, exchange.attempts, exchange.sent
                 )
                 if not may_resend:
                     raise
+                self.note_resend(exchange, target, error.reason)
+                continue
+            exchange.sent += 1
+            if not self.may_replace(exchange, answer):
+                return answer
+            await discard_answer(answer)
+            self.note_resend(exchange, target, f"status-{answer.status}")
+
+    def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
+        """Tell whether a failure that a backend server answered is tried again."""
+        if answer.status < FIRST_FAILURE_STATUS or not exchange.body.replayable:
+            return False
+        return self.retries.take_replacement(exchange.request, exchange.sent)
+
+    def note_resend(self, exchange: Exchange, target: Target, reason: str) -> None:
+        """Log that a request goes to one more target."""
+        log_event(
+            LOGGER,
+            "request-resent",
+            request_id=exchange.request.request_id,
+            service=exchange.request.service,
+            target=target.target_id,
+            reason=reason,
+            attempts=exchange.attempts,
+            sent=exchange.sent,
+        )
 
     def pick(self, exchange: Exchange) -> Target:
         """Pick the target of the next attempt.
@@ -87,7 +118,8 @@
                     "the time allowed had passed before the request was sent",
                     Verdict.NOT_RUN,
                 )
-            return self.routing.pick(request.service, exchange.tried)
+            cautious = not request.idempotent
+            return self.routing.pick(request.service, exchange.tried, cautious)
         except RequestError as error:
             exchange.cover(error)
             raise
--- /dev/null
+++ b/src/wagtailstep/network/table_follower.py
@@ -0,0 +1,97 @@
+"""Following the table that operators publish in the platform's store."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from wagtailstep.exceptions import DecodeError, LogError, RecordExpiredError
+from wagtailstep.models.keyed_store import Collection, KeyedRecords, KeyedStore
+from wagtailstep.models.published_table import TableDocument, TablePublished
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+# One call of each daemon waits at the store. Its length is drawn anew each time, so
+# that after an outage that lost all these calls some daemon soon asks again and
+# passes on what it reads; see docs/design/platform.md.
+SHORTEST_WAIT_S = 4.0
+LONGEST_WAIT_S = 10.0
+FIRST_BACKOFF_S = 0.2
+LONGEST_BACKOFF_S = 1.5
+
+FindDocument = Callable[[KeyedRecords], TableDocument | None]
+
+
+class TableFollower:
+    """Read the newest table, then wait for changes, through outages.
+
+    :param store: the platform's store.
+    :param find_document: finds the table's document among records; it raises
+        :class:`DecodeError` if it can't be read.
+    :param dispatch: takes :class:`TablePublished`.
+    :param report: told after each call whether the store was reachable.
+    :param rng: draws waits and pauses.
+    """
+
+    def __init__(
+        self,
+        store: KeyedStore,
+        find_document: FindDocument,
+        dispatch: Callable[[Any], None],
+        report: Callable[[bool], None],
+        rng: random.Random,
+    ) -> None:
+        self.store = store
+        self.find_document = find_document
+        self.dispatch = dispatch
+        self.report = report
+        self.rng = rng
+        self.offset: int | None = None
+        self.backoff_s = 0.0
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            try:
+                records = await self.read()
+            except RecordExpiredError as error:
+                log_event(LOGGER, "table-history-lost", oldest_offset=error.oldest)
+                self.offset = None
+            except LogError as error:
+                self.report(False)
+                await self.back_off(error)
+            else:
+                self.backoff_s = 0.0
+                self.report(True)
+                self.take(records)
+
+    async def read(self) -> KeyedRecords:
+        """Read the newest records, or wait for those that follow.
+
+        :raises LogError: if there was no answer.
+        """
+        if self.offset is None:
+            return await self.store.read_newest(Collection.TABLE)
+        wait = timedelta(seconds=self.rng.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S))
+        return await self.store.read_changes(Collection.TABLE, self.offset, wait)
+
+    def take(self, records: KeyedRecords) -> None:
+        """Dispatch the document among records, if there is one."""
+        self.offset = records.next_offset
+        try:
+            document = self.find_document(records)
+        except DecodeError as error:
+            log_event(LOGGER, "table-unreadable", logging.WARNING, error=error)
+            return
+        if document is not None:
+            self.dispatch(TablePublished(document, "store"))
+
+    async def back_off(self, error: LogError) -> None:
+        """Wait before the next call; longer after each failure."""
+        doubled = max(FIRST_BACKOFF_S, 2 * self.backoff_s)
+        if not self.backoff_s:
+            log_event(LOGGER, "store-call-failed", logging.WARNING, error=error)
+        self.backoff_s = min(LONGEST_BACKOFF_S, doubled)
+        await asyncio.sleep(self.backoff_s * self.rng.uniform(0.5, 1.5))
--- /dev/null
+++ b/src/wagtailstep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between wagtailstep and the users' platform. Nothing is decided here."""
--- /dev/null
+++ b/src/wagtailstep/platform/configuration.py
@@ -0,0 +1,158 @@
+"""The operator's configuration, turned into a table."""
+
+import re
+from datetime import timedelta
+from typing import Any
+
+import msgspec
+
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.host_routes import (
+    HostRoute,
+    HostRoutes,
+    RouteKind,
+    RoutePart,
+)
+from wagtailstep.models.keyed_store import KeyedRecords
+from wagtailstep.models.published_table import TableDocument
+from wagtailstep.models.table import Table
+
+CONFIG_KEY = "config"
+VERSION = re.compile(r"r([0-9]+)")
+TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+UNITS = {"ms": timedelta(milliseconds=1), "s": timedelta(seconds=1)}
+
+
+class Columns(msgspec.Struct):
+    """A list of objects, written as the names of their fields and rows of values."""
+
+    columns: list[str]
+    rows: list[list[Any]]
+
+    def objects(self) -> list[dict[str, Any]]:
+        """Return the objects; fields without a value are left out."""
+        return [
+            {
+                name: value
+                for name, value in zip(self.columns, row, strict=False)
+                if value is not None
+            }
+            for row in self.rows
+        ]
+
+
+class SplitPart(msgspec.Struct):
+    """One part of ``traffic-split``."""
+
+    service: str
+    weight: float
+
+
+class RouteRow(msgspec.Struct, rename="kebab"):
+    """One route.
+
+    :param aim: time within which an answer earns its full credit.
+    :param service: the only service, where there is no ``traffic_split``.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout: str
+    aim: str = "0ms"
+    priority: int = 0
+    service: str | None = None
+    max_attempts: int = 1
+    traffic_split: list[SplitPart] | None = None
+
+
+class Configuration(msgspec.Struct):
+    """The record ``config`` of the operator."""
+
+    version: str
+    routes: Columns
+
+
+def find_document(records: KeyedRecords) -> TableDocument | None:
+    """Return the configuration among the operator's records.
+
+    :raises DecodeError: if it can't be read.
+    """
+    data = records.values.get(CONFIG_KEY)
+    if not data:
+        return None
+    return TableDocument(read_version(decode_configuration(data).version), data)
+
+
+def read_document(document: TableDocument) -> Table:
+    """Return the table of a configuration.
+
+    :raises DecodeError: if it can't be read.
+    """
+    configuration = decode_configuration(document.data)
+    try:
+        rows = msgspec.convert(configuration.routes.objects(), list[RouteRow])
+        routes = HostRoutes(read_route(row) for row in rows)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DecodeError(f"a route can't be read: {error}") from error
+    return Table(version=document.version, host_routes=routes)
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode the record ``config``.
+
+    :raises DecodeError: if it is something else.
+    """
+    try:
+        return msgspec.json.decode(data, type=Configuration)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(f"the configuration can't be read: {error}") from error
+
+
+def read_version(text: str) -> int:
+    """Return the number of a version.
+
+    :raises DecodeError: if it is not written as one.
+    """
+    match = VERSION.fullmatch(text)
+    if match is None:
+        raise DecodeError(f"{text!r} is not a version of the configuration")
+    return int(match[1])
+
+
+def read_time(text: str) -> timedelta:
+    """Return a time that is written as a number and its unit.
+
+    :raises DecodeError: if it is not written so.
+    """
+    match = TIME.fullmatch(text)
+    if match is None:
+        raise DecodeError(f"{text!r} is not a time")
+    return float(match[1]) * UNITS[match[2]]
+
+
+def read_route(row: RouteRow) -> HostRoute:
+    """Return the route of a row.
+
+    :raises DecodeError: if a time can't be read.
+    :raises ValueError: if its kind is unknown or it leads nowhere.
+    """
+    parts = tuple(
+        RoutePart(part.service, part.weight) for part in row.traffic_split or ()
+    )
+    if not parts:
+        if row.service is None:
+            raise ValueError(f"route {row.name!r} leads to no service")
+        parts = (RoutePart(row.service),)
+    return HostRoute(
+        name=row.name,
+        host=row.host.lower(),
+        path_prefix=row.path_prefix,
+        kind=RouteKind(row.kind),
+        timeout=read_time(row.timeout),
+        aim=read_time(row.aim),
+        priority=row.priority,
+        max_attempts=row.max_attempts,
+        parts=parts,
+    )
--- /dev/null
+++ b/src/wagtailstep/platform/daemon.py
@@ -0,0 +1,70 @@
+"""A daemon whose outside is the platform."""
+
+from blacksheep import Application
+
+from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.dissemination import DisseminationController
+from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.controllers.path_watch import PathWatch
+from wagtailstep.controllers.published_table import PublishedTableController
+from wagtailstep.controllers.target_judge import TargetJudge
+from wagtailstep.models.events import Controller
+from wagtailstep.models.keyed_store import KeyedStore
+from wagtailstep.network.daemon import Daemon
+from wagtailstep.network.table_follower import TableFollower
+from wagtailstep.platform.configuration import find_document, read_document
+from wagtailstep.platform.heartbeats import add_heartbeat_routes
+from wagtailstep.platform.settings import PlatformSettings
+from wagtailstep.platform.store import PlatformStore
+from wagtailstep.utils.clock import Clock
+
+
+class PlatformDaemon(Daemon):
+    """Wire the product's controllers to the platform's store and heartbeats.
+
+    :param settings: settings of the daemon and of the store.
+    :param clock: the clock of all its components.
+    """
+
+    def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
+        self.store = PlatformStore(settings.store, clock)
+        super().__init__(settings.daemon, clock)
+
+    def find_store(self) -> KeyedStore:
+        """Return the platform's store."""
+        return self.store
+
+    def make_controllers(self) -> tuple[Controller, ...]:
+        """Return the controllers; the table comes whole and gates judge targets."""
+        parts = (self.settings, self.blackboard, self.clock, self.rng)
+        return (
+            PublishedTableController(*parts, read_document),
+            MembershipController(*parts),
+            AnnouncementController(*parts),
+            DisseminationController(*parts),
+            TargetJudge(*parts),
+            PathWatch(*parts),
+            self.routing,
+            self.metrics,
+        )
+
+    def add_announcements(self, app: Application) -> None:
+        """Take heartbeats in place of announcements."""
+        add_heartbeat_routes(app, self.runtime.dispatch, self.settings)
+
+    async def start(self) -> None:
+        """Start the daemon and follow the operator's configuration."""
+        await super().start()
+        follower = TableFollower(
+            self.store,
+            find_document,
+            self.runtime.dispatch,
+            self.runtime.report_log,
+            self.rng,
+        )
+        self.runtime.spawn(follower.run())
+
+    async def close(self) -> None:
+        """Stop at once and close the connections to the store."""
+        await super().close()
+        self.store.close()
--- /dev/null
+++ b/src/wagtailstep/platform/program.py
@@ -0,0 +1,55 @@
+"""The program that the platform starts on each machine."""
+
+import os
+import sys
+
+from wagtailstep.cli import status_codes
+from wagtailstep.cli.run import run_program
+from wagtailstep.commands.read_settings import read_settings
+from wagtailstep.commands.run_daemon import run_daemon
+from wagtailstep.exceptions import SettingsError
+from wagtailstep.platform.daemon import PlatformDaemon
+from wagtailstep.platform.settings import PlatformSettings
+from wagtailstep.utils.clock import LoopClock
+
+FILE_VARIABLE = "WAGTAILSTEP_NODE_FILE"
+
+
+def run() -> int:
+    """Run a daemon on the platform until SIGTERM.
+
+    Exit codes are those of ``wagtailstep-daemon run``.
+    """
+    settings = find_settings()
+    whole = run_daemon(
+        settings.daemon,
+        lambda: PlatformDaemon(settings, LoopClock()),
+        lambda: find_settings().daemon,
+    )
+    return status_codes.SUCCESS if whole else status_codes.ERROR
+
+
+def check() -> int:
+    """Check the settings file and start nothing."""
+    print(f"ok: settings of daemon {find_settings().daemon.daemon_id}")
+    return status_codes.SUCCESS
+
+
+def find_settings() -> PlatformSettings:
+    """Read the settings file that the platform names.
+
+    :raises SettingsError: if it is missing or wrong.
+    """
+    path = os.environ.get(FILE_VARIABLE)
+    if not path:
+        raise SettingsError(f"variable {FILE_VARIABLE} names no settings file")
+    return read_settings(path, PlatformSettings)
+
+
+def main() -> None:
+    """Run the program."""
+    sys.exit(run_program({"run": run, "check": check}, "wagtailstep-platform"))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/wagtailstep/platform/settings.py
@@ -0,0 +1,29 @@
+"""Settings of a daemon on the platform, rendered by ``deploy/settings.json``."""
+
+import attrs
+
+from wagtailstep.models.settings import DaemonSettings, check_address, positive
+
+
+@attrs.frozen
+class StoreSettings:
+    """Where the platform's metadata store is.
+
+    :param address: ``host:port`` of the store.
+    :param timeout_ms: time allowed to a call, beyond what it waits by itself.
+    """
+
+    address: str = attrs.field(validator=check_address)
+    timeout_ms: int = positive(1_000)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """All settings of one daemon on the platform.
+
+    :param daemon: settings of the daemon.
+    :param store: the platform's metadata store.
+    """
+
+    daemon: DaemonSettings
+    store: StoreSettings
--- /dev/null
+++ b/src/wagtailstep/platform/store.py
@@ -0,0 +1,252 @@
+"""Client of the platform's metadata store, a log of topics over HTTP/1.1."""
+
+import base64
+import binascii
+import struct
+from collections.abc import Iterator
+from datetime import timedelta
+from http import HTTPStatus
+from typing import TypeVar
+
+import attrs
+import msgspec
+
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RecordExpiredError,
+    RequestError,
+)
+from wagtailstep.models.keyed_store import Collection, KeyedRecords
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import read_whole
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
+from wagtailstep.platform.settings import StoreSettings
+from wagtailstep.utils.clock import Clock
+
+# ``keyed.op`` belongs to the operator; its record ``config`` is the table.
+TOPICS = {
+    Collection.TABLE: "keyed.op",
+    Collection.MEMBERS: "keyed.wagtailstep-members",
+}
+# The store may close idle connections; a call on a dead one is an outage.
+CONNECTION_IDLE_MS = 2_000
+MILLISECOND = timedelta(milliseconds=1)
+LENGTH = struct.Struct(">I")
+OFFSETS = struct.Struct(">QQ")
+MAX_PAGES = 100
+# The store answers these before it does anything.
+WITHOUT_EFFECT = frozenset(
+    {
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    }
+)
+
+_T = TypeVar("_T")
+
+
+class NewestItem(msgspec.Struct):
+    """Newest record of one key; ``value`` is base64."""
+
+    key: str
+    value: str
+
+
+class NewestPage(msgspec.Struct, rename="kebab"):
+    """Answer of ``log-newest``.
+
+    :param items: records, in the order of their keys.
+    :param end: offset that the next record of the partition gets.
+    :param has_more: whether another page follows the last key.
+    """
+
+    items: list[NewestItem]
+    end: int
+    has_more: bool = False
+
+
+class ExpiredReply(msgspec.Struct):
+    """Answer 410; ``first`` is the oldest offset that can be read."""
+
+    first: int = 0
+
+
+@attrs.frozen
+class StoreReply:
+    """A whole answer of the store."""
+
+    status: int
+    body: bytes
+
+
+class PlatformStore:
+    """Collections kept in topics of the store; see :class:`KeyedStore`.
+
+    :param settings: where the store is.
+    :param clock: ages kept connections.
+    """
+
+    def __init__(self, settings: StoreSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.timeout = settings.timeout_ms * MILLISECOND
+        self.client = HttpClient(
+            RequestSettings(
+                connection_idle_ms=CONNECTION_IDLE_MS,
+                connect_timeout_ms=settings.timeout_ms,
+            ),
+            clock,
+        )
+
+    async def read_newest(self, collection: Collection) -> KeyedRecords:
+        """Read all records, page by page."""
+        values: dict[str, bytes] = {}
+        after = ""
+        # Pages are no snapshot: changes since the first page are read after it.
+        first_end: int | None = None
+        for _ in range(MAX_PAGES):
+            query = f"topic={TOPICS[collection]}&part=0{after}"
+            reply = await self.get(f"/v1/log-newest?{query}", self.timeout)
+            page = decode(check_ok(reply), NewestPage)
+            first_end = page.end if first_end is None else first_end
+            values.update(decode_items(page.items))
+            if not page.has_more or not page.items:
+                break
+            after = f"&after={page.items[-1].key}"
+        return KeyedRecords(values, first_end or 0)
+
+    async def read_changes(
+        self, collection: Collection, offset: int, wait: timedelta
+    ) -> KeyedRecords:
+        """Wait for records from an offset on."""
+        query = f"topic={TOPICS[collection]}&part=0&from={offset}"
+        path = f"/v1/log-read?{query}&wait-ms={wait // MILLISECOND}"
+        reply = await self.get(path, wait + self.timeout)
+        if reply.status == HTTPStatus.GONE:
+            raise RecordExpiredError(decode(reply.body, ExpiredReply).first)
+        values: dict[str, bytes] = {}
+        next_offset = offset
+        for record in split_records(check_ok(reply)):
+            next_offset += 1
+            key, value = split_record(record)
+            values[key] = value
+        return KeyedRecords(values, next_offset)
+
+    async def put(self, collection: Collection, key: str, value: bytes) -> None:
+        """Append the newest record of a key."""
+        record = bytes([len(key.encode())]) + key.encode() + value
+        body = LENGTH.pack(len(record)) + record
+        path = f"/v1/log-append?topic={TOPICS[collection]}&part=0"
+        try:
+            reply = await self.call("POST", path, body, self.timeout)
+        except RequestError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                raise LogUnavailableError(
+                    f"the append was not sent: {error}"
+                ) from error
+            raise AppendUnknownError(f"the append got no answer: {error}") from error
+        if reply.status in WITHOUT_EFFECT:
+            raise LogUnavailableError(f"the store refused an append: {reply.status}")
+        if reply.status != HTTPStatus.OK:
+            raise AppendUnknownError(f"the store answered an append: {reply.status}")
+
+    async def get(self, path: str, timeout: timedelta) -> StoreReply:
+        """Send a read.
+
+        :raises LogUnavailableError: if there was no whole answer in time.
+        """
+        try:
+            return await self.call("GET", path, b"", timeout)
+        except RequestError as error:
+            raise LogUnavailableError(f"the store can't be read: {error}") from error
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout: timedelta
+    ) -> StoreReply:
+        """Send one request, once.
+
+        :raises RequestError: if there was no whole answer.
+        """
+        request = HttpRequest(
+            address=self.settings.address,
+            method=method,
+            path=path,
+            headers=(
+                ("host", self.settings.address),
+                ("content-length", str(len(body))),
+            ),
+            body=yield_body(body),
+            idempotent=method == "GET",
+            time_left=timeout,
+        )
+        answer = await self.client.send(request)
+        return StoreReply(answer.status, await read_whole(answer))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.client.close()
+
+
+def check_ok(reply: StoreReply) -> bytes:
+    """Return the body of a good answer.
+
+    :raises LogUnavailableError: if it is another one.
+    """
+    if reply.status != HTTPStatus.OK:
+        raise LogUnavailableError(f"the store answered with status {reply.status}")
+    return reply.body
+
+
+def decode(body: bytes, kind: type[_T]) -> _T:
+    """Decode a JSON body.
+
+    :raises LogUnavailableError: if it is something else.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise LogUnavailableError(
+            f"the store's answer is malformed: {error}"
+        ) from error
+
+
+def decode_items(items: list[NewestItem]) -> dict[str, bytes]:
+    """Return the values of newest records by key.
+
+    :raises LogUnavailableError: if one is not base64.
+    """
+    try:
+        return {item.key: base64.b64decode(item.value, validate=True) for item in items}
+    except binascii.Error as error:
+        raise LogUnavailableError(f"a record is not base64: {error}") from error
+
+
+def split_records(body: bytes) -> Iterator[bytes]:
+    """Yield the records of a read, which follow two offsets.
+
+    :raises LogUnavailableError: if the body ends within a record.
+    """
+    position = OFFSETS.size
+    while position < len(body):
+        start = position + LENGTH.size
+        if start > len(body):
+            raise LogUnavailableError("the store's answer ends within a record")
+        (length,) = LENGTH.unpack_from(body, position)
+        position = start + length
+        if position > len(body):
+            raise LogUnavailableError("the store's answer ends within a record")
+        yield body[start:position]
+
+
+def split_record(record: bytes) -> tuple[str, bytes]:
+    """Split a keyed record into key and value."""
+    if not record or len(record) < 1 + record[0]:
+        return "", b""
+    end = 1 + record[0]
+    return record[1:end].decode(errors="replace"), record[end:]
--- a/src/wagtailstep/utils/logging.py
+++ b/src/wagtailstep/utils/logging.py
@@ -36,11 +36,11 @@
 
 
 def configure_logging(level: str) -> None:
-    """Send all log lines to standard error.
+    """Send all log lines to standard output.
 
     :param level: name of a level of the :mod:`logging` module.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(
         logging.Formatter(
             "time=%(asctime)s.%(msecs)03dZ level=%(levelname)s "
