Test routes, judgement, paths, published tables, retries and the adapter without the bench

The stand-in store speaks the calls that the adapter makes, with refusals, silence, lost answers, lost history and cut bodies. check_layers keeps the platform's names and imports inside its folder and the folder under 800 lines (the stand-in aside).

--- a/features/check_layers.py
+++ b/features/check_layers.py
@@ -13,7 +13,12 @@
     "network": {"commands", "cli", "fakes"},
     "commands": {"cli"},
     "fakes": {"commands", "cli"},
+    "cli": set(),
 }
+# Names of the users' platform; only its adapter may know them.
+ADAPTER = "platform"
+ADAPTER_LINES = 800
+PLATFORM_NAMES = ("keyed.op", "log-append", "log-read", "log-newest", "warmup-left")
 IO_MODULES = {"asyncio", "socket", "zmq", "blacksheep", "uvicorn", "h11", "time"}
 
 
@@ -34,8 +39,12 @@
     faults = []
     if text.count("\n") > MAX_LINES:
         faults.append(f"{path}: longer than {MAX_LINES} lines")
+    if layer != ADAPTER:
+        faults += [f"{path}: knows {n!r}" for n in PLATFORM_NAMES if n in text]
     for name in set(imported_modules(ast.parse(text))):
         parts = name.split(".")
+        if layer != ADAPTER and parts[:2] == ["wagtailstep", ADAPTER]:
+            faults.append(f"{path}: only the platform's program imports {name}")
         if parts[0] == "wagtailstep" and len(parts) > 1:
             if parts[1] in FORBIDDEN.get(layer, set()):
                 faults.append(f"{path}: {layer} may not import {name}")
@@ -49,6 +58,14 @@
     faults = []
     for path in sorted(PACKAGE.rglob("*.py")):
         faults.extend(check_module(path))
+    # The stand-in for tests translates nothing.
+    lines = sum(
+        path.read_text().count("\n")
+        for path in (PACKAGE / ADAPTER).glob("*.py")
+        if path.name != "stand_in.py"
+    )
+    if lines > ADAPTER_LINES:
+        faults.append(f"{PACKAGE / ADAPTER}: {lines} lines, {ADAPTER_LINES} allowed")
     for fault in faults:
         print(fault)
     return 1 if faults else 0
--- /dev/null
+++ b/features/late_announcements.feature
@@ -0,0 +1,29 @@
+Feature: Late announcements change nothing
+
+  Background:
+    Given a controller of announcements
+
+  Scenario: An announcement that was overtaken is ignored
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "leaving"
+    And process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    Then the target "contracts/i-1" is "leaving"
+
+  Scenario: A process that has left does not come back
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And its backend server withdraws
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "leaving"
+
+  Scenario: A new process under the same name is a new start
+    When process 5 of "contracts/i-1" announces itself with sequence 9 as "leaving"
+    And process 6 of "contracts/i-1" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "serving"
+
+  Scenario: A newer process takes an address over, an older one does not
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 6 of "archive/i-2" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "gone"
+    When process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "gone"
+    And the target "archive/i-2" is "serving"
--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,80 @@
+Feature: The adapter translates the platform's store, configuration and heartbeats
+
+  Scenario: A configuration becomes a table
+    Given the platform's example configuration
+    Then its version is 7
+    And route "r-hh2b9wu" is "unsafe" with timeout 3000 ms, aim 800 ms and 2 attempts
+    And route "r-zji9n73" is split "huvo11a*90 wuno96b*10"
+
+  Scenario Outline: A configuration that can't be read is refused, whatever is wrong
+    Given the platform's example configuration with <old> in place of <new>
+    Then it can't be read
+
+    Examples:
+      | new         | old          |
+      | "r7"        | "seven"      |
+      | "r7"        | 7            |
+      | "unsafe"    | "odd"        |
+      | "3000ms"    | "soon"       |
+      | "3000ms"    | 3000         |
+      | "routes"    | "roads"      |
+      | ,1,"huvo11a"| ,1,null      |
+
+  Scenario: No bytes of another writer do harm
+    Then 300 random configurations are read or refused
+    And 300 random heartbeats are read or refused
+
+  Scenario: The newest table is read, then each change at once
+    Given the platform's store with version 7
+    When a daemon follows the table and version 9 is published after 2 s
+    Then it took the versions 7 9
+    And version 9 was taken within 50 ms
+    And the store was called 3 times
+
+  Scenario: Lost history is no lost change
+    Given the platform's store with version 7
+    When a daemon follows the table and history is lost with version 9 after 2 s
+    Then it took the versions 7 9
+
+  Scenario Outline: A daemon takes a version soon after the store is back
+    Given the platform's store with version 7
+    When a daemon follows the table through 5 s of "<fault>" with version 9 inside
+    Then it took the versions 7 9
+    And version 9 was taken within <limit_ms> ms after the fault
+
+    Examples:
+      | fault   | limit_ms |
+      | busy    | 3000     |
+      | silent  | 12000    |
+      | garbled | 3000     |
+
+  Scenario: Of any two daemons that register at least one finds the other
+    Given the platform's store with version 7
+    When 5 daemons register and list members at random times
+    Then of any two of them at least one knows the other
+
+  Scenario: An append without an answer is not taken for a refusal
+    Given the platform's store with version 7
+    When the answer of an append is lost
+    Then the append may have taken effect
+
+  Scenario Outline: A heartbeat becomes an announcement, or nothing
+    When a heartbeat says <body>
+    Then it announces "<announced>"
+
+    Examples:
+      | body                                                                                                             | announced                       |
+      | {"service":"a","address":"10.1.0.38:8080","slots":4,"state":"ready","sequence":4,"born":9}                       | a/i-1 serving good 10.1.0.38    |
+      | {"service":"a","address":"10.1.0.38:8080","slots":4,"state":"ready","warmup-left":"1.5s"}                        | a/i-1 serving warming 10.1.0.38 |
+      | {"service":"a","address":"10.1.0.38:8080","slots":4,"state":"draining","warmup-left":"0ms"}                      | a/i-1 leaving good 10.1.0.38    |
+      | {"service":"a","address":"10.1.0.38:8080","slots":4,"state":"odd"}                                               | nothing                         |
+      | {"service":"a","address":"10.1.0.39:8080","slots":4,"state":"ready"}                                             | nothing                         |
+      | {"service":"a","address":"10.1.0.38:8080","slots":"4","state":"ready"}                                           | nothing                         |
+      | {"address":"10.1.0.38:8080","slots":4,"state":"ready"}                                                           | nothing                         |
+      | {"service":"a","address":"10.1.0.38:8080","slots":4,"state":"ready","warmup-left":"soon"}                        | nothing                         |
+      | [1]                                                                                                              | nothing                         |
+
+  Scenario: The settings template renders settings that are accepted
+    Given the platform's example settings
+    When the template "deploy/settings.json" is rendered with them
+    Then the settings are those of daemon "sidecar-bole-1"
--- /dev/null
+++ b/features/steps/late_announcements_steps.py
@@ -0,0 +1,30 @@
+"""Steps for announcements that arrive late or twice."""
+
+from behave import then, when
+
+from wagtailstep.models.events import TargetAnnounced
+from wagtailstep.models.fleet import Target, TargetState
+
+
+@when(
+    'process {born:d} of "{target_id}" announces itself with sequence {sequence:d} as '
+    '"{state}"'
+)
+def announce_process(context, born, target_id, sequence, state):
+    context.target_id = target_id
+    target = Target(
+        target_id,
+        target_id.partition("/")[0],
+        "?",
+        "?",
+        state=TargetState(state),
+        address="127.0.0.1:8000",
+    )
+    context.controller.handle(TargetAnnounced(target, born, sequence))
+
+
+@then('the target "{target_id}" is "{state}"')
+def check_target(context, target_id, state):
+    target = context.board.targets.get(target_id)
+    found = "gone" if target is None else target.state.value
+    assert found == state, found
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,393 @@
+"""Steps for the adapter to the platform."""
+
+import asyncio
+import json
+import pathlib
+import random
+import re
+from datetime import timedelta
+
+import detangle
+import msgspec
+from behave import given, then, when
+from hypothesis import given as given_any
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies
+
+from wagtailstep.commands.read_settings import structure_settings
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    BadRequestError,
+    DecodeError,
+    LogError,
+)
+from wagtailstep.models.keyed_store import Collection, KeyedRecords
+from wagtailstep.models.published_table import TableDocument
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.table_follower import TableFollower
+from wagtailstep.platform.configuration import find_document, read_document
+from wagtailstep.platform.heartbeats import HeartbeatRoutes
+from wagtailstep.platform.settings import PlatformSettings, StoreSettings
+from wagtailstep.platform.stand_in import StandInStore
+from wagtailstep.platform.store import PlatformStore
+from wagtailstep.utils.clock import LoopClock
+
+CONFIGURATION = (
+    '{"version":"r7","routes":{"columns":["name","host","path-prefix","kind","timeout",'
+    '"aim","priority","service","max-attempts","traffic-split"],"rows":[["r-hh2b9wu",'
+    '"ficu95.example","/pufi791/","unsafe","3000ms","800ms",1,"huvo11a",2,null],'
+    '["r-zji9n73","ficu95.example","/lohu930/","safe","4000ms","800ms",2,null,2,'
+    '[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]]]},'
+    '"services":{"columns":["name"],"rows":[["huvo11a"]]},"limits":{}}'
+)
+SETTINGS = DaemonSettings(
+    "d1", "bole", "10.1.0.38:1", "10.1.0.38:2", "10.1.0.38:3", "10.1.0.38:4"
+)
+STORE = "store:8142"
+NODE = {
+    "node-name": "sidecar-bole-1",
+    "ip": "10.1.0.38",
+    "zone": "bole",
+    "service": "huvo11a",
+    "listen-addrs": {
+        "inbound": "10.1.0.38:8146",
+        "outbound": "10.1.0.38:8147",
+        "ready": "10.1.0.38:8141",
+        "control": "10.1.0.38:8144",
+    },
+    "internal-ports": [7380, 7395],
+    "bounds": {"budget-slack": 60, "retry-budget-ratio": 0.2},
+    "platform": {"address": "10.200.1.7:8142"},
+}
+
+
+def configure(version):
+    return CONFIGURATION.replace('"r7"', f'"r{version}"').encode()
+
+
+@given("the platform's example configuration")
+def set_configuration(context):
+    context.document = TableDocument(7, CONFIGURATION.encode())
+    context.routes = {r.name: r for r in read_document(context.document).host_routes}
+
+
+@then("its version is {version:d}")
+def check_version(context, version):
+    assert read_document(context.document).version == version
+
+
+@then(
+    'route "{name}" is "{kind}" with timeout {timeout:d} ms, aim {aim:d} ms and '
+    "{attempts:d} attempts"
+)
+def check_route(context, name, kind, timeout, aim, attempts):
+    route = context.routes[name]
+    assert route.kind.value == kind
+    assert route.timeout == timedelta(milliseconds=timeout)
+    assert route.aim == timedelta(milliseconds=aim)
+    assert route.max_attempts == attempts
+
+
+@then('route "{name}" is split "{parts}"')
+def check_split(context, name, parts):
+    found = [f"{p.service}*{p.weight:g}" for p in context.routes[name].parts]
+    assert " ".join(found) == parts, found
+
+
+@given("the platform's example configuration with {old} in place of {new}")
+def spoil_configuration(context, old, new):
+    assert new in CONFIGURATION
+    context.spoiled = CONFIGURATION.replace(new, old, 1).encode()
+
+
+def read_configuration(data):
+    """Return whether a configuration can be read."""
+    try:
+        version = msgspec.json.decode(data)["version"]
+        number = int(str(version).strip("r"))
+    except (msgspec.MsgspecError, LookupError, TypeError, ValueError):
+        number = 1
+    try:
+        read_document(TableDocument(number, data))
+    except DecodeError:
+        return False
+    return True
+
+
+@then("it can't be read")
+def check_unreadable(context):
+    try:
+        document = find_document(KeyedRecords({"config": context.spoiled}, 1))
+    except DecodeError:
+        return
+    assert not read_configuration(document.data)
+
+
+def json_values():
+    scalars = strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(),
+        strategies.floats(allow_nan=False, allow_infinity=False),
+        strategies.text(max_size=8),
+    )
+    return strategies.recursive(
+        scalars,
+        lambda inner: strategies.one_of(
+            strategies.lists(inner, max_size=4),
+            strategies.dictionaries(strategies.text(max_size=8), inner, max_size=4),
+        ),
+        max_leaves=12,
+    )
+
+
+def run_any(count, strategy, check):
+    fixed = hypothesis_settings(
+        max_examples=count, derandomize=True, deadline=None, database=None
+    )
+    fixed(given_any(strategy)(check))()
+
+
+@then("{count:d} random configurations are read or refused")
+def check_random_configurations(context, count):
+    example = json.loads(CONFIGURATION)
+
+    def check(row, columns):
+        changed = {
+            **example,
+            "routes": {"columns": columns, "rows": [row]},
+        }
+        read_configuration(json.dumps(changed).encode())
+
+    columns = strategies.one_of(
+        strategies.just(example["routes"]["columns"]),
+        strategies.lists(strategies.text(max_size=6), max_size=10),
+    )
+    run_any(
+        count,
+        strategies.tuples(strategies.lists(json_values(), max_size=12), columns),
+        lambda pair: check(*pair),
+    )
+
+
+def read_heartbeat(body):
+    """Return the announcement of a heartbeat, or ``None``."""
+    routes = HeartbeatRoutes(lambda event: None, SETTINGS)
+    try:
+        return routes.read("i-1", body)
+    except (msgspec.MsgspecError, BadRequestError, DecodeError):
+        return None
+
+
+@then("{count:d} random heartbeats are read or refused")
+def check_random_heartbeats(context, count):
+    names = ["service", "address", "slots", "state", "warmup-left", "sequence", "born"]
+    beats = strategies.one_of(
+        strategies.dictionaries(strategies.sampled_from(names), json_values()),
+        json_values(),
+    )
+    run_any(count, beats, lambda beat: read_heartbeat(json.dumps(beat).encode()))
+
+
+@given("the platform's store with version {version:d}")
+def set_store(context, version):
+    context.first_version = version
+
+
+async def open_store(context):
+    """Start the stand-in and return it with a client."""
+    store = StandInStore()
+    store.put("keyed.op", "config", configure(context.first_version))
+    detangle.spawn(store.start(STORE), host="store")
+    await asyncio.sleep(0.1)
+    return store, PlatformStore(StoreSettings(STORE, 1_000), LoopClock())
+
+
+def follow(context, play):
+    """Follow the table while a coroutine plays what happens at the store."""
+    context.taken = []
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        store, client = await open_store(context)
+
+        def take(event):
+            context.taken.append((loop.time(), event.document.version))
+
+        follower = TableFollower(
+            client, find_document, take, lambda reachable: None, random.Random(1)
+        )
+        task = asyncio.create_task(follower.run())
+        await play(store)
+        task.cancel()
+        context.calls = store.calls
+
+    detangle.run(main, seed=1)
+
+
+@when(
+    "a daemon follows the table and version {version:d} is published after "
+    "{seconds:d} s"
+)
+def publish_version(context, version, seconds):
+    async def play(store):
+        await asyncio.sleep(seconds)
+        store.put("keyed.op", "config", configure(version))
+        context.changed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(1)
+
+    follow(context, play)
+
+
+@when(
+    "a daemon follows the table and history is lost with version {version:d} after "
+    "{seconds:d} s"
+)
+def lose_history(context, version, seconds):
+    async def play(store):
+        await asyncio.sleep(seconds)
+        store.faults.status = 503
+        await asyncio.sleep(11)
+        store.put("keyed.op", "config", configure(version))
+        store.topic("keyed.op").compact()
+        store.faults.status = 0
+        await asyncio.sleep(5)
+
+    follow(context, play)
+
+
+@when(
+    'a daemon follows the table through {seconds:d} s of "{fault}" with version '
+    "{version:d} inside"
+)
+def follow_through(context, seconds, fault, version):
+    async def play(store):
+        await asyncio.sleep(1)
+        store.faults.status = 503 if fault == "busy" else 0
+        store.faults.silent = fault == "silent"
+        store.faults.garbled = fault == "garbled"
+        await asyncio.sleep(seconds / 2)
+        store.put("keyed.op", "config", configure(version))
+        await asyncio.sleep(seconds / 2)
+        store.faults.status, store.faults.silent = 0, False
+        store.faults.garbled = False
+        context.changed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(15)
+
+    follow(context, play)
+
+
+@then("it took the versions {versions}")
+def check_taken(context, versions):
+    found = []
+    for _, version in context.taken:
+        if version not in found:
+            found.append(version)
+    assert found == [int(word) for word in versions.split()], context.taken
+
+
+@then("version {version:d} was taken within {limit:d} ms")
+def check_taken_soon(context, version, limit):
+    taken_at = min(at for at, taken in context.taken if taken == version)
+    assert (taken_at - context.changed_at) * 1_000 <= limit, taken_at
+
+
+@then("version {version:d} was taken within {limit:d} ms after the fault")
+def check_taken_after(context, version, limit):
+    check_taken_soon(context, version, limit)
+
+
+@then("the store was called {count:d} times")
+def check_calls(context, count):
+    assert len(context.calls) == count, context.calls
+
+
+@when("{count:d} daemons register and list members at random times")
+def register_all(context, count):
+    context.known = {}
+
+    async def join(store, name, rng):
+        client = PlatformStore(StoreSettings(STORE, 1_000), LoopClock())
+        await asyncio.sleep(rng.random() * 0.02)
+        await client.put(Collection.MEMBERS, name, b"10.0.0.1:1")
+        await asyncio.sleep(rng.random() * 0.02)
+        records = await client.read_newest(Collection.MEMBERS)
+        context.known[name] = set(records.values)
+
+    async def main():
+        store, _ = await open_store(context)
+        rng = random.Random(1)
+        await asyncio.gather(*(join(store, f"d{i}", rng) for i in range(count)))
+
+    detangle.run(main, seed=1)
+
+
+@then("of any two of them at least one knows the other")
+def check_known(context):
+    for first, seen in context.known.items():
+        for second, also_seen in context.known.items():
+            assert first == second or second in seen or first in also_seen
+
+
+@when("the answer of an append is lost")
+def lose_answer(context):
+    async def main():
+        store, client = await open_store(context)
+        store.faults.lost_answers = 1
+        try:
+            await client.put(Collection.MEMBERS, "d1", b"10.0.0.1:1")
+        except LogError as error:
+            context.error = error
+
+    detangle.run(main, seed=1)
+
+
+@then("the append may have taken effect")
+def check_unknown(context):
+    assert isinstance(context.error, AppendUnknownError), context.error
+
+
+@when("a heartbeat says {body}")
+def send_heartbeat(context, body):
+    context.announced = read_heartbeat(body.encode())
+
+
+@then('it announces "{announced}"')
+def check_announced(context, announced):
+    event = context.announced
+    found = "nothing"
+    if event is not None:
+        target = event.target
+        host = target.dial_address.rpartition(":")[0]
+        standing = target.standing.name.lower()
+        found = f"{target.target_id} {target.state.value} {standing} {host}"
+    assert found == announced, found
+
+
+@given("the platform's example settings")
+def set_node(context):
+    context.node = NODE
+
+
+def look_up(node, name):
+    value = node
+    for part in name.split("."):
+        value = value[int(part)] if isinstance(value, list) else value[part]
+    return value
+
+
+@when('the template "{path}" is rendered with them')
+def render(context, path):
+    def replace(match):
+        name, _, form = match[1].partition("|")
+        value = look_up(context.node, name)
+        return json.dumps(value) if form == "json" else str(value)
+
+    text = pathlib.Path(path).read_text()
+    context.rendered = json.loads(re.sub(r"\{\{([^}]+)\}\}", replace, text))
+
+
+@then('the settings are those of daemon "{daemon_id}"')
+def check_settings(context, daemon_id):
+    settings = structure_settings(context.rendered, PlatformSettings, "rendered")
+    assert settings.daemon.daemon_id == daemon_id
--- /dev/null
+++ b/features/steps/target_judge_steps.py
@@ -0,0 +1,121 @@
+"""Steps for the gate's judgement of its backend server."""
+
+import random
+from datetime import timedelta
+
+from behave import given, then, when
+
+from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.controllers.target_judge import TargetJudge
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import TargetAnnounced, Tick
+from wagtailstep.models.fleet import Member, Target, TargetStanding
+from wagtailstep.models.gate import (
+    LocalCallFailed,
+    WorkEnded,
+    WorkResult,
+    WorkStarted,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import ManualClock
+
+SETTINGS = DaemonSettings(
+    "d1", "bole", "127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003", "127.0.0.1:7004"
+)
+TARGET = Target("contracts/i-1", "contracts", "d1", "bole", address="127.0.0.1:8000")
+TICK = timedelta(milliseconds=100)
+
+
+@given("a gate with a judge")
+def make_judge(context):
+    member = Member("d1", 1, "127.0.0.1:7003", "127.0.0.1:7002", "bole")
+    context.board = Blackboard(member, members={"d1": member})
+    context.clock = ManualClock()
+    parts = (SETTINGS, context.board, context.clock, random.Random(1))
+    context.controllers = [AnnouncementController(*parts), TargetJudge(*parts)]
+    dispatch(context, TargetAnnounced(TARGET))
+
+
+def dispatch(context, event):
+    for controller in context.controllers:
+        controller.handle(event)
+
+
+def end_work(context, result, took_ms=200):
+    took = timedelta(milliseconds=took_ms)
+    event = WorkEnded("contracts/i-1", "sign", False, WorkResult(result), took)
+    dispatch(context, event)
+
+
+@when('its work ends as "{result}"')
+def end_once(context, result):
+    end_work(context, result)
+
+
+@when('its work ends as "{result}" {count:d} times')
+def end_often(context, result, count):
+    for _ in range(count):
+        end_work(context, result)
+
+
+@when('its work ends as "{result}" after {took_ms:d} ms, {count:d} times')
+def end_after(context, result, took_ms, count):
+    for _ in range(count):
+        end_work(context, result, took_ms)
+
+
+@when("{seconds:d} s pass")
+def pass_seconds(context, seconds):
+    pass_time(context, timedelta(seconds=seconds))
+
+
+@when("work starts and nothing comes back for {wait_ms:d} ms")
+def start_work(context, wait_ms):
+    dispatch(context, WorkStarted(1, "contracts/i-1", "sign"))
+    pass_time(context, timedelta(milliseconds=wait_ms))
+
+
+def pass_time(context, span):
+    for _ in range(span // TICK):
+        context.clock.advance(TICK)
+        dispatch(context, Tick())
+
+
+@when("a call of the backend server fails")
+def fail_call(context):
+    dispatch(context, LocalCallFailed("/fees/"))
+
+
+@when("the backend server announces itself again")
+def announce_again(context):
+    dispatch(context, TargetAnnounced(TARGET))
+
+
+@then('the standing is "{standing}"')
+def check_standing(context, standing):
+    found = context.board.targets["contracts/i-1"].standing
+    assert found.name.lower() == standing, found
+
+
+@given('targets with the standings "{standings}"')
+def set_targets(context, standings):
+    board = context.board
+    board.targets.clear()
+    for index, name in enumerate(standings.split()):
+        standing = TargetStanding[name.upper()]
+        target = Target(
+            f"contracts/i-{index}", "contracts", "d1", "bole", standing=standing
+        )
+        board.targets[target.target_id] = target
+
+
+@then('"{safety}" requests go to targets with the standings "{used}"')
+def check_used(context, safety, used):
+    routing = RoutingController(
+        SETTINGS, context.board, context.clock, random.Random(1)
+    )
+    cautious = safety == "non-idempotent"
+    picked = {routing.pick("contracts", cautious=cautious).standing for _ in range(500)}
+    found = {standing.name.lower() for standing in picked}
+    assert found == set(used.split()), found
--- /dev/null
+++ b/features/target_judge.feature
@@ -0,0 +1,71 @@
+Feature: A gate judges its own backend server
+
+  Background:
+    Given a gate with a judge
+
+  Scenario: One failure makes the gate doubt, a second one is enough
+    When its work ends as "failed"
+    Then the standing is "doubted"
+    When its work ends as "failed"
+    Then the standing is "failing"
+
+  Scenario Outline: Each way to fail counts
+    When its work ends as "<result>"
+    Then the standing is "<standing>"
+
+    Examples:
+      | result      | standing |
+      | done        | good     |
+      | broken      | doubted  |
+      | late        | doubted  |
+      | unreachable | failing  |
+      | turned-away | good     |
+
+  Scenario: Good answers take the doubt back
+    When its work ends as "failed"
+    And its work ends as "done"
+    Then the standing is "good"
+
+  Scenario: A failing backend server without work is tried again within 4 seconds
+    When its work ends as "failed" 5 times
+    And 4 s pass
+    Then the standing is "doubted"
+
+  Scenario: Work that hangs is noticed before its deadline
+    When its work ends as "done" after 200 ms, 20 times
+    And work starts and nothing comes back for 1200 ms
+    Then the standing is "doubted"
+
+  Scenario: The failure of a call doesn't count against the server that made it
+    When a call of the backend server fails
+    And its work ends as "failed"
+    Then the standing is "good"
+
+  Scenario: The failure of a call excuses one failure only
+    When a call of the backend server fails
+    And its work ends as "failed" 2 times
+    Then the standing is "doubted"
+
+  Scenario: The failure of a call excuses nothing that happens later
+    When a call of the backend server fails
+    And 1 s pass
+    And its work ends as "failed"
+    Then the standing is "doubted"
+
+  Scenario: A renewed announcement keeps the judgement
+    When its work ends as "failed" 2 times
+    And the backend server announces itself again
+    Then the standing is "failing"
+
+  Scenario Outline: Work that can't be repeated avoids targets in doubt
+    Given targets with the standings "<standings>"
+    Then "<safety>" requests go to targets with the standings "<used>"
+
+    Examples:
+      | standings                | safety         | used            |
+      | good doubted failing     | non-idempotent | good            |
+      | good doubted failing     | idempotent     | good doubted    |
+      | warming doubted          | non-idempotent | warming         |
+      | doubted failing failing  | non-idempotent | doubted         |
+      | failing failing          | non-idempotent | failing         |
+      | good failing failing     | idempotent     | good            |
--- /dev/null
+++ b/src/wagtailstep/platform/stand_in.py
@@ -0,0 +1,165 @@
+"""A stand-in for the platform's metadata store, for tests without the platform."""
+
+import asyncio
+import base64
+from http import HTTPStatus
+from typing import Any
+
+import attrs
+import msgspec
+from blacksheep import Application, Content, Request, Response, Router
+
+from wagtailstep.network.http_server import HttpServer
+from wagtailstep.platform.store import LENGTH, OFFSETS, split_record, split_records
+
+LONGEST_SILENCE_S = 3_600.0
+
+
+@attrs.define
+class Topic:
+    """Records of partition 0.
+
+    :param records: records with their offsets.
+    :param end: offset of the next record.
+    :param first: oldest offset that is retained.
+    """
+
+    records: list[tuple[int, bytes]] = attrs.field(factory=list)
+    end: int = 0
+    first: int = 0
+    grown: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def append(self, record: bytes) -> int:
+        """Append a record and return its offset."""
+        offset = self.end
+        self.records.append((offset, record))
+        self.end += 1
+        self.grown.set()
+        self.grown = asyncio.Event()
+        return offset
+
+    def compact(self) -> None:
+        """Keep only the newest record of each key, and no history."""
+        newest = {split_record(record)[0]: (at, record) for at, record in self.records}
+        self.records = sorted(newest.values())
+        self.first = self.end
+
+
+@attrs.define
+class StoreFaults:
+    """What goes wrong with the next calls.
+
+    :param status: answered to calls that then have no effect; 0 for none.
+    :param silent: calls have no effect and get no answer.
+    :param lost_answers: appends that take effect and get no answer.
+    :param garbled: answers are cut in the middle.
+    """
+
+    status: int = 0
+    silent: bool = False
+    lost_answers: int = 0
+    garbled: bool = False
+
+
+class StandInStore:
+    """Serve the calls that the adapter makes, by the published protocol."""
+
+    def __init__(self) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.faults = StoreFaults()
+        self.calls: list[str] = []
+        self.app = Application(router=Router())
+        self.server = HttpServer(self.app, lambda: None)
+        self.add_routes()
+
+    async def start(self, address: str) -> str:
+        """Listen on ``host:port`` and return where."""
+        await self.app.start()
+        return await self.server.start(address)
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic, made on first use."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Write a keyed record, as the operator does."""
+        name = key.encode()
+        self.topic(topic).append(bytes([len(name)]) + name + value)
+
+    def add_routes(self) -> None:
+        """Add the calls to the application."""
+
+        async def append(request: Request) -> Response:
+            return await self.serve(request, self.append)
+
+        async def read(request: Request) -> Response:
+            return await self.serve(request, self.read)
+
+        async def newest(request: Request) -> Response:
+            return await self.serve(request, self.newest)
+
+        self.app.router.add_post("/v1/log-append", append)
+        self.app.router.add_get("/v1/log-read", read)
+        self.app.router.add_get("/v1/log-newest", newest)
+
+    async def serve(self, request: Request, call: Any) -> Response:
+        """Serve a call, or what its fault makes of it."""
+        self.calls.append(request.url.path.decode())
+        if self.faults.silent:
+            await asyncio.sleep(LONGEST_SILENCE_S)
+        if self.faults.status:
+            return Response(self.faults.status)
+        query = {name: values[0] for name, values in request.query.items()}
+        body = await request.read() or b""
+        response = await call(self.topic(query["topic"]), query, body)
+        if self.faults.garbled:
+            content = response.content
+            response.content = Content(content.type, content.body[:-3])
+        return response
+
+    async def append(self, topic: Topic, query: dict[str, str], body: bytes) -> Any:
+        """Append records, all or nothing."""
+        offset = topic.end
+        for record in split_records(bytes(OFFSETS.size) + body):
+            topic.append(record)
+        if self.faults.lost_answers:
+            self.faults.lost_answers -= 1
+            await asyncio.sleep(LONGEST_SILENCE_S)
+        return answer_json({"offset": offset, "end": topic.end})
+
+    async def read(self, topic: Topic, query: dict[str, str], body: bytes) -> Response:
+        """Read records, waiting for the first one."""
+        start = int(query["from"])
+        if start < topic.first:
+            return answer_json({"first": topic.first}, HTTPStatus.GONE)
+        if start >= topic.end:
+            wait_s = int(query.get("wait-ms", "0")) / 1_000
+            try:
+                await asyncio.wait_for(topic.grown.wait(), wait_s)
+            except TimeoutError:
+                pass
+        data = OFFSETS.pack(topic.end, topic.first)
+        for offset, record in topic.records:
+            if offset >= start:
+                data += LENGTH.pack(len(record)) + record
+        return Response(200, None, Content(b"application/octet-stream", data))
+
+    async def newest(self, topic: Topic, query: dict[str, str], body: bytes) -> Any:
+        """Return the newest record of each key."""
+        newest: dict[str, tuple[int, bytes]] = {}
+        for offset, record in topic.records:
+            key, value = split_record(record)
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in sorted(newest.items())
+        ]
+        return answer_json({"items": items, "has-more": False, "end": topic.end})
+
+
+def answer_json(body: Any, status: int = HTTPStatus.OK) -> Response:
+    """Return an answer with a JSON body."""
+    content = Content(b"application/json", msgspec.json.encode(body))
+    return Response(int(status), None, content)
