Charge the calls of repeated runs, replace slow attempts, notice gates that can't be asked

(2) An idempotent request at a hanging target waited for its deadline. (3) A cut path showed only at deadlines. Change: gates tell calls per idempotent run, entries charge the called service's budget; an idempotent attempt that takes 0.6 of its aim is replaced within the budget; a gate that can't be asked about a request makes the path avoided.

--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -39,13 +39,37 @@
     tokens: float
 
 
+@attrs.define
+class Amounts:
+    """Amounts with the time at which each was added.
+
+    :param entries: monotonic time and amount, oldest first.
+    :param total: sum of the amounts.
+    """
+
+    entries: deque[tuple[timedelta, float]] = attrs.field(factory=deque)
+    total: float = 0.0
+
+    def add(self, amount: float, now: timedelta) -> None:
+        """Add an amount."""
+        self.entries.append((now, amount))
+        self.total += amount
+
+    def forget_before(self, oldest: timedelta) -> None:
+        """Take out what was added at ``oldest`` or before."""
+        while self.entries and self.entries[0][0] <= oldest:
+            self.total -= self.entries.popleft()[1]
+
+
 class SharedRetryBudget:
     """This daemon's share of the retries that all daemons may make for a service.
 
     In any window of ``retry_window_ms`` a daemon makes at most ``retry_ratio`` times
-    the requests that it took for the service in that window or the one before, and
+    the requests that it took for the service in that window, and
     its equal part of ``retry_slack``. The sum over all daemons keeps within the
-    fleet's budget without a message, as long as none counts too few daemons.
+    fleet's budget without a message, as long as none counts too few daemons. Windows
+    of daemons end at different moments, so ``retry_ratio`` is to be set a little
+    below the ratio that the fleet may reach.
 
     :param count_daemons: returns the number of daemons that is known now.
     """
@@ -61,32 +85,45 @@
         self.count_daemons = count_daemons
         self.most_daemons = FEWEST_DAEMONS
         self.window = timedelta(milliseconds=settings.retry_window_ms)
-        self.requests: dict[str, deque[timedelta]] = {}
-        self.retries: dict[str, deque[timedelta]] = {}
+        self.requests: dict[str, Amounts] = {}
+        self.retries: dict[str, Amounts] = {}
+        self.calls: dict[str, dict[str, float]] = {}
 
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
-        self._recent(self.requests, service).append(self.clock.monotonic())
+        self._recent(self.requests, service).add(1.0, self.clock.monotonic())
+
+    def learn_calls(self, service: str, calls_per_run: dict[str, float]) -> None:
+        """Note which calls a run at a service makes."""
+        self.calls[service] = calls_per_run
 
     def take(self, service: str) -> bool:
-        """Take one retry from the budget of a service if it has one."""
+        """Take one retry from the budget of a service if it has one.
+
+        The calls that the repeated run makes again are taken from the budgets of the
+        called services.
+        """
         self.most_daemons = max(self.most_daemons, self.count_daemons())
-        retries = self._recent(self.retries, service)
-        allowed = self.settings.retry_ratio * len(self._recent(self.requests, service))
-        allowed += self.settings.retry_slack / self.most_daemons
-        if len(retries) + 1 > allowed:
+        costs = {service: 1.0}
+        for called, ratio in self.calls.get(service, {}).items():
+            costs[called] = costs.get(called, 0.0) + ratio
+        if any(self.find_room(name) < cost for name, cost in costs.items()):
             return False
-        retries.append(self.clock.monotonic())
+        now = self.clock.monotonic()
+        for name, cost in costs.items():
+            self._recent(self.retries, name).add(cost, now)
         return True
 
-    def _recent(
-        self, counted: dict[str, deque[timedelta]], service: str
-    ) -> deque[timedelta]:
-        times = counted.setdefault(service, deque())
-        oldest = self.clock.monotonic() - self.window
-        while times and times[0] <= oldest:
-            times.popleft()
-        return times
+    def find_room(self, service: str) -> float:
+        """Return the retries that this daemon may still make for a service."""
+        allowed = self.settings.retry_ratio * self._recent(self.requests, service).total
+        allowed += self.settings.retry_slack / self.most_daemons
+        return allowed - self._recent(self.retries, service).total
+
+    def _recent(self, counted: dict[str, Amounts], service: str) -> Amounts:
+        amounts = counted.setdefault(service, Amounts())
+        amounts.forget_before(self.clock.monotonic() - self.window)
+        return amounts
 
 
 class RetryPolicy:
@@ -166,6 +203,11 @@
             return False
         return not sent or self.shared.take(request.service)
 
+    def learn_calls(self, service: str, calls_per_run: dict[str, float]) -> None:
+        """Note which calls a run at a service makes, and makes again if repeated."""
+        if self.shared is not None:
+            self.shared.learn_calls(service, calls_per_run)
+
     def take_replacement(self, request: RequestContext, sent: int) -> bool:
         """Tell whether a failure that a backend server answered is to be replaced."""
         if self.shared is None or not request.idempotent:
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -186,6 +186,12 @@
             self.blame = Blame.OVERLOAD
 
 
+class AttemptAbandonedError(RequestError):
+    """An attempt took so long that another one was started in its place."""
+
+    reason = "attempt-abandoned"
+
+
 class DuplicateRequestError(RequestError):
     """A request with the same idempotency key or ticket was accepted before."""
 
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -144,6 +144,7 @@
     serial: int
     target_id: str
     route: str
+    idempotent: bool = True
 
 
 @attrs.frozen
@@ -156,6 +157,16 @@
     serial: int
 
 
+@attrs.frozen
+class LocalCall:
+    """The backend server beside this daemon called a service.
+
+    :param service: the service.
+    """
+
+    service: str
+
+
 @attrs.frozen
 class LocalCallFailed:
     """A call of the backend server beside this daemon got a failure.
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -16,6 +16,7 @@
 BLAME = "wagtailstep-blame"
 QUEUEING_MS = "wagtailstep-queueing-ms"
 LOAD = "wagtailstep-load"
+CALLS = "wagtailstep-calls"
 FIRST_SENDING = "wagtailstep-first-sending"
 RELAYED = "wagtailstep-relayed"
 IDEMPOTENCY_KEY = "idempotency-key"
@@ -30,10 +31,10 @@
 
 # Only daemons may set these on an answer.
 DAEMON_ANSWER_HEADERS = frozenset(
-    {VERDICT, ATTEMPT_ID, GATE_ID, TARGET, REASON, BLAME, QUEUEING_MS, LOAD}
+    {VERDICT, ATTEMPT_ID, GATE_ID, TARGET, REASON, BLAME, QUEUEING_MS, LOAD, CALLS}
 )
 # These tell the entry about the gate and mean nothing to a caller.
-GATE_ANSWER_HEADERS = frozenset({GATE_ID, QUEUEING_MS, LOAD, BLAME})
+GATE_ANSWER_HEADERS = frozenset({GATE_ID, QUEUEING_MS, LOAD, CALLS, BLAME})
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -19,7 +19,7 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.table import TableController
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.events import Controller
+from wagtailstep.models.events import Controller, GateSilent
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.keyed_store import KeyedStore, NoKeyedStore
@@ -97,6 +97,7 @@
         )
         self.runtime = Runtime(*parts, outside)
         self.runtime.controllers = self.make_controllers()
+        self.client.on_unreachable = lambda address: self.dispatch(GateSilent(address))
 
     def make_controllers(self) -> tuple[Controller, ...]:
         """Return the controllers; each sees what those before it wrote for an event."""
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -22,7 +22,6 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
 from wagtailstep.models.fleet import Member
-from wagtailstep.models.gate import LocalCallFailed
 from wagtailstep.models.headers import find_header, remove_headers, replace_headers
 from wagtailstep.models.idempotency import (
     Decision,
@@ -44,6 +43,7 @@
     chain_body,
     read_small_body,
 )
+from wagtailstep.network.entry_notes import EntryNotes
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.interpret import digest_request
 from wagtailstep.network.problems import (
@@ -51,11 +51,10 @@
     make_internal_error,
     yield_body,
 )
-from wagtailstep.network.request_reader import RequestReader, is_local
-from wagtailstep.network.sender import FIRST_FAILURE_STATUS, AttemptSender
+from wagtailstep.network.request_reader import RequestReader
+from wagtailstep.network.sender import AttemptSender
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
-from wagtailstep.utils.logging import log_event
 
 MAX_RELAY_ATTEMPTS = 2
 
@@ -100,6 +99,7 @@
         self.sender = AttemptSender(
             blackboard, clock, routing, retries, forwarder, dispatch
         )
+        self.notes = EntryNotes(settings, blackboard, dispatch)
         self.undecided: dict[str, asyncio.Future[Decision]] = {}
 
     async def handle(self, incoming: IncomingRequest) -> Answer:
@@ -112,15 +112,15 @@
         try:
             request_id = self.reader.find_request_id(incoming) or request_id
             request = self.reader.read(incoming, request_id)
+            self.notes.take_request(incoming, request)
             answer = await self.serve(request, incoming)
         except RequestError as error:
-            self.note_failure(incoming, request_id, error)
-            self.note_call(incoming, error.status)
+            self.notes.take_failure(incoming, request_id, error)
             return describe_error(error, request_id)
         except Exception:
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
             return describe_error(make_internal_error(), request_id)
-        self.note_call(incoming, answer.status)
+        self.notes.take_answer(incoming, answer.status)
         answer.headers = replace_headers(
             remove_headers(answer.headers, headers.GATE_ANSWER_HEADERS),
             (headers.VERDICT, answer.verdict.value),
@@ -128,28 +128,6 @@
         )
         return answer
 
-    def note_call(self, incoming: IncomingRequest, status: int) -> None:
-        """Tell the controllers that a call of the local backend server failed."""
-        if status >= FIRST_FAILURE_STATUS and is_local(incoming.peer, self.settings):
-            self.sender.dispatch(LocalCallFailed(incoming.path))
-
-    def note_failure(
-        self, incoming: IncomingRequest, request_id: str, error: RequestError
-    ) -> None:
-        """Log a request that gets no answer of a backend server."""
-        log_event(
-            _LOGGER,
-            "request-unanswered",
-            request_id=request_id,
-            path=incoming.path,
-            reason=error.reason,
-            verdict=error.verdict.value,
-            status=error.status,
-            blame=error.blame.value,
-            error=str(error),
-            table_version=self.blackboard.table.version,
-        )
-
     async def issue_ticket(self, service: str) -> str:
         """Return a new ticket for one request to a service.
 
--- /dev/null
+++ b/src/wagtailstep/network/entry_notes.py
@@ -0,0 +1,67 @@
+"""What the entry tells the log and the controllers about requests."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.gate import LocalCall, LocalCallFailed
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.sender import FIRST_FAILURE_STATUS
+from wagtailstep.utils.logging import log_event
+
+LOGGER = logging.getLogger(__name__)
+
+
+class EntryNotes:
+    """Tell of requests, and of calls by the backend server beside this daemon.
+
+    :param dispatch: gives events to the controllers.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        dispatch: Callable[[Any], None],
+    ) -> None:
+        self.settings = settings
+        self.blackboard = blackboard
+        self.dispatch = dispatch
+
+    def take_request(self, incoming: IncomingRequest, request: RequestContext) -> None:
+        """Note a request whose head was read."""
+        if is_local(incoming.peer, self.settings):
+            self.dispatch(LocalCall(request.service))
+
+    def take_answer(self, incoming: IncomingRequest, status: int) -> None:
+        """Note the answer of a backend server."""
+        if status >= FIRST_FAILURE_STATUS and is_local(incoming.peer, self.settings):
+            self.dispatch(LocalCallFailed(incoming.path))
+
+    def take_failure(
+        self, incoming: IncomingRequest, request_id: str, error: RequestError
+    ) -> None:
+        """Note a request that gets no answer of a backend server."""
+        self.take_answer(incoming, error.status)
+        log_event(
+            LOGGER,
+            "request-unanswered",
+            request_id=request_id,
+            path=incoming.path,
+            reason=error.reason,
+            verdict=error.verdict.value,
+            status=error.status,
+            blame=error.blame.value,
+            error=str(error),
+            table_version=self.blackboard.table.version,
+        )
+
+
+def is_local(peer: str, settings: DaemonSettings) -> bool:
+    """Tell whether a caller is a process of this instance."""
+    own_host = settings.caller_address.rpartition(":")[0]
+    return peer == own_host or peer.startswith("127.")
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -29,6 +29,7 @@
     :param tried: ``target_id`` of targets that were tried.
     :param verdict: verdict of all attempts that have ended.
     :param sending: whether an attempt is under way.
+    :param abandoned: whether the attempt was ended since it took too long.
     :param on_end: called once when a guarded run has ended.
     :param ended: whether the run has ended.
     :param released: whether it has been counted out.
@@ -43,6 +44,7 @@
     tried: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
     sending: bool = False
+    abandoned: bool = False
     on_end: OnEnd | None = None
     ended: bool = False
     released: bool = False
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -37,6 +37,7 @@
 from wagtailstep.models.headers import (
     ATTEMPT_ID,
     CALLER_SERVICE,
+    CALLS,
     DAEMON_ANSWER_HEADERS,
     EXPECTED_INSTANCE,
     GATE_ID,
@@ -48,6 +49,7 @@
     TARGET,
     TIMEOUT_MS,
     VERDICT,
+    Headers,
     find_header,
     pass_on_headers,
     remove_fleet_headers,
@@ -141,7 +143,11 @@
         await self.wait_for_slot(request)
         queueing = self.clock.monotonic() - arrived_at
         self.started[request.serial] = self.clock.monotonic()
-        self.dispatch(WorkStarted(request.serial, request.target_id, request.route))
+        self.dispatch(
+            WorkStarted(
+                request.serial, request.target_id, request.route, request.idempotent
+            )
+        )
         try:
             answer = await self.run(request, incoming)
         except BaseException:
@@ -155,9 +161,18 @@
             (GATE_ID, self.gate_id),
             (QUEUEING_MS, f"{queueing / MILLISECOND:.1f}"),
             (LOAD, f"{self.controller.queues[request.target_id].load:.2f}"),
+            *self.describe_calls(),
         )
         return attrs.evolve(answer, headers=(*answer.headers, *own_headers))
 
+    def describe_calls(self) -> Headers:
+        """Return the header that tells which calls a run makes, if it makes any."""
+        ratios = self.controller.blackboard.calls_per_run
+        if not ratios:
+            return ()
+        text = ",".join(f"{name}={ratio:.2f}" for name, ratio in ratios.items())
+        return ((CALLS, text),)
+
     def read_request(self, incoming: IncomingRequest) -> GateRequest:
         """Read what the entry says of a request.
 
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from datetime import timedelta
 
 import h11
@@ -33,6 +34,10 @@
 MAX_IDLE_PER_ADDRESS = 8
 
 
+def ignore_address(address: str) -> None:
+    """Do nothing about an address."""
+
+
 class AnswerBody:
     """The body of an answer, chunk by chunk; gives its connection back at the end.
 
@@ -116,6 +121,7 @@
         self.clock = clock
         self.pools: dict[str, deque[HttpConnection]] = {}
         self.idle_limit = timedelta(milliseconds=settings.connection_idle_ms)
+        self.on_unreachable: Callable[[str], None] = ignore_address
         self.closed = False
         self.sweep_timer: asyncio.TimerHandle | None = None
 
@@ -153,7 +159,7 @@
     ) -> SilenceWatch | None:
         """Watch a kept connection to a gate for silence."""
         if connection.gate_id and request.attempt_id:
-            return SilenceWatch(connection, request, self.send)
+            return SilenceWatch(connection, request, self.send, self.on_unreachable)
         return None
 
     async def acquire(self, request: HttpRequest) -> HttpConnection:
--- a/src/wagtailstep/network/request_reader.py
+++ b/src/wagtailstep/network/request_reader.py
@@ -9,7 +9,7 @@
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.request import RequestContext
-from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.interpret import (
     find_route,
     interpret_request,
@@ -74,9 +74,3 @@
         return interpret_routed_request(
             incoming, request_id, route, service, self.settings, now
         )
-
-
-def is_local(peer: str, settings: DaemonSettings) -> bool:
-    """Tell whether a caller is a process of this instance."""
-    own_host = settings.caller_address.rpartition(":")[0]
-    return peer == own_host or peer.startswith("127.")
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -8,10 +8,15 @@
 
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
-from wagtailstep.exceptions import DeadlineExceededError, RequestError
+from wagtailstep.exceptions import (
+    AttemptAbandonedError,
+    DeadlineExceededError,
+    RequestError,
+)
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder
 from wagtailstep.models.fleet import Target
+from wagtailstep.models.headers import CALLS, find_header
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempts import Attempt
@@ -23,6 +28,10 @@
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
 DEADLINE_GRACE_MS = 20
+# Share of the aim; work takes a quarter to a third of it, and its tail twice that.
+PATIENCE_SHARE = 0.6
+# A ratio above this is a count that has just begun.
+MOST_CALLS_PER_RUN = 20.0
 HURRIED_FACTOR = 4
 DISCOVERY_INTERVAL = timedelta(milliseconds=20)
 
@@ -73,25 +82,37 @@
             except RequestError as error:
                 exchange.sent += error.counts_as_sent
                 exchange.cover(error)
-                may_resend = exchange.body.replayable and self.retries.take_retry(
-                    request, error, exchange.attempts, exchange.sent
-                )
-                if not may_resend:
+                if not self.may_resend(exchange, error):
                     raise
                 self.note_resend(exchange, target, error.reason)
                 continue
             exchange.sent += 1
+            self.learn_calls(request.service, answer)
             if not self.may_replace(exchange, answer):
                 return answer
             await discard_answer(answer)
             self.note_resend(exchange, target, f"status-{answer.status}")
 
+    def may_resend(self, exchange: Exchange, error: RequestError) -> bool:
+        """Tell whether a request is sent again after an attempt without an answer."""
+        if isinstance(error, AttemptAbandonedError):
+            return True
+        return exchange.body.replayable and self.retries.take_retry(
+            exchange.request, error, exchange.attempts, exchange.sent
+        )
+
     def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
         """Tell whether a failure that a backend server answered is tried again."""
         if answer.status < FIRST_FAILURE_STATUS or not exchange.body.replayable:
             return False
         return self.retries.take_replacement(exchange.request, exchange.sent)
 
+    def learn_calls(self, service: str, answer: Answer) -> None:
+        """Take what the gate says of the calls that a run makes."""
+        text = find_header(answer.headers, CALLS)
+        if text is not None:
+            self.retries.learn_calls(service, read_calls(text))
+
     def note_resend(self, exchange: Exchange, target: Target, reason: str) -> None:
         """Log that a request goes to one more target."""
         log_event(
@@ -179,8 +200,16 @@
         time_left = self.time_left(exchange.request)
         grace = timedelta(milliseconds=DEADLINE_GRACE_MS)
         exchange.sending = True
+        exchange.abandoned = False
+        loop = asyncio.get_running_loop()
+        timer: asyncio.TimerHandle | None = None
         try:
-            async with asyncio.timeout((time_left + grace).total_seconds()):
+            async with asyncio.timeout((time_left + grace).total_seconds()) as limit:
+                patience = find_patience(exchange.request, time_left)
+                if patience is not None:
+                    timer = loop.call_later(
+                        patience.total_seconds(), self.abandon, exchange, limit
+                    )
                 answer = await self.forwarder.forward(
                     exchange.request,
                     gate,
@@ -189,15 +218,31 @@
                     time_left,
                 )
         except TimeoutError:
+            if exchange.abandoned:
+                raise AttemptAbandonedError(
+                    f"{target.target_id} took too long", Verdict.MAY_HAVE_RUN
+                ) from None
             raise DeadlineExceededError(
                 "the backend server did not answer within the time allowed",
                 Verdict.MAY_HAVE_RUN,
             ) from None
         except RequestError as error:
             raise exchange.correct_verdict(error) from error
+        finally:
+            if timer is not None:
+                timer.cancel()
         exchange.sending = False
         return answer
 
+    def abandon(self, exchange: Exchange, limit: asyncio.Timeout) -> None:
+        """End an attempt that takes too long, if another one may be made."""
+        is_replayable = exchange.body.replayable
+        if is_replayable and self.retries.take_replacement(
+            exchange.request, exchange.sent + 1
+        ):
+            exchange.abandoned = True
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def track(self, answer: Answer, attempt: Attempt, exchange: Exchange) -> Answer:
         """Return the answer with a body whose end ends the attempt."""
 
@@ -207,3 +252,28 @@
                 exchange.release()
 
         return AnswerStream(answer, end).make_answer()
+
+
+def find_patience(request: RequestContext, time_left: timedelta) -> timedelta | None:
+    """Return how long an attempt may take before another one is worth more.
+
+    The second one is to be answered within the route's aim as well.
+
+    :return: ``None`` if the request may not be sent twice, or has no aim.
+    """
+    if not request.idempotent or not request.aim:
+        return None
+    patience = PATIENCE_SHARE * request.aim
+    return patience if patience < PATIENCE_SHARE * time_left else None
+
+
+def read_calls(text: str) -> dict[str, float]:
+    """Read calls per run by service; entries that make no sense are left out."""
+    calls: dict[str, float] = {}
+    for entry in text.split(","):
+        name, _, ratio = entry.partition("=")
+        try:
+            calls[name] = min(float(ratio), MOST_CALLS_PER_RUN)
+        except ValueError:
+            LOGGER.warning("event=calls-unreadable text=%r", entry)
+    return calls
--- a/src/wagtailstep/network/silence.py
+++ b/src/wagtailstep/network/silence.py
@@ -44,14 +44,20 @@
     :param connection: the connection; broken if it turns out to be silent.
     :param request: the request that was sent over it.
     :param send: sends an inquiry over another connection.
+    :param on_unreachable: told the address of a gate that can't be asked.
     """
 
     def __init__(
-        self, connection: HttpConnection, request: HttpRequest, send: Send
+        self,
+        connection: HttpConnection,
+        request: HttpRequest,
+        send: Send,
+        on_unreachable: Callable[[str], None],
     ) -> None:
         self.connection = connection
         self.request = request
         self.send = send
+        self.on_unreachable = on_unreachable
         self.loop = asyncio.get_running_loop()
         self.started_at = self.loop.time()
         self.task: asyncio.Task[None] | None = None
@@ -94,6 +100,7 @@
             data = b"".join([chunk async for chunk in answer.body])
             return msgspec.json.decode(data, type=AttemptStateAnswer).state
         except (RequestError, msgspec.MsgspecError):
+            self.on_unreachable(self.connection.address)
             return None
 
     def judge(self, state: AttemptState | None) -> ConnectionFailedError | None:
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -3,6 +3,7 @@
 from blacksheep import Application
 
 from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.call_ratios import CallRatios
 from wagtailstep.controllers.dissemination import DisseminationController
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.path_watch import PathWatch
@@ -43,6 +44,7 @@
             AnnouncementController(*parts),
             DisseminationController(*parts),
             TargetJudge(*parts),
+            CallRatios(*parts),
             PathWatch(*parts),
             self.routing,
             self.metrics,
