Have gates turn away what they doubt by now; tell few peers directly

(2) 17 to 35 MB of 25 to 63 MB between zones were news of standings, each passed on by eight receivers to four more. Ruled out for (1): slow judgement; the first failure already made the gate doubt. Change: an entry says which standing it chose by; a gate whose own is worse refuses, not run.

--- a/features/steps/target_judge_steps.py
+++ b/features/steps/target_judge_steps.py
@@ -6,18 +6,24 @@
 from behave import given, then, when
 
 from wagtailstep.controllers.announcements import AnnouncementController
+from wagtailstep.controllers.gate import GateController
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.target_judge import TargetJudge
+from wagtailstep.exceptions import DoubtedTargetError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import TargetAnnounced, Tick
 from wagtailstep.models.fleet import Member, Target, TargetStanding
 from wagtailstep.models.gate import (
+    GateRequest,
+    GateRequestArrived,
     LocalCallFailed,
+    StartRequest,
     WorkEnded,
     WorkResult,
     WorkStarted,
 )
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import ManualClock
 
 SETTINGS = DaemonSettings(
@@ -119,3 +125,24 @@
     picked = {routing.pick("contracts", cautious=cautious).standing for _ in range(500)}
     found = {standing.name.lower() for standing in picked}
     assert found == set(used.split()), found
+
+
+@then('a "{safety}" request that was sent to a "{known}" target is {outcome}')
+def check_turned_away(context, safety, known, outcome):
+    gate = GateController(SETTINGS, context.board, context.clock, random.Random(1))
+    request = GateRequest(
+        serial=1,
+        request_id="r1",
+        attempt_id="a1",
+        target_id="contracts/i-1",
+        route="sign",
+        idempotent=safety == "idempotent",
+        deadline=context.clock.monotonic() + timedelta(seconds=4),
+        chosen_standing=TargetStanding[known.upper()],
+    )
+    (effect,) = gate.handle(GateRequestArrived(request))
+    if outcome == "run":
+        assert isinstance(effect, StartRequest), effect
+    else:
+        assert isinstance(effect.error, DoubtedTargetError), effect
+        assert effect.error.verdict is Verdict.NOT_RUN
--- a/features/target_judge.feature
+++ b/features/target_judge.feature
@@ -69,3 +69,16 @@
       | doubted failing failing  | non-idempotent | doubted         |
       | failing failing          | non-idempotent | failing         |
       | good failing failing     | idempotent     | good            |
+
+  Scenario Outline: A gate turns away what the entry would not have sent had it known
+    When its work ends as "failed" <failures> times
+    Then a "<safety>" request that was sent to a "<known>" target is <outcome>
+
+    Examples:
+      | failures | safety         | known   | outcome |
+      | 0        | non-idempotent | good    | run     |
+      | 1        | non-idempotent | good    | refused |
+      | 1        | idempotent     | good    | run     |
+      | 2        | idempotent     | good    | refused |
+      | 2        | non-idempotent | failing | run     |
+      | 2        | idempotent     | failing | run     |
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -8,7 +8,7 @@
 from wagtailstep.controllers.digests import DigestQueue
 from wagtailstep.controllers.interest import InterestIndex
 from wagtailstep.controllers.pulls import PullSchedule
-from wagtailstep.controllers.target_leases import Holding, TargetLeases
+from wagtailstep.controllers.target_leases import TargetLeases, is_lacking
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     PeerMessageReceived,
@@ -33,6 +33,7 @@
 
 ROUNDS_PER_RENEWAL = 3
 OWN_UPDATE_FANOUT = 8
+DIRECT_FANOUT = 32
 FORWARD_FANOUT = 4
 PULLS_PER_TICK = 10
 REFRESH_SHARE_OF_LEASE = 0.65
@@ -226,10 +227,15 @@
         self._next_beat(now)
         self.version = self.beat & MAX_VERSION
         self.digests.add(board.this_member.daemon_id, services)
-        peers = self.interest.choose_interested(services, OWN_UPDATE_FANOUT, self.rng)
+        everybody = self.interest.choose_interested(services, DIRECT_FANOUT, self.rng)
+        # Few peers are told directly. Passing the news on costs several copies for
+        # each of them, which only a larger number makes up for.
+        spreads = len(everybody) == DIRECT_FANOUT
+        peers = everybody[:OWN_UPDATE_FANOUT] if spreads else everybody
         effects = []
         for peer in peers:
-            update = self._own_update(services.intersection(peer.services), urgent=True)
+            covered = services.intersection(peer.services)
+            update = self._own_update(covered, urgent=spreads)
             effects.append(SendToPeer(peer.peer_address, update, urgent=True))
         return effects
 
@@ -326,13 +332,13 @@
         stale: list[str] = []
         for daemon_id, needed in self.interest.needed.items():
             holding = self.leases.holdings.get(daemon_id)
-            if not _lacks(holding, needed, oldest):
+            if not is_lacking(holding, needed, oldest):
                 continue
             if len(effects) >= PULLS_PER_TICK:
                 break
             if not self.pulls.start(daemon_id, now):
                 continue
-            if holding is not None and _is_complete(holding, needed):
+            if holding is not None and holding.is_complete(needed):
                 stale.append(daemon_id)
             else:
                 effects += self._request_targets(daemon_id, needed)
@@ -375,17 +381,6 @@
         return [SendToPeer(peer.peer_address, DigestRequest(reply_to, references))]
 
 
-def _is_complete(holding: Holding, needed: frozenset[str]) -> bool:
-    current = holding.held_version == holding.version
-    return current and holding.services.issuperset(needed)
-
-
-def _lacks(holding: Holding | None, needed: frozenset[str], oldest: timedelta) -> bool:
-    if holding is None or holding.renewed_at <= oldest:
-        return True
-    return not _is_complete(holding, needed)
-
-
 def _make_entries(
     targets: tuple[Target, ...], services: frozenset[str]
 ) -> tuple[TargetEntry, ...]:
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -16,6 +16,7 @@
 from wagtailstep.exceptions import (
     ConnectionFailedError,
     DeadlineExceededError,
+    DoubtedTargetError,
     DuplicateRequestError,
     LeavingError,
     NoTargetError,
@@ -23,7 +24,7 @@
     RequestError,
 )
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.fleet import Target, TargetState
+from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.gate import (
     AttemptRevoked,
     GateRequest,
@@ -142,8 +143,21 @@
             return NoTargetError(f"{request.target_id} is not beside this daemon")
         if target.state is TargetState.LEAVING:
             return LeavingError(f"{request.target_id} is leaving")
+        if self.is_doubted(request, target):
+            return DoubtedTargetError(f"{request.target_id} has failed just now")
         return self.find_overload(request)
 
+    def is_doubted(self, request: GateRequest, target: Target) -> bool:
+        """Tell whether an entry would not have chosen a target as it stands now.
+
+        News of a standing takes a moment, and a backend server that fails at once
+        always has slots free.
+        """
+        if target.standing <= request.chosen_standing:
+            return False
+        limit = TargetStanding.FAILING if request.idempotent else TargetStanding.DOUBTED
+        return target.standing >= limit
+
     def find_overload(self, request: GateRequest) -> RequestError | None:
         """Return a refusal if the request would wait for too long, or ``None``."""
         queue = self.find_queue(request.target_id)
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -35,6 +35,23 @@
     targets: tuple[Target, ...] = ()
     published: bool = False
 
+    def is_complete(self, needed: frozenset[str]) -> bool:
+        """Tell whether the targets of some services are held as they are now."""
+        current = self.held_version == self.version
+        return current and self.services.issuperset(needed)
+
+
+def is_lacking(
+    holding: Holding | None, needed: frozenset[str], oldest: timedelta
+) -> bool:
+    """Tell whether targets have to be asked for.
+
+    :param oldest: monotonic time before which a heartbeat is too old.
+    """
+    if holding is None or holding.renewed_at <= oldest:
+        return True
+    return not holding.is_complete(needed)
+
 
 class TargetLeases:
     """Leases on the targets of other daemons, renewed by heartbeats.
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -144,6 +144,12 @@
     reason = "no-target"
 
 
+class DoubtedTargetError(RefusedForNowError):
+    """The gate has come to doubt the backend server since the entry chose it."""
+
+    reason = "doubted"
+
+
 class ConnectionFailedError(RequestError):
     """A connection could not be used; the verdict says if bytes had been sent."""
 
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -6,6 +6,7 @@
 import attrs
 
 from wagtailstep.exceptions import RequestError
+from wagtailstep.models.fleet import TargetStanding
 
 
 @attrs.frozen
@@ -22,6 +23,7 @@
     :param priority: rank among waiting requests; 0 goes first.
     :param aim_at: monotonic time until which an answer is of full use, if known.
     :param may_wait: whether it may wait for a slot; else it is refused.
+    :param chosen_standing: standing of the backend server as the entry knew it.
     """
 
     serial: int
@@ -34,6 +36,7 @@
     priority: int = 0
     aim_at: timedelta | None = None
     may_wait: bool = True
+    chosen_standing: TargetStanding = TargetStanding.FAILING
 
 
 class RunResult(enum.Enum):
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.host_routes import RouteKind
 from wagtailstep.models.verdict import Verdict
 
@@ -35,6 +36,7 @@
         than ``deadline``, which a route can bring forward.
     :param aim_at: monotonic time until which an answer is of full use, if known.
     :param may_wait: whether a gate may keep it until a slot is free.
+    :param chosen_standing: standing of the target as the entry knew it when it chose.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     given_up_at: timedelta | None = None
     aim_at: timedelta | None = None
     may_wait: bool = True
+    chosen_standing: TargetStanding = TargetStanding.FAILING
 
     @property
     def guarded(self) -> bool:
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -9,6 +9,7 @@
     BadRequestError,
     ConnectionFailedError,
     DeadlineExceededError,
+    DoubtedTargetError,
     DuplicateRequestError,
     LeavingError,
     NoTargetError,
@@ -33,6 +34,7 @@
     RETRY_AFTER,
     RETRY_AFTER_MS,
     ROUTE,
+    STANDING,
     TARGET,
     TIMEOUT_MS,
     VERDICT,
@@ -59,6 +61,7 @@
         BadRequestError,
         ConnectionFailedError,
         DeadlineExceededError,
+        DoubtedTargetError,
         DuplicateRequestError,
         LeavingError,
         NotExecutedError,
@@ -150,7 +153,7 @@
         headers += ((AIM_MS, str(left // MILLISECOND)),)
     if not request.may_wait:
         headers += ((MAY_WAIT, "?0"),)
-    return headers
+    return (*headers, (STANDING, str(int(request.chosen_standing))))
 
 
 def _read_ms(value: str | None) -> timedelta | None:
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -66,6 +66,7 @@
     judge_failure,
     judge_work,
     read_number,
+    read_standing,
     read_timeout,
     require_header,
 )
@@ -197,6 +198,7 @@
             priority=read_number(headers, PRIORITY) or 0,
             aim_at=None if aim_ms is None else now + aim_ms * MILLISECOND,
             may_wait=find_header(headers, MAY_WAIT) != "?0",
+            chosen_standing=read_standing(headers),
         )
 
     async def wait_for_slot(self, request: GateRequest) -> None:
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -11,10 +11,12 @@
     RequestError,
 )
 from wagtailstep.models.exchange import Answer
+from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.gate import GateRequest, RunResult, WorkResult
 from wagtailstep.models.headers import (
     NOT_EXECUTED,
     REQUEST_ID,
+    STANDING,
     TIMEOUT_MS,
     Headers,
     find_header,
@@ -82,6 +84,14 @@
     return int(value) if value.isascii() and value.isdigit() else None
 
 
+def read_standing(headers: Headers) -> TargetStanding:
+    """Return the standing that the entry knew; the worst one if it tells none."""
+    value = read_number(headers, STANDING)
+    if value is None or value >= len(TargetStanding):
+        return TargetStanding.FAILING
+    return TargetStanding(value)
+
+
 def judge_work(
     error: RequestError | None, status: int, whole: bool, cut: bool
 ) -> WorkResult | None:
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -189,7 +189,9 @@
         :raises RequestError: how the attempt ended without an answer.
         """
         request = attrs.evolve(
-            exchange.request, may_wait=self.may_wait(exchange, target)
+            exchange.request,
+            may_wait=self.may_wait(exchange, target),
+            chosen_standing=target.standing,
         )
         exchange.tried.add(target.target_id)
         attempt = Attempt(
