--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -43,6 +43,9 @@
 
 # A request that is late anyway may still wait for the next slot.
 SHORT_WAIT = timedelta(milliseconds=150)
+# Asking another gate takes a few milliseconds and work at both ends. With four slots
+# and work of a quarter of a second the next slot is free after about this time.
+BRIEF_WAIT = timedelta(milliseconds=60)
 # Usual times that a request is given between its start and its aim: one to run, one
 # for the error of the expected wait. docs/design/queueing.md has the figures.
 RESERVED_TIMES = 2.0
@@ -171,7 +174,7 @@
         if wait > timedelta(milliseconds=self.settings.queue_timeout_ms):
             message = f"the queue of {request.target_id} is too long"
             return OverloadedError(message, retry_after)
-        if not request.may_wait:
+        if not request.may_wait and wait > BRIEF_WAIT:
             return OverloadedError(f"no slot of {request.target_id} is free", wait)
         ends_at = now + wait + queue.time_of(request)
         if self.misses_aim(request, queue, now + wait):
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -22,7 +22,8 @@
     :param deadline: monotonic time when it must have ended.
     :param priority: rank among waiting requests; 0 goes first.
     :param aim_at: monotonic time until which an answer is of full use, if known.
-    :param may_wait: whether it may wait for a slot; else it is refused.
+    :param may_wait: whether it may wait for a slot for longer than a moment; else it
+        is refused.
     :param chosen_standing: standing of the backend server as the entry knew it.
     """
 
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -35,7 +35,8 @@
     :param given_up_at: monotonic time when the caller stops waiting; it may be later
         than ``deadline``, which a route can bring forward.
     :param aim_at: monotonic time until which an answer is of full use, if known.
-    :param may_wait: whether a gate may keep it until a slot is free.
+    :param may_wait: whether a gate may keep it for longer than a moment until a slot
+        is free.
     :param chosen_standing: standing of the target as the entry knew it when it chose.
     """
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -31,6 +31,7 @@
     RunResult,
     StartRequest,
     WorkEnded,
+    WorkResult,
     WorkStarted,
     WorkStopped,
 )
@@ -314,6 +315,7 @@
         log_event(
             LOGGER,
             "work-ended",
+            routine=work is WorkResult.DONE,
             request_id=request.request_id,
             target=request.target_id,
             route=request.route,
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -93,12 +93,15 @@
                 if isinstance(error, OverloadedError) and not error.reached_server:
                     exchange.waits[target.target_id] = error.retry_after or NO_TIME
                 if not self.may_resend(exchange, error):
+                    self.note_end(exchange, error.reason)
                     raise
-                self.note_resend(exchange, target, error.reason)
+                if not isinstance(error, OverloadedError) or error.reached_server:
+                    self.note_resend(exchange, target, error.reason)
                 continue
             exchange.sent += 1
             self.learn_calls(request.route, answer)
             if not self.may_replace(exchange, answer):
+                self.note_end(exchange, f"status-{answer.status}", target)
                 return answer
             await discard_answer(answer)
             self.note_resend(exchange, target, f"status-{answer.status}")
@@ -123,6 +126,29 @@
         if text is not None:
             self.retries.learn_calls(route, read_calls(text))
 
+    def note_end(
+        self, exchange: Exchange, outcome: str, target: Target | None = None
+    ) -> None:
+        """Log how the attempts at a request ended, and what they rested on."""
+        request = exchange.request
+        log_event(
+            LOGGER,
+            "request-ended",
+            routine=outcome == "status-200",
+            request_id=request.request_id,
+            service=request.service,
+            route=request.route,
+            outcome=outcome,
+            target=target.target_id if target is not None else "",
+            standing=target.standing.name.lower() if target is not None else "",
+            tried=",".join(sorted(exchange.tried)),
+            attempts=exchange.attempts,
+            sent=exchange.sent,
+            gates_full=len(exchange.waits),
+            left_ms=self.time_left(request) // timedelta(milliseconds=1),
+            table_version=self.blackboard.table.version,
+        )
+
     def note_resend(self, exchange: Exchange, target: Target, reason: str) -> None:
         """Log that a request goes to one more target."""
         log_event(
