Let what a backend server did not execute be sent to it again; tell callers 502 for our own duplicates

Ruled out: callers that reuse an identifier. Change: the gate forgets what was certainly not executed; the gate's duplicates are 502.

--- a/features/gate.feature
+++ b/features/gate.feature
@@ -168,3 +168,15 @@
     Given a gate before a backend server with 4 slots that can be trusted
     When the backend server sheds 10 requests one after the other
     Then 4 requests may run at once
+
+  Scenario: What the backend server did not execute may be sent to it again
+    Given a gate before a backend server with 4 slots
+    When request 1 arrives and its backend server turns it away unexecuted
+    And request 1 arrives again under attempt 2
+    Then nothing is refused
+
+  Scenario: What the backend server may have executed is never sent to it again
+    Given a gate before a backend server with 4 slots
+    When request 1 arrives and its backend server breaks off
+    And request 1 arrives again under attempt 2
+    Then request 1 is refused as "duplicate" with verdict "may-have-run"
--- a/features/steps/gate_steps.py
+++ b/features/steps/gate_steps.py
@@ -256,3 +256,21 @@
 def arrive_aimed(context, serial, priority, aim):
     aim_at = context.gate.clock.monotonic() + aim * MILLISECOND
     context.gate.arrive(serial, priority=priority, aim_at=aim_at)
+
+
+@when("request {serial:d} arrives and its backend server turns it away unexecuted")
+def turn_away(context, serial):
+    context.gate.arrive(serial)
+    context.gate.running.remove(serial)
+    context.gate.tell(GateRequestEnded(serial, RunResult.REFUSED, executed=False))
+
+
+@when("request {serial:d} arrives and its backend server breaks off")
+def break_off(context, serial):
+    context.gate.arrive(serial)
+    context.gate.end(serial, RunResult.ABANDONED)
+
+
+@when("request {serial:d} arrives again under attempt {attempt:d}")
+def arrive_again(context, serial, attempt):
+    context.gate.arrive(serial, attempt_id=f"attempt-{attempt}")
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -8,6 +8,7 @@
 import random
 from datetime import timedelta
 from functools import singledispatchmethod
+from http import HTTPStatus
 from typing import Any
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
@@ -103,7 +104,10 @@
         if queue is None:
             return []
         entry = queue.running.pop(event.serial)
-        self.memory.end(entry.request)
+        if event.executed:
+            self.memory.end(entry.request)
+        else:
+            self.memory.forget(entry.request)
         queue.limit.record(
             entry.request.route,
             event.result,
@@ -136,7 +140,9 @@
             return describe_revoked(request)
         if self.memory.was_accepted(request):
             message = f"request {request.request_id} was accepted before"
-            return DuplicateRequestError(message, Verdict.MAY_HAVE_RUN)
+            # The caller has sent it once; only this fleet's own sending is a duplicate.
+            status = HTTPStatus.BAD_GATEWAY
+            return DuplicateRequestError(message, Verdict.MAY_HAVE_RUN, status)
         if request.deadline <= self.clock.monotonic():
             return DeadlineExceededError(
                 "the deadline had passed when the request arrived", Verdict.NOT_RUN
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -66,10 +66,12 @@
 
     :param serial: as in the request.
     :param result: how the backend server dealt with it.
+    :param executed: whether the backend server may have run it.
     """
 
     serial: int
     result: RunResult
+    executed: bool = True
 
 
 @attrs.frozen
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -238,7 +238,8 @@
             if self.settings.caller_request_ids:
                 await check_answer(request, answer)
         except RequestError as error:
-            self.end(request, judge_failure(error))
+            executed = error.verdict is not Verdict.NOT_RUN
+            self.end(request, judge_failure(error), executed)
             self.tell(request, error)
             raise blame_backend_server(error) from error
         except BaseException:
@@ -334,9 +335,11 @@
             )
         )
 
-    def end(self, request: GateRequest, result: RunResult) -> None:
+    def end(
+        self, request: GateRequest, result: RunResult, executed: bool = True
+    ) -> None:
         """Free the slot of a request."""
-        event = GateRequestEnded(request.serial, result)
+        event = GateRequestEnded(request.serial, result, executed)
         self.apply_effects(self.controller.handle(event))
 
     def abandon(self, request: GateRequest) -> None:
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -114,6 +114,8 @@
 
 def judge_failure(error: RequestError) -> RunResult:
     """Say what a failed exchange tells of the backend server's capacity."""
+    if isinstance(error, NotExecutedError):
+        return RunResult.REFUSED
     if isinstance(error, DeadlineExceededError):
         return RunResult.TIMED_OUT
     return RunResult.ABANDONED
