Don't run again what failed for a refused call

Change: the gate says that a call was refused just before; the entry does not replace such a failure.

--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -23,3 +23,13 @@
       | 0.95 | 99    | 6     |
       | 1.05 | 94    | 6     |
       | 1.2  | 81    | 2     |
+
+  Scenario: What fails for want of room at a called service is not run again
+    Given gates whose servers fail since their call was refused
+    When 20 idempotent requests look for a slot one at a time
+    Then each was sent once
+
+  Scenario: What fails otherwise is run again
+    Given gates whose servers fail
+    When 20 idempotent requests look for a slot one at a time
+    Then some were sent twice
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -21,6 +21,7 @@
     RunResult,
     StartRequest,
 )
+from wagtailstep.models.headers import CALL_REFUSED
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
 from wagtailstep.models.verdict import Verdict
@@ -73,8 +74,8 @@
         self.asked.append((target_id, request.may_wait))
         return self.answer(request, target_id)
 
-    def send(self, serial):
-        """Send one request; return the gates asked and whether it was answered."""
+    def send(self, serial, idempotent=False):
+        """Send one request; return whether it was answered."""
         self.asked = []
         now = self.clock.monotonic()
         request = RequestContext(
@@ -84,7 +85,7 @@
             account="",
             method="POST",
             path="/",
-            idempotent=False,
+            idempotent=idempotent,
             idempotency_key=None,
             deadline=now + timedelta(seconds=4),
             aim_at=now + AIM,
@@ -273,3 +274,38 @@
 @then("with each request joining the first gate's queue {fewer:d} % fewer are")
 def check_fewer(context, fewer):
     assert context.joining < context.asking - fewer / 100, context.joining
+
+
+def make_failing(context, headers):
+    def answer(request, target_id):
+        return Answer(500, headers, yield_body(b""), Verdict.RUN)
+
+    context.world = World(24, answer)
+
+
+@given("gates whose servers fail since their call was refused")
+def make_refused(context):
+    make_failing(context, ((CALL_REFUSED, "?1"),))
+
+
+@given("gates whose servers fail")
+def make_plainly_failing(context):
+    make_failing(context, ())
+
+
+@when("{count:d} idempotent requests look for a slot one at a time")
+def send_idempotent(context, count):
+    context.sent = []
+    for serial in range(count):
+        context.world.send(serial, idempotent=True)
+        context.sent.append(context.world.asked)
+
+
+@then("each was sent once")
+def check_sent_once(context):
+    assert all(len(asked) == 1 for asked in context.sent)
+
+
+@then("some were sent twice")
+def check_sent_twice(context):
+    assert {len(asked) for asked in context.sent} == {1, 2}
--- a/src/wagtailstep/controllers/target_judge.py
+++ b/src/wagtailstep/controllers/target_judge.py
@@ -147,7 +147,10 @@
 
     @handle.register
     def _(self, event: LocalCallFailed) -> list[Any]:
-        self.failed_calls.append(self.clock.monotonic())
+        now = self.clock.monotonic()
+        self.failed_calls.append(now)
+        if event.refused:
+            self.blackboard.call_refused_at = now
         return []
 
     @handle.register
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -1,6 +1,6 @@
 """What one daemon knows. Controllers read and write it; nobody else writes."""
 
-from datetime import datetime
+from datetime import datetime, timedelta
 
 import attrs
 
@@ -52,6 +52,8 @@
     :param in_flight: written by the routing controller.
     :param calls_per_run: calls that the backend server beside this daemon makes for
         each run, by route and called service; written by the call ratios' controller.
+    :param call_refused_at: monotonic time when a call of the backend server beside this
+        daemon was refused last; written by the judge of targets.
     :param log_reachable: written by the runtime.
     :param draining: whether this daemon is shutting down; written by the runtime.
     """
@@ -69,6 +71,7 @@
     wanted_services: set[str] = attrs.field(factory=set)
     in_flight: InFlight = attrs.field(factory=InFlight)
     calls_per_run: dict[str, dict[str, float]] = attrs.field(factory=dict)
+    call_refused_at: timedelta | None = None
     log_reachable: bool = False
     draining: bool = False
 
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -183,9 +183,11 @@
     """A call of the backend server beside this daemon got a failure.
 
     :param path: path of the call.
+    :param refused: whether it was refused, for want of room at the called service.
     """
 
     path: str
+    refused: bool = False
 
 
 @attrs.frozen
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -17,6 +17,7 @@
 QUEUEING_MS = "wagtailstep-queueing-ms"
 LOAD = "wagtailstep-load"
 CALLS = "wagtailstep-calls"
+CALL_REFUSED = "wagtailstep-call-refused"
 PRIORITY = "wagtailstep-priority"
 AIM_MS = "wagtailstep-aim-ms"
 MAY_WAIT = "wagtailstep-may-wait"
@@ -46,11 +47,14 @@
         QUEUEING_MS,
         LOAD,
         CALLS,
+        CALL_REFUSED,
         RETRY_AFTER_MS,
     }
 )
 # These tell the entry about the gate and mean nothing to a caller.
-GATE_ANSWER_HEADERS = frozenset({GATE_ID, QUEUEING_MS, LOAD, CALLS, BLAME})
+GATE_ANSWER_HEADERS = frozenset(
+    {GATE_ID, QUEUEING_MS, LOAD, CALLS, CALL_REFUSED, BLAME}
+)
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 
--- a/src/wagtailstep/network/entry_notes.py
+++ b/src/wagtailstep/network/entry_notes.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 from wagtailstep.exceptions import RequestError
@@ -40,7 +41,8 @@
     def take_answer(self, incoming: IncomingRequest, status: int) -> None:
         """Note the answer of a backend server."""
         if status >= FIRST_FAILURE_STATUS and is_local(incoming.peer, self.settings):
-            self.dispatch(LocalCallFailed(incoming.path))
+            refused = status == HTTPStatus.SERVICE_UNAVAILABLE
+            self.dispatch(LocalCallFailed(incoming.path, refused))
 
     def take_failure(
         self, incoming: IncomingRequest, request_id: str, error: RequestError
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from wagtailstep.controllers.gate import GateController
+from wagtailstep.controllers.target_judge import CALL_EXCUSES
 from wagtailstep.exceptions import (
     BadRequestError,
     DeadlineExceededError,
@@ -38,6 +39,7 @@
 from wagtailstep.models.headers import (
     AIM_MS,
     ATTEMPT_ID,
+    CALL_REFUSED,
     CALLER_SERVICE,
     CALLS,
     DAEMON_ANSWER_HEADERS,
@@ -163,17 +165,22 @@
             (GATE_ID, self.gate_id),
             (QUEUEING_MS, f"{queueing / MILLISECOND:.1f}"),
             (LOAD, f"{self.controller.queues[request.target_id].load:.2f}"),
-            *self.describe_calls(request.route),
+            *self.describe_calls(request.route, answer.status),
         )
         return attrs.evolve(answer, headers=(*answer.headers, *own_headers))
 
-    def describe_calls(self, route: str) -> Headers:
-        """Return the header that tells which calls a run makes, if it makes any."""
-        ratios = self.controller.blackboard.calls_per_run.get(route)
-        if not ratios:
-            return ()
+    def describe_calls(self, route: str, status: int) -> Headers:
+        """Return headers on the calls that a run makes, and whether one was refused."""
+        board = self.controller.blackboard
+        ratios = board.calls_per_run.get(route, {})
         text = ",".join(f"{name}={ratio:.2f}" for name, ratio in ratios.items())
-        return ((CALLS, text),)
+        headers: Headers = ((CALLS, text),) if text else ()
+        refused_at = board.call_refused_at
+        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed and refused_at is not None:
+            if self.clock.monotonic() - refused_at < CALL_EXCUSES:
+                headers += ((CALL_REFUSED, "?1"),)
+        return headers
 
     def read_request(self, incoming: IncomingRequest) -> GateRequest:
         """Read what the entry says of a request.
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -19,7 +19,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder
 from wagtailstep.models.fleet import Target
-from wagtailstep.models.headers import CALLS, find_header
+from wagtailstep.models.headers import CALL_REFUSED, CALLS, find_header
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempts import Attempt
@@ -115,9 +115,15 @@
         )
 
     def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
-        """Tell whether a failure that a backend server answered is tried again."""
+        """Tell whether a failure that a backend server answered is tried again.
+
+        One that follows from a refused call is not: a second run would call again, at
+        a service that has no room.
+        """
         if answer.status < FIRST_FAILURE_STATUS or not exchange.body.replayable:
             return False
+        if find_header(answer.headers, CALL_REFUSED) is not None:
+            return False
         return self.retries.take_replacement(exchange.request, exchange.sent)
 
     def learn_calls(self, route: str, answer: Answer) -> None:
