--- /dev/null
+++ b/features/steps/target_answers_steps.py
@@ -0,0 +1,134 @@
+"""Steps for what a gate makes of its backend server's answers."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import detangle
+from behave import then, when
+
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.network.gate import GateService
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.problems import yield_body
+from wagtailstep.utils.clock import LoopClock
+
+SETTINGS = DaemonSettings(
+    "d1",
+    "bole",
+    "127.0.0.1:1",
+    "127.0.0.1:2",
+    "127.0.0.1:3",
+    "127.0.0.1:4",
+    requests=RequestSettings(caller_request_ids=True, unsafe_idle_ms=2_000),
+)
+ADDRESS = "127.0.0.1:9000"
+TIME_LEFT_MS = 2_000
+
+
+def write_answer(name, body, status="200 OK", headers=""):
+    return (
+        f"HTTP/1.1 {status}\r\nWagtailstep-Request-Id: {name}\r\n{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    )
+
+
+OWN = write_answer("two", "two")
+LATE = write_answer("one", "late")
+ANSWERS = {
+    "its own answer": OWN,
+    "a failure": write_answer("two", "two", "500 Oh"),
+    "421": write_answer("two", "", "421 No"),
+    "503 not executed": write_answer(
+        "two", "", "503 Full", "Wagtailstep-Not-Executed: 1\r\n"
+    ),
+    "503": write_answer("two", "two", "503 Full"),
+    "no identifier": "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo",
+    "an encoded body": write_answer("two", "two", headers="Content-Encoding: br\r\n"),
+    "a late answer first": LATE + OWN,
+    "two late answers first": LATE + LATE + OWN,
+    "a late answer only": LATE,
+    "a late answer without length": (
+        "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: one\r\n\r\nlate"
+    ),
+    "half of its answer": OWN[:-1],
+    "no length and an end": (
+        "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\n\r\ntwo"
+    ),
+    "bytes that are no answer": "what is this\r\n\r\n",
+}
+
+
+class ScriptedTarget:
+    """Answers request one well, and request two as scripted; then it closes."""
+
+    def __init__(self, answer):
+        self.answers = [write_answer("one", "one"), answer]
+        self.heads = []
+
+    async def serve(self, reader, writer):
+        while self.answers:
+            self.heads.append((await reader.readuntil(b"\r\n\r\n")).decode())
+            writer.write(self.answers.pop(0).encode())
+            await writer.drain()
+        writer.close()
+
+
+async def send(gate, name):
+    """Send a request through the gate and return how it ended."""
+    headers = (
+        ("host", "a.test"),
+        ("wagtailstep-request-id", name),
+        ("wagtailstep-target", "contracts/i-1"),
+        ("wagtailstep-idempotent", "?0"),
+        ("wagtailstep-caller-service", "portal"),
+        ("wagtailstep-timeout-ms", str(TIME_LEFT_MS)),
+    )
+    incoming = IncomingRequest("POST", "/sign/", headers, yield_body(b""))
+    try:
+        answer = await gate.handle(incoming)
+        data = b"".join([chunk async for chunk in answer.body])
+        await answer.close()
+        return f"{answer.status} {data.decode()}"
+    except RequestError as error:
+        return f"{error.reason} {error.verdict.value}"
+
+
+@when('the backend server answers with "{answer}"')
+def answer_request(context, answer):
+    context.target = ScriptedTarget(ANSWERS[answer])
+
+    async def main():
+        clock = LoopClock()
+        board = Blackboard(Member("d1", 1, "", "", "bole"))
+        board.targets["contracts/i-1"] = Target(
+            "contracts/i-1", "contracts", "d1", "bole", address=ADDRESS
+        )
+        controller = GateController(SETTINGS, board, clock, random.Random(1))
+        client = HttpClient(SETTINGS.requests, clock)
+        gate = GateService(SETTINGS, controller, client, clock)
+        server = await asyncio.start_server(context.target.serve, "127.0.0.1", 9000)
+        assert await send(gate, "one") == "200 one"
+        context.end = await send(gate, "two")
+        await asyncio.sleep(timedelta(seconds=1).total_seconds())
+        client.close()
+        server.close()
+
+    detangle.run(main, seed=1)
+
+
+@then('request 2 ends as "{end}"')
+def check_end(context, end):
+    assert context.end == end, context.end
+
+
+@then("it was sent the headers")
+def check_headers(context):
+    head = context.target.heads[1].lower()
+    for row in context.table:
+        assert f"{row['name']}: {row['value']}\r\n" in head, head
--- /dev/null
+++ b/features/target_answers.feature
@@ -0,0 +1,31 @@
+Feature: A gate passes on its backend server's own answer to the request, and no other
+
+  Scenario Outline: Each answer is taken for what it is
+    When the backend server answers with "<answer>"
+    Then request 2 ends as "<end>"
+
+    Examples:
+      | answer                       | end                             |
+      | its own answer               | 200 two                         |
+      | a failure                    | 500 two                         |
+      | 421                          | not-executed not-run            |
+      | 503 not executed             | not-executed not-run            |
+      | 503                          | 503 two                         |
+      | no identifier                | connection-failed may-have-run  |
+      | an encoded body              | connection-failed may-have-run  |
+      | a late answer first          | 200 two                         |
+      | two late answers first       | 200 two                         |
+      | a late answer only           | connection-failed may-have-run  |
+      | a late answer without length | connection-failed may-have-run  |
+      | half of its answer           | truncated-answer may-have-run   |
+      | no length and an end         | 200 two                         |
+      | bytes that are no answer     | connection-failed may-have-run  |
+
+  Scenario: Every sending names the time left, the instance and the caller's service
+    When the backend server answers with "its own answer"
+    Then it was sent the headers
+      | name                          | value  |
+      | wagtailstep-request-id        | two    |
+      | wagtailstep-expected-instance | i-1    |
+      | wagtailstep-caller-service    | portal |
+      | wagtailstep-timeout-ms        | 2000   |
