Answer 502, not 503, where an attempt before the refusal may have run

Cause: an idempotent request whose first attempt broke off and whose next ones were refused ended with the refusal's own status 503, which promises that nothing was run; only the verdict told otherwise. Found by reading the change. Ruled out: non-idempotent requests; they are never sent again after such an attempt. Change: a verdict that an earlier attempt makes worse takes the status of a refusal away. Test: features/asking_gates.feature failed before (503 with may-have-run). One check of features/entry.feature asked for 503 with the verdict may-have-run; it was wrong by docs/CALLERS.md, where 503 no-target means not-run, and asks for 502 now, as strictly.

--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -33,3 +33,13 @@
     Given gates whose servers fail
     When 20 idempotent requests look for a slot one at a time
     Then some were sent twice
+
+  Scenario: A refusal after an attempt that may have run promises nothing
+    Given gates that break off the first attempt and refuse the next ones
+    When 5 idempotent requests look for a slot one at a time
+    Then each ended with status 502 and verdict "may-have-run"
+
+  Scenario: A refusal of all attempts is a promise
+    Given gates that refuse all attempts
+    When 5 idempotent requests look for a slot one at a time
+    Then each ended with status 503 and verdict "not-run"
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -60,7 +60,7 @@
   Scenario: The verdict covers the attempts before the targets ran out
     Given the first attempt ends as "connection lost as all targets go"
     When a caller sends GET "/book"
-    Then the answer is 503 with verdict "may-have-run"
+    Then the answer is 502 with verdict "may-have-run"
 
   Scenario: An overload is not multiplied by retries
     Given every attempt ends as "gate overloaded"
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -10,7 +10,11 @@
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
-from wagtailstep.exceptions import OverloadedError, RequestError
+from wagtailstep.exceptions import (
+    ConnectionFailedError,
+    OverloadedError,
+    RequestError,
+)
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import Member, Target
@@ -51,6 +55,7 @@
         self.clock = ManualClock()
         self.answer = answer
         self.rng = random.Random(3)
+        self.errors = []
         members = {
             f"d{i}": Member(f"d{i}", 1, f"h:{i}", f"g:{i}", "bole")
             for i in range(count)
@@ -75,7 +80,7 @@
         return self.answer(request, target_id)
 
     def send(self, serial, idempotent=False):
-        """Send one request; return whether it was answered."""
+        """Send one request and keep the error that it ends with, if any."""
         self.asked = []
         now = self.clock.monotonic()
         request = RequestContext(
@@ -102,9 +107,8 @@
             try:
                 answer = await self.sender.run(exchange)
                 await answer.close()
-            except RequestError:
-                return False
-            return True
+            except RequestError as error:
+                self.errors.append(error)
 
         return asyncio.run(main())
 
@@ -309,3 +313,27 @@
 @then("some were sent twice")
 def check_sent_twice(context):
     assert {len(asked) for asked in context.sent} == {1, 2}
+
+
+@given("gates that break off the first attempt and refuse the next ones")
+def make_breaking(context):
+    def answer(request, target_id):
+        if len(context.world.asked) == 1:
+            raise ConnectionFailedError("broken", Verdict.MAY_HAVE_RUN)
+        raise OverloadedError("full", 300 * MILLISECOND)
+
+    context.world = World(24, answer)
+
+
+@given("gates that refuse all attempts")
+def make_refusing(context):
+    def answer(request, target_id):
+        raise OverloadedError("full", 300 * MILLISECOND)
+
+    context.world = World(24, answer)
+
+
+@then('each ended with status {status:d} and verdict "{verdict}"')
+def check_ends(context, status, verdict):
+    ends = [(error.status, error.verdict.value) for error in context.world.errors]
+    assert ends == [(status, verdict)] * len(context.sent), ends
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -17,6 +17,6 @@
     context.board = board
 
 
-@then("it is {ready}")
+@then("the daemon is {ready}")
 def check_ready(context, ready):
     assert is_ready(context.board) == (ready == "ready")
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 
 import attrs
 
@@ -88,9 +89,13 @@
         return error
 
     def cover(self, error: RequestError) -> None:
-        """Have an error's verdict cover the attempts before it, too."""
+        """Have an error's verdict and status cover the attempts before it, too."""
+        promises = error.verdict is Verdict.NOT_RUN
         error.verdict = worst_verdict(error.verdict, self.verdict)
         self.verdict = error.verdict
+        if promises and error.verdict is not Verdict.NOT_RUN:
+            # Statuses of refusals tell that nothing was run.
+            error.status = HTTPStatus.BAD_GATEWAY
 
     def end(self, verdict: Verdict, answer: StoredAnswer | None = None) -> None:
         """End a guarded run and count the request out; later calls do nothing."""
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -272,17 +272,10 @@
         grace = timedelta(milliseconds=DEADLINE_GRACE_MS)
         exchange.sending = True
         exchange.abandoned = False
-        loop = asyncio.get_running_loop()
         timer: asyncio.TimerHandle | None = None
         try:
             async with asyncio.timeout((time_left + grace).total_seconds()) as limit:
-                health = self.blackboard.health.get(target.target_id)
-                usual = health.latency if health is not None else None
-                patience = find_patience(exchange.request, time_left, usual)
-                if patience is not None:
-                    timer = loop.call_later(
-                        patience.total_seconds(), self.abandon, exchange, limit
-                    )
+                timer = self.start_patience(exchange, target, time_left, limit)
                 answer = await self.forwarder.forward(
                     request,
                     gate,
@@ -307,6 +300,22 @@
         exchange.sending = False
         return answer
 
+    def start_patience(
+        self,
+        exchange: Exchange,
+        target: Target,
+        time_left: timedelta,
+        limit: asyncio.Timeout,
+    ) -> asyncio.TimerHandle | None:
+        """Have an attempt that takes too long ended before its deadline."""
+        health = self.blackboard.health.get(target.target_id)
+        usual = health.latency if health is not None else None
+        patience = find_patience(exchange.request, time_left, usual)
+        if patience is None:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(patience.total_seconds(), self.abandon, exchange, limit)
+
     def abandon(self, exchange: Exchange, limit: asyncio.Timeout) -> None:
         """End an attempt that takes too long, if another one may be made."""
         is_replayable = exchange.body.replayable
