--- a/features/readiness.feature
+++ b/features/readiness.feature
@@ -10,3 +10,9 @@
       | lacks | knows  | serving       | not ready |
       | knows | lacks  | serving       | not ready |
       | knows | knows  | shutting down | not ready |
+
+  Scenario: Metrics are served as text
+    Given the metrics of a daemon
+    When 3 pieces of work end as "failed" after 200 ms
+    Then the text has "wagtailstep_work_duration_seconds_count" of 3 for result "failed"
+    And the text has the gauge "wagtailstep_members"
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -271,6 +271,7 @@
     :param service: service of the backend server beside the daemon, which backend
         servers are told as the caller of requests that begin here; may be empty.
     :param ready_address: ``host:port`` where readiness is asked for; empty for none.
+    :param metrics_address: ``host:port`` of ``GET /metrics``; empty for none.
     :param shutdown_ms: longest time between SIGTERM and the end of the process; 0
         takes the drain limits of the table.
     :param shutdown_notice_ms: time for which the daemon takes new connections after
@@ -288,6 +289,7 @@
     seed: int | None = None
     service: str = ""
     ready_address: str = ""
+    metrics_address: str = ""
     shutdown_ms: int = not_negative(0)
     shutdown_notice_ms: int = positive(1_000)
     requests: RequestSettings = RequestSettings()
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -41,9 +41,9 @@
 from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.network.peer_channel import ZeroMqPeerChannel
 from wagtailstep.network.prober import Prober
-from wagtailstep.network.readiness import add_ready_route
 from wagtailstep.network.relay import HttpRelay
 from wagtailstep.network.runtime import Outside, Runtime
+from wagtailstep.network.watch_routes import add_metrics_route, add_ready_route
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
@@ -153,10 +153,13 @@
         self.add_announcements(self.announce_app)
         self.ready_app = Application(router=Router())
         add_ready_route(self.ready_app, self.blackboard)
+        self.metrics_app = Application(router=Router())
+        add_metrics_route(self.metrics_app, self.metrics.export_text)
         self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
         self.gate_server = HttpServer(gate_app, gate_app.announce_closing)
         self.announce_server = HttpServer(self.announce_app, lambda: None)
         self.ready_server = HttpServer(self.ready_app, lambda: None)
+        self.metrics_server = HttpServer(self.metrics_app, lambda: None)
         self.caller_app = caller_app
 
     async def start(self) -> None:
@@ -167,6 +170,7 @@
         """
         await self.announce_app.start()
         await self.ready_app.start()
+        await self.metrics_app.start()
         await self.caller_app.own.start()
         async with asyncio.TaskGroup() as group:
             group.create_task(self.gate_server.start(self.settings.gate_address))
@@ -176,6 +180,10 @@
             group.create_task(self.caller_server.start(self.settings.caller_address))
             if self.settings.ready_address:
                 group.create_task(self.ready_server.start(self.settings.ready_address))
+            if self.settings.metrics_address:
+                group.create_task(
+                    self.metrics_server.start(self.settings.metrics_address)
+                )
         await self.runtime.start()
         self.runtime.record_event(
             "daemon-started",
@@ -226,6 +234,7 @@
             self.gate_server,
             self.announce_server,
             self.ready_server,
+            self.metrics_server,
         ):
             await server.close()
         self.client.close()
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -1,14 +1,17 @@
-"""Metrics of one daemon, by OpenTelemetry, read over HTTP as JSON."""
+"""Metrics of one daemon, by OpenTelemetry, read over HTTP as JSON or as text."""
 
 from collections.abc import Iterable
 from typing import Any
 
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import CallbackOptions, Observation
 from opentelemetry.sdk.metrics import MeterProvider
 from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry, generate_latest
 
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.gate import WorkEnded
 from wagtailstep.models.request import RequestOutcome
 
 
@@ -33,7 +36,9 @@
                 "cloud.availability_zone": member.availability_zone,
             }
         )
-        provider = MeterProvider([self.reader], resource=resource)
+        self.registry = CollectorRegistry()
+        text_reader = PrometheusMetricReader(registry=self.registry)
+        provider = MeterProvider([self.reader, text_reader], resource=resource)
         self.meter = provider.get_meter("wagtailstep")
         self.attempts = self.meter.create_counter(
             "wagtailstep.attempts", unit="1", description="Attempts that ended."
@@ -43,6 +48,11 @@
             unit="s",
             description="Time from sending to the head of the answer or the failure.",
         )
+        self.work = self.meter.create_histogram(
+            "wagtailstep.work.duration",
+            unit="s",
+            description="Time that the backend server beside this daemon worked.",
+        )
         self.observe_blackboard()
 
     def observe_blackboard(self) -> None:
@@ -58,7 +68,10 @@
             self.meter.create_observable_gauge(name, [_make_callback(read)])
 
     def handle(self, event: Any) -> list[Any]:
-        """Count the event if it is the end of an attempt."""
+        """Count the event if it is the end of an attempt or of a piece of work."""
+        if isinstance(event, WorkEnded):
+            result = {"result": event.result.value}
+            self.work.record(event.took.total_seconds(), result)
         if isinstance(event, RequestOutcome):
             attributes = {
                 "service": event.request.service,
@@ -70,6 +83,10 @@
             self.latency.record(event.latency.total_seconds(), service)
         return []
 
+    def export_text(self) -> bytes:
+        """Return all metrics in the text form that collectors read."""
+        return generate_latest(self.registry)
+
     def export_json(self) -> str:
         """Return all metrics as JSON in OpenTelemetry's data model."""
         data = self.reader.get_metrics_data()
--- a/src/wagtailstep/network/readiness.py
+++ b/src/wagtailstep/network/watch_routes.py
@@ -1,10 +1,14 @@
-"""Whether this daemon takes requests, for those who send it some."""
+"""What a daemon tells those who watch it: readiness and metrics."""
 
-from blacksheep import Application, Request, Response
+from collections.abc import Callable
+
+from blacksheep import Application, Content, Request, Response
 
 from wagtailstep.models.blackboard import Blackboard
 
 READY_PATH = "/v1/ready"
+METRICS_PATH = "/metrics"
+METRICS_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
 
 
 def is_ready(blackboard: Blackboard) -> bool:
@@ -21,3 +25,12 @@
         return Response(200 if is_ready(blackboard) else 503)
 
     app.router.add_get(READY_PATH, show_ready)
+
+
+def add_metrics_route(app: Application, export_text: Callable[[], bytes]) -> None:
+    """Answer ``GET /metrics`` with metrics in their text form."""
+
+    async def show_metrics(request: Request) -> Response:
+        return Response(200, None, Content(METRICS_TYPE, export_text()))
+
+    app.router.add_get(METRICS_PATH, show_metrics)
