Share the calls to the platform's services; say where constants come from

The clients of the log and of the metadata store had the same call, reply and time-outs; network/service_calls.py has them once.

--- a/examples/demo_run.py
+++ b/examples/demo_run.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -272,6 +273,8 @@
         tallies = [callers.tally for callers in self.callers]
         refused = sum((Counter(t.refused) for t in tallies), Counter())
         say(f"refused={dict(refused)}")
+        for reason in itertools.chain(*(t.cut_reasons for t in tallies)):
+            say(f"cut={reason}")
         non_idempotent = set().union(*(t.non_idempotent for t in tallies))
         false_not_run = find_false_not_run(tallies, runs)
         must_be_zero = {
--- a/examples/demo_traffic.py
+++ b/examples/demo_traffic.py
@@ -53,6 +53,7 @@
     :param wrong_answers: answers that belong to another request or are not whole
         and were given as whole.
     :param cut: requests whose connection broke after they were sent.
+    :param cut_reasons: what became of each of them, for whoever looks for the cause.
     :param told: what callers were told about each non-idempotent sending.
     :param non_idempotent: keys of all non-idempotent requests.
     :param fleet_ms: times of lookups through the fleet.
@@ -64,11 +65,17 @@
     refused: dict[str, int] = attrs.field(factory=dict)
     wrong_answers: int = 0
     cut: int = 0
+    cut_reasons: list[str] = attrs.field(factory=list)
     told: list[Told] = attrs.field(factory=list)
     non_idempotent: set[str] = attrs.field(factory=set)
     fleet_ms: list[float] = attrs.field(factory=list)
     direct_ms: list[float] = attrs.field(factory=list)
 
+    def note_cut(self, entry: str, error: RequestError) -> None:
+        """Count a request that broke off at a daemon."""
+        self.cut += 1
+        self.cut_reasons.append(f"{entry}: {error.reason}: {error}")
+
 
 @attrs.frozen
 class Sending:
@@ -201,14 +208,14 @@
             try:
                 answer = await self.client.send(request)
                 body = await read_whole(answer)
-            except TruncatedAnswerError:
+            except TruncatedAnswerError as error:
                 # A broken transfer is a true outcome, but not in a planned change.
-                self.tally.cut += 1
+                self.tally.note_cut(entry, error)
                 return False
             except RequestError as error:
                 if error.verdict is Verdict.NOT_RUN:
                     continue
-                self.tally.cut += 1
+                self.tally.note_cut(entry, error)
                 return False
             ended = asyncio.get_running_loop().time()
             self.note_told(sending, answer, started, ended)
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -19,7 +19,8 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-# Processes of backend servers beside one daemon whose late announcements are told.
+# Processes of backend servers beside one daemon whose late announcements are told; one
+# instance sees a few a day.
 MAX_REGISTRATIONS = 64
 
 
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -33,6 +33,7 @@
 
 ROUNDS_PER_RENEWAL = 3
 OWN_UPDATE_FANOUT = 8
+# Up to as many peers are told of a change directly, which is one message for each.
 DIRECT_FANOUT = 32
 FORWARD_FANOUT = 4
 PULLS_PER_TICK = 10
--- a/src/wagtailstep/controllers/path_watch.py
+++ b/src/wagtailstep/controllers/path_watch.py
@@ -22,6 +22,7 @@
 # A lost packet delays a connection by about a retransmission; a cut lasts seconds.
 FIRST_AVOIDANCE = timedelta(seconds=1)
 LONGEST_AVOIDANCE = timedelta(seconds=4)
+# Weight of the newest latency in the usual one.
 LATENCY_WEIGHT = 0.1
 
 
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -25,7 +25,8 @@
 from wagtailstep.utils.clock import Clock
 
 ReadDocument = Callable[[TableDocument], Table]
-# Targets of the services of a small table are looked for before anyone asks.
+# Targets of the services of a small table are looked for before anyone asks; with many
+# services a daemon is to know only those that it is asked for.
 MAX_PREFETCHED_SERVICES = 32
 
 
--- a/src/wagtailstep/controllers/target_judge.py
+++ b/src/wagtailstep/controllers/target_judge.py
@@ -27,11 +27,14 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-# Nats. Log odds of an onset within the last second, for targets that fail each other
-# hour or less often; see docs/design/platform.md for the arithmetic of these.
+# Log odds in nats, as worked out in docs/design/platform.md. A server that has shown
+# nothing is failing with a probability of 5 %.
 PRIOR = -3.0
+# Failing is more likely than not.
 DOUBTED_ABOVE = 0.0
+# Failing with a probability of 95 %.
 FAILING_ABOVE = 3.0
+# Keeps the way back from a long failure as short as from a brief one.
 HIGHEST = 6.0
 EVIDENCE = {
     # ln(0.5 / 0.012): half of the work of a failing server fails, 1.2 % of a sound one.
@@ -39,17 +42,20 @@
     WorkResult.BROKEN: 3.7,
     WorkResult.LATE: 3.7,
     WorkResult.UNREACHABLE: 7.0,
-    # Says that it is full, which its gate has to know, not that it fails.
+    # Says that it is full, which is weak evidence, since its gate counts its slots.
     WorkResult.TURNED_AWAY: 0.5,
     # ln(0.5 / 0.988), a little more, so that three good answers undo one bad one.
     WorkResult.DONE: -1.2,
 }
-# A failing backend server mostly fails for seconds.
+# Suspicion stays this long after a failure and then fades by as many nats a second: a
+# server that gets no work is tried again within 4 s, as faults mostly last seconds.
 QUIET_TIME = timedelta(seconds=1.5)
 DECAY_PER_S = 1.5
-# Work that takes this many times as long as usual, and this long, is held up.
+# Work that takes this many times as long as usual, and this long, is held up. Work of
+# sound servers has a tail of about five times the usual.
 HELD_UP_FACTOR = 5.0
 HELD_UP_LEAST = timedelta(milliseconds=600)
+# Weight of the newest time in the usual one.
 AVERAGE_WEIGHT = 0.1
 # A request fails as soon as a call that it needs has failed.
 CALL_EXCUSES = timedelta(milliseconds=200)
--- a/src/wagtailstep/network/log_client.py
+++ b/src/wagtailstep/network/log_client.py
@@ -4,7 +4,6 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import attrs
 import msgspec
 
 from wagtailstep.exceptions import (
@@ -17,17 +16,11 @@
 )
 from wagtailstep.models.log import LogBatch, LogRecord, LogService
 from wagtailstep.models.log_wire import AppendReply, ReadReply, StreamReply
-from wagtailstep.models.settings import LogSettings, RequestSettings
+from wagtailstep.models.settings import LogSettings
 from wagtailstep.models.verdict import Verdict
-from wagtailstep.network.bodies import read_whole
-from wagtailstep.network.http_client import HttpClient
-from wagtailstep.network.http_connection import HttpRequest
-from wagtailstep.network.problems import yield_body
+from wagtailstep.network.service_calls import HttpReply, ServiceCalls
 from wagtailstep.utils.clock import LoopClock
 
-# Shorter than servers commonly keep an idle connection, so that few reads fail.
-IDLE_LIMIT_MS = 2_000
-
 _CREATED = 201
 _OK = 200
 _GONE = 410
@@ -37,18 +30,6 @@
 _T = TypeVar("_T")
 
 
-@attrs.frozen
-class HttpReply:
-    """A whole answer of the log service.
-
-    :param status: HTTP status code.
-    :param body: the whole body.
-    """
-
-    status: int
-    body: bytes
-
-
 class HttpLogService(LogService):
     """The log service behind ``host:port``.
 
@@ -60,17 +41,16 @@
     """
 
     def __init__(self, settings: LogSettings) -> None:
-        self.settings = settings
         self.timeout = timedelta(milliseconds=settings.timeout_ms)
         split_address(settings.address)
-        self.client = HttpClient(
-            RequestSettings(connection_idle_ms=IDLE_LIMIT_MS), LoopClock()
-        )
+        self.calls = ServiceCalls(settings.address, self.timeout, LoopClock())
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append one record; see :meth:`LogService.append`."""
         try:
-            reply = await self.call("POST", f"{_path(stream)}/records", data)
+            reply = await self.calls.call(
+                "POST", f"{_path(stream)}/records", data, self.timeout
+            )
         except RequestError as error:
             raise describe_append_failure(error) from error
         if reply.status == _CREATED:
@@ -101,34 +81,13 @@
         :raises LogUnavailableError: if there was no whole answer in time.
         """
         try:
-            return await self.call("GET", path, b"")
+            return await self.calls.call("GET", path, b"", self.timeout)
         except RequestError as error:
             raise LogUnavailableError(f"the log can't be read: {error}") from error
 
-    async def call(self, method: str, path: str, body: bytes) -> HttpReply:
-        """Send one request, once; only reads may use an old kept connection.
-
-        :raises RequestError: ``NOT_RUN`` only if nothing was sent.
-        """
-        request = HttpRequest(
-            address=self.settings.address,
-            method=method,
-            path=path,
-            headers=(
-                ("host", self.settings.address),
-                ("content-type", "application/octet-stream"),
-                ("content-length", str(len(body))),
-            ),
-            body=yield_body(body),
-            idempotent=method == "GET",
-            time_left=self.timeout,
-        )
-        answer = await self.client.send(request)
-        return HttpReply(answer.status, await read_whole(answer))
-
     def close(self) -> None:
         """Close the kept connections."""
-        self.client.close()
+        self.calls.close()
 
 
 def describe_append_failure(error: RequestError) -> LogError:
--- /dev/null
+++ b/src/wagtailstep/network/service_calls.py
@@ -0,0 +1,72 @@
+"""Calls to a service of the platform, each sent once and answered whole."""
+
+from datetime import timedelta
+
+import attrs
+
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.bodies import read_whole
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
+from wagtailstep.utils.clock import Clock
+
+# Shorter than servers commonly keep an idle connection, so that few calls fail.
+IDLE_LIMIT_MS = 2_000
+
+
+@attrs.frozen
+class HttpReply:
+    """A whole answer.
+
+    :param status: HTTP status code.
+    :param body: the whole body.
+    """
+
+    status: int
+    body: bytes
+
+
+class ServiceCalls:
+    """Call one service over a pool of connections.
+
+    :param address: ``host:port`` of the service.
+    :param connect_timeout: time to open a connection.
+    :param clock: ages kept connections.
+    """
+
+    def __init__(self, address: str, connect_timeout: timedelta, clock: Clock) -> None:
+        self.address = address
+        settings = RequestSettings(
+            connection_idle_ms=IDLE_LIMIT_MS,
+            connect_timeout_ms=connect_timeout // timedelta(milliseconds=1),
+        )
+        self.client = HttpClient(settings, clock)
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout: timedelta
+    ) -> HttpReply:
+        """Send one request, once; only reads may use an old kept connection.
+
+        :param timeout: time until the whole answer must have arrived.
+        :raises RequestError: ``NOT_RUN`` only if nothing was sent.
+        """
+        request = HttpRequest(
+            address=self.address,
+            method=method,
+            path=path,
+            headers=(
+                ("host", self.address),
+                ("content-type", "application/octet-stream"),
+                ("content-length", str(len(body))),
+            ),
+            body=yield_body(body),
+            idempotent=method == "GET",
+            time_left=timeout,
+        )
+        answer = await self.client.send(request)
+        return HttpReply(answer.status, await read_whole(answer))
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self.client.close()
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -18,6 +18,7 @@
 # passes on what it reads; see docs/design/platform.md.
 SHORTEST_WAIT_S = 4.0
 LONGEST_WAIT_S = 10.0
+# A store that refuses calls is asked again within its bound for changes, 2 s.
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 1.5
 
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -8,7 +8,6 @@
 from http import HTTPStatus
 from typing import TypeVar
 
-import attrs
 import msgspec
 
 from wagtailstep.exceptions import (
@@ -18,12 +17,8 @@
     RequestError,
 )
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
-from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
-from wagtailstep.network.bodies import read_whole
-from wagtailstep.network.http_client import HttpClient
-from wagtailstep.network.http_connection import HttpRequest
-from wagtailstep.network.problems import yield_body
+from wagtailstep.network.service_calls import HttpReply, ServiceCalls
 from wagtailstep.platform.settings import StoreSettings
 from wagtailstep.utils.clock import Clock
 
@@ -32,8 +27,6 @@
     Collection.TABLE: "keyed.op",
     Collection.MEMBERS: "keyed.wagtailstep-members",
 }
-# The store may close idle connections; a call on a dead one is an outage.
-CONNECTION_IDLE_MS = 2_000
 MILLISECOND = timedelta(milliseconds=1)
 LENGTH = struct.Struct(">I")
 OFFSETS = struct.Struct(">QQ")
@@ -78,14 +71,6 @@
     first: int = 0
 
 
-@attrs.frozen
-class StoreReply:
-    """A whole answer of the store."""
-
-    status: int
-    body: bytes
-
-
 class PlatformStore:
     """Collections kept in topics of the store; see :class:`KeyedStore`.
 
@@ -94,15 +79,8 @@
     """
 
     def __init__(self, settings: StoreSettings, clock: Clock) -> None:
-        self.settings = settings
         self.timeout = settings.timeout_ms * MILLISECOND
-        self.client = HttpClient(
-            RequestSettings(
-                connection_idle_ms=CONNECTION_IDLE_MS,
-                connect_timeout_ms=settings.timeout_ms,
-            ),
-            clock,
-        )
+        self.calls = ServiceCalls(settings.address, self.timeout, clock)
 
     async def read_newest(self, collection: Collection) -> KeyedRecords:
         """Read all records, page by page."""
@@ -144,7 +122,7 @@
         body = LENGTH.pack(len(record)) + record
         path = f"/v1/log-append?topic={TOPICS[collection]}&part=0"
         try:
-            reply = await self.call("POST", path, body, self.timeout)
+            reply = await self.calls.call("POST", path, body, self.timeout)
         except RequestError as error:
             if error.verdict is Verdict.NOT_RUN:
                 raise LogUnavailableError(
@@ -156,44 +134,22 @@
         if reply.status != HTTPStatus.OK:
             raise AppendUnknownError(f"the store answered an append: {reply.status}")
 
-    async def get(self, path: str, timeout: timedelta) -> StoreReply:
+    async def get(self, path: str, timeout: timedelta) -> HttpReply:
         """Send a read.
 
         :raises LogUnavailableError: if there was no whole answer in time.
         """
         try:
-            return await self.call("GET", path, b"", timeout)
+            return await self.calls.call("GET", path, b"", timeout)
         except RequestError as error:
             raise LogUnavailableError(f"the store can't be read: {error}") from error
 
-    async def call(
-        self, method: str, path: str, body: bytes, timeout: timedelta
-    ) -> StoreReply:
-        """Send one request, once.
-
-        :raises RequestError: if there was no whole answer.
-        """
-        request = HttpRequest(
-            address=self.settings.address,
-            method=method,
-            path=path,
-            headers=(
-                ("host", self.settings.address),
-                ("content-length", str(len(body))),
-            ),
-            body=yield_body(body),
-            idempotent=method == "GET",
-            time_left=timeout,
-        )
-        answer = await self.client.send(request)
-        return StoreReply(answer.status, await read_whole(answer))
-
     def close(self) -> None:
         """Close the kept connections."""
-        self.client.close()
+        self.calls.close()
 
 
-def check_ok(reply: StoreReply) -> bytes:
+def check_ok(reply: HttpReply) -> bytes:
     """Return the body of a good answer.
 
     :raises LogUnavailableError: if it is another one.
