Remember a withdrawal that an earlier process of the daemon was announced to

Cause, found by reading: a target that withdraws just after its daemon restarted is not known there; the withdrawal was acknowledged and forgotten, and a late heartbeat made the target take new work again. The adapter kept names of targets, which is state. Ruled out: known targets; sequence and start tell their late heartbeats. Change: the withdrawal goes to the controller by the target's own name; for 10 s announcements of processes that started before it are late ones. Tests: features/late_announcements.feature, which had no such event before.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -27,3 +27,24 @@
     When process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
     Then the target "contracts/i-1" is "gone"
     And the target "archive/i-2" is "serving"
+
+  Scenario: A withdrawal by name ends the target of that name
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And instance "i-1" of "contracts" withdraws at 9
+    Then the target "contracts/i-1" is "leaving"
+
+  Scenario: A daemon that restarted after a withdrawal takes no late announcement
+    When instance "i-1" of "contracts" withdraws at 9
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "gone"
+
+  Scenario: A process that started after the withdrawal is a new start
+    When instance "i-1" of "contracts" withdraws at 9
+    And process 12 of "contracts/i-1" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "serving"
+
+  Scenario: A clock that was set back keeps no new process out for long
+    When instance "i-1" of "contracts" withdraws at 9
+    And 11 seconds pass without an announcement
+    And process 8 of "contracts/i-1" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "serving"
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from wagtailstep.models.events import TargetAnnounced
+from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
 from wagtailstep.models.fleet import Target, TargetState
 
 
@@ -28,3 +28,8 @@
     target = context.board.targets.get(target_id)
     found = "gone" if target is None else target.state.value
     assert found == state, found
+
+
+@when('instance "{instance_id}" of "{service}" withdraws at {at:d}')
+def withdraw_instance(context, instance_id, service, at):
+    context.controller.handle(InstanceWithdrawn(instance_id, service, at))
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -176,7 +176,7 @@
 
 def read_heartbeat(body):
     """Return the announcement of a heartbeat, or ``None``."""
-    routes = HeartbeatRoutes(lambda event: None, SETTINGS)
+    routes = HeartbeatRoutes(lambda event: None, SETTINGS, LoopClock())
     try:
         return routes.read("i-1", body)
     except (msgspec.MsgspecError, BadRequestError, DecodeError):
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -10,6 +10,7 @@
 
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
+    InstanceWithdrawn,
     RecordEvent,
     TargetAnnounced,
     TargetWithdrawn,
@@ -22,6 +23,9 @@
 # Processes of backend servers beside one daemon whose late announcements are told; one
 # instance sees a few a day.
 MAX_REGISTRATIONS = 64
+# An announcement is seconds late at the most. Beyond that a clock that was set back is
+# the likelier reason for a start that seems to lie before a withdrawal.
+LATE_ANNOUNCEMENTS = timedelta(seconds=10)
 
 
 @attrs.define
@@ -43,11 +47,13 @@
     :param born: when its process started.
     :param sequence: number of the announcement.
     :param left: whether that process said that it leaves.
+    :param forget_at: monotonic time when it is forgotten; ``None`` for never.
     """
 
     born: int = 0
     sequence: int = 0
     left: bool = False
+    forget_at: timedelta | None = None
 
     def take(self, born: int, sequence: int) -> bool:
         """Take an announcement.
@@ -58,6 +64,7 @@
             return False
         if born > self.born:
             self.born, self.sequence, self.left = born, sequence, False
+            self.forget_at = None
             return True
         if sequence and sequence <= self.sequence:
             return False
@@ -160,13 +167,42 @@
             registration.left = True
         return self._start_leaving(event.target_id, "withdrawn")
 
+    @handle.register
+    def _(self, event: InstanceWithdrawn) -> list[Any]:
+        names = [
+            name
+            for name in self.registrations
+            if name.partition("/")[2] == event.instance_id
+        ]
+        if not names:
+            # It was announced to an earlier process of this daemon. Announcements that
+            # it made before are late ones from now on.
+            name = f"{event.service}/{event.instance_id}"
+            forget_at = self.clock.monotonic() + LATE_ANNOUNCEMENTS
+            self.registrations[name] = Registration(
+                born=event.at, left=True, forget_at=forget_at
+            )
+            return []
+        effects: list[Any] = []
+        for name in names:
+            self.registrations[name].left = True
+            effects += self._start_leaving(name, "withdrawn")
+        return effects
+
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         effects: list[Any] = []
+        self._forget_registrations()
         for target_id, lease in list(self.leases.items()):
             effects += self._check(target_id, lease)
         return effects
 
+    def _forget_registrations(self) -> None:
+        now = self.clock.monotonic()
+        for name, registration in list(self.registrations.items()):
+            if registration.forget_at is not None and now >= registration.forget_at:
+                del self.registrations[name]
+
     def _check(self, target_id: str, lease: LocalLease) -> list[Any]:
         now = self.clock.monotonic()
         if lease.leaving_since is not None:
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -113,6 +113,20 @@
     target_id: str
 
 
+@attrs.frozen
+class InstanceWithdrawn:
+    """A backend server beside this daemon left and told its own name only.
+
+    :param instance_id: what it calls itself.
+    :param service: its service, if it was not announced to this daemon.
+    :param at: when it left, in the unit of ``TargetAnnounced.born``.
+    """
+
+    instance_id: str
+    service: str
+    at: int
+
+
 @attrs.frozen
 class GateSilent:
     """A gate could not be reached to ask about a request that it was sent.
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -52,7 +52,7 @@
 
     def add_announcements(self, app: Application) -> None:
         """Take heartbeats in place of announcements."""
-        add_heartbeat_routes(app, self.runtime.dispatch, self.settings)
+        add_heartbeat_routes(app, self.runtime.dispatch, self.settings, self.clock)
 
     async def start(self) -> None:
         """Start the daemon and follow the operator's configuration."""
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -8,11 +8,12 @@
 from blacksheep import Application, Content, Request, Response
 
 from wagtailstep.exceptions import BadRequestError, DecodeError
-from wagtailstep.models.events import TargetAnnounced, TargetWithdrawn
+from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.announcements import check_address, check_slots
 from wagtailstep.platform.configuration import read_time
+from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -43,15 +44,15 @@
 
     :param dispatch: takes the events.
     :param settings: settings of the daemon.
+    :param clock: tells when a target left.
     """
 
     def __init__(
-        self, dispatch: Callable[[Any], None], settings: DaemonSettings
+        self, dispatch: Callable[[Any], None], settings: DaemonSettings, clock: Clock
     ) -> None:
         self.dispatch = dispatch
         self.settings = settings
-        # A withdrawal names no service.
-        self.target_ids: dict[str, str] = {}
+        self.clock = clock
 
     async def beat(self, request: Request) -> Response:
         """Take a heartbeat."""
@@ -61,7 +62,6 @@
         except (msgspec.MsgspecError, BadRequestError, DecodeError) as error:
             log_event(LOGGER, "heartbeat-refused", instance=instance_id, error=error)
             return Response(400)
-        self.target_ids[instance_id] = event.target.target_id
         self.dispatch(event)
         return Response(200, None, Content(b"application/json", b"{}"))
 
@@ -92,17 +92,22 @@
 
     async def leave(self, request: Request) -> Response:
         """Take the withdrawal of a target."""
-        target_id = self.target_ids.get(request.route_values["id"])
-        if target_id is not None:
-            self.dispatch(TargetWithdrawn(target_id))
+        instance_id = request.route_values["id"]
+        # ``born`` of a heartbeat is Unix time in milliseconds as well.
+        now_ms = int(self.clock.utc().timestamp() * 1_000)
+        event = InstanceWithdrawn(instance_id, self.settings.service, now_ms)
+        self.dispatch(event)
         return Response(200, None, Content(b"application/json", b"{}"))
 
 
 def add_heartbeat_routes(
-    app: Application, dispatch: Callable[[Any], None], settings: DaemonSettings
+    app: Application,
+    dispatch: Callable[[Any], None],
+    settings: DaemonSettings,
+    clock: Clock,
 ) -> None:
     """Add the routes for heartbeats to an application."""
-    routes = HeartbeatRoutes(dispatch, settings)
+    routes = HeartbeatRoutes(dispatch, settings, clock)
 
     # The router marks its handlers, which only plain functions allow.
     async def beat(request: Request) -> Response:
