Break off no attempt to replace it while the daemon shuts down

Ruled out: the shutdown's limit; the request ended 1.2 s after SIGTERM. Change: no attempt is ended for its patience once the daemon shuts down. Test: features/asking_gates.feature failed before.

--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -43,3 +43,13 @@
     Given gates that refuse all attempts
     When 5 idempotent requests look for a slot one at a time
     Then each ended with status 503 and verdict "not-run"
+
+  Scenario Outline: A daemon that shuts down breaks off no attempt to make another one
+    Given gates without a free slot that expect waits of 50 to 400 ms
+    When the daemon is <phase> and an attempt has taken too long
+    Then the attempt is <fate>
+
+    Examples:
+      | phase         | fate       |
+      | serving       | broken off |
+      | shutting down | kept       |
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -82,6 +82,11 @@
     def send(self, serial, idempotent=False):
         """Send one request and keep the error that it ends with, if any."""
         self.asked = []
+        exchange = self.make_exchange(serial, idempotent)
+        self.routing.admit(exchange.request)
+        return self.run(exchange)
+
+    def make_exchange(self, serial, idempotent):
         now = self.clock.monotonic()
         request = RequestContext(
             request_id=f"r{serial}",
@@ -98,9 +103,7 @@
         )
         incoming = IncomingRequest("POST", "/", (), yield_body(b""))
         body = ReplayableBody(incoming.body, 1024)
-        exchange = Exchange(request, incoming, body, self.routing)
-        self.routing.admit(request)
-        return self.run(exchange)
+        return Exchange(request, incoming, body, self.routing)
 
     def run(self, exchange):
         async def main():
@@ -337,3 +340,31 @@
 def check_ends(context, status, verdict):
     ends = [(error.status, error.verdict.value) for error in context.world.errors]
     assert ends == [(status, verdict)] * len(context.sent), ends
+
+
+class FakeLimit:
+    """Stands for the time limit of an attempt."""
+
+    ended = False
+
+    def reschedule(self, when):
+        self.ended = True
+
+
+@when("the daemon is {phase} and an attempt has taken too long")
+def end_patience(context, phase):
+    world = context.world
+    world.board.draining = phase == "shutting down"
+    world.sender.retries.record_first_attempt("contracts")
+    exchange = world.make_exchange(1, idempotent=True)
+    context.limit = FakeLimit()
+
+    async def main():
+        world.sender.abandon(exchange, context.limit)
+
+    asyncio.run(main())
+
+
+@then("the attempt is {fate}")
+def check_fate(context, fate):
+    assert context.limit.ended == (fate == "broken off")
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -317,7 +317,13 @@
         return loop.call_later(patience.total_seconds(), self.abandon, exchange, limit)
 
     def abandon(self, exchange: Exchange, limit: asyncio.Timeout) -> None:
-        """End an attempt that takes too long, if another one may be made."""
+        """End an attempt that takes too long, if another one may be made.
+
+        A daemon that shuts down finishes what runs: the next attempt may be refused,
+        and then a request was cut that its backend server was at work on.
+        """
+        if self.blackboard.draining:
+            return
         is_replayable = exchange.body.replayable
         if is_replayable and self.retries.take_replacement(
             exchange.request, exchange.sent + 1
