Remove a field nobody reads and small repetitions from the platform work

RequestContext.given_up_at was never read. Reading a whole-number header, ending a withdrawn target, trimming contacts, the limit of sendings and the end of a started piece of work stood twice; each stands once now.

--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -162,10 +162,7 @@
 
     @handle.register
     def _(self, event: TargetWithdrawn) -> list[Any]:
-        registration = self.registrations.get(event.target_id)
-        if registration is not None:
-            registration.left = True
-        return self._start_leaving(event.target_id, "withdrawn")
+        return self._withdraw(event.target_id)
 
     @handle.register
     def _(self, event: InstanceWithdrawn) -> list[Any]:
@@ -185,10 +182,15 @@
             return []
         effects: list[Any] = []
         for name in names:
-            self.registrations[name].left = True
-            effects += self._start_leaving(name, "withdrawn")
+            effects += self._withdraw(name)
         return effects
 
+    def _withdraw(self, target_id: str) -> list[Any]:
+        registration = self.registrations.get(target_id)
+        if registration is not None:
+            registration.left = True
+        return self._start_leaving(target_id, "withdrawn")
+
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         effects: list[Any] = []
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -89,8 +89,7 @@
         others = [name for name in sorted(addresses) if name != this.daemon_id]
         chosen = self.rng.sample(others, min(len(others), MAX_LOG_CONTACTS))
         self.from_log.update((name, addresses[name]) for name in chosen)
-        while len(self.from_log) > MAX_LOG_CONTACTS:
-            del self.from_log[next(iter(self.from_log))]
+        self._forget_oldest()
         return self._request(this, [addresses[name] for name in chosen], "")
 
     def settle_registration(self, succeeded: bool, now: timedelta) -> None:
@@ -131,6 +130,9 @@
             return
         self.from_log.pop(record.daemon_id, None)
         self.from_log[record.daemon_id] = record.peer_address
+        self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
         while len(self.from_log) > MAX_LOG_CONTACTS:
             del self.from_log[next(iter(self.from_log))]
 
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -197,7 +197,7 @@
         assert self.shared is not None
         if attempts >= MAX_UNSENT_ATTEMPTS + sent:
             return False
-        if sent >= min(request.max_attempts, self.settings.max_attempts):
+        if not self.has_attempts(request, sent):
             return False
         if isinstance(error, OverloadedError) and attempts > MAX_BUSY_ATTEMPTS:
             return False
@@ -212,10 +212,14 @@
         """Tell whether a failure that a backend server answered is to be replaced."""
         if self.shared is None or not request.idempotent:
             return False
-        if sent >= min(request.max_attempts, self.settings.max_attempts):
+        if not self.has_attempts(request, sent):
             return False
         return self.has_time(request) and self.shared.take(request)
 
+    def has_attempts(self, request: RequestContext, sent: int) -> bool:
+        """Tell whether a request may be sent to one more backend server."""
+        return sent < min(request.max_attempts, self.settings.max_attempts)
+
     def has_time(self, request: RequestContext) -> bool:
         """Tell whether enough time is left for another attempt."""
         left = request.deadline - self.clock.monotonic()
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -32,8 +32,6 @@
     :param aim: time within which an answer is of full use; zero if unknown.
     :param priority: rank among the routes of its service; 0 goes first.
     :param max_attempts: targets that it may be sent to.
-    :param given_up_at: monotonic time when the caller stops waiting; it may be later
-        than ``deadline``, which a route can bring forward.
     :param aim_at: monotonic time until which an answer is of full use, if known.
     :param may_wait: whether a gate may keep it for longer than a moment until a slot
         is free.
@@ -55,7 +53,6 @@
     aim: timedelta = timedelta()
     priority: int = 0
     max_attempts: int = NO_LIMIT
-    given_up_at: timedelta | None = None
     aim_at: timedelta | None = None
     may_wait: bool = True
     chosen_standing: TargetStanding = TargetStanding.FAILING
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -46,6 +46,7 @@
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.gate import GateService
+from wagtailstep.network.gate_answers import read_number
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 
@@ -156,12 +157,6 @@
     return (*headers, (STANDING, str(int(request.chosen_standing))))
 
 
-def _read_ms(value: str | None) -> timedelta | None:
-    if value is None or not value.isdigit():
-        return None
-    return int(value) * MILLISECOND
-
-
 def make_headers(
     request: RequestContext,
     target_id: str,
@@ -263,8 +258,8 @@
 
 def read_retry_after(headers: Headers) -> timedelta | None:
     """Return the time after which the gate may be asked again."""
-    exact = _read_ms(find_header(headers, RETRY_AFTER_MS))
-    if exact is not None:
-        return exact
+    exact_ms = read_number(headers, RETRY_AFTER_MS)
+    if exact_ms is not None:
+        return exact_ms * MILLISECOND
     value = find_header(headers, RETRY_AFTER)
     return timedelta(seconds=int(value)) if value and value.isdigit() else None
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -156,9 +156,9 @@
             answer = await self.run(request, incoming)
         except BaseException:
             self.started.pop(request.serial, None)
-            self.dispatch(WorkStopped(request.serial))
             raise
-        self.dispatch(WorkStopped(request.serial))
+        finally:
+            self.dispatch(WorkStopped(request.serial))
         own_headers = (
             (VERDICT, Verdict.RUN.value),
             (REQUEST_ID, request.request_id),
--- a/src/wagtailstep/network/interpret.py
+++ b/src/wagtailstep/network/interpret.py
@@ -87,7 +87,6 @@
         aim=route.aim,
         priority=route.priority,
         max_attempts=route.max_attempts,
-        given_up_at=now + allowed,
         aim_at=now + route.aim if route.aim else None,
     )
 
