Load only what the platform's program uses

Ruled out: stale byte code (all modules match their cache); the run itself (0.55 million calls a daemon in 20 s).

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -22,8 +22,13 @@
       | fakes    | backend contracts --address=1:1:1          | 2    | key address: '1:1:1'         |
       | fakes    | backend contracts --address=host.invalid:1 | 2    | can't be listened on         |
       | fakes    | backends /nowhere.json                     | 2    | /nowhere.json: can't be read |
+      | platform | check                                      | 2    | names no settings file       |
 
   Scenario: A daemon whose address is taken says so
     Given a settings file whose caller address is taken
     When the daemon is run with that file
     Then it ends with code 2 and one line that contains "can't be used"
+
+  Scenario: The platform's program loads nothing that follows a log
+    When a fresh interpreter loads the platform's program
+    Then no module of log, evidence or ejection is loaded
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -32,11 +32,11 @@
     MembershipSettings,
     RequestSettings,
 )
-from wagtailstep.network.daemon import Daemon
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.network.log_client import HttpLogService
+from wagtailstep.network.log_daemon import LogDaemon
 from wagtailstep.network.log_follower import LogFollower
 from wagtailstep.network.runtime import Outside, Runtime
 from wagtailstep.utils.clock import LoopClock, ManualClock
@@ -262,8 +262,8 @@
         self.ports = PortHolder(8)
         ports = self.ports.addresses
         self.daemons = [
-            Daemon(self.make_settings("one", ports[:4], ports[6]), self.clock),
-            Daemon(self.make_settings("two", ports[4:], ports[2]), self.clock),
+            LogDaemon(self.make_settings("one", ports[:4], ports[6]), self.clock),
+            LogDaemon(self.make_settings("two", ports[4:], ports[2]), self.clock),
         ]
         for daemon in self.daemons:
             await daemon.start()
--- a/features/steps/programs_steps.py
+++ b/features/steps/programs_steps.py
@@ -6,6 +6,7 @@
 import pathlib
 import shlex
 import socket
+import subprocess
 import sys
 import tempfile
 from unittest import mock
@@ -13,8 +14,18 @@
 from behave import given, then, when
 
 from wagtailstep.cli import daemon, fakes, timeline
+from wagtailstep.platform import program as platform
 
-PROGRAMS = {"daemon": daemon.main, "fakes": fakes.main, "timeline": timeline.main}
+PROGRAMS = {
+    "daemon": daemon.main,
+    "fakes": fakes.main,
+    "platform": platform.main,
+    "timeline": timeline.main,
+}
+LIST_MODULES = (
+    "import sys, wagtailstep.platform.program; print(*sys.modules, sep=chr(10))"
+)
+NEEDS_LOG = ("network.log_client", "controllers.evidence", "controllers.ejection")
 
 
 def run_program(context, program, arguments):
@@ -66,3 +77,17 @@
 @when("the daemon is run with that file")
 def run_with_file(context):
     run_program(context, "daemon", ["run", str(context.file)])
+
+
+@when("a fresh interpreter loads the platform's program")
+def list_modules(context):
+    command = [sys.executable, "-c", LIST_MODULES]
+    run = subprocess.run(command, capture_output=True, text=True, check=True)
+    context.modules = run.stdout.splitlines()
+
+
+@then("no module of log, evidence or ejection is loaded")
+def check_modules(context):
+    assert "wagtailstep.platform.daemon" in context.modules
+    loaded = {f"wagtailstep.{name}" for name in NEEDS_LOG}.intersection(context.modules)
+    assert not loaded, loaded
--- a/src/wagtailstep/cli/daemon.py
+++ b/src/wagtailstep/cli/daemon.py
@@ -7,7 +7,7 @@
 from wagtailstep.commands.read_settings import read_settings
 from wagtailstep.commands.run_daemon import run_daemon
 from wagtailstep.models.settings import DaemonSettings
-from wagtailstep.network.daemon import Daemon
+from wagtailstep.network.log_daemon import LogDaemon
 from wagtailstep.utils.clock import LoopClock
 
 
@@ -22,7 +22,7 @@
     settings = read_settings(str(file), DaemonSettings)
     whole = run_daemon(
         settings,
-        lambda: Daemon(settings, LoopClock()),
+        lambda: LogDaemon(settings, LoopClock()),
         lambda: read_settings(str(file), DaemonSettings),
     )
     return status_codes.SUCCESS if whole else status_codes.ERROR
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -71,13 +71,14 @@
 
 
 def exempt_startup_objects() -> None:
-    """Have the garbage collector pass over what exists now.
+    """Have the garbage collector run, and pass over what exists now.
 
     Modules and classes live as long as the process; looking through them again and
     again would hold up requests.
     """
     gc.collect()
     gc.freeze()
+    gc.enable()
 
 
 def describe_start_failure(group: BaseExceptionGroup) -> WagtailstepError:
--- a/src/wagtailstep/models/log.py
+++ b/src/wagtailstep/models/log.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from wagtailstep.exceptions import LogUnavailableError
+
 
 @attrs.frozen
 class LogRecord:
@@ -53,3 +55,28 @@
 
         :raises LogUnavailableError: if the log can't be read now.
         """
+
+    def close(self) -> None:
+        """Close what is kept open."""
+
+
+class NoLog:
+    """Stands for the log service where the platform has none."""
+
+    async def append(self, stream: str, data: bytes) -> int:
+        """Append nothing.
+
+        :raises LogUnavailableError: always.
+        """
+        raise LogUnavailableError(f"there is no log to append to {stream!r}")
+
+    async def read(self, stream: str, offset: int, limit: int = 1000) -> LogBatch:
+        """Return no records."""
+        return LogBatch((), offset, offset)
+
+    async def oldest_offset(self, stream: str) -> int:
+        """Return where a stream begins."""
+        return 0
+
+    def close(self) -> None:
+        """Close nothing."""
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -1,4 +1,8 @@
-"""One daemon: its controllers and adapters, wired together."""
+"""What every daemon runs, wired together, wherever its table and members come from.
+
+A daemon that needs no log doesn't load what reads it: loading code is most of what a
+start takes.
+"""
 
 import asyncio
 import logging
@@ -9,20 +13,15 @@
 import msgspec
 from blacksheep import Application, Router
 
-from wagtailstep.controllers.announcements import AnnouncementController
-from wagtailstep.controllers.dissemination import DisseminationController
-from wagtailstep.controllers.ejection import EjectionController
-from wagtailstep.controllers.evidence import EvidenceController
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.controllers.guard import DuplicateGuard
-from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.routing import RoutingController
-from wagtailstep.controllers.table import TableController
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Controller, GateSilent
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.keyed_store import KeyedStore, NoKeyedStore
+from wagtailstep.models.log import LogService, NoLog
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.status import DaemonStatus, describe_status
 from wagtailstep.network.announcements import add_announcement_routes
@@ -37,7 +36,6 @@
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_server import HttpServer
-from wagtailstep.network.log_client import HttpLogService
 from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.network.peer_channel import ZeroMqPeerChannel
 from wagtailstep.network.prober import Prober
@@ -52,7 +50,7 @@
 
 
 class Daemon:
-    """Everything that one daemon process runs.
+    """Everything that one daemon process runs, but for its source of configuration.
 
     :param settings: settings of the daemon.
     :param clock: the clock of all its components.
@@ -88,7 +86,7 @@
             self.rng,
             self.forwarder,
         )
-        self.log = HttpLogService(self.settings.log)
+        self.log = self.find_log()
         outside = Outside(
             log=self.log,
             channel=ZeroMqPeerChannel(self.settings, self.clock),
@@ -101,18 +99,11 @@
 
     def make_controllers(self) -> tuple[Controller, ...]:
         """Return the controllers; each sees what those before it wrote for an event."""
-        parts = (self.settings, self.blackboard, self.clock, self.rng)
-        return (
-            TableController(*parts),
-            MembershipController(*parts),
-            AnnouncementController(*parts),
-            DisseminationController(*parts),
-            EvidenceController(*parts),
-            EjectionController(*parts),
-            self.routing,
-            self.guard,
-            self.metrics,
-        )
+        raise NotImplementedError
+
+    def find_log(self) -> LogService:
+        """Return the platform's log service, or one without records."""
+        return NoLog()
 
     def find_store(self) -> KeyedStore:
         """Return the platform's keyed store, or one without records."""
--- a/src/wagtailstep/platform/program.py
+++ b/src/wagtailstep/platform/program.py
@@ -1,4 +1,4 @@
-"""The program that the platform starts on each machine."""
+"""The commands of the program that the platform starts on each machine."""
 
 import os
 import sys
@@ -49,7 +49,3 @@
 def main() -> None:
     """Run the program."""
     sys.exit(run_program({"run": run, "check": check}, "wagtailstep-platform"))
-
-
-if __name__ == "__main__":
-    main()
