--- a/features/routing.feature
+++ b/features/routing.feature
@@ -32,6 +32,21 @@
     When 4000 picks are made with nothing in flight
     Then target 4 gets between 1 and 15 percent of the picks
 
+  Scenario: First attempts mostly stay in their zone, further ones look everywhere
+    Given targets of other zones are drawn with 0.33 of their weight
+    And targets 2, 3, 4 are in zone "piassa"
+    When 4000 picks are made with nothing in flight
+    Then target 1 gets between 65 and 85 percent of the picks
+    When 4000 picks are made that avoid target 2
+    Then target 3 gets between 20 and 45 percent of the picks
+
+  Scenario: A lone target of the zone isn't overrun
+    Given targets of other zones are drawn with 0.33 of their weight
+    And targets 2, 3, 4 are in zone "piassa"
+    And 2 attempts are in flight at target 1
+    When 4000 picks are made with nothing else in flight
+    Then target 1 gets between 10 and 35 percent of the picks
+
   Scenario: Steering away respects the floor
     Given the floor of "contracts" is 3
     And picks steer away from targets 1, 2
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -119,6 +119,19 @@
     change_target(context, number, availability_zone=zone)
 
 
+@given('targets {numbers} are in zone "{zone}"')
+def set_zones(context, numbers, zone):
+    for number in read_numbers(numbers):
+        set_zone(context, number, zone)
+
+
+@given("targets of other zones are drawn with {share:g} of their weight")
+def set_other_zone_share(context, share):
+    settings = context.routing.settings
+    requests = attrs.evolve(settings.requests, other_zone_share=share)
+    context.routing.settings = attrs.evolve(settings, requests=requests)
+
+
 @given('the floor of "contracts" is {floor:g}')
 def set_floor(context, floor):
     row = ServiceRow("contracts", floor_weight=floor)
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -78,6 +78,8 @@
     :param candidates: the candidates, at least one.
     :param made: monotonic time when they were found.
     :param doubted: targets that their gates doubt, for requests that may fail.
+    :param draw_shares: the shares by which candidates are drawn; none takes those of
+        the candidates.
     """
 
     def __init__(
@@ -85,12 +87,14 @@
         candidates: list[Candidate],
         made: timedelta,
         doubted: Sequence[Candidate] = (),
+        draw_shares: Sequence[float] = (),
     ) -> None:
         self.candidates = candidates
         self.doubted = doubted
         self.made = made
-        self.shares = list(itertools.accumulate(c.share for c in candidates))
-        self.mean_share = self.shares[-1] / len(candidates)
+        shares = [c.share for c in candidates]
+        self.shares = list(itertools.accumulate(draw_shares or shares))
+        self.mean_share = sum(shares) / len(shares)
 
     def draw(self, rng: random.Random) -> tuple[Candidate, Candidate]:
         """Draw two candidates, perhaps the same one twice, by their shares."""
@@ -210,9 +214,20 @@
         usable = self.steer(service, candidates)
         kept = leave_out_doubted(usable)
         doubted = [c for c in usable if c.is_doubted and c not in kept]
-        choice = self.choices[service] = Choice(kept, now, doubted)
+        shares = [self.find_draw_share(c) for c in kept]
+        choice = self.choices[service] = Choice(kept, now, doubted, shares)
         return choice
 
+    def find_draw_share(self, candidate: Candidate) -> float:
+        """Return the share by which a candidate is drawn for a first attempt.
+
+        Bytes between zones cost, so the own zone gets more than its part. A gate
+        without a free slot says so at once, and further attempts look everywhere.
+        """
+        if candidate.target.availability_zone == self.settings.availability_zone:
+            return candidate.share
+        return candidate.share * self.settings.requests.other_zone_share
+
     def is_current(self, candidate: Candidate) -> bool:
         """Tell whether a candidate found not long ago may still be picked."""
         board = self.blackboard
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -125,6 +125,8 @@
     :param probe_path: path that a probe of a backend server asks for.
     :param other_zone_cost: factor on the cost of a target in another availability
         zone; 1 ignores zones.
+    :param other_zone_share: factor on the weight with which such a target is drawn
+        for a first attempt; 1 draws from all zones alike.
     :param replay_body_bytes: size up to which a request body is kept for a resend.
     :param account_buckets: client accounts whose rates are remembered at once.
     :param tickets_kept: tickets and claimed keys that one daemon remembers.
@@ -153,6 +155,7 @@
     connection_idle_ms: int = positive(5_000)
     probe_path: str = "/health"
     other_zone_cost: float = positive(1.25)
+    other_zone_share: float = positive(1.0)
     replay_body_bytes: int = positive(65_536)
     account_buckets: int = positive(1_024)
     tickets_kept: int = positive(10_000)
