Try a doubted target before a refusal

Ruled out: doubts without reason (the targets failed at once or reset). Change: an idempotent request that found no slot is sent to a doubted target once before it is refused, within the retry budget.

--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -34,6 +34,21 @@
     When 20 idempotent requests look for a slot one at a time
     Then some were sent twice
 
+  Scenario Outline: Where all good targets are full a doubted one is tried before a refusal
+    Given full gates of 6 good targets, and 2 doubted and 2 failing ones that answer
+    When 10 <kind> requests look for a slot one at a time
+    Then <served> of them were answered, and all by doubted targets
+
+    Examples:
+      | kind           | served |
+      | idempotent     | 10     |
+      | non-idempotent | 0      |
+
+  Scenario: A doubted target is tried once, and its failure is not a refusal
+    Given full gates of 6 good targets, and 2 doubted and 2 failing ones that fail
+    When 10 idempotent requests look for a slot one at a time
+    Then none was sent to more than 1 doubted or failing target
+
   Scenario: A refusal after an attempt that may have run promises nothing
     Given gates that break off the first attempt and refuse the next ones
     When 5 idempotent requests look for a slot one at a time
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -5,6 +5,7 @@
 import random
 from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 
 from wagtailstep.controllers.gate import GateController
@@ -17,7 +18,7 @@
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, IncomingRequest
-from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.fleet import Member, Target, TargetStanding
 from wagtailstep.models.gate import (
     GateRequest,
     GateRequestArrived,
@@ -308,6 +309,58 @@
         context.sent.append(context.world.asked)
 
 
+@when("{count:d} non-idempotent requests look for a slot one at a time")
+def send_non_idempotent(context, count):
+    send_requests(context, count)
+
+
+def make_full_but_doubted(context, answer_doubted):
+    standings = [TargetStanding.GOOD] * 6
+    standings += [TargetStanding.DOUBTED] * 2 + [TargetStanding.FAILING] * 2
+    context.standings = {
+        f"contracts/i-{i}": standing for i, standing in enumerate(standings)
+    }
+
+    def answer(request, target_id):
+        if context.standings[target_id] is TargetStanding.GOOD:
+            raise OverloadedError("full", 300 * MILLISECOND)
+        return answer_doubted()
+
+    context.world = World(len(standings), answer)
+    # Without probes, so that only full gates lead to a doubted target.
+    context.world.rng.random = lambda: 1.0
+    targets = context.world.board.targets
+    for name, standing in context.standings.items():
+        targets[name] = attrs.evolve(targets[name], standing=standing)
+
+
+@given("full gates of 6 good targets, and 2 doubted and 2 failing ones that answer")
+def make_answering_doubted(context):
+    make_full_but_doubted(context, make_answer)
+
+
+@given("full gates of 6 good targets, and 2 doubted and 2 failing ones that fail")
+def make_failing_doubted(context):
+    make_full_but_doubted(
+        context, lambda: Answer(500, (), yield_body(b""), Verdict.RUN)
+    )
+
+
+@then("{served:d} of them were answered, and all by doubted targets")
+def check_served_by_doubted(context, served):
+    assert len(context.sent) - len(context.world.errors) == served
+    last = {context.standings[asked[-1][0]] for asked in context.sent}
+    expected = TargetStanding.DOUBTED if served else TargetStanding.GOOD
+    assert last == {expected}, last
+
+
+@then("none was sent to more than 1 doubted or failing target")
+def check_one_doubted(context):
+    for asked in context.sent:
+        names = [name for name, _ in asked]
+        assert sum(context.standings[n] >= TargetStanding.DOUBTED for n in names) == 1
+
+
 @then("each was sent once")
 def check_sent_once(context):
     assert all(len(asked) == 1 for asked in context.sent)
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -194,6 +194,19 @@
         choice = Choice(untried or candidates, self.clock.monotonic())
         return self.cheaper(*choice.draw(self.rng), choice.mean_share).target
 
+    def find_doubted(self, service: str, tried: Collection[str]) -> Target | None:
+        """Return an untried target that its gate doubts, the least doubted first."""
+        doubted = [
+            c.target
+            for c in self.find_candidates(service)
+            if c.target.standing >= TargetStanding.DOUBTED
+            and c.target.target_id not in tried
+        ]
+        if not doubted:
+            return None
+        least = min(target.standing for target in doubted)
+        return self.rng.choice([t for t in doubted if t.standing is least])
+
     def find_choice(self, service: str, fresh: bool = False) -> Choice:
         """Return the candidates of a service, as found not long ago.
 
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -9,6 +9,7 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import BadRequestError, RequestError
 from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.fleet import Target
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.idempotency import StoredAnswer
 from wagtailstep.models.request import RequestContext
@@ -32,6 +33,7 @@
     :param verdict: verdict of all attempts that have ended.
     :param waits: how long gates that had no free slot expected it to wait, by
         ``target_id``.
+    :param last_resort: the doubted target that is tried in place of a refusal.
     :param sending: whether an attempt is under way.
     :param abandoned: whether the attempt was ended since it took too long.
     :param on_end: called once when a guarded run has ended.
@@ -48,6 +50,7 @@
     tried: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
     waits: dict[str, timedelta] = attrs.field(factory=dict)
+    last_resort: Target | None = None
     sending: bool = False
     abandoned: bool = False
     on_end: OnEnd | None = None
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -92,7 +92,9 @@
                 exchange.cover(error)
                 if isinstance(error, OverloadedError) and not error.reached_server:
                     exchange.waits[target.target_id] = error.retry_after or NO_TIME
-                if not self.may_resend(exchange, error):
+                if not self.may_resend(exchange, error) and not self.take_last_resort(
+                    exchange, error
+                ):
                     self.note_end(exchange, error.reason)
                     raise
                 if not isinstance(error, OverloadedError) or error.reached_server:
@@ -114,6 +116,27 @@
             exchange.request, error, exchange.attempts, exchange.sent
         )
 
+    def take_last_resort(self, exchange: Exchange, error: RequestError) -> bool:
+        """Tell whether a doubted target is tried in place of a refusal.
+
+        A failing server still answers part of its work, which serves more than no
+        answer if a failure can be made good. Others get a refusal, which promises
+        that nothing was run.
+        """
+        request = exchange.request
+        is_full = isinstance(error, OverloadedError) and not error.reached_server
+        if not is_full or exchange.last_resort is not None:
+            return False
+        if not request.idempotent or not exchange.body.replayable:
+            return False
+        target = self.routing.find_doubted(request.service, exchange.tried)
+        if target is None or not self.retries.has_time(request):
+            return False
+        if exchange.sent and not self.retries.take_replacement(request, exchange.sent):
+            return False
+        exchange.last_resort = target
+        return True
+
     def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
         """Tell whether a failure that a backend server answered is tried again.
 
@@ -181,6 +204,9 @@
                     "the time allowed had passed before the request was sent",
                     Verdict.NOT_RUN,
                 )
+            resort = exchange.last_resort
+            if resort is not None and resort.target_id not in exchange.tried:
+                return resort
             if len(exchange.waits) >= GATES_ASKED:
                 return self.pick_shortest(exchange)
             cautious = not request.idempotent
