--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -54,6 +54,17 @@
       | idempotent     | 10     |
       | non-idempotent | 0      |
 
+  Scenario Outline: Only a request that could be sent again resolves a doubt
+    Given 6 good targets, and 2 doubted and 2 failing ones that fail
+    And <budget> retries of the fleet are left
+    When 40 idempotent requests look for a slot one at a time
+    Then <least> to <most> of them were sent to a doubted target first
+
+    Examples:
+      | budget | least | most |
+      | all    | 5     | 20   |
+      | no     | 0     | 0    |
+
   Scenario: A doubted target is tried once, and its failure is not a refusal
     Given full gates of 6 good targets, and 2 doubted and 2 failing ones that fail
     When 10 idempotent requests look for a slot one at a time
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -381,6 +381,34 @@
         targets[name] = attrs.evolve(targets[name], standing=standing)
 
 
+@given("6 good targets, and 2 doubted and 2 failing ones that fail")
+def make_mixed_standings(context):
+    make_full_but_doubted(
+        context, lambda: Answer(500, (), yield_body(b""), Verdict.RUN)
+    )
+    standings = context.standings
+
+    def answer(request, target_id):
+        is_good = standings[target_id] is TargetStanding.GOOD
+        return Answer(200 if is_good else 500, (), yield_body(b""), Verdict.RUN)
+
+    context.world.answer = answer
+    context.world.rng.random = random.Random(4).random
+
+
+@given("{amount} retries of the fleet are left")
+def set_budget(context, amount):
+    if amount == "no":
+        shared = context.world.sender.retries.shared
+        shared.find_room = lambda service: 0.0
+
+
+@then("{least:d} to {most:d} of them were sent to a doubted target first")
+def check_probes(context, least, most):
+    firsts = [context.standings[asked[0][0]] for asked in context.sent]
+    assert least <= firsts.count(TargetStanding.DOUBTED) <= most, firsts
+
+
 @given("full gates of 6 good targets, and 2 doubted and 2 failing ones that answer")
 def make_answering_doubted(context):
     make_full_but_doubted(context, make_answer)
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -103,17 +103,26 @@
         The calls that the repeated run makes again are taken from the budgets of the
         called services.
         """
-        self.most_daemons = max(self.most_daemons, self.count_daemons())
-        costs = {request.service: 1.0}
-        for called, ratio in self.calls.get(request.route, {}).items():
-            costs[called] = costs.get(called, 0.0) + ratio
-        if any(self.find_room(name) < cost for name, cost in costs.items()):
+        if not self.has_room(request):
             return False
         now = self.clock.monotonic()
-        for name, cost in costs.items():
+        for name, cost in self.find_costs(request).items():
             self._recent(self.retries, name).add(cost, now)
         return True
 
+    def has_room(self, request: RequestContext) -> bool:
+        """Tell whether a request may be sent again now."""
+        self.most_daemons = max(self.most_daemons, self.count_daemons())
+        costs = self.find_costs(request)
+        return all(self.find_room(name) >= cost for name, cost in costs.items())
+
+    def find_costs(self, request: RequestContext) -> dict[str, float]:
+        """Return what one more run takes from the budgets, by service."""
+        costs = {request.service: 1.0}
+        for called, ratio in self.calls.get(request.route, {}).items():
+            costs[called] = costs.get(called, 0.0) + ratio
+        return costs
+
     def find_room(self, service: str) -> float:
         """Return the retries that this daemon may still make for a service."""
         allowed = self.settings.retry_ratio * self._recent(self.requests, service).total
@@ -216,6 +225,12 @@
             return False
         return self.has_time(request) and self.shared.take(request)
 
+    def may_fail_once(self, request: RequestContext) -> bool:
+        """Tell whether the failure of a first attempt could be made good."""
+        if not request.idempotent or not self.has_attempts(request, 1):
+            return False
+        return self.shared is None or self.shared.has_room(request)
+
     def has_attempts(self, request: RequestContext, sent: int) -> bool:
         """Tell whether a request may be sent to one more backend server."""
         return sent < min(request.max_attempts, self.settings.max_attempts)
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -209,7 +209,7 @@
                 return resort
             if len(exchange.waits) >= GATES_ASKED:
                 return self.pick_shortest(exchange)
-            cautious = not request.idempotent
+            cautious = not self.retries.may_fail_once(request)
             return self.routing.pick(request.service, exchange.tried, cautious)
         except RequestError as error:
             exchange.cover(error)
