Tell from the logs why a request failed

Cause: an operator with a request's id had to search the logs of all daemons by hand and know which line decides. Change: `wagtailstep-timeline explain` and `causes`; an entry also notes the end of requests for which it found no target, or whose caller left. Shown by features/explain.feature: eleven planted causes, each found from the logs of a real entry, gate and backend server alone, and not found without the lines that tell it. Not done: the beliefs of other daemons than those the request touched, and a span of time for `causes`.

--- /dev/null
+++ b/features/explain.feature
@@ -0,0 +1,44 @@
+Feature: The logs of all daemons tell why a request failed
+
+  Scenario Outline: A planted cause is found from the logs alone
+    Given an entry, and a gate before a backend server, whose logs are kept
+    When a request fails since <plant>
+    Then its story names the cause "<cause>"
+    And without the lines "<event>" of it the cause is not found
+
+    Examples:
+      | plant                             | cause                                   | event         |
+      | all slots are taken               | no room: 1 gates asked                  | request-ended |
+      | the backend server fails it       | failed the work with 500, believed good | work-ended    |
+      | the backend server hangs          | did not answer in time                  | work-ended    |
+      | the answer is lost                | broke off the connection                | work-ended    |
+      | the backend server is leaving     | the targets asked were leaving          | request-ended |
+      | its target failed just before     | the targets asked had failed            | request-ended |
+      | no target is known                | no target of the service was known      | request-ended |
+      | its time had passed               | its time had passed                     | request-ended |
+      | the gate is gone                  | the connection to a gate was lost       | request-ended |
+      | its caller goes away              | the caller went away                    | request-ended |
+      | a call made for it finds no room  | a call to contracts failed: no room     | request-ended |
+
+  Scenario: Causes are counted
+    Given an entry, and a gate before a backend server, whose logs are kept
+    When a request fails since the backend server fails it
+    Then the causes are counted as "1  target of contracts failed the work with 500"
+
+  Scenario: A story tells what was believed, and since when
+    Given an entry, and a gate before a backend server, whose logs are kept
+    When a request fails since the backend server fails it
+    And its gate had thought it "warming" 2 s before
+    Then its story names the cause "believed warming before"
+    And its story tells "target-standing" for 2 s
+
+  Scenario Outline: Lines are read as they were written
+    Given a line with the field <value>
+    Then it is read back as it was
+
+    Examples:
+      | value        |
+      | plain        |
+      | two words    |
+      | a="b" \ c    |
+      | line\nbreaks |
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,250 @@
+"""Steps for telling from the logs why a request failed."""
+
+import asyncio
+import logging
+import random
+from datetime import UTC, datetime, timedelta
+
+import attrs
+import detangle
+from behave import given, then, when
+from path_steps import PathWorld, yield_nothing
+
+from wagtailstep.commands.explain_request import (
+    count_causes,
+    explain_request,
+    format_causes,
+)
+from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.exceptions import RequestError
+from wagtailstep.fakes.faults import Faults
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.fleet import Member, TargetStanding, TargetState
+from wagtailstep.models.log_lines import LogLine, read_fields, read_lines
+from wagtailstep.models.request import RequestContext
+from wagtailstep.network.bodies import ReplayableBody
+from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.sender import AttemptSender
+from wagtailstep.utils.logging import format_fields
+
+SLOTS = 4
+GATE_LOGGER = "wagtailstep.network.gate"
+
+
+class KeptLog(logging.Handler):
+    """Keep lines as collectors show them: the daemon, then the line."""
+
+    def __init__(self):
+        super().__init__()
+        self.texts = []
+
+    def emit(self, record):
+        process = "gate-1" if record.name == GATE_LOGGER else "entry-1"
+        time = datetime.fromtimestamp(record.created, UTC).isoformat()
+        level, message = record.levelname, record.getMessage()
+        self.texts.append(
+            f"{process} time={time} level={level} logger={record.name} {message}\n"
+        )
+
+
+class LoggedWorld(PathWorld):
+    """A gate before a backend server, and an entry that sends to it."""
+
+    async def start(self, **changes):
+        await super().start(**changes)
+        board = Blackboard(Member("entry-1", 1, "", "", "bole"))
+        board.members["gate-1"] = self.member
+        board.targets[self.target_id] = self.blackboard.targets[self.target_id]
+        self.entry_board = board
+        self.routing = RoutingController(
+            self.settings, board, self.clock, random.Random(1)
+        )
+        retries = RetryPolicy(self.settings.requests, self.clock)
+        self.sender = AttemptSender(
+            board, self.clock, self.routing, retries, self.forwarder, lambda event: None
+        )
+
+    async def send(self, request_id, time_left_ms=5_000, work_ms=10):
+        """Send a request through the entry and read its answer."""
+        headers = (("fake-key", request_id), ("fake-work-ms", str(work_ms)))
+        incoming = IncomingRequest("POST", "/sign", headers, yield_nothing())
+        time_left = timedelta(milliseconds=time_left_ms)
+        request = RequestContext(
+            request_id=request_id,
+            service="contracts",
+            route="sign",
+            account="",
+            method="POST",
+            path="/sign",
+            idempotent=False,
+            idempotency_key=None,
+            deadline=self.clock.monotonic() + time_left,
+        )
+        self.routing.admit(request)
+        body = ReplayableBody(incoming.body, 1024)
+        exchange = Exchange(request, incoming, body, self.routing)
+        try:
+            answer = await self.sender.run(exchange)
+            await answer.close()
+        except RequestError:
+            pass
+
+    async def fill(self):
+        """Take all slots and places in the queue for a while."""
+        places = SLOTS + self.settings.requests.queue_length
+        for number in range(places):
+            task = self.send(f"other-{number}", work_ms=3_000, time_left_ms=60_000)
+            asyncio.ensure_future(task)
+        await asyncio.sleep(0.5)
+
+    def doubt(self):
+        target = self.blackboard.targets[self.target_id]
+        changed = attrs.evolve(target, standing=TargetStanding.FAILING)
+        self.blackboard.targets[self.target_id] = changed
+
+
+async def take_all_slots(world):
+    await world.fill()
+    await world.send("r1")
+
+
+async def fail_work(world):
+    world.backend.faults = Faults(fail_share=1.0)
+    await world.send("r1")
+
+
+async def hang(world):
+    world.backend.faults = Faults(hang_share=1.0)
+    await world.send("r1", time_left_ms=500)
+
+
+async def lose_answer(world):
+    world.backend.faults = Faults(lose_share=1.0)
+    await world.send("r1")
+
+
+async def leave(world):
+    world.set_state(TargetState.LEAVING)
+    await world.send("r1")
+
+
+async def fail_before(world):
+    world.doubt()
+    await world.send("r1")
+
+
+async def know_no_target(world):
+    del world.entry_board.targets[world.target_id]
+    await world.send("r1")
+
+
+async def be_late(world):
+    await world.send("r1", time_left_ms=0)
+
+
+async def lose_gate(world):
+    await world.server.close()
+    await world.send("r1")
+
+
+async def go_away(world):
+    task = asyncio.ensure_future(world.send("r1", work_ms=3_000))
+    await asyncio.sleep(0.5)
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def find_no_room_for_call(world):
+    await world.fill()
+    await world.send("r1.c1")
+    await asyncio.sleep(30)
+    await fail_work(world)
+
+
+PLANTS = {
+    "all slots are taken": take_all_slots,
+    "the backend server fails it": fail_work,
+    "the backend server hangs": hang,
+    "the answer is lost": lose_answer,
+    "the backend server is leaving": leave,
+    "its target failed just before": fail_before,
+    "no target is known": know_no_target,
+    "its time had passed": be_late,
+    "the gate is gone": lose_gate,
+    "its caller goes away": go_away,
+    "a call made for it finds no room": find_no_room_for_call,
+}
+
+
+@given("an entry, and a gate before a backend server, whose logs are kept")
+def keep_logs(context):
+    context.log = KeptLog()
+    logger = logging.getLogger("wagtailstep")
+    level = logger.level
+    logger.addHandler(context.log)
+    logger.setLevel(logging.INFO)
+    context.add_cleanup(logger.setLevel, level)
+    context.add_cleanup(logger.removeHandler, context.log)
+
+
+@when("a request fails since {plant}")
+def plant_cause(context, plant):
+    async def main():
+        world = LoggedWorld()
+        await world.start(slots=SLOTS)
+        await PLANTS[plant](world)
+        await asyncio.sleep(60)
+        await world.server.close()
+        await world.backend.stop()
+
+    detangle.run(main, seed=1)
+    context.lines = list(read_lines(context.log.texts, "unnamed"))
+
+
+@when('its gate had thought it "{standing}" {seconds:d} s before')
+def think_before(context, standing, seconds):
+    end = next(line for line in context.lines if line.event == "request-ended")
+    fields = {"target": end.get("target"), "standing": standing}
+    time = end.time - timedelta(seconds=seconds)
+    context.lines.insert(0, LogLine("gate-1", time, "target-standing", fields))
+
+
+@then('its story names the cause "{cause}"')
+def check_cause(context, cause):
+    context.cause = cause
+    found = explain_request(context.lines, "r1").cause
+    assert cause in found, (found, context.log.texts)
+
+
+@then('without the lines "{event}" of it the cause is not found')
+def check_missing(context, event):
+    kept = [line for line in context.lines if line.event != event]
+    found = explain_request(kept, "r1").cause
+    assert context.cause not in found, found
+
+
+@then('the causes are counted as "{text}"')
+def check_counted(context, text):
+    found = format_causes(count_causes(context.lines))
+    assert found.strip() == text, found
+
+
+@then('its story tells "{event}" for {seconds:d} s')
+def check_belief(context, event, seconds):
+    beliefs = explain_request(context.lines, "r1").beliefs
+    ages = [belief.age for belief in beliefs if belief.line.event == event]
+    assert ages == [timedelta(seconds=seconds)], beliefs
+
+
+@given("a line with the field {value}")
+def write_line(context, value):
+    context.value = value.replace(r"\n", "\n")
+    context.line_text = format_fields({"event": "x", "value": context.value, "more": 1})
+
+
+@then("it is read back as it was")
+def read_line(context):
+    expected = {"event": "x", "value": context.value, "more": "1"}
+    assert read_fields(context.line_text) == expected, context.line_text
--- a/src/wagtailstep/cli/timeline.py
+++ b/src/wagtailstep/cli/timeline.py
@@ -6,12 +6,19 @@
 
 from wagtailstep.cli import status_codes
 from wagtailstep.cli.run import run_program
+from wagtailstep.commands.explain_request import (
+    count_causes,
+    explain_request,
+    format_causes,
+    format_story,
+)
 from wagtailstep.commands.merge_timeline import (
     format_chrome_trace,
     format_text,
     gather_timeline,
 )
 from wagtailstep.exceptions import SettingsError
+from wagtailstep.models.log_lines import LogLine, read_lines
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.timeline import MergedTimeline
 from wagtailstep.network.daemon_client import DaemonClient
@@ -41,6 +48,43 @@
     return status_codes.PARTIAL if merged.unreachable else status_codes.SUCCESS
 
 
+def explain(request_id: str, *files: str) -> int:
+    """Tell the story of one request from the logs of all daemons.
+
+    :param request_id: identifier of the request, as in its ``request_id`` fields.
+    :param files: logs; where a line doesn't name its daemon the file's name does.
+    """
+    print(format_story(explain_request(read_logs(files), str(request_id))))
+    return status_codes.SUCCESS
+
+
+def causes(*files: str) -> int:
+    """Count the causes of all requests that failed, from the logs of all daemons.
+
+    :param files: logs, as for ``explain``.
+    """
+    print(format_causes(count_causes(read_logs(files))))
+    return status_codes.SUCCESS
+
+
+def read_logs(files: tuple[str, ...]) -> list[LogLine]:
+    """Read log files.
+
+    :raises SettingsError: if none is named or one can't be read.
+    """
+    if not files:
+        raise SettingsError("no log was named; give the files of all daemons")
+    lines: list[LogLine] = []
+    for name in files:
+        path = pathlib.Path(str(name))
+        try:
+            with path.open(encoding="utf-8", errors="replace") as texts:
+                lines.extend(read_lines(texts, path.stem))
+        except OSError as error:
+            raise SettingsError(f"{name}: can't be read: {error.strerror}") from error
+    return lines
+
+
 def check_arguments(addresses: tuple[str, ...], format: str) -> None:
     """Refuse arguments that can't be used.
 
@@ -63,9 +107,12 @@
     return await gather_timeline(DaemonClient(client), addresses)
 
 
+COMMANDS = {"causes": causes, "explain": explain, "show": show}
+
+
 def main() -> None:
     """Run the program."""
-    sys.exit(run_program({"show": show}, "wagtailstep-timeline"))
+    sys.exit(run_program(COMMANDS, "wagtailstep-timeline"))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/wagtailstep/commands/explain_request.py
@@ -0,0 +1,287 @@
+"""The story of one request, told from the logs of all daemons."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from datetime import datetime, timedelta
+
+import attrs
+
+from wagtailstep.models.log_lines import LogLine
+
+MILLISECOND = timedelta(milliseconds=1)
+ENDS = ("request-ended", "request-unanswered")
+SERVED = "status-200"
+# Ends that no failure of a backend server explains, even if there was one before.
+NOT_BY_WORK = frozenset({"overloaded", "doubted", "caller-left"})
+# Beliefs that a choice rests on: the event that tells of a change, whose log has it,
+# and the field that names what the belief is about.
+STANDING = "target-standing"
+PATH = "path-avoided"
+TABLE = "table-in-force"
+STORE = "log-reachability"
+MEMBER = "member-state"
+
+
+@attrs.frozen
+class Belief:
+    """What a daemon held to be so when a request ended.
+
+    :param line: the event by which it came to hold it.
+    :param age: how long before the end of the request that was.
+    """
+
+    line: LogLine
+    age: timedelta
+
+
+@attrs.frozen
+class Story:
+    """What the logs tell of one request.
+
+    :param request_id: identifier of the request.
+    :param lines: its events, and those of the calls made for it, in causal order.
+    :param beliefs: what its daemons believed then.
+    :param cause: why it failed, or that it was served.
+    """
+
+    request_id: str
+    lines: Sequence[LogLine]
+    beliefs: Sequence[Belief]
+    cause: str
+
+
+def explain_request(lines: Sequence[LogLine], request_id: str) -> Story:
+    """Tell the story of a request and name its cause.
+
+    :param lines: lines of all daemons, those of one daemon in its order.
+    """
+    own = [line for line in lines if is_part_of(line, request_id)]
+    ordered = sort_lines(own)
+    end = find_end(ordered, request_id)
+    beliefs = find_beliefs(lines, ordered, end) if end is not None else []
+    cause = find_cause(ordered, beliefs, request_id)
+    if not own and (missing := count_missing(lines)):
+        cause += f"; {missing} lines were dropped, as their reader was slow"
+    return Story(request_id, ordered, beliefs, cause)
+
+
+def is_part_of(line: LogLine, request_id: str) -> bool:
+    """Tell whether a line belongs to a request or to a call made for it."""
+    found = line.request_id
+    return found == request_id or found.startswith(f"{request_id}.")
+
+
+def sort_lines(lines: Sequence[LogLine]) -> list[LogLine]:
+    """Sort by time, but the end of a request after everything done for it.
+
+    Clocks of daemons differ by a few milliseconds, which is as much as a hop takes.
+    """
+    latest: dict[str, datetime] = {}
+    for line in lines:
+        for request_id in find_ancestors(line.request_id):
+            latest[request_id] = max(latest.get(request_id, line.time), line.time)
+
+    def find_key(line: LogLine) -> tuple[datetime, int]:
+        if line.event in ENDS:
+            return latest[line.request_id], 1 + ENDS.index(line.event)
+        return line.time, 0
+
+    return sorted(lines, key=find_key)
+
+
+def find_ancestors(request_id: str) -> Iterable[str]:
+    """Yield a request and those for which it is a call, the innermost first."""
+    while request_id:
+        yield request_id
+        request_id, _, _ = request_id.rpartition(".")
+
+
+def find_end(lines: Sequence[LogLine], request_id: str) -> LogLine | None:
+    """Return the event that says how a request ended at its entry."""
+    ends = [
+        line for line in lines if line.event in ENDS and line.request_id == request_id
+    ]
+    attempts = [line for line in ends if line.event == ENDS[0]]
+    return (attempts or ends or [None])[-1]
+
+
+def find_beliefs(
+    lines: Sequence[LogLine], story: Sequence[LogLine], end: LogLine
+) -> list[Belief]:
+    """Return what the entry, and the gates it asked, believed when a request ended."""
+    tried = set(end.get("tried").split(",")) - {""}
+    gates = {line.process for line in story if line.event == "work-ended"}
+    newest: dict[tuple[str, str, str], LogLine] = {}
+    for line in lines:
+        if line.time > end.time:
+            continue
+        target = line.get("target")
+        at_entry = line.process == end.process
+        is_relevant = (
+            (line.event == STANDING and target in tried)
+            or (line.event == PATH and at_entry and target in tried)
+            or (line.event in (TABLE, STORE) and at_entry)
+            or (line.event == MEMBER and at_entry and line.get("member") in gates)
+        )
+        if is_relevant:
+            newest[line.event, line.process, target or line.get("member")] = line
+    return [Belief(line, end.time - line.time) for line in newest.values()]
+
+
+def find_cause(
+    lines: Sequence[LogLine], beliefs: Sequence[Belief], request_id: str
+) -> str:
+    """Name the cause of a request's end in a few words."""
+    end = find_end(lines, request_id)
+    if end is None:
+        return find_cause_without_end(lines)
+    outcome = end.get("outcome") or end.get("reason")
+    if outcome == SERVED:
+        return "served"
+    call = find_failed_call(lines, request_id)
+    if call is not None and outcome.startswith("status-"):
+        because = find_cause(lines, beliefs, call.request_id)
+        return f"a call to {call.get('service') or 'a service'} failed: {because}"
+    work = find_failed_work(lines, request_id)
+    if work is not None and outcome not in NOT_BY_WORK:
+        return describe_work(work, beliefs)
+    return describe_end(end, outcome)
+
+
+def find_cause_without_end(lines: Sequence[LogLine]) -> str:
+    """Name the cause where no entry says how a request ended."""
+    if any(line.event == "work-ended" for line in lines):
+        return "its entry ended or was cut off before it had an answer"
+    if lines:
+        return "its entry told no end; it was stopped or its lines are missing"
+    return "no daemon has a line of it"
+
+
+def find_failed_call(lines: Sequence[LogLine], request_id: str) -> LogLine | None:
+    """Return the end of the first call for a request that was not served."""
+    calls = [
+        line
+        for line in lines
+        if line.event == ENDS[0] and line.request_id.startswith(f"{request_id}.")
+    ]
+    return next((call for call in calls if call.get("outcome") != SERVED), None)
+
+
+def find_failed_work(lines: Sequence[LogLine], request_id: str) -> LogLine | None:
+    """Return the last work for a request that a backend server didn't do well."""
+    ended = [
+        line
+        for line in lines
+        if line.event == "work-ended" and line.request_id == request_id
+    ]
+    failed = [line for line in ended if line.get("result") != "done"]
+    return failed[-1] if failed else None
+
+
+def describe_work(work: LogLine, beliefs: Sequence[Belief]) -> str:
+    """Say what went wrong at a backend server and what its gate had thought of it."""
+    target = work.get("target")
+    verbs = {
+        "failed": f"failed the work with {work.get('status')}",
+        "broken": "broke off the connection",
+        "late": "did not answer in time",
+        "unreachable": "could not be reached",
+        "turned-away": "said that it is full",
+    }
+    verb = verbs.get(work.get("result"), f"ended the work as {work.get('result')}")
+    # The gate's judgement follows the failure; the one before it is what counted.
+    held = [
+        belief.line.get("standing")
+        for belief in beliefs
+        if belief.line.event == STANDING
+        and belief.line.get("target") == target
+        and belief.line.time < work.time
+    ]
+    return f"target {target} {verb}, believed {held[-1] if held else 'good'} before"
+
+
+def describe_end(end: LogLine, outcome: str) -> str:
+    """Say why an entry ended a request without work that failed."""
+    if outcome == "overloaded":
+        asked = end.get("gates_full") or "some"
+        return f"no room: {asked} gates asked had no slot in time"
+    texts = {
+        "no-target": "no target of the service was known",
+        "no-route": "no route matches it",
+        "not-ready": "the daemon knew no table yet",
+        "leaving": "the targets asked were leaving",
+        "doubted": "the targets asked had failed just before",
+        "deadline-exceeded": "its time had passed, and no gate tells of work for it",
+        "connection-failed": "the connection to a gate was lost, and no gate tells of "
+        "work for it",
+        "bad-request": "the request was malformed or cut by its caller",
+        "duplicate": "a gate had accepted the same sending before",
+        "caller-left": "the caller went away",
+        "attempt-abandoned": "an attempt took too long and no other was possible",
+    }
+    return texts.get(outcome, f"ended as {outcome}")
+
+
+def count_missing(lines: Iterable[LogLine]) -> int:
+    """Return how many lines the daemons say they dropped."""
+    told = (line for line in lines if line.event == "lines-left-out")
+    return sum(int(line.get("dropped") or 0) for line in told)
+
+
+def count_causes(lines: Sequence[LogLine]) -> Counter[str]:
+    """Count the causes of all callers' requests that failed.
+
+    Names of targets are left out, so that alike causes count together.
+    """
+    by_caller: dict[str, list[LogLine]] = {}
+    for line in lines:
+        if line.request_id:
+            by_caller.setdefault(line.request_id.split(".")[0], []).append(line)
+    causes: Counter[str] = Counter()
+    for request_id, own in by_caller.items():
+        ordered = sort_lines(own)
+        if find_end(ordered, request_id) is None:
+            continue
+        cause = find_cause(ordered, [], request_id)
+        if cause != "served":
+            causes[leave_out_targets(cause, ordered)] += 1
+    return causes
+
+
+def leave_out_targets(cause: str, lines: Iterable[LogLine]) -> str:
+    """Replace the names of targets in a cause by that of their service."""
+    for target in {line.get("target") for line in lines} - {""}:
+        cause = cause.replace(target, f"of {target.partition('/')[0]}")
+    return cause.partition(", believed")[0]
+
+
+def format_story(story: Story) -> str:
+    """Write a story as text."""
+    texts = [f"request {story.request_id}: {story.cause}"]
+    start = story.lines[0].time if story.lines else None
+    for line in story.lines:
+        after_ms = (line.time - start) / MILLISECOND
+        texts.append(f"  {after_ms:+9.0f} ms  {line.process}  {format_line(line)}")
+    if story.beliefs:
+        texts.append("believed when it ended:")
+    for belief in story.beliefs:
+        line = belief.line
+        age_s = belief.age.total_seconds()
+        texts.append(f"  for {age_s:7.3f} s  {line.process}  {format_line(line)}")
+    return "\n".join(texts)
+
+
+def format_line(line: LogLine) -> str:
+    """Write an event and its fields."""
+    hidden = {"level", "logger"}
+    fields = " ".join(
+        f"{name}={value}" for name, value in line.fields.items() if name not in hidden
+    )
+    return f"{line.event} {fields}"
+
+
+def format_causes(causes: Counter[str]) -> str:
+    """Write causes with their counts, the most frequent first."""
+    if not causes:
+        return "no request failed"
+    return "\n".join(f"{count:6d}  {cause}" for cause, count in causes.most_common())
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -30,6 +30,7 @@
 
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
+CALLER_LEFT = "caller-left"
 DEADLINE_GRACE_MS = 20
 # An attempt is replaced after this share of the aim, so that the next one can still be
 # answered within it, but not before it takes this many times as long as usual.
@@ -213,6 +214,7 @@
             return self.routing.pick(request.service, exchange.tried, cautious)
         except RequestError as error:
             exchange.cover(error)
+            self.note_end(exchange, error.reason)
             raise
 
     def pick_shortest(self, exchange: Exchange) -> Target:
@@ -265,6 +267,7 @@
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
+            self.note_end(exchange, CALLER_LEFT)
             raise
         attempt.note_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
