Break off no attempt while slots are short

Ruled out: too few retries (the attempts were sent, gates refused them). The patience moved to a module of its own. Test: features/asking_gates.feature, "out of room", failed before.

--- a/features/asking_gates.feature
+++ b/features/asking_gates.feature
@@ -80,7 +80,7 @@
     When 5 idempotent requests look for a slot one at a time
     Then each ended with status 503 and verdict "not-run"
 
-  Scenario Outline: A daemon that shuts down breaks off no attempt to make another one
+  Scenario Outline: No attempt is broken off where the next one might be refused
     Given gates without a free slot that expect waits of 50 to 400 ms
     When the daemon is <phase> and an attempt has taken too long
     Then the attempt is <fate>
@@ -89,3 +89,4 @@
       | phase         | fate       |
       | serving       | broken off |
       | shutting down | kept       |
+      | out of room   | kept       |
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -483,6 +483,10 @@
 def end_patience(context, phase):
     world = context.world
     world.board.draining = phase == "shutting down"
+    if phase == "out of room":
+        make_refusing(context)
+        world = context.world
+        world.send(0)
     world.sender.retries.record_first_attempt("contracts")
     exchange = world.make_exchange(1, idempotent=True)
     context.limit = FakeLimit()
--- a/features/steps/patience_steps.py
+++ b/features/steps/patience_steps.py
@@ -6,7 +6,7 @@
 from behave import then
 from routing_steps import make_request
 
-from wagtailstep.network.sender import find_patience
+from wagtailstep.controllers.patience import find_patience
 
 MILLISECOND = timedelta(milliseconds=1)
 
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from wagtailstep.controllers.patience import RecentRefusals, find_patience
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import (
@@ -32,10 +33,6 @@
 FIRST_FAILURE_STATUS = 500
 CALLER_LEFT = "caller-left"
 DEADLINE_GRACE_MS = 20
-# An attempt is replaced after this share of the aim, so that the next one can still be
-# answered within it, but not before it takes this many times as long as usual.
-PATIENCE_SHARE = 0.6
-PATIENT_TIMES = 3.0
 # With three quarters of the slots taken, three gates of four slots are rarely full.
 GATES_ASKED = 3
 NO_TIME = timedelta()
@@ -69,6 +66,7 @@
         self.retries = retries
         self.forwarder = forwarder
         self.dispatch = dispatch
+        self.refusals = RecentRefusals(clock)
 
     def time_left(self, request: RequestContext) -> timedelta:
         """Return the time until a request's deadline, not below zero."""
@@ -126,7 +124,10 @@
         """
         request = exchange.request
         is_full = isinstance(error, OverloadedError) and not error.reached_server
-        if not is_full or exchange.last_resort is not None:
+        if not is_full:
+            return False
+        self.refusals.note(request.service)
+        if exchange.last_resort is not None:
             return False
         if not request.idempotent or not exchange.body.replayable:
             return False
@@ -348,10 +349,11 @@
     def abandon(self, exchange: Exchange, limit: asyncio.Timeout) -> None:
         """End an attempt that takes too long, if another one may be made.
 
-        A daemon that shuts down finishes what runs: the next attempt may be refused,
-        and then a request was cut that its backend server was at work on.
+        What runs is finished while the daemon shuts down or slots are short: the next
+        attempt may be refused, and then the work was broken off in vain.
         """
-        if self.blackboard.draining:
+        service = exchange.request.service
+        if self.blackboard.draining or self.refusals.are_recent(service):
             return
         is_replayable = exchange.body.replayable
         if is_replayable and self.retries.take_replacement(
@@ -371,22 +373,6 @@
         return AnswerStream(answer, end).make_answer()
 
 
-def find_patience(
-    request: RequestContext, time_left: timedelta, usual: timedelta | None
-) -> timedelta | None:
-    """Return how long an attempt may take before another one is worth more.
-
-    :param usual: usual latency at the target, if known.
-    :return: ``None`` if the request may not be sent twice, or has no aim.
-    """
-    if not request.idempotent or not request.aim:
-        return None
-    patience = PATIENCE_SHARE * request.aim
-    if usual is not None:
-        patience = max(patience, PATIENT_TIMES * usual)
-    return patience if patience < PATIENCE_SHARE * time_left else None
-
-
 def read_calls(text: str) -> dict[str, float]:
     """Read calls per run by service; entries that make no sense are left out."""
     calls: dict[str, float] = {}
