Wait for longer at the store in large fleets

Ruled out: fewer members' calls (one append and one or two reads a start). Change: the mean wait grows with the daemons known, so that all together make about four calls a second, up to a mean of 20 s; up to 28 daemons it is 7 s as before, since after an outage some daemon must ask again within the bound. Test: features/platform_adapter.feature, rows for 88 and 1,800 failed before.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -1,5 +1,16 @@
 Feature: The adapter translates the platform's store, configuration and heartbeats
 
+  Scenario Outline: The calls of all daemons that wait for changes stay few
+    Given the platform's store with version 4
+    When one of <daemons> daemons follows the table for 1500 s without a change
+    Then all of them make at most <calls> calls a second
+
+    Examples:
+      | daemons | calls |
+      | 27      | 4.5   |
+      | 88      | 5     |
+      | 1800    | 100   |
+
   Scenario: A configuration becomes a table
     Given the platform's example configuration
     Then its version is 7
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -207,7 +207,7 @@
     return store, PlatformStore(StoreSettings(STORE, 1_000), LoopClock())
 
 
-def follow(context, play):
+def follow(context, play, daemons=1):
     """Follow the table while a coroutine plays what happens at the store."""
     context.taken = []
 
@@ -219,7 +219,12 @@
             context.taken.append((loop.time(), event.document.version))
 
         follower = TableFollower(
-            client, find_document, take, lambda reachable: None, random.Random(1)
+            client,
+            find_document,
+            take,
+            lambda reachable: None,
+            random.Random(1),
+            lambda: daemons,
         )
         task = asyncio.create_task(follower.run())
         await play(store)
@@ -229,6 +234,20 @@
     detangle.run(main, seed=1)
 
 
+@when("one of {daemons:d} daemons follows the table for {seconds:d} s without a change")
+def follow_calmly(context, daemons, seconds):
+    async def play(store):
+        await asyncio.sleep(seconds)
+
+    follow(context, play, daemons)
+    context.calls_per_s = daemons * len(context.calls) / seconds
+
+
+@then("all of them make at most {limit:g} calls a second")
+def check_call_rate(context, limit):
+    assert context.calls_per_s <= limit, context.calls_per_s
+
+
 @when(
     "a daemon follows the table and version {version:d} is published after "
     "{seconds:d} s"
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -15,9 +15,13 @@
 LOGGER = logging.getLogger(__name__)
 # One call of each daemon waits at the store. Its length is drawn anew each time, so
 # that after an outage that lost all these calls some daemon soon asks again and
-# passes on what it reads; see docs/design/platform.md.
-SHORTEST_WAIT_S = 4.0
-LONGEST_WAIT_S = 10.0
+# passes on what it reads; see docs/design/platform.md. That takes about as many calls
+# a second of all daemons together, so in large fleets each waits for longer.
+CALLS_PER_S = 4.0
+LEAST_MEAN_WAIT_S = 7.0
+# With the spread below the 30 s for which the store lets a read wait.
+MOST_MEAN_WAIT_S = 20.0
+WAIT_SPREAD = 0.4
 # A store that refuses calls is asked again within its bound for changes, 2 s.
 FIRST_BACKOFF_S = 0.2
 LONGEST_BACKOFF_S = 1.5
@@ -34,6 +38,7 @@
     :param dispatch: takes :class:`TablePublished`.
     :param report: told after each call whether the store was reachable.
     :param rng: draws waits and pauses.
+    :param count_daemons: returns how many daemons follow the table, as known now.
     """
 
     def __init__(
@@ -43,12 +48,14 @@
         dispatch: Callable[[Any], None],
         report: Callable[[bool], None],
         rng: random.Random,
+        count_daemons: Callable[[], int] = lambda: 1,
     ) -> None:
         self.store = store
         self.find_document = find_document
         self.dispatch = dispatch
         self.report = report
         self.rng = rng
+        self.count_daemons = count_daemons
         self.offset: int | None = None
         self.backoff_s = 0.0
 
@@ -75,9 +82,16 @@
         """
         if self.offset is None:
             return await self.store.read_newest(Collection.TABLE)
-        wait = timedelta(seconds=self.rng.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S))
+        wait = self.draw_wait()
         return await self.store.read_changes(Collection.TABLE, self.offset, wait)
 
+    def draw_wait(self) -> timedelta:
+        """Return how long the next read may wait for a change."""
+        mean_s = self.count_daemons() / CALLS_PER_S
+        mean_s = min(MOST_MEAN_WAIT_S, max(LEAST_MEAN_WAIT_S, mean_s))
+        factor = self.rng.uniform(1 - WAIT_SPREAD, 1 + WAIT_SPREAD)
+        return timedelta(seconds=mean_s * factor)
+
     def take(self, records: KeyedRecords) -> None:
         """Dispatch the document among records, if there is one."""
         self.offset = records.next_offset
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -63,6 +63,7 @@
             self.runtime.dispatch,
             self.runtime.report_log,
             self.rng,
+            lambda: len(self.blackboard.members),
         )
         self.runtime.spawn(follower.run())
 
