Count requests by outcome and show queues, retries and store calls

Cause: metrics told of attempts and work only; whoever watched them saw neither refusals by reason, nor queues, the retry budget, the age of the table or calls to the store. Change: counters of callers' requests by service, route and outcome with latency, of calls to the store by outcome; gauges of queues and slots in use, of retries left by service and of the table's age. Tests: features/readiness.feature and entry.feature, new steps failed before. Cost: one more event a request; not measured.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -8,6 +8,7 @@
     Then the answer is 200 with verdict "run" and the body "answer of GET /lookup/7"
     And 1 attempt was made
     And nothing is in flight
+    And one request of route "lookup" is counted as "status-200"
 
   Scenario Outline: A wrong header is refused by name
     When a caller sends POST "/sign" with header <header> "<value>"
@@ -153,6 +154,7 @@
     When a caller sends POST "/sign" and goes away after 50 ms
     Then the hanging attempt was cancelled
     And the outcome blames "caller" with verdict "may-have-run"
+    And one request of route "sign" is counted as "caller-left"
     And nothing is in flight
 
   Scenario: A caller that goes away while it reads its answer
--- a/features/readiness.feature
+++ b/features/readiness.feature
@@ -16,3 +16,24 @@
     When 3 pieces of work end as "failed" after 200 ms
     Then the text has "wagtailstep_work_duration_seconds_count" of 3 for result "failed"
     And the text has the gauge "wagtailstep_members"
+
+  Scenario Outline: Requests and calls to the store are counted by how they ended
+    Given the metrics of a daemon
+    When 3 <things> end as "<outcome>"
+    Then the text has "<metric>" of 3 for outcome "<outcome>"
+
+    Examples:
+      | things         | outcome    | metric                              |
+      | requests       | overloaded | wagtailstep_requests_total          |
+      | requests       | status-200 | wagtailstep_requests_total          |
+      | calls to store | status-503 | wagtailstep_store_calls_total       |
+
+  Scenario: Gauges of services are read when they are asked for
+    Given the metrics of a daemon
+    When a gauge of services reads 4 for "contracts"
+    Then the text has "wagtailstep_gate_waiting" of 4 for service "contracts"
+
+  Scenario: The age of the table begins anew with each version
+    Given the metrics of a daemon
+    When 5 s pass, a new table comes into force, and 2 s pass
+    Then the table is 2 s old
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -19,7 +19,7 @@
 from wagtailstep.models.fleet import TargetHealth
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.idempotency import RequestDecided
-from wagtailstep.models.request import RequestOutcome
+from wagtailstep.models.request import RequestEnded, RequestOutcome
 from wagtailstep.models.table import RouteRow
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.entry import EntryService
@@ -146,6 +146,9 @@
         )
         return self.entry
 
+    def find_events(self, kind):
+        return [event for event in self.events if isinstance(event, kind)]
+
     def reveal_targets(self):
         self.board.targets.update(self.late_targets)
 
@@ -405,6 +408,12 @@
 
 @then('the outcome blames "{blame}" with verdict "{verdict}"')
 def check_outcome(context, blame, verdict):
-    (outcome,) = context.world.events
+    (outcome,) = context.world.find_events(RequestOutcome)
     assert outcome.blame.value == blame, outcome
     assert outcome.verdict.value == verdict, outcome
+
+
+@then('one request of route "{route}" is counted as "{outcome}"')
+def check_counted(context, route, outcome):
+    (event,) = context.world.find_events(RequestEnded)
+    assert (event.route, event.outcome) == (route, outcome), event
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -5,10 +5,13 @@
 from behave import given, then, when
 
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Tick
 from wagtailstep.models.fleet import Member, Target
 from wagtailstep.models.gate import WorkEnded, WorkResult
+from wagtailstep.models.request import RequestEnded
 from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.network.watch_routes import is_ready
+from wagtailstep.utils.clock import ManualClock
 
 
 @given("a daemon that {table} a table and {target} a target and is {phase}")
@@ -28,7 +31,9 @@
 
 @given("the metrics of a daemon")
 def make_metrics(context):
-    context.metrics = MetricsRecorder(Blackboard(Member("d1", 1, "", "", "bole")))
+    context.clock = ManualClock()
+    context.board = Blackboard(Member("d1", 1, "", "", "bole"))
+    context.metrics = MetricsRecorder(context.board, context.clock)
 
 
 @when('{count:d} pieces of work end as "{result}" after {took_ms:d} ms')
@@ -40,12 +45,48 @@
     context.exported = context.metrics.export_text().decode()
 
 
-@then('the text has "{name}" of {count:d} for result "{result}"')
-def check_count(context, name, count, result):
+@when('{count:d} requests end as "{outcome}"')
+def end_requests(context, count, outcome):
+    for _ in range(count):
+        event = RequestEnded("contracts", "sign", outcome, timedelta(seconds=1))
+        context.metrics.handle(event)
+    context.exported = context.metrics.export_text().decode()
+
+
+@when('{count:d} calls to store end as "{outcome}"')
+def end_store_calls(context, count, outcome):
+    for _ in range(count):
+        context.metrics.count_store_call(outcome)
+    context.exported = context.metrics.export_text().decode()
+
+
+@when('a gauge of services reads {value:d} for "{service}"')
+def read_gauge(context, value, service):
+    context.metrics.watch_services(
+        "wagtailstep.gate.waiting", "{request}", lambda: {service: value}
+    )
+    context.exported = context.metrics.export_text().decode()
+
+
+@when("{before:d} s pass, a new table comes into force, and {after:d} s pass")
+def change_table(context, before, after):
+    context.clock.advance(timedelta(seconds=before))
+    context.board.table.version = 9
+    context.metrics.handle(Tick())
+    context.clock.advance(timedelta(seconds=after))
+
+
+@then("the table is {seconds:d} s old")
+def check_age(context, seconds):
+    assert context.metrics.read_table_age() == seconds
+
+
+@then('the text has "{name}" of {count:d} for {attribute} "{value}"')
+def check_count(context, name, count, attribute, value):
     (line,) = [
         line
         for line in context.exported.splitlines()
-        if line.startswith(name) and f'result="{result}"' in line
+        if line.startswith(name) and f'{attribute}="{value}"' in line
     ]
     assert float(line.split()[-1]) == count, line
 
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -6,6 +6,8 @@
 """
 
 import random
+from collections import Counter
+from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
@@ -206,6 +208,21 @@
         reserve = RESERVED_TIMES * queue.time_of(request)
         return starts_at + reserve > request.aim_at
 
+    def count_waiting(self) -> dict[str, int]:
+        """Return how many requests wait for a slot, by service."""
+        return self.count_by_service(lambda queue: len(queue.waiting))
+
+    def count_running(self) -> dict[str, int]:
+        """Return how many requests have a slot, by service."""
+        return self.count_by_service(lambda queue: len(queue.running))
+
+    def count_by_service(self, count: Callable[[TargetQueue], int]) -> dict[str, int]:
+        """Add up a number of each queue, by service."""
+        counts: Counter[str] = Counter()
+        for target_id, queue in self.queues.items():
+            counts[target_id.partition("/")[0]] += count(queue)
+        return counts
+
     def is_local(self, target: Target) -> bool:
         """Tell whether a backend server is beside this daemon."""
         return target.daemon_id == self.blackboard.this_member.daemon_id
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -129,6 +129,10 @@
         allowed += self.settings.retry_slack / self.most_daemons
         return allowed - self._recent(self.retries, service).total
 
+    def list_room(self) -> dict[str, float]:
+        """Return the retries that this daemon may still make, by service."""
+        return {service: self.find_room(service) for service in list(self.requests)}
+
     def _recent(self, counted: dict[str, Amounts], service: str) -> Amounts:
         amounts = counted.setdefault(service, Amounts())
         amounts.forget_before(self.clock.monotonic() - self.window)
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -74,6 +74,23 @@
     OVERLOAD = "overload"
 
 
+@attrs.frozen
+class RequestEnded:
+    """How a caller's request ended, as an event for the controllers.
+
+    :param service: service asked for; empty if the request could not be read.
+    :param route: name of its route, or empty.
+    :param outcome: ``status-`` and the status of a backend server's answer, or the
+        reason for which there was none.
+    :param took: time from the head of the request to the head of the answer.
+    """
+
+    service: str
+    route: str
+    outcome: str
+    took: timedelta
+
+
 @attrs.frozen
 class RequestOutcome:
     """How one attempt at a request ended, as an event for the controllers.
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -71,8 +71,14 @@
         parts = (self.settings, self.blackboard, self.clock, self.rng)
         self.routing = RoutingController(*parts)
         self.guard = DuplicateGuard(*parts)
-        self.metrics = MetricsRecorder(self.blackboard)
+        self.metrics = MetricsRecorder(self.blackboard, self.clock)
         gate_controller = GateController(*parts)
+        self.metrics.watch_services(
+            "wagtailstep.gate.waiting", "{request}", gate_controller.count_waiting
+        )
+        self.metrics.watch_services(
+            "wagtailstep.gate.running", "{request}", gate_controller.count_running
+        )
         self.gate = GateService(
             self.settings, gate_controller, self.client, self.clock, self.dispatch
         )
@@ -128,6 +134,11 @@
             apply=self.runtime.apply_all,
         )
         self.runtime.listeners[RequestDecided] = self.entry.settle
+        shared = self.entry.sender.retries.shared
+        if shared is not None:
+            self.metrics.watch_services(
+                "wagtailstep.retries.room", "{retry}", shared.list_room
+            )
 
     def build_servers(self) -> None:
         """Make the HTTP servers; none listens yet."""
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -52,11 +52,12 @@
     yield_body,
 )
 from wagtailstep.network.request_reader import RequestReader
-from wagtailstep.network.sender import AttemptSender
+from wagtailstep.network.sender import CALLER_LEFT, AttemptSender
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
 MAX_RELAY_ATTEMPTS = 2
+INTERNAL_ERROR = "internal-error"
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -99,7 +100,7 @@
         self.sender = AttemptSender(
             blackboard, clock, routing, retries, forwarder, dispatch
         )
-        self.notes = EntryNotes(settings, blackboard, dispatch)
+        self.notes = EntryNotes(settings, blackboard, clock, dispatch)
         self.undecided: dict[str, asyncio.Future[Decision]] = {}
 
     async def handle(self, incoming: IncomingRequest) -> Answer:
@@ -109,6 +110,8 @@
             must be closed in the end.
         """
         request_id = make_id(self.rng)
+        request: RequestContext | None = None
+        started_at = self.clock.monotonic()
         try:
             request_id = self.reader.find_request_id(incoming) or request_id
             request = self.reader.read(incoming, request_id)
@@ -116,11 +119,17 @@
             answer = await self.serve(request, incoming)
         except RequestError as error:
             self.notes.take_failure(incoming, request_id, error)
+            self.notes.take_end(request, error.reason, started_at)
             return describe_error(error, request_id)
         except Exception:
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
+            self.notes.take_end(request, INTERNAL_ERROR, started_at)
             return describe_error(make_internal_error(), request_id)
+        except asyncio.CancelledError:
+            self.notes.take_end(request, CALLER_LEFT, started_at)
+            raise
         self.notes.take_answer(incoming, answer.status)
+        self.notes.take_end(request, f"status-{answer.status}", started_at)
         answer.headers = replace_headers(
             remove_headers(answer.headers, headers.GATE_ANSWER_HEADERS),
             (headers.VERDICT, answer.verdict.value),
--- a/src/wagtailstep/network/entry_notes.py
+++ b/src/wagtailstep/network/entry_notes.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable
+from datetime import timedelta
 from http import HTTPStatus
 from typing import Any
 
@@ -9,9 +10,10 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.gate import LocalCall, LocalCallFailed
-from wagtailstep.models.request import RequestContext
+from wagtailstep.models.request import RequestContext, RequestEnded
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.sender import FIRST_FAILURE_STATUS
+from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -20,6 +22,7 @@
 class EntryNotes:
     """Tell of requests, and of calls by the backend server beside this daemon.
 
+    :param clock: tells how long requests took.
     :param dispatch: gives events to the controllers.
     """
 
@@ -27,10 +30,12 @@
         self,
         settings: DaemonSettings,
         blackboard: Blackboard,
+        clock: Clock,
         dispatch: Callable[[Any], None],
     ) -> None:
         self.settings = settings
         self.blackboard = blackboard
+        self.clock = clock
         self.dispatch = dispatch
 
     def take_request(self, incoming: IncomingRequest, request: RequestContext) -> None:
@@ -44,6 +49,19 @@
             refused = status == HTTPStatus.SERVICE_UNAVAILABLE
             self.dispatch(LocalCallFailed(incoming.path, refused))
 
+    def take_end(
+        self, request: RequestContext | None, outcome: str, started_at: timedelta
+    ) -> None:
+        """Note the end of a request.
+
+        :param request: the request, if it could be read.
+        :param started_at: monotonic time when it arrived.
+        """
+        service = request.service if request is not None else ""
+        route = request.route if request is not None else ""
+        took = self.clock.monotonic() - started_at
+        self.dispatch(RequestEnded(service, route, outcome, took))
+
     def take_failure(
         self, incoming: IncomingRequest, request_id: str, error: RequestError
     ) -> None:
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of one daemon, by OpenTelemetry, read over HTTP as JSON or as text."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
+from datetime import timedelta
 from typing import Any
 
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -11,22 +12,28 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import Tick
 from wagtailstep.models.gate import WorkEnded
-from wagtailstep.models.request import RequestOutcome
+from wagtailstep.models.request import RequestEnded, RequestOutcome
+from wagtailstep.utils.clock import Clock
 
 
 class MetricsRecorder:
     """Count outcomes and observe the blackboard.
 
-    It takes events as a controller does and never has effects. Attributes are
-    service, verdict and blame only, so that memory doesn't grow with the number of
-    targets, routes or client accounts.
+    It takes events as a controller does and never has effects. Attributes never name
+    targets or client accounts; only requests and their latency are kept by route, and
+    OpenTelemetry counts what goes beyond 2,000 combinations together.
 
     :param blackboard: what the gauges show.
+    :param clock: tells the age of the table.
     """
 
-    def __init__(self, blackboard: Blackboard) -> None:
+    def __init__(self, blackboard: Blackboard, clock: Clock) -> None:
         self.blackboard = blackboard
+        self.clock = clock
+        self.table_version = 0
+        self.table_since = clock.monotonic()
         member = blackboard.this_member
         self.reader = InMemoryMetricReader()
         resource = Resource(
@@ -40,6 +47,21 @@
         text_reader = PrometheusMetricReader(registry=self.registry)
         provider = MeterProvider([self.reader, text_reader], resource=resource)
         self.meter = provider.get_meter("wagtailstep")
+        self.requests = self.meter.create_counter(
+            "wagtailstep.requests",
+            unit="{request}",
+            description="Requests of callers that ended.",
+        )
+        self.request_latency = self.meter.create_histogram(
+            "wagtailstep.request.duration",
+            unit="s",
+            description="Time from the head of a request to that of its answer.",
+        )
+        self.store_calls = self.meter.create_counter(
+            "wagtailstep.store.calls",
+            unit="{call}",
+            description="Calls to the platform's store that ended.",
+        )
         self.attempts = self.meter.create_counter(
             "wagtailstep.attempts", unit="1", description="Attempts that ended."
         )
@@ -66,9 +88,42 @@
         }
         for name, read in gauges.items():
             self.meter.create_observable_gauge(name, [_make_callback(read)])
+        self.meter.create_observable_gauge(
+            "wagtailstep.table.age", [_make_callback(self.read_table_age)], unit="s"
+        )
+
+    def watch_services(
+        self, name: str, unit: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Register a gauge with a value for each service.
+
+        :param read: returns the values by service.
+        """
+
+        def observe(_: CallbackOptions) -> Iterable[Observation]:
+            for service, value in read().items():
+                yield Observation(value, {"service": service})
+
+        self.meter.create_observable_gauge(name, [observe], unit=unit)
+
+    def read_table_age(self) -> float:
+        """Return the seconds since the table in force came into force."""
+        return (self.clock.monotonic() - self.table_since) / timedelta(seconds=1)
+
+    def count_store_call(self, outcome: str) -> None:
+        """Count a call to the platform's store that ended."""
+        self.store_calls.add(1, {"outcome": outcome})
 
     def handle(self, event: Any) -> list[Any]:
-        """Count the event if it is the end of an attempt or of a piece of work."""
+        """Count the event if it is the end of a request, an attempt or its work."""
+        if isinstance(event, Tick) and self.table_version != (
+            version := self.blackboard.table.version
+        ):
+            self.table_version, self.table_since = version, self.clock.monotonic()
+        if isinstance(event, RequestEnded):
+            route = {"service": event.service, "route": event.route}
+            self.requests.add(1, {**route, "outcome": event.outcome})
+            self.request_latency.record(event.took.total_seconds(), route)
         if isinstance(event, WorkEnded):
             result = {"result": event.result.value}
             self.work.record(event.took.total_seconds(), result)
--- a/src/wagtailstep/network/service_calls.py
+++ b/src/wagtailstep/network/service_calls.py
@@ -1,9 +1,11 @@
 """Calls to a service of the platform, each sent once and answered whole."""
 
+from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
 
+from wagtailstep.exceptions import RequestError
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
@@ -15,6 +17,10 @@
 IDLE_LIMIT_MS = 2_000
 
 
+def ignore(outcome: str) -> None:
+    """Take no notice of how a call ended."""
+
+
 @attrs.frozen
 class HttpReply:
     """A whole answer.
@@ -42,6 +48,7 @@
             connect_timeout_ms=connect_timeout // timedelta(milliseconds=1),
         )
         self.client = HttpClient(settings, clock)
+        self.on_end: Callable[[str], None] = ignore
 
     async def call(
         self, method: str, path: str, body: bytes, timeout: timedelta
@@ -64,8 +71,14 @@
             idempotent=method == "GET",
             time_left=timeout,
         )
-        answer = await self.client.send(request)
-        return HttpReply(answer.status, await read_whole(answer))
+        try:
+            answer = await self.client.send(request)
+            reply = HttpReply(answer.status, await read_whole(answer))
+        except RequestError as error:
+            self.on_end(error.reason)
+            raise
+        self.on_end(f"status-{reply.status}")
+        return reply
 
     def close(self) -> None:
         """Close the kept connections."""
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -30,6 +30,7 @@
     def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
         self.store = PlatformStore(settings.store, clock)
         super().__init__(settings.daemon, clock)
+        self.store.calls.on_end = self.metrics.count_store_call
 
     def find_store(self) -> KeyedStore:
         """Return the platform's store."""
