Play loads at one system or two, and compare them

Change: `wagtailstep-load`: checked settings, open-loop arrivals (steady, wave, burst), classes with aims, callers that give up or come back, two sides played in turns with the same arrivals, HDR histograms, text and PNG, a progress bar. Tests: features/load.feature in virtual time, against stand-ins with more and fewer slots. Not done: the decisions of docs/design/queueing.md measured again with it.

--- a/features/steps/programs_steps.py
+++ b/features/steps/programs_steps.py
@@ -13,12 +13,13 @@
 
 from behave import given, then, when
 
-from wagtailstep.cli import daemon, fakes, timeline
+from wagtailstep.cli import daemon, fakes, load, timeline
 from wagtailstep.platform import program as platform
 
 PROGRAMS = {
     "daemon": daemon.main,
     "fakes": fakes.main,
+    "load": load.main,
     "platform": platform.main,
     "timeline": timeline.main,
 }
--- /dev/null
+++ b/src/wagtailstep/commands/report_load.py
@@ -0,0 +1,78 @@
+"""Reports of a load, as text and as a picture."""
+
+import pathlib
+from collections.abc import Sequence
+
+from wagtailstep.exceptions import SettingsError
+from wagtailstep.models.load_results import (
+    ClassResult,
+    SideResult,
+    compare_sides,
+    sum_up,
+)
+
+ALL = "all"
+PERCENTS = (50.0, 99.0)
+HEADER = (
+    f"{'side':<12} {'class':<16} {'asked':>7} {'in aim':>7} {'served':>7} "
+    f"{'refused':>8} {'failed':>7} {'gave up':>8} {'p50 ms':>8} {'p99 ms':>8}"
+)
+
+
+def format_results(sides: Sequence[SideResult]) -> str:
+    """Write the results of a load as a table, and a comparison of two sides."""
+    lines = [HEADER]
+    for side in sides:
+        totals = side.total()
+        for name, result in {**totals, ALL: sum_up(totals)}.items():
+            lines.append(format_row(side.name, name, result))
+    if len(sides) == 2:
+        lines.append(format_difference(*sides))
+    return "\n".join(lines)
+
+
+def format_row(side: str, name: str, result: ClassResult) -> str:
+    """Write one row of the table."""
+    p50, p99 = (result.latency_ms(percent) for percent in PERCENTS)
+    return (
+        f"{side:<12} {name:<16} {result.asked:>7} {result.goodput:>7.3f} "
+        f"{result.served:>7} {result.refused:>8} {result.failed:>7} "
+        f"{result.gave_up:>8} {p50:>8.1f} {p99:>8.1f}"
+    )
+
+
+def format_difference(first: SideResult, second: SideResult) -> str:
+    """Write by how much the second side is better."""
+    difference = compare_sides(first, second)
+    verdict = "clear" if difference.is_clear else "within chance"
+    return (
+        f"goodput of {second.name} less that of {first.name}: "
+        f"{difference.mean:+.4f} +/- {difference.margin:.4f} ({verdict}, "
+        f"{len(first.slices)} paired slices)"
+    )
+
+
+def draw_results(sides: Sequence[SideResult], path: pathlib.Path) -> None:
+    """Draw goodput by slice and latency by percentile.
+
+    :param path: where the PNG goes.
+    :raises SettingsError: if the library that draws is not installed.
+    """
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        raise SettingsError(
+            "pictures need matplotlib; install wagtailstep[load]"
+        ) from error
+    figure = Figure(figsize=(10, 4), layout="constrained")
+    by_slice, by_percent = figure.subplots(1, 2)
+    for side in sides:
+        by_slice.plot(side.goodputs(), marker="o", label=side.name)
+        latencies = sum_up(side.total())
+        percents = [*range(1, 100), 99.5, 99.9]
+        values = [latencies.latency_ms(percent) for percent in percents]
+        by_percent.plot(percents, values, label=side.name)
+    by_slice.set(xlabel="slice", ylabel="share answered in aim", ylim=(0, 1.02))
+    by_percent.set(xlabel="percentile", ylabel="latency (ms)", yscale="log")
+    by_slice.legend()
+    figure.savefig(path, format="png")
--- /dev/null
+++ b/src/wagtailstep/network/load_player.py
@@ -0,0 +1,171 @@
+"""Playing a load as callers do: open loop, whatever is still under way."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from datetime import timedelta
+from http import HTTPStatus
+
+import attrs
+
+from wagtailstep.controllers.load_plan import Arrival, order_sides, plan_slice
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.headers import TIMEOUT_MS, find_header
+from wagtailstep.models.load_results import ClassResult, SideResult
+from wagtailstep.models.load_settings import LoadClass, LoadSettings
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.bodies import read_whole
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.clock import Clock
+
+# A caller hears what a system says at its own time limit.
+GRACE = timedelta(milliseconds=500)
+REFUSALS = frozenset({HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE})
+DEFAULT_RETRY_S = 1.0
+
+
+@attrs.frozen
+class Reply:
+    """What one sending got.
+
+    :param status: HTTP status; 0 if there was no whole answer.
+    :param retry_after_s: when a refusal says to come back.
+    """
+
+    status: int
+    retry_after_s: float = DEFAULT_RETRY_S
+
+
+class LoadPlayer:
+    """Play a load at its sides, one after the other.
+
+    :param settings: the load.
+    :param clock: times requests.
+    :param on_slice: told after each slice.
+    """
+
+    def __init__(
+        self,
+        settings: LoadSettings,
+        clock: Clock,
+        on_slice: Callable[[], None] = lambda: None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.on_slice = on_slice
+        self.client = HttpClient(RequestSettings(), clock)
+        self.rng = random.Random(settings.seed)
+        self.sides = [SideResult(side.name) for side in settings.sides]
+
+    async def play(self) -> list[SideResult]:
+        """Play all slices and return what each side answered."""
+        for number in range(self.settings.slices):
+            arrivals = plan_slice(self.settings, number)
+            for index in order_sides(self.settings, number):
+                results = await self.play_slice(arrivals, index)
+                self.sides[index].slices.append(results)
+                self.on_slice()
+        self.client.close()
+        return self.sides
+
+    async def play_slice(
+        self, arrivals: list[Arrival], index: int
+    ) -> dict[str, ClassResult]:
+        """Play a slice at one side and wait for its last answer."""
+        results = {kind.name: ClassResult() for kind in self.settings.classes}
+        started = self.clock.monotonic()
+        async with asyncio.TaskGroup() as group:
+            for arrival in arrivals:
+                due = started + timedelta(seconds=arrival.at_s)
+                wait = due - self.clock.monotonic()
+                await asyncio.sleep(max(0.0, wait.total_seconds()))
+                is_measured = arrival.at_s >= self.settings.warmup_s
+                result = results[arrival.kind.name] if is_measured else ClassResult()
+                group.create_task(self.ask(arrival, index, due, result))
+        return results
+
+    async def ask(
+        self, arrival: Arrival, index: int, due: timedelta, result: ClassResult
+    ) -> None:
+        """Bring one request to its end, as its caller would.
+
+        :param due: monotonic time when it was to be sent; latency counts from there.
+        :param result: where it is counted.
+        """
+        result.asked += 1
+        kind = arrival.kind
+        patience = None
+        if arrival.loses_patience:
+            patience = kind.give_up_ms / 1_000
+        try:
+            async with asyncio.timeout(patience):
+                reply = await self.send_with_retries(arrival, index)
+        except TimeoutError:
+            result.gave_up += 1
+            return
+        latency_ms = (self.clock.monotonic() - due) / timedelta(milliseconds=1)
+        if 200 <= reply.status < 300:
+            result.add_served(latency_ms, kind.aim_ms)
+        elif reply.status in REFUSALS:
+            result.refused += 1
+        else:
+            result.failed += 1
+
+    async def send_with_retries(self, arrival: Arrival, index: int) -> Reply:
+        """Send a request, and again after refusals, as often as its class says."""
+        kind = arrival.kind
+        addresses = self.settings.sides[index].addresses
+        address = addresses[int(arrival.draw * len(addresses))]
+        reply = await self.send(address, kind)
+        for _ in range(kind.retries):
+            if reply.status not in REFUSALS:
+                break
+            if kind.waits_as_told:
+                await asyncio.sleep(reply.retry_after_s)
+            reply = await self.send(self.rng.choice(addresses), kind)
+        return reply
+
+    async def send(self, address: str, kind: LoadClass) -> Reply:
+        """Send a request once."""
+        time_left = timedelta(milliseconds=kind.timeout_ms)
+        try:
+            answer = await self.client.send(make_request(address, kind, time_left))
+            status, headers = answer.status, answer.headers
+            await read_whole(answer)
+        except RequestError:
+            return Reply(0)
+        return Reply(status, read_seconds(find_header(headers, "retry-after")))
+
+
+def make_request(address: str, kind: LoadClass, time_left: timedelta) -> HttpRequest:
+    """Return one request of a class."""
+    headers = ((TIMEOUT_MS, str(kind.timeout_ms)), *kind.headers.items())
+    if find_header(headers, "host") is None:
+        headers = (("host", address), *headers)
+    body = None
+    if kind.body_bytes:
+        headers = (*headers, ("content-length", str(kind.body_bytes)))
+        body = yield_filling(kind.body_bytes)
+    return HttpRequest(
+        address=address,
+        method=kind.method,
+        path=kind.path,
+        headers=headers,
+        body=body,
+        idempotent=kind.method == "GET",
+        time_left=time_left + GRACE,
+    )
+
+
+async def yield_filling(size: int) -> AsyncIterator[bytes]:
+    """Yield a body of a size."""
+    yield b"x" * size
+
+
+def read_seconds(text: str | None) -> float:
+    """Return the seconds of ``Retry-After``, or a default if it has none."""
+    try:
+        return float(text or "")
+    except ValueError:
+        return DEFAULT_RETRY_S
