--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 	$(PY) -m benchmarks.check_histories --seed=$(SEED) --runs=$(RUNS)
 
 bench: bench-requests bench-streams bench-keys bench-detection bench-detection_cost \
-	bench-table bench-events bench-control bench-control_daemons bench-control_bad_hours
+	bench-table bench-events bench-control bench-control_daemons bench-control_bad_hours \
+	bench-log_cost
 
 bench-%: install
 	$(PY) -m benchmarks.$* --seed=$(SEED)
