Format a log line only when it is written

Cause: lines of requests that went well were formatted before the handler left most of them out. Change: the text of an event is made when its line is written. A field that is an object is read then, which is in the same call. Bytes are the same.

--- a/src/wagtailstep/utils/logging.py
+++ b/src/wagtailstep/utils/logging.py
@@ -30,6 +30,20 @@
     return f'"{escaped}"'
 
 
+class EventText:
+    """Text of an event that is only written if its line is.
+
+    :param fields: the fields of the line.
+    """
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self.fields = fields
+
+    def __str__(self) -> str:
+        """Return the line."""
+        return format_fields(self.fields)
+
+
 def log_event(
     logger: logging.Logger,
     event: str,
@@ -44,7 +58,7 @@
     :param fields: what belongs to it; units go into the names of the fields.
     """
     if logger.isEnabledFor(level):
-        text = format_fields({"event": event, **fields})
+        text = EventText({"event": event, **fields})
         logger.log(level, text, extra={"routine": routine})
 
 
