--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: install test lint demo bench check-histories
+.PHONY: install test lint demo bench check-histories soak
 
 install: $(VENV)/.installed
 
@@ -28,6 +28,9 @@
 check-histories: install
 	$(PY) -m benchmarks.check_histories --seed=$(SEED) --runs=$(RUNS)
 
+soak: install
+	$(PY) -m benchmarks.platform_soak --seed=$(SEED) --runs=$(RUNS)
+
 bench: bench-requests bench-streams bench-keys bench-detection bench-detection_cost \
 	bench-table bench-events bench-control bench-control_daemons bench-control_bad_hours \
 	bench-log_cost
--- /dev/null
+++ b/benchmarks/soak/fleet.py
@@ -0,0 +1,255 @@
+"""Real daemons of the platform, each on a host with its backend server."""
+
+import asyncio
+import random
+from collections import Counter
+from datetime import UTC, datetime, timedelta
+
+import attrs
+import detangle
+import msgspec
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.fakes.backend_server import BackendServer, BackendServerSettings
+from wagtailstep.fakes.faults import Faults
+from wagtailstep.models.settings import (
+    DaemonSettings,
+    MembershipSettings,
+    RequestSettings,
+)
+from wagtailstep.network.bodies import read_whole
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.memory_channel import InMemoryPeerChannel, MemoryNetwork
+from wagtailstep.network.problems import yield_body
+from wagtailstep.platform.daemon import PlatformDaemon
+from wagtailstep.platform.settings import PlatformSettings, StoreSettings
+from wagtailstep.platform.stand_in import StandInStore
+from wagtailstep.utils.clock import LoopClock
+
+STORE = "store:8000"
+SERVICE = "contracts"
+ROUTE_HOST = "book.example"
+ZONES = ("bole", "piassa", "kirkos")
+BEAT_S = 1.5
+BEAT_TIMEOUT = timedelta(seconds=1)
+NOTICE_MS = 1_000
+SHUTDOWN_MS = 4_000
+
+
+def make_configuration(version: int) -> bytes:
+    """Return the operator's record of a version."""
+    columns = "name host path-prefix kind timeout aim priority service max-attempts"
+    rows = [
+        ["lookup", ROUTE_HOST, "/lookup/", "safe", "4000ms", "800ms", 2, SERVICE, 3],
+        ["sign", ROUTE_HOST, "/sign/", "unsafe", "5000ms", "800ms", 1, SERVICE, 1],
+    ]
+    return msgspec.json.encode(
+        {
+            "version": f"r{version}",
+            "routes": {"columns": columns.split(), "rows": rows},
+            "services": {"columns": ["name"], "rows": [[SERVICE]]},
+            "limits": {},
+        }
+    )
+
+
+class SoakClock(LoopClock):
+    """The clock of the loop, with a time of day that follows it."""
+
+    start = datetime(2026, 1, 1, tzinfo=UTC)
+
+    def utc(self) -> datetime:
+        """Return the time of day."""
+        return self.start + self.monotonic()
+
+
+class SoakDaemon(PlatformDaemon):
+    """A daemon whose control channel is in memory, as time is virtual."""
+
+    def __init__(self, settings: PlatformSettings, network: MemoryNetwork) -> None:
+        self.network = network
+        super().__init__(settings, SoakClock())
+
+    def make_channel(self) -> InMemoryPeerChannel:
+        """Return a channel of the network in memory."""
+        return InMemoryPeerChannel(
+            self.network, self.settings.daemon_id, self.settings.peer_address
+        )
+
+
+@attrs.define
+class Host:
+    """One machine: a daemon and its backend server.
+
+    :param name: name of the machine and its daemon.
+    :param daemon: the daemon that runs; ``None`` while the power is off.
+    :param backend: the backend server that runs.
+    :param starts: how often the machine was started.
+    """
+
+    name: str
+    zone: str
+    daemon: SoakDaemon | None = None
+    backend: BackendServer | None = None
+    starts: int = 0
+
+
+class SoakFleet:
+    """Hosts, the store, and what can happen to them.
+
+    :param size: number of hosts.
+    :param rng: draws losses of control messages.
+    """
+
+    def __init__(self, size: int, rng: random.Random) -> None:
+        self.network = MemoryNetwork(rng)
+        self.store = StandInStore()
+        self.version = 1
+        self.hosts = [Host(f"d{i}", ZONES[i % len(ZONES)]) for i in range(1, size + 1)]
+        self.backends: list[BackendServer] = []
+
+    async def start(self) -> None:
+        """Start the store and all hosts."""
+        self.publish()
+        detangle.spawn(self.store.start(STORE), host="store")
+        await asyncio.sleep(0.1)
+        for host in self.hosts:
+            self.power_on(host)
+
+    def publish(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        record = make_configuration(self.version)
+        self.store.put("keyed.op", "config", record)
+
+    def power_on(self, host: Host) -> None:
+        """Start the processes of a host."""
+        host.starts += 1
+        detangle.spawn(self.run_backend(host), host=host.name)
+        detangle.spawn(self.run_daemon(host), host=host.name)
+
+    def power_off(self, host: Host) -> None:
+        """Cut the power of a host: its connections fall silent."""
+        self.network.receivers.pop(f"{host.name}:8005", None)
+        detangle.network().crash(host.name)
+        host.daemon = host.backend = None
+
+    async def restore_power(self, host: Host) -> None:
+        """Start a host again."""
+        detangle.network().restart(host.name)
+        self.power_on(host)
+
+    async def run_daemon(self, host: Host) -> None:
+        """Run a daemon until its host loses power."""
+        host.daemon = SoakDaemon(make_settings(host), self.network)
+        await host.daemon.start()
+
+    async def restart_daemon(self, host: Host) -> None:
+        """Have a daemon shut down as after SIGTERM, and start the next one."""
+        daemon = host.daemon
+        if daemon is None:
+            return
+
+        async def shut_down_and_start() -> None:
+            await daemon.shut_down()
+            await self.run_daemon(host)
+
+        await detangle.spawn(shut_down_and_start(), host=host.name)
+
+    async def run_backend(self, host: Host) -> None:
+        """Run a backend server and its heartbeats until its host loses power."""
+        settings = BackendServerSettings(
+            SERVICE, f"{host.name}:9000", seed=host.starts, queue_length=0
+        )
+        host.backend = BackendServer(settings)
+        self.backends.append(host.backend)
+        await host.backend.start()
+        client = HttpClient(RequestSettings(), LoopClock())
+        born = int(SoakClock().utc().timestamp() * 1_000)
+        sequence = 0
+        while True:
+            sequence += 1
+            await self.beat(client, host, born, sequence)
+            await asyncio.sleep(BEAT_S)
+
+    async def beat(
+        self, client: HttpClient, host: Host, born: int, sequence: int
+    ) -> None:
+        """Send one heartbeat."""
+        beat = {
+            "service": SERVICE,
+            "address": f"{host.name}:9000",
+            "slots": 4,
+            "state": "ready",
+            "sequence": sequence,
+            "born": born,
+        }
+        data = msgspec.json.encode(beat)
+        request = HttpRequest(
+            address=f"{host.name}:8004",
+            method="PUT",
+            path=f"/v1/instances/i-{host.name}",
+            headers=(("host", host.name), ("content-length", str(len(data)))),
+            body=yield_body(data),
+            idempotent=True,
+            time_left=BEAT_TIMEOUT,
+        )
+        try:
+            await read_whole(await client.send(request))
+        except RequestError:
+            # The daemon is down; the next heartbeat tells again.
+            pass
+
+    def set_faults(self, host: Host, faults: Faults) -> None:
+        """Have the backend server of a host fail in some way."""
+        if host.backend is not None:
+            host.backend.faults = faults
+
+    def cut_off(self, host: Host) -> None:
+        """Cut a host off from all other hosts, but not from callers and the store."""
+        for other in self.hosts:
+            if other is not host:
+                detangle.network().disconnect(host.name, other.name)
+                self.network.rules.cut([host.name], [other.name])
+                self.network.rules.cut([other.name], [host.name])
+
+    def heal(self) -> None:
+        """Mend all links."""
+        detangle.network().heal()
+        self.network.rules.cuts.clear()
+
+    def count_runs(self) -> Counter[str]:
+        """Return how often each request began to run, over all backend servers."""
+        runs: Counter[str] = Counter()
+        for backend in self.backends:
+            runs.update(backend.counts.started)
+        return runs
+
+
+def make_settings(host: Host) -> PlatformSettings:
+    """Return the settings of a host's daemon, as the platform would render them."""
+    name = host.name
+    daemon = DaemonSettings(
+        daemon_id=name,
+        availability_zone=host.zone,
+        caller_address=f"{name}:8001",
+        gate_address=f"{name}:8002",
+        peer_address=f"{name}:8005",
+        announce_address=f"{name}:8004",
+        service=SERVICE,
+        seed=host.starts,
+        shutdown_ms=SHUTDOWN_MS,
+        shutdown_notice_ms=NOTICE_MS,
+        requests=RequestSettings(
+            trust_slots=True, connect_timeout_ms=300, retry_ratio=0.15, retry_slack=20
+        ),
+        membership=MembershipSettings(
+            member_source="registry",
+            announce_lease_ms=6_000,
+            rejoin_ms=2_000,
+            lease_ms=4_500,
+            renew_ms=1_500,
+        ),
+    )
+    return PlatformSettings(daemon, StoreSettings(STORE))
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,50 @@
+"""Steps for the soak on the platform."""
+
+import logging
+from unittest import mock
+
+from behave import given, then, when
+from benchmarks.platform_soak import play
+from benchmarks.soak.fleet import SoakDaemon
+
+from wagtailstep.controllers.retries import RetryPolicy
+
+
+@given("retries that don't ask whether a request may be repeated")
+def plant_careless_retries(context):
+    patch = mock.patch.object(RetryPolicy, "take_retry", lambda *args: args[3] < 3)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("daemons that shut down without waiting")
+def plant_hasty_shutdown(context):
+    patch = mock.patch.object(SoakDaemon, "shut_down", SoakDaemon.close)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('a soak with the troubles "{names}" is played with seed {seed:d}')
+def play_soak(context, names, seed):
+    logging.disable(logging.CRITICAL)
+    try:
+        context.result = play(seed, tuple(names.split(", ")))
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@then("it finds no broken promise")
+def check_none(context):
+    assert not context.result.violations, context.result.violations
+
+
+@then("at least {count:d} requests were answered with success")
+def check_served(context, count):
+    served = sum(each.status == 200 for each in context.result.told)
+    assert served >= count, served
+
+
+@then('it finds a broken promise that says "{text}"')
+def check_found(context, text):
+    violations = context.result.violations
+    assert any(text in violation for violation in violations), violations
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -22,6 +22,7 @@
 from wagtailstep.models.idempotency import RequestDecided
 from wagtailstep.models.keyed_store import KeyedStore, NoKeyedStore
 from wagtailstep.models.log import LogService, NoLog
+from wagtailstep.models.peer import PeerChannel
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.status import DaemonStatus, describe_status
 from wagtailstep.network.announcements import add_announcement_routes
@@ -95,7 +96,7 @@
         self.log = self.find_log()
         outside = Outside(
             log=self.log,
-            channel=ZeroMqPeerChannel(self.settings, self.clock),
+            channel=self.make_channel(),
             probe=prober.probe,
             store=self.find_store(),
         )
@@ -111,6 +112,10 @@
         """Return the platform's log service, or one without records."""
         return NoLog()
 
+    def make_channel(self) -> PeerChannel:
+        """Return the control channel to the other daemons."""
+        return ZeroMqPeerChannel(self.settings, self.clock)
+
     def find_store(self) -> KeyedStore:
         """Return the platform's keyed store, or one without records."""
         return NoKeyedStore()
