Answer 503 to requests by host while no table is known

Cause: a daemon without a table took a request that names no service for one of the product's own interface and answered 400, "header wagtailstep-service is missing". With caller_request_ids, as on the users' platform, it said 503. Ruled out: a body that was cut (both requests were whole). Change: only a request that names a service is read before the table. Test: features/entry.feature, failed before (400). The soak's daemons get the platform's settings, but for callers' request ids: the stand-in of a backend server doesn't repeat them in its answers.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -242,7 +242,12 @@
         shutdown_ms=SHUTDOWN_MS,
         shutdown_notice_ms=NOTICE_MS,
         requests=RequestSettings(
-            trust_slots=True, connect_timeout_ms=300, retry_ratio=0.15, retry_slack=20
+            trust_slots=True,
+            connect_timeout_ms=300,
+            unsafe_idle_ms=2_000,
+            other_zone_share=0.33,
+            retry_ratio=0.15,
+            retry_slack=20,
         ),
         membership=MembershipSettings(
             member_source="registry",
--- a/features/entry.feature
+++ b/features/entry.feature
@@ -143,6 +143,11 @@
       | wagtailstep-timeout-ms | 400   | not-run      |
       | idempotency-key        | k1    | may-have-run |
 
+  Scenario: A request that may be routed by its host waits for the table as well
+    Given this daemon has not read the table yet
+    When a caller sends GET "/lookup/7" that names no service
+    Then the answer is 503 with verdict "not-run" and a problem about "table"
+
   Scenario: A route's longest time binds
     Given every attempt hangs
     And the table allows route "sign" of "contracts" 200 ms
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -241,13 +241,14 @@
         await answer.close()
 
 
-def make_incoming(method, path, extra=(), body=None):
-    given_headers = [(headers.SERVICE, "contracts"), *extra]
+def make_incoming(method, path, extra=(), body=None, service="contracts"):
+    given_headers = [(headers.SERVICE, service)] if service else []
+    given_headers += extra
     names = {name: value for name, value in given_headers}
     return IncomingRequest(method, path, tuple(names.items()), body or yield_chunks([]))
 
 
-def send(context, method, path, extra=(), body=None, count=1):
+def send(context, method, path, extra=(), body=None, count=1, service="contracts"):
     async def call():
         entry = context.world.make_entry()
         asyncio.get_running_loop().call_later(
@@ -255,7 +256,7 @@
         )
         started = asyncio.get_running_loop().time()
         for _ in range(count):
-            incoming = make_incoming(method, path, extra, body)
+            incoming = make_incoming(method, path, extra, body, service)
             await read_answer(context, await entry.handle(incoming))
         context.took = asyncio.get_running_loop().time() - started
 
@@ -273,6 +274,11 @@
     send(context, method, path, [(name, value)])
 
 
+@when('a caller sends {method:w} "{path:S}" that names no service')
+def send_without_service(context, method, path):
+    send(context, method, path, service=None)
+
+
 @when('{count:d} callers send {method:w} "{path:S}" one after the other')
 def send_many(context, count, method, path):
     send(context, method, path, count=count)
--- a/src/wagtailstep/network/request_reader.py
+++ b/src/wagtailstep/network/request_reader.py
@@ -64,10 +64,13 @@
         """
         now = self.clock.monotonic()
         table = self.blackboard.table
-        names_service = find_header(incoming.headers, headers.SERVICE) is not None
-        if self.settings.caller_request_ids:
+        always_by_host = self.settings.caller_request_ids
+        service = find_header(incoming.headers, headers.SERVICE)
+        names_service = service is not None and not always_by_host
+        if not names_service:
+            # Whether the table has routes by host is not known before it is read.
             self.check_ready()
-        elif names_service or not table.host_routes:
+        if names_service or not (always_by_host or table.host_routes):
             return interpret_request(incoming, request_id, table, self.settings, now)
         route = find_route(incoming, table)
         service = self.splitter.choose(route)
