Give each daemon of the soak a seed of its own, and callers time to the end

Ruled out: a duplicate sending in the fleet (identifiers of two entries were equal). Change: seeds by host and start; callers stop 20 s after the last trouble.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -136,9 +136,8 @@
         fleet = SoakFleet(HOSTS, random.Random(rng.random()))
         await fleet.start()
         await asyncio.sleep(CALM_S)
-        seconds = TROUBLED_S + RECOVER_S + LAST_S
         callers = Callers(fleet, RATE_PER_S, random.Random(rng.random()))
-        calling = start_callers(callers, seconds)
+        calling = start_callers(callers)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + TROUBLED_S
         await asyncio.gather(
@@ -148,6 +147,7 @@
             )
         )
         last_from = loop.time() + RECOVER_S
+        callers.stop_at = last_from + LAST_S
         await calling
         # What was refused as not run must not run later either.
         await asyncio.sleep(RECOVER_S)
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers of the soak, and what they were told."""
 
 import asyncio
+import math
 import random
 from datetime import timedelta
 
@@ -54,14 +55,15 @@
         self.rate_per_s = rate_per_s
         self.rng = rng
         self.told: list[Told] = []
+        # Time of the loop.
+        self.stop_at = math.inf
 
-    async def run(self, seconds: float) -> None:
-        """Send for some time and wait for the last answer."""
+    async def run(self) -> None:
+        """Send until ``stop_at`` and wait for the last answer."""
         self.client = HttpClient(RequestSettings(), LoopClock())
         loop = asyncio.get_running_loop()
-        ends_at = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
-            while loop.time() < ends_at:
+            while loop.time() < self.stop_at:
                 await asyncio.sleep(self.rng.expovariate(self.rate_per_s))
                 host = self.rng.choice(self.fleet.hosts).name
                 unsafe = self.rng.random() < UNSAFE_SHARE
@@ -97,6 +99,6 @@
         self.told[number] = Told(key, unsafe, at_s, status, is_own, cut)
 
 
-def start_callers(callers: Callers, seconds: float) -> "asyncio.Task[None]":
+def start_callers(callers: Callers) -> "asyncio.Task[None]":
     """Run the callers on a host of their own."""
-    return detangle.spawn(callers.run(seconds), host="callers")
+    return detangle.spawn(callers.run(), host="callers")
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -35,6 +35,7 @@
 BEAT_TIMEOUT = timedelta(seconds=1)
 NOTICE_MS = 1_000
 SHUTDOWN_MS = 4_000
+MAX_STARTS = 1_000
 
 
 def make_configuration(version: int) -> bytes:
@@ -82,18 +83,23 @@
 class Host:
     """One machine: a daemon and its backend server.
 
-    :param name: name of the machine and its daemon.
+    :param number: tells it from the others.
     :param daemon: the daemon that runs; ``None`` while the power is off.
     :param backend: the backend server that runs.
-    :param starts: how often the machine was started.
+    :param starts: how often its daemon was started.
     """
 
-    name: str
+    number: int
     zone: str
     daemon: SoakDaemon | None = None
     backend: BackendServer | None = None
     starts: int = 0
 
+    @property
+    def name(self) -> str:
+        """Return the name of the machine and its daemon."""
+        return f"d{self.number}"
+
 
 class SoakFleet:
     """Hosts, the store, and what can happen to them.
@@ -106,7 +112,9 @@
         self.network = MemoryNetwork(rng)
         self.store = StandInStore()
         self.version = 1
-        self.hosts = [Host(f"d{i}", ZONES[i % len(ZONES)]) for i in range(1, size + 1)]
+        self.hosts = [
+            Host(number, ZONES[number % len(ZONES)]) for number in range(1, size + 1)
+        ]
         self.backends: list[BackendServer] = []
 
     async def start(self) -> None:
@@ -125,7 +133,6 @@
 
     def power_on(self, host: Host) -> None:
         """Start the processes of a host."""
-        host.starts += 1
         detangle.spawn(self.run_backend(host), host=host.name)
         detangle.spawn(self.run_daemon(host), host=host.name)
 
@@ -142,6 +149,7 @@
 
     async def run_daemon(self, host: Host) -> None:
         """Run a daemon until its host loses power."""
+        host.starts += 1
         host.daemon = SoakDaemon(make_settings(host), self.network)
         await host.daemon.start()
 
@@ -160,7 +168,7 @@
     async def run_backend(self, host: Host) -> None:
         """Run a backend server and its heartbeats until its host loses power."""
         settings = BackendServerSettings(
-            SERVICE, f"{host.name}:9000", seed=host.starts, queue_length=0
+            SERVICE, f"{host.name}:9000", seed=host.number, queue_length=0
         )
         host.backend = BackendServer(settings)
         self.backends.append(host.backend)
@@ -238,7 +246,8 @@
         peer_address=f"{name}:8005",
         announce_address=f"{name}:8004",
         service=SERVICE,
-        seed=host.starts,
+        # Identifiers of requests are drawn from it, so no two daemons may share one.
+        seed=host.number * MAX_STARTS + host.starts,
         shutdown_ms=SHUTDOWN_MS,
         shutdown_notice_ms=NOTICE_MS,
         requests=RequestSettings(
