--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -89,14 +89,12 @@
             except RequestError as error:
                 exchange.sent += error.counts_as_sent
                 exchange.cover(error)
-                if isinstance(error, OverloadedError) and not error.reached_server:
+                if is_full_gate(error):
                     exchange.waits[target.target_id] = error.retry_after or NO_TIME
-                if not self.may_resend(exchange, error) and not self.take_last_resort(
-                    exchange, error
-                ):
+                if not self.may_go_on(exchange, error):
                     self.note_end(exchange, error.reason)
                     raise
-                if not isinstance(error, OverloadedError) or error.reached_server:
+                if not is_full_gate(error):
                     self.note_resend(exchange, target, error.reason)
                 continue
             exchange.sent += 1
@@ -107,6 +105,15 @@
             await discard_answer(answer)
             self.note_resend(exchange, target, f"status-{answer.status}")
 
+    def may_go_on(self, exchange: Exchange, error: RequestError) -> bool:
+        """Tell whether another target is tried after an attempt without an answer."""
+        if self.may_resend(exchange, error):
+            return True
+        if not is_full_gate(error):
+            return False
+        self.refusals.note(exchange.request.service)
+        return self.take_last_resort(exchange)
+
     def may_resend(self, exchange: Exchange, error: RequestError) -> bool:
         """Tell whether a request is sent again after an attempt without an answer."""
         if isinstance(error, AttemptAbandonedError):
@@ -115,7 +122,7 @@
             exchange.request, error, exchange.attempts, exchange.sent
         )
 
-    def take_last_resort(self, exchange: Exchange, error: RequestError) -> bool:
+    def take_last_resort(self, exchange: Exchange) -> bool:
         """Tell whether a doubted target is tried in place of a refusal.
 
         A failing server still answers part of its work, which serves more than no
@@ -123,10 +130,6 @@
         that nothing was run.
         """
         request = exchange.request
-        is_full = isinstance(error, OverloadedError) and not error.reached_server
-        if not is_full:
-            return False
-        self.refusals.note(request.service)
         if exchange.last_resort is not None:
             return False
         if not request.idempotent or not exchange.body.replayable:
@@ -373,6 +376,11 @@
         return AnswerStream(answer, end).make_answer()
 
 
+def is_full_gate(error: RequestError) -> bool:
+    """Tell whether a gate had no slot for a request, so that no server got it."""
+    return isinstance(error, OverloadedError) and not error.reached_server
+
+
 def read_calls(text: str) -> dict[str, float]:
     """Read calls per run by service; entries that make no sense are left out."""
     calls: dict[str, float] = {}
