Notice a settings file that changes without a signal

Cause: the file was read again on SIGHUP only, and the platform may change it silently. Test: features/settings.feature, new scenarios (the module didn't exist).

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -24,3 +24,16 @@
   Scenario: A missing key is named
     Given the annotated example without "daemon_id"
     Then it is refused with one line that contains "key daemon_id is missing"
+
+  Scenario Outline: A file that changes while the daemon runs is taken or reported once
+    Given a daemon started with log level "INFO"
+    When its settings file gets <change> and is checked 3 times
+    Then one line says "<text>"
+    And the log level is "<level>"
+
+    Examples:
+      | change                  | text                                   | level |
+      | {"log_level": "ERROR"}  | settings-reloaded needs_restart=False  | ERROR |
+      | {"seed": 7}             | settings-reloaded needs_restart=True   | INFO  |
+      | {"log_level": "loud"}   | settings-not-reloaded                  | INFO  |
+      | {}                      |                                        | INFO  |
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -1,11 +1,13 @@
 """Steps for the settings of the daemon."""
 
 import json
+import logging
 import pathlib
 
-from behave import given, then
+from behave import given, then, when
 
 from wagtailstep.commands.read_settings import read_settings, structure_settings
+from wagtailstep.commands.reload_settings import SettingsReloader
 from wagtailstep.exceptions import SettingsError
 from wagtailstep.models.settings import DaemonSettings
 
@@ -37,3 +39,59 @@
         assert "\n" not in str(error)
     else:
         raise AssertionError("the settings were accepted")
+
+
+class Lines(logging.Handler):
+    """Keep what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.texts = []
+
+    def emit(self, record):
+        self.texts.append(record.getMessage())
+
+
+def keep_lines(context):
+    context.lines = Lines()
+    logger = logging.getLogger("wagtailstep.commands.reload_settings")
+    logger.addHandler(context.lines)
+    context.add_cleanup(logger.removeHandler, context.lines)
+    level = logger.level
+    # The level of all loggers is what these steps change.
+    logger.setLevel(logging.INFO)
+    context.add_cleanup(logger.setLevel, level)
+
+
+@given('a daemon started with log level "{level}"')
+def start_with_level(context, level):
+    context.raw = {**json.loads(EXAMPLE.read_text()), "log_level": level}
+    root = logging.getLogger()
+    context.add_cleanup(root.setLevel, root.level)
+    root.setLevel(level)
+    keep_lines(context)
+
+
+@when("its settings file gets {change} and is checked {count:d} times")
+def check_file(context, change, count):
+    def read_again():
+        return structure_settings(context.raw, DaemonSettings, "daemon.json")
+
+    reloader = SettingsReloader(read_again(), read_again)
+    reloader.check()
+    context.raw = {**context.raw, **json.loads(change)}
+    for _ in range(count):
+        reloader.check()
+
+
+@then('one line says "{text}"')
+@then('one line says ""')
+def check_one_line(context, text=""):
+    expected = 1 if text else 0
+    assert len(context.lines.texts) == expected, context.lines.texts
+    assert all(text in line for line in context.lines.texts), context.lines.texts
+
+
+@then('the log level is "{level}"')
+def check_level(context, level):
+    assert logging.getLogger().level == getattr(logging, level)
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -6,8 +6,7 @@
 import signal
 from collections.abc import Callable
 
-import attrs
-
+from wagtailstep.commands.reload_settings import SettingsReloader
 from wagtailstep.exceptions import SettingsError, WagtailstepError
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.daemon import Daemon
@@ -47,29 +46,18 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, reload_settings, settings, read_again)
+    reloader = SettingsReloader(settings, read_again)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     daemon = make_daemon()
     await daemon.start()
     exempt_startup_objects()
+    watching = asyncio.create_task(reloader.watch())
     await stop.wait()
+    watching.cancel()
     log_event(LOGGER, "signal-received")
     return await daemon.shut_down()
 
 
-def reload_settings(
-    settings: DaemonSettings, read_again: Callable[[], DaemonSettings]
-) -> None:
-    """Take the log level of a changed settings file, and say what needs a restart."""
-    try:
-        changed = read_again()
-    except SettingsError as error:
-        log_event(LOGGER, "settings-not-reloaded", logging.ERROR, error=error)
-        return
-    logging.getLogger().setLevel(changed.log_level)
-    needs_restart = attrs.evolve(changed, log_level=settings.log_level) != settings
-    log_event(LOGGER, "settings-reloaded", needs_restart=needs_restart)
-
-
 def exempt_startup_objects() -> None:
     """Have the garbage collector run, and pass over what exists now.
 
