Refuse bodies that are longer than the table allows

Cause: the operator's limits on what callers may send were not enforced. Change: `max-body-bytes` is read into the table; a request that announces more gets 413 and was not run, one of unknown length is cut at the limit and its verdict is may-have-run. Limits that the configuration lacks are none. Tests: features/entry.feature and platform_adapter.feature, failed before.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -81,6 +81,21 @@
     Then the answer is 502 with verdict "not-run"
     And the answer tells when to come back
 
+  Scenario Outline: A body beyond the table's limit is refused
+    Given callers may send bodies of <limit> bytes
+    When a caller sends POST "/book" and announces a body of 60000 bytes
+    Then the answer is <status> with verdict "<verdict>"
+
+    Examples:
+      | limit | status | verdict |
+      | 59999 | 413    | not-run |
+      | 60000 | 200    | run     |
+
+  Scenario: A body of unknown length is cut at the limit, and promises nothing
+    Given callers may send bodies of 3 bytes
+    When a caller sends POST "/upload" with a slow body of 5 chunks
+    Then the answer is 413 with verdict "may-have-run"
+
   Scenario: A body whose reading was cancelled never looks complete
     Given the first attempt ends as "gate overloaded while the body is on its way"
     When a caller sends POST "/upload" with a slow body of 5 chunks
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -14,6 +14,7 @@
   Scenario: A configuration becomes a table
     Given the platform's example configuration
     Then its version is 7
+    And callers may send bodies of 67108864 bytes by it
     And route "r-hh2b9wu" is "unsafe" with timeout 3000 ms, aim 800 ms and 2 attempts
     And route "r-zji9n73" is split "huvo11a*90 wuno96b*10"
 
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -216,6 +216,11 @@
     context.world.board.table_known = False
 
 
+@given("callers may send bodies of {size:d} bytes")
+def limit_bodies(context, size):
+    context.world.board.table.max_body_bytes = size
+
+
 @given("the targets usually take {usual:d} ms")
 def set_usual_latency(context, usual):
     board = context.world.board
@@ -290,6 +295,12 @@
     send(context, method, path, body=yield_chunks(chunks))
 
 
+@when('a caller sends {method:w} "{path:S}" and announces a body of {size:d} bytes')
+def send_announced_body(context, method, path, size):
+    length = [("content-length", str(size))]
+    send(context, method, path, length, yield_chunks([b"x" * size]))
+
+
 @when('a caller sends {method:w} "{path:S}" with a slow body of {count:d} chunks')
 def send_slow_body(context, method, path, count):
     send(context, method, path, body=yield_chunks([b"x"] * count, delay=0.01))
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -38,7 +38,8 @@
     '"ficu95.example","/pufi791/","unsafe","3000ms","800ms",1,"huvo11a",2,null],'
     '["r-zji9n73","ficu95.example","/lohu930/","safe","4000ms","800ms",2,null,2,'
     '[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]]]},'
-    '"services":{"columns":["name"],"rows":[["huvo11a"]]},"limits":{}}'
+    '"services":{"columns":["name"],"rows":[["huvo11a"]]},"limits":{"max-body-bytes":67108864,'
+    '"max-header-bytes":16384}}'
 )
 SETTINGS = DaemonSettings(
     "d1", "bole", "10.1.0.38:1", "10.1.0.38:2", "10.1.0.38:3", "10.1.0.38:4"
@@ -76,6 +77,11 @@
     assert read_document(context.document).version == version
 
 
+@then("callers may send bodies of {size:d} bytes by it")
+def check_limit(context, size):
+    assert read_document(context.document).max_body_bytes == size
+
+
 @then(
     'route "{name}" is "{kind}" with timeout {timeout:d} ms, aim {aim:d} ms and '
     "{attempts:d} attempts"
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -90,6 +90,13 @@
         super().__init__(message, Verdict.NOT_RUN, status)
 
 
+class BodyTooLargeError(BadRequestError):
+    """The body is longer than the table allows; send a shorter one."""
+
+    status = 413
+    reason = "body-too-large"
+
+
 class OverloadedError(RequestError):
     """A limit was reached and the request was refused before it ran."""
 
--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -175,6 +175,7 @@
 
     :param version: number of accepted edits, or of the published table; only rises.
     :param host_routes: routes by host and path, if the table was published whole.
+    :param max_body_bytes: longest body that a caller may send; 0 for any.
     """
 
     version: int = 0
@@ -185,6 +186,7 @@
     routes: MutableMapping[str, RouteRow] = attrs.field(factory=dict)
     accounts: MutableMapping[str, AccountRow] = attrs.field(factory=pack_accounts)
     host_routes: HostRoutes = attrs.field(factory=HostRoutes, eq=False)
+    max_body_bytes: int = attrs.field(default=0, eq=False)
 
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, or one of defaults if it has none."""
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -4,6 +4,7 @@
 
 from wagtailstep.exceptions import (
     BadRequestError,
+    BodyTooLargeError,
     RequestError,
     TruncatedAnswerError,
 )
@@ -13,6 +14,25 @@
 OnAnswerEnd = Callable[[Verdict, RequestError | None], None]
 
 
+async def bound_body(source: AsyncIterator[bytes], most: int) -> AsyncIterator[bytes]:
+    """Yield a body, but for what goes beyond a limit.
+
+    :param most: its longest size in bytes; 0 for any.
+    :raises BodyTooLargeError: if it is longer.
+    """
+    size = 0
+    async for chunk in source:
+        size += len(chunk)
+        if most and size > most:
+            raise make_size_error(most)
+        yield chunk
+
+
+def make_size_error(most: int) -> BodyTooLargeError:
+    """Return the refusal of a body that is longer than a limit."""
+    return BodyTooLargeError(f"the body is too long; {most} bytes are allowed")
+
+
 class ReplayableBody:
     """A request body whose start is kept, so that a small one can be sent again.
 
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -40,6 +40,7 @@
     AnswerStream,
     OnAnswerEnd,
     ReplayableBody,
+    bound_body,
     chain_body,
     read_small_body,
 )
@@ -158,7 +159,9 @@
         :raises RequestError: if no answer can be had.
         """
         limit = self.settings.requests.replay_body_bytes
-        body = ReplayableBody(incoming.body, limit)
+        # The length that a head announces was checked when it was read.
+        source = bound_body(incoming.body, self.blackboard.table.max_body_bytes)
+        body = ReplayableBody(source, limit)
         try:
             self.reader.check_ready()
             self.routing.admit(request)
--- a/src/wagtailstep/network/request_reader.py
+++ b/src/wagtailstep/network/request_reader.py
@@ -10,6 +10,7 @@
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.bodies import make_size_error
 from wagtailstep.network.interpret import (
     find_route,
     interpret_request,
@@ -19,6 +20,17 @@
 from wagtailstep.utils.clock import Clock
 
 
+def check_body_length(incoming: IncomingRequest, most: int) -> None:
+    """Refuse a request whose body is announced as longer than a limit.
+
+    :param most: longest size in bytes; 0 for any.
+    :raises BodyTooLargeError: if it is longer.
+    """
+    length = find_header(incoming.headers, "content-length") or "0"
+    if most and length.isdigit() and int(length) > most:
+        raise make_size_error(most)
+
+
 class RequestReader:
     """Turn callers' requests into what the fleet knows of them.
 
@@ -60,10 +72,12 @@
         """Read a request's head.
 
         :raises NotReadyError: if its route can't be told yet.
-        :raises BadRequestError: if a header is wrong or no route matches.
+        :raises BadRequestError: if a header is wrong, no route matches, or the body
+            is too long.
         """
         now = self.clock.monotonic()
         table = self.blackboard.table
+        check_body_length(incoming, table.max_body_bytes)
         always_by_host = self.settings.caller_request_ids
         service = find_header(incoming.headers, headers.SERVICE)
         names_service = service is not None and not always_by_host
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -67,11 +67,21 @@
     traffic_split: list[SplitPart] | None = None
 
 
+class Limits(msgspec.Struct, rename="kebab", frozen=True):
+    """What a client may send.
+
+    :param max_body_bytes: longest body; 0 for any.
+    """
+
+    max_body_bytes: int = 0
+
+
 class Configuration(msgspec.Struct):
     """The record ``config`` of the operator."""
 
     version: str
     routes: Columns
+    limits: Limits = Limits()
 
 
 def find_document(records: KeyedRecords) -> TableDocument | None:
@@ -96,7 +106,11 @@
         routes = HostRoutes(read_route(row) for row in rows)
     except (msgspec.MsgspecError, ValueError) as error:
         raise DecodeError(f"a route can't be read: {error}") from error
-    return Table(version=document.version, host_routes=routes)
+    return Table(
+        version=document.version,
+        host_routes=routes,
+        max_body_bytes=configuration.limits.max_body_bytes,
+    )
 
 
 def decode_configuration(data: bytes) -> Configuration:
