Tell from logs what the fleet believed at a moment, and failures of a span

Change: `wagtailstep-timeline around TIME` shows tables in force, doubted targets, members that were not alive, daemons without the store, and what changed near that time; `causes` takes a span of time. Tests: features/explain.feature (a restarted daemon's old beliefs don't count), features/programs.feature.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -32,6 +32,31 @@
     Then its story names the cause "believed warming before"
     And its story tells "target-standing" for 2 s
 
+  Scenario: What the fleet believed at a moment
+    Given these lines of daemons
+      | process | second | line                                                |
+      | d1      | 0      | event=daemon-started                                |
+      | d1      | 1      | event=table-in-force version=3                      |
+      | d2      | 1      | event=table-in-force version=4                      |
+      | d2      | 2      | event=target-standing target=c/i-2 standing=failing |
+      | d1      | 2      | event=member-state member=d3 state=suspect          |
+      | d2      | 3      | event=member-state member=d3 state=suspect          |
+      | d2      | 3      | event=log-reachability reachable=False              |
+      | d1      | 4      | event=daemon-started                                |
+      | d2      | 5      | event=target-standing target=c/i-2 standing=good    |
+    Then at second 3 the beliefs are
+      | text                           |
+      | table version 3: 1 daemons     |
+      | table version 4: 1 daemons     |
+      | target c/i-2: failing          |
+      | member d3 suspect: 2 daemons   |
+      | store not reached by d2        |
+    And at second 6 the beliefs are
+      | text                           |
+      | table version 4: 1 daemons     |
+      | member d3 suspect: 1 daemons   |
+      | store not reached by d2        |
+
   Scenario Outline: Lines are read as they were written
     Given a line with the field <value>
     Then it is read back as it was
--- a/features/programs.feature
+++ b/features/programs.feature
@@ -12,6 +12,8 @@
       | daemon   | stop                                       | 2    | stop                         |
       | timeline | show                                       | 2    | no daemon was named          |
       | timeline | show --format=xml a:1                      | 2    | give text or chrome          |
+      | timeline | around noon x.log                          | 2    | 'noon' is not allowed        |
+      | timeline | causes                                     | 2    | no log was named             |
       | timeline | show nowhere                               | 2    | give host:port               |
       | fakes    | log --address=nowhere                      | 2    | 'nowhere'                    |
       | fakes    | log --appends_per_s=many                   | 2    | key appends_per_s: 'many'    |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -15,6 +15,10 @@
     explain_request,
     format_causes,
 )
+from wagtailstep.commands.fleet_beliefs import (
+    find_fleet_beliefs,
+    format_fleet_beliefs,
+)
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import RequestError
@@ -238,6 +242,28 @@
     assert ages == [timedelta(seconds=seconds)], beliefs
 
 
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+@given("these lines of daemons")
+def write_lines(context):
+    texts = []
+    for row in context.table:
+        time = (START + timedelta(seconds=int(row["second"]))).isoformat()
+        texts.append(f"{row['process']} time={time} level=INFO {row['line']}")
+    context.lines = list(read_lines(texts, ""))
+
+
+@then("at second {second:d} the beliefs are")
+def check_beliefs(context, second):
+    at = START + timedelta(seconds=second)
+    beliefs = find_fleet_beliefs(context.lines, at, timedelta(seconds=1))
+    text, _, changes = format_fleet_beliefs(beliefs, at).partition("changes")
+    assert text.splitlines() == [row["text"] for row in context.table], text
+    near = [line for line in context.lines if abs(line.time - at) <= timedelta(0, 1)]
+    assert changes.count("event") == 0 and len(changes.splitlines()) == len(near) + 1
+
+
 @given("a line with the field {value}")
 def write_line(context, value):
     context.value = value.replace(r"\n", "\n")
--- a/src/wagtailstep/cli/timeline.py
+++ b/src/wagtailstep/cli/timeline.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import sys
+from datetime import datetime, timedelta
 
 from wagtailstep.cli import status_codes
 from wagtailstep.cli.run import run_program
@@ -12,6 +13,10 @@
     format_causes,
     format_story,
 )
+from wagtailstep.commands.fleet_beliefs import (
+    find_fleet_beliefs,
+    format_fleet_beliefs,
+)
 from wagtailstep.commands.merge_timeline import (
     format_chrome_trace,
     format_text,
@@ -58,15 +63,47 @@
     return status_codes.SUCCESS
 
 
-def causes(*files: str) -> int:
+def causes(*files: str, since: str = "", until: str = "") -> int:
     """Count the causes of all requests that failed, from the logs of all daemons.
 
     :param files: logs, as for ``explain``.
+    :param since: only requests with lines from this time on, as the lines write it.
+    :param until: only those with lines up to this time.
     """
-    print(format_causes(count_causes(read_logs(files))))
+    lines = read_logs(files)
+    if since:
+        lines = [line for line in lines if line.time >= read_time(since)]
+    if until:
+        lines = [line for line in lines if line.time <= read_time(until)]
+    print(format_causes(count_causes(lines)))
     return status_codes.SUCCESS
 
 
+def around(time: str, *files: str, span_s: float = 2.0) -> int:
+    """Tell what the fleet believed at a moment, and what changed around it.
+
+    :param time: the moment, as the lines write it.
+    :param files: logs, as for ``explain``.
+    :param span_s: seconds before and after whose changes are told.
+    """
+    at = read_time(time)
+    beliefs = find_fleet_beliefs(read_logs(files), at, timedelta(seconds=span_s))
+    print(format_fleet_beliefs(beliefs, at))
+    return status_codes.SUCCESS
+
+
+def read_time(text: str) -> datetime:
+    """Read a time as log lines write it.
+
+    :raises SettingsError: if it is none.
+    """
+    try:
+        return datetime.fromisoformat(str(text))
+    except ValueError as error:
+        message = f"time {text!r} is not allowed; give one as 2026-12-04T01:02:03.004Z"
+        raise SettingsError(message) from error
+
+
 def read_logs(files: tuple[str, ...]) -> list[LogLine]:
     """Read log files.
 
@@ -107,7 +144,7 @@
     return await gather_timeline(DaemonClient(client), addresses)
 
 
-COMMANDS = {"causes": causes, "explain": explain, "show": show}
+COMMANDS = {"around": around, "causes": causes, "explain": explain, "show": show}
 
 
 def main() -> None:
--- /dev/null
+++ b/src/wagtailstep/commands/fleet_beliefs.py
@@ -0,0 +1,101 @@
+"""What the daemons of a fleet believed at a moment, told from their logs."""
+
+from collections import Counter
+from collections.abc import Sequence
+from datetime import datetime, timedelta
+
+import attrs
+
+from wagtailstep.commands.explain_request import (
+    MEMBER,
+    PATH,
+    STANDING,
+    STORE,
+    TABLE,
+    format_line,
+)
+from wagtailstep.models.log_lines import LogLine
+
+CHANGES = frozenset({STANDING, PATH, TABLE, STORE, MEMBER})
+# The field that names what a belief is about; others are about the daemon itself.
+SUBJECTS = {STANDING: "target", MEMBER: "member"}
+LIFE = ("daemon-started", "daemon-draining", "daemon-stopped")
+
+
+@attrs.frozen
+class FleetBeliefs:
+    """What was believed at a moment, and what changed around it.
+
+    :param tables: daemons by the version of the table in force.
+    :param standings: targets that their gates doubted, with the standing.
+    :param members: members that were not alive, with how many daemons thought so.
+    :param without_store: daemons that did not reach the store.
+    :param changes: changes of beliefs, starts and ends of daemons, near the moment.
+    """
+
+    tables: Counter[str]
+    standings: dict[str, str]
+    members: Counter[str]
+    without_store: Sequence[str]
+    changes: Sequence[LogLine]
+
+
+def find_fleet_beliefs(
+    lines: Sequence[LogLine], at: datetime, span: timedelta
+) -> FleetBeliefs:
+    """Return what was believed at a moment.
+
+    :param lines: lines of all daemons, those of one daemon in its order.
+    :param span: changes within this time before and after are told.
+    """
+    newest: dict[tuple[str, str, str], LogLine] = {}
+    for line in lines:
+        if line.time > at:
+            continue
+        if line.event == "daemon-started":
+            # A new process knows nothing of what the one before believed.
+            newest = {k: v for k, v in newest.items() if k[1] != line.process}
+        elif line.event in CHANGES:
+            subject = line.get(SUBJECTS.get(line.event, ""))
+            newest[line.event, line.process, subject] = line
+    held = list(newest.values())
+    members = Counter(
+        f"{line.get('member')} {line.get('state')}"
+        for line in held
+        if line.event == MEMBER and line.get("state") != "alive"
+    )
+    return FleetBeliefs(
+        tables=Counter(line.get("version") for line in held if line.event == TABLE),
+        standings={
+            line.get("target"): line.get("standing")
+            for line in held
+            if line.event == STANDING and line.get("standing") in ("doubted", "failing")
+        },
+        members=members,
+        without_store=sorted(
+            line.process
+            for line in held
+            if line.event == STORE and line.get("reachable") == "False"
+        ),
+        changes=sorted(
+            (
+                line
+                for line in lines
+                if line.event in CHANGES.union(LIFE) and abs(line.time - at) <= span
+            ),
+            key=lambda line: line.time,
+        ),
+    )
+
+
+def format_fleet_beliefs(beliefs: FleetBeliefs, at: datetime) -> str:
+    """Write beliefs as text."""
+    texts = [f"table version {v}: {n} daemons" for v, n in beliefs.tables.items()]
+    texts += [f"target {name}: {held}" for name, held in beliefs.standings.items()]
+    texts += [f"member {name}: {n} daemons" for name, n in beliefs.members.items()]
+    texts += [f"store not reached by {name}" for name in beliefs.without_store]
+    texts.append("changes around then:")
+    for line in beliefs.changes:
+        after_s = (line.time - at).total_seconds()
+        texts.append(f"  {after_s:+7.3f} s  {line.process}  {format_line(line)}")
+    return "\n".join(texts)
