Let one piece of code serve where the change had written it again

Found by reading the whole change once more; no behaviour is meant to change. - Whole numbers in headers: headers.read_number serves the gate, the entry's body checks and Retry-After, which each had a check of their own (two of them took digits that int() refuses). - Reads and appends at the log and at the platform's store: ServiceCalls.read and append say what a failure means; both clients had the same lines. - Callbacks that nobody set: utils.callbacks.do_nothing for five of them. - Settings with a few allowed values: check_choice. The messages of member_source and of a load's shape now read as that of log_level, and a failed append at the store as one at the log. - Services of local backend servers: Blackboard.local_services. - An entry notes the end of a request in one place instead of four. - Whether a request could be sent again is asked only where a doubted target is known, not for each attempt, and its costs are added up once when it is; the most daemons ever known are noted with each request instead. Tests: as before; steps that passed `cautious` pass `may_probe`.

--- a/features/steps/target_judge_steps.py
+++ b/features/steps/target_judge_steps.py
@@ -121,8 +121,13 @@
     routing = RoutingController(
         SETTINGS, context.board, context.clock, random.Random(1)
     )
-    cautious = safety == "non-idempotent"
-    picked = {routing.pick("contracts", cautious=cautious).standing for _ in range(500)}
+
+    def may_probe():
+        return safety == "idempotent"
+
+    picked = {
+        routing.pick("contracts", may_probe=may_probe).standing for _ in range(500)
+    }
     found = {standing.name.lower() for standing in picked}
     assert found == set(used.split()), found
 
@@ -153,7 +158,10 @@
     routing = RoutingController(
         SETTINGS, context.board, context.clock, random.Random(1)
     )
-    cautious = safety == "non-idempotent"
-    picked = [routing.pick("contracts", cautious=cautious) for _ in range(1000)]
+
+    def may_probe():
+        return safety == "idempotent"
+
+    picked = [routing.pick("contracts", may_probe=may_probe) for _ in range(1000)]
     doubted = sum(target.standing is TargetStanding.DOUBTED for target in picked)
     assert low <= doubted / 10 <= high, doubted
--- a/src/wagtailstep/controllers/interest.py
+++ b/src/wagtailstep/controllers/interest.py
@@ -38,7 +38,7 @@
         :return: whether it was rebuilt.
         """
         board = self.blackboard
-        local = {board.targets[name].service for name in board.local_targets}
+        local = board.local_services
         services = frozenset(local | board.wanted_services)
         if services == self.services and now < self.rebuild_at:
             return False
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -319,7 +319,7 @@
         board = self.blackboard
         this = board.this_member
         state = MemberState.LEAVING if board.draining else MemberState.ALIVE
-        local = {board.targets[name].service for name in board.local_targets}
+        local = board.local_services
         # Others take a new target for requests only once they know what is served.
         is_urgent = state is not this.state or not local.issubset(this.serves)
         if not is_urgent and now < self.services_at:
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -91,6 +91,7 @@
 
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
+        self.most_daemons = max(self.most_daemons, self.count_daemons())
         self._recent(self.requests, service).add(1.0, self.clock.monotonic())
 
     def learn_calls(self, route: str, calls_per_run: dict[str, float]) -> None:
@@ -103,17 +104,21 @@
         The calls that the repeated run makes again are taken from the budgets of the
         called services.
         """
-        if not self.has_room(request):
+        costs = self.find_costs(request)
+        if not self.covers(costs):
             return False
         now = self.clock.monotonic()
-        for name, cost in self.find_costs(request).items():
+        for name, cost in costs.items():
             self._recent(self.retries, name).add(cost, now)
         return True
 
     def has_room(self, request: RequestContext) -> bool:
         """Tell whether a request may be sent again now."""
+        return self.covers(self.find_costs(request))
+
+    def covers(self, costs: dict[str, float]) -> bool:
+        """Tell whether the budgets have room for some costs, by service."""
         self.most_daemons = max(self.most_daemons, self.count_daemons())
-        costs = self.find_costs(request)
         return all(self.find_room(name) >= cost for name, cost in costs.items())
 
     def find_costs(self, request: RequestContext) -> dict[str, float]:
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -8,7 +8,7 @@
 
 import itertools
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
@@ -164,22 +164,26 @@
         _decrement(self.blackboard.in_flight.by_target, target_id)
 
     def pick(
-        self, service: str, tried: Collection[str] = (), cautious: bool = False
+        self,
+        service: str,
+        tried: Collection[str] = (),
+        may_probe: Callable[[], bool] = lambda: True,
     ) -> Target:
         """Pick the target of the next attempt.
 
         :param service: the service asked for.
         :param tried: ``target_id`` of targets that failed this request before;
             picked again only if there is no other.
-        :param cautious: whether a failure could not be made good. Other requests go
-            to doubted targets now and then, so that the doubt is soon resolved.
+        :param may_probe: tells whether a failure could be made good. Such requests go
+            to doubted targets now and then, so that the doubt is soon resolved. Only
+            asked if there is a doubted target.
         :raises NoTargetError: if no target may take new work.
         """
         if tried:
             return self.pick_untried(service, tried)
         while True:
             choice = self.find_choice(service)
-            if choice.doubted and not cautious and self.rng.random() < PROBE_SHARE:
+            if choice.doubted and may_probe() and self.rng.random() < PROBE_SHARE:
                 first = second = self.rng.choice(choice.doubted)
             else:
                 first, second = choice.draw(self.rng)
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -75,6 +75,11 @@
     log_reachable: bool = False
     draining: bool = False
 
+    @property
+    def local_services(self) -> set[str]:
+        """Return the services of the backend servers beside this daemon."""
+        return {self.targets[name].service for name in self.local_targets}
+
     def targets_of(self, service: str) -> list[Target]:
         """Return all known targets of a service, in the order of their names."""
         found = self.targets.of_service(service)
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -85,6 +85,12 @@
     return next((value for key, value in headers if key == name), None)
 
 
+def read_number(headers: Headers, name: str) -> int | None:
+    """Return the value of a header that holds a whole number, if it does."""
+    value = find_header(headers, name) or ""
+    return int(value) if value.isascii() and value.isdigit() else None
+
+
 def remove_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without those of the given lower-case names."""
     return tuple(pair for pair in headers if pair[0] not in names)
--- a/src/wagtailstep/models/load_settings.py
+++ b/src/wagtailstep/models/load_settings.py
@@ -7,6 +7,7 @@
 from wagtailstep.models.settings import (
     SettingValueError,
     check_addresses,
+    check_choice,
     check_name,
     not_negative,
     positive,
@@ -28,18 +29,6 @@
         )
 
 
-def check_shape(_: Any, attribute: attrs.Attribute, value: str) -> None:
-    """Refuse an unknown shape.
-
-    :raises SettingValueError: if the shape is unknown.
-    """
-    if value not in (STEADY, WAVE, BURST):
-        allowed = f"{STEADY}, {WAVE} or {BURST}"
-        raise SettingValueError(
-            attribute.name, f"{value!r} is not allowed; give {allowed}"
-        )
-
-
 def check_not_empty(_: Any, attribute: attrs.Attribute, value: Any) -> None:
     """Refuse a list without an element.
 
@@ -64,7 +53,9 @@
     """
 
     rate_per_s: float = positive(50.0)
-    shape: str = attrs.field(default=STEADY, validator=check_shape)
+    shape: str = attrs.field(
+        default=STEADY, validator=check_choice(STEADY, WAVE, BURST)
+    )
     swing: float = attrs.field(default=0.3, validator=check_share)
     period_s: float = positive(10.0)
     burst_at_s: float = not_negative(2.0)
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -1,6 +1,7 @@
 """Settings of the daemon, read from one JSON file."""
 
 import re
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -77,27 +78,24 @@
         )
 
 
-def check_log_level(_: Any, attribute: attrs.Attribute, value: str) -> None:
-    """Refuse a name that is not a logging level.
+def check_choice(*choices: str) -> Callable[[Any, attrs.Attribute, str], None]:
+    """Return a validator that refuses what is none of some choices.
 
-    :raises SettingValueError: if the value is not a level.
+    The validator raises :class:`SettingValueError`.
     """
-    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
-    if value not in levels:
-        raise SettingValueError(
-            attribute.name, f"{value!r} is not allowed; give one of {', '.join(levels)}"
-        )
 
+    def check(_: Any, attribute: attrs.Attribute, value: str) -> None:
+        if value not in choices:
+            raise SettingValueError(
+                attribute.name,
+                f"{value!r} is not allowed; give one of {', '.join(choices)}",
+            )
 
-def check_member_source(_: Any, attribute: attrs.Attribute, value: str) -> None:
-    """Refuse what is no source of members.
+    return check
 
-    :raises SettingValueError: if the value is not allowed.
-    """
-    if value not in ("stream", "registry"):
-        raise SettingValueError(
-            attribute.name, f"{value!r} is not allowed; give stream or registry"
-        )
+
+check_log_level = check_choice("DEBUG", "INFO", "WARNING", "ERROR")
+check_member_source = check_choice("stream", "registry")
 
 
 def positive(default: Any) -> Any:
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -113,24 +113,24 @@
         request_id = make_id(self.rng)
         request: RequestContext | None = None
         started_at = self.clock.monotonic()
+        outcome = CALLER_LEFT
         try:
             request_id = self.reader.find_request_id(incoming) or request_id
             request = self.reader.read(incoming, request_id)
             self.notes.take_request(incoming, request)
             answer = await self.serve(request, incoming)
+            outcome = f"status-{answer.status}"
         except RequestError as error:
+            outcome = error.reason
             self.notes.take_failure(incoming, request_id, error)
-            self.notes.take_end(request, error.reason, started_at)
             return describe_error(error, request_id)
         except Exception:
+            outcome = INTERNAL_ERROR
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
-            self.notes.take_end(request, INTERNAL_ERROR, started_at)
             return describe_error(make_internal_error(), request_id)
-        except asyncio.CancelledError:
-            self.notes.take_end(request, CALLER_LEFT, started_at)
-            raise
+        finally:
+            self.notes.take_end(request, outcome, started_at)
         self.notes.take_answer(incoming, answer.status)
-        self.notes.take_end(request, f"status-{answer.status}", started_at)
         answer.headers = replace_headers(
             remove_headers(answer.headers, headers.GATE_ANSWER_HEADERS),
             (headers.VERDICT, answer.verdict.value),
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -10,7 +10,7 @@
 from wagtailstep.exceptions import BadRequestError, RequestError
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Target
-from wagtailstep.models.headers import find_header
+from wagtailstep.models.headers import read_number
 from wagtailstep.models.idempotency import StoredAnswer
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.verdict import Verdict, worst_verdict
@@ -60,10 +60,8 @@
     @property
     def has_small_body(self) -> bool:
         """Return whether the body is known to be small enough to read ahead."""
-        length = find_header(self.incoming.headers, "content-length") or ""
-        if not (length.isascii() and length.isdigit()):
-            return False
-        return 0 < int(length) <= self.body.limit
+        length = read_number(self.incoming.headers, "content-length") or 0
+        return 0 < length <= self.body.limit
 
     @property
     def verdict_if_cancelled(self) -> Verdict:
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -41,12 +41,12 @@
     Headers,
     find_header,
     pass_on_headers,
+    read_number,
     remove_fleet_headers,
 )
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.gate import GateService
-from wagtailstep.network.gate_answers import read_number
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 
@@ -261,5 +261,5 @@
     exact_ms = read_number(headers, RETRY_AFTER_MS)
     if exact_ms is not None:
         return exact_ms * MILLISECOND
-    value = find_header(headers, RETRY_AFTER)
-    return timedelta(seconds=int(value)) if value and value.isdigit() else None
+    seconds = read_number(headers, RETRY_AFTER)
+    return None if seconds is None else timedelta(seconds=seconds)
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -58,6 +58,7 @@
     Headers,
     find_header,
     pass_on_headers,
+    read_number,
     remove_fleet_headers,
     remove_headers,
 )
@@ -68,7 +69,6 @@
     check_answer,
     judge_failure,
     judge_work,
-    read_number,
     read_standing,
     read_timeout,
     require_header,
@@ -77,6 +77,7 @@
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
 from wagtailstep.network.silence import REVOCATION_PATH, AttemptStateAnswer
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
@@ -88,10 +89,6 @@
 OVERLOAD_STATUSES = frozenset({429, 503})
 
 
-def ignore_event(event: Any) -> None:
-    """Do nothing with an event."""
-
-
 class GateService:
     """Take requests for the backend servers beside this daemon.
 
@@ -108,7 +105,7 @@
         controller: GateController,
         client: HttpClient,
         clock: Clock,
-        dispatch: Callable[[Any], None] = ignore_event,
+        dispatch: Callable[[Any], None] = do_nothing,
     ) -> None:
         self.settings = settings.requests
         self.controller = controller
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -20,6 +20,7 @@
     TIMEOUT_MS,
     Headers,
     find_header,
+    read_number,
 )
 from wagtailstep.models.request import Blame
 from wagtailstep.models.verdict import Verdict
@@ -73,15 +74,10 @@
     :raises BadRequestError: if the header is missing or no number.
     """
     text = require_header(headers, TIMEOUT_MS)
-    if not text.isascii() or not text.isdigit():
+    time_ms = read_number(headers, TIMEOUT_MS)
+    if time_ms is None:
         raise BadRequestError(f"{TIMEOUT_MS} is {text!r}, not a number of ms")
-    return int(text) * MILLISECOND
-
-
-def read_number(headers: Headers, name: str) -> int | None:
-    """Return the value of a header that holds a whole number, if it does."""
-    value = find_header(headers, name) or ""
-    return int(value) if value.isascii() and value.isdigit() else None
+    return time_ms * MILLISECOND
 
 
 def read_standing(headers: Headers) -> TargetStanding:
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -29,15 +29,12 @@
     open_connection,
 )
 from wagtailstep.network.silence import SilenceWatch
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 
 MAX_IDLE_PER_ADDRESS = 8
 
 
-def ignore_address(address: str) -> None:
-    """Do nothing about an address."""
-
-
 class AnswerBody:
     """The body of an answer, chunk by chunk; gives its connection back at the end.
 
@@ -121,7 +118,7 @@
         self.clock = clock
         self.pools: dict[str, deque[HttpConnection]] = {}
         self.idle_limit = timedelta(milliseconds=settings.connection_idle_ms)
-        self.on_unreachable: Callable[[str], None] = ignore_address
+        self.on_unreachable: Callable[[str], None] = do_nothing
         self.closed = False
         self.sweep_timer: asyncio.TimerHandle | None = None
 
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -18,6 +18,7 @@
 from wagtailstep.models.headers import REASON, VERDICT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import reset_transport
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
@@ -31,10 +32,6 @@
 uvicorn_logger.setLevel(logging.CRITICAL)
 
 
-def do_nothing() -> None:
-    """Do nothing."""
-
-
 class ServerConnection(H11Protocol):
     """One connection of a caller or of another daemon."""
 
--- a/src/wagtailstep/network/load_player.py
+++ b/src/wagtailstep/network/load_player.py
@@ -17,6 +17,7 @@
 from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 
 # A caller hears what a system says at its own time limit.
@@ -49,7 +50,7 @@
         self,
         settings: LoadSettings,
         clock: Clock,
-        on_slice: Callable[[], None] = lambda: None,
+        on_slice: Callable[[], None] = do_nothing,
     ) -> None:
         self.settings = settings
         self.clock = clock
--- a/src/wagtailstep/network/log_client.py
+++ b/src/wagtailstep/network/log_client.py
@@ -8,16 +8,13 @@
 
 from wagtailstep.exceptions import (
     AppendUnknownError,
-    LogError,
     LogUnavailableError,
     RecordExpiredError,
-    RequestError,
     SettingsError,
 )
 from wagtailstep.models.log import LogBatch, LogRecord, LogService
 from wagtailstep.models.log_wire import AppendReply, ReadReply, StreamReply
 from wagtailstep.models.settings import LogSettings
-from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.service_calls import HttpReply, ServiceCalls
 from wagtailstep.utils.clock import LoopClock
 
@@ -43,16 +40,14 @@
     def __init__(self, settings: LogSettings) -> None:
         self.timeout = timedelta(milliseconds=settings.timeout_ms)
         split_address(settings.address)
-        self.calls = ServiceCalls(settings.address, self.timeout, LoopClock())
+        self.calls = ServiceCalls(
+            "the log", settings.address, self.timeout, LoopClock()
+        )
 
     async def append(self, stream: str, data: bytes) -> int:
         """Append one record; see :meth:`LogService.append`."""
-        try:
-            reply = await self.calls.call(
-                "POST", f"{_path(stream)}/records", data, self.timeout
-            )
-        except RequestError as error:
-            raise describe_append_failure(error) from error
+        path = f"{_path(stream)}/records"
+        reply = await self.calls.append(path, data, self.timeout)
         if reply.status == _CREATED:
             return _decode(reply, AppendReply).offset
         text = f"append to stream {stream!r} got HTTP status {reply.status}"
@@ -63,7 +58,7 @@
     async def read(self, stream: str, offset: int, limit: int = 1000) -> LogBatch:
         """Read records; see :meth:`LogService.read`."""
         query = f"offset={offset}&limit={limit}"
-        reply = await self.read_reply(f"{_path(stream)}/records?{query}")
+        reply = await self.calls.read(f"{_path(stream)}/records?{query}", self.timeout)
         if reply.status == _GONE:
             raise RecordExpiredError(_decode(reply, StreamReply).oldest_offset)
         answer = _decode_ok(reply, ReadReply)
@@ -72,31 +67,14 @@
 
     async def oldest_offset(self, stream: str) -> int:
         """Return the oldest offset; see :meth:`LogService.oldest_offset`."""
-        reply = await self.read_reply(_path(stream))
+        reply = await self.calls.read(_path(stream), self.timeout)
         return _decode_ok(reply, StreamReply).oldest_offset
 
-    async def read_reply(self, path: str) -> HttpReply:
-        """Send a ``GET``; any failure means that the log can't be read now.
-
-        :raises LogUnavailableError: if there was no whole answer in time.
-        """
-        try:
-            return await self.calls.call("GET", path, b"", self.timeout)
-        except RequestError as error:
-            raise LogUnavailableError(f"the log can't be read: {error}") from error
-
     def close(self) -> None:
         """Close the kept connections."""
         self.calls.close()
 
 
-def describe_append_failure(error: RequestError) -> LogError:
-    """Say what a failed request means for an append."""
-    if error.verdict is Verdict.NOT_RUN:
-        return LogUnavailableError(f"{error}; the append was not sent")
-    return AppendUnknownError(f"{error}; the append was sent and not answered")
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port``.
 
--- a/src/wagtailstep/network/request_reader.py
+++ b/src/wagtailstep/network/request_reader.py
@@ -7,7 +7,7 @@
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import IncomingRequest
-from wagtailstep.models.headers import find_header
+from wagtailstep.models.headers import find_header, read_number
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.bodies import make_size_error
@@ -26,8 +26,8 @@
     :param most: longest size in bytes; 0 for any.
     :raises BodyTooLargeError: if it is longer.
     """
-    length = find_header(incoming.headers, "content-length") or "0"
-    if most and length.isdigit() and int(length) > most:
+    length = read_number(incoming.headers, "content-length") or 0
+    if most and length > most:
         raise make_size_error(most)
 
 
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -1,6 +1,7 @@
 """Attempts at a request, one after the other, until one answers."""
 
 import asyncio
+import functools
 import logging
 from collections.abc import Callable
 from datetime import timedelta
@@ -214,8 +215,8 @@
                 return resort
             if len(exchange.waits) >= GATES_ASKED:
                 return self.pick_shortest(exchange)
-            cautious = not self.retries.may_fail_once(request)
-            return self.routing.pick(request.service, exchange.tried, cautious)
+            may_probe = functools.partial(self.retries.may_fail_once, request)
+            return self.routing.pick(request.service, exchange.tried, may_probe)
         except RequestError as error:
             exchange.cover(error)
             self.note_end(exchange, error.reason)
@@ -229,7 +230,7 @@
         targets = self.blackboard.targets
         known = [name for name in exchange.waits if name in targets]
         if not known:
-            return self.routing.pick(exchange.request.service, exchange.tried, True)
+            return self.routing.pick(exchange.request.service, exchange.tried)
         return targets[min(known, key=exchange.waits.__getitem__)]
 
     def may_wait(self, exchange: Exchange, target: Target) -> bool:
--- a/src/wagtailstep/network/service_calls.py
+++ b/src/wagtailstep/network/service_calls.py
@@ -5,22 +5,25 @@
 
 import attrs
 
-from wagtailstep.exceptions import RequestError
+from wagtailstep.exceptions import (
+    AppendUnknownError,
+    LogError,
+    LogUnavailableError,
+    RequestError,
+)
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import read_whole
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 
 # Shorter than servers commonly keep an idle connection, so that few calls fail.
 IDLE_LIMIT_MS = 2_000
 
 
-def ignore(outcome: str) -> None:
-    """Take no notice of how a call ended."""
-
-
 @attrs.frozen
 class HttpReply:
     """A whole answer.
@@ -36,19 +39,23 @@
 class ServiceCalls:
     """Call one service over a pool of connections.
 
+    :param name: what errors call the service.
     :param address: ``host:port`` of the service.
     :param connect_timeout: time to open a connection.
     :param clock: ages kept connections.
     """
 
-    def __init__(self, address: str, connect_timeout: timedelta, clock: Clock) -> None:
+    def __init__(
+        self, name: str, address: str, connect_timeout: timedelta, clock: Clock
+    ) -> None:
+        self.name = name
         self.address = address
         settings = RequestSettings(
             connection_idle_ms=IDLE_LIMIT_MS,
             connect_timeout_ms=connect_timeout // timedelta(milliseconds=1),
         )
         self.client = HttpClient(settings, clock)
-        self.on_end: Callable[[str], None] = ignore
+        self.on_end: Callable[[str], None] = do_nothing
 
     async def call(
         self, method: str, path: str, body: bytes, timeout: timedelta
@@ -80,6 +87,34 @@
         self.on_end(f"status-{reply.status}")
         return reply
 
+    async def read(self, path: str, timeout: timedelta) -> HttpReply:
+        """Send a ``GET``; any failure means that the service can't be read now.
+
+        :raises LogUnavailableError: if there was no whole answer in time.
+        """
+        try:
+            return await self.call("GET", path, b"", timeout)
+        except RequestError as error:
+            raise LogUnavailableError(f"{self.name} can't be read: {error}") from error
+
+    async def append(self, path: str, body: bytes, timeout: timedelta) -> HttpReply:
+        """Send a ``POST`` that appends.
+
+        :raises LogUnavailableError: if it certainly had no effect.
+        :raises AppendUnknownError: if it may have taken effect.
+        """
+        try:
+            return await self.call("POST", path, body, timeout)
+        except RequestError as error:
+            raise describe_append_failure(error) from error
+
     def close(self) -> None:
         """Close the kept connections."""
         self.client.close()
+
+
+def describe_append_failure(error: RequestError) -> LogError:
+    """Say what a failed request means for an append."""
+    if error.verdict is Verdict.NOT_RUN:
+        return LogUnavailableError(f"{error}; the append was not sent")
+    return AppendUnknownError(f"{error}; the append was sent and not answered")
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -14,10 +14,8 @@
     AppendUnknownError,
     LogUnavailableError,
     RecordExpiredError,
-    RequestError,
 )
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
-from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.service_calls import HttpReply, ServiceCalls
 from wagtailstep.platform.settings import StoreSettings
 from wagtailstep.utils.clock import Clock
@@ -80,7 +78,7 @@
 
     def __init__(self, settings: StoreSettings, clock: Clock) -> None:
         self.timeout = settings.timeout_ms * MILLISECOND
-        self.calls = ServiceCalls(settings.address, self.timeout, clock)
+        self.calls = ServiceCalls("the store", settings.address, self.timeout, clock)
 
     async def read_newest(self, collection: Collection) -> KeyedRecords:
         """Read all records, page by page."""
@@ -90,7 +88,7 @@
         first_end: int | None = None
         for _ in range(MAX_PAGES):
             query = f"topic={TOPICS[collection]}&part=0{after}"
-            reply = await self.get(f"/v1/log-newest?{query}", self.timeout)
+            reply = await self.calls.read(f"/v1/log-newest?{query}", self.timeout)
             page = decode(check_ok(reply), NewestPage)
             first_end = page.end if first_end is None else first_end
             values.update(decode_items(page.items))
@@ -105,7 +103,7 @@
         """Wait for records from an offset on."""
         query = f"topic={TOPICS[collection]}&part=0&from={offset}"
         path = f"/v1/log-read?{query}&wait-ms={wait // MILLISECOND}"
-        reply = await self.get(path, wait + self.timeout)
+        reply = await self.calls.read(path, wait + self.timeout)
         if reply.status == HTTPStatus.GONE:
             raise RecordExpiredError(decode(reply.body, ExpiredReply).first)
         values: dict[str, bytes] = {}
@@ -121,29 +119,12 @@
         record = bytes([len(key.encode())]) + key.encode() + value
         body = LENGTH.pack(len(record)) + record
         path = f"/v1/log-append?topic={TOPICS[collection]}&part=0"
-        try:
-            reply = await self.calls.call("POST", path, body, self.timeout)
-        except RequestError as error:
-            if error.verdict is Verdict.NOT_RUN:
-                raise LogUnavailableError(
-                    f"the append was not sent: {error}"
-                ) from error
-            raise AppendUnknownError(f"the append got no answer: {error}") from error
+        reply = await self.calls.append(path, body, self.timeout)
         if reply.status in WITHOUT_EFFECT:
             raise LogUnavailableError(f"the store refused an append: {reply.status}")
         if reply.status != HTTPStatus.OK:
             raise AppendUnknownError(f"the store answered an append: {reply.status}")
 
-    async def get(self, path: str, timeout: timedelta) -> HttpReply:
-        """Send a read.
-
-        :raises LogUnavailableError: if there was no whole answer in time.
-        """
-        try:
-            return await self.calls.call("GET", path, b"", timeout)
-        except RequestError as error:
-            raise LogUnavailableError(f"the store can't be read: {error}") from error
-
     def close(self) -> None:
         """Close the kept connections."""
         self.calls.close()
