Don't tell what a daemon believed before its restart in a request's story

Cause: `explain` and `around` read beliefs from logs with code of their own, and only that of `around` forgot those of an earlier process. Change: both use find_held_beliefs. Test: features/explain.feature, failed before ("believed warming before").

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -32,6 +32,13 @@
     Then its story names the cause "believed warming before"
     And its story tells "target-standing" for 2 s
 
+  Scenario: What a daemon believed before its restart is not told
+    Given an entry, and a gate before a backend server, whose logs are kept
+    When a request fails since the backend server fails it
+    And its gate had thought it "warming" 2 s before
+    And its gate was started 1 s before
+    Then its story names the cause "believed good before"
+
   Scenario: What the fleet believed at a moment
     Given these lines of daemons
       | process | second | line                                                |
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -207,14 +207,24 @@
     context.lines = list(read_lines(context.log.texts, "unnamed"))
 
 
+def find_end(context):
+    return next(line for line in context.lines if line.event == "request-ended")
+
+
 @when('its gate had thought it "{standing}" {seconds:d} s before')
 def think_before(context, standing, seconds):
-    end = next(line for line in context.lines if line.event == "request-ended")
+    end = find_end(context)
     fields = {"target": end.get("target"), "standing": standing}
     time = end.time - timedelta(seconds=seconds)
     context.lines.insert(0, LogLine("gate-1", time, "target-standing", fields))
 
 
+@when("its gate was started {seconds:d} s before")
+def start_before(context, seconds):
+    time = find_end(context).time - timedelta(seconds=seconds)
+    context.lines.insert(1, LogLine("gate-1", time, "daemon-started"))
+
+
 @then('its story names the cause "{cause}"')
 def check_cause(context, cause):
     context.cause = cause
--- a/src/wagtailstep/commands/explain_request.py
+++ b/src/wagtailstep/commands/explain_request.py
@@ -6,20 +6,19 @@
 
 import attrs
 
-from wagtailstep.models.log_lines import LogLine
+from wagtailstep.commands.fleet_beliefs import (
+    MEMBER,
+    PATH,
+    STANDING,
+    find_held_beliefs,
+)
+from wagtailstep.models.log_lines import LogLine, format_line
 
 MILLISECOND = timedelta(milliseconds=1)
 ENDS = ("request-ended", "request-unanswered")
 SERVED = "status-200"
 # Ends that no failure of a backend server explains, even if there was one before.
 NOT_BY_WORK = frozenset({"overloaded", "doubted", "caller-left"})
-# Beliefs that a choice rests on: the event that tells of a change, whose log has it,
-# and the field that names what the belief is about.
-STANDING = "target-standing"
-PATH = "path-avoided"
-TABLE = "table-in-force"
-STORE = "log-reachability"
-MEMBER = "member-state"
 
 
 @attrs.frozen
@@ -111,21 +110,19 @@
     """Return what the entry, and the gates it asked, believed when a request ended."""
     tried = set(end.get("tried").split(",")) - {""}
     gates = {line.process for line in story if line.event == "work-ended"}
-    newest: dict[tuple[str, str, str], LogLine] = {}
-    for line in lines:
-        if line.time > end.time:
-            continue
-        target = line.get("target")
+
+    def is_relevant(line: LogLine) -> bool:
         at_entry = line.process == end.process
-        is_relevant = (
-            (line.event == STANDING and target in tried)
-            or (line.event == PATH and at_entry and target in tried)
-            or (line.event in (TABLE, STORE) and at_entry)
-            or (line.event == MEMBER and at_entry and line.get("member") in gates)
-        )
-        if is_relevant:
-            newest[line.event, line.process, target or line.get("member")] = line
-    return [Belief(line, end.time - line.time) for line in newest.values()]
+        if line.event == STANDING:
+            return line.get("target") in tried
+        if line.event == PATH:
+            return at_entry and line.get("target") in tried
+        if line.event == MEMBER:
+            return at_entry and line.get("member") in gates
+        return at_entry
+
+    held = find_held_beliefs(lines, end.time)
+    return [Belief(line, end.time - line.time) for line in held if is_relevant(line)]
 
 
 def find_cause(
@@ -271,15 +268,6 @@
     return "\n".join(texts)
 
 
-def format_line(line: LogLine) -> str:
-    """Write an event and its fields."""
-    hidden = {"level", "logger"}
-    fields = " ".join(
-        f"{name}={value}" for name, value in line.fields.items() if name not in hidden
-    )
-    return f"{line.event} {fields}"
-
-
 def format_causes(causes: Counter[str]) -> str:
     """Write causes with their counts, the most frequent first."""
     if not causes:
--- a/src/wagtailstep/commands/fleet_beliefs.py
+++ b/src/wagtailstep/commands/fleet_beliefs.py
@@ -6,19 +6,17 @@
 
 import attrs
 
-from wagtailstep.commands.explain_request import (
-    MEMBER,
-    PATH,
-    STANDING,
-    STORE,
-    TABLE,
-    format_line,
-)
-from wagtailstep.models.log_lines import LogLine
+from wagtailstep.models.log_lines import LogLine, format_line
 
+# Events that tell of a changed belief, in the log of the daemon that holds it.
+STANDING = "target-standing"
+PATH = "path-avoided"
+TABLE = "table-in-force"
+STORE = "log-reachability"
+MEMBER = "member-state"
 CHANGES = frozenset({STANDING, PATH, TABLE, STORE, MEMBER})
 # The field that names what a belief is about; others are about the daemon itself.
-SUBJECTS = {STANDING: "target", MEMBER: "member"}
+SUBJECTS = {STANDING: "target", PATH: "target", MEMBER: "member"}
 LIFE = ("daemon-started", "daemon-draining", "daemon-stopped")
 
 
@@ -40,13 +38,10 @@
     changes: Sequence[LogLine]
 
 
-def find_fleet_beliefs(
-    lines: Sequence[LogLine], at: datetime, span: timedelta
-) -> FleetBeliefs:
-    """Return what was believed at a moment.
+def find_held_beliefs(lines: Sequence[LogLine], at: datetime) -> list[LogLine]:
+    """Return the events by which daemons came to hold what they believed at a moment.
 
     :param lines: lines of all daemons, those of one daemon in its order.
-    :param span: changes within this time before and after are told.
     """
     newest: dict[tuple[str, str, str], LogLine] = {}
     for line in lines:
@@ -58,7 +53,18 @@
         elif line.event in CHANGES:
             subject = line.get(SUBJECTS.get(line.event, ""))
             newest[line.event, line.process, subject] = line
-    held = list(newest.values())
+    return list(newest.values())
+
+
+def find_fleet_beliefs(
+    lines: Sequence[LogLine], at: datetime, span: timedelta
+) -> FleetBeliefs:
+    """Return what was believed at a moment.
+
+    :param lines: lines of all daemons, those of one daemon in its order.
+    :param span: changes within this time before and after are told.
+    """
+    held = find_held_beliefs(lines, at)
     members = Counter(
         f"{line.get('member')} {line.get('state')}"
         for line in held
--- a/src/wagtailstep/models/log_lines.py
+++ b/src/wagtailstep/models/log_lines.py
@@ -76,3 +76,12 @@
     except ValueError:
         return False
     return True
+
+
+def format_line(line: LogLine) -> str:
+    """Write an event and its fields."""
+    hidden = {"level", "logger"}
+    fields = " ".join(
+        f"{name}={value}" for name, value in line.fields.items() if name not in hidden
+    )
+    return f"{line.event} {fields}"
