Read what the log service holds with a time limit of its own

Cause: the steps read the stand-in's records with the client whose limit of 250 ms serves to time out unanswered appends.

Change: unanswered appends have a limit of 1 s, everything else 20 s. A new scenario stalls the stand-in's event loop for 1.5 s before the read.

--- a/features/log_service.feature
+++ b/features/log_service.feature
@@ -24,6 +24,12 @@
       | over HTTP | silent=true            | AppendUnknownError  | 0     |
       | over HTTP | lost_acknowledgments=1 | AppendUnknownError  | 1     |
 
+  Scenario: A service that stalls after a lost acknowledgment still shows its record
+    Given a log service over HTTP
+    When the log service has the fault lost_acknowledgments=1
+    And the log service stalls for 1500 ms before it is read
+    Then an append raises AppendUnknownError and leaves 1 records
+
   Scenario: An append to a closed port had no effect
     Given a log service over HTTP
     When the log service stops
--- a/features/steps/log_service_steps.py
+++ b/features/steps/log_service_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import queue
 import threading
+import time
 from datetime import timedelta
 
 import httpx
@@ -19,7 +20,11 @@
 from wagtailstep.network.log_client import HttpLogService
 from wagtailstep.utils.clock import ManualClock
 
-TIMEOUT_MS = 250
+# For appends that get no response; the test waits for it in real time.
+UNANSWERED_TIMEOUT_MS = 1_000
+# Longer than any stall of a busy machine: what the service holds is read with it.
+TIMEOUT_MS = 20_000
+UNANSWERED_FAULTS = frozenset({"silent", "lost_acknowledgments"})
 
 
 class LogServerThread:
@@ -49,6 +54,10 @@
     def set_faults(self, **faults):
         return httpx.put(f"http://{self.address}/faults", json=faults)
 
+    def stall(self, duration):
+        """Block the server's event loop, as a machine without a free core does."""
+        self.loop.call_soon_threadsafe(time.sleep, duration.total_seconds())
+
     def stop(self):
         if self.thread.is_alive():
             self.loop.call_soon_threadsafe(self.stop_event.set)
@@ -63,6 +72,8 @@
 
 def start_runner(context):
     context.runner = asyncio.Runner()
+    context.fault_name = ""
+    context.stall = None
     context.add_cleanup(context.runner.close)
 
 
@@ -78,7 +89,11 @@
 def create_log_over_http(context):
     start_runner(context)
     server = start_log_server(context)
-    context.log = HttpLogService(LogSettings(server.address, timeout_ms=TIMEOUT_MS))
+    context.log = create_client(server, TIMEOUT_MS)
+
+
+def create_client(server, timeout_ms):
+    return HttpLogService(LogSettings(server.address, timeout_ms=timeout_ms))
 
 
 def set_fault(context, name, value):
@@ -94,6 +109,11 @@
     set_fault(context, name, True if value == "true" else int(value))
 
 
+@when("the log service stalls for {milliseconds:d} ms before it is read")
+def set_stall(context, milliseconds):
+    context.stall = timedelta(milliseconds=milliseconds)
+
+
 @when("the log service stops")
 def stop_log(context):
     context.log_server.stop()
@@ -137,13 +157,22 @@
 def check_append_error(context, error, count):
     check_error(context, error)
     set_fault(context, context.fault_name, 0 if "lost" in context.fault_name else False)
+    if context.stall is not None:
+        context.log_server.stall(context.stall)
     assert len(read_all(context, "x")) == count
 
 
+def get_appending_client(context):
+    if context.log_server is None or context.fault_name not in UNANSWERED_FAULTS:
+        return context.log
+    return create_client(context.log_server, UNANSWERED_TIMEOUT_MS)
+
+
 @then("an append raises {error:w}")
 def check_error(context, error):
+    log = get_appending_client(context)
     try:
-        context.runner.run(context.log.append("x", b"data"))
+        context.runner.run(log.append("x", b"data"))
     except (AppendUnknownError, LogUnavailableError) as found:
         assert type(found).__name__ == error, found
     else:
