--- a/features/steps/host_routes_steps.py
+++ b/features/steps/host_routes_steps.py
@@ -57,6 +57,28 @@
     context.chosen = [context.splitter.choose(route) for _ in range(count)]
 
 
+@when('{daemons:d} daemons each distribute {count:d} requests of a route "{parts}"')
+def split_at_daemons(context, daemons, count, parts):
+    context.route = make_route("shared", "a.test", "/", parts)
+    context.chosen = []
+    for seed in range(daemons):
+        splitter = RouteSplitter(random.Random(seed))
+        context.chosen += [splitter.choose(context.route) for _ in range(count)]
+
+
+@then("their shares differ from the weights by at most {limit:g}")
+def check_shares(context, limit):
+    total = sum(part.weight for part in context.route.parts)
+    for part in context.route.parts:
+        share = context.chosen.count(part.service) / len(context.chosen)
+        assert abs(share - part.weight / total) <= limit, (part, share)
+
+
+@then('service "{service}" received nothing')
+def check_nothing_received(context, service):
+    assert service not in context.chosen
+
+
 @when('the weighted services of route "{name}" become "{parts}"')
 def change_weights(context, name, parts):
     context.routes = [
