Void offsets and write members again when the store returns older

Cause: the store may come back from a copy some seconds old. Its offsets are then given out again, so a follower that waits behind the new end misses versions until the next change, and records of daemons that registered after the copy are gone.

Change: the adapter reads Store-Era from each answer into KeyedRecords.era. On a rise the follower reads the newest table anew and dispatches StoreRestored; membership writes its record again, all daemons together at 100 a second. The first read after an outage does not wait, since a waiting read would tell of the new era only at its end. The stand-in has eras, a copy and 410 for offsets beyond its end.

Ruled out: a lower version that the copy holds is put in force; versions are compared in PublishedTableController as before.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -60,6 +60,27 @@
       | silent  | 12000    |
       | garbled | 3000     |
 
+  Scenario Outline: A table that is published after the store lost recent writes is found
+    Given the platform's store with version 7
+    When a daemon follows the table, the store loses version 9 in <fault> and gets <written> again
+    Then it received the versions <received>
+    And the last version was received within 3000 ms
+    And it learned of 1 restored copy
+
+    Examples:
+      | fault      | written           | received |
+      | an instant | nothing, 11       | 7 9 11   |
+      | an outage  | nothing, 11       | 7 9 11   |
+      | an outage  | other, 11         | 7 9 11   |
+      | an outage  | other, other, 11  | 7 9 11   |
+      | an outage  | 9, 11, other      | 7 9 11   |
+
+  Scenario: Daemons write their records again after the store was restored
+    Given 60 registered daemons of which 20 registered after the store was copied
+    When the store is restored from its copy
+    Then all 60 daemons are registered again within 5 s
+    And at most 130 records were written in any second
+
   Scenario: Of any two registering daemons at least one finds the other
     Given the platform's store with version 7
     When 5 daemons register and list members at random times
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -15,15 +15,21 @@
 from hypothesis import settings as hypothesis_settings
 
 from wagtailstep.commands.read_settings import structure_settings
+from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.exceptions import (
     AppendUnknownError,
     BadRequestError,
     DecodeError,
     LogError,
 )
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.events import StoreRestored
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
+from wagtailstep.models.log import NullLogService
 from wagtailstep.models.published_table import TableDocument
-from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.settings import DaemonSettings, MembershipSettings
+from wagtailstep.network.daemon import build_local_member
+from wagtailstep.network.runtime import Runtime, RuntimeAdapters
 from wagtailstep.network.table_follower import TableFollower
 from wagtailstep.platform.configuration import build_table, find_document
 from wagtailstep.platform.heartbeats import HeartbeatHandler
@@ -220,12 +226,16 @@
 def follow_table(context, change_store, daemons=1):
     """Follow the table while a coroutine changes the store."""
     context.received_versions = []
+    context.restored = 0
 
     async def main():
         loop = asyncio.get_running_loop()
         store, client = await start_store(context)
 
         def record_version(event):
+            if isinstance(event, StoreRestored):
+                context.restored += 1
+                return
             context.received_versions.append((loop.time(), event.document.version))
 
         follower = TableFollower(
@@ -310,6 +320,124 @@
     follow_table(context, change_store)
 
 
+@when(
+    "a daemon follows the table, the store loses version {version:d} in {fault} and "
+    "gets {records} again"
+)
+def lose_recent_writes(context, version, fault, records):
+    async def change_store(store):
+        await asyncio.sleep(1)
+        store.back_up()
+        store.put("keyed.op", "config", build_configuration(version))
+        await asyncio.sleep(3)
+        store.faults.status = 503 if fault == "an outage" else 0
+        await asyncio.sleep(0.5)
+        store.restore()
+        for record in records.split(", "):
+            if record == "other":
+                store.put("keyed.op", "other", b"x")
+            elif record != "nothing":
+                store.put("keyed.op", "config", build_configuration(record))
+        store.faults.status = 0
+        context.changed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5)
+
+    follow_table(context, change_store)
+
+
+@then("the last version was received within {limit:d} ms")
+def check_last_received_soon(context, limit):
+    check_received_soon(context, context.received_versions[-1][1], limit)
+
+
+@then("it learned of {count:d} restored copy")
+def check_restored_copies(context, count):
+    assert context.restored == count, context.restored
+
+
+@given(
+    "{count:d} registered daemons of which {late:d} registered after the store was "
+    "copied"
+)
+def set_registered_daemons(context, count, late):
+    context.daemon_count, context.late_count = count, late
+
+
+def create_membership(index, store, clock):
+    """Return a runtime of the membership controller, without a working channel."""
+    address = f"10.0.0.{index}:7"
+    settings = DaemonSettings(
+        f"d{index}",
+        "bole",
+        *["10.0.0.1:1", "10.0.0.1:2", address, "10.0.0.1:4"],
+        membership=MembershipSettings(member_source="registry"),
+    )
+    board = Blackboard(build_local_member(settings, clock))
+    parts = (settings, board, clock, random.Random(index))
+    adapters = RuntimeAdapters(NullLogService(), MuteChannel(), None, store)
+    runtime = Runtime(*parts, adapters)
+    runtime.controllers = (MembershipController(*parts),)
+    return runtime
+
+
+class MuteChannel:
+    async def start(self, deliver):
+        pass
+
+    def send(self, address, message, urgent=False):
+        pass
+
+    async def close(self):
+        pass
+
+
+@when("the store is restored from its copy")
+def restore_registrations(context):
+    async def main():
+        loop = asyncio.get_running_loop()
+        clock = LoopClock()
+        store, client = await start_store(context)
+        runtimes = [
+            create_membership(index, client, clock)
+            for index in range(context.daemon_count)
+        ]
+        for index, runtime in enumerate(runtimes):
+            if index == context.daemon_count - context.late_count:
+                await asyncio.sleep(1)
+                store.back_up()
+            await runtime.start()
+        await asyncio.sleep(1)
+        for runtime in runtimes:
+            for other in runtimes:
+                member = other.blackboard.this_member
+                runtime.blackboard.members[member.daemon_id] = member
+        store.restore()
+        context.writes = []
+        store.on_append = lambda: context.writes.append(loop.time())
+        for runtime in runtimes:
+            runtime.dispatch(StoreRestored(store.era))
+        await asyncio.sleep(5)
+        records = await client.read_newest(Collection.MEMBERS)
+        context.registered = set(records.values)
+        await asyncio.gather(*(runtime.close() for runtime in runtimes))
+
+    context.first_version = 7
+    detangle.run(main, seed=1)
+
+
+@then("all {count:d} daemons are registered again within 5 s")
+def check_registered(context, count):
+    assert context.registered == {f"d{index}" for index in range(count)}
+
+
+@then("at most {limit:d} records were written in any second")
+def check_write_rate(context, limit):
+    assert len(context.writes) == context.daemon_count, len(context.writes)
+    for start in context.writes:
+        within = [at for at in context.writes if start <= at < start + 1]
+        assert len(within) <= limit, len(within)
+
+
 @then("it received the versions {versions}")
 def check_received_versions(context, versions):
     found = []
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -40,6 +40,9 @@
 APPEND_JITTER_MS = 4_000
 APPEND_RETRY_MS = 15_000
 REGISTER_RETRY_MS = 2_000
+# Writes of all daemons together after the registry was restored; well below the rate
+# that it accepts.
+RESTORE_WRITES_PER_S = 100
 # The list is read again while no listed daemon answers, as it is then out of date.
 # Each read is a call to the registry, hence the back-off.
 LIST_RETRY_MS = 2_000
@@ -76,6 +79,7 @@
     register_at: timedelta | None = timedelta()
     list_at: timedelta | None = None
     list_retry_ms: float = LIST_RETRY_MS
+    lists_after_write: bool = True
 
     @property
     def uses_registry(self) -> bool:
@@ -95,12 +99,26 @@
         return self._request(this, [addresses[name] for name in chosen], "")
 
     def complete_registration(self, succeeded: bool, now: timedelta) -> None:
-        """Handle the outcome of registering this daemon; the list is read next."""
-        self.list_at = now
+        """Handle the outcome of registering this daemon.
+
+        The list is read next, unless it was read before and the record only replaces
+        a lost one.
+        """
+        if self.lists_after_write:
+            self.list_at = now
         if not succeeded:
             delay = REGISTER_RETRY_MS * (0.5 + self.rng.random())
             self.register_at = now + timedelta(milliseconds=delay)
 
+    def restore_registration(self, now: timedelta, daemons: int) -> None:
+        """Write this daemon's record again, which a restored registry may have lost.
+
+        :param daemons: number of living daemons, whose writes are spread over time.
+        """
+        if self.uses_registry and self.register_at is None:
+            spread = timedelta(seconds=daemons / RESTORE_WRITES_PER_S)
+            self.register_at = now + spread * self.rng.random()
+
     def _poll_registry(
         self, now: timedelta, table: MemberTable, this: Member
     ) -> list[Any]:
@@ -110,6 +128,7 @@
             effects.append(RegisterMember(this.daemon_id, this.peer_address))
         if self.list_at is not None and now >= self.list_at:
             self.list_at = None
+            self.lists_after_write = False
             effects.append(ListMembers())
         elif self.list_at is None and table.count_live() <= 1:
             self.list_retry_ms = min(MAX_LIST_RETRY_MS, 1.5 * self.list_retry_ms)
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -21,6 +21,7 @@
     PeerMessageReceived,
     RecordEvent,
     SendToPeer,
+    StoreRestored,
     Tick,
 )
 from wagtailstep.models.fleet import Member, MemberState
@@ -122,6 +123,12 @@
         self.contacts.complete_registration(event.succeeded, self.clock.monotonic())
         return []
 
+    @handle.register
+    def _(self, event: StoreRestored) -> list[Any]:
+        now = self.clock.monotonic()
+        self.contacts.restore_registration(now, self.table.count_live())
+        return []
+
     @handle.register
     def _(self, event: LogAppendFinished) -> list[Any]:
         self.contacts.complete_append(event, self.clock.monotonic())
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -159,6 +159,16 @@
     succeeded: bool
 
 
+@attrs.frozen
+class StoreRestored:
+    """The platform's store was restored from an older copy and lost recent writes.
+
+    :param era: the store's new era.
+    """
+
+    era: int
+
+
 @attrs.frozen
 class ListMembers:
     """Effect: read the registry of members; ends in :class:`MembersListed`."""
--- a/src/wagtailstep/models/keyed_store.py
+++ b/src/wagtailstep/models/keyed_store.py
@@ -24,10 +24,13 @@
 
     :param values: the newest value by key.
     :param next_offset: offset at which later changes begin.
+    :param era: rises each time the store was restored from an older copy. Offsets of
+        an earlier era are void: the store has assigned them again.
     """
 
     values: dict[str, bytes]
     next_offset: int
+    era: int = 0
 
 
 class KeyedStore(Protocol):
@@ -44,6 +47,9 @@
     ) -> KeyedRecords:
         """Return the records from an offset on, and wait if there are none yet.
 
+        Check the ``era`` of the result before its records are used: in a new era they
+        may be others than those that followed the offset.
+
         :param wait: longest time that the store waits before it returns no records.
         :raises LogUnavailableError: if the store can't be read now.
         :raises RecordExpiredError: if changes since ``offset`` are no longer retained.
--- a/src/wagtailstep/network/service_client.py
+++ b/src/wagtailstep/network/service_client.py
@@ -11,6 +11,7 @@
     LogUnavailableError,
     RequestError,
 )
+from wagtailstep.models.headers import Headers
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import read_complete_body
@@ -30,10 +31,12 @@
 
     :param status: HTTP status code.
     :param body: the complete body.
+    :param headers: header fields.
     """
 
     status: int
     body: bytes
+    headers: Headers = ()
 
 
 class ServiceClient:
@@ -80,7 +83,8 @@
         )
         try:
             answer = await self.client.send(request)
-            reply = HttpReply(answer.status, await read_complete_body(answer))
+            content = await read_complete_body(answer)
+            reply = HttpReply(answer.status, content, answer.headers)
         except RequestError as error:
             self.on_end(error.reason)
             raise
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from wagtailstep.exceptions import DecodeError, LogError, RecordExpiredError
+from wagtailstep.models.events import StoreRestored
 from wagtailstep.models.keyed_store import Collection, KeyedRecords, KeyedStore
 from wagtailstep.models.published_table import TableDocument, TablePublished
 from wagtailstep.utils.logging import log_event
@@ -32,10 +33,14 @@
 class TableFollower:
     """Read the newest table, then long-poll for changes, and continue through outages.
 
+    A store that was restored from an older copy has assigned offsets again, so the
+    newest table is read anew. It may be older than the one in force until the operator
+    has written the lost versions again; versions decide, not the order of reads.
+
     :param store: the platform's store.
     :param find_document: returns the table's document among records, if any; raises
         :class:`DecodeError` if the document can't be decoded.
-    :param dispatch: called with :class:`TablePublished` events.
+    :param dispatch: called with :class:`TablePublished` and :class:`StoreRestored`.
     :param report_reachability: called after each call to the store with whether it
         was reachable.
     :param rng: source of random waits and back-off.
@@ -58,6 +63,7 @@
         self.rng = rng
         self.count_daemons = count_daemons
         self.offset: int | None = None
+        self.era: int | None = None
         self.backoff_s = 0.0
 
     async def run(self) -> None:
@@ -74,7 +80,8 @@
             else:
                 self.backoff_s = 0.0
                 self.report_reachability(True)
-                self.handle_records(records)
+                if self.check_era(records):
+                    self.handle_records(records)
 
     async def read(self) -> KeyedRecords:
         """Read the newest records, or wait for changes after those already read.
@@ -87,12 +94,37 @@
         return await self.store.read_changes(Collection.TABLE, self.offset, wait)
 
     def choose_wait(self) -> timedelta:
-        """Return a random time for which the next read may wait for a change."""
+        """Return a random time for which the next read may wait for a change.
+
+        The first read after an outage does not wait, since it shows at once whether
+        the offset is still valid.
+        """
+        if self.backoff_s:
+            return timedelta()
         mean_s = self.count_daemons() / CALLS_PER_S
         mean_s = min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, mean_s))
         factor = self.rng.uniform(1 - WAIT_SPREAD, 1 + WAIT_SPREAD)
         return timedelta(seconds=mean_s * factor)
 
+    def check_era(self, records: KeyedRecords) -> bool:
+        """Return whether records follow the offset; if not, read the newest next."""
+        known_era, self.era = self.era, records.era
+        if known_era is None or records.era == known_era:
+            return True
+        log_event(
+            LOGGER,
+            "store-restored",
+            logging.WARNING,
+            era=records.era,
+            known_era=known_era,
+            offset=self.offset,
+        )
+        self.dispatch(StoreRestored(records.era))
+        if self.offset is None:
+            return True
+        self.offset = None
+        return False
+
     def handle_records(self, records: KeyedRecords) -> None:
         """Dispatch the table's document if the records contain it."""
         self.offset = records.next_offset
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -11,11 +11,13 @@
 
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.platform.store import (
+    ERA_HEADER,
     READ_HEADER,
     RECORD_LENGTH,
     parse_keyed_record,
     parse_records,
 )
+from wagtailstep.utils.callbacks import do_nothing
 
 UNANSWERED_CALL_S = 3_600.0
 
@@ -35,6 +37,10 @@
     oldest_offset: int = 0
     appended: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    def copy(self) -> "Topic":
+        """Return a copy, as a backup of the store contains it."""
+        return Topic(list(self.records), self.next_offset, self.oldest_offset)
+
     def append(self, record: bytes) -> int:
         """Append a record and return its offset."""
         offset = self.next_offset
@@ -74,6 +80,9 @@
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
+        self.backup: dict[str, Topic] = {}
+        self.era = 1
+        self.on_append = do_nothing
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.app = Application(router=Router())
@@ -94,6 +103,20 @@
         name = key.encode()
         self.get_topic(topic).append(bytes([len(name)]) + name + value)
 
+    def back_up(self) -> None:
+        """Copy all topics for :meth:`restore`."""
+        self.backup = {name: topic.copy() for name, topic in self.topics.items()}
+
+    def restore(self) -> None:
+        """Replace all topics by their copies, as of the time of :meth:`back_up`.
+
+        Reads that wait for a change of the replaced topics end without records.
+        """
+        for topic in self.topics.values():
+            topic.appended.set()
+        self.topics = {name: topic.copy() for name, topic in self.backup.items()}
+        self.era += 1
+
     def register_endpoints(self) -> None:
         """Register the endpoints."""
 
@@ -116,17 +139,23 @@
         if self.faults.silent:
             await asyncio.sleep(UNANSWERED_CALL_S)
         if self.faults.status:
-            return Response(self.faults.status)
+            return self.add_era(Response(self.faults.status))
         query = {name: values[0] for name, values in request.query.items()}
         body = await request.read() or b""
         response = await call(self.get_topic(query["topic"]), query, body)
         if self.faults.truncated_answers:
             content = response.content
             response.content = Content(content.type, content.body[:-3])
+        return self.add_era(response)
+
+    def add_era(self, response: Response) -> Response:
+        """Add the header that rises with each restored copy."""
+        response.add_header(ERA_HEADER.encode(), str(self.era).encode())
         return response
 
     async def append(self, topic: Topic, query: dict[str, str], body: bytes) -> Any:
         """Append the records of a body, all or nothing."""
+        self.on_append()
         offset = topic.next_offset
         for record in parse_records(bytes(READ_HEADER.size) + body):
             topic.append(record)
@@ -138,7 +167,7 @@
     async def read(self, topic: Topic, query: dict[str, str], body: bytes) -> Response:
         """Read records; wait for the first one if there is none yet."""
         start = int(query["from"])
-        if start < topic.oldest_offset:
+        if not topic.oldest_offset <= start <= topic.next_offset:
             return build_json_response({"first": topic.oldest_offset}, HTTPStatus.GONE)
         if start >= topic.next_offset:
             wait_s = int(query.get("wait-ms", "0")) / 1_000
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -15,6 +15,7 @@
     LogUnavailableError,
     RecordExpiredError,
 )
+from wagtailstep.models.headers import read_int_header
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
 from wagtailstep.network.service_client import HttpReply, ServiceClient
 from wagtailstep.platform.settings import StoreSettings
@@ -29,6 +30,7 @@
 RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 MAX_PAGES = 100
+ERA_HEADER = "store-era"
 # The store responds with these before a call has any effect.
 STATUSES_WITHOUT_EFFECT = frozenset(
     {
@@ -90,16 +92,20 @@
         # The pages are not a consistent snapshot: later changes have to be read from
         # the end offset of the first page on.
         first_page_end: int | None = None
+        era = 0
         for _ in range(MAX_PAGES):
             query = f"topic={TOPICS[collection]}&part=0{after_parameter}"
             reply = await self.calls.read(f"/v1/log-newest?{query}", self.timeout)
             page = decode_json(get_ok_body(reply), NewestPage)
-            first_page_end = page.end if first_page_end is None else first_page_end
+            if first_page_end is None:
+                first_page_end, era = page.end, read_era(reply)
+            elif read_era(reply) != era:
+                raise LogUnavailableError("the store was restored between two pages")
             values.update(decode_items(page.items))
             if not page.has_more or not page.items:
                 break
             after_parameter = f"&after={page.items[-1].key}"
-        return KeyedRecords(values, first_page_end or 0)
+        return KeyedRecords(values, first_page_end or 0, era)
 
     async def read_changes(
         self, collection: Collection, offset: int, wait: timedelta
@@ -116,7 +122,7 @@
             next_offset += 1
             key, value = parse_keyed_record(record)
             values[key] = value
-        return KeyedRecords(values, next_offset)
+        return KeyedRecords(values, next_offset, read_era(reply))
 
     async def put(self, collection: Collection, key: str, value: bytes) -> None:
         """Append a record that becomes the newest one of its key."""
@@ -138,6 +144,11 @@
         self.calls.close()
 
 
+def read_era(reply: HttpReply) -> int:
+    """Return the store's era, which rises when it is restored from an older copy."""
+    return read_int_header(reply.headers, ERA_HEADER) or 0
+
+
 def get_ok_body(reply: HttpReply) -> bytes:
     """Return the body of a response with status 200.
 
