Announce versions of a published table and send documents on request, compressed

Cause: each daemon pushed each new version as a whole document to three others, although the platform wakes all waiting reads at once.

Change: a new version is announced to three members. A daemon that still lacks it after 250 ms requests it from the daemon that announced it; a daemon without any table requests it at once. Documents are compressed with zlib, once per version.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -13,8 +13,32 @@
     And daemon 0 reads version 5 from the store
     Then daemon 0 has version 7 in force
 
+  Scenario: A version that all daemons read at once does not travel between them
+    When all daemons read version 7 of 100000 bytes from the store
+    And 5 s pass for all daemons
+    Then all daemons have version 7 in force
+    And no document was sent
+
+  Scenario: A version that one daemon reads travels about once to each of the others
+    When daemon 0 reads version 7 of 100000 bytes from the store
+    And 5 s pass for all daemons
+    Then all daemons have version 7 in force
+    And at most 10 documents of at most 2000 bytes were sent
+
+  Scenario: A version reaches daemons that the store turns away within its bound
+    When daemon 0 reads version 6 from the store
+    And 5 s pass for all daemons
+    And daemon 0 reads version 7 from the store
+    And 2 s pass for all daemons
+    Then all daemons have version 7 in force
+
+  Scenario: A corrupt document from a peer changes nothing
+    When daemon 0 reads version 7 from the store
+    And daemon 0 receives a corrupt version 9 from daemon 1
+    Then daemon 0 has version 7 in force
+
   Scenario: A daemon that can't read the store gets the table from its peers
-    Given daemon 5 receives no pushed table
+    Given daemon 5 receives no announced version
     When daemon 0 reads version 7 from the store
     And 12 s pass for all daemons
     Then all daemons have version 7 in force
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -16,16 +16,18 @@
     TableDocument,
     TableDocumentMessage,
     TablePublished,
+    TableVersionMessage,
 )
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.table import Table
 from wagtailstep.utils.clock import ManualClock
+from wagtailstep.utils.codec import encode_message
 
 TICK = timedelta(milliseconds=100)
 
 
 def read_document(document):
-    if document.data != b"good":
+    if document.data.replace(b"good", b""):
         raise DecodeError("not a table")
     routes = HostRoutes([make_route("sign", "a.test", "/", "contracts")])
     return Table(version=document.version, host_routes=routes)
@@ -34,7 +36,8 @@
 @given("{count:d} daemons that follow published tables")
 def create_daemons(context, count):
     context.clock = ManualClock()
-    context.without_pushes = set()
+    context.without_announcements = set()
+    context.documents = []
     members = {
         f"d{i}": Member(f"d{i}", 1, f"127.0.0.1:{7000 + i}", "127.0.0.1:1", "bole")
         for i in range(count)
@@ -54,28 +57,30 @@
         )
 
 
-@given("daemon {index:d} receives no pushed table")
-def drop_pushes(context, index):
-    context.without_pushes.add(index)
-    context.pushes_enabled = False
+@given("daemon {index:d} receives no announced version")
+def drop_announcements(context, index):
+    context.without_announcements.add(index)
 
 
 def deliver(context, sender, effects):
-    """Deliver messages; drop pushes to daemons that only receive replies."""
+    """Deliver messages, except announcements that a daemon doesn't receive.
+
+    It still receives the replies to its own announcements.
+    """
     for effect in effects:
         if not isinstance(effect, SendToPeer):
             continue
         index = int(effect.address.rpartition(":")[2]) - 7000
-        is_push = isinstance(effect.message, TableDocumentMessage)
-        if (
-            index in context.without_pushes
-            and is_push
-            and index not in context.requesters
-        ):
+        message = effect.message
+        if isinstance(message, TableDocumentMessage):
+            context.documents.append(message)
+        announces = isinstance(message, TableVersionMessage)
+        is_reply = index in context.requesters
+        if announces and index in context.without_announcements and not is_reply:
             continue
-        if sender in context.without_pushes:
+        if sender in context.without_announcements:
             context.requesters.add(sender)
-        event = PeerMessageReceived(f"d{sender}", effect.message)
+        event = PeerMessageReceived(f"d{sender}", message)
         deliver(context, index, context.daemons[index].handle(event))
 
 
@@ -84,6 +89,38 @@
     handle_document(context, index, TableDocument(version, b"good"))
 
 
+@when("daemon {index:d} reads version {version:d} of {size:d} bytes from the store")
+def read_large_version(context, index, version, size):
+    handle_document(context, index, TableDocument(version, b"good" * (size // 4)))
+
+
+@when("all daemons read version {version:d} of {size:d} bytes from the store")
+def read_everywhere(context, version, size):
+    context.requesters = set()
+    event = TablePublished(TableDocument(version, b"good" * (size // 4)), "store")
+    effects = [daemon.handle(event) for daemon in context.daemons]
+    for index, sent in enumerate(effects):
+        deliver(context, index, sent)
+
+
+@when("daemon {index:d} receives a corrupt version {version:d} from daemon {sender:d}")
+def receive_corrupt(context, index, version, sender):
+    message = TableDocumentMessage(version, b"not compressed")
+    event = PeerMessageReceived(f"d{sender}", message)
+    context.daemons[index].handle(event)
+
+
+@then("no document was sent")
+def check_no_document(context):
+    assert not context.documents, len(context.documents)
+
+
+@then("at most {count:d} documents of at most {size:d} bytes were sent")
+def check_documents(context, count, size):
+    assert len(context.documents) <= count, len(context.documents)
+    assert all(len(encode_message(each)) <= size for each in context.documents)
+
+
 @when("daemon {index:d} reads an unreadable version {version:d} from the store")
 def read_unreadable_version(context, index, version):
     handle_document(context, index, TableDocument(version, b"bad"))
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -1,7 +1,9 @@
 """A table that operators publish as versioned documents through the platform.
 
-The newest version seen is in force; an older one never replaces it. Daemons send the
-document to each other, so that one that cannot read it from the platform gets it too.
+The newest version seen is in force; an older one never replaces it. Daemons announce
+their versions to each other. One that cannot read a version from the platform requests
+the document from a daemon that announced it; usually the platform is faster, and then
+no document travels between daemons.
 """
 
 import random
@@ -10,6 +12,8 @@
 from functools import singledispatchmethod
 from typing import Any
 
+import attrs
+
 from wagtailstep.controllers.table_members import TableMembers
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.blackboard import Blackboard
@@ -17,6 +21,7 @@
 from wagtailstep.models.published_table import (
     TableDocument,
     TableDocumentMessage,
+    TableDocumentRequest,
     TablePublished,
     TableVersionMessage,
 )
@@ -28,6 +33,22 @@
 # Targets of a small table's services are discovered before the first request. With
 # more services a daemon keeps only the targets of those that callers request.
 MAX_PREFETCHED_SERVICES = 32
+# Time that the platform gets to deliver a version before a peer is asked for it.
+REQUEST_DELAY = timedelta(milliseconds=250)
+
+
+@attrs.frozen
+class AnnouncedVersion:
+    """A version that another daemon has in force and this one does not.
+
+    :param version: the version.
+    :param daemon_id: the daemon that announced it.
+    :param request_at: monotonic time at which to request it.
+    """
+
+    version: int
+    daemon_id: str
+    request_at: timedelta
 
 
 class PublishedTableController:
@@ -54,7 +75,9 @@
         self.read_document = read_document
         self.members = TableMembers(settings.daemon_id, blackboard, rng)
         self.document: TableDocument | None = None
+        self.document_message: TableDocumentMessage | None = None
         self.unreadable_versions: set[int] = set()
+        self.announced: AnnouncedVersion | None = None
         self.next_digest_at = timedelta()
 
     @property
@@ -78,15 +101,12 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
+        effects = self.request_announced(now)
         if now < self.next_digest_at:
-            return []
+            return effects
         interval = timedelta(milliseconds=self.settings.digest_interval_ms)
         self.next_digest_at = now + interval * (0.75 + 0.5 * self.rng.random())
-        message = TableVersionMessage(self.version)
-        effects: list[Any] = []
-        for member in self.members.sample(1):
-            effects += self.members.send_to(member.daemon_id, message)
-        return effects
+        return effects + self.announce_version(1)
 
     @singledispatchmethod
     def handle_message(self, message: Any, sender: str) -> list[Any]:
@@ -96,24 +116,67 @@
     @handle_message.register
     def _(self, message: TableVersionMessage, sender: str) -> list[Any]:
         if message.version < self.version:
-            return self.send_document(sender)
-        if message.version > self.version:
             return self.members.send_to(sender, TableVersionMessage(self.version))
+        if message.version > self.version:
+            return self.handle_newer_version(message.version, sender)
         return []
 
+    @handle_message.register
+    def _(self, message: TableDocumentRequest, sender: str) -> list[Any]:
+        if self.document is None or message.version >= self.version:
+            return []
+        if self.document_message is None:
+            self.document_message = TableDocumentMessage.from_document(self.document)
+        return self.members.send_to(sender, self.document_message)
+
     @handle_message.register
     def _(self, message: TableDocumentMessage, sender: str) -> list[Any]:
-        return self.apply_document(TableDocument(message.version, message.data), sender)
+        if message.version <= self.version:
+            return []
+        try:
+            document = message.to_document()
+        except DecodeError as error:
+            return [self.record_unreadable(message.version, error)]
+        return self.apply_document(document, sender)
 
-    def send_document(self, daemon_id: str) -> list[Any]:
-        """Send the document in force to a member."""
+    def handle_newer_version(self, version: int, daemon_id: str) -> list[Any]:
+        """Request a newer version soon, or at once if no table is known yet."""
+        if version in self.unreadable_versions:
+            return []
         if self.document is None:
+            return self.members.send_to(daemon_id, TableDocumentRequest(self.version))
+        if self.announced is None or self.announced.version < version:
+            request_at = self.clock.monotonic() + REQUEST_DELAY
+            self.announced = AnnouncedVersion(version, daemon_id, request_at)
+        return []
+
+    def request_announced(self, now: timedelta) -> list[Any]:
+        """Request the announced version if it is due and still missing."""
+        announced = self.announced
+        if announced is None or now < announced.request_at:
             return []
-        message = TableDocumentMessage(self.document.version, self.document.data)
-        return self.members.send_to(daemon_id, message)
+        self.announced = None
+        if announced.version <= self.version:
+            return []
+        request = TableDocumentRequest(self.version)
+        return self.members.send_to(announced.daemon_id, request)
+
+    def announce_version(self, count: int) -> list[Any]:
+        """Announce the version in force to a number of random members."""
+        effects: list[Any] = []
+        for member in self.members.sample(count):
+            message = TableVersionMessage(self.version)
+            effects += self.members.send_to(member.daemon_id, message)
+        return effects
+
+    def record_unreadable(self, version: int, error: DecodeError) -> RecordEvent:
+        """Remember an unreadable version, so that it is not read again."""
+        self.unreadable_versions.add(version)
+        fields = {"version": str(version), "error": str(error)}
+        return RecordEvent("table-unreadable", fields)
 
     def apply_document(self, document: TableDocument, source: str) -> list[Any]:
-        """Put a document in force if it is newer, and send it to other members."""
+        """Put a document in force if it is newer, and announce it to other members."""
         if (
             document.version <= self.version
             or document.version in self.unreadable_versions
@@ -122,16 +185,13 @@
         try:
             table = self.read_document(document)
         except DecodeError as error:
-            self.unreadable_versions.add(document.version)
-            fields = {"version": str(document.version), "error": str(error)}
-            return [RecordEvent("table-unreadable", fields)]
+            return [self.record_unreadable(document.version, error)]
         self.document = document
+        self.document_message = None
         self.put_in_force(table)
         fields = {"version": str(document.version), "source": source}
-        effects: list[Any] = [RecordEvent("table-in-force", fields)]
-        for member in self.members.sample(self.settings.push_fanout):
-            effects += self.send_document(member.daemon_id)
-        return effects
+        event = RecordEvent("table-in-force", fields)
+        return [event, *self.announce_version(self.settings.push_fanout)]
 
     def put_in_force(self, table: Table) -> None:
         """Write a table to the blackboard and request a small table's services."""
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -231,7 +231,8 @@
     :param repeat_interval_ms: time between two unsolicited sends of the newest records
         to a random member, which may be able to receive but not to send requests.
     :param repeat_bytes: size limit of older records sent along with newer ones.
-    :param push_fanout: number of random members that a new record is sent to.
+    :param push_fanout: number of random members that a new record, or the version of
+        a published table, is sent to.
     :param confirm_timeout_ms: how long a record read from the log waits for another
         member to confirm that it holds it too, before the record takes effect.
     :param first_answers: number of members whose answers a daemon without a table
