Keep the control messages of a daemon independent of the fleet's size

Cause: (1) digests went to random peers, so in a large fleet almost each one opened a connection; (2) heartbeats of 1.5 s need about seven rounds of 0.5 s to reach 100 daemons, so leases were close to their end most of the time and were requested one by one; (3) at a start each daemon requested the targets of every other one from its owner, and 32 pages of members.

Change: (1) above 32 peers digests go to four partners, the successors in random cycles that all compute alike for 20 s; (2) the renewal follows the rounds that a fleet needs, and leases with it, for fleets above 32 peers; (3) the targets of more than 16 unknown daemons are requested from one peer at a time; pages hold 128 members, and of listed daemons three are asked for one. A daemon that learns of changed targets asks the daemon that told it: in the scenario with partial partitions the tick's choice could miss three times.

Ruled out: longer idle times of connections alone, which leave one connection for each pair of daemons.

--- a/features/dissemination.feature
+++ b/features/dissemination.feature
@@ -101,3 +101,24 @@
       | fault             |
       | leases never end  |
       | ages are not kept |
+
+  Scenario Outline: The messages of a daemon do not grow with the fleet
+    Given <more> more daemons on the bus that serve "contracts" and request no service
+    When 25 seconds pass on the bus
+    And the messages of 10 seconds are counted
+    Then a daemon sent at most <limit> messages a second on average
+    And it sent to at most 30 others in that time on average
+    And no lease has lapsed anywhere since the start-up phase
+
+    Examples:
+      | more | limit |
+      | 80   | 14    |
+      | 150  | 14    |
+
+  Scenario: Daemons of a large fleet that start together know each other within seconds
+    Given 80 more daemons on the bus that serve "contracts" and request no service
+    And each daemon on the bus lists those that started before it
+    When 5 seconds pass on the bus
+    Then every running daemon knows 96 alive daemons
+    And daemon d07 uses 92 targets of "contracts"
+    And a daemon sent at most 250 messages on average
--- a/features/steps/control_bus_steps.py
+++ b/features/steps/control_bus_steps.py
@@ -12,7 +12,11 @@
 from wagtailstep.controllers.probing import Prober
 from wagtailstep.controllers.target_leases import TargetLeases
 from wagtailstep.fakes.control_bus import ControlBus
-from wagtailstep.models.events import PeerMessageReceived, TargetWithdrawn
+from wagtailstep.models.events import (
+    MembersListed,
+    PeerMessageReceived,
+    TargetWithdrawn,
+)
 from wagtailstep.models.fleet import MemberState, TargetStanding, TargetState
 from wagtailstep.models.membership import (
     Digest,
@@ -233,6 +237,40 @@
     assert len(updates) == count, (len(updates), updates[:3])
 
 
+@when("the messages of {seconds:d} seconds are counted")
+def count_messages(context, seconds):
+    context.earlier_lapses = count_lapses(context.bus.nodes.values())
+    context.sent.clear()
+    context.bus.run(timedelta(seconds=seconds))
+    context.counted_seconds = seconds
+
+
+@then("a daemon sent at most {limit:d} messages a second on average")
+def check_message_rate(context, limit):
+    rate = len(context.sent) / len(context.bus.nodes) / context.counted_seconds
+    assert rate <= limit, rate
+
+
+@then("a daemon sent at most {limit:d} messages on average")
+def check_message_count(context, limit):
+    mean = len(context.sent) / len(context.bus.nodes)
+    assert mean <= limit, mean
+
+
+@then("it sent to at most {limit:d} others in that time on average")
+def check_receivers(context, limit):
+    pairs = {(sender, effect.address) for sender, effect in context.sent}
+    assert len(pairs) / len(context.bus.nodes) <= limit, len(pairs)
+
+
+@given("each daemon on the bus lists those that started before it")
+def list_earlier_daemons(context):
+    listed = {}
+    for daemon_id, node in context.bus.nodes.items():
+        listed[daemon_id] = node.address
+        context.bus.dispatch(node, MembersListed(dict(listed)))
+
+
 @when("the last update of {daemon_id} is delayed")
 def delay_update(context, daemon_id):
     context.delayed_update = next(
--- a/src/wagtailstep/controllers/digests.py
+++ b/src/wagtailstep/controllers/digests.py
@@ -2,6 +2,7 @@
 
 import random
 
+from wagtailstep.controllers.gossip_partners import MAX_RANDOM_PEERS, GossipPartners
 from wagtailstep.controllers.interest import InterestIndex
 from wagtailstep.models.settings import MembershipSettings
 
@@ -11,6 +12,7 @@
 
     :param settings: membership settings.
     :param interest: index of the peers of each service.
+    :param partners: partners of this daemon in large fleets.
     :param rng: source of random choices.
     """
 
@@ -18,10 +20,12 @@
         self,
         settings: MembershipSettings,
         interest: InterestIndex,
+        partners: GossipPartners,
         rng: random.Random,
     ) -> None:
         self.settings = settings
         self.interest = interest
+        self.partners = partners
         self.rng = rng
         self.pending_sends: dict[str, dict[str, int]] = {}
 
@@ -40,15 +44,20 @@
         chosen: set[str] = set()
         for service in sorted(self.pending_sends):
             names = self.pending_sends[service]
-            peers = self.interest.choose_peers(
-                service, self.settings.digest_fanout, chosen, self.rng
-            )
+            peers = self._choose_peers(service, chosen)
             chosen.update(peers)
             for peer in peers:
                 plan.setdefault(peer, set()).update(names)
             self._count_sends(service, len(peers))
         return {peer: sorted(names - {peer}) for peer, names in plan.items()}
 
+    def _choose_peers(self, service: str, chosen: set[str]) -> list[str]:
+        fanout = self.settings.digest_fanout
+        names = self.interest.peers_by_service.get(service, [])
+        if len(names) > MAX_RANDOM_PEERS:
+            return self.partners.choose(service, names, fanout)
+        return self.interest.choose_peers(service, fanout, chosen, self.rng)
+
     def _count_sends(self, service: str, sent: int) -> None:
         remaining = {
             name: count - sent
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -7,14 +7,16 @@
 
 from wagtailstep.controllers.digest_rows import DigestRows, iterate_rows
 from wagtailstep.controllers.digests import DigestQueue
+from wagtailstep.controllers.gossip_partners import GossipPartners
 from wagtailstep.controllers.interest import InterestIndex
 from wagtailstep.controllers.packed_standings import (
     NO_STANDINGS,
     differ_in_standing_only,
     pack_standings,
 )
-from wagtailstep.controllers.pulls import PullSchedule
-from wagtailstep.controllers.target_leases import TargetLeases, needs_pull
+from wagtailstep.controllers.renewal_times import compute_renewal_times
+from wagtailstep.controllers.target_leases import TargetLeases
+from wagtailstep.controllers.target_puller import TargetPuller
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     PeerMessageReceived,
@@ -22,7 +24,7 @@
     SendToPeer,
     Tick,
 )
-from wagtailstep.models.fleet import Member, MemberState, Target, TargetState
+from wagtailstep.models.fleet import MemberState, Target, TargetState
 from wagtailstep.models.membership import (
     AGE_UNIT_MS,
     HEARTBEAT_EPOCH_MS,
@@ -30,6 +32,8 @@
     Digest,
     DigestRequest,
     TargetEntry,
+    TargetsBatch,
+    TargetsBatchRequest,
     TargetsRequest,
     TargetsUpdate,
     member_reference,
@@ -37,12 +41,10 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-DIGEST_ROUNDS_PER_RENEWAL = 3
 LOCAL_UPDATE_FANOUT = 8
 DIRECT_FANOUT = 32  # Changes go directly, one message a peer, to fewer peers than this.
 FORWARD_FANOUT = 4
-PULLS_PER_TICK = 10
-REFRESH_LEASE_FRACTION = 0.65
+MAX_BATCH_UPDATES = 64
 VERSION_MASK = 0xFFFF
 STALE_HEARTBEAT_LAG = 100
 
@@ -66,10 +68,13 @@
         self.blackboard = blackboard
         self.clock = clock
         self.rng = rng
-        self.lease = timedelta(milliseconds=self.settings.lease_ms)
+        self.times = compute_renewal_times(self.settings, peers=0)
         self.interest = InterestIndex(blackboard)
-        self.leases = TargetLeases(blackboard, self.lease)
-        self.digests = DigestQueue(self.settings, self.interest, rng)
+        self.leases = TargetLeases(blackboard, self.times.lease)
+        partners = GossipPartners(
+            blackboard.this_member.daemon_id, self.settings.digest_sends, clock, rng
+        )
+        self.digests = DigestQueue(self.settings, self.interest, partners, rng)
         self.local_reference = member_reference(blackboard.this_member.daemon_id)
         self.started_at = clock.monotonic()
         self.heartbeat = 0
@@ -80,7 +85,8 @@
         first_ms = self.settings.renew_ms * rng.random()
         self.renew_at = self.started_at + timedelta(milliseconds=first_ms)
         self.next_digest_at = timedelta()
-        self.pulls = PullSchedule()
+        self.puller = TargetPuller(blackboard, self.interest, self.leases, rng)
+        self.pulls = self.puller.schedule
         self.receive = self._receive  # Cached: dispatch look-up costs more than a call.
 
     @singledispatchmethod
@@ -93,11 +99,14 @@
         now = self.clock.monotonic()
         if self.interest.refresh(now):
             self._discard_unneeded()
+            peers = max(map(len, self.interest.peers_by_service.values()), default=0)
+            self.times = compute_renewal_times(self.settings, peers)
+            self.leases.lease = self.times.lease
         effects = self._push_local_changes(now)
         effects += self._expire_leases(now)
         self._renew_local_targets(now)
         effects += self._send_digests(now)
-        effects += self._pull(now)
+        effects += self.puller.pull(now, self.times.lease)
         return effects
 
     @handle.register
@@ -113,7 +122,7 @@
         now = self.clock.monotonic()
         effects: list[Any] = []
         for reference, heartbeat, age, version, standings in iterate_rows(message):
-            if not 0 <= age * AGE_UNIT_MS <= self.settings.lease_ms:
+            if not 0 <= age * AGE_UNIT_MS <= self.times.lease_ms:
                 continue
             made_at = now - timedelta(milliseconds=age * AGE_UNIT_MS)
             if reference == self.local_reference:
@@ -125,6 +134,7 @@
             if self.leases.renew(daemon_id, heartbeat, made_at, version, standings):
                 self.pulls.discard(daemon_id)
                 self.digests.add(daemon_id, self.interest.needed_by_member[daemon_id])
+                effects += self.puller.pull_changed(daemon_id, sender, now)
             elif daemon_id == sender:
                 effects += self._correct_stale_heartbeat(sender, heartbeat)
         return effects
@@ -147,12 +157,35 @@
             update = self._build_held_update(message.daemon_id, services)
         return [] if update is None else [SendToPeer(message.reply_to, update)]
 
+    @_receive.register
+    def _(self, message: TargetsBatchRequest, sender: str) -> list[Any]:
+        services = frozenset(message.services)
+        updates = []
+        for reference in message.references:
+            name = self.interest.daemon_ids.get(reference)
+            if reference == self.local_reference:
+                updates.append(self._build_local_update(services))
+            elif name is not None:
+                updates.append(self._build_held_update(name, services))
+        found = [update for update in updates if update is not None]
+        return [
+            SendToPeer(message.reply_to, TargetsBatch(tuple(batch)))
+            for batch in split_batches(found, MAX_BATCH_UPDATES)
+        ]
+
+    @_receive.register
+    def _(self, message: TargetsBatch, sender: str) -> list[Any]:
+        effects: list[Any] = []
+        for update in message.updates:
+            effects += self.receive(update, sender)
+        return effects
+
     @_receive.register
     def _(self, message: TargetsUpdate, sender: str) -> list[Any]:
         this_id = self.blackboard.this_member.daemon_id
         if message.daemon_id == this_id:
             return []
-        if not 0 <= message.age_ms <= self.settings.lease_ms:
+        if not 0 <= message.age_ms <= self.times.lease_ms:
             return []
         if self.interest.services.isdisjoint(message.services):
             return []
@@ -216,7 +249,7 @@
     def _renew_local_targets(self, now: timedelta) -> None:
         if now < self.renew_at or not self.advertised_targets:
             return
-        self.renew_at = now + timedelta(milliseconds=self.settings.renew_ms)
+        self.renew_at = now + self.times.renew
         self._start_heartbeat(now)
         services = frozenset(target.service for target in self.advertised_targets)
         self.digests.add(self.blackboard.this_member.daemon_id, services)
@@ -313,8 +346,7 @@
     def _send_digests(self, now: timedelta) -> list[Any]:
         if now < self.next_digest_at:
             return []
-        interval = self.settings.renew_ms / DIGEST_ROUNDS_PER_RENEWAL
-        self.next_digest_at = now + timedelta(milliseconds=interval)
+        self.next_digest_at = now + self.times.digest_interval
         effects = []
         for peer_id, names in self.digests.pop_round().items():
             digest = self._build_digest(names)
@@ -333,63 +365,13 @@
                 rows.add(name, self.heartbeat, age, self.version, packed)
                 continue
             held = self.leases.held_targets.get(name)
-            if held is None or now - held.renewed_at >= self.lease:
+            if held is None or now - held.renewed_at >= self.times.lease:
                 continue
             age = now - held.renewed_at
             rows.add(name, held.heartbeat, age, held.newest_version, held.standings)
         return rows.build()
 
-    def _pull(self, now: timedelta) -> list[Any]:
-        oldest = now - self.lease * REFRESH_LEASE_FRACTION
-        effects: list[Any] = []
-        stale: list[str] = []
-        for daemon_id, needed in self.interest.needed_by_member.items():
-            held = self.leases.held_targets.get(daemon_id)
-            if not needs_pull(held, needed, oldest):
-                continue
-            if len(effects) >= PULLS_PER_TICK:
-                break
-            if not self.pulls.try_start(daemon_id, now):
-                continue
-            if held is not None and held.is_complete(needed):
-                stale.append(daemon_id)
-            else:
-                effects += self._request_targets(daemon_id, needed)
-        return effects + self._request_digests(stale)
 
-    def _request_targets(self, daemon_id: str, needed: frozenset[str]) -> list[Any]:
-        this = self.blackboard.this_member
-        request = TargetsRequest(this.peer_address, daemon_id, tuple(sorted(needed)))
-        peer = self._choose_peer(daemon_id)
-        is_unknown = daemon_id not in self.leases.held_targets
-        if peer is None or self.pulls.asks_owner(daemon_id, owner_first=is_unknown):
-            peer = self.blackboard.members.get(daemon_id)
-        return [] if peer is None else [SendToPeer(peer.peer_address, request)]
-
-    def _choose_peer(self, daemon_id: str) -> Member | None:
-        needed = self.interest.needed_by_member[daemon_id]
-        others = self.interest.choose_interested(needed, 1, self.rng)
-        return others[0] if others else None
-
-    def _request_digests(self, stale: list[str]) -> list[Any]:
-        effects: list[Any] = []
-        relayed = [name for name in stale if not self.pulls.asks_owner(name)]
-        for daemon_id in stale:
-            if daemon_id not in relayed:
-                owner = self.blackboard.members.get(daemon_id)
-                effects += self._request_digest(owner, [daemon_id])
-        while relayed:
-            peer = self._choose_peer(relayed[0])
-            services = frozenset(peer.services if peer else ())
-            batch = [n for n in relayed if services & self.interest.needed_by_member[n]]
-            batch = batch or relayed[:1]
-            effects += self._request_digest(peer, batch)
-            relayed = [name for name in relayed if name not in batch]
-        return effects
-
-    def _request_digest(self, peer: Member | None, names: list[str]) -> list[Any]:
-        if peer is None:
-            return []
-        references = tuple(member_reference(name) for name in names)
-        reply_to = self.blackboard.this_member.peer_address
-        return [SendToPeer(peer.peer_address, DigestRequest(reply_to, references))]
+def split_batches(items: list[Any], size: int) -> list[list[Any]]:
+    """Return the items in lists of at most a size."""
+    return [items[start : start + size] for start in range(0, len(items), size)]
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -29,9 +29,14 @@
 from wagtailstep.utils.ids import make_id
 
 MAX_CONTACTS = 32
-PAGE_INTERVAL_MS = 600
+PAGE_INTERVAL_MS = 200
+PAGE_ENTRIES = 128
+# Of the daemons that a registry lists, so many are asked for the member table. The
+# others only learn of this daemon.
+LISTED_PAGE_SOURCES = 3
 PAGE_TIMEOUT_MS = 2_000
-INITIAL_SYNC_INTERVAL_MS = 3_000
+# Short at first, as daemons that started together know different parts of the fleet.
+INITIAL_SYNC_INTERVAL_MS = 400
 MAX_SYNC_INTERVAL_MS = 60_000
 BEFORE_ALL_NAMES = " "
 TOLERATED_MISSING_RATIO = 0.01
@@ -96,7 +101,10 @@
         chosen = self.rng.sample(others, min(len(others), MAX_CONTACTS))
         self.recorded_contacts.update((name, addresses[name]) for name in chosen)
         self._discard_oldest()
-        return self._request(this, [addresses[name] for name in chosen], "")
+        sources = [addresses[name] for name in chosen[:LISTED_PAGE_SOURCES]]
+        others = [addresses[name] for name in chosen[LISTED_PAGE_SOURCES:]]
+        introductions = self._request(this, others, "", limit=0)
+        return self._request(this, sources, "") + introductions
 
     def complete_registration(self, succeeded: bool, now: timedelta) -> None:
         """Handle the outcome of registering this daemon.
@@ -215,6 +223,7 @@
         source = self._poll_registry if self.uses_registry else self._append
         return [
             *self._request_from_contacts(now, table, this),
+            *self._synchronize(now, table, this),
             *self._request_next_page(now, table, this),
             *source(now, table, this),
         ]
@@ -226,20 +235,21 @@
             return []
         jitter = 0.5 + self.rng.random()
         self.rejoin_at = now + timedelta(milliseconds=self.settings.rejoin_ms * jitter)
-        is_alone = not any(
-            member.state is MemberState.ALIVE and name != this.daemon_id
-            for name, member in table.members.items()
-        )
         # While no other daemon is known, try several, as some may no longer exist.
         addresses = self._sample(
-            self._contacts_not_alive(table, this), 4 if is_alone else 1
+            self._contacts_not_alive(table, this), 4 if table.is_alone(this) else 1
         )
-        effects = self._request(this, addresses, "")
-        if not is_alone and now >= self.sync_at:
-            self.sync_at = now + timedelta(milliseconds=self.sync_interval_ms * jitter)
-            self.sync_interval_ms = min(self.sync_interval_ms * 2, MAX_SYNC_INTERVAL_MS)
-            effects += self._request_random_page(table, this)
-        return effects
+        return self._request(this, addresses, "")
+
+    def _synchronize(
+        self, now: timedelta, table: MemberTable, this: Member
+    ) -> list[Any]:
+        if now < self.sync_at or table.is_alone(this):
+            return []
+        interval_ms = self.sync_interval_ms * (0.5 + self.rng.random())
+        self.sync_at = now + timedelta(milliseconds=interval_ms)
+        self.sync_interval_ms = min(self.sync_interval_ms * 2, MAX_SYNC_INTERVAL_MS)
+        return self._request_random_page(table, this)
 
     def _request_random_page(self, table: MemberTable, this: Member) -> list[Any]:
         # A page from a random position recovers updates that were lost in transit.
@@ -279,8 +289,10 @@
         self.page_source = "".join(self._sample(self._alive_addresses(table, this), 1))
         return self._request(this, [address], self.page_after)
 
-    def _request(self, this: Member, addresses: list[str], after: str) -> list[Any]:
-        request = MembersRequest(MemberEntry.from_member(this), after)
+    def _request(
+        self, this: Member, addresses: list[str], after: str, limit: int = PAGE_ENTRIES
+    ) -> list[Any]:
+        request = MembersRequest(MemberEntry.from_member(this), after, limit)
         return [SendToPeer(address, request) for address in addresses if address]
 
     def _append(self, now: timedelta, table: MemberTable, this: Member) -> list[Any]:
--- a/src/wagtailstep/controllers/member_table.py
+++ b/src/wagtailstep/controllers/member_table.py
@@ -46,6 +46,13 @@
     died_at: dict[str, timedelta] = attrs.field(factory=dict)
     suspected_at: dict[str, timedelta] = attrs.field(factory=dict)
 
+    def is_alone(self, this: Member) -> bool:
+        """Return whether no other daemon is known to be alive."""
+        return not any(
+            member.state is MemberState.ALIVE and name != this.daemon_id
+            for name, member in self.members.items()
+        )
+
     def accepts(self, daemon_id: str, incarnation: int, state: MemberState) -> bool:
         """Return whether an update of a member supersedes what is known of it."""
         known = self.members.get(daemon_id)
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -39,7 +39,8 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-MAX_PAGE_ENTRIES = 40
+# About 12 KB, which the slowest links carry in 20 ms.
+MAX_PAGE_ENTRIES = 128
 MEMBERS_POLL_MS = 10_000
 MAX_TICK_GAP_MS = 10_000
 PRUNE_INTERVAL_MS = 5_000
@@ -181,10 +182,12 @@
     @_receive.register
     def _(self, message: MembersRequest, sender: str) -> list[Any]:
         effects = self._merge(MemberUpdates(entries=(message.requester,)))
-        page = self._build_page(message.after, sender)
         address = message.requester.peer_address
         if sender in self.table.tombstones:
             effects.append(SendToPeer(address, self._build_ping(sender)))
+        if message.limit <= 0:
+            return effects
+        page = self._build_page(message, sender)
         return [SendToPeer(address, page), *effects]
 
     @_receive.register
@@ -198,15 +201,16 @@
             self.contacts.handle_page(address, message, now, self.table)
         return effects
 
-    def _build_page(self, after: str, requester: str) -> MembersPage:
+    def _build_page(self, request: MembersRequest, requester: str) -> MembersPage:
+        after = request.after
         members = self.blackboard.members
         names = sorted(name for name in members if name > after)
-        page = names[:MAX_PAGE_ENTRIES]
+        page = names[: min(request.limit, MAX_PAGE_ENTRIES)]
         entries = [MemberEntry.from_member(members[name]) for name in page]
         if after == "" and requester not in page and requester in members:
             # Lets the requester see whether a higher incarnation of itself is known.
             entries.append(MemberEntry.from_member(members[requester]))
-        last = page[-1] if len(names) > MAX_PAGE_ENTRIES else ""
+        last = page[-1] if len(names) > len(page) else ""
         return MembersPage(after, tuple(entries), last, self.table.count_live())
 
     def _build_ping(self, receiver: str) -> Ping:
--- a/src/wagtailstep/controllers/pulls.py
+++ b/src/wagtailstep/controllers/pulls.py
@@ -4,6 +4,12 @@
 
 import attrs
 
+# With more daemons than this whose targets are unknown, peers are asked for all of
+# them at once.
+MAX_SINGLE_PULLS = 16
+# After this many batches in a row that brought nothing, the targets are requested from
+# their owners one by one.
+MAX_FRUITLESS_BATCHES = 4
 PULL_INTERVAL = timedelta(milliseconds=200)
 ATTEMPTS_BEFORE_BACKOFF = 4
 MAX_BACKOFF_DOUBLINGS = 5
@@ -64,3 +70,34 @@
     def discard(self, daemon_id: str) -> None:
         """Discard the requests about a daemon: one succeeded or none is needed."""
         self.pulls.pop(daemon_id, None)
+
+
+@attrs.define
+class BatchSchedule:
+    """When to request the targets of many daemons from one peer.
+
+    :param next_at: monotonic time of the next batch.
+    :param requested: the daemons of the last batch.
+    :param fruitless: batches in a row after which all their daemons were still unknown.
+    """
+
+    next_at: timedelta = timedelta()
+    requested: frozenset[str] = frozenset()
+    fruitless: int = 0
+
+    def uses_batches(self, unknown: list[str]) -> bool:
+        """Return whether the targets of some daemons are requested together."""
+        if not self.requested.issubset(unknown):
+            self.fruitless = 0
+        return (
+            len(unknown) > MAX_SINGLE_PULLS and self.fruitless < MAX_FRUITLESS_BATCHES
+        )
+
+    def try_start(self, unknown: list[str], now: timedelta) -> bool:
+        """Count a batch, unless it is too early for another one."""
+        if now < self.next_at:
+            return False
+        self.next_at = now + PULL_INTERVAL
+        self.requested = frozenset(unknown)
+        self.fruitless += 1
+        return True
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -175,10 +175,12 @@
 
     :param requester: the sender.
     :param after: the page starts after this ``daemon_id``.
+    :param limit: most entries that the page may have; without a page if it is 0.
     """
 
     requester: MemberEntry
     after: str = ""
+    limit: int = 40
 
 
 @message
@@ -336,6 +338,27 @@
     urgent: bool = False
 
 
+@message
+class TargetsBatchRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Request the targets beside many daemons, as far as the receiver knows them.
+
+    :param reply_to: ``host:port`` for the :class:`TargetsBatch` messages.
+    :param references: the daemons, by :func:`member_reference`.
+    :param services: the requested services.
+    """
+
+    reply_to: str
+    references: tuple[int, ...]
+    services: tuple[str, ...]
+
+
+@message
+class TargetsBatch(msgspec.Struct, array_like=True, frozen=True):
+    """The targets beside several daemons."""
+
+    updates: tuple[TargetsUpdate, ...]
+
+
 def member_reference(daemon_id: str) -> int:
     """Return the 32-bit hash that identifies a daemon in digests."""
     return xxhash.xxh32_intdigest(daemon_id.encode())
