Let two daemons of each zone follow the published table for all

Cause: every daemon kept a read open at the platform's store, so each change of the table woke the whole fleet and cost as many calls as there are daemons.

Change: the two daemons of a zone with the lowest hash of their names follow the table. The others are told of a version by daemons of their zone and request it at once. Version messages carry how long ago a designated reader was known to read; a daemon that misses them for a time that grows with the logarithm of the fleet follows the table itself. They also carry the store's era, so that every daemon writes its record again after a restore.

Measured: feature published_table: in fleets of 27, 103 and 235 daemons two of each zone follow, and a version that they read is in force everywhere within 2 s; all daemons follow within 15 s of the readers losing the store.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -43,6 +43,41 @@
     And 12 s pass for all daemons
     Then all daemons have version 7 in force
 
+  Scenario Outline: A few daemons of each zone follow the table for all
+    Given <daemons> daemons in <zones> zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 20 s pass for all daemons
+    Then 2 daemons of each zone follow the table
+    When the followers read version 7 from the store
+    And 2 s pass for all daemons
+    Then all daemons have version 7 in force
+    And 2 daemons of each zone follow the table
+
+    Examples:
+      | daemons | zones |
+      | 27      | 3     |
+      | 103     | 3     |
+      | 235     | 5     |
+
+  Scenario: All daemons follow the table while no designated one can reach the store
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    And no follower can reach the store any more
+    And 15 s pass for all daemons
+    Then all daemons follow the table
+    When the followers can reach the store again
+    And 10 s pass for all daemons
+    Then 2 daemons of each zone follow the table
+
+  Scenario: Daemons that do not follow the table learn that the store was restored
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    And one follower reads that the store is in era 2
+    And 10 s pass for all daemons
+    Then all daemons know era 2
+
   Scenario: An unreadable document changes nothing
     When daemon 0 reads version 7 from the store
     And daemon 0 reads an unreadable version 9 from the store
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -9,7 +9,13 @@
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
+from wagtailstep.models.events import (
+    FollowTable,
+    PeerMessageReceived,
+    SendToPeer,
+    StoreEraRead,
+    Tick,
+)
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.host_routes import HostRoutes
 from wagtailstep.models.published_table import (
@@ -35,21 +41,30 @@
 
 @given("{count:d} daemons that follow published tables")
 def create_daemons(context, count):
+    create_daemons_in_zones(context, count, 1)
+
+
+@given("{count:d} daemons in {zones:d} zones that follow published tables")
+def create_daemons_in_zones(context, count, zones):
     context.clock = ManualClock()
     context.without_announcements = set()
     context.documents = []
     members = {
-        f"d{i}": Member(f"d{i}", 1, f"127.0.0.1:{7000 + i}", "127.0.0.1:1", "bole")
+        f"d{i}": Member(
+            f"d{i}", 1, f"127.0.0.1:{7000 + i}", "127.0.0.1:1", f"zone-{i % zones}"
+        )
         for i in range(count)
     }
     context.boards = []
     context.daemons = []
+    context.followers = set(range(count))
     for index, (name, member) in enumerate(members.items()):
         address = member.peer_address
         settings = DaemonSettings(
-            name, "bole", "127.0.0.1:1", "127.0.0.1:2", address, "127.0.0.1:4"
+            *(name, member.availability_zone),
+            *("127.0.0.1:1", "127.0.0.1:2", address, "127.0.0.1:4"),
         )
-        board = Blackboard(member, members=dict(members))
+        board = Blackboard(member, members=dict(members), log_reachable=True)
         rng = random.Random(index)
         context.boards.append(board)
         context.daemons.append(
@@ -68,6 +83,11 @@
     It still receives the replies to its own announcements.
     """
     for effect in effects:
+        if isinstance(effect, FollowTable):
+            update = (
+                context.followers.add if effect.active else context.followers.discard
+            )
+            update(sender)
         if not isinstance(effect, SendToPeer):
             continue
         index = int(effect.address.rpartition(":")[2]) - 7000
@@ -110,6 +130,49 @@
     context.daemons[index].handle(event)
 
 
+@when("the followers read version {version:d} from the store")
+def read_at_followers(context, version):
+    for index in sorted(context.followers):
+        read_version(context, index, version)
+
+
+@when("no follower can reach the store any more")
+def lose_store(context):
+    for index in context.followers:
+        context.boards[index].log_reachable = False
+
+
+@when("the followers can reach the store again")
+def regain_store(context):
+    for board in context.boards:
+        board.log_reachable = True
+
+
+@when("one follower reads that the store is in era {era:d}")
+def read_era(context, era):
+    index = min(context.followers)
+    context.daemons[index].handle(StoreEraRead(era))
+
+
+@then("all daemons know era {era:d}")
+def check_era(context, era):
+    assert {board.store_era for board in context.boards} == {era}
+
+
+@then("{count:d} daemons of each zone follow the table")
+def check_followers_of_zones(context, count):
+    zones = {}
+    for index in context.followers:
+        zone = context.boards[index].this_member.availability_zone
+        zones[zone] = zones.get(zone, 0) + 1
+    assert set(zones.values()) == {count}, zones
+
+
+@then("all daemons follow the table")
+def check_all_follow(context):
+    assert len(context.followers) == len(context.daemons), context.followers
+
+
 @then("no document was sent")
 def check_no_document(context):
     assert not context.documents, len(context.documents)
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -85,6 +85,7 @@
     list_at: timedelta | None = None
     list_retry_ms: float = LIST_RETRY_MS
     lists_after_write: bool = True
+    registry_era: int = -1
 
     @property
     def uses_registry(self) -> bool:
@@ -118,12 +119,17 @@
             delay = REGISTER_RETRY_MS * (0.5 + self.rng.random())
             self.register_at = now + timedelta(milliseconds=delay)
 
-    def restore_registration(self, now: timedelta, daemons: int) -> None:
-        """Write this daemon's record again, which a restored registry may have lost.
+    def check_registration(self, era: int, now: timedelta, daemons: int) -> None:
+        """Write this daemon's record again if the registry was restored from a copy.
 
+        :param era: newest known era of the registry; -1 if unknown.
         :param daemons: number of living daemons, whose writes are spread over time.
         """
-        if self.uses_registry and self.register_at is None:
+        if era <= self.registry_era:
+            return
+        is_restored = self.registry_era >= 0
+        self.registry_era = era
+        if is_restored and self.uses_registry and self.register_at is None:
             spread = timedelta(seconds=daemons / RESTORE_WRITES_PER_S)
             self.register_at = now + spread * self.rng.random()
 
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -21,7 +21,6 @@
     PeerMessageReceived,
     RecordEvent,
     SendToPeer,
-    StoreRestored,
     Tick,
 )
 from wagtailstep.models.fleet import Member, MemberState
@@ -99,6 +98,8 @@
         effects += self._update_this_member(now)
         effects += self._handle_failed_probe(now)
         effects += self._mark_expired_suspects_dead(now)
+        era = self.blackboard.store_era
+        self.contacts.check_registration(era, now, self.table.count_live())
         effects += self.contacts.tick(now, self.table, self.blackboard.this_member)
         effects += self.prober.request_indirect_probes(now)
         member = self.prober.start_probe(now)
@@ -124,12 +125,6 @@
         self.contacts.complete_registration(event.succeeded, self.clock.monotonic())
         return []
 
-    @handle.register
-    def _(self, event: StoreRestored) -> list[Any]:
-        now = self.clock.monotonic()
-        self.contacts.restore_registration(now, self.table.count_live())
-        return []
-
     @handle.register
     def _(self, event: LogAppendFinished) -> list[Any]:
         self.contacts.complete_append(event, self.clock.monotonic())
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -15,9 +15,17 @@
 import attrs
 
 from wagtailstep.controllers.table_members import TableMembers
+from wagtailstep.controllers.table_readers import TableReaders
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.events import PeerMessageReceived, RecordEvent, Tick
+from wagtailstep.models.events import (
+    FollowTable,
+    PeerMessageReceived,
+    RecordEvent,
+    StoreEraRead,
+    Tick,
+)
+from wagtailstep.models.fleet import Member
 from wagtailstep.models.published_table import (
     TableDocument,
     TableDocumentMessage,
@@ -54,7 +62,7 @@
 class PublishedTableController:
     """Keep the newest published table in force.
 
-    :param blackboard: ``table``, ``table_known``, ``table_since`` and
+    :param blackboard: ``table``, ``table_known``, ``table_since``, ``store_era`` and
         ``requested_services`` are written.
     :param read_document: parses a document, and raises
         :class:`wagtailstep.exceptions.DecodeError` if it is malformed.
@@ -74,6 +82,8 @@
         self.rng = rng
         self.read_document = read_document
         self.members = TableMembers(settings.daemon_id, blackboard, rng)
+        self.readers = TableReaders(blackboard, clock, rng)
+        self.reads = True
         self.document: TableDocument | None = None
         self.document_message: TableDocumentMessage | None = None
         self.unreadable_versions: set[int] = set()
@@ -94,6 +104,11 @@
     def _(self, event: TablePublished) -> list[Any]:
         return self.apply_document(event.document, event.source)
 
+    @handle.register
+    def _(self, event: StoreEraRead) -> list[Any]:
+        self.blackboard.store_era = max(self.blackboard.store_era, event.era)
+        return []
+
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
         return self.handle_message(event.message, event.sender)
@@ -101,12 +116,28 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
-        effects = self.request_announced(now)
+        effects = self.request_announced(now) + self.choose_reader()
         if now < self.next_digest_at:
             return effects
         interval = timedelta(milliseconds=self.settings.digest_interval_ms)
         self.next_digest_at = now + interval * (0.75 + 0.5 * self.rng.random())
-        return effects + self.announce_version(1)
+        return effects + self.announce_to(self.members.sample(1))
+
+    def choose_reader(self) -> list[Any]:
+        """Start or stop to follow the table at the platform.
+
+        A daemon without a table follows it in any case.
+        """
+        must_read = self.readers.must_read() or self.document is None
+        if must_read == self.reads:
+            return []
+        self.reads = must_read
+        fields = {
+            "reads": str(must_read),
+            "designated": str(self.readers.is_designated()),
+            "reader_age_ms": str(self.readers.measure_age_ms()),
+        }
+        return [FollowTable(must_read), RecordEvent("table-reader", fields)]
 
     @singledispatchmethod
     def handle_message(self, message: Any, sender: str) -> list[Any]:
@@ -115,8 +146,10 @@
 
     @handle_message.register
     def _(self, message: TableVersionMessage, sender: str) -> list[Any]:
+        self.readers.observe_age(message.reader_age_ms)
+        self.blackboard.store_era = max(self.blackboard.store_era, message.store_era)
         if message.version < self.version:
-            return self.members.send_to(sender, TableVersionMessage(self.version))
+            return self.members.send_to(sender, self.build_version_message())
         if message.version > self.version:
             return self.handle_newer_version(message.version, sender)
         return []
@@ -140,10 +173,15 @@
         return self.apply_document(document, sender)
 
     def handle_newer_version(self, version: int, daemon_id: str) -> list[Any]:
-        """Request a newer version soon, or at once if no table is known yet."""
+        """Request a newer version, at once or after others could have brought it.
+
+        A daemon that reads the table itself will usually have it sooner. One that does
+        not read it is usually told by a daemon of its own zone.
+        """
         if version in self.unreadable_versions:
             return []
-        if self.document is None:
+        is_near = not self.reads and self.members.is_in_own_zone(daemon_id)
+        if is_near or self.document is None:
             return self.members.send_to(daemon_id, TableDocumentRequest(self.version))
         if self.announced is None or self.announced.version < version:
             request_at = self.clock.monotonic() + REQUEST_DELAY
@@ -161,14 +199,19 @@
         request = TableDocumentRequest(self.version)
         return self.members.send_to(announced.daemon_id, request)
 
-    def announce_version(self, count: int) -> list[Any]:
-        """Announce the version in force to a number of random members."""
+    def announce_to(self, members: list[Member]) -> list[Any]:
+        """Announce the version in force to some members."""
         effects: list[Any] = []
-        for member in self.members.sample(count):
-            message = TableVersionMessage(self.version)
+        for member in members:
+            message = self.build_version_message()
             effects += self.members.send_to(member.daemon_id, message)
         return effects
 
+    def build_version_message(self) -> TableVersionMessage:
+        """Return the message about the version in force and the readers."""
+        age_ms = self.readers.measure_age_ms()
+        return TableVersionMessage(self.version, age_ms, self.blackboard.store_era)
+
     def record_unreadable(self, version: int, error: DecodeError) -> RecordEvent:
         """Remember an unreadable version, so that it is not read again."""
         self.unreadable_versions.add(version)
@@ -191,7 +234,9 @@
         self.put_in_force(table)
         fields = {"version": str(document.version), "source": source}
         event = RecordEvent("table-in-force", fields)
-        return [event, *self.announce_version(self.settings.push_fanout)]
+        near = self.members.sample_own_zone(self.settings.push_fanout)
+        # One anywhere, for zones whose readers are cut off.
+        return [event, *self.announce_to(near + self.members.sample(1))]
 
     def put_in_force(self, table: Table) -> None:
         """Write a table to the blackboard and request a small table's services."""
--- a/src/wagtailstep/controllers/table_members.py
+++ b/src/wagtailstep/controllers/table_members.py
@@ -35,6 +35,22 @@
         usable = [members[name] for name in drawn if self._may_answer(members[name])]
         return usable[:count]
 
+    def sample_own_zone(self, count: int) -> list[Member]:
+        """Return up to a number of random members of this daemon's zone."""
+        zone = self.blackboard.this_member.availability_zone
+        usable = [
+            member
+            for member in self.blackboard.members.values()
+            if member.availability_zone == zone and self._may_answer(member)
+        ]
+        return self.rng.sample(usable, min(count, len(usable)))
+
+    def is_in_own_zone(self, daemon_id: str) -> bool:
+        """Return whether a member is in this daemon's availability zone."""
+        member = self.blackboard.members.get(daemon_id)
+        zone = self.blackboard.this_member.availability_zone
+        return member is not None and member.availability_zone == zone
+
     def _may_answer(self, member: Member) -> bool:
         return member.daemon_id != self.daemon_id and member.state not in _UNAVAILABLE
 
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -57,6 +57,8 @@
         server beside this daemon; written by the controller that assesses it.
     :param log_reachable: whether the log service can be reached; written by the
         runtime.
+    :param store_era: the newest era of the platform's store that the fleet is known to
+        have seen; -1 before the first read; written by the table controller.
     :param draining: whether this daemon is shutting down; written by the runtime.
     """
 
@@ -75,6 +77,7 @@
     calls_per_run: dict[str, dict[str, float]] = attrs.field(factory=dict)
     call_refused_at: timedelta | None = None
     log_reachable: bool = False
+    store_era: int = -1
     draining: bool = False
 
     @property
--- a/src/wagtailstep/models/events.py
+++ b/src/wagtailstep/models/events.py
@@ -160,15 +160,27 @@
 
 
 @attrs.frozen
-class StoreRestored:
-    """The platform's store was restored from an older copy and lost recent writes.
+class StoreEraRead:
+    """The platform's store is in another era than at the last read.
 
-    :param era: the store's new era.
+    A higher era means that it was restored from an older copy and lost recent writes.
+
+    :param era: the era.
     """
 
     era: int
 
 
+@attrs.frozen
+class FollowTable:
+    """Effect: start or stop to follow the published table at the platform.
+
+    :param active: whether to follow it.
+    """
+
+    active: bool
+
+
 @attrs.frozen
 class ListMembers:
     """Effect: read the registry of members; ends in :class:`MembersListed`."""
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from wagtailstep.exceptions import DecodeError, LogError, RecordExpiredError
-from wagtailstep.models.events import StoreRestored
+from wagtailstep.models.events import FollowTable, StoreEraRead
 from wagtailstep.models.keyed_store import Collection, KeyedRecords, KeyedStore
 from wagtailstep.models.published_table import TableDocument, TablePublished
 from wagtailstep.utils.logging import log_event
@@ -40,7 +40,7 @@
     :param store: the platform's store.
     :param find_document: returns the table's document among records, if any; raises
         :class:`DecodeError` if the document can't be decoded.
-    :param dispatch: called with :class:`TablePublished` and :class:`StoreRestored`.
+    :param dispatch: called with :class:`TablePublished` and :class:`StoreEraRead`.
     :param report_reachability: called after each call to the store with whether it
         was reachable.
     :param rng: source of random waits and back-off.
@@ -65,10 +65,20 @@
         self.offset: int | None = None
         self.era: int | None = None
         self.backoff_s = 0.0
+        self.active = asyncio.Event()
+        self.active.set()
+
+    def set_active(self, effect: FollowTable) -> None:
+        """Start or stop to follow the table; a waiting read is not interrupted."""
+        if effect.active:
+            self.active.set()
+        else:
+            self.active.clear()
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table while active, until cancelled."""
         while True:
+            await self.active.wait()
             try:
                 records = await self.read()
             except RecordExpiredError as error:
@@ -109,7 +119,10 @@
     def check_era(self, records: KeyedRecords) -> bool:
         """Return whether records follow the offset; if not, read the newest next."""
         known_era, self.era = self.era, records.era
-        if known_era is None or records.era == known_era:
+        if records.era == known_era:
+            return True
+        self.dispatch(StoreEraRead(records.era))
+        if known_era is None:
             return True
         log_event(
             LOGGER,
@@ -119,7 +132,6 @@
             known_era=known_era,
             offset=self.offset,
         )
-        self.dispatch(StoreRestored(records.era))
         if self.offset is None:
             return True
         self.offset = None
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -9,7 +9,7 @@
 from wagtailstep.controllers.path_watch import PathWatch
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.target_judge import TargetJudge
-from wagtailstep.models.events import Controller
+from wagtailstep.models.events import Controller, FollowTable
 from wagtailstep.models.keyed_store import KeyedStore
 from wagtailstep.network.daemon import Daemon
 from wagtailstep.network.table_follower import TableFollower
@@ -69,6 +69,7 @@
             self.rng,
             lambda: len(self.blackboard.members),
         )
+        self.runtime.effect_handlers[FollowTable] = follower.set_active
         self.runtime.spawn(follower.run())
 
     async def close(self) -> None:
