Notice that a caller with pipelined requests disconnects

Cause: uvicorn stops to read once a second request is buffered, so a caller that left was noticed only when the first response was written. Two more faults on the same path: the end of a handler discarded the reference to the handler of the next pipelined request, which then was not cancelled either, and malformed bytes behind a request reset the connection and took the complete response before them along.

Change: up to 64 KB are read ahead of the request in progress. A handler removes only itself. Malformed bytes behind a complete response get 400.

--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -4,6 +4,7 @@
 import logging
 from datetime import timedelta
 
+import attrs
 import detangle
 import h11
 from behave import given, then, when
@@ -40,6 +41,19 @@
         self.messages.append(record.getMessage())
 
 
+async def close_slowly():
+    await asyncio.sleep(0.05)
+
+
+async def generate_body(data):
+    yield data
+
+
+def build_answer(data, *headers):
+    length = ("content-length", str(len(data)))
+    return Answer(200, (length, *headers), generate_body(data), Verdict.RUN)
+
+
 class ServerFixture:
     """The server with a handler whose behaviour is selected by the path."""
 
@@ -71,6 +85,12 @@
         if name.startswith("truncated"):
             headers = (("content-length", "100"),) if name.endswith("length") else ()
             return Answer(200, headers, self.generate_truncated_body(), Verdict.RUN)
+        if name.startswith("echo"):
+            return build_answer(name.encode())
+        if name == "close":
+            return build_answer(b"good", ("connection", "close"))
+        if name == "slow-end":
+            return attrs.evolve(build_answer(b"good"), close=close_slowly)
         if name == "broken":
             raise KeyError("a bug of the handler")
         return Answer(
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -25,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 HEAD_TIMEOUT_S = 75
+# Pipelined requests that are read ahead; beyond that the caller is held back.
+MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
 
 # Silenced: uvicorn also logs malformed requests and unfinished responses, which this
@@ -75,9 +77,23 @@
             )
             self.reset_connection()
         finally:
-            self.handler = None
-            if not self.transport.is_closing():
-                self.start_head_timer()
+            # The handler of a pipelined request starts with the end of the response
+            # before it, while the handler of that one may still be ending.
+            if self.handler is asyncio.current_task():
+                self.handler = None
+                if not self.transport.is_closing():
+                    self.start_head_timer()
+
+    def handle_events(self) -> None:
+        """Handle parsed events, and go on to read behind a pipelined request.
+
+        uvicorn stops to read there, and would not notice that the caller disconnects.
+        """
+        super().handle_events()
+        if self.flow.read_paused and self.conn.their_state is h11.DONE:
+            pipelined_bytes, _ = self.conn.trailing_data
+            if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
+                self.flow.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler if its response is incomplete: the caller has gone."""
@@ -116,7 +132,8 @@
             status=status,
             error=error or msg,
         )
-        if self.conn.our_state is not h11.IDLE or self.handler is not None:
+        is_responding = self.cycle is not None and not self.cycle.response_complete
+        if self.conn.our_state is not h11.IDLE or is_responding:
             self.reset_connection()
             return
         self.send_error_response(status, str(error or msg))
