Log why a failed request was not sent again

Cause: request-ended showed attempts, time left and outcome of a failed request, but not which limit had denied another attempt.

Change: RetryPolicy keeps the reason of its last refusal, and request-ended has it as no_retry: not-repeatable, body-not-kept, call-refused, invalid-request, no-time, no-attempts or no-budget. The lines about attempts move to a module of their own.

--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -5,6 +5,7 @@
 the failure rate.
 """
 
+import enum
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -31,6 +32,18 @@
 MIN_ASSUMED_DAEMONS = 16
 
 
+class RetryDenial(enum.StrEnum):
+    """Why a request was not sent again."""
+
+    NOT_REPEATABLE = "not-repeatable"
+    BODY_NOT_KEPT = "body-not-kept"
+    CALL_REFUSED = "call-refused"
+    INVALID_REQUEST = "invalid-request"
+    NO_TIME = "no-time"
+    NO_ATTEMPTS = "no-attempts"
+    NO_BUDGET = "no-budget"
+
+
 @attrs.define
 class RetryBudget:
     """Retry budget of one service.
@@ -151,7 +164,10 @@
 
 
 class RetryPolicy:
-    """Decides on retries by verdict, idempotency, attempts, time and budget."""
+    """Decides on retries by verdict, idempotency, attempts, time and budget.
+
+    Attributes: ``denial``, why the last decision was negative.
+    """
 
     def __init__(
         self,
@@ -165,6 +181,12 @@
         if settings.retry_slack:
             self.shared_budget = SharedRetryBudget(settings, clock, count_daemons)
         self.budgets: dict[str, RetryBudget] = {}
+        self.denial: RetryDenial | None = None
+
+    def deny(self, reason: RetryDenial) -> bool:
+        """Record why a decision is negative, and return it."""
+        self.denial = reason
+        return False
 
     def record_first_attempt(self, service: str) -> None:
         """Credit a first attempt to the retry budget of its service."""
@@ -197,19 +219,24 @@
         :param attempts: attempts made so far, the first one included.
         :param sent: those of them that may have reached a backend server.
         """
+        self.denial = None
         if not error.verdict.allows_resend(request.idempotent):
-            return False
-        if isinstance(error, BadRequestError) or not self.has_time_left(request):
-            return False
+            return self.deny(RetryDenial.NOT_REPEATABLE)
+        if isinstance(error, BadRequestError):
+            return self.deny(RetryDenial.INVALID_REQUEST)
+        if not self.has_time_left(request):
+            return self.deny(RetryDenial.NO_TIME)
         if isinstance(error, LeavingError):
-            return attempts < MAX_LEAVING_ATTEMPTS
+            may_retry = attempts < MAX_LEAVING_ATTEMPTS
+            return may_retry or self.deny(RetryDenial.NO_ATTEMPTS)
         if self.shared_budget is not None:
             return self.try_acquire_shared_retry(request, error, attempts, sent)
         if isinstance(error, OverloadedError) and attempts > 1:
-            return False
+            return self.deny(RetryDenial.NO_ATTEMPTS)
         if attempts >= self.settings.max_attempts:
-            return False
-        return self.try_acquire_token(request.service)
+            return self.deny(RetryDenial.NO_ATTEMPTS)
+        may_retry = self.try_acquire_token(request.service)
+        return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
     def try_acquire_shared_retry(
         self, request: RequestContext, error: RequestError, attempts: int, sent: int
@@ -220,12 +247,13 @@
         """
         assert self.shared_budget is not None
         if attempts >= MAX_UNSENT_ATTEMPTS + sent:
-            return False
+            return self.deny(RetryDenial.NO_ATTEMPTS)
         if not self.has_attempts_left(request, sent):
-            return False
+            return self.deny(RetryDenial.NO_ATTEMPTS)
         if isinstance(error, OverloadedError) and attempts > MAX_OVERLOADED_ATTEMPTS:
-            return False
-        return not sent or self.shared_budget.try_acquire(request)
+            return self.deny(RetryDenial.NO_ATTEMPTS)
+        may_retry = not sent or self.shared_budget.try_acquire(request)
+        return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
     def record_calls(self, route: str, calls_per_run: dict[str, float]) -> None:
         """Record the calls that a run of a route makes, and repeats when retried."""
@@ -234,11 +262,15 @@
 
     def try_acquire_replacement(self, request: RequestContext, sent: int) -> bool:
         """Return whether to replace a failed or slow attempt; if so, charge it."""
+        self.denial = None
         if self.shared_budget is None or not request.idempotent:
-            return False
+            return self.deny(RetryDenial.NOT_REPEATABLE)
         if not self.has_attempts_left(request, sent):
-            return False
-        return self.has_time_left(request) and self.shared_budget.try_acquire(request)
+            return self.deny(RetryDenial.NO_ATTEMPTS)
+        if not self.has_time_left(request):
+            return self.deny(RetryDenial.NO_TIME)
+        may_retry = self.shared_budget.try_acquire(request)
+        return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
     def can_retry_failure(self, request: RequestContext) -> bool:
         """Return whether a request could be retried if its first attempt failed."""
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -13,7 +13,7 @@
     RecentRefusals,
     compute_attempt_timeout,
 )
-from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.retries import RetryDenial, RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import (
     AttemptAbandonedError,
@@ -27,11 +27,11 @@
 from wagtailstep.models.headers import CALL_REFUSED, CALLS, find_header
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.attempt_log import AttemptLog
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
-from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
@@ -69,6 +69,7 @@
         self.forwarder = forwarder
         self.dispatch = dispatch
         self.refusals = RecentRefusals(clock)
+        self.log = AttemptLog(blackboard, clock)
 
     def time_left(self, request: RequestContext) -> timedelta:
         """Return the time until a request's deadline, at least zero."""
@@ -93,18 +94,22 @@
                 if is_full_gate(exc):
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
                 if not self.may_continue(exchange, exc):
-                    self.log_end(exchange, exc.reason)
+                    self.log.record_end(
+                        exchange, exc.reason, denial=self.retries.denial
+                    )
                     raise
                 if not is_full_gate(exc):
-                    self.log_resend(exchange, target, exc.reason)
+                    self.log.record_resend(exchange, target, exc.reason)
                 continue
             exchange.sent += 1
             self.record_calls(request.route, answer)
             if not self.may_replace(exchange, answer):
-                self.log_end(exchange, f"status-{answer.status}", target)
+                is_failure = answer.status >= FIRST_FAILURE_STATUS
+                denial = self.retries.denial if is_failure else None
+                self.log.record_end(exchange, f"status-{answer.status}", target, denial)
                 return answer
             await discard_answer(answer)
-            self.log_resend(exchange, target, f"status-{answer.status}")
+            self.log.record_resend(exchange, target, f"status-{answer.status}")
 
     def may_continue(self, exchange: Exchange, error: RequestError) -> bool:
         """Return whether to try another target after an attempt without a response."""
@@ -119,7 +124,9 @@
         """Return whether to retry after an attempt without a response."""
         if isinstance(error, AttemptAbandonedError):
             return True
-        return exchange.body.replayable and self.retries.try_acquire_retry(
+        if not exchange.body.replayable:
+            return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
+        return self.retries.try_acquire_retry(
             exchange.request, error, exchange.attempts, exchange.sent
         )
 
@@ -150,10 +157,12 @@
         An error that follows from a rejected call to another service is not retried:
         the second run would call the same overloaded service again.
         """
-        if answer.status < FIRST_FAILURE_STATUS or not exchange.body.replayable:
+        if answer.status < FIRST_FAILURE_STATUS:
             return False
+        if not exchange.body.replayable:
+            return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
         if find_header(answer.headers, CALL_REFUSED) is not None:
-            return False
+            return self.retries.deny(RetryDenial.CALL_REFUSED)
         return self.retries.try_acquire_replacement(exchange.request, exchange.sent)
 
     def record_calls(self, route: str, answer: Answer) -> None:
@@ -162,42 +171,6 @@
         if text is not None:
             self.retries.record_calls(route, read_calls(text))
 
-    def log_end(
-        self, exchange: Exchange, outcome: str, target: Target | None = None
-    ) -> None:
-        """Log how a request ended and what the decisions on it were based on."""
-        request = exchange.request
-        log_event(
-            LOGGER,
-            "request-ended",
-            routine=outcome == "status-200",
-            request_id=request.request_id,
-            service=request.service,
-            route=request.route,
-            outcome=outcome,
-            target=target.target_id if target is not None else "",
-            standing=target.standing.name.lower() if target is not None else "",
-            tried=",".join(sorted(exchange.tried)),
-            attempts=exchange.attempts,
-            sent=exchange.sent,
-            gates_full=len(exchange.expected_waits),
-            left_ms=self.time_left(request) // timedelta(milliseconds=1),
-            table_version=self.blackboard.table.version,
-        )
-
-    def log_resend(self, exchange: Exchange, target: Target, reason: str) -> None:
-        """Log that a request is sent to another target."""
-        log_event(
-            LOGGER,
-            "request-resent",
-            request_id=exchange.request.request_id,
-            service=exchange.request.service,
-            target=target.target_id,
-            reason=reason,
-            attempts=exchange.attempts,
-            sent=exchange.sent,
-        )
-
     def select_target(self, exchange: Exchange) -> Target:
         """Select the target of the next attempt.
 
@@ -219,7 +192,7 @@
             return self.routing.pick(request.service, exchange.tried, may_probe)
         except RequestError as error:
             exchange.include_earlier_attempts(error)
-            self.log_end(exchange, error.reason)
+            self.log.record_end(exchange, error.reason)
             raise
 
     def select_shortest_wait(self, exchange: Exchange) -> Target:
@@ -271,7 +244,7 @@
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
-            self.log_end(exchange, CALLER_LEFT)
+            self.log.record_end(exchange, CALLER_LEFT)
             raise
         attempt.record_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
