--- a/features/retries.feature
+++ b/features/retries.feature
@@ -20,6 +20,25 @@
     And a request that failed 1 times as "leaving"
     Then a retry is allowed
 
+  Scenario Outline: The reason for which a request is not sent again is known
+    Given a request that failed <attempts> times as "<end>"
+    And it has <left> ms left and is "<safety>"
+    Then a retry is not allowed
+    And the reason is "<reason>"
+
+    Examples:
+      | attempts | end                | left | safety         | reason          |
+      | 3        | connection refused | 500  | non-idempotent | no-attempts     |
+      | 1        | connection refused | 4    | non-idempotent | no-time         |
+      | 1        | connection lost    | 500  | non-idempotent | not-repeatable  |
+      | 1        | bad request        | 500  | idempotent     | invalid-request |
+
+  Scenario: An exhausted budget is named as the reason
+    Given the retry budget is exhausted
+    And a request that failed 1 times as "connection refused"
+    Then a retry is not allowed
+    And the reason is "no-budget"
+
   Scenario Outline: Each limit on retries applies by itself
     Given a request that failed <attempts> times as "<end>"
     And it has <left> ms left and is "<safety>"
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -83,3 +83,8 @@
 @then("a retry is not allowed")
 def check_not_allowed(context):
     assert not try_acquire_retry(context)
+
+
+@then('the reason is "{reason}"')
+def check_reason(context, reason):
+    assert context.policy.denial == reason, context.policy.denial
