Lend unused retries to daemons that have used up their part

Cause: each daemon may make its part of the fleet's retries only. The part is two to five in 10 s in fleets of hundreds, so a daemon that meets several failures answers repeatable requests with a failure while others have their parts left.

Change: a daemon without budget asks three random daemons that use the service and waits up to 40 ms. A lender counts the loan as used for 2 s longer than the window, a borrower drops it 1 s after its request, so that no window of the fleet counts less than was made. The budget moves to a module of its own.

Ruled out: a larger part for each daemon, which breaks the bound when all requests fail; loans without an end, which a restarted lender forgets.

--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -6,12 +6,11 @@
 """
 
 import enum
-from collections import deque
 from collections.abc import Callable
-from datetime import timedelta
 
 import attrs
 
+from wagtailstep.controllers.shared_budget import SharedRetryBudget
 from wagtailstep.exceptions import (
     BadRequestError,
     LeavingError,
@@ -28,8 +27,6 @@
 # considered full.
 MAX_UNSENT_ATTEMPTS = 6
 MAX_OVERLOADED_ATTEMPTS = 3
-# A daemon that does not know the other daemons yet assumes at least this many.
-MIN_ASSUMED_DAEMONS = 16
 
 
 class RetryDenial(enum.StrEnum):
@@ -54,115 +51,6 @@
     tokens: float
 
 
-@attrs.define
-class WindowedSum:
-    """Sum of the amounts that were added within a time window.
-
-    :param entries: monotonic time and amount, oldest first.
-    :param total: sum of the amounts.
-    """
-
-    entries: deque[tuple[timedelta, float]] = attrs.field(factory=deque)
-    total: float = 0.0
-
-    def add(self, amount: float, now: timedelta) -> None:
-        """Add an amount to the sum."""
-        self.entries.append((now, amount))
-        self.total += amount
-
-    def expire_before(self, oldest: timedelta) -> None:
-        """Remove the amounts that were added at ``oldest`` or before."""
-        while self.entries and self.entries[0][0] <= oldest:
-            self.total -= self.entries.popleft()[1]
-
-
-class SharedRetryBudget:
-    """This daemon's part of the retries that the whole fleet may make for a service.
-
-    In any window of ``retry_window_ms`` a daemon makes at most ``retry_ratio`` times
-    the requests that it received for the service in that window, plus an equal part
-    of ``retry_slack``. The sum over all daemons stays within the fleet's budget
-    without any communication, as long as no daemon counts too few daemons. The
-    windows of daemons are not aligned, so set ``retry_ratio`` slightly below the
-    ratio that the fleet may reach.
-
-    :param count_daemons: returns the number of currently known daemons.
-    """
-
-    def __init__(
-        self,
-        settings: RequestSettings,
-        clock: Clock,
-        count_daemons: Callable[[], int],
-    ) -> None:
-        self.settings = settings
-        self.clock = clock
-        self.count_daemons = count_daemons
-        self.max_daemon_count = MIN_ASSUMED_DAEMONS
-        self.window = timedelta(milliseconds=settings.retry_window_ms)
-        self.requests: dict[str, WindowedSum] = {}
-        self.retries: dict[str, WindowedSum] = {}
-        self.calls_by_route: dict[str, dict[str, float]] = {}
-
-    def record_request(self, service: str) -> None:
-        """Record a request for a service, which adds to its retry budget."""
-        self.max_daemon_count = max(self.max_daemon_count, self.count_daemons())
-        self._get_window(self.requests, service).add(1.0, self.clock.monotonic())
-
-    def record_calls(self, route: str, calls_per_run: dict[str, float]) -> None:
-        """Record how many calls to each service one run of a route makes."""
-        self.calls_by_route[route] = calls_per_run
-
-    def try_acquire(self, request: RequestContext) -> bool:
-        """Consume one retry of a request from the budgets; return whether it fits.
-
-        Another run repeats its calls to other services, so these calls are charged to
-        the budgets of the called services.
-        """
-        costs = self.compute_costs(request)
-        if not self.can_afford(costs):
-            return False
-        now = self.clock.monotonic()
-        for name, cost in costs.items():
-            self._get_window(self.retries, name).add(cost, now)
-        return True
-
-    def can_acquire(self, request: RequestContext) -> bool:
-        """Return whether the budgets currently permit a retry of a request."""
-        return self.can_afford(self.compute_costs(request))
-
-    def can_afford(self, costs: dict[str, float]) -> bool:
-        """Return whether the budgets cover given costs by service."""
-        self.max_daemon_count = max(self.max_daemon_count, self.count_daemons())
-        return all(self.compute_remaining(name) >= cost for name, cost in costs.items())
-
-    def compute_costs(self, request: RequestContext) -> dict[str, float]:
-        """Return what one more run of a request costs, by service."""
-        costs = {request.service: 1.0}
-        for called, ratio in self.calls_by_route.get(request.route, {}).items():
-            costs[called] = costs.get(called, 0.0) + ratio
-        return costs
-
-    def compute_remaining(self, service: str) -> float:
-        """Return how many retries this daemon may still make for a service."""
-        allowed = (
-            self.settings.retry_ratio * self._get_window(self.requests, service).total
-        )
-        allowed += self.settings.retry_slack / self.max_daemon_count
-        return allowed - self._get_window(self.retries, service).total
-
-    def compute_remaining_by_service(self) -> dict[str, float]:
-        """Return how many retries this daemon may still make, by service."""
-        return {
-            service: self.compute_remaining(service) for service in list(self.requests)
-        }
-
-    def _get_window(self, sums: dict[str, WindowedSum], service: str) -> WindowedSum:
-        window_sum = sums.setdefault(service, WindowedSum())
-        window_sum.expire_before(self.clock.monotonic() - self.window)
-        return window_sum
-
-
 class RetryPolicy:
     """Decides on retries by verdict, idempotency, attempts, time and budget.
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -15,6 +15,7 @@
 
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.controllers.guard import DuplicateGuard
+from wagtailstep.controllers.retry_lending import RetryLending
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Controller, GateUnresponsive
@@ -146,6 +147,8 @@
         self.runtime.effect_handlers[RequestDecided] = self.entry.deliver_decision
         shared = self.entry.sender.retries.shared_budget
         if shared is not None:
+            lending = RetryLending(self.blackboard, self.clock, self.rng, shared)
+            self.runtime.controllers = (*self.runtime.controllers, lending)
             self.metrics.add_service_gauge(
                 "wagtailstep.retries.room",
                 "{retry}",
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -26,6 +26,7 @@
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.headers import CALL_REFUSED, CALLS, find_header
 from wagtailstep.models.request import Blame, RequestContext
+from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempt_log import AttemptLog
 from wagtailstep.network.attempts import Attempt
@@ -42,6 +43,10 @@
 MAX_CALLS_PER_RUN = 20.0  # A higher ratio comes from a count that has only begun.
 SHORT_DEADLINE_FACTOR = 4  # Short: below the target's expected latency times this.
 DISCOVERY_POLL_INTERVAL = timedelta(milliseconds=20)
+# Loans arrive within a round trip between zones, or not at all.
+LOAN_TIMEOUT = timedelta(milliseconds=40)
+LOAN_POLL_INTERVAL = timedelta(milliseconds=4)
+MIN_TIME_TO_BORROW = timedelta(milliseconds=100)
 
 
 class AttemptSender:
@@ -93,7 +98,7 @@
                 exchange.include_earlier_attempts(exc)
                 if is_full_gate(exc):
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
-                if not self.may_continue(exchange, exc):
+                if not await self.may_continue(exchange, exc):
                     self.log.record_end(
                         exchange, exc.reason, denial=self.retries.denial
                     )
@@ -103,7 +108,7 @@
                 continue
             exchange.sent += 1
             self.record_calls(request.route, answer)
-            if not self.may_replace(exchange, answer):
+            if not await self.may_replace(exchange, answer):
                 is_failure = answer.status >= FIRST_FAILURE_STATUS
                 denial = self.retries.denial if is_failure else None
                 self.log.record_end(exchange, f"status-{answer.status}", target, denial)
@@ -111,10 +116,12 @@
             await discard_answer(answer)
             self.log.record_resend(exchange, target, f"status-{answer.status}")
 
-    def may_continue(self, exchange: Exchange, error: RequestError) -> bool:
+    async def may_continue(self, exchange: Exchange, error: RequestError) -> bool:
         """Return whether to try another target after an attempt without a response."""
         if self.may_resend(exchange, error):
             return True
+        if await self.borrow_retry(exchange) and self.may_resend(exchange, error):
+            return True
         if not is_full_gate(error):
             return False
         self.refusals.record_refusal(exchange.request.service)
@@ -151,7 +158,7 @@
         exchange.last_resort = target
         return True
 
-    def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
+    async def may_replace(self, exchange: Exchange, answer: Answer) -> bool:
         """Return whether to retry after an error response of a backend server.
 
         An error that follows from a rejected call to another service is not retried:
@@ -163,7 +170,31 @@
             return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
         if find_header(answer.headers, CALL_REFUSED) is not None:
             return self.retries.deny(RetryDenial.CALL_REFUSED)
-        return self.retries.try_acquire_replacement(exchange.request, exchange.sent)
+        request = exchange.request
+        if self.retries.try_acquire_replacement(request, exchange.sent):
+            return True
+        return await self.borrow_retry(
+            exchange
+        ) and self.retries.try_acquire_replacement(request, exchange.sent)
+
+    async def borrow_retry(self, exchange: Exchange) -> bool:
+        """Borrow a retry from other daemons if only the budget forbids one.
+
+        :return: whether the budget suffices now.
+        """
+        budget = self.retries.shared_budget
+        request = exchange.request
+        if budget is None or self.retries.denial is not RetryDenial.NO_BUDGET:
+            return False
+        if self.time_left(request) < MIN_TIME_TO_BORROW:
+            return False
+        costs = budget.compute_costs(request)
+        self.dispatch(RetriesMissing(costs))
+        for _ in range(LOAN_TIMEOUT // LOAN_POLL_INTERVAL):
+            if budget.can_afford(costs):
+                return True
+            await asyncio.sleep(LOAN_POLL_INTERVAL.total_seconds())
+        return budget.can_afford(costs)
 
     def record_calls(self, route: str, answer: Answer) -> None:
         """Record the calls per run of a route, as reported by the gate."""
