Keep digests within zones and compress long control messages

Control messages above 4 KB are compressed with zlib; only requests of this release get such replies.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -33,6 +33,9 @@
     When a peer message with an unknown body arrives
     Then the second controller has received nothing
 
+  Scenario: A long control message is compressed and arrives unchanged
+    Then a page of 128 members takes less than 4096 bytes and decodes to itself
+
   Scenario: A daemon without a table refuses requests as not-run
     Given two daemons and a backend server beside the second, and an unavailable log
     When a caller sends a lookup through the first daemon
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -25,6 +25,7 @@
 )
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.headers import find_header
+from wagtailstep.models.membership import MemberEntry, MembersPage
 from wagtailstep.models.peer import StampedMessage
 from wagtailstep.models.settings import (
     DaemonSettings,
@@ -40,6 +41,7 @@
 from wagtailstep.network.log_follower import LogFollower
 from wagtailstep.network.runtime import Runtime, RuntimeAdapters
 from wagtailstep.utils.clock import LoopClock, ManualClock
+from wagtailstep.utils.codec import encode_message
 
 ADDRESS = "127.0.0.1:1"
 SERVICE = "contracts"
@@ -88,6 +90,25 @@
 def receive_undecodable(context):
     context.runtime.handle_peer_message("b", StampedMessage(1, b"\x92\xa3foo\x80"))
     context.runtime.handle_peer_message("b", "not stamped")
+    corrupt = StampedMessage(1, b"not compressed", compressed=True)
+    context.runtime.handle_peer_message("b", corrupt)
+
+
+@then(
+    "a page of {count:d} members takes less than {size:d} bytes and decodes to itself"
+)
+def check_compression(context, count, size):
+    entries = tuple(
+        MemberEntry(
+            f"daemon-bole-{i}", i, 0, f"10.1.0.{i}:7380", f"10.1.0.{i}:8146", "bole"
+        )
+        for i in range(count)
+    )
+    page = MembersPage("", entries, "")
+    stamped = StampedMessage.from_message(1, page)
+    assert stamped.compressed
+    assert len(encode_message(stamped)) < size
+    assert stamped.decode_body() == page
 
 
 @then("the second controller has received the tick")
--- a/src/wagtailstep/controllers/gossip_partners.py
+++ b/src/wagtailstep/controllers/gossip_partners.py
@@ -4,7 +4,8 @@
 open a new connection, which costs more than the message. There a daemon keeps a few
 partners for some time: its successors in several random cycles through all daemons,
 which all daemons compute alike. Each daemon therefore also gets digests from as many
-others as it sends to, and the cycles together connect everyone in few steps.
+others as it sends to, and the cycles together connect everyone in few steps. All but
+one of the cycles stay within an availability zone, as bytes between zones are charged.
 """
 
 import random
@@ -13,9 +14,12 @@
 
 import xxhash
 
+from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.utils.clock import Clock
 
 MAX_RANDOM_PEERS = 32
+# In a zone with fewer peers its cycles would be too short to spread anything.
+MIN_ZONE_PEERS = 8
 # Within the age at which the channel replaces connections anyway.
 PARTNER_PERIOD_S = 20
 CYCLE_LENGTH = 2**32
@@ -24,7 +28,7 @@
 class GossipPartners:
     """The current partners of this daemon, by service.
 
-    :param daemon_id: this daemon.
+    :param blackboard: source of this daemon's name and of the zones.
     :param cycles: number of cycles, and so of partners for one service.
     :param clock: source of the wall-clock time that numbers the periods. A daemon whose
         clock is wrong uses the cycles of another period, which costs others at most one
@@ -33,9 +37,10 @@
     """
 
     def __init__(
-        self, daemon_id: str, cycles: int, clock: Clock, rng: random.Random
+        self, blackboard: Blackboard, cycles: int, clock: Clock, rng: random.Random
     ) -> None:
-        self.daemon_id = daemon_id
+        self.blackboard = blackboard
+        self.daemon_id = blackboard.this_member.daemon_id
         self.cycles = cycles
         self.clock = clock
         self.rng = rng
@@ -60,13 +65,28 @@
         if known is not None and known[:2] == (period, len(names)):
             if all(name in names for name in known[2]):
                 return known[2]
+        near = self.select_own_zone(names)
         partners = [
-            find_successor(self.daemon_id, names, self.cycles * period + cycle)
+            find_successor(
+                self.daemon_id,
+                names if cycle == 0 or len(near) < MIN_ZONE_PEERS else near,
+                self.cycles * period + cycle,
+            )
             for cycle in range(self.cycles)
         ]
         self.known[service] = (period, len(names), partners)
         return partners
 
+    def select_own_zone(self, names: Sequence[str]) -> list[str]:
+        """Return the peers in this daemon's availability zone."""
+        members = self.blackboard.members
+        zone = self.blackboard.this_member.availability_zone
+        return [
+            name
+            for name in names
+            if name in members and members[name].availability_zone == zone
+        ]
+
 
 def count_periods(now: datetime) -> int:
     """Return the number of the partner period at a wall-clock time."""
--- a/src/wagtailstep/models/peer.py
+++ b/src/wagtailstep/models/peer.py
@@ -1,11 +1,19 @@
 """Envelope of control messages, and interface of the channel that carries them."""
 
+import zlib
 from collections.abc import Callable
 from typing import ClassVar, Protocol
 
 import msgspec
 
-from wagtailstep.utils.codec import message
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.utils.codec import decode_message, encode_message, message
+
+# Longer than the longest page of members that older releases request.
+MAX_UNCOMPRESSED_BYTES = 4_096
+MAX_BODY_BYTES = 32 << 20
+# Names and addresses repeat so much that higher levels gain little.
+COMPRESSION_LEVEL = 1
 
 
 @message
@@ -14,12 +22,42 @@
 
     :param lamport: Lamport time of the sender.
     :param body: an encoded message.
+    :param compressed: whether ``body`` is compressed with zlib. Only replies that no
+        older release requests are long enough for that.
     """
 
     wire_name: ClassVar[str] = "S"
 
     lamport: int
     body: bytes
+    compressed: bool = False
+
+    @classmethod
+    def from_message(cls, lamport: int, value: object) -> "StampedMessage":
+        """Encode a message; a long one is compressed.
+
+        :raises TypeError: if the class of ``value`` is not registered as a message.
+        """
+        body = encode_message(value)
+        if len(body) <= MAX_UNCOMPRESSED_BYTES:
+            return cls(lamport, body)
+        return cls(lamport, zlib.compress(body, COMPRESSION_LEVEL), True)
+
+    def decode_body(self) -> object:
+        """Return the message in the body.
+
+        :raises DecodeError: if it is corrupt or not a known message.
+        """
+        if not self.compressed:
+            return decode_message(self.body)
+        stream = zlib.decompressobj()
+        try:
+            body = stream.decompress(self.body, MAX_BODY_BYTES)
+        except zlib.error as error:
+            raise DecodeError(f"a control message is corrupt: {error}") from error
+        if not stream.eof:
+            raise DecodeError("a control message is truncated or too long")
+        return decode_message(body)
 
 
 class PeerChannel(Protocol):
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -34,7 +34,7 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.log_follower import LogFollower
 from wagtailstep.utils.clock import Clock
-from wagtailstep.utils.codec import decode_message, encode_message
+from wagtailstep.utils.codec import encode_message
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -139,7 +139,7 @@
             log_event(LOGGER, "message-not-stamped", logging.WARNING, sender=sender)
             return
         try:
-            body = decode_message(message.body)
+            body = message.decode_body()
         except DecodeError as error:
             log_event(
                 LOGGER, "message-unknown", logging.WARNING, sender=sender, error=error
@@ -267,8 +267,8 @@
 
 @apply_effect.register
 def _(effect: SendToPeer, runtime: Runtime) -> None:
-    body = encode_message(effect.message)
-    stamped = StampedMessage(runtime.timeline.stamp_message(), body)
+    lamport = runtime.timeline.stamp_message()
+    stamped = StampedMessage.from_message(lamport, effect.message)
     runtime.adapters.channel.send(effect.address, stamped, effect.urgent)
 
 
