Bound the waiting reads of the daemons that follow the table

Cause: with two followers in a zone a read that an outage swallowed would have hidden changes for up to 29 s at all of them; while every daemon read, some read always began within a fraction of a second.

Change: reads wait for 1.3 to 3.1 s, so that the last swallowed one ends about when the store counts as stable. The scenario about call rates names the followers of a fleet and keeps its limits; the one that counts calls publishes after 1 s, before the first read ends.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -1,15 +1,21 @@
 Feature: The adapter translates the platform's store, configuration and heartbeats
 
-  Scenario Outline: All daemons that wait for changes together make few calls
+  Scenario Outline: The daemons that follow the table together make few calls
     Given the platform's store with version 4
-    When one of <daemons> daemons follows the table for 1500 s without a change
+    When one of the followers in a fleet of <daemons> daemons in <zones> zones waits 1500 s
     Then all of them make at most <calls> calls a second
 
     Examples:
-      | daemons | calls |
-      | 27      | 4.5   |
-      | 88      | 5     |
-      | 1800    | 100   |
+      | daemons | zones | calls |
+      | 27      | 3     | 4.5   |
+      | 88      | 3     | 5     |
+      | 1800    | 14    | 100   |
+
+  Scenario: A change is found in time although an outage lost the waiting reads
+    Given the platform's store with version 7
+    When a daemon follows the table through 5 s of "lost reads" and version 9 is published 3 s later
+    Then it received the versions 7 9
+    And version 9 was received within 1500 ms
 
   Scenario: A configuration becomes a table
     Given the platform's example configuration
@@ -38,7 +44,7 @@
 
   Scenario: The newest table is read, then each change at once
     Given the platform's store with version 7
-    When a daemon follows the table and version 9 is published after 2 s
+    When a daemon follows the table and version 9 is published after 1 s
     Then it received the versions 7 9
     And version 9 was received within 50 ms
     And the store was called 3 times
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -16,6 +16,7 @@
 
 from wagtailstep.commands.read_settings import structure_settings
 from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.controllers.table_readers import READERS_PER_ZONE
 from wagtailstep.exceptions import (
     AppendUnknownError,
     BadRequestError,
@@ -223,7 +224,7 @@
     return store, PlatformStore(StoreSettings(STORE, 1_000), LoopClock())
 
 
-def follow_table(context, change_store, daemons=1):
+def follow_table(context, change_store):
     """Follow the table while a coroutine changes the store."""
     context.received_versions = []
     context.eras = []
@@ -244,7 +245,6 @@
             record_version,
             lambda reachable: None,
             random.Random(1),
-            lambda: daemons,
         )
         task = asyncio.create_task(follower.run())
         await change_store(store)
@@ -254,13 +254,36 @@
     detangle.run(main, seed=1)
 
 
-@when("one of {daemons:d} daemons follows the table for {seconds:d} s without a change")
-def follow_unchanged_table(context, daemons, seconds):
+@when(
+    "one of the followers in a fleet of {daemons:d} daemons in {zones:d} zones waits "
+    "{seconds:d} s"
+)
+def follow_unchanged_table(context, daemons, zones, seconds):
     async def change_store(store):
         await asyncio.sleep(seconds)
 
-    follow_table(context, change_store, daemons)
-    context.calls_per_s = daemons * len(context.calls) / seconds
+    follow_table(context, change_store)
+    followers = min(daemons, zones * READERS_PER_ZONE)
+    context.calls_per_s = followers * len(context.calls) / seconds
+
+
+@when(
+    'a daemon follows the table through {seconds:d} s of "lost reads" and version '
+    "{version:d} is published {pause:d} s later"
+)
+def lose_waiting_reads(context, seconds, version, pause):
+    async def change_store(store):
+        await asyncio.sleep(1)
+        store.faults.silent = True
+        await asyncio.sleep(seconds)
+        store.faults.silent = False
+        # Reads that arrived before never get a response.
+        await asyncio.sleep(pause)
+        store.put("keyed.op", "config", build_configuration(version))
+        context.changed_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(30)
+
+    follow_table(context, change_store)
 
 
 @then("all of them make at most {limit:g} calls a second")
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -14,14 +14,11 @@
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
-# Each daemon keeps one long-poll read open at the store. The wait is random, so that
-# after an outage that lost all these reads some daemon soon reads again and propagates
-# the result to its peers; see docs/design/platform.md. This rate is for the whole
-# fleet, so each daemon waits longer in a larger fleet.
-CALLS_PER_S = 4.0
-MIN_MEAN_WAIT_S = 7.0
-# Including the spread, below the 30 s for which the store lets a read wait.
-MAX_MEAN_WAIT_S = 20.0
+# A few daemons keep a long-poll read open at the store. An outage may lose all these
+# reads without an error. The longest wait and the timeout of a call are below the 3 s
+# after which the store counts as stable again and changes have to arrive in time, plus
+# part of that time.
+MEAN_WAIT_S = 2.2
 WAIT_SPREAD = 0.4
 # A call that the store refused is retried within 2 s, the store's bound for changes.
 INITIAL_BACKOFF_S = 0.2
@@ -44,7 +41,6 @@
     :param report_reachability: called after each call to the store with whether it
         was reachable.
     :param rng: source of random waits and back-off.
-    :param count_daemons: returns the number of daemons currently known.
     """
 
     def __init__(
@@ -54,14 +50,12 @@
         dispatch: Callable[[Any], None],
         report_reachability: Callable[[bool], None],
         rng: random.Random,
-        count_daemons: Callable[[], int] = lambda: 1,
     ) -> None:
         self.store = store
         self.find_document = find_document
         self.dispatch = dispatch
         self.report_reachability = report_reachability
         self.rng = rng
-        self.count_daemons = count_daemons
         self.offset: int | None = None
         self.era: int | None = None
         self.backoff_s = 0.0
@@ -111,10 +105,8 @@
         """
         if self.backoff_s:
             return timedelta()
-        mean_s = self.count_daemons() / CALLS_PER_S
-        mean_s = min(MAX_MEAN_WAIT_S, max(MIN_MEAN_WAIT_S, mean_s))
         factor = self.rng.uniform(1 - WAIT_SPREAD, 1 + WAIT_SPREAD)
-        return timedelta(seconds=mean_s * factor)
+        return timedelta(seconds=MEAN_WAIT_S * factor)
 
     def check_era(self, records: KeyedRecords) -> bool:
         """Return whether records follow the offset; if not, read the newest next."""
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -67,7 +67,6 @@
             self.runtime.dispatch,
             self.runtime.record_log_reachability,
             self.rng,
-            lambda: len(self.blackboard.members),
         )
         self.runtime.effect_handlers[FollowTable] = follower.set_active
         self.runtime.spawn(follower.run())
