Compress table documents like all long control messages

Cause: two copies of the compression. The ranks of readers repeated the hash that digests use.

Change: TableDocumentMessage carries the plain document again; the control channel compresses it.

--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -18,6 +18,7 @@
 )
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.host_routes import HostRoutes
+from wagtailstep.models.peer import StampedMessage
 from wagtailstep.models.published_table import (
     TableDocument,
     TableDocumentMessage,
@@ -125,7 +126,7 @@
 
 @when("daemon {index:d} receives a corrupt version {version:d} from daemon {sender:d}")
 def receive_corrupt(context, index, version, sender):
-    message = TableDocumentMessage(version, b"not compressed")
+    message = TableDocumentMessage(version, b"not a table")
     event = PeerMessageReceived(f"d{sender}", message)
     context.daemons[index].handle(event)
 
@@ -181,7 +182,8 @@
 @then("at most {count:d} documents of at most {size:d} bytes were sent")
 def check_documents(context, count, size):
     assert len(context.documents) <= count, len(context.documents)
-    assert all(len(encode_message(each)) <= size for each in context.documents)
+    for each in context.documents:
+        assert len(encode_message(StampedMessage.from_message(1, each))) <= size
 
 
 @when("daemon {index:d} reads an unreadable version {version:d} from the store")
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -85,7 +85,6 @@
         self.readers = TableReaders(blackboard, clock, rng)
         self.reads = True
         self.document: TableDocument | None = None
-        self.document_message: TableDocumentMessage | None = None
         self.unreadable_versions: set[int] = set()
         self.announced: AnnouncedVersion | None = None
         self.next_digest_at = timedelta()
@@ -116,11 +115,12 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
-        effects = self.request_announced(now) + self.choose_reader()
+        effects = self.request_announced(now)
         if now < self.next_digest_at:
             return effects
         interval = timedelta(milliseconds=self.settings.digest_interval_ms)
         self.next_digest_at = now + interval * (0.75 + 0.5 * self.rng.random())
+        effects += self.choose_reader()
         return effects + self.announce_to(self.members.sample(1))
 
     def choose_reader(self) -> list[Any]:
@@ -158,19 +158,12 @@
     def _(self, message: TableDocumentRequest, sender: str) -> list[Any]:
         if self.document is None or message.version >= self.version:
             return []
-        if self.document_message is None:
-            self.document_message = TableDocumentMessage.from_document(self.document)
-        return self.members.send_to(sender, self.document_message)
+        document = TableDocumentMessage(self.document.version, self.document.data)
+        return self.members.send_to(sender, document)
 
     @handle_message.register
     def _(self, message: TableDocumentMessage, sender: str) -> list[Any]:
-        if message.version <= self.version:
-            return []
-        try:
-            document = message.to_document()
-        except DecodeError as error:
-            return [self.record_unreadable(message.version, error)]
-        return self.apply_document(document, sender)
+        return self.apply_document(TableDocument(message.version, message.data), sender)
 
     def handle_newer_version(self, version: int, daemon_id: str) -> list[Any]:
         """Request a newer version, at once or after others could have brought it.
@@ -230,7 +223,6 @@
         except DecodeError as error:
             return [self.record_unreadable(document.version, error)]
         self.document = document
-        self.document_message = None
         self.put_in_force(table)
         fields = {"version": str(document.version), "source": source}
         event = RecordEvent("table-in-force", fields)
--- a/src/wagtailstep/controllers/table_readers.py
+++ b/src/wagtailstep/controllers/table_readers.py
@@ -10,10 +10,9 @@
 import random
 from datetime import timedelta
 
-import xxhash
-
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import MemberState
+from wagtailstep.models.membership import member_reference
 from wagtailstep.utils.clock import Clock
 
 READERS_PER_ZONE = 2
@@ -55,11 +54,12 @@
     def is_designated(self) -> bool:
         """Return whether this daemon is one of the readers of its zone.
 
-        The choice depends only on the members, so daemons that know the same ones agree
-        on it. If they don't, there is a reader more or less for a while.
+        These are the ones with the lowest hashes of their names. The choice depends
+        only on the members, so daemons that know the same ones agree on it. If they
+        don't, there is a reader more or less for a while.
         """
         this = self.blackboard.this_member
-        own_rank = rank_reader(this.daemon_id)
+        own_rank = member_reference(this.daemon_id)
         better = 0
         for member in self.blackboard.members.values():
             if member.daemon_id == this.daemon_id:
@@ -68,7 +68,7 @@
                 continue
             if member.state is not MemberState.ALIVE:
                 continue
-            better += rank_reader(member.daemon_id) < own_rank
+            better += member_reference(member.daemon_id) < own_rank
         return better < READERS_PER_ZONE
 
     def measure_age_ms(self) -> int:
@@ -84,8 +84,3 @@
         if not 0 <= age_ms <= self.measure_age_ms():
             return
         self.confirmed_at = self.clock.monotonic() - timedelta(milliseconds=age_ms)
-
-
-def rank_reader(daemon_id: str) -> int:
-    """Return the rank of a daemon; the lowest ones of a zone read."""
-    return xxhash.xxh32_intdigest(daemon_id.encode())
--- a/src/wagtailstep/models/published_table.py
+++ b/src/wagtailstep/models/published_table.py
@@ -1,17 +1,10 @@
 """Published table documents, and the messages by which daemons exchange them."""
 
-import zlib
-from typing import ClassVar
-
 import attrs
 import msgspec
 
-from wagtailstep.exceptions import DecodeError
 from wagtailstep.utils.codec import message
 
-# Larger than any document that the control channel carries when compressed.
-MAX_DOCUMENT_BYTES = 32 << 20
-
 
 @attrs.frozen
 class TableDocument:
@@ -67,31 +60,8 @@
     """A complete table document.
 
     :param version: as in :class:`TableDocument`.
-    :param compressed_data: zlib-compressed ``data`` of :class:`TableDocument`.
+    :param data: as in :class:`TableDocument`.
     """
 
-    wire_name: ClassVar[str] = "TableDocumentZ"
-
     version: int
-    compressed_data: bytes
-
-    @classmethod
-    def from_document(cls, document: TableDocument) -> "TableDocumentMessage":
-        """Build the message that carries a document."""
-        return cls(document.version, zlib.compress(document.data))
-
-    def to_document(self) -> TableDocument:
-        """Return the document.
-
-        :raises DecodeError: if it is not correctly compressed, or too long.
-        """
-        stream = zlib.decompressobj()
-        try:
-            data = stream.decompress(self.compressed_data, MAX_DOCUMENT_BYTES)
-        except zlib.error as error:
-            raise DecodeError(f"a table document is corrupt: {error}") from error
-        if not stream.eof:
-            raise DecodeError(
-                f"a table document is truncated or exceeds {MAX_DOCUMENT_BYTES} bytes"
-            )
-        return TableDocument(self.version, data)
+    data: bytes
