Answer version messages of older releases with the document

Cause: an older daemon answers an announcement of a newer version with its own version, and this release answered that with an announcement again, so a rolling change of the build would have had each such pair exchange messages without end.

Change: a version message without the age of the readers comes from an older release and gets the document at once.

Measured: feature published_table, 15 scenarios pass; the new one fails without the change.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -32,6 +32,11 @@
     And 2 s pass for all daemons
     Then all daemons have version 7 in force
 
+  Scenario: A daemon of an older release gets the document without a request
+    When daemon 0 reads version 7 from the store
+    And daemon 0 receives version 5 from daemon 1, which has an older release
+    Then daemon 0 answered with the document only
+
   Scenario: A corrupt document from a peer changes nothing
     When daemon 0 reads version 7 from the store
     And daemon 0 receives a corrupt version 9 from daemon 1
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -174,6 +174,21 @@
     assert len(context.followers) == len(context.daemons), context.followers
 
 
+@when(
+    "daemon {index:d} receives version {version:d} from daemon {sender:d}, which has an "
+    "older release"
+)
+def receive_old_version_message(context, index, version, sender):
+    event = PeerMessageReceived(f"d{sender}", TableVersionMessage(version))
+    context.answers = context.daemons[index].handle(event)
+
+
+@then("daemon {index:d} answered with the document only")
+def check_document_only(context, index):
+    (answer,) = context.answers
+    assert isinstance(answer.message, TableDocumentMessage), answer
+
+
 @then("no document was sent")
 def check_no_document(context):
     assert not context.documents, len(context.documents)
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -148,6 +148,10 @@
     def _(self, message: TableVersionMessage, sender: str) -> list[Any]:
         self.readers.observe_age(message.reader_age_ms)
         self.blackboard.store_era = max(self.blackboard.store_era, message.store_era)
+        if message.version < self.version and message.reader_age_ms < 0:
+            # An older release takes the document without a request, and would answer
+            # an announcement with its version again and again.
+            return self.send_document(sender)
         if message.version < self.version:
             return self.members.send_to(sender, self.build_version_message())
         if message.version > self.version:
@@ -156,15 +160,19 @@
 
     @handle_message.register
     def _(self, message: TableDocumentRequest, sender: str) -> list[Any]:
-        if self.document is None or message.version >= self.version:
-            return []
-        document = TableDocumentMessage(self.document.version, self.document.data)
-        return self.members.send_to(sender, document)
+        return self.send_document(sender) if message.version < self.version else []
 
     @handle_message.register
     def _(self, message: TableDocumentMessage, sender: str) -> list[Any]:
         return self.apply_document(TableDocument(message.version, message.data), sender)
 
+    def send_document(self, daemon_id: str) -> list[Any]:
+        """Send the document in force to a member."""
+        if self.document is None:
+            return []
+        message = TableDocumentMessage(self.document.version, self.document.data)
+        return self.members.send_to(daemon_id, message)
+
     def handle_newer_version(self, version: int, daemon_id: str) -> list[Any]:
         """Request a newer version, at once or after others could have brought it.
 
