--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -175,8 +175,8 @@
 
 
 @when(
-    "daemon {index:d} receives version {version:d} from daemon {sender:d}, which has an "
-    "older release"
+    "daemon {index:d} receives version {version:d} from daemon {sender:d}, which has "
+    "an older release"
 )
 def receive_old_version_message(context, index, version, sender):
     event = PeerMessageReceived(f"d{sender}", TableVersionMessage(version))
