--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -34,7 +34,6 @@
 # Of the daemons that a registry lists, so many are asked for the member table. The
 # others only learn of this daemon.
 LISTED_PAGE_SOURCES = 3
-LISTED_CONTACTS = 12
 PAGE_TIMEOUT_MS = 2_000
 # Short at first, as daemons that started together know different parts of the fleet.
 INITIAL_SYNC_INTERVAL_MS = 400
@@ -100,7 +99,7 @@
         least one finds the other.
         """
         others = [name for name in sorted(addresses) if name != this.daemon_id]
-        chosen = self.rng.sample(others, min(len(others), LISTED_CONTACTS))
+        chosen = self.rng.sample(others, min(len(others), MAX_CONTACTS))
         self.recorded_contacts.update((name, addresses[name]) for name in chosen)
         self._discard_oldest()
         sources = [addresses[name] for name in chosen[:LISTED_PAGE_SOURCES]]
