Pass the partners on in the benchmark of pulls

Cause: DigestQueue takes the partners of its daemon since they were introduced; benchmarks.control builds a queue of its own for the comparison with pulls and failed.

--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -285,4 +285,6 @@
     for node in bus.nodes.values():
         controller = node.controllers[1]
         queue = controller.digests
-        controller.digests = PullOnlyQueue(queue.settings, queue.interest, queue.rng)
+        controller.digests = PullOnlyQueue(
+            queue.settings, queue.interest, queue.partners, queue.rng
+        )
