Restore the store from older copies in the soak test

Change: a new kind of trouble, older-store, and two checks: the table of a running daemon never goes back, and at the end each daemon has the newest table and is registered.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,7 +5,9 @@
 servers. Each run injects two types of faults repeatedly and concurrently, then ends
 all faults. Guarantees: no unsafe request runs twice; a request that was refused as not
 run never ran; every response is complete and belongs to the caller's request; planned
-operations alone interrupt no request; after the faults, requests are served again.
+operations alone interrupt no request; no daemon's table goes back to an older version;
+after the faults, requests are served again, and each daemon is registered and has the
+newest table.
 """
 
 import asyncio
@@ -21,6 +23,7 @@
 
 from benchmarks.soak.callers import AttemptEnded, CallerGroup, start_callers
 from benchmarks.soak.fleet import Host, SoakFleet
+from benchmarks.soak.tables import TableWatch
 from wagtailstep.fakes.faults import Faults
 
 HOST_COUNT = 6
@@ -87,6 +90,25 @@
     faults.status, faults.silent, faults.lost_answers = 0, False, 0
 
 
+async def restore_store(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """Restore the store from a copy that is some seconds old.
+
+    The operator then writes the lost configuration again, behind other records, and a
+    new one.
+    """
+    fleet.store.back_up()
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    fleet.store.faults.status = 503
+    await asyncio.sleep(rng.uniform(0.1, 1.0))
+    fleet.store.restore()
+    fleet.store.faults.status = 0
+    await asyncio.sleep(rng.uniform(0.0, 1.0))
+    for _ in range(rng.randrange(3)):
+        fleet.store.put("keyed.op", "other", b"x")
+    fleet.publish_again()
+    fleet.publish()
+
+
 def create_gray_failure(**faults: float) -> Callable[..., Awaitable[None]]:
     """Create a fault that gives a backend server some faults for a while."""
 
@@ -106,6 +128,7 @@
     "cut": partition_host,
     "table": change_table,
     "store": disrupt_store,
+    "older-store": restore_store,
     "fail": create_gray_failure(fail_share=0.6),
     "hang": create_gray_failure(hang_share=0.5),
     "lose": create_gray_failure(lose_share=0.4),
@@ -145,6 +168,8 @@
         fleet = SoakFleet(HOST_COUNT, random.Random(rng.random()))
         await fleet.start()
         await asyncio.sleep(WARMUP_S)
+        tables = TableWatch(fleet)
+        watch = asyncio.ensure_future(tables.run())
         callers = CallerGroup(fleet, RATE_PER_S, random.Random(rng.random()))
         calls = start_callers(callers)
         loop = asyncio.get_running_loop()
@@ -163,6 +188,8 @@
         result.outcomes = callers.outcomes
         runs = fleet.count_runs()
         result.violations = find_violations(callers.outcomes, runs, final_phase_start)
+        result.violations += tables.find_violations()
+        watch.cancel()
         if PLANNED_OPERATIONS.issuperset(fault_names):
             result.violations += find_interrupted_requests(callers.outcomes, runs)
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -132,6 +132,10 @@
     def publish(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
+        self.publish_again()
+
+    def publish_again(self) -> None:
+        """Write the current version of the configuration."""
         record = build_configuration(self.version)
         self.store.put("keyed.op", "config", record)
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,21 @@
     Then it finds no broken guarantee
     And at least 1500 requests succeeded
 
+  Scenario Outline: A store that is restored from older copies breaks no guarantee
+    When a soak test with the faults "older-store, <other>" runs with seed <seed>
+    Then it finds no broken guarantee
+    And at least 1500 requests succeeded
+
+    Examples:
+      | other   | seed |
+      | table   | 21   |
+      | restart | 22   |
+
+  Scenario: A fleet that takes older tables is detected
+    Given daemons that put any table in force
+    When a soak test with the faults "older-store, table" runs with seed 21
+    Then it finds a broken guarantee whose description contains "went from"
+
   Scenario: A fleet that resends non-idempotent requests is detected
     Given a retry policy that also resends non-idempotent requests
     When a soak test with the faults "lose, hang" runs with seed 12
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from benchmarks.platform_soak import run_soak
 from benchmarks.soak.fleet import SERVICE, SoakDaemon, SoakFleet
 
+from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
 
 
@@ -29,6 +30,13 @@
     context.add_cleanup(patch.stop)
 
 
+@given("daemons that put any table in force")
+def ignore_versions(context):
+    patch = mock.patch.object(PublishedTableController, "version", -1)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @when('a soak test with the faults "{names}" runs with seed {seed:d}')
 def run_soak_with_faults(context, names, seed):
     logging.disable(logging.CRITICAL)
