--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -65,13 +65,13 @@
 
 def encode_stamped(sender: str, message: Any) -> list[bytes]:
     """Encode a message as the runtime does, with its sender and logical time."""
-    body = encode_message(message)
-    return [sender.encode(), encode_message(StampedMessage(LAMPORT_EXAMPLE, body))]
+    stamped = StampedMessage.from_message(LAMPORT_EXAMPLE, message)
+    return [sender.encode(), encode_message(stamped)]
 
 
 def decode_stamped(frames: list[bytes]) -> Any:
     """Decode the frames that :func:`encode_stamped` built."""
-    return decode_message(decode_message(frames[1]).body)
+    return decode_message(frames[1]).decode_body()
 
 
 @functools.lru_cache(maxsize=100_000)
