--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -71,7 +71,7 @@
         self.times = compute_renewal_times(self.settings, peers=0)
         self.interest = InterestIndex(blackboard)
         self.leases = TargetLeases(blackboard, self.times.lease)
-        partners = GossipPartners(blackboard, self.settings.digest_sends, clock, rng)
+        partners = GossipPartners(blackboard, self.settings.digest_sends, clock)
         self.digests = DigestQueue(self.settings, self.interest, partners, rng)
         self.local_reference = member_reference(blackboard.this_member.daemon_id)
         self.started_at = clock.monotonic()
--- a/src/wagtailstep/controllers/gossip_partners.py
+++ b/src/wagtailstep/controllers/gossip_partners.py
@@ -8,7 +8,6 @@
 one of the cycles stay within an availability zone, as bytes between zones are charged.
 """
 
-import random
 from collections.abc import Sequence
 from datetime import datetime
 
@@ -17,6 +16,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.utils.clock import Clock
 
+# With more peers of a service than this a daemon has partners.
 MAX_RANDOM_PEERS = 32
 # In a zone with fewer peers its cycles would be too short to spread anything.
 MIN_ZONE_PEERS = 8
@@ -26,24 +26,20 @@
 
 
 class GossipPartners:
-    """The current partners of this daemon, by service.
+    """The current partners of this daemon, by service, in a large fleet.
 
     :param blackboard: source of this daemon's name and of the zones.
     :param cycles: number of cycles, and so of partners for one service.
     :param clock: source of the wall-clock time that numbers the periods. A daemon whose
         clock is wrong uses the cycles of another period, which costs others at most one
         of their sources.
-    :param rng: source of random draws in small fleets.
     """
 
-    def __init__(
-        self, blackboard: Blackboard, cycles: int, clock: Clock, rng: random.Random
-    ) -> None:
+    def __init__(self, blackboard: Blackboard, cycles: int, clock: Clock) -> None:
         self.blackboard = blackboard
         self.daemon_id = blackboard.this_member.daemon_id
         self.cycles = cycles
         self.clock = clock
-        self.rng = rng
         self.known: dict[str, tuple[int, int, list[str]]] = {}
         self.next_cycles: dict[str, int] = {}
 
@@ -96,9 +92,11 @@
 def find_successor(daemon_id: str, names: Sequence[str], seed: int) -> str:
     """Return the daemon that follows in the random cycle with a given seed."""
     position = compute_position(daemon_id, seed)
-    return min(
-        names, key=lambda name: (compute_position(name, seed) - position) % 2**32
-    )
+
+    def compute_distance(name: str) -> int:
+        return (compute_position(name, seed) - position) % CYCLE_LENGTH
+
+    return min(names, key=compute_distance)
 
 
 def compute_position(daemon_id: str, seed: int) -> int:
--- a/src/wagtailstep/controllers/target_puller.py
+++ b/src/wagtailstep/controllers/target_puller.py
@@ -17,7 +17,7 @@
     member_reference,
 )
 
-PULLS_PER_TICK = 10
+MAX_PULLS_PER_SEARCH = 10
 REFRESH_LEASE_FRACTION = 0.65
 
 
@@ -97,7 +97,7 @@
         stale: list[str] = []
         for daemon_id, needed in missing.items():
             held = self.leases.held_targets.get(daemon_id)
-            if len(effects) >= PULLS_PER_TICK:
+            if len(effects) >= MAX_PULLS_PER_SEARCH:
                 break
             if not self.schedule.try_start(daemon_id, now):
                 continue
