Log who ended the connection of an interrupted request

Cause: request-cancelled named neither the request nor who ended its connection, and every such request was explained as one whose caller had disconnected. An error in writing a response was not logged at all. None of the hypotheses on the incident could be told from the others. Change: each connection records the first thing that ended it; the line has request_id, ended_by, handled_ms and quiet_before_ms, response-failed is logged with its traceback, and explanations name the daemon where the caller did not end the connection.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -20,6 +20,19 @@
       | its caller goes away             | the caller disconnected                    | request-ended |
       | a call made for it finds no room | a call to contracts failed: overloaded     | request-ended |
 
+  Scenario Outline: An explanation tells who ended the connection
+    Given these log lines of daemons
+      | process | second | line                                                 |
+      | d1      | 0      | event=request-cancelled request_id=r1 ended_by=<end> |
+      | d1      | 0      | event=request-ended request_id=r1 outcome=caller-left |
+    Then the cause of request "r1" is "<cause>"
+
+    Examples:
+      | end               | cause                                                  |
+      | caller-closed     | the caller disconnected                                |
+      | connection-failed | the caller disconnected                                |
+      | idle-timeout      | the daemon ended the caller's connection: idle-timeout |
+
   Scenario: Causes are counted
     Given an entry and a gate beside a backend server, whose logs are recorded
     When a request fails because the backend server fails it
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -264,6 +264,12 @@
     context.lines = list(read_lines(texts, ""))
 
 
+@then('the cause of request "{request_id}" is "{cause}"')
+def check_cause_in_lines(context, request_id, cause):
+    found = explain_request(context.lines, request_id).cause
+    assert found == cause, found
+
+
 @then("at second {second:d} the beliefs are")
 def check_beliefs(context, second):
     at = START + timedelta(seconds=second)
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -91,6 +91,8 @@
             return build_answer(b"good", ("connection", "close"))
         if name == "slow-end":
             return attrs.evolve(build_answer(b"good"), close=close_slowly)
+        if name == "unwritable":
+            return build_answer(b"good", ("x-broken", "line\nbreak"))
         if name == "broken":
             raise KeyError("a bug of the handler")
         return Answer(
--- a/src/wagtailstep/commands/explain_request.py
+++ b/src/wagtailstep/commands/explain_request.py
@@ -12,11 +12,16 @@
     STANDING_EVENT,
     find_beliefs_at,
 )
+from wagtailstep.models.connection import ConnectionEnd
 from wagtailstep.models.log_lines import LogLine, format_line
 
 MILLISECOND = timedelta(milliseconds=1)
 END_EVENTS = ("request-ended", "request-unanswered")
 SERVED_OUTCOME = "status-200"
+# As ended_by in lines of the event request-cancelled.
+ENDED_BY_CALLER = frozenset(
+    {ConnectionEnd.CALLER_CLOSED.value, ConnectionEnd.CONNECTION_FAILED.value, ""}
+)
 # Outcomes that are never attributed to a backend server, even if an earlier attempt
 # failed there.
 OUTCOMES_NOT_CAUSED_BY_WORK = frozenset({"overloaded", "doubted", "caller-left"})
@@ -148,6 +153,8 @@
     work = find_last_failed_work(lines, request_id)
     if work is not None and outcome not in OUTCOMES_NOT_CAUSED_BY_WORK:
         return describe_failed_work(work, beliefs)
+    if outcome == "caller-left":
+        return describe_interruption(lines, end)
     return describe_outcome(end, outcome)
 
 
@@ -223,12 +230,28 @@
         "work for it",
         "bad-request": "the request was malformed or truncated by its caller",
         "duplicate": "a gate had already accepted this transmission",
-        "caller-left": "the caller disconnected",
         "attempt-abandoned": "an attempt timed out and no further attempt was possible",
     }
     return texts.get(outcome, f"ended as {outcome}")
 
 
+def describe_interruption(lines: Sequence[LogLine], end: LogLine) -> str:
+    """Describe who ended the connection of a request in progress."""
+    ended_by = next(
+        (
+            line.get("ended_by")
+            for line in lines
+            if line.event == "request-cancelled"
+            and line.request_id == end.request_id
+            and line.process == end.process
+        ),
+        "",
+    )
+    if ended_by in ENDED_BY_CALLER:
+        return "the caller disconnected"
+    return f"the daemon ended the caller's connection: {ended_by}"
+
+
 def count_dropped_lines(lines: Iterable[LogLine]) -> int:
     """Return how many log lines the daemons report as dropped."""
     reports = (line for line in lines if line.event == "lines-left-out")
--- /dev/null
+++ b/src/wagtailstep/models/connection.py
@@ -0,0 +1,28 @@
+"""Connections of callers and other daemons."""
+
+from enum import Enum
+
+
+class ConnectionEnd(Enum):
+    """What ended a connection, as logged with a request that it interrupted."""
+
+    CALLER_CLOSED = "caller-closed"
+    """The caller ended its side of the connection."""
+    CONNECTION_FAILED = "connection-failed"
+    """A reset by the caller or an error of the network."""
+    HEAD_TIMEOUT = "head-timeout"
+    """No complete head of a request arrived in time."""
+    IDLE_TIMEOUT = "idle-timeout"
+    """Nothing arrived for too long after a response."""
+    MALFORMED_REQUEST = "malformed-request"
+    """The caller sent bytes that are not HTTP."""
+    RESPONSE_TRUNCATED = "response-truncated"
+    """The response could not be completed."""
+    RESPONSE_FAILED = "response-failed"
+    """The response could not be written."""
+    CLOSED_BEHIND_RESPONSE = "closed-behind-response"
+    """The connection was closed after a response that announced it."""
+    SERVER_STOPPED = "server-stopped"
+    """This daemon stops."""
+    CANCELLED = "cancelled"
+    """The handler was cancelled although the connection was open."""
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -16,7 +16,8 @@
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from wagtailstep.models.headers import REASON, VERDICT
+from wagtailstep.models.connection import ConnectionEnd
+from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
@@ -28,6 +29,7 @@
 # Pipelined requests that are read ahead; beyond that the caller is held back.
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
+MS_PER_S = 1_000
 
 # Silenced: uvicorn also logs malformed requests and unfinished responses, which this
 # package already logs as key=value lines.
@@ -44,6 +46,8 @@
         self.inner_app = self.app
         self.app = self.run_handler
         self.handler: asyncio.Task[None] | None = None
+        self.ended_by: ConnectionEnd | None = None
+        self.quiet_since_s = self.loop.time()
         self.on_connection_lost: Callable[[], None] = do_nothing
         self.head_timer: asyncio.TimerHandle | None = None
 
@@ -57,30 +61,62 @@
 
         uvicorn's own timeout does not suffice: it restarts with each byte received.
         """
-        self.head_timer = self.loop.call_later(HEAD_TIMEOUT_S, self.transport.close)
+        self.head_timer = self.loop.call_later(
+            HEAD_TIMEOUT_S, self.close, ConnectionEnd.HEAD_TIMEOUT
+        )
 
     def cancel_head_timer(self) -> None:
         """Stop the timeout while a request is being handled."""
         if self.head_timer is not None:
             self.head_timer.cancel()
 
+    def close(self, ended_by: ConnectionEnd) -> None:
+        """Close the connection after the data written so far."""
+        self.record_end(ended_by)
+        self.transport.close()
+
+    def record_end(self, ended_by: ConnectionEnd) -> None:
+        """Record what ended the connection; what follows from that is not recorded."""
+        if self.ended_by is None:
+            self.ended_by = ended_by
+
     async def run_handler(self, scope: Any, receive: Any, send: Any) -> None:
         """Run the application; cancellation by a disconnect is not an error."""
         self.handler = asyncio.current_task()
+        started_s = self.loop.time()
+        quiet_s = started_s - self.quiet_since_s
         self.cancel_head_timer()
         scope[CONNECTION_KEY] = self
         try:
             await self.inner_app(scope, receive, send)
         except asyncio.CancelledError:
+            self.record_end(ConnectionEnd.CANCELLED)
             log_event(
-                logger, "request-cancelled", path=scope["path"], client=self.client
+                logger,
+                "request-cancelled",
+                request_id=read_request_id(scope),
+                path=scope["path"],
+                client=self.client,
+                ended_by=self.ended_by.value,
+                handled_ms=round((self.loop.time() - started_s) * MS_PER_S),
+                quiet_before_ms=round(quiet_s * MS_PER_S),
             )
             self.reset_connection()
+        except Exception:
+            self.record_end(ConnectionEnd.RESPONSE_FAILED)
+            logger.exception(
+                "event=response-failed request_id=%s path=%s ended_by=%s",
+                read_request_id(scope),
+                scope["path"],
+                self.ended_by.value,
+            )
+            raise
         finally:
             # The handler of a pipelined request starts with the end of the response
             # before it, while the handler of that one may still be ending.
             if self.handler is asyncio.current_task():
                 self.handler = None
+                self.quiet_since_s = self.loop.time()
                 if not self.transport.is_closing():
                     self.start_head_timer()
 
@@ -95,8 +131,26 @@
             if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
                 self.flow.resume_reading()
 
+    def eof_received(self) -> None:
+        """Record that the caller ended its side; the transport then closes."""
+        self.record_end(ConnectionEnd.CALLER_CLOSED)
+
+    def shutdown(self) -> None:
+        """Close the connection when it is idle, since the server stops."""
+        super().shutdown()
+        if self.transport.is_closing():
+            self.record_end(ConnectionEnd.SERVER_STOPPED)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection, which was idle for too long."""
+        super().timeout_keep_alive_handler()
+        self.record_end(ConnectionEnd.IDLE_TIMEOUT)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler if its response is incomplete: the caller has gone."""
+        if exc is not None:
+            self.record_end(ConnectionEnd.CONNECTION_FAILED)
+        self.record_end(ConnectionEnd.CLOSED_BEHIND_RESPONSE)
         self.cancel_head_timer()
         response_sent = self.cycle is None or self.cycle.response_complete
         super().connection_lost(exc)
@@ -111,6 +165,7 @@
         still delivers what was written. An HTTP/1.0 response ends with its connection,
         so only a reset shows the truncation.
         """
+        self.record_end(ConnectionEnd.RESPONSE_TRUNCATED)
         if self.scope["http_version"] == "1.0":
             self.reset_connection()
         else:
@@ -132,6 +187,7 @@
             status=status,
             error=error or msg,
         )
+        self.record_end(ConnectionEnd.MALFORMED_REQUEST)
         is_responding = self.cycle is not None and not self.cycle.response_complete
         if self.conn.our_state is not h11.IDLE or is_responding:
             self.reset_connection()
@@ -156,3 +212,9 @@
         for event in events:
             self.transport.write(self.conn.send(event))
         self.transport.close()
+
+
+def read_request_id(scope: Any) -> str:
+    """Return the identifier that the caller gave its request, or ``""``."""
+    value = dict(scope["headers"]).get(REQUEST_ID.encode(), b"")
+    return value.decode("latin-1")
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -8,6 +8,7 @@
 import uvicorn
 from uvicorn.server import ServerState
 
+from wagtailstep.models.connection import ConnectionEnd
 from wagtailstep.network.http_protocol import ServerConnection
 
 MAX_HEAD_BYTES = 32_768
@@ -109,6 +110,8 @@
         """Close the listener and all connections, including those in use."""
         if self.server is not None:
             self.server.close()
+        for connection in list(self.state.connections):
+            connection.record_end(ConnectionEnd.SERVER_STOPPED)
         for task in list(self.state.tasks):
             task.cancel()
         await asyncio.gather(*self.state.tasks, return_exceptions=True)
