Stop a connection's time limits in the turn that reads a request

Cause: the limit for the next request's head was stopped by the task of the handler, one turn of the event loop after the request was read. If the limit fell due while the process stood still, the turn that read the request also ran the timer: the transport closed, the handler started, sent the request on and was cancelled. Change: limits follow the state of the connection. What reads bytes and what ends a response starts and stops them in the same call; a handler touches none. A waiting connection has the idle limit, a begun head the head limit, a request none. The head's limit runs from its first byte. Class: a timer that acts on state which it assumes instead of checking.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -1,5 +1,35 @@
 Feature: A caller's connection is never closed under a request that was read
 
+  Scenario Outline: A time limit that falls due while the daemon stands still
+    Given a kept connection to an HTTP server on sockets
+    When a request for "<path>" arrives in a stall past the <limit> limit
+    Then the request is answered with "good"
+    And no request was cancelled
+
+    Examples:
+      | limit | path  |
+      | idle  | /good |
+      | idle  | /wait |
+      | head  | /good |
+      | head  | /wait |
+
+  Scenario: A time limit that was started while an earlier request ended
+    Given a kept connection to an HTTP server on sockets
+    When the next request arrives while the handler of "/slow-end" is still ending
+    And a request every 30 s follows, and one that lasts beyond the idle limit
+    Then the request is answered with "good"
+    And no request was cancelled
+
+  Scenario Outline: A time limit applies again once the connection waits
+    Given a kept connection to an HTTP server on sockets
+    When the connection waits past the <limit> limit
+    Then the connection is closed without an answer
+
+    Examples:
+      | limit |
+      | idle  |
+      | head  |
+
   Scenario Outline: The log tells who ended a connection with a request in progress
     Given a kept connection to an HTTP server on sockets
     When the connection of request "r-1" ends because <end>
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -8,6 +8,7 @@
 
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.http_protocol import HEAD_TIMEOUT_S
+from wagtailstep.network.http_server import KEEP_ALIVE_S
 
 STALL_S = 0.1
 
@@ -115,20 +116,76 @@
 
 @given("a kept connection to an HTTP server on sockets")
 def use_sockets(context):
-    context.limits_s = {"idle": HEAD_TIMEOUT_S}
+    context.limits_s = {"idle": KEEP_ALIVE_S, "head": HEAD_TIMEOUT_S}
+
+
+async def run_turns(count=3):
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+async def start_waiting(connection, limit):
+    """Send what makes a limit apply, and return what completes the request."""
+    if limit == "idle":
+        return ""
+    connection.writer.write(b"GET ")
+    await run_turns()
+    return "GET "
 
 
 @when('a request for "{path}" arrives in a stall past the {limit} limit')
 def stall(context, path, limit):
     async def scenario(fixture, loop):
         connection = await KeptConnection.open(fixture.address)
+        sent = await start_waiting(connection, limit)
         # The rest of the limit passes while the process stands still.
         loop.offset_s += context.limits_s[limit] - STALL_S
-        await asyncio.sleep(0)
-        connection.writer.write(build_request(path))
+        await run_turns()
+        connection.writer.write(build_request(path).removeprefix(sent.encode()))
         loop.offset_s += STALL_S
-        for _ in range(3):
-            await asyncio.sleep(0)
+        await run_turns()
+        fixture.proceed.set()
+        context.received = await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("the connection waits past the {limit} limit")
+def wait_past_limit(context, limit):
+    async def scenario(fixture, loop):
+        connection = await KeptConnection.open(fixture.address)
+        await start_waiting(connection, limit)
+        loop.offset_s += context.limits_s[limit] + STALL_S
+        context.received = await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when('the next request arrives while the handler of "{path}" is still ending')
+def overlap(context, path):
+    context.first_requests = build_request(path) + GOOD_REQUEST
+
+
+@when("a request every {pause_s:d} s follows, and one that lasts beyond the idle limit")
+def follow(context, pause_s):
+    async def scenario(fixture, loop):
+        connection = await KeptConnection.open(fixture.address)
+        started_s = loop.time()
+        connection.writer.write(context.first_requests)
+        for _ in range(2):
+            assert (await connection.read_response()).endswith(b"good")
+        # The handler of the first request needs some time to end.
+        await asyncio.sleep(0.1)
+        for _ in range(context.limits_s["idle"] // pause_s):
+            loop.offset_s += pause_s
+            assert (await connection.exchange(GOOD_REQUEST)).endswith(b"good")
+        loop.offset_s += started_s + context.limits_s["idle"] - STALL_S - loop.time()
+        connection.writer.write(build_request("/wait"))
+        await run_turns()
+        loop.offset_s += 1
+        await run_turns()
         fixture.proceed.set()
         context.received = await connection.read_response()
         connection.writer.close()
@@ -165,6 +222,11 @@
     assert context.received.endswith(text.encode()), (context.received, context.log)
 
 
+@then("the connection is closed without an answer")
+def check_closed(context):
+    assert context.received == b"", (context.received, context.log)
+
+
 @then("no request was cancelled")
 def check_not_cancelled(context):
     assert context.fixture.cancelled == [], context.fixture.cancelled
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -51,24 +51,61 @@
         self.on_connection_lost: Callable[[], None] = do_nothing
         self.head_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def is_responding(self) -> bool:
+        """Return whether a request was read whose response is incomplete."""
+        return self.cycle is not None and not self.cycle.response_complete
+
+    @property
+    def has_partial_head(self) -> bool:
+        """Return whether a part of the next request's head has arrived."""
+        return self.conn.their_state is h11.IDLE and bool(self.conn.trailing_data[0])
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
         super().connection_made(transport)
-        self.start_head_timer()
+        self.update_timers()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; no time limit applies to a request once it is read."""
+        super().data_received(data)
+        self.update_timers()
 
-    def start_head_timer(self) -> None:
-        """Close the connection unless a complete request head arrives in time.
+    def on_response_complete(self) -> None:
+        """Go on with the next request, or start to wait for it."""
+        self.quiet_since_s = self.loop.time()
+        super().on_response_complete()
+        self.update_timers()
+
+    def update_timers(self) -> None:
+        """Run only the time limit that applies to the state of the connection.
 
-        uvicorn's own timeout does not suffice: it restarts with each byte received.
+        A limit may fall due in the same turn of the event loop in which a request is
+        read. It has to be stopped right then: the handler starts one turn later.
         """
-        self.head_timer = self.loop.call_later(
-            HEAD_TIMEOUT_S, self.close, ConnectionEnd.HEAD_TIMEOUT
-        )
+        if self.transport.is_closing() or self.is_responding:
+            self.cancel_timers()
+        elif not self.has_partial_head:
+            self.cancel_head_timer()
+            if self.timeout_keep_alive_task is None:
+                self.timeout_keep_alive_task = self.loop.call_later(
+                    self.timeout_keep_alive, self.timeout_keep_alive_handler
+                )
+        elif self.head_timer is None:
+            self.head_timer = self.loop.call_later(
+                HEAD_TIMEOUT_S, self.close, ConnectionEnd.HEAD_TIMEOUT
+            )
+
+    def cancel_timers(self) -> None:
+        """Stop all time limits of the connection."""
+        self.cancel_head_timer()
+        self._unset_keepalive_if_required()
 
     def cancel_head_timer(self) -> None:
-        """Stop the timeout while a request is being handled."""
+        """Stop the time limit for the rest of a request's head."""
         if self.head_timer is not None:
             self.head_timer.cancel()
+            self.head_timer = None
 
     def close(self, ended_by: ConnectionEnd) -> None:
         """Close the connection after the data written so far."""
@@ -85,7 +122,6 @@
         self.handler = asyncio.current_task()
         started_s = self.loop.time()
         quiet_s = started_s - self.quiet_since_s
-        self.cancel_head_timer()
         scope[CONNECTION_KEY] = self
         try:
             await self.inner_app(scope, receive, send)
@@ -116,9 +152,6 @@
             # before it, while the handler of that one may still be ending.
             if self.handler is asyncio.current_task():
                 self.handler = None
-                self.quiet_since_s = self.loop.time()
-                if not self.transport.is_closing():
-                    self.start_head_timer()
 
     def handle_events(self) -> None:
         """Handle parsed events, and go on to read behind a pipelined request.
@@ -151,10 +184,10 @@
         if exc is not None:
             self.record_end(ConnectionEnd.CONNECTION_FAILED)
         self.record_end(ConnectionEnd.CLOSED_BEHIND_RESPONSE)
-        self.cancel_head_timer()
-        response_sent = self.cycle is None or self.cycle.response_complete
+        self.cancel_timers()
+        was_responding = self.is_responding
         super().connection_lost(exc)
-        if self.handler is not None and not response_sent:
+        if self.handler is not None and was_responding:
             self.handler.cancel()
         self.on_connection_lost()
 
@@ -188,8 +221,7 @@
             error=error or msg,
         )
         self.record_end(ConnectionEnd.MALFORMED_REQUEST)
-        is_responding = self.cycle is not None and not self.cycle.response_complete
-        if self.conn.our_state is not h11.IDLE or is_responding:
+        if self.conn.our_state is not h11.IDLE or self.is_responding:
             self.reset_connection()
             return
         self.send_error_response(status, str(error or msg))
