Do not handle a request whose connection has already ended

Callers saw nothing of this; backend servers could get a request from a connection that was gone. Cause: the handler's task starts one turn after the request is read. When the connection is lost in between there is no handler to cancel yet, so the request was passed on, and cancelled one turn later at best. Change: a handler that starts on a closing connection ends at once, with the line request-cancelled.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -30,6 +30,12 @@
       | idle  |
       | head  |
 
+  Scenario: A request whose connection ends in the turn that reads it
+    Given a kept connection to an HTTP server on sockets
+    When request "r-1" arrives in one segment with malformed bytes in its body
+    Then the request is not handled
+    And one line tells that request "r-1" was ended by "malformed-request"
+
   Scenario Outline: The log tells who ended a connection with a request in progress
     Given a kept connection to an HTTP server on sockets
     When the connection of request "r-1" ends because <end>
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -193,6 +193,19 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when('request "{request_id}" arrives in one segment with malformed bytes in its body')
+def send_malformed(context, request_id):
+    async def scenario(fixture, loop):
+        connection = await KeptConnection.open(fixture.address)
+        fixture.handled.clear()
+        request = build_request("/wait", request_id, "POST")
+        connection.writer.write(request + b"not a chunk\r\n")
+        await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
 @when('the connection of request "{request_id}" ends because {end}')
 def end_connection(context, request_id, end):
     method, path, act = ENDS[end]
@@ -227,6 +240,11 @@
     assert context.received == b"", (context.received, context.log)
 
 
+@then("the request is not handled")
+def check_not_handled(context):
+    assert context.fixture.handled == [], context.fixture.handled
+
+
 @then("no request was cancelled")
 def check_not_cancelled(context):
     assert context.fixture.cancelled == [], context.fixture.cancelled
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -124,19 +124,13 @@
         quiet_s = started_s - self.quiet_since_s
         scope[CONNECTION_KEY] = self
         try:
-            await self.inner_app(scope, receive, send)
+            # The connection may have ended in the turn that read the request.
+            if not self.transport.is_closing():
+                await self.inner_app(scope, receive, send)
+                return
+            self.log_interruption(scope, started_s, quiet_s)
         except asyncio.CancelledError:
-            self.record_end(ConnectionEnd.CANCELLED)
-            log_event(
-                logger,
-                "request-cancelled",
-                request_id=read_request_id(scope),
-                path=scope["path"],
-                client=self.client,
-                ended_by=self.ended_by.value,
-                handled_ms=round((self.loop.time() - started_s) * MS_PER_S),
-                quiet_before_ms=round(quiet_s * MS_PER_S),
-            )
+            self.log_interruption(scope, started_s, quiet_s)
             self.reset_connection()
         except Exception:
             self.record_end(ConnectionEnd.RESPONSE_FAILED)
@@ -153,6 +147,24 @@
             if self.handler is asyncio.current_task():
                 self.handler = None
 
+    def log_interruption(self, scope: Any, started_s: float, quiet_s: float) -> None:
+        """Log that a request ended without its response, and what ended it.
+
+        :param started_s: time of the event loop at which its handler started.
+        :param quiet_s: time from the response before it until then, in seconds.
+        """
+        self.record_end(ConnectionEnd.CANCELLED)
+        log_event(
+            logger,
+            "request-cancelled",
+            request_id=read_request_id(scope),
+            path=scope["path"],
+            client=self.client,
+            ended_by=self.ended_by.value,
+            handled_ms=round((self.loop.time() - started_s) * MS_PER_S),
+            quiet_before_ms=round(quiet_s * MS_PER_S),
+        )
+
     def handle_events(self) -> None:
         """Handle parsed events, and go on to read behind a pipelined request.
 
