Test connections of callers in random series of requests and stalls

Change: 200 seeded series of requests in one or two segments, with pauses and stalls around both limits; a request that was handled must be answered.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -20,6 +20,10 @@
     Then the request is answered with "good"
     And no request was cancelled
 
+  Scenario: Whatever pauses and stalls come, a request that is handled is answered
+    Given a kept connection to an HTTP server on sockets
+    Then each handled request is answered in 200 random series of requests and stalls
+
   Scenario Outline: A time limit applies again once the connection waits
     Given a kept connection to an HTTP server on sockets
     When the connection waits past the <limit> limit
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 
 from behave import given, then, when
 from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
@@ -151,6 +152,49 @@
     run_on_stalling_loop(context, scenario)
 
 
+async def send_in_stalls(connection, loop, rng, limits_s):
+    """Send one request in two segments, each perhaps in a stall, and read its answer.
+
+    Pauses are chosen around the limits, where they fall due in the turn of a segment.
+    """
+    data = build_request(rng.choice(("/good", "/wait")))
+    cut = rng.choice((0, rng.randrange(1, len(data))))
+    for segment in (data[:cut], data[cut:]):
+        limit_s = rng.choice(list(limits_s.values()))
+        loop.offset_s += max(0.0, limit_s * rng.choice((0, 1)) - rng.choice((1, 1e-3)))
+        await run_turns(rng.randrange(3))
+        connection.writer.write(segment)
+        loop.offset_s += rng.choice((0, 1e-3, 0.1, 2))
+        await run_turns(rng.randrange(4))
+
+
+@then(
+    "each handled request is answered in {count:d} random series of requests and stalls"
+)
+def check_random_stalls(context, count):
+    unanswered = []
+
+    async def scenario(fixture, loop):
+        for seed in range(count):
+            rng = random.Random(seed)
+            fixture.handled.clear()
+            connection = await KeptConnection.open(fixture.address)
+            answered = 1
+            received = b"good"
+            while received.endswith(b"good") and answered < 8:
+                fixture.proceed.clear()
+                await send_in_stalls(connection, loop, rng, context.limits_s)
+                fixture.proceed.set()
+                received = await connection.read_response()
+                answered += received.endswith(b"good")
+            connection.writer.close()
+            if len(fixture.handled) != answered:
+                unanswered.append((seed, fixture.handled, answered))
+
+    run_on_stalling_loop(context, scenario)
+    assert not unanswered, unanswered
+
+
 @when("the connection waits past the {limit} limit")
 def wait_past_limit(context, limit):
     async def scenario(fixture, loop):
