Decode the operator's time limits for callers' connections

Cause: of the operator's limits only the one for bodies was decoded. Change: the two durations become ConnectionLimits of the table, with the 75 s of today where they are left out. One that is malformed or not positive refuses the configuration, as a malformed route does.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -21,9 +21,19 @@
     Given the platform's example configuration
     Then its version is 7
     And it allows request bodies of 67108864 bytes
+    And callers have 10000 ms for a head and 90000 ms between requests
     And route "r-hh2b9wu" is "unsafe" with timeout 3000 ms, aim 800 ms and 2 attempts
     And route "r-zji9n73" is split "huvo11a*90 wuno96b*10"
 
+  Scenario Outline: A time limit that a configuration leaves out has its default
+    Given the platform's example configuration without <left out>
+    Then callers have <head> ms for a head and <idle> ms between requests
+
+    Examples:
+      | left out                   | head  | idle  |
+      | ,"header-timeout":"10s"    | 75000 | 90000 |
+      | ,"idle-timeout":"90000ms"  | 10000 | 75000 |
+
   Scenario Outline: An invalid configuration is refused
     Given the platform's example configuration with <old> in place of <new>
     Then it can't be read
@@ -37,6 +47,14 @@
       | "3000ms"    | 3000         |
       | "routes"    | "roads"      |
       | ,1,"huvo11a"| ,1,null      |
+      | "10s"       | "10"         |
+      | "10s"       | 10           |
+      | "10s"       | "0s"         |
+      | "10s"       | "0.0001ms"   |
+      | "10s"       | "-1s"        |
+      | "90000ms"   | "soon"       |
+      | "90000ms"   | "0ms"        |
+      | "90000ms"   | "1e9s"       |
 
   Scenario: Arbitrary bytes from other writers are refused without a crash
     Then each of 300 random configurations is either read or refused
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -46,7 +46,7 @@
     '["r-zji9n73","ficu95.example","/lohu930/","safe","4000ms","800ms",2,null,2,'
     '[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}]]]},'
     '"services":{"columns":["name"],"rows":[["huvo11a"]]},"limits":{"max-body-bytes":67108864,'
-    '"max-header-bytes":16384}}'
+    '"max-header-bytes":16384,"header-timeout":"10s","idle-timeout":"90000ms"}}'
 )
 SETTINGS = DaemonSettings(
     "d1", "bole", "10.1.0.38:1", "10.1.0.38:2", "10.1.0.38:3", "10.1.0.38:4"
@@ -89,6 +89,19 @@
     assert build_table(context.document).max_body_bytes == size
 
 
+@given("the platform's example configuration without {text}")
+def shorten_configuration(context, text):
+    assert text in CONFIGURATION
+    context.document = TableDocument(7, CONFIGURATION.replace(text, "").encode())
+
+
+@then("callers have {head_ms:d} ms for a head and {idle_ms:d} ms between requests")
+def check_connection_limits(context, head_ms, idle_ms):
+    limits = build_table(context.document).connection_limits
+    assert limits.head_timeout == timedelta(milliseconds=head_ms), limits
+    assert limits.idle_timeout == timedelta(milliseconds=idle_ms), limits
+
+
 @then(
     'route "{name}" is "{kind}" with timeout {timeout:d} ms, aim {aim:d} ms and '
     "{attempts:d} attempts"
--- a/src/wagtailstep/models/connection.py
+++ b/src/wagtailstep/models/connection.py
@@ -1,7 +1,10 @@
 """Connections of callers and other daemons."""
 
+from datetime import timedelta
 from enum import Enum
 
+import attrs
+
 
 class ConnectionEnd(Enum):
     """What ended a connection, as logged with a request that it interrupted."""
@@ -26,3 +29,16 @@
     """This daemon stops."""
     CANCELLED = "cancelled"
     """The handler was cancelled although the connection was open."""
+
+
+@attrs.frozen
+class ConnectionLimits:
+    """How long a server waits on its connections.
+
+    :param head_timeout: from the first byte of a request's head to its end.
+    :param idle_timeout: from a response, or the start of the connection, to the next
+        request.
+    """
+
+    head_timeout: timedelta = timedelta(seconds=75)
+    idle_timeout: timedelta = timedelta(seconds=75)
--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.host_routes import HostRoutes
 from wagtailstep.models.packed_rows import PackedRows
 
@@ -180,6 +181,7 @@
         never decreases.
     :param host_routes: routes by host and path, if the table is a published document.
     :param max_body_bytes: size limit of request bodies; 0 for no limit.
+    :param connection_limits: time limits of callers' connections.
     """
 
     version: int = 0
@@ -191,6 +193,9 @@
     accounts: MutableMapping[str, AccountRow] = attrs.field(factory=pack_accounts)
     host_routes: HostRoutes = attrs.field(factory=HostRoutes, eq=False)
     max_body_bytes: int = attrs.field(default=0, eq=False)
+    connection_limits: ConnectionLimits = attrs.field(
+        default=ConnectionLimits(), eq=False
+    )
 
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, or one with default values."""
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.host_routes import (
     HostRoute,
     HostRoutes,
@@ -68,12 +69,16 @@
 
 
 class Limits(msgspec.Struct, rename="kebab", frozen=True):
-    """Limits on requests of clients.
+    """Limits on requests and connections of clients.
 
     :param max_body_bytes: maximum size of a body; 0 is unlimited.
+    :param header_timeout: longest duration from the first byte of a head to its end.
+    :param idle_timeout: longest duration between a response and the next request.
     """
 
     max_body_bytes: int = 0
+    header_timeout: str | None = None
+    idle_timeout: str | None = None
 
 
 class Configuration(msgspec.Struct):
@@ -110,6 +115,7 @@
         version=document.version,
         host_routes=routes,
         max_body_bytes=configuration.limits.max_body_bytes,
+        connection_limits=build_connection_limits(configuration.limits),
     )
 
 
@@ -150,6 +156,35 @@
     return float(match[1]) * DURATION_UNITS[match[2]]
 
 
+def build_connection_limits(limits: Limits) -> ConnectionLimits:
+    """Build the time limits of connections; one that is left out has its default.
+
+    :raises DecodeError: if a duration is malformed or not positive.
+    """
+    durations = {
+        "head_timeout": limits.header_timeout,
+        "idle_timeout": limits.idle_timeout,
+    }
+    return ConnectionLimits(
+        **{
+            name: parse_positive_duration(text)
+            for name, text in durations.items()
+            if text is not None
+        }
+    )
+
+
+def parse_positive_duration(text: str) -> timedelta:
+    """Parse a duration that has to be longer than zero.
+
+    :raises DecodeError: if it is malformed or not positive.
+    """
+    duration = parse_duration(text)
+    if not duration:
+        raise DecodeError(f"{text!r} is not a duration longer than zero")
+    return duration
+
+
 def build_route(row: RouteRow) -> HostRoute:
     """Build a route from its row.
 
