Refuse a duration that is too long to be represented

Callers saw nothing. Found with the time limits, which add durations from the operator. Cause: the product of number and unit overflows with an OverflowError, which what reads a configuration or a heartbeat does not catch. Change: such a duration is malformed (DecodeError), as any other. Measured: the new row of "An invalid configuration is refused" ended in OverflowError on the code before; the 47 scenarios of platform_adapter.feature pass now.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -39,22 +39,23 @@
     Then it can't be read
 
     Examples:
-      | new         | old          |
-      | "r7"        | "seven"      |
-      | "r7"        | 7            |
-      | "unsafe"    | "odd"        |
-      | "3000ms"    | "soon"       |
-      | "3000ms"    | 3000         |
-      | "routes"    | "roads"      |
-      | ,1,"huvo11a"| ,1,null      |
-      | "10s"       | "10"         |
-      | "10s"       | 10           |
-      | "10s"       | "0s"         |
-      | "10s"       | "0.0001ms"   |
-      | "10s"       | "-1s"        |
-      | "90000ms"   | "soon"       |
-      | "90000ms"   | "0ms"        |
-      | "90000ms"   | "1e9s"       |
+      | new          | old               |
+      | "r7"         | "seven"           |
+      | "r7"         | 7                 |
+      | "unsafe"     | "odd"             |
+      | "3000ms"     | "soon"            |
+      | "3000ms"     | 3000              |
+      | "3000ms"     | "99999999999999s" |
+      | "routes"     | "roads"           |
+      | ,1,"huvo11a" | ,1,null           |
+      | "10s"        | "10"              |
+      | "10s"        | 10                |
+      | "10s"        | "0s"              |
+      | "10s"        | "0.0001ms"        |
+      | "10s"        | "-1s"             |
+      | "90000ms"    | "soon"            |
+      | "90000ms"    | "0ms"             |
+      | "90000ms"    | "1e9s"            |
 
   Scenario: Arbitrary bytes from other writers are refused without a crash
     Then each of 300 random configurations is either read or refused
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -146,14 +146,17 @@
 def parse_duration(text: str) -> timedelta:
     """Parse a duration such as ``250ms`` or ``1.5s``.
 
-    :raises DecodeError: if it is malformed.
+    :raises DecodeError: if it is malformed or too long to be represented.
     """
     match = DURATION_PATTERN.fullmatch(text)
     if match is None:
         raise DecodeError(
             f"{text!r} is not a duration; expected a number and the unit ms or s"
         )
-    return float(match[1]) * DURATION_UNITS[match[2]]
+    try:
+        return float(match[1]) * DURATION_UNITS[match[2]]
+    except OverflowError as error:
+        raise DecodeError(f"{text!r} is too long for a duration") from error
 
 
 def build_connection_limits(limits: Limits) -> ConnectionLimits:
