Enforce the operator's time limits on callers' connections

Callers saw: their idle connection was closed after 75 s whatever the operator allowed. Callers reuse connections for up to four fifths of the limit, so any limit above 94 s made them send on connections that were closed. A shorter limit was not enforced. Cause: two constants stood in place of the operator's limits. Change: the caller server reads the limits of the table in force; the other servers keep 75 s. A connection has one timer (uvicorn's) and a record of what it waits for since when. When the timer fires, the limit in force then decides: a longer one goes on for the rest. A shorter one does not move a timer that runs. What starts and stops a wait is as before. The steps import the two constants from where they are now.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -30,6 +30,62 @@
       | idle  |
       | head  |
 
+  Scenario Outline: A connection waits for as long as the operator allows
+    Given a kept connection to an HTTP server on sockets
+    And the operator allows <idle> s between requests and <head> s for a head
+    When the connection waits on the <limit> limit for <wait> s
+    Then the server holds <count> connections
+
+    Examples:
+      | idle | head | limit | wait | count |
+      | 200  | 10   | idle  | 199  | 1     |
+      | 200  | 10   | idle  | 201  | 0     |
+      | 200  | 10   | head  | 9    | 1     |
+      | 200  | 10   | head  | 11   | 0     |
+      | 10   | 200  | idle  | 9    | 1     |
+      | 10   | 200  | idle  | 11   | 0     |
+      | 10   | 200  | head  | 199  | 1     |
+      | 10   | 200  | head  | 201  | 0     |
+
+  Scenario Outline: A change of a limit never shortens the wait that has begun
+    Given a kept connection to an HTTP server on sockets
+    And the operator allows <before> s between requests and <before> s for a head
+    When the connection waits on the <limit> limit for <wait> s and it becomes <after> s
+    Then the server holds <count> connections
+
+    Examples:
+      | limit | before | after | wait | count |
+      | idle  | 50     | 200   | 199  | 1     |
+      | idle  | 50     | 200   | 201  | 0     |
+      | idle  | 200    | 50    | 199  | 1     |
+      | idle  | 200    | 50    | 201  | 0     |
+      | head  | 50     | 200   | 199  | 1     |
+      | head  | 50     | 200   | 201  | 0     |
+      | head  | 200    | 50    | 199  | 1     |
+      | head  | 200    | 50    | 201  | 0     |
+
+  Scenario Outline: A limit that became shorter applies from the next response on
+    Given a kept connection to an HTTP server on sockets
+    And the operator allows 200 s between requests and 200 s for a head
+    When the limits become 50 s, a request comes after 100 s, and <wait> s pass
+    Then the server holds <count> connections
+
+    Examples:
+      | wait | count |
+      | 49   | 1     |
+      | 51   | 0     |
+
+  Scenario: The bytes of a head that trickles in don't extend its limit
+    Given a kept connection to an HTTP server on sockets
+    And the operator allows 200 s between requests and 10 s for a head
+    When a caller sends one byte of a head every 3 s
+    Then the connection ended after 4 bytes
+
+  Scenario: Only the connections of callers have the time limits of the table
+    Given a daemon whose table allows callers 200 s between requests
+    When a connection to each of its ports has been idle for 100 s
+    Then only the connection to its "caller_server" is open
+
   Scenario: A request whose connection ends in the turn that reads it
     Given a kept connection to an HTTP server on sockets
     When request "r-1" arrives in one segment with malformed bytes in its body
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -2,15 +2,31 @@
 
 import asyncio
 import logging
+from datetime import timedelta
 
 from behave import given, then, when
 from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
 
+from wagtailstep.models.connection import (
+    HEAD_TIMEOUT_S,
+    KEEP_ALIVE_S,
+    ConnectionLimits,
+)
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.table import Table
 from wagtailstep.network.http_connection import reset_transport
-from wagtailstep.network.http_protocol import HEAD_TIMEOUT_S
-from wagtailstep.network.http_server import KEEP_ALIVE_S
+from wagtailstep.network.log_daemon import LogDaemon
+from wagtailstep.utils.clock import LoopClock
 
 STALL_S = 0.1
+ADDRESS = "127.0.0.1:0"
+SERVERS = (
+    "caller_server",
+    "gate_server",
+    "announce_server",
+    "ready_server",
+    "metrics_server",
+)
 
 
 class StallingLoop(asyncio.SelectorEventLoop):
@@ -163,6 +179,140 @@
     run_on_stalling_loop(context, scenario)
 
 
+def build_limits(idle_s, head_s):
+    return ConnectionLimits(
+        head_timeout=timedelta(seconds=head_s), idle_timeout=timedelta(seconds=idle_s)
+    )
+
+
+async def pass_time(loop, seconds):
+    for _ in range(seconds):
+        loop.offset_s += 1
+        await run_turns()
+
+
+@given("the operator allows {idle_s:d} s between requests and {head_s:d} s for a head")
+def allow_time(context, idle_s, head_s):
+    context.limits = build_limits(idle_s, head_s)
+
+
+async def open_limited(context, fixture):
+    """Open a connection to a server with limits that a step may change."""
+    fixture.server.get_limits = lambda: context.limits
+    return await KeptConnection.open(fixture.address)
+
+
+def count_connections(context, fixture):
+    context.connections = len(fixture.server.state.connections)
+
+
+@when("the connection waits on the {limit} limit for {wait_s:d} s")
+def wait_on_limit(context, limit, wait_s):
+    async def scenario(fixture, loop):
+        connection = await open_limited(context, fixture)
+        await start_waiting(connection, limit)
+        await pass_time(loop, wait_s)
+        count_connections(context, fixture)
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when(
+    "the connection waits on the {limit} limit for {wait_s:d} s and it becomes "
+    "{after_s:d} s"
+)
+def wait_on_changing_limit(context, limit, wait_s, after_s):
+    async def scenario(fixture, loop):
+        connection = await open_limited(context, fixture)
+        await start_waiting(connection, limit)
+        await pass_time(loop, 1)
+        context.limits = build_limits(after_s, after_s)
+        await pass_time(loop, wait_s - 1)
+        count_connections(context, fixture)
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when(
+    "the limits become {after_s:d} s, a request comes after {first_s:d} s, and "
+    "{wait_s:d} s pass"
+)
+def wait_twice(context, after_s, first_s, wait_s):
+    async def scenario(fixture, loop):
+        connection = await open_limited(context, fixture)
+        context.limits = build_limits(after_s, after_s)
+        await pass_time(loop, first_s)
+        assert (await connection.exchange(GOOD_REQUEST)).endswith(b"good")
+        await pass_time(loop, wait_s)
+        count_connections(context, fixture)
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("a caller sends one byte of a head every {pause_s:d} s")
+def trickle(context, pause_s):
+    async def scenario(fixture, loop):
+        connection = await open_limited(context, fixture)
+        context.bytes_sent = 0
+        for byte in GOOD_REQUEST[:-1]:
+            connection.writer.write(bytes([byte]))
+            context.bytes_sent += 1
+            await pass_time(loop, pause_s)
+            if not fixture.server.state.connections:
+                break
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@given("a daemon whose table allows callers {idle_s:d} s between requests")
+def use_daemon(context, idle_s):
+    context.limits = build_limits(idle_s, idle_s)
+
+
+@when("a connection to each of its ports has been idle for {idle_s:d} s")
+def wait_at_all_ports(context, idle_s):
+    async def main():
+        loop = asyncio.get_running_loop()
+        addresses = (ADDRESS,) * 4
+        daemon = LogDaemon(DaemonSettings("one", "bole", *addresses), LoopClock())
+        daemon.blackboard.table = Table(connection_limits=context.limits)
+        writers = []
+        for name in SERVERS:
+            bound = await getattr(daemon, name).start(ADDRESS)
+            host, _, port = bound.partition(":")
+            writers.append((await asyncio.open_connection(host, int(port)))[1])
+        await run_turns()
+        await pass_time(loop, idle_s)
+        context.open_at = [
+            name for name in SERVERS if getattr(daemon, name).state.connections
+        ]
+        for writer in writers:
+            writer.close()
+        await daemon.close()
+
+    with asyncio.Runner(loop_factory=StallingLoop) as runner:
+        runner.run(main())
+
+
+@then('only the connection to its "{name}" is open')
+def check_open_at(context, name):
+    assert context.open_at == [name], context.open_at
+
+
+@then("the server holds {count:d} connections")
+def check_connections(context, count):
+    assert context.connections == count, (context.connections, context.log)
+
+
+@then("the connection ended after {count:d} bytes")
+def check_bytes_sent(context, count):
+    assert context.bytes_sent == count, context.bytes_sent
+
+
 @when('the next request arrives while the handler of "{path}" is still ending')
 def overlap(context, path):
     context.first_requests = build_request(path) + GOOD_REQUEST
--- a/src/wagtailstep/models/connection.py
+++ b/src/wagtailstep/models/connection.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+HEAD_TIMEOUT_S = 75
+KEEP_ALIVE_S = 75
+
 
 class ConnectionEnd(Enum):
     """What ended a connection, as logged with a request that it interrupted."""
@@ -40,5 +43,11 @@
         request.
     """
 
-    head_timeout: timedelta = timedelta(seconds=75)
-    idle_timeout: timedelta = timedelta(seconds=75)
+    head_timeout: timedelta = timedelta(seconds=HEAD_TIMEOUT_S)
+    idle_timeout: timedelta = timedelta(seconds=KEEP_ALIVE_S)
+
+    def get_timeout(self, ended_by: ConnectionEnd) -> timedelta:
+        """Return the time after which a wait is ended for this reason."""
+        if ended_by is ConnectionEnd.HEAD_TIMEOUT:
+            return self.head_timeout
+        return self.idle_timeout
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -174,7 +174,11 @@
         add_ready_route(self.ready_app, self.blackboard)
         self.metrics_app = Application(router=Router())
         add_metrics_route(self.metrics_app, self.metrics.export_text)
-        self.caller_server = HttpServer(caller_app, caller_app.announce_closing)
+        self.caller_server = HttpServer(
+            caller_app,
+            caller_app.announce_closing,
+            lambda: self.blackboard.table.connection_limits,
+        )
         self.gate_server = HttpServer(gate_app, gate_app.announce_closing)
         self.announce_server = HttpServer(self.announce_app, lambda: None)
         self.ready_server = HttpServer(self.ready_app, lambda: None)
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -13,10 +13,11 @@
 from http import HTTPStatus
 from typing import Any
 
+import attrs
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from wagtailstep.models.connection import ConnectionEnd
+from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import reset_transport
@@ -25,7 +26,6 @@
 
 logger = logging.getLogger(__name__)
 
-HEAD_TIMEOUT_S = 75
 # Pipelined requests that are read ahead; beyond that the caller is held back.
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
@@ -37,8 +37,30 @@
 uvicorn_logger.setLevel(logging.CRITICAL)
 
 
+@attrs.define
+class Wait:
+    """A time during which a connection waits for its client.
+
+    :param ended_by: what ends the connection if the wait takes too long.
+    :param started_s: time of the event loop at its start.
+    :param limit_s: the time that the connection may wait.
+    """
+
+    ended_by: ConnectionEnd
+    started_s: float
+    limit_s: float
+
+    @property
+    def ends_at_s(self) -> float:
+        """Return the time of the event loop at which it has taken too long."""
+        return self.started_s + self.limit_s
+
+
 class ServerConnection(H11Protocol):
-    """A connection from a caller or another daemon."""
+    """A connection from a caller or another daemon.
+
+    uvicorn's keep-alive timer is the only one. It also limits the time for a head.
+    """
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
@@ -49,7 +71,8 @@
         self.ended_by: ConnectionEnd | None = None
         self.quiet_since_s = self.loop.time()
         self.on_connection_lost: Callable[[], None] = do_nothing
-        self.head_timer: asyncio.TimerHandle | None = None
+        self.get_limits: Callable[[], ConnectionLimits] = ConnectionLimits
+        self.wait: Wait | None = None
 
     @property
     def is_responding(self) -> bool:
@@ -84,28 +107,50 @@
         read. It has to be stopped right then: the handler starts one turn later.
         """
         if self.transport.is_closing() or self.is_responding:
-            self.cancel_timers()
+            self.stop_waiting()
         elif not self.has_partial_head:
-            self.cancel_head_timer()
-            if self.timeout_keep_alive_task is None:
-                self.timeout_keep_alive_task = self.loop.call_later(
-                    self.timeout_keep_alive, self.timeout_keep_alive_handler
-                )
-        elif self.head_timer is None:
-            self.head_timer = self.loop.call_later(
-                HEAD_TIMEOUT_S, self.close, ConnectionEnd.HEAD_TIMEOUT
-            )
+            self.start_waiting(ConnectionEnd.IDLE_TIMEOUT)
+        elif self.wait is None or self.wait.ended_by is ConnectionEnd.IDLE_TIMEOUT:
+            self.start_waiting(ConnectionEnd.HEAD_TIMEOUT)
+        else:
+            self.start_timer(self.wait)
+
+    def start_waiting(self, ended_by: ConnectionEnd) -> None:
+        """Start to wait under the limit that is in force now."""
+        limit_s = self.read_limit_s(ended_by)
+        self.wait = Wait(ended_by, self.loop.time(), limit_s)
+        self.start_timer(self.wait)
+
+    def stop_waiting(self) -> None:
+        """Stop the time limit of the connection, if any."""
+        self.wait = None
+        self._unset_keepalive_if_required()
 
-    def cancel_timers(self) -> None:
-        """Stop all time limits of the connection."""
-        self.cancel_head_timer()
+    def start_timer(self, wait: Wait) -> None:
+        """Start the timer in place of the one that runs, if any."""
         self._unset_keepalive_if_required()
+        self.timeout_keep_alive_task = self.loop.call_at(
+            wait.ends_at_s, self.timeout_keep_alive_handler
+        )
+
+    def read_limit_s(self, ended_by: ConnectionEnd) -> float:
+        """Return the limit that is in force, in seconds."""
+        return self.get_limits().get_timeout(ended_by).total_seconds()
 
-    def cancel_head_timer(self) -> None:
-        """Stop the time limit for the rest of a request's head."""
-        if self.head_timer is not None:
-            self.head_timer.cancel()
-            self.head_timer = None
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection if it has waited for too long.
+
+        Clients rely on a limit that became longer meanwhile. One that became shorter
+        has not moved the timer, so that no wait is shorter than was allowed.
+        """
+        if self.transport.is_closing():
+            return
+        wait = self.wait
+        wait.limit_s = self.read_limit_s(wait.ended_by)
+        if self.loop.time() < wait.ends_at_s:
+            self.start_timer(wait)
+        else:
+            self.close(wait.ended_by)
 
     def close(self, ended_by: ConnectionEnd) -> None:
         """Close the connection after the data written so far."""
@@ -186,17 +231,12 @@
         if self.transport.is_closing():
             self.record_end(ConnectionEnd.SERVER_STOPPED)
 
-    def timeout_keep_alive_handler(self) -> None:
-        """Close the connection, which was idle for too long."""
-        super().timeout_keep_alive_handler()
-        self.record_end(ConnectionEnd.IDLE_TIMEOUT)
-
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the handler if its response is incomplete: the caller has gone."""
         if exc is not None:
             self.record_end(ConnectionEnd.CONNECTION_FAILED)
         self.record_end(ConnectionEnd.CLOSED_BEHIND_RESPONSE)
-        self.cancel_timers()
+        self.stop_waiting()
         was_responding = self.is_responding
         super().connection_lost(exc)
         if self.handler is not None and was_responding:
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -8,11 +8,10 @@
 import uvicorn
 from uvicorn.server import ServerState
 
-from wagtailstep.models.connection import ConnectionEnd
+from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
 from wagtailstep.network.http_protocol import ServerConnection
 
 MAX_HEAD_BYTES = 32_768
-KEEP_ALIVE_S = 75
 BACKLOG = 1_024
 
 
@@ -24,10 +23,17 @@
     :param app: the application.
     :param announce_closing: called when the server stops accepting; from then on the
         application has to ask clients to close their persistent connections.
+    :param get_limits: returns the time limits of connections that are in force.
     """
 
-    def __init__(self, app: Any, announce_closing: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        app: Any,
+        announce_closing: Callable[[], None],
+        get_limits: Callable[[], ConnectionLimits] = ConnectionLimits,
+    ) -> None:
         self.announce_closing = announce_closing
+        self.get_limits = get_limits
         self.state = ServerState()
         self.connection_lost = asyncio.Event()
         self.server: asyncio.Server | None = None
@@ -41,7 +47,6 @@
             log_config=None,
             access_log=False,
             proxy_headers=False,
-            timeout_keep_alive=KEEP_ALIVE_S,
             h11_max_incomplete_event_size=MAX_HEAD_BYTES,
         )
 
@@ -66,6 +71,7 @@
             config=self.config, server_state=self.state, app_state={}
         )
         connection.on_connection_lost = self.connection_lost.set
+        connection.get_limits = self.get_limits
         return connection
 
     def stop_accepting(self) -> None:
