Answer 408 to a head that is incomplete at its time limit

Callers saw: the connection was closed without an answer, so that the request counted as may-have-run although it never was complete. Cause: the limit only closed the connection. Change: the answer is 408 with verdict not-run, then the connection is closed, and one line head-timeout is logged. An idle connection is closed silently as before. Test replaced: "A time limit applies again once the connection waits" had the head closed without an answer. For a head it now asks for the complete answer, its verdict, the close behind it, the line, and that nothing was handled; for an idle connection also that nothing is logged.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -20,15 +20,27 @@
     Then the request is answered with "good"
     And no request was cancelled
 
-  Scenario Outline: A time limit applies again once the connection waits
+  Scenario: A time limit applies again once the connection waits
     Given a kept connection to an HTTP server on sockets
-    When the connection waits past the <limit> limit
+    When the connection waits past the idle limit
     Then the connection is closed without an answer
+    And no line was logged
+
+  Scenario Outline: A caller learns that its incomplete head was not run
+    Given a <kind> connection to an HTTP server on sockets
+    When the connection waits past the head limit
+    Then the connection is closed behind an answer 408 with verdict not-run
+    And one line tells of "head-timeout"
 
     Examples:
-      | limit |
-      | idle  |
-      | head  |
+      | kind |
+      | kept |
+      | new  |
+
+  Scenario: A caller whose head is incomplete gets its earlier answers first
+    Given a kept connection to an HTTP server on sockets
+    When a request arrives with a part of the next head, which waits past its limit
+    Then the request is answered, then 408 with verdict not-run
 
   Scenario Outline: A connection waits for as long as the operator allows
     Given a kept connection to an HTTP server on sockets
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -4,6 +4,7 @@
 import logging
 from datetime import timedelta
 
+import h11
 from behave import given, then, when
 from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
 
@@ -68,9 +69,13 @@
         self.writer = writer
 
     @classmethod
-    async def open(cls, address):
+    async def open_new(cls, address):
         host, _, port = address.partition(":")
-        connection = cls(*await asyncio.open_connection(host, int(port)))
+        return cls(*await asyncio.open_connection(host, int(port)))
+
+    @classmethod
+    async def open(cls, address):
+        connection = await cls.open_new(address)
         assert (await connection.exchange(GOOD_REQUEST)).endswith(b"good")
         return connection
 
@@ -132,9 +137,16 @@
 
 @given("a kept connection to an HTTP server on sockets")
 def use_sockets(context):
+    context.open = KeptConnection.open
     context.limits_s = {"idle": KEEP_ALIVE_S, "head": HEAD_TIMEOUT_S}
 
 
+@given("a new connection to an HTTP server on sockets")
+def use_new_connection(context):
+    use_sockets(context)
+    context.open = KeptConnection.open_new
+
+
 async def run_turns(count=3):
     for _ in range(count):
         await asyncio.sleep(0)
@@ -170,7 +182,8 @@
 @when("the connection waits past the {limit} limit")
 def wait_past_limit(context, limit):
     async def scenario(fixture, loop):
-        connection = await KeptConnection.open(fixture.address)
+        connection = await context.open(fixture.address)
+        fixture.handled.clear()
         await start_waiting(connection, limit)
         loop.offset_s += context.limits_s[limit] + STALL_S
         context.received = await connection.read_response()
@@ -179,6 +192,23 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when("a request arrives with a part of the next head, which waits past its limit")
+def wait_behind_request(context):
+    async def scenario(fixture, loop):
+        connection = await context.open(fixture.address)
+        connection.writer.write(build_request("/wait") + b"GET ")
+        await run_turns()
+        loop.offset_s += context.limits_s["head"] + STALL_S
+        await run_turns()
+        fixture.proceed.set()
+        context.first_received = await connection.read_response()
+        loop.offset_s += context.limits_s["head"] + STALL_S
+        context.received = await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
 def build_limits(idle_s, head_s):
     return ConnectionLimits(
         head_timeout=timedelta(seconds=head_s), idle_timeout=timedelta(seconds=idle_s)
@@ -390,6 +420,48 @@
     assert context.received == b"", (context.received, context.log)
 
 
+def check_not_run(received, log):
+    """Check that a complete answer 408 with verdict not-run is all that follows."""
+    assert received, log
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
+    parser.receive_data(received)
+    parser.receive_data(b"")
+    response = parser.next_event()
+    assert type(response) is h11.Response, (received, log)
+    assert response.status_code == 408, received
+    headers = dict(response.headers)
+    assert headers[b"wagtailstep-verdict"] == b"not-run", headers
+    assert headers[b"connection"] == b"close", headers
+    while type(event := parser.next_event()) is h11.Data:
+        pass
+    assert type(event) is h11.EndOfMessage, (event, received)
+    assert parser.trailing_data == (b"", True), parser.trailing_data
+
+
+@then("the connection is closed behind an answer 408 with verdict not-run")
+def check_request_timeout(context):
+    check_not_run(context.received, context.log)
+    check_not_handled(context)
+
+
+@then("the request is answered, then 408 with verdict not-run")
+def check_answers(context):
+    assert context.first_received.endswith(b"good"), context.first_received
+    check_not_run(context.received, context.log)
+
+
+@then('one line tells of "{event}"')
+def check_line(context, event):
+    (line,) = context.log
+    assert f"event={event} " in line, line
+
+
+@then("no line was logged")
+def check_no_line(context):
+    assert context.log == [], context.log
+
+
 @then("the request is not handled")
 def check_not_handled(context):
     assert context.fixture.handled == [], context.fixture.handled
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -149,13 +149,12 @@
         wait.limit_s = self.read_limit_s(wait.ended_by)
         if self.loop.time() < wait.ends_at_s:
             self.start_timer(wait)
+            return
+        self.record_end(wait.ended_by)
+        if wait.ended_by is ConnectionEnd.HEAD_TIMEOUT:
+            self.refuse_late_head(wait)
         else:
-            self.close(wait.ended_by)
-
-    def close(self, ended_by: ConnectionEnd) -> None:
-        """Close the connection after the data written so far."""
-        self.record_end(ended_by)
-        self.transport.close()
+            self.transport.close()
 
     def record_end(self, ended_by: ConnectionEnd) -> None:
         """Record what ended the connection; what follows from that is not recorded."""
@@ -278,6 +277,17 @@
             return
         self.send_error_response(status, str(error or msg))
 
+    def refuse_late_head(self, wait: Wait) -> None:
+        """Reject a request whose head is still incomplete, so that it never runs."""
+        log_event(
+            logger,
+            wait.ended_by.value,
+            level=logging.WARNING,
+            client=self.client,
+            limit_ms=round(wait.limit_s * MS_PER_S),
+        )
+        self.send_error_response(408, "the head of the request took too long")
+
     def send_error_response(self, status: int, detail: str) -> None:
         """Write an error response without running a handler, and close."""
         headers = [
