Test a time limit that falls due on a connection that already closes

Guards the answer 408: without the check that the connection is open, the limit of a head would write into a connection that is closing while its data is unread.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -42,6 +42,11 @@
     When a request arrives with a part of the next head, which waits past its limit
     Then the request is answered, then 408 with verdict not-run
 
+  Scenario: A time limit that falls due on a connection that already closes
+    Given a kept connection to an HTTP server on sockets
+    When the server closes the connection within a head, but its data is not read in time
+    Then no line was logged
+
   Scenario Outline: A connection waits for as long as the operator allows
     Given a kept connection to an HTTP server on sockets
     And the operator allows <idle> s between requests and <head> s for a head
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -6,7 +6,13 @@
 
 import h11
 from behave import given, then, when
-from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
+from http_server_steps import (
+    CHUNK,
+    GOOD_REQUEST,
+    HUGE_CHUNKS,
+    LogCapture,
+    ServerFixture,
+)
 
 from wagtailstep.models.connection import (
     HEAD_TIMEOUT_S,
@@ -209,6 +215,23 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when(
+    "the server closes the connection within a head, but its data is not read in time"
+)
+def close_unread(context):
+    async def scenario(fixture, loop):
+        connection = await context.open(fixture.address)
+        await start_waiting(connection, "head")
+        (at_server,) = fixture.server.state.connections
+        at_server.transport.write(CHUNK * HUGE_CHUNKS)
+        at_server.shutdown()
+        await pass_time(loop, context.limits_s["head"] + 1)
+        assert at_server.transport.get_write_buffer_size()
+        connection.writer.transport.abort()
+
+    run_on_stalling_loop(context, scenario)
+
+
 def build_limits(idle_s, head_s):
     return ConnectionLimits(
         head_timeout=timedelta(seconds=head_s), idle_timeout=timedelta(seconds=idle_s)
