--- a/src/wagtailstep/models/connection.py
+++ b/src/wagtailstep/models/connection.py
@@ -1,7 +1,13 @@
 """Connections of callers and other daemons."""
 
+from datetime import timedelta
 from enum import Enum
 
+import attrs
+
+HEAD_TIMEOUT_S = 75
+KEEP_ALIVE_S = 75
+
 
 class ConnectionEnd(Enum):
     """What ended a connection, as logged with a request that it interrupted."""
@@ -26,3 +32,22 @@
     """This daemon stops."""
     CANCELLED = "cancelled"
     """The handler was cancelled although the connection was open."""
+
+
+@attrs.frozen
+class ConnectionLimits:
+    """How long a server waits on its connections.
+
+    :param head_timeout: from the first byte of a request's head to its end.
+    :param idle_timeout: from a response, or the start of the connection, to the next
+        request.
+    """
+
+    head_timeout: timedelta = timedelta(seconds=HEAD_TIMEOUT_S)
+    idle_timeout: timedelta = timedelta(seconds=KEEP_ALIVE_S)
+
+    def get_timeout(self, ended_by: ConnectionEnd) -> timedelta:
+        """Return the time after which a wait is ended for this reason."""
+        if ended_by is ConnectionEnd.HEAD_TIMEOUT:
+            return self.head_timeout
+        return self.idle_timeout
