Notice that a caller leaves whose request asks for another protocol

Callers saw nothing; a request of a caller that had left went on running. Cause: reading goes on behind a pipelined request, so that a disconnect is noticed, only in the parser's state DONE.

--- a/features/pipelining.feature
+++ b/features/pipelining.feature
@@ -39,6 +39,7 @@
       | requests            | running | handled       |
       | wait echo-1 echo-2  | wait    | wait          |
       | slow-end wait       | wait    | slow-end wait |
+      | upgrade wait        | upgrade | upgrade       |
 
   Scenario: A caller that sends thousands of requests is held back
     When a caller sends 100000 requests behind one that is handled
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -75,7 +75,7 @@
 
     async def answer(self, incoming):
         name = incoming.path.strip("/")
-        if name == "wait":
+        if name in ("wait", "upgrade"):
             await self.proceed.wait()
         if name == "read":
             async for _ in incoming.body:
--- a/features/steps/pipelining_steps.py
+++ b/features/steps/pipelining_steps.py
@@ -9,12 +9,17 @@
 from http_server_steps import connect, read_all, run_server
 
 MALFORMED = b"what is this\r\n\r\n"
+UPGRADE = (
+    b"GET /upgrade HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: h2c\r\n\r\n"
+)
 RESPONSE = re.compile(rb"HTTP/1\.1 (\d+)[^\r]*\r\n(.*?)\r\n\r\n", re.DOTALL)
 
 
 def build_request(name):
     if name == "malformed":
         return MALFORMED
+    if name == "upgrade":
+        return UPGRADE
     return f"GET /{name} HTTP/1.1\r\nhost: a\r\n\r\n".encode()
 
 
--- a/src/wagtailstep/commands/explain_request.py
+++ b/src/wagtailstep/commands/explain_request.py
@@ -18,7 +18,7 @@
 MILLISECOND = timedelta(milliseconds=1)
 END_EVENTS = ("request-ended", "request-unanswered")
 SERVED_OUTCOME = "status-200"
-# As ended_by in lines of the event request-cancelled.
+# As ended_by in lines of the event request-cancelled; older daemons log none.
 ENDED_BY_CALLER = frozenset(
     {ConnectionEnd.CALLER_CLOSED.value, ConnectionEnd.CONNECTION_FAILED.value, ""}
 )
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -30,6 +30,8 @@
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
 MS_PER_S = 1_000
+# The latter until the response to a request that asks for another protocol.
+REQUEST_READ_STATES = (h11.DONE, h11.MIGHT_SWITCH_PROTOCOL)
 
 # Silenced: uvicorn also logs malformed requests and unfinished responses, which this
 # package already logs as key=value lines.
@@ -215,7 +217,7 @@
         uvicorn stops to read there, and would not notice that the caller disconnects.
         """
         super().handle_events()
-        if self.flow.read_paused and self.conn.their_state is h11.DONE:
+        if self.flow.read_paused and self.conn.their_state in REQUEST_READ_STATES:
             pipelined_bytes, _ = self.conn.trailing_data
             if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
                 self.flow.resume_reading()
