Load Fire only where there are arguments to parse

A daemon on the platform is started by "run" without further arguments, yet it loaded Fire, argparse and termcolor: 33 modules. A command without parameters that is named alone is now called at once; all else goes through Fire as before. The parsing moved unchanged to cli/arguments.py.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -25,6 +25,9 @@
       | fakes    | backend contracts --address=host.invalid:1 | 2    | can't be listened on         |
       | fakes    | backends /nowhere.json                     | 2    | /nowhere.json: can't be read |
       | platform | check                                      | 2    | it names the settings file   |
+      | platform | check more                                 | 2    | more                         |
+      | platform | stop                                       | 2    | stop                         |
+      | platform |                                            | 2    | no command was given         |
 
   Scenario: A daemon whose address is in use reports it
     Given a settings file whose caller address is in use
--- a/src/wagtailstep/cli/run.py
+++ b/src/wagtailstep/cli/run.py
@@ -1,14 +1,12 @@
-"""Command dispatch of all programs, and the mapping of errors to exit codes."""
+"""Command dispatch of all programs, and the mapping of errors to exit codes.
 
-import contextlib
-import functools
-import io
+Fire is imported only if there are arguments to parse, since a daemon on the platform is
+one of hundreds of processes and has none.
+"""
+
+import inspect
 import sys
 from collections.abc import Callable
-from typing import Any
-
-import fire
-from fire.core import FireExit
 
 from wagtailstep.cli import status_codes
 from wagtailstep.exceptions import (
@@ -52,10 +50,8 @@
     :return: the exit code; 2 for an invalid argument, in which case nothing was run.
     """
     try:
-        deferred_call = _parse_arguments(commands, name)
-        return deferred_call() or status_codes.SUCCESS
-    except FireExit as stop:
-        return stop.code
+        call = _find_plain_command(commands) or _parse_arguments(commands, name)
+        return call() or status_codes.SUCCESS
     except WagtailstepError as error:
         print_error(str(error))
         return get_exit_code(error)
@@ -63,59 +59,19 @@
         return status_codes.ERROR
 
 
+def _find_plain_command(commands: dict[str, Command] | Command) -> Command | None:
+    """Return the command that is named without arguments and has no parameters."""
+    if callable(commands) or len(sys.argv) != 2:
+        return None
+    command = commands.get(sys.argv[1])
+    if command is None or inspect.signature(command).parameters:
+        return None
+    return command
+
+
 def _parse_arguments(
     commands: dict[str, Command] | Command, name: str
 ) -> Callable[[], int | None]:
-    """Let Fire select the command and bind its arguments, without running it.
+    from wagtailstep.cli.arguments import parse_arguments
 
-    Fire calls a function before it reports arguments that it could not use, so it
-    gets wrappers that only store their arguments.
-
-    :raises SettingsError: if an argument is invalid.
-    :raises FireExit: after the help text was printed.
-    """
-    deferred_calls: list[Callable[[], int | None]] = []
-    help_output = io.StringIO()
-    try:
-        with contextlib.redirect_stderr(help_output):
-            fire.Fire(
-                _defer_commands(commands, deferred_calls),
-                name=name,
-                serialize=_print_none,
-            )
-    except FireExit as stop:
-        if stop.code == 0:
-            print(help_output.getvalue(), file=sys.stderr)
-            raise
-        problem = stop.trace.elements[-1].ErrorAsStr()
-        raise SettingsError(f"{problem}; see {name} --help") from stop
-    if not deferred_calls:
-        raise SettingsError(f"no command was given; see {name} --help")
-    return deferred_calls[0]
-
-
-def _print_none(_result: Any) -> None:
-    return None
-
-
-def _defer_commands(
-    commands: dict[str, Command] | Command,
-    deferred_calls: list[Callable[[], int | None]],
-) -> Any:
-    if callable(commands):
-        return _defer_command(commands, deferred_calls)
-    return {
-        name: _defer_command(command, deferred_calls)
-        for name, command in commands.items()
-    }
-
-
-def _defer_command(
-    command: Command, deferred_calls: list[Callable[[], int | None]]
-) -> Callable[..., None]:
-    # ``wraps`` keeps the signature and doc comment, which Fire reads.
-    @functools.wraps(command)
-    def defer_call(*args: Any, **kwargs: Any) -> None:
-        deferred_calls.append(functools.partial(command, *args, **kwargs))
-
-    return defer_call
+    return parse_arguments(commands, name)
