--- a/features/check_imports.py
+++ b/features/check_imports.py
@@ -1,15 +1,19 @@
-"""Check that every module imports and that daemons load nothing that they never use.
+"""Check that every module imports and what a daemon on the platform loads.
 
-The modules are those of the program, the benchmarks and the demo.
+The modules are those of the program, the benchmarks and the demo. A daemon must load
+nothing that it never uses, and compile nothing.
 """
 
 import importlib
+import importlib.util
 import json
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
+import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PLATFORM_SETTINGS = {
@@ -73,6 +77,44 @@
     return sorted(list_platform_modules().intersection(UNUSED_BY_PLATFORM))
 
 
+def find_uncompiled_modules():
+    """Run the build of the deployment; return the modules left without bytecode.
+
+    The build finds its dependencies up to date, so it installs none.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        top = pathlib.Path(folder)
+        ignore = shutil.ignore_patterns("__pycache__")
+        shutil.copytree(ROOT / "src", top / "src", ignore=ignore)
+        shutil.copytree(ROOT / "deploy", top / "deploy")
+        (top / "target" / "deps").mkdir(parents=True)
+        build = tomllib.loads((top / "deploy" / "system.toml").read_text())["build"]
+        interpreters = str(pathlib.Path(sys.executable).parent)
+        path = os.pathsep.join((interpreters, os.environ["PATH"]))
+        subprocess.run(
+            build, shell=True, cwd=top, env={**os.environ, "PATH": path}, check=True
+        )
+        package = top / "target" / "deps" / "wagtailstep"
+        return [
+            str(module.relative_to(package))
+            for module in sorted(package.rglob("*.py"))
+            if not has_bytecode(module)
+        ]
+
+
+def has_bytecode(module):
+    """Return whether the interpreter will load a module without compiling it."""
+    bytecode = pathlib.Path(importlib.util.cache_from_source(module))
+    if not bytecode.exists():
+        return False
+    modified_at = int(module.stat().st_mtime)
+    header = b"".join(
+        number.to_bytes(4, "little")
+        for number in (0, modified_at, module.stat().st_size)
+    )
+    return bytecode.read_bytes()[:16] == importlib.util.MAGIC_NUMBER + header
+
+
 def main():
     """Run all checks; print what fails and return the exit code."""
     sys.path[:0] = [str(ROOT), str(ROOT / "src"), str(ROOT / "examples")]
@@ -86,6 +128,9 @@
     for name in find_unused_modules():
         failed += 1
         print(f"a daemon on the platform loads {name}, which it never uses")
+    for name in find_uncompiled_modules():
+        failed += 1
+        print(f"{name}: the build leaves no bytecode, so each start compiles it")
     return 1 if failed else 0
 
 
