Deliver an answer that arrived in a stall past the deadline

Cause: after the process stood still, one turn of the event loop reads the socket and then runs the timer of the deadline. The timer cancelled the task that waited for what had just been read. Change: a Deadline that has passed lets the event loop take some turns, each of which reads the sockets, before it cancels what it limits. The rest of an answer may be read on for 0.25 s; an answer that is not there ends after those turns. Verdicts are unchanged. Class: a timer that acts on state which it assumes instead of checking.

--- /dev/null
+++ b/features/stalls.feature
@@ -0,0 +1,30 @@
+Feature: What arrived while the process stood still counts, whatever fell due meanwhile
+
+  Scenario Outline: An answer that arrived in a stall past the deadline is delivered
+    Given a server on sockets and an HTTP client with a deadline
+    When the <part> of the answer to a <method> arrives in a stall past the deadline
+    Then the complete answer is received
+
+    Examples:
+      | part               | method |
+      | whole              | GET    |
+      | whole              | POST   |
+      | rest               | GET    |
+      | rest               | POST   |
+      | whole, of 300000 B | GET    |
+      | rest, of 300000 B  | POST   |
+
+  Scenario Outline: A request whose answer is not there ends at its deadline
+    Given a server on sockets and an HTTP client with a deadline
+    When <bytes> of the answer to a GET arrive in a stall past the deadline
+    Then it ends at once as "<reason>" with verdict "may-have-run"
+
+    Examples:
+      | bytes  | reason            |
+      | none   | deadline-exceeded |
+      | a part | truncated-answer  |
+
+  Scenario: An answer without end is cut soon after its deadline
+    Given a server on sockets and an HTTP client with a deadline
+    When the server goes on sending the answer to a GET after the deadline
+    Then it ends at once as "truncated-answer" with verdict "may-have-run"
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -23,6 +23,7 @@
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import ConnectionWatch
+from wagtailstep.network.deadlines import Deadline, limit_time
 from wagtailstep.network.http_connection import (
     HttpConnection,
     HttpRequest,
@@ -40,11 +41,11 @@
 
     :param client: client whose pool the connection is released to.
     :param connection: connection that the body is read from.
-    :param deadline: event loop time in seconds by which the body must be complete.
+    :param deadline: limits each read of the body.
     """
 
     def __init__(
-        self, client: "HttpClient", connection: HttpConnection, deadline: float
+        self, client: "HttpClient", connection: HttpConnection, deadline: Deadline
     ) -> None:
         self.client = client
         self.connection = connection
@@ -76,7 +77,7 @@
         """Read one event; close the connection on failure."""
         address = self.connection.address
         try:
-            async with asyncio.timeout_at(self.deadline):
+            async with self.deadline:
                 return await self.connection.read_event()
         except TimeoutError as error:
             await self.close()
@@ -128,12 +129,11 @@
         :raises RequestError: with the verdict ``NOT_RUN`` only if no byte of the
             request was written.
         """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + request.time_left.total_seconds()
+        deadline = limit_time(request.time_left)
         connection = await self.acquire(request)
         watch = self.create_silence_watch(connection, request)
         try:
-            async with asyncio.timeout_at(deadline):
+            async with deadline:
                 head = await connection.exchange_heads(request)
         except (OSError, h11.ProtocolError) as error:
             connection.close()
