Use a connection that opened in a stall past the connect timeout

Callers saw nothing or a retry; the entry took a reachable gate for unreachable and avoided it. Change: the connect timeout is a Deadline. Class: a timer that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -28,3 +28,8 @@
     Given a server on sockets and an HTTP client with a deadline
     When the server goes on sending the answer to a GET after the deadline
     Then it ends at once as "truncated-answer" with verdict "may-have-run"
+
+  Scenario: A connection that opened in a stall past the connect timeout is used
+    Given a server on sockets and an HTTP client with a deadline
+    When the process stands still past the connect timeout while it connects
+    Then each request reaches the server
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -14,6 +14,7 @@
 
 TIME_LEFT = timedelta(seconds=10)
 MANY_TURNS = 50
+MAX_CONNECT_TURNS = 8
 
 
 def run_on_stalling_loop(scenario):
@@ -178,6 +179,26 @@
     run_harness(context, scenario)
 
 
+@when("the process stands still past the connect timeout while it connects")
+def stall_while_connecting(context):
+    async def scenario(harness):
+        for turns in range(MAX_CONNECT_TURNS):
+            task = asyncio.create_task(harness.call("POST"))
+            await run_turns(turns)
+            harness.loop.offset_s += harness.client.settings.connect_timeout_ms / 1000
+            await run_turns()
+            task.cancel()
+        context.results = harness.results
+
+    run_harness(context, scenario)
+
+
+@then("each request reaches the server")
+def check_reached(context):
+    assert context.results == [], context.results
+    assert len(context.harness.server.writers) == MAX_CONNECT_TURNS
+
+
 @then("the complete answer is received")
 def check_complete(context):
     result = context.harness.result
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -174,7 +174,7 @@
         connect_timeout = timedelta(milliseconds=self.settings.connect_timeout_ms)
         limit = min(connect_timeout, request.time_left)
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with limit_time(limit):
                 return await open_connection(request.address, self.clock.monotonic())
         except OSError as error:
             message = f"could not connect to {request.address}: {error or 'timeout'}"
