Do not send a request whose deadline has passed

Callers saw: 504 "may have run" for a request that could have been answered with "not run"; the backend server worked for nobody. Cause: after waiting for a slot or a connection, the client wrote the request without looking at its deadline, and gave up a turn later. Change: the client checks the deadline before it writes; past it, the request ends as not run. Class: a step that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -33,3 +33,15 @@
     Given a server on sockets and an HTTP client with a deadline
     When the process stands still past the connect timeout while it connects
     Then each request reaches the server
+
+  Scenario Outline: A request whose deadline passed in a stall is not sent any more
+    Given a server on sockets and an HTTP client with a deadline
+    When the deadline of a GET passes before it is sent over a <kind> connection
+    Then it ends at once as "deadline-exceeded" with verdict "not-run"
+    And the server received <count> requests
+    And the server is not to blame
+
+    Examples:
+      | kind | count |
+      | new  | 0     |
+      | kept | 1     |
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -1,12 +1,14 @@
 """Steps for time limits that fall due while the event loop stands still."""
 
 import asyncio
+import contextlib
 from datetime import timedelta
 
 from behave import given, then, when
 from caller_connections_steps import STALL_S, StallingLoop
 
 from wagtailstep.exceptions import RequestError
+from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
@@ -32,6 +34,7 @@
 
     def __init__(self):
         self.writers = []
+        self.received = []
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -39,11 +42,13 @@
         return f"{host}:{port}"
 
     async def serve(self, reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
         self.writers.append(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                self.received.append(await reader.readuntil(b"\r\n\r\n"))
 
     async def wait_for_request(self, number=1):
-        while len(self.writers) < number:
+        while len(self.received) < number:
             await asyncio.sleep(0.001)
         # The client has nothing left to do for the request.
         await run_turns()
@@ -53,6 +58,7 @@
         for writer in self.writers:
             writer.close()
         self.server.close()
+        await run_turns()
 
 
 async def yield_body():
@@ -96,10 +102,11 @@
         (result,) = self.results
         return result
 
-    async def call(self, method):
+    async def call(self, method, time_left=TIME_LEFT):
         """Send a request and record the body of its answer, or the error."""
+        request = build_request(self.address, method, time_left)
         try:
-            answer = await self.client.send(build_request(self.address, method))
+            answer = await self.client.send(request)
             body = b"".join([chunk async for chunk in answer.body])
             self.results.append(body)
         except RequestError as error:
@@ -120,6 +127,7 @@
 def run_harness(context, scenario):
     context.harness = StallHarness()
     run_on_stalling_loop(lambda: context.harness.run(lambda: scenario(context.harness)))
+    context.server = context.harness.server
 
 
 @given("a server on sockets and an HTTP client with a deadline")
@@ -196,7 +204,34 @@
 @then("each request reaches the server")
 def check_reached(context):
     assert context.results == [], context.results
-    assert len(context.harness.server.writers) == MAX_CONNECT_TURNS
+    assert len(context.server.received) == MAX_CONNECT_TURNS
+
+
+@when("the deadline of a GET passes before it is sent over a {kind} connection")
+def stall_before_sending(context, kind):
+    time_left = timedelta() if kind == "kept" else timedelta(seconds=STALL_S)
+
+    async def scenario(harness):
+        if kind == "kept":
+            task = asyncio.create_task(harness.call("GET"))
+            (await harness.server.wait_for_request()).write(
+                b"".join(build_answer(context.size))
+            )
+            await task
+            harness.results.clear()
+        task = asyncio.create_task(harness.call("GET", time_left))
+        await run_turns(1)
+        harness.stall()
+        await run_turns()
+        context.ended = task.done()
+        task.cancel()
+
+    run_harness(context, scenario)
+
+
+@then("the server is not to blame")
+def check_blame(context):
+    assert context.harness.result.blame is Blame.CALLER, context.harness.result.blame
 
 
 @then("the complete answer is received")
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -58,6 +58,11 @@
         self.grace_s = grace.total_seconds()
         self.late_until: float | None = None
 
+    @property
+    def has_passed(self) -> bool:
+        """Return whether the deadline has passed."""
+        return self.loop.time() >= self.when
+
     async def __aenter__(self) -> Self:
         """Start to limit what follows.
 
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -131,6 +131,12 @@
         """
         deadline = limit_time(request.time_left)
         connection = await self.acquire(request)
+        if deadline.has_passed:
+            connection.close()
+            message = f"no time was left to send the request to {request.address}"
+            error = DeadlineExceededError(message, Verdict.NOT_RUN)
+            error.blame = Blame.CALLER
+            raise error
         watch = self.create_silence_watch(connection, request)
         try:
             async with deadline:
