Let an attempt report its end after a stall past the deadline

Callers saw: 504 "may have run" although the answer was in the daemon's socket, or although the gate beside it knew that the request was never run. Cause: the entry's own limit on an attempt, 20 ms after the deadline, fell due in the same turn of the event loop as the deadline itself, and cancelled what the attempt was about to report. Change: this limit is a Deadline; its 20 ms count from the moment at which the event loop notices that the deadline has passed. Class: a timer that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -45,3 +45,25 @@
       | kind | count |
       | new  | 0     |
       | kept | 1     |
+
+  Scenario Outline: An answer that arrived in a stall past every time limit is delivered
+    Given a server on sockets and an entry with its gate
+    When the answer to a <method> arrives in a stall past its deadline
+    Then the complete answer is received
+    And the server received 1 request
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
+
+  Scenario Outline: A request ends as its gate reports after a stall past every time limit
+    Given a server on sockets and an entry with its gate
+    When the process stands still past the deadline of a request that <waits>
+    Then it ends at once as "deadline-exceeded" with verdict "<verdict>"
+    And the error says that <reason>
+
+    Examples:
+      | waits                | verdict      | reason                             |
+      | waits for a slot     | not-run      | the request was queued at the gate |
+      | waits for its answer | may-have-run | within the time limit              |
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -2,19 +2,37 @@
 
 import asyncio
 import contextlib
+import itertools
+import random
 from datetime import timedelta
 
+import attrs
 from behave import given, then, when
 from caller_connections_steps import STALL_S, StallingLoop
+from routing_steps import make_member, make_settings
 
+from wagtailstep.controllers.attempt_timeout import ATTEMPT_TIMEOUT_FRACTION
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import RequestError
-from wagtailstep.models.request import Blame
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.exchange import IncomingRequest
+from wagtailstep.models.fleet import Target
+from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.bodies import ReplayableBody
+from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.forwarder import HttpForwarder
+from wagtailstep.network.gate import GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.sender import AttemptSender
+from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import LoopClock
 
 TIME_LEFT = timedelta(seconds=10)
+AIM = timedelta(seconds=1)
 MANY_TURNS = 50
 MAX_CONNECT_TURNS = 8
 
@@ -47,12 +65,15 @@
             while True:
                 self.received.append(await reader.readuntil(b"\r\n\r\n"))
 
-    async def wait_for_request(self, number=1):
-        while len(self.received) < number:
+    async def wait_for_requests(self, count):
+        while len(self.received) < count:
             await asyncio.sleep(0.001)
-        # The client has nothing left to do for the request.
+        # The client has nothing left to do for these requests.
         await run_turns()
-        return self.writers[number - 1]
+
+    async def wait_for_request(self):
+        await self.wait_for_requests(1)
+        return self.writers[0]
 
     async def close(self):
         for writer in self.writers:
@@ -124,8 +145,66 @@
         self.loop.offset_s += STALL_S
 
 
+class PathHarness(StallHarness):
+    """An entry and its own gate before the server, which serves two targets."""
+
+    def start_path(self, aim=timedelta()):
+        self.aim = aim
+        board = Blackboard(make_member("d1"), members={"d1": make_member("d1")})
+        for name in ("contracts/i-1", "contracts/i-2"):
+            board.targets[name] = Target(
+                name, "contracts", "d1", "bole", slots=1, address=self.address
+            )
+        settings = attrs.evolve(
+            make_settings(),
+            requests=RequestSettings(retry_slack=60 if aim else 0),
+        )
+        clock = LoopClock()
+        arguments = (settings, board, clock, random.Random(1))
+        self.routing = RoutingController(*arguments)
+        self.gate = GateService(
+            settings, GateController(*arguments), self.client, clock
+        )
+        self.sender = AttemptSender(
+            board,
+            clock,
+            self.routing,
+            RetryPolicy(settings.requests, clock, lambda: 1),
+            HttpForwarder(board, self.client, self.gate),
+            do_nothing,
+        )
+        self.serials = itertools.count(1)
+
+    async def call(self, method="GET", time_left=TIME_LEFT):
+        """Send a request and record the body of its answer, or the error."""
+        request = RequestContext(
+            request_id=f"r{next(self.serials)}",
+            service="contracts",
+            route="sign",
+            account="",
+            method=method,
+            path="/",
+            idempotent=True,
+            idempotency_key=None,
+            deadline=self.sender.clock.monotonic() + time_left,
+            aim=self.aim,
+        )
+        headers = (("content-length", "4"),) if method == "POST" else ()
+        incoming = IncomingRequest(method, "/", headers, yield_body())
+        self.routing.admit(request)
+        exchange = Exchange(
+            request, incoming, ReplayableBody(incoming.body, 100), self.routing
+        )
+        try:
+            answer = await self.sender.run(exchange)
+            self.results.append(b"".join([chunk async for chunk in answer.body]))
+            await answer.close()
+        except RequestError as error:
+            self.results.append(error)
+
+
 def run_harness(context, scenario):
-    context.harness = StallHarness()
+    context.harness = context.harness_class()
     run_on_stalling_loop(lambda: context.harness.run(lambda: scenario(context.harness)))
     context.server = context.harness.server
 
@@ -133,6 +212,55 @@
 @given("a server on sockets and an HTTP client with a deadline")
 def use_sockets(context):
     context.size = 6
+    context.harness_class = StallHarness
+
+
+@given("a server on sockets and an entry with its gate")
+def use_entry(context):
+    context.size = 6
+    context.harness_class = PathHarness
+
+
+@when("{part} answer to a {method} arrives in a stall past its {limit}")
+def stall_attempt(context, part, method, limit):
+    aim, limit_s = timedelta(), TIME_LEFT.total_seconds()
+    if limit == "attempt timeout":
+        aim, limit_s = AIM, ATTEMPT_TIMEOUT_FRACTION * AIM.total_seconds()
+
+    async def scenario(harness):
+        harness.start_path(aim)
+        task = asyncio.create_task(harness.call(method))
+        writer = await harness.server.wait_for_request()
+        harness.loop.offset_s += limit_s - STALL_S
+        await run_turns()
+        if part == "the":
+            writer.write(b"".join(build_answer(context.size)))
+        harness.loop.offset_s += 2 * STALL_S
+        await run_turns()
+        task.cancel()
+        await asyncio.wait({task})
+
+    run_harness(context, scenario)
+
+
+@when("the process stands still past the deadline of a request that {waits}")
+def stall_without_answer(context, waits):
+    running = 2 if waits == "waits for a slot" else 0
+
+    async def scenario(harness):
+        harness.start_path()
+        tasks = [asyncio.create_task(harness.call()) for _ in range(running)]
+        await harness.server.wait_for_requests(running)
+        task = asyncio.create_task(harness.call("GET", TIME_LEFT / 2))
+        await run_turns()
+        harness.loop.offset_s += TIME_LEFT.total_seconds() / 2 + STALL_S
+        await run_turns()
+        context.ended = task.done()
+        for task in tasks:
+            task.cancel()
+        await run_turns()
+
+    run_harness(context, scenario)
 
 
 @when("the {part} of the answer to a {method} arrives in a stall past the deadline")
@@ -154,7 +282,7 @@
 
 
 @when("{part} of the answer to a GET arrive in a stall past the deadline")
-def stall_without_answer(context, part):
+def stall_with_a_part(context, part):
     head, body = build_answer(context.size)
 
     async def scenario(harness):
@@ -229,6 +357,17 @@
     run_harness(context, scenario)
 
 
+@then("{count:d} retries are spent")
+def check_spent(context, count):
+    spent = context.harness.sender.retries.shared_budget.retries
+    assert sum(window.total for window in spent.values()) == count, spent
+
+
+@then("the error says that {text}")
+def check_error_text(context, text):
+    assert text in str(context.harness.result), str(context.harness.result)
+
+
 @then("the server is not to blame")
 def check_blame(context):
     assert context.harness.result.blame is Blame.CALLER, context.harness.result.blame
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -31,6 +31,7 @@
 from wagtailstep.network.attempt_log import AttemptLog
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
+from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
 
@@ -310,8 +311,10 @@
         exchange.abandoned = False
         timer: asyncio.TimerHandle | None = None
         try:
-            async with asyncio.timeout((left + grace).total_seconds()) as timeout:
-                timer = self.start_attempt_timeout(exchange, target, left, timeout)
+            async with limit_time(left, grace) as deadline:
+                timer = self.start_attempt_timeout(
+                    exchange, target, left, deadline.timeout
+                )
                 answer = await self.forwarder.forward(
                     request, gate, target.target_id, exchange.build_incoming(), left
                 )
