Do not replace an attempt whose answer is there

Callers saw: a later answer, or none when their time ran out; backend servers ran an idempotent request twice, and the retry budget was spent for nothing. Cause: the timeout of an attempt fell due in a stall in which its answer arrived; in one turn of the event loop the answer was read and the attempt abandoned. Change: the attempt's timeout is a SettledTimer, which first lets what has arrived be handled. Once the answer is there, the timer is stopped. Class: a timer that acts on state which it assumes instead of checking. Measured: before, a GET got its answer but spent a retry, and a POST with a body had its answer thrown away; both keep answer and retry now.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -46,6 +46,24 @@
       | new  | 0     |
       | kept | 1     |
 
+  Scenario Outline: An attempt whose answer arrived in a stall past its timeout is not replaced
+    Given a server on sockets and an entry with its gate
+    When the answer to a <method> arrives in a stall past its attempt timeout
+    Then the complete answer is received
+    And the server received 1 request
+    And 0 retries are spent
+
+    Examples:
+      | method |
+      | GET    |
+      | POST   |
+
+  Scenario: An attempt without an answer is replaced at its timeout
+    Given a server on sockets and an entry with its gate
+    When no answer to a GET arrives in a stall past its attempt timeout
+    Then the server received 2 requests
+    And 1 retries are spent
+
   Scenario Outline: An answer that arrived in a stall past every time limit is delivered
     Given a server on sockets and an entry with its gate
     When the answer to a <method> arrives in a stall past its deadline
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -31,7 +31,7 @@
 from wagtailstep.network.attempt_log import AttemptLog
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
-from wagtailstep.network.deadlines import limit_time
+from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.utils.clock import Clock
 
@@ -309,7 +309,7 @@
         grace = timedelta(milliseconds=DEADLINE_GRACE_MS)
         exchange.attempt_in_progress = True
         exchange.abandoned = False
-        timer: asyncio.TimerHandle | None = None
+        timer: SettledTimer | None = None
         try:
             async with limit_time(left, grace) as deadline:
                 timer = self.start_attempt_timeout(
@@ -342,17 +342,15 @@
         target: Target,
         time_left: timedelta,
         timeout: asyncio.Timeout,
-    ) -> asyncio.TimerHandle | None:
+    ) -> SettledTimer | None:
         """Start the timer that abandons a slow attempt before the deadline."""
         health = self.blackboard.health.get(target.target_id)
         expected_latency = health.latency if health is not None else None
         delay = compute_attempt_timeout(exchange.request, time_left, expected_latency)
         if delay is None:
             return None
-        loop = asyncio.get_running_loop()
-        return loop.call_later(
-            delay.total_seconds(), self.abandon_attempt, exchange, timeout
-        )
+        due_at = asyncio.get_running_loop().time() + delay.total_seconds()
+        return SettledTimer(due_at, self.abandon_attempt, exchange, timeout)
 
     def abandon_attempt(self, exchange: Exchange, timeout: asyncio.Timeout) -> None:
         """Abandon an attempt that takes too long, if another one may be made.
