Run a request whose slot became free in a stall

Callers saw: 503 "no slot became free in time", or a detour over another gate, although the slot was free. Cause: the limit on the wait at a gate fell due in a stall in which the answer that frees the slot arrived; the limit struck first. Change: the limit is a Deadline. A slot granted past the request's own deadline is freed again and nothing is sent, as before. Class: a timer that acts on state which it assumes instead of checking. Measured: the scenario on the queueing time failed before (OverloadedError) and passes; the one on the deadline passed before and after, and no slot stays occupied in either. stalls, gate, gate_path, entry, asking_gates, at_most_once pass.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -85,3 +85,17 @@
       | waits                | verdict      | reason                             |
       | waits for a slot     | not-run      | the request was queued at the gate |
       | waits for its answer | may-have-run | within the time limit              |
+
+  Scenario: A request whose slot became free in a stall past its queueing time is run
+    Given a server on sockets and an entry with its gate
+    When a slot becomes free in a stall past the queueing time of a request
+    Then the complete answer is received
+    And the server received 2 requests
+    And no slot is occupied
+
+  Scenario: A request whose slot became free in a stall past its deadline is not run
+    Given a server on sockets and an entry with its gate
+    When a slot becomes free in a stall past the deadline of a request
+    Then it ends at once as "deadline-exceeded" with verdict "not-run"
+    And the server received 1 request
+    And no slot is occupied
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -19,12 +19,13 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Target
+from wagtailstep.models.headers import REQUEST_ID, TARGET, TIMEOUT_MS
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.bodies import ReplayableBody
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.forwarder import HttpForwarder
-from wagtailstep.network.gate import GateService
+from wagtailstep.network.gate import MAX_WAIT_FACTOR, GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.sender import AttemptSender
@@ -33,6 +34,7 @@
 
 TIME_LEFT = timedelta(seconds=10)
 AIM = timedelta(seconds=1)
+TARGET_ID = "contracts/i-1"
 MANY_TURNS = 50
 MAX_CONNECT_TURNS = 8
 
@@ -126,10 +128,14 @@
     async def call(self, method, time_left=TIME_LEFT):
         """Send a request and record the body of its answer, or the error."""
         request = build_request(self.address, method, time_left)
+        await self.record(self.client.send(request))
+
+    async def record(self, answering):
+        """Record the body of an answer, or the error."""
         try:
-            answer = await self.client.send(request)
-            body = b"".join([chunk async for chunk in answer.body])
-            self.results.append(body)
+            answer = await answering
+            self.results.append(b"".join([chunk async for chunk in answer.body]))
+            await answer.close()
         except RequestError as error:
             self.results.append(error)
 
@@ -151,7 +157,7 @@
     def start_path(self, aim=timedelta()):
         self.aim = aim
         board = Blackboard(make_member("d1"), members={"d1": make_member("d1")})
-        for name in ("contracts/i-1", "contracts/i-2"):
+        for name in (TARGET_ID, "contracts/i-2"):
             board.targets[name] = Target(
                 name, "contracts", "d1", "bole", slots=1, address=self.address
             )
@@ -195,12 +201,17 @@
         exchange = Exchange(
             request, incoming, ReplayableBody(incoming.body, 100), self.routing
         )
-        try:
-            answer = await self.sender.run(exchange)
-            self.results.append(b"".join([chunk async for chunk in answer.body]))
-            await answer.close()
-        except RequestError as error:
-            self.results.append(error)
+        await self.record(self.sender.run(exchange))
+
+    async def call_gate(self, request_id, time_left):
+        """Send a request to the gate; record its body or the error."""
+        headers = (
+            (REQUEST_ID, request_id),
+            (TARGET, TARGET_ID),
+            (TIMEOUT_MS, str(time_left // timedelta(milliseconds=1))),
+        )
+        incoming = IncomingRequest("GET", "/", headers, yield_body())
+        await self.record(self.gate.handle(incoming))
 
 
 def run_harness(context, scenario):
@@ -263,6 +274,38 @@
     run_harness(context, scenario)
 
 
+@when("a slot becomes free in a stall past the {limit} of a request")
+def stall_in_queue(context, limit):
+    limit_s = TIME_LEFT.total_seconds() / 2
+    if limit == "queueing time":
+        limit_s = MAX_WAIT_FACTOR * RequestSettings().queue_timeout_ms / 1_000
+
+    async def scenario(harness):
+        harness.start_path()
+        running = asyncio.create_task(harness.call_gate("r1", TIME_LEFT))
+        writer = await harness.server.wait_for_request()
+        task = asyncio.create_task(harness.call_gate("r2", TIME_LEFT / 2))
+        await run_turns()
+        answer = b"".join(build_answer(context.size))
+        writer.write(answer)
+        harness.loop.offset_s += limit_s
+        await run_turns()
+        assert running.done()
+        harness.results.remove(build_answer(context.size)[1])
+        if len(harness.server.received) > 1:
+            writer.write(answer)
+            await task
+        context.ended = task.done()
+        context.occupied = len(harness.gate.controller.queues[TARGET_ID].running)
+
+    run_harness(context, scenario)
+
+
+@then("no slot is occupied")
+def check_slots(context):
+    assert context.occupied == 0, context.occupied
+
+
 @when("the {part} of the answer to a {method} arrives in a stall past the deadline")
 def stall_with_answer(context, part, method):
     part, _, size = part.removesuffix(" B").partition(", of ")
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -65,6 +65,7 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import REVOCATION_PATH, AttemptStateAnswer
+from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.gate_answers import (
     assess_failure,
     assess_work,
@@ -225,7 +226,7 @@
             self.apply_effects(self.controller.handle(GateRequestArrived(request)))
             if future.done():
                 return future.result()
-            async with asyncio.timeout(max_wait.total_seconds()):
+            async with limit_time(max_wait):
                 await future
         except TimeoutError as error:
             self.abandon_request(request)
