Use what an entry waited for and got in a stall past the deadline

Callers saw: 504 for a request whose stored answer had just been found, 409 "may have been executed" for a relayed request whose answer was there, and 504 "body did not arrive" for one whose body had. Cause: the entry's waits for a request body, for the decision on an idempotency key and for a relayed answer ended by timers that fell due in the stall in which it arrived. Change: these waits are limited by Deadlines. A decision to run the request after its deadline still ends as not run, before anything is sent. Class: a timer that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -99,3 +99,25 @@
     Then it ends at once as "deadline-exceeded" with verdict "not-run"
     And the server received 1 request
     And no slot is occupied
+
+  Scenario Outline: What an entry waited for arrives in a stall past the deadline
+    Given a server on sockets and an entry that waits for <what>
+    When it arrives in a stall past the deadline
+    Then the complete answer is received
+
+    Examples:
+      | what                    |
+      | the rest of a body      |
+      | a decision on a key     |
+      | the answer of a relay   |
+
+  Scenario Outline: What an entry waited for does not arrive in a stall past the deadline
+    Given a server on sockets and an entry that waits for <what>
+    When it does not arrive in a stall past the deadline
+    Then it ends at once as "<reason>" with verdict "<verdict>"
+
+    Examples:
+      | what                    | reason            | verdict      |
+      | the rest of a body      | deadline-exceeded | not-run      |
+      | a decision on a key     | deadline-exceeded | not-run      |
+      | the answer of a relay   | duplicate         | may-have-run |
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -4,11 +4,13 @@
 import contextlib
 import itertools
 import random
+import socket
 from datetime import timedelta
 
 import attrs
 from behave import given, then, when
 from caller_connections_steps import STALL_S, StallingLoop
+from entry_steps import EntryHarness
 from routing_steps import make_member, make_settings
 
 from wagtailstep.controllers.attempt_timeout import ATTEMPT_TIMEOUT_FRACTION
@@ -20,6 +22,7 @@
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.headers import REQUEST_ID, TARGET, TIMEOUT_MS
+from wagtailstep.models.idempotency import Replay, RequestDecided, StoredAnswer
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.bodies import ReplayableBody
@@ -88,6 +91,11 @@
     yield b"body"
 
 
+async def yield_from(reader):
+    while data := await reader.read(100):
+        yield data
+
+
 def build_request(address, method="GET", time_left=TIME_LEFT):
     return HttpRequest(
         address=address,
@@ -214,6 +222,93 @@
         await self.record(self.gate.handle(incoming))
 
 
+class SocketRelay:
+    """Relays requests to the server."""
+
+    def __init__(self, client, address):
+        self.client = client
+        self.address = address
+
+    async def relay(self, member, incoming, time_left):
+        return await self.client.send(build_request(self.address, "POST", time_left))
+
+
+class WaitingEntryHarness(StallHarness):
+    """An entry that waits for one thing, which arrives over a socket."""
+
+    async def start(self, what, expected):
+        self.near, far = socket.socketpair()
+        reader, self.writer = await asyncio.open_connection(sock=far)
+        self.entry = EntryHarness(1).create_entry()
+        self.entry.relay = SocketRelay(self.client, self.address)
+        request = RequestContext(
+            request_id="r1",
+            service="contracts",
+            route="sign",
+            account="",
+            method="POST",
+            path="/",
+            idempotent=False,
+            idempotency_key="k1",
+            deadline=self.entry.clock.monotonic() + TIME_LEFT,
+            first_sending=True,
+        )
+        incoming = IncomingRequest("POST", "/", (), yield_from(reader))
+        body = ReplayableBody(incoming.body, 100)
+        exchange = Exchange(request, incoming, body, self.entry.routing)
+        start = {
+            "the rest of a body": self.start_reading,
+            "a decision on a key": self.start_deciding,
+            "the answer of a relay": self.start_relaying,
+        }[what]
+        return await start(exchange, expected)
+
+    async def start_reading(self, exchange, expected):
+        """Return the task that reads a body, and what delivers the body."""
+        reading = self.entry.within_deadline(exchange, exchange.body.prefetch())
+        return self.start_task(reading), lambda: self.near.send(expected)
+
+    async def start_deciding(self, exchange, expected):
+        """Return the task that waits for a decision, and what delivers it."""
+        decision = Replay(StoredAnswer(200, (), expected))
+
+        def receive():
+            self.near.recv(1)
+            self.entry.deliver_decision(RequestDecided("r1", decision))
+
+        async def wait():
+            found = await self.entry.wait_for_decision(exchange.request, ())
+            return found.answer.body
+
+        self.loop.add_reader(self.near, receive)
+        return self.start_task(wait()), lambda: self.writer.write(b"x")
+
+    async def start_relaying(self, exchange, expected):
+        """Return the task that relays a request, and what answers it."""
+
+        async def relay():
+            answer = await self.entry.relay_request(exchange, make_member("d2"))
+            return b"".join([chunk async for chunk in answer.body])
+
+        task = self.start_task(relay())
+        writer = await self.server.wait_for_request()
+        return task, lambda: writer.write(b"".join(build_answer(len(expected))))
+
+    def start_task(self, waiting):
+        async def record():
+            try:
+                self.results.append(await waiting)
+            except RequestError as error:
+                self.results.append(error)
+
+        return asyncio.create_task(record())
+
+    def close(self):
+        self.loop.remove_reader(self.near)
+        self.near.close()
+        self.writer.close()
+
+
 def run_harness(context, scenario):
     context.harness = context.harness_class()
     run_on_stalling_loop(lambda: context.harness.run(lambda: scenario(context.harness)))
@@ -274,6 +369,32 @@
     run_harness(context, scenario)
 
 
+@given("a server on sockets and an entry that waits for {what}")
+def use_waiting_entry(context, what):
+    context.size = 100
+    context.harness_class = WaitingEntryHarness
+    context.what = what
+
+
+@when("it {arrives} in a stall past the deadline")
+def stall_entry(context, arrives):
+    _, expected = build_answer(context.size)
+
+    async def scenario(harness):
+        task, deliver = await harness.start(context.what, expected)
+        await run_turns()
+        if arrives == "arrives":
+            deliver()
+        harness.loop.offset_s += TIME_LEFT.total_seconds()
+        await run_turns(2 * MANY_TURNS)
+        context.ended = task.done()
+        harness.close()
+        task.cancel()
+        await asyncio.wait({task})
+
+    run_harness(context, scenario)
+
+
 @when("a slot becomes free in a stall past the {limit} of a request")
 def stall_in_queue(context, limit):
     limit_s = TIME_LEFT.total_seconds() / 2
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -44,6 +44,7 @@
     prepend_chunks,
     read_body_start,
 )
+from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.entry_notes import EntryReporter
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.interpret import fingerprint_request
@@ -226,7 +227,7 @@
         """
         request = exchange.request
         try:
-            async with asyncio.timeout(self.sender.time_left(request).total_seconds()):
+            async with limit_time(self.sender.time_left(request)):
                 return await reading
         except TimeoutError:
             error = DeadlineExceededError(
@@ -248,7 +249,7 @@
         self.apply(list(effects))
         decision = None
         try:
-            async with asyncio.timeout(self.sender.time_left(request).total_seconds()):
+            async with limit_time(self.sender.time_left(request)):
                 decision = await future
             return decision
         except TimeoutError:
@@ -348,7 +349,7 @@
         """
         time_left = self.sender.time_left(exchange.request)
         incoming = self.build_relayed_request(exchange, time_left)
-        async with asyncio.timeout(time_left.total_seconds()):
+        async with limit_time(time_left):
             return await self.relay.relay(member, incoming, time_left)
 
     def build_relayed_request(
