Keep an answer that arrived together with the gate's news of its end

Callers saw: 502, an answer cut short. Cause: the watch of a silent connection had asked the gate about the attempt. The gate's reply ("ended") and the answer itself arrived in one stall; the reply was handled first, and the connection was reset under the answer. Class: a decision on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -121,3 +121,25 @@
       | the rest of a body      | deadline-exceeded | not-run      |
       | a decision on a key     | deadline-exceeded | not-run      |
       | the answer of a relay   | duplicate         | may-have-run |
+
+  Scenario Outline: A connection that got its answer in a stall has lost nothing
+    Given a server on sockets and an HTTP client with a deadline
+    When an answer of <size> B and the news that its request has ended arrive in a stall
+    Then the complete answer is received
+
+    Examples:
+      | size   |
+      | 6      |
+      | 300000 |
+
+  Scenario: A connection without an answer to a request that has ended is given up
+    Given a server on sockets and an HTTP client with a deadline
+    When only the news that its request has ended arrives in a stall
+    Then it ends at once as "connection-failed" with verdict "may-have-run"
+
+  Scenario: A request whose answer arrived in a stall is not asked for
+    Given a server on sockets and an HTTP client with a deadline
+    When an answer arrives in a stall past the silence timeout
+    Then the complete answer is received
+    And the server received 2 requests
+    And the gate counts as reachable
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -37,6 +37,7 @@
 
 TIME_LEFT = timedelta(seconds=10)
 AIM = timedelta(seconds=1)
+ENDED = b'{"state":"ended"}'
 TARGET_ID = "contracts/i-1"
 MANY_TURNS = 50
 MAX_CONNECT_TURNS = 8
@@ -369,6 +370,70 @@
     run_harness(context, scenario)
 
 
+async def start_watched_call(harness):
+    """Start a request over a kept connection to a gate."""
+    harness.unreachable = []
+    harness.client.on_unreachable = harness.unreachable.append
+    first = asyncio.create_task(harness.call("GET"))
+    writer = await harness.server.wait_for_request()
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nwagtailstep-gate-id: g\r\ncontent-length: 0\r\n\r\n"
+    )
+    await first
+    harness.results.clear()
+    request = attrs.evolve(
+        build_request(harness.address, "GET", timedelta(seconds=30)),
+        attempt_id="r1.1",
+    )
+    task = asyncio.create_task(harness.record(harness.client.send(request)))
+    await harness.server.wait_for_requests(2)
+    harness.loop.offset_s += request.silence_timeout.total_seconds()
+    return task, writer
+
+
+@when(
+    "an answer of {size:d} B and the news that its request has ended arrive in a stall"
+)
+def stall_with_answer_and_news(context, size):
+    context.size = size
+    stall_with_news(context, b"".join(build_answer(size)))
+
+
+@when("only the news that its request has ended arrives in a stall")
+def stall_with_news(context, answer=b""):
+    head, body = build_answer(len(ENDED))
+
+    async def scenario(harness):
+        task, writer = await start_watched_call(harness)
+        await harness.server.wait_for_requests(3)
+        harness.server.writers[1].write(head + ENDED)
+        writer.write(answer)
+        await run_turns()
+        context.ended = task.done()
+        task.cancel()
+        await asyncio.wait({task})
+
+    run_harness(context, scenario)
+
+
+@when("an answer arrives in a stall past the silence timeout")
+def stall_past_silence(context):
+    async def scenario(harness):
+        task, writer = await start_watched_call(harness)
+        writer.write(b"".join(build_answer(context.size)))
+        await run_turns()
+        task.cancel()
+        await asyncio.wait({task})
+        context.unreachable = harness.unreachable
+
+    run_harness(context, scenario)
+
+
+@then("the gate counts as reachable")
+def check_reachable(context):
+    assert context.unreachable == [], context.unreachable
+
+
 @given("a server on sockets and an entry that waits for {what}")
 def use_waiting_entry(context, what):
     context.size = 100
--- a/src/wagtailstep/network/connection_watch.py
+++ b/src/wagtailstep/network/connection_watch.py
@@ -19,6 +19,7 @@
 from wagtailstep.models.headers import GATE_ID
 from wagtailstep.models.request import Blame
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.deadlines import handle_arrivals
 from wagtailstep.network.http_connection import HttpConnection, HttpRequest
 
 QUERY_TIMEOUT = timedelta(milliseconds=500)
@@ -81,6 +82,7 @@
             state = await self.query_attempt_state()
             error = self.assess_state(state)
             if error is not None:
+                await handle_arrivals()
                 self.connection.fail(error)
                 return
             await asyncio.sleep(self.interval)
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -17,6 +17,12 @@
 LATE_READING_S = 0.25
 
 
+async def handle_arrivals() -> None:
+    """Return once what has arrived by now is handled."""
+    for _ in range(SETTLING_TURNS):
+        await asyncio.sleep(0)
+
+
 class SettledTimer:
     """A timer that calls back once what had arrived when it fell due is handled.
 
