Do not reuse a connection that ended while the process stood still

Callers saw: 502 "may have run" for a request that no server had read, or the server's farewell (408) as its answer. Cause: after a stall a task may take a kept connection before the event loop has read from its socket that the server closed it. The time since the last response does not help: it is counted from the moment at which the daemon, late, handled that response. Change: before reuse the client asks the operating system whether the socket has unread bytes or an end. Class: a step that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -143,3 +143,15 @@
     Then the complete answer is received
     And the server received 2 requests
     And the gate counts as reachable
+
+  Scenario Outline: A connection that its server ended in a stall is not used again
+    Given a server on sockets and an HTTP client with a deadline
+    When the server <ends> a kept connection in a stall before a <method>
+    Then the complete answer is received
+    And the server received 2 requests
+
+    Examples:
+      | ends      | method |
+      | closes    | GET    |
+      | closes    | POST   |
+      | writes on | POST   |
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -429,6 +429,41 @@
     run_harness(context, scenario)
 
 
+def close_now(writer):
+    # The transport would wait for the next turn of the event loop.
+    writer.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+
+
+ENDS = {
+    "closes": close_now,
+    "writes on": lambda writer: writer.write(b"HTTP/1.1 408 Timeout\r\n\r\n"),
+}
+
+
+@when("the server {ends} a kept connection in a stall before a {method}")
+def stall_before_reuse(context, ends, method):
+    answer = b"".join(build_answer(context.size))
+
+    async def scenario(harness):
+        first = asyncio.create_task(harness.call("GET"))
+        writer = await harness.server.wait_for_request()
+        writer.write(answer)
+        await first
+        harness.results.clear()
+        ENDS[ends](writer)
+        task = asyncio.create_task(harness.call(method))
+        # The request is sent in the turn in which the process goes on.
+        await run_turns()
+        if len(harness.server.writers) > 1:
+            harness.server.writers[1].write(answer)
+        await run_turns()
+        context.ended = task.done()
+        task.cancel()
+        await asyncio.wait({task})
+
+    run_harness(context, scenario)
+
+
 @then("the gate counts as reachable")
 def check_reachable(context):
     assert context.unreachable == [], context.unreachable
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -207,6 +207,8 @@
                 pool.pop().close()
             elif now - connection.last_response_at > max_age:
                 return None
+            elif connection.has_unseen_input:
+                pool.pop().close()
             else:
                 return pool.pop()
         return None
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP/1.1 connection, without pipelining."""
 
 import asyncio
+import select
 import socket
 import struct
 from collections.abc import AsyncIterator, Iterable
@@ -117,6 +118,20 @@
             return False
         return self.bytes_consumed == self.reader.bytes_received
 
+    @property
+    def has_unseen_input(self) -> bool:
+        """Return whether the socket holds bytes, or an end, not read from it yet.
+
+        After the process stood still, a server that closed the connection meanwhile is
+        noticed by this at once, by the event loop only in its next turn.
+        """
+        sock = self.writer.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(sock, select.POLLIN)
+        return bool(poller.poll(0))
+
     def write_event(self, event: h11.Event) -> None:
         """Write one event of the request.
 
