Judge others' silence only after what they sent in a stall is handled

Callers saw: 503 "leaving" from the gate of a healthy backend server. Cause: after the process had stood still for longer than the lease of an announcement (3 s), the first tick came before the renewal that lay in a socket was handled, and the backend server left. Leases of other daemons' targets and suspicions are judged at ticks in the same way. Change: a tick that would come late by an interval (0.1 s) or more is put off by another interval, at most twice. Class: a timer that acts on state which it assumes instead of checking.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -155,3 +155,13 @@
       | closes    | GET    |
       | closes    | POST   |
       | writes on | POST   |
+
+  Scenario: A backend server that announced itself in a stall past its lease stays
+    Given a daemon to which a backend server announces itself over sockets
+    When its next announcement arrives in a stall past its lease
+    Then the target was always "serving"
+
+  Scenario: A backend server that went silent before a stall past its lease leaves
+    Given a daemon to which a backend server announces itself over sockets
+    When no announcement arrives in a stall past its lease
+    Then the target was first "serving" and then "leaving"
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -9,10 +9,12 @@
 
 import attrs
 from behave import given, then, when
+from blacksheep import Application, Router
 from caller_connections_steps import STALL_S, StallingLoop
 from entry_steps import EntryHarness
 from routing_steps import make_member, make_settings
 
+from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.attempt_timeout import ATTEMPT_TIMEOUT_FRACTION
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.controllers.retries import RetryPolicy
@@ -25,12 +27,16 @@
 from wagtailstep.models.idempotency import Replay, RequestDecided, StoredAnswer
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.announcements import add_announcement_routes
 from wagtailstep.network.bodies import ReplayableBody
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.forwarder import HttpForwarder
 from wagtailstep.network.gate import MAX_WAIT_FACTOR, GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.http_server import HttpServer
+from wagtailstep.network.memory_channel import InMemoryPeerChannel, MemoryNetwork
+from wagtailstep.network.runtime import Runtime, RuntimeAdapters
 from wagtailstep.network.sender import AttemptSender
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import LoopClock
@@ -650,3 +656,78 @@
     assert isinstance(error, RequestError), error
     found = (error.reason, error.verdict.value)
     assert found == (reason, verdict), found
+
+
+class AnnouncementHarness:
+    """The controller of announcements in a ticking runtime with its HTTP server."""
+
+    def __init__(self):
+        self.states = []
+        self.sockets = []
+
+    def handle(self, event):
+        """Note each new state of the announced target, as the last controller."""
+        for target in self.board.targets.values():
+            if self.states[-1:] != [target.state.value]:
+                self.states.append(target.state.value)
+        return []
+
+    async def run(self, scenario):
+        self.loop = asyncio.get_running_loop()
+        settings, clock, rng = make_settings(), LoopClock(), random.Random(1)
+        self.lease_s = settings.membership.announce_lease_ms / 1_000
+        self.board = Blackboard(make_member("d1"))
+        channel = InMemoryPeerChannel(MemoryNetwork(rng), "d1", "d1")
+        adapters = RuntimeAdapters(log=None, channel=channel, probe=None)
+        self.runtime = Runtime(settings, self.board, clock, rng, adapters)
+        announcements = AnnouncementController(settings, self.board, clock, rng)
+        self.runtime.controllers = (announcements, self)
+        app = Application(router=Router())
+        add_announcement_routes(app, self.runtime.dispatch, settings, clock)
+        await app.start()
+        server = HttpServer(app, do_nothing)
+        self.address = await server.start("127.0.0.1:0")
+        await self.runtime.start()
+        await scenario()
+        for sock in self.sockets:
+            sock.close()
+        await self.runtime.close()
+        await server.close()
+
+    def announce(self):
+        """Announce the backend server without a turn of the event loop."""
+        body = b'{"address": "127.0.0.1:8000"}'
+        head = f"PUT /v1/targets/contracts HTTP/1.1\r\ncontent-length: {len(body)}\r\n"
+        host, _, port = self.address.partition(":")
+        sock = socket.create_connection((host, int(port)))
+        sock.sendall(head.encode() + b"connection: close\r\nhost: a\r\n\r\n" + body)
+        self.sockets.append(sock)
+
+
+@given("a daemon to which a backend server announces itself over sockets")
+def use_announcements(context):
+    context.harness_class = AnnouncementHarness
+
+
+@when("{which} announcement arrives in a stall past its lease")
+def stall_past_lease(context, which):
+    async def scenario(harness):
+        harness.announce()
+        while not harness.states:
+            await asyncio.sleep(0.001)
+        if which == "its next":
+            harness.announce()
+        harness.loop.offset_s += harness.lease_s
+        await run_turns()
+        # Some ticks, however late they come.
+        await asyncio.sleep(1)
+
+    context.harness = context.harness_class()
+    run_on_stalling_loop(lambda: context.harness.run(lambda: scenario(context.harness)))
+
+
+@then('the target was always "{state}"')
+@then('the target was first "{state}" and then "{later}"')
+def check_states(context, state, later=None):
+    expected = [state] if later is None else [state, later]
+    assert context.harness.states == expected, context.harness.states
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -39,6 +39,8 @@
 
 LOGGER = logging.getLogger(__name__)
 TICK_INTERVAL_MS = 100
+# Ticks go on, late, in a process that stands still all the time.
+MAX_SLEEPS_BEFORE_TICK = 3
 
 
 @attrs.define
@@ -152,7 +154,7 @@
         """Dispatch a tick at a fixed interval."""
         while True:
             self.dispatch(Tick())
-            await asyncio.sleep(TICK_INTERVAL_MS / 1_000)
+            await sleep_until_tick()
 
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine until it ends or the runtime closes."""
@@ -256,6 +258,21 @@
         self.dispatch(await self.adapters.probe(effect))
 
 
+async def sleep_until_tick() -> None:
+    """Sleep for a tick interval, and some more if the process stood still meanwhile.
+
+    At a tick, controllers draw conclusions from others' silence. After a stall that is
+    the silence of this process, until what others sent meanwhile has been handled.
+    """
+    loop = asyncio.get_running_loop()
+    interval_s = TICK_INTERVAL_MS / 1_000
+    for _ in range(MAX_SLEEPS_BEFORE_TICK):
+        due_at = loop.time() + interval_s
+        await asyncio.sleep(interval_s)
+        if loop.time() < due_at + interval_s:
+            return
+
+
 @functools.singledispatch
 def apply_effect(effect: Any, runtime: Runtime) -> None:
     """Carry out one effect.
