--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -23,6 +23,7 @@
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import ConnectionWatch
+from wagtailstep.network.deadlines import Deadline, limit_time
 from wagtailstep.network.http_connection import (
     HttpConnection,
     HttpRequest,
@@ -40,11 +41,11 @@
 
     :param client: client whose pool the connection is released to.
     :param connection: connection that the body is read from.
-    :param deadline: event loop time in seconds by which the body must be complete.
+    :param deadline: limits each read of the body.
     """
 
     def __init__(
-        self, client: "HttpClient", connection: HttpConnection, deadline: float
+        self, client: "HttpClient", connection: HttpConnection, deadline: Deadline
     ) -> None:
         self.client = client
         self.connection = connection
@@ -76,7 +77,7 @@
         """Read one event; close the connection on failure."""
         address = self.connection.address
         try:
-            async with asyncio.timeout_at(self.deadline):
+            async with self.deadline:
                 return await self.connection.read_event()
         except TimeoutError as error:
             await self.close()
@@ -128,12 +129,17 @@
         :raises RequestError: with the verdict ``NOT_RUN`` only if no byte of the
             request was written.
         """
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + request.time_left.total_seconds()
+        deadline = limit_time(request.time_left)
         connection = await self.acquire(request)
+        if deadline.has_passed:
+            connection.close()
+            message = f"no time was left to send the request to {request.address}"
+            error = DeadlineExceededError(message, Verdict.NOT_RUN)
+            error.blame = Blame.CALLER
+            raise error
         watch = self.create_silence_watch(connection, request)
         try:
-            async with asyncio.timeout_at(deadline):
+            async with deadline:
                 head = await connection.exchange_heads(request)
         except (OSError, h11.ProtocolError) as error:
             connection.close()
@@ -174,7 +180,7 @@
         connect_timeout = timedelta(milliseconds=self.settings.connect_timeout_ms)
         limit = min(connect_timeout, request.time_left)
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with limit_time(limit):
                 return await open_connection(request.address, self.clock.monotonic())
         except OSError as error:
             message = f"could not connect to {request.address}: {error or 'timeout'}"
@@ -201,6 +207,8 @@
                 pool.pop().close()
             elif now - connection.last_response_at > max_age:
                 return None
+            elif connection.has_unseen_input:
+                pool.pop().close()
             else:
                 return pool.pop()
         return None
