Let an early answer that closes its connection reach the caller

Callers saw a reset in place of the answer to an upload that was refused while a daemon was being stopped: read by the daemon, no answer, and the refusal (not-run) was lost. Cause: during a planned stop every answer carries Connection: close. If it comes before the end of the request's body, the connection was closed with unread bytes; that resets it, and the caller's next write or read fails. The same holds between entry and gate. A caller that leaves in that time has its answer, so no request-cancelled is logged. Class: a connection closed before the other side has seen what was sent. Measured: the new scenario "An answer that closes the connection while the caller still sends" failed before (broken pipe) and passes; the two others (an upload that never ends, a caller that leaves) passed before and pass.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -49,3 +49,19 @@
       | malformed bytes follow            | malformed-request |
       | the handler is cancelled          | cancelled         |
       | the response can't be written     | response-failed   |
+
+  Scenario: An answer that closes the connection while the caller still sends
+    Given a kept connection to an HTTP server on sockets
+    When the server stops to accept and answers an upload before its end
+    Then the request is answered with "good"
+    And the caller could send all of its upload
+
+  Scenario: A caller that does not go on with its upload does not keep its connection
+    Given a kept connection to an HTTP server on sockets
+    When the server stops to accept and answers an upload that never ends
+    Then the connection is closed behind the answer
+
+  Scenario: A caller that leaves after an early answer is not reported
+    Given a kept connection to an HTTP server on sockets
+    When the server stops to accept and answers an upload whose caller then leaves
+    Then no request was reported as interrupted
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
 
+from wagtailstep.network.early_answers import LINGER_S
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.http_protocol import HEAD_TIMEOUT_S
 from wagtailstep.network.http_server import KEEP_ALIVE_S
@@ -223,6 +224,73 @@
     run_on_stalling_loop(context, scenario)
 
 
+async def start_upload(fixture):
+    """Return a connection with an upload whose answer came before its last byte."""
+    connection = await KeptConnection.open(fixture.address)
+    fixture.server.stop_accepting()
+    head = "POST /good HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\n"
+    connection.writer.write(head.encode() + b"half")
+    while len(fixture.handled) < 2:
+        await asyncio.sleep(0)
+    await run_turns(10)
+    return connection
+
+
+@when("the server stops to accept and answers an upload before its end")
+def answer_early(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        for byte in b"rest":
+            connection.writer.write(bytes([byte]))
+            await run_turns(10)
+        context.could_send = not connection.writer.is_closing()
+        context.received = await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("the server stops to accept and answers an upload that never ends")
+def answer_endless_upload(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        loop.offset_s += LINGER_S + STALL_S
+        context.received = await connection.read_response()
+        context.behind = await connection.reader.read()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("the server stops to accept and answers an upload whose caller then leaves")
+def leave_after_answer(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        context.received = await connection.read_response()
+        connection.writer.close()
+        while fixture.server.state.tasks:
+            await asyncio.sleep(0.001)
+
+    run_on_stalling_loop(context, scenario)
+
+
+@then("the caller could send all of its upload")
+def check_could_send(context):
+    assert context.could_send, context.log
+
+
+@then("the connection is closed behind the answer")
+def check_closed_behind(context):
+    assert context.received.endswith(b"good"), context.received
+    assert context.behind == b"", context.behind
+
+
+@then("no request was reported as interrupted")
+def check_nothing_reported(context):
+    assert context.received.endswith(b"good"), context.received
+    assert context.log == [], context.log
+
+
 @then('one line tells that request "{request_id}" was ended by "{ended_by}"')
 def check_ended_by(context, request_id, ended_by):
     lines = [line for line in context.log if f"request_id={request_id}" in line]
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -19,6 +19,7 @@
 from wagtailstep.models.connection import ConnectionEnd
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.early_answers import EarlyAnswer
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.logging import log_event
@@ -123,14 +124,16 @@
         started_s = self.loop.time()
         quiet_s = started_s - self.quiet_since_s
         scope[CONNECTION_KEY] = self
+        answer = EarlyAnswer(self.conn, scope, receive, send)
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
-                await self.inner_app(scope, receive, send)
+                await self.inner_app(scope, receive, answer.send)
                 return
             self.log_interruption(scope, started_s, quiet_s)
         except asyncio.CancelledError:
-            self.log_interruption(scope, started_s, quiet_s)
+            if not answer.written:
+                self.log_interruption(scope, started_s, quiet_s)
             self.reset_connection()
         except Exception:
             self.record_end(ConnectionEnd.RESPONSE_FAILED)
