Close idle connections soon after the listener, not at the end of a drain

Cause: while any request was in flight, a drain went on to take requests from idle connections until its limit, and cut them there. Without a request in flight it ended in the turn in which it started; a connection accepted shortly before came to life after that, its request was passed on, and the end of the daemon cut it. Change: after the listener has closed, a drain waits 0.3 s (at most half its limit) for requests that are under way, then closes idle connections, and each other one behind its last answer. Nothing is read after a drain has ended. A server whose listener stays open drains as before. The limits and the readiness are the same; a daemon without requests stops 0.3 s later. Class: work that is taken on after the decision that none is left.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -50,6 +50,19 @@
       | the handler is cancelled          | cancelled         |
       | the response can't be written     | response-failed   |
 
+  Scenario Outline: A request that arrives while the listener closes
+    Given a kept connection to an HTTP server on sockets
+    When a new connection sends a request <turns> turns before the server drains
+    Then the request is answered with "good" or was never read
+
+    Examples:
+      | turns |
+      | 0     |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+
   Scenario: An answer that closes the connection while the caller still sends
     Given a kept connection to an HTTP server on sockets
     When the server stops to accept and answers an upload before its end
--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -72,3 +72,14 @@
     Then a new connection was refused
     And the kept-alive connection got a response that closes it
     And the drain ended only after the request in flight had completed
+
+  Scenario: A drain serves no request that its limit would cut off
+    Given an HTTP server in memory
+    When the server drains for 3 s with one request in flight, and a kept-alive connection waits until 50 ms before the limit
+    Then the kept-alive connection was closed before
+    And only the handler of "/wait" was cancelled
+
+  Scenario: A drain without requests ends before its limit
+    Given an HTTP server in memory
+    When the server drains for 200 ms without a request
+    Then the drain had ended in time
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import logging
+import socket
+from datetime import timedelta
 
 from behave import given, then, when
 from http_server_steps import GOOD_REQUEST, LogCapture, ServerFixture
@@ -12,6 +14,7 @@
 from wagtailstep.network.http_server import KEEP_ALIVE_S
 
 STALL_S = 0.1
+DRAIN_LIMIT = timedelta(seconds=10)
 
 
 class StallingLoop(asyncio.SelectorEventLoop):
@@ -224,6 +227,51 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when("a new connection sends a request {turns:d} turns before the server drains")
+def connect_before_drain(context, turns):
+    async def scenario(fixture, loop):
+        host, _, port = fixture.address.partition(":")
+        fixture.handled.clear()
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(build_request("/wait"))
+            await run_turns(turns)
+            await wait_for_timer(loop)
+            fixture.server.stop_accepting()
+            loop.call_later(0.05, fixture.proceed.set)
+            await fixture.server.drain(DRAIN_LIMIT)
+            # The daemon leaves the registry between its drain and its end.
+            await run_turns(10)
+            await fixture.server.close()
+            await run_turns()
+            context.received = await asyncio.to_thread(receive_all, caller)
+
+    run_on_stalling_loop(context, scenario)
+
+
+async def wait_for_timer(loop):
+    """Wait as a daemon does before it closes its listener: timers run last in a turn."""
+    due = loop.create_future()
+    loop.call_at(loop.time(), due.set_result, None)
+    await due
+
+
+def receive_all(caller):
+    caller.settimeout(5)
+    received = b""
+    try:
+        while data := caller.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        pass
+    return received
+
+
+@then('the request is answered with "{text}" or was never read')
+def check_answered_or_unread(context, text):
+    answered = context.received.endswith(text.encode())
+    assert answered or not context.fixture.handled, (context.received, context.log)
+
+
 async def start_upload(fixture):
     """Return a connection with an upload whose answer came before its last byte."""
     connection = await KeptConnection.open(fixture.address)
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -340,6 +340,56 @@
     run_server(context, scenario)
 
 
+@when(
+    "the server drains for {limit:d} s with one request in flight, and a kept-alive "
+    "connection waits until {rest:d} ms before the limit"
+)
+def drain_up_to_limit(context, limit, rest):
+    async def scenario(fixture):
+        waiting = asyncio.create_task(
+            send_and_receive(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        )
+        reader, writer = await connect()
+        writer.write(GOOD_REQUEST)
+        await reader.readuntil(b"good")
+        fixture.server.stop_accepting()
+        draining = asyncio.create_task(fixture.server.drain(timedelta(seconds=limit)))
+        await asyncio.sleep(limit - rest / 1_000)
+        context.closed_before = reader.at_eof()
+        writer.write(b"GET /wait?late HTTP/1.1\r\nhost: a\r\n\r\n")
+        assert not await draining
+        await fixture.server.close()
+        await waiting
+
+    run_server(context, scenario)
+
+
+@when("the server drains for {limit:d} ms without a request")
+def drain_idle_server(context, limit):
+    async def scenario(fixture):
+        _, writer = await connect()
+        fixture.server.stop_accepting()
+        context.drained = await fixture.server.drain(timedelta(milliseconds=limit))
+        writer.close()
+
+    run_server(context, scenario)
+
+
+@then("the kept-alive connection was closed before")
+def check_closed_before(context):
+    assert context.closed_before, context.fixture.handled
+
+
+@then('only the handler of "{path}" was cancelled')
+def check_only_cancelled(context, path):
+    assert context.fixture.cancelled == [path], context.fixture.cancelled
+
+
+@then("the drain had ended in time")
+def check_drained_in_time(context):
+    assert context.drained
+
+
 @then('the bad request is answered with status "{status}" and verdict not-run')
 def check_bad(context, status):
     head = context.received.decode("latin-1")
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -49,7 +49,7 @@
         self.handler: asyncio.Task[None] | None = None
         self.ended_by: ConnectionEnd | None = None
         self.quiet_since_s = self.loop.time()
-        self.on_connection_lost: Callable[[], None] = do_nothing
+        self.on_change: Callable[[], None] = do_nothing
         self.head_timer: asyncio.TimerHandle | None = None
 
     @property
@@ -77,6 +77,7 @@
         self.quiet_since_s = self.loop.time()
         super().on_response_complete()
         self.update_timers()
+        self.on_change()
 
     def update_timers(self) -> None:
         """Run only the time limit that applies to the state of the connection.
@@ -204,7 +205,7 @@
         super().connection_lost(exc)
         if self.handler is not None and was_responding:
             self.handler.cancel()
-        self.on_connection_lost()
+        self.on_change()
 
     def abort_response(self) -> None:
         """End the connection so that its truncated response can't look complete.
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -14,6 +14,9 @@
 MAX_HEAD_BYTES = 32_768
 KEEP_ALIVE_S = 75
 BACKLOG = 1_024
+# Requests that were under way when the listener closed arrive within this time. A
+# later one might not end before the limit of the drain.
+ARRIVAL_S = 0.3
 
 
 class HttpServer:
@@ -29,7 +32,8 @@
     def __init__(self, app: Any, announce_closing: Callable[[], None]) -> None:
         self.announce_closing = announce_closing
         self.state = ServerState()
-        self.connection_lost = asyncio.Event()
+        self.connection_changed = asyncio.Event()
+        self.is_closing = False
         self.server: asyncio.Server | None = None
         self.config = uvicorn.Config(
             app=app,
@@ -65,46 +69,58 @@
         connection = ServerConnection(
             config=self.config, server_state=self.state, app_state={}
         )
-        connection.on_connection_lost = self.connection_lost.set
+        connection.on_change = self.connection_changed.set
         return connection
 
     def stop_accepting(self) -> None:
         """Accept no new connections and have the persistent ones close gradually.
 
-        Requests that arrive on persistent connections are still served; their
-        responses tell the client to close the connection.
+        Until :meth:`drain` closes them, requests that arrive on persistent connections
+        are served; their responses tell the client to close the connection.
         """
         self.announce_closing()
+        self.is_closing = True
         if self.server is not None:
             self.server.close()
 
     async def drain(self, limit: timedelta) -> bool:
-        """Wait until no request is in flight, then close the idle connections.
+        """Wait until all requests have ended and their connections are closed.
 
-        If the listener was closed before, no request can arrive afterwards. Returns
-        once all response bytes have been flushed to the sockets.
+        If the listener was closed before, idle connections are closed soon, so that no
+        request arrives that the limit would cut off. Otherwise they are closed once no
+        request is in flight. Returns when all response bytes have been flushed to the
+        sockets.
 
         :param limit: maximum time to wait.
         :return: whether all requests ended in time.
         """
+        limit_s = limit.total_seconds()
         try:
-            async with asyncio.timeout(limit.total_seconds()):
-                while self.state.tasks:
-                    await asyncio.wait(set(self.state.tasks))
-                await self.close_idle_connections()
+            async with asyncio.timeout(limit_s):
+                if self.is_closing:
+                    await asyncio.sleep(min(ARRIVAL_S, limit_s / 2))
+                else:
+                    await self.wait_for_handlers()
+                await self.close_unused_connections()
+                await self.wait_for_handlers()
         except TimeoutError:
-            return False
+            return not self.state.tasks
         return True
 
-    async def close_idle_connections(self) -> None:
-        """Close idle connections and wait until their data has been flushed."""
+    async def wait_for_handlers(self) -> None:
+        """Wait until no request is in flight."""
+        while self.state.tasks:
+            await asyncio.wait(set(self.state.tasks))
+
+    async def close_unused_connections(self) -> None:
+        """Close each connection once it is idle, until none is left."""
         while self.state.connections:
-            self.connection_lost.clear()
+            self.connection_changed.clear()
             for connection in list(self.state.connections):
-                if not connection.transport.is_closing():
+                if not (connection.transport.is_closing() or connection.is_responding):
                     connection.shutdown()
             if self.state.connections:
-                await self.connection_lost.wait()
+                await self.connection_changed.wait()
 
     async def close(self) -> None:
         """Close the listener and all connections, including those in use."""
