--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -249,7 +249,7 @@
 
 
 async def wait_for_timer(loop):
-    """Wait as a daemon does before it closes its listener: timers run last in a turn."""
+    """Wait as a daemon does before it closes its listener: behind what was read."""
     due = loop.create_future()
     loop.call_at(loop.time(), due.set_result, None)
     await due
