Count the wait for tickets into the time of a planned stop

Callers of a daemon that had issued a ticket could see their requests cut: the process took longer than shutdown_ms and was killed. Cause: the wait for unused tickets and the drain behind it each took the whole limit; meanwhile connections of callers stayed open. Change: the callers' side drains at once. The gate waits for tickets and drains within one limit. Class: a limit that starts again with each step.

--- a/features/drain.feature
+++ b/features/drain.feature
@@ -11,3 +11,11 @@
     When the daemon of the gate drains under load with a long upload running
     Then the complete upload arrived before the end of the drain
     And every request was answered completely and run once, or reported as not run and not run
+
+  Scenario: A daemon with an unused ticket stops within its time
+    When a daemon that has issued a ticket is told to exit while a request hangs
+    Then it has ended 4000 ms after that, with the request cut
+
+  Scenario: A daemon with an unused ticket and no request ends without a cut
+    When a daemon that has issued a ticket is told to exit
+    Then it has ended 4000 ms after that, with no request cut
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,10 +8,18 @@
 import detangle
 from behave import given, then, when
 from benchmarks.platform_soak import run_soak
+from benchmarks.soak.callers import CallerGroup
 from benchmarks.soak.fleet import SERVICE, SoakDaemon, SoakFleet
 
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.fakes.faults import Faults
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.utils.clock import LoopClock
+
+# A call that removes the daemon from the registry follows its last request.
+EXIT_CALLS_MS = 100
 
 
 @given("a retry policy that also resends non-idempotent requests")
@@ -85,3 +93,49 @@
 
     detangle.run(main, seed=1)
     assert context.known == [targets] * context.count, context.known
+
+
+@when("a daemon that has issued a ticket is told to exit while a request hangs")
+def exit_with_unused_ticket(context):
+    measure_exit(context, Faults(hang_share=1.0))
+
+
+@when("a daemon that has issued a ticket is told to exit")
+def exit_with_ticket_only(context):
+    measure_exit(context, None)
+
+
+def measure_exit(context, faults):
+    """Measure the shutdown of a daemon, in virtual time.
+
+    :param faults: faults of the backend servers while a request is sent, or ``None``
+        to send none.
+    """
+
+    async def main():
+        fleet = SoakFleet(2, random.Random(1))
+        await fleet.start()
+        await asyncio.sleep(6)
+        host = fleet.hosts[0]
+        if faults is not None:
+            for other in fleet.hosts:
+                fleet.set_faults(other, faults)
+            callers = CallerGroup(fleet, 1.0, random.Random(1))
+            callers.client = HttpClient(RequestSettings(), LoopClock())
+            detangle.spawn(callers.send_request("k1", host.name, True), host="callers")
+            await asyncio.sleep(0.1)
+        await host.daemon.entry.issue_ticket(SERVICE)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        exiting = detangle.spawn(host.daemon.shut_down(), host=host.name)
+        await asyncio.wait({exiting})
+        context.whole = exiting.result()
+        context.exit_ms = (loop.time() - started_s) * 1_000
+
+    detangle.run(main, seed=1)
+
+
+@then("it has ended {limit:d} ms after that, with {cut} cut")
+def check_exit(context, limit, cut):
+    assert context.exit_ms <= limit + EXIT_CALLS_MS, context.exit_ms
+    assert context.whole is (cut == "no request"), context.whole
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -224,16 +224,26 @@
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
         await asyncio.sleep(notice.total_seconds())
         self.caller_server.stop_accepting()
-        await self.wait_for_tickets(limit)
-        self.gate_server.stop_accepting()
         finished = await asyncio.gather(
-            self.caller_server.drain(limit), self.gate_server.drain(limit)
+            self.caller_server.drain(limit), self.drain_gate(limit)
         )
         self.runtime.record_event("daemon-stopped", whole=all(finished))
         await self.runtime.unregister_member()
         await self.close()
         return all(finished)
 
+    async def drain_gate(self, limit: timedelta) -> bool:
+        """Wait for the requests of other daemons; tickets may still bring some.
+
+        :param limit: maximum time to wait.
+        :return: whether all requests ended in time.
+        """
+        ends_at = self.clock.monotonic() + limit
+        await self.wait_for_tickets(limit)
+        self.gate_server.stop_accepting()
+        time_left = max(timedelta(), ends_at - self.clock.monotonic())
+        return await self.gate_server.drain(time_left)
+
     async def wait_for_tickets(self, limit: timedelta) -> None:
         """Wait until no recently issued ticket can be used at another daemon.
 
