Announce the closing of a connection at the daemon's own endpoints too

Callers could send a request into the close of a connection that they kept because its last answer, a ticket's or the status, had not announced it. Cause: only answers to proxied requests carried Connection: close during a planned stop. Change: those of the daemon's own endpoints carry it too. Measured: the new scenario of daemon.feature failed before (no such header) and passes, as do the other 11.

--- a/features/daemon.feature
+++ b/features/daemon.feature
@@ -56,3 +56,9 @@
     When the ticket is used at the second daemon
     Then the caller has the complete answer to its own request
     And the first daemon exits cleanly
+
+  Scenario: The daemon's own endpoints have callers leave a daemon that stops
+    Given two daemons and a backend server beside the second, with a table
+    When the first daemon is told to exit and is asked for its status
+    Then the status comes with "connection: close"
+    And the first daemon exits cleanly
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -489,3 +489,24 @@
         return await context.exit
 
     assert context.runner.run(finish()) is True
+
+
+@when("the first daemon is told to exit and is asked for its status")
+def ask_exiting_daemon(context):
+    async def ask():
+        first = context.fleet.daemons[0]
+        host, _, port = first.settings.caller_address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        context.exit = asyncio.create_task(first.shut_down())
+        await wait_until(lambda: first.blackboard.draining)
+        writer.write(b"GET /.wagtailstep/status HTTP/1.1\r\nhost: a\r\n\r\n")
+        context.head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        writer.close()
+
+    context.runner.run(ask())
+
+
+@then('the status comes with "{header}"')
+def check_status_header(context, header):
+    assert context.head.startswith(b"http/1.1 200 "), context.head
+    assert header.encode() in context.head, context.head
--- a/src/wagtailstep/network/caller_app.py
+++ b/src/wagtailstep/network/caller_app.py
@@ -11,7 +11,7 @@
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.headers import RELAYED, find_header
-from wagtailstep.network.exchange_app import ExchangeApp, Handler
+from wagtailstep.network.exchange_app import CLOSE_HEADER, ExchangeApp, Handler
 from wagtailstep.network.problems import build_error_answer
 
 DAEMON_PATH_PREFIX = b"/.wagtailstep/"
@@ -61,10 +61,23 @@
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Serve one request."""
         if scope["raw_path"].startswith(DAEMON_PATH_PREFIX):
-            await self.daemon_app(scope, receive, send)
+            await self.daemon_app(scope, receive, self.wrap_send(send))
             return
         await self.exchange_app(scope, receive, send)
 
+    def wrap_send(self, send: Any) -> Any:
+        """Return a function that sends responses of the daemon's own endpoints."""
+        if not self.exchange_app.closing:
+            return send
+
+        async def send_and_close(message: Any) -> None:
+            if message["type"] == "http.response.start":
+                headers = [*message["headers"], CLOSE_HEADER]
+                message = {**message, "headers": headers}
+            await send(message)
+
+        return send_and_close
+
     def announce_closing(self) -> None:
         """Send ``Connection: close`` with every response from now on."""
         self.exchange_app.announce_closing()
