--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+import socket
 from datetime import timedelta
 
 import h11
@@ -22,6 +23,7 @@
 )
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.table import Table
+from wagtailstep.network.early_answers import LINGER_S
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.log_daemon import LogDaemon
 from wagtailstep.utils.clock import LoopClock
@@ -35,6 +37,7 @@
     "ready_server",
     "metrics_server",
 )
+DRAIN_LIMIT = timedelta(seconds=10)
 
 
 class StallingLoop(asyncio.SelectorEventLoop):
@@ -470,6 +473,118 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when("a new connection sends a request {turns:d} turns before the server drains")
+def connect_before_drain(context, turns):
+    async def scenario(fixture, loop):
+        host, _, port = fixture.address.partition(":")
+        fixture.handled.clear()
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(build_request("/wait"))
+            await run_turns(turns)
+            await wait_for_timer(loop)
+            fixture.server.stop_accepting()
+            loop.call_later(0.05, fixture.proceed.set)
+            await fixture.server.drain(DRAIN_LIMIT)
+            # The daemon leaves the registry between its drain and its end.
+            await run_turns(10)
+            await fixture.server.close()
+            await run_turns()
+            context.received = await asyncio.to_thread(receive_all, caller)
+
+    run_on_stalling_loop(context, scenario)
+
+
+async def wait_for_timer(loop):
+    """Wait as a daemon does before it closes its listener: behind what was read."""
+    due = loop.create_future()
+    loop.call_at(loop.time(), due.set_result, None)
+    await due
+
+
+def receive_all(caller):
+    caller.settimeout(5)
+    received = b""
+    try:
+        while data := caller.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        pass
+    return received
+
+
+@then('the request is answered with "{text}" or was never read')
+def check_answered_or_unread(context, text):
+    answered = context.received.endswith(text.encode())
+    assert answered or not context.fixture.handled, (context.received, context.log)
+
+
+async def start_upload(fixture):
+    """Return a connection with an upload whose answer came before its last byte."""
+    connection = await KeptConnection.open(fixture.address)
+    fixture.server.stop_accepting()
+    head = "POST /good HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\n"
+    connection.writer.write(head.encode() + b"half")
+    while len(fixture.handled) < 2:
+        await asyncio.sleep(0)
+    await run_turns(10)
+    return connection
+
+
+@when("the server stops to accept and answers an upload before its end")
+def answer_early(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        for byte in b"rest":
+            connection.writer.write(bytes([byte]))
+            await run_turns(10)
+        context.could_send = not connection.writer.is_closing()
+        context.received = await connection.read_response()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("the server stops to accept and answers an upload that never ends")
+def answer_endless_upload(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        loop.offset_s += LINGER_S + STALL_S
+        context.received = await connection.read_response()
+        context.behind = await connection.reader.read()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@when("the server stops to accept and answers an upload whose caller then leaves")
+def leave_after_answer(context):
+    async def scenario(fixture, loop):
+        connection = await start_upload(fixture)
+        context.received = await connection.read_response()
+        connection.writer.close()
+        while fixture.server.state.tasks:
+            await asyncio.sleep(0.001)
+
+    run_on_stalling_loop(context, scenario)
+
+
+@then("the caller could send all of its upload")
+def check_could_send(context):
+    assert context.could_send, context.log
+
+
+@then("the connection is closed behind the answer")
+def check_closed_behind(context):
+    assert context.received.endswith(b"good"), context.received
+    assert context.behind == b"", context.behind
+
+
+@then("no request was reported as interrupted")
+def check_nothing_reported(context):
+    assert context.received.endswith(b"good"), context.received
+    assert context.log == [], context.log
+
+
 @then('one line tells that request "{request_id}" was ended by "{ended_by}"')
 def check_ended_by(context, request_id, ended_by):
     lines = [line for line in context.log if f"request_id={request_id}" in line]
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -20,6 +20,7 @@
 from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.early_answers import EarlyAnswer
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.logging import log_event
@@ -72,9 +73,9 @@
         self.handler: asyncio.Task[None] | None = None
         self.ended_by: ConnectionEnd | None = None
         self.quiet_since_s = self.loop.time()
-        self.on_connection_lost: Callable[[], None] = do_nothing
         self.get_limits: Callable[[], ConnectionLimits] = ConnectionLimits
         self.wait: Wait | None = None
+        self.on_change: Callable[[], None] = do_nothing
 
     @property
     def is_responding(self) -> bool:
@@ -101,6 +102,7 @@
         self.quiet_since_s = self.loop.time()
         super().on_response_complete()
         self.update_timers()
+        self.on_change()
 
     def update_timers(self) -> None:
         """Run only the time limit that applies to the state of the connection.
@@ -169,14 +171,16 @@
         started_s = self.loop.time()
         quiet_s = started_s - self.quiet_since_s
         scope[CONNECTION_KEY] = self
+        answer = EarlyAnswer(self.conn, scope, receive, send)
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
-                await self.inner_app(scope, receive, send)
+                await self.inner_app(scope, receive, answer.send)
                 return
             self.log_interruption(scope, started_s, quiet_s)
         except asyncio.CancelledError:
-            self.log_interruption(scope, started_s, quiet_s)
+            if not answer.written:
+                self.log_interruption(scope, started_s, quiet_s)
             self.reset_connection()
         except Exception:
             self.record_end(ConnectionEnd.RESPONSE_FAILED)
@@ -242,7 +246,7 @@
         super().connection_lost(exc)
         if self.handler is not None and was_responding:
             self.handler.cancel()
-        self.on_connection_lost()
+        self.on_change()
 
     def abort_response(self) -> None:
         """End the connection so that its truncated response can't look complete.
