Read nothing more once a server cuts what is in progress

Cause: HttpServer.close awaits the cancelled handlers while the transports go on reading, so that requests which waited in the kernel were handled in that moment and then cut. Change: reading is paused on all connections before the handlers are cancelled. What was not read has not run, and callers may repeat it. Measured: 'A server that stops doesn't start to handle requests that it cuts off' failed before (5 of 5 unread requests handled) and passes, with the other 46 scenarios of caller_connections.feature, http_server, drain and daemon.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -107,6 +107,11 @@
     When a connection to each of its ports has been idle for 100 s
     Then only the connection to its "caller_server" is open
 
+  Scenario: A server that stops doesn't start to handle requests that it cuts off
+    Given a kept connection to an HTTP server on sockets
+    When the server stops while a request is in progress and others are unread
+    Then the request is not handled
+
   Scenario: A request whose connection ends in the turn that reads it
     Given a kept connection to an HTTP server on sockets
     When request "r-1" arrives in one segment with malformed bytes in its body
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -585,6 +585,23 @@
     assert context.log == [], context.log
 
 
+@when("the server stops while a request is in progress and others are unread")
+def stop_with_unread(context):
+    async def scenario(fixture, loop):
+        busy, *idle = [await KeptConnection.open(fixture.address) for _ in range(6)]
+        busy.writer.write(build_request("/wait"))
+        while "/wait" not in fixture.handled:
+            await asyncio.sleep(0)
+        fixture.handled.clear()
+        for connection in idle:
+            connection.writer.write(build_request("/wait"))
+        await fixture.server.close()
+        for connection in (busy, *idle):
+            connection.writer.transport.abort()
+
+    run_on_stalling_loop(context, scenario)
+
+
 @then('one line tells that request "{request_id}" was ended by "{ended_by}"')
 def check_ended_by(context, request_id, ended_by):
     lines = [line for line in context.log if f"request_id={request_id}" in line]
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -134,6 +134,8 @@
             self.server.close()
         for connection in list(self.state.connections):
             connection.record_end(ConnectionEnd.SERVER_STOPPED)
+            # A request read from now on would be handled and cut off.
+            connection.flow.pause_reading()
         for task in list(self.state.tasks):
             task.cancel()
         await asyncio.gather(*self.state.tasks, return_exceptions=True)
