Name the wait of a connection and its limits alike

Cause: the review stopped at update_timers for one timer, KEEP_ALIVE_S beside idle_timeout, a handler that relied on a wait without saying so, and a feature whose title covered a part of it.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -1,4 +1,4 @@
-Feature: A caller's connection is never closed under a request that was read
+Feature: Callers' connections end only where no request is lost, and the log says why
 
   Scenario Outline: A time limit that falls due while the daemon stands still
     Given a kept connection to an HTTP server on sockets
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -18,7 +18,7 @@
 
 from wagtailstep.models.connection import (
     HEAD_TIMEOUT_S,
-    KEEP_ALIVE_S,
+    IDLE_TIMEOUT_S,
     ConnectionLimits,
 )
 from wagtailstep.models.settings import DaemonSettings
@@ -148,7 +148,7 @@
 @given("a kept connection to an HTTP server on sockets")
 def use_sockets(context):
     context.open = KeptConnection.open
-    context.limits_s = {"idle": KEEP_ALIVE_S, "head": HEAD_TIMEOUT_S}
+    context.limits_s = {"idle": IDLE_TIMEOUT_S, "head": HEAD_TIMEOUT_S}
 
 
 @given("a new connection to an HTTP server on sockets")
--- a/src/wagtailstep/models/connection.py
+++ b/src/wagtailstep/models/connection.py
@@ -6,7 +6,7 @@
 import attrs
 
 HEAD_TIMEOUT_S = 75
-KEEP_ALIVE_S = 75
+IDLE_TIMEOUT_S = 75
 
 
 class ConnectionEnd(Enum):
@@ -44,7 +44,7 @@
     """
 
     head_timeout: timedelta = timedelta(seconds=HEAD_TIMEOUT_S)
-    idle_timeout: timedelta = timedelta(seconds=KEEP_ALIVE_S)
+    idle_timeout: timedelta = timedelta(seconds=IDLE_TIMEOUT_S)
 
     def get_timeout(self, ended_by: ConnectionEnd) -> timedelta:
         """Return the time after which a wait is ended for this reason."""
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -90,22 +90,22 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
         super().connection_made(transport)
-        self.update_timers()
+        self.update_wait()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; no time limit applies to a request once it is read."""
         super().data_received(data)
-        self.update_timers()
+        self.update_wait()
 
     def on_response_complete(self) -> None:
         """Go on with the next request, or start to wait for it."""
         self.quiet_since_s = self.loop.time()
         super().on_response_complete()
-        self.update_timers()
+        self.update_wait()
         self.on_change()
 
-    def update_timers(self) -> None:
-        """Run only the time limit that applies to the state of the connection.
+    def update_wait(self) -> None:
+        """Wait for what the state of the connection asks for, or for nothing.
 
         A limit may fall due in the same turn of the event loop in which a request is
         read. It has to be stopped right then: the handler starts one turn later.
@@ -117,6 +117,7 @@
         elif self.wait is None or self.wait.ended_by is ConnectionEnd.IDLE_TIMEOUT:
             self.start_waiting(ConnectionEnd.HEAD_TIMEOUT)
         else:
+            # uvicorn stops its timer with each byte; the limit for a head goes on.
             self.start_timer(self.wait)
 
     def start_waiting(self, ended_by: ConnectionEnd) -> None:
@@ -147,9 +148,9 @@
         Clients rely on a limit that became longer meanwhile. One that became shorter
         has not moved the timer, so that no wait is shorter than was allowed.
         """
-        if self.transport.is_closing():
-            return
         wait = self.wait
+        if self.transport.is_closing() or wait is None:
+            return
         wait.limit_s = self.read_limit_s(wait.ended_by)
         if self.loop.time() < wait.ends_at_s:
             self.start_timer(wait)
