Replace an answer that can't be written by 502 invalid-answer

Callers saw: the connection ended without a byte, the request had run. Cause: uvicorn counts a response as started before h11 checks its head. A header or a status that h11 or uvicorn's table of statuses rejects (600 and above passes our own client) raised after that, and only the connection could be dropped. A header that can't be encoded gave 500 without a verdict. Change: the head is checked where the answer leaves the handler; an unwritable one is closed and answered as 502 invalid-answer, may-have-run, with the request's identifier, and the connection goes on. Tests: the row "the response can't be written" of caller_connections.feature used the unwritable head, which no longer ends a connection. It now uses a body that raises KeyError after its first chunk and asks for the same line; the old case is held to more in http_server.feature (a whole 502).

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -40,6 +40,30 @@
       | 1.1     | /truncated-length |
       | 1.0     | /truncated-chunks |
 
+  Scenario Outline: An answer that can't be written is replaced, not dropped
+    Given an HTTP server in memory
+    When a caller requests "<path>" over HTTP "<version>"
+    Then the response has status "502" and verdict may-have-run
+    And it is a complete problem with reason "invalid-answer"
+    And exactly one line was logged
+
+    Examples:
+      | version | path              |
+      | 1.1     | /unwritable       |
+      | 1.0     | /unwritable       |
+      | 1.1     | /unwritable-name  |
+      | 1.1     | /unencodable      |
+      | 1.1     | /status-99        |
+      | 1.1     | /status-101       |
+      | 1.1     | /status-600       |
+      | 1.1     | /status-1000      |
+
+  Scenario: A connection goes on after an answer that can't be written
+    Given an HTTP server in memory
+    When a caller requests "/unwritable" and "/good" on one connection
+    Then the response has status "502" and verdict may-have-run
+    And the good request was answered
+
   Scenario: An internal error of the daemon gives the verdict may-have-run
     Given an HTTP server in memory
     When a caller requests "/broken" over HTTP "1.1"
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -100,8 +100,8 @@
     task.cancel()
 
 
-async def answer_unwritably(fixture, connection):
-    fixture.proceed.set()
+async def break_body(fixture, connection):
+    """The response breaks off on its own."""
 
 
 ENDS = {
@@ -110,7 +110,7 @@
     "the server stops": ("GET", "/wait", stop_server),
     "malformed bytes follow": ("POST", "/read", send_malformed_bytes),
     "the handler is cancelled": ("GET", "/wait", cancel_handler),
-    "the response can't be written": ("GET", "/unwritable", answer_unwritably),
+    "the response can't be written": ("GET", "/broken-body", break_body),
 }
 
 
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -179,6 +179,17 @@
         super().__init__(message, Verdict.MAY_HAVE_RUN)
 
 
+class InvalidAnswerError(RequestError):
+    """There is a response, but it can't be passed on as valid HTTP."""
+
+    status = 502
+    reason = "invalid-answer"
+    blame = Blame.BACKEND_SERVER
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, Verdict.MAY_HAVE_RUN)
+
+
 class DeadlineExceededError(RequestError):
     """The caller's deadline has passed.
 
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -11,14 +11,17 @@
 from typing import Any
 
 import attrs
+import h11
+from uvicorn.protocols.http.h11_impl import STATUS_PHRASES
 
 from wagtailstep.exceptions import (
     BadRequestError,
+    InvalidAnswerError,
     RequestError,
     TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer, IncomingRequest
-from wagtailstep.models.headers import BLAME, Headers, find_header
+from wagtailstep.models.headers import BLAME, REQUEST_ID, Headers, find_header
 from wagtailstep.network.http_connection import decode_headers, encode_headers
 from wagtailstep.network.http_protocol import CONNECTION_KEY, ServerConnection
 from wagtailstep.network.problems import build_error_answer, build_internal_error
@@ -63,9 +66,16 @@
         self.closing = True
 
     async def call_handler(self, scope: Any, receive: Any) -> Answer:
-        """Return the handler's response, or a problem document on its failure."""
+        """Return the handler's response, or a problem document on its failure.
+
+        The head of the returned response can be written.
+        """
+        request_id = ""
         try:
-            return await self.handle(read_request(scope, receive))
+            answer = await self.handle(read_request(scope, receive))
+            request_id = find_header(answer.headers, REQUEST_ID) or ""
+            await require_writable_head(answer)
+            return answer
         except RequestError as error:
             log_event(
                 logger,
@@ -75,7 +85,7 @@
                 verdict=error.verdict.value,
                 error=str(error),
             )
-            return add_failure_headers(build_error_answer(error), error)
+            return add_failure_headers(build_error_answer(error, request_id), error)
         except Exception:
             logger.exception("event=handler-failed path=%s", scope["path"])
             return build_error_answer(build_internal_error())
@@ -100,6 +110,26 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
+async def require_writable_head(answer: Answer) -> None:
+    """Check that the head of a response is valid HTTP; close the response if not.
+
+    uvicorn counts a response as started before it checks the head, and could then only
+    drop the connection.
+
+    :raises InvalidAnswerError: if the head can't be written.
+    """
+    try:
+        headers = encode_headers(answer.headers)
+        h11.Response(status_code=answer.status, headers=headers)
+        if answer.status in STATUS_PHRASES:
+            return
+        fault = f"status {answer.status}"
+    except (h11.LocalProtocolError, UnicodeError) as error:
+        fault = str(error)
+    await answer.close()
+    raise InvalidAnswerError(f"the response is not valid HTTP: {fault}")
+
+
 def add_failure_headers(answer: Answer, error: RequestError) -> Answer:
     """Return the response with the blame for the failure.
 
