Never let a body of another length than announced look complete

Callers saw: of a body longer than its Content-Length the announced bytes, which look complete, and then a closed connection; with length 0 a complete empty 200. A body on 204 or 304 closed the connection under the next request. Cause: the length was only checked by h11 as each chunk was written. Change: the chunk that reaches the announced length is held back until the body has ended (the parser knows the end at once, so nothing waits); a body that should be empty is read before the head is written and becomes 502 invalid-answer; a body where HTTP allows none is dropped.

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -57,6 +57,7 @@
       | 1.1     | /status-101       |
       | 1.1     | /status-600       |
       | 1.1     | /status-1000      |
+      | 1.1     | /length-0         |
 
   Scenario: A connection goes on after an answer that can't be written
     Given an HTTP server in memory
@@ -64,6 +65,33 @@
     Then the response has status "502" and verdict may-have-run
     And the good request was answered
 
+  Scenario Outline: An answer of another length than announced never looks complete
+    Given an HTTP server in memory
+    When a caller requests "<path>" over HTTP "<version>"
+    Then no client takes the response for complete
+    And exactly one line was logged
+
+    Examples:
+      | version | path       |
+      | 1.1     | /length-2  |
+      | 1.1     | /length-4  |
+      | 1.1     | /length-6  |
+      | 1.1     | /length-20 |
+      | 1.0     | /length-6  |
+
+  Scenario Outline: A body that an answer can't have is left out
+    Given an HTTP server in memory
+    When a caller sends <method> for "<path>" and "/good" on one connection
+    Then the response has status "<status>" and no body
+    And the good request was answered
+
+    Examples:
+      | method | path        | status |
+      | GET    | /status-204 | 204    |
+      | GET    | /status-304 | 304    |
+      | HEAD   | /good       | 200    |
+      | HEAD   | /length-9   | 200    |
+
   Scenario: An internal error of the daemon gives the verdict may-have-run
     Given an HTTP server in memory
     When a caller requests "/broken" over HTTP "1.1"
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -5,6 +5,7 @@
 from wagtailstep.exceptions import (
     BadRequestError,
     BodyTooLargeError,
+    InvalidAnswerError,
     RequestError,
     TruncatedAnswerError,
 )
@@ -163,6 +164,36 @@
             self.on_end(verdict, error)
 
 
+async def hold_to_length(
+    chunks: AsyncIterator[bytes], length: int
+) -> AsyncIterator[bytes]:
+    """Yield the chunks of a body that must have its announced length.
+
+    The last chunk is held back until the body has ended: behind it, a client would take
+    the response for complete.
+
+    :param length: announced length in bytes.
+    :raises InvalidAnswerError: if the body is longer or shorter.
+    """
+    left = length
+    last = b""
+    async for chunk in chunks:
+        left -= len(chunk)
+        if left < 0:
+            break
+        if left:
+            yield chunk
+        else:
+            last += chunk
+    if left:
+        fault = "longer" if left < 0 else "shorter"
+        raise InvalidAnswerError(
+            f"the response is {fault} than its announced {length} bytes"
+        )
+    if last:
+        yield last
+
+
 async def read_body_start(
     body: AsyncIterator[bytes], limit: int
 ) -> tuple[list[bytes], bool]:
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -21,16 +21,29 @@
     TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer, IncomingRequest
-from wagtailstep.models.headers import BLAME, REQUEST_ID, Headers, find_header
+from wagtailstep.models.headers import (
+    BLAME,
+    REQUEST_ID,
+    Headers,
+    find_header,
+    read_int_header,
+)
+from wagtailstep.network.bodies import hold_to_length
 from wagtailstep.network.http_connection import decode_headers, encode_headers
 from wagtailstep.network.http_protocol import CONNECTION_KEY, ServerConnection
-from wagtailstep.network.problems import build_error_answer, build_internal_error
+from wagtailstep.network.problems import (
+    build_error_answer,
+    build_internal_error,
+    yield_body,
+)
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
 
 Handler = Callable[[IncomingRequest], Awaitable[Answer]]
 
+# RFC 9110: a response with one of these has no body.
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 CLOSE_HEADER = (b"connection", b"close")
 
 
@@ -55,7 +68,7 @@
         answer = await self.call_handler(scope, receive)
         try:
             await self.send_answer(answer, send)
-        except TruncatedAnswerError as error:
+        except (InvalidAnswerError, TruncatedAnswerError) as error:
             log_event(logger, "answer-truncated", path=scope["path"], error=str(error))
             connection.abort_response()
         finally:
@@ -68,14 +81,14 @@
     async def call_handler(self, scope: Any, receive: Any) -> Answer:
         """Return the handler's response, or a problem document on its failure.
 
-        The head of the returned response can be written.
+        The head of the returned response can be written, and its body, if one is
+        allowed, has the announced length or is truncated.
         """
         request_id = ""
         try:
             answer = await self.handle(read_request(scope, receive))
             request_id = find_header(answer.headers, REQUEST_ID) or ""
-            await require_writable_head(answer)
-            return answer
+            return await prepare_answer(answer, scope["method"])
         except RequestError as error:
             log_event(
                 logger,
@@ -110,8 +123,31 @@
         await send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
-async def require_writable_head(answer: Answer) -> None:
-    """Check that the head of a response is valid HTTP; close the response if not.
+async def prepare_answer(answer: Answer, method: str) -> Answer:
+    """Return a response as it can be written; close it if it can't.
+
+    :param method: method of the request.
+    :raises InvalidAnswerError: if the response is not valid HTTP.
+    """
+    try:
+        check_head(answer)
+        body = answer.body
+        length = read_int_header(answer.headers, "content-length")
+        if method == "HEAD" or answer.status in BODILESS_STATUSES:
+            body = drop_chunks(body)
+        elif length is not None:
+            body = hold_to_length(body, length)
+        if length == 0:
+            # Once the head is written, the response looks complete.
+            body = yield_body(b"".join([chunk async for chunk in body]))
+    except BaseException:
+        await answer.close()
+        raise
+    return attrs.evolve(answer, body=body)
+
+
+def check_head(answer: Answer) -> None:
+    """Check that the head of a response is valid HTTP.
 
     uvicorn counts a response as started before it checks the head, and could then only
     drop the connection.
@@ -126,10 +162,17 @@
         fault = f"status {answer.status}"
     except (h11.LocalProtocolError, UnicodeError) as error:
         fault = str(error)
-    await answer.close()
     raise InvalidAnswerError(f"the response is not valid HTTP: {fault}")
 
 
+async def drop_chunks(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Read a body to its end without yielding anything."""
+    async for _ in chunks:
+        pass
+    return
+    yield b""
+
+
 def add_failure_headers(answer: Answer, error: RequestError) -> Answer:
     """Return the response with the blame for the failure.
 
