Drop a length that stands beside chunks in an answer

Callers saw: an answer that broke off or looked complete too early, for a backend server that sends both Content-Length and chunks and whose length is not that of the chunks. Cause: the client read the chunks, as HTTP says, but passed on the length alone: Transfer-Encoding is removed as hop-by-hop. Change: where Transfer-Encoding is present the length is removed too (RFC 9112 section 6.3). Measured: the new row of target_answers.feature failed before (length 2 with the body "two") and passes; all 27 scenarios of it, and http_client, http_server, gate and gate_path pass.

--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -18,6 +18,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.headers import find_header
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.gate import GateService
@@ -68,6 +69,10 @@
     "no length and an end": (
         "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\n\r\ntwo"
     ),
+    "a length beside chunks": (
+        "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\nContent-Length: 2\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n0\r\n\r\n"
+    ),
     "bytes that are no answer": "what is this\r\n\r\n",
 }
 
@@ -102,11 +107,18 @@
         answer = await gate.handle(incoming)
         data = b"".join([chunk async for chunk in answer.body])
         await answer.close()
+        check_length(answer, data)
         return f"{answer.status} {data.decode()}"
     except RequestError as error:
         return f"{error.reason} {error.verdict.value}"
 
 
+def check_length(answer, data):
+    """Check that a forwarded length is that of the body."""
+    length = find_header(answer.headers, "content-length")
+    assert length in (None, str(len(data))), (length, data)
+
+
 @when('the backend server answers with "{answer}"')
 def answer_request(context, answer):
     context.target = ScriptedTarget(ANSWERS[answer])
--- a/features/target_answers.feature
+++ b/features/target_answers.feature
@@ -19,6 +19,7 @@
       | a late answer without length | connection-failed may-have-run  |
       | half of its answer           | truncated-answer may-have-run   |
       | no length and an end         | 200 two                         |
+      | a length beside chunks       | 200 two                         |
       | bytes that are no answer     | connection-failed may-have-run  |
 
   Scenario: Every attempt carries the time left, the instance and the caller's service
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -99,7 +99,8 @@
 def remove_hop_by_hop(headers: Headers) -> Headers:
     """Return the headers that may be forwarded to the next hop.
 
-    Headers listed in ``Connection`` are removed as well, as RFC 9110 requires.
+    Headers listed in ``Connection`` are removed as well, as RFC 9110 requires, and a
+    length that ``Transfer-Encoding`` overrides, as RFC 9112 section 6.3 requires.
     """
     listed = {
         token.strip().lower()
@@ -107,6 +108,8 @@
         if name == "connection"
         for token in value.split(",")
     }
+    if find_header(headers, "transfer-encoding") is not None:
+        listed.add("content-length")
     return remove_headers(headers, HOP_BY_HOP | listed)
 
 
