Do not end a connection for an error behind a response

Callers saw: a request on a kept connection was passed on and its connection closed without an answer, while the daemon ended the response before it. Separately, an HTTP/1.0 response without a length that broke off by an unexpected error looked complete. Cause: an error of the handler after its response (in releasing what it held) went to uvicorn, which closes the transport, though the next request may be running there. The same close ended HTTP/1.0 responses in progress. Change: the connection handles errors of a started response itself: within it, abort_response resets HTTP/1.0 and closes 1.1; behind it the error is logged as response-end-failed and the connection goes on. An error before the head still goes to uvicorn, which answers 500.

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -39,6 +39,8 @@
       | 1.1     | /truncated-chunks |
       | 1.1     | /truncated-length |
       | 1.0     | /truncated-chunks |
+      | 1.1     | /broken-body      |
+      | 1.0     | /broken-body      |
 
   Scenario Outline: An answer that can't be written is replaced, not dropped
     Given an HTTP server in memory
@@ -97,6 +99,12 @@
     When a caller requests "/broken" over HTTP "1.1"
     Then the response has status "500" and verdict may-have-run
 
+  Scenario: An error after a response does not end the next request's connection
+    Given an HTTP server in memory
+    When a caller requests "/failing-end" and then "/wait" on one connection
+    Then both requests were answered
+    And exactly one line was logged, with a traceback
+
   Scenario: A caller can't hold a connection with a head that never ends
     Given an HTTP server in memory
     When a caller sends the head of a request one byte every 10 s
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -37,15 +37,30 @@
     def __init__(self):
         super().__init__()
         self.messages = []
+        self.errors = []
 
     def emit(self, record):
         self.messages.append(record.getMessage())
+        if record.exc_info:
+            self.errors.append(record.exc_info[1])
 
 
 async def close_slowly():
     await asyncio.sleep(0.05)
 
 
+async def fail_to_close():
+    await asyncio.sleep(0.05)
+    raise KeyError("a bug at the end of the response")
+
+
+async def await_cancelled_future():
+    """Await what somebody else cancels."""
+    shared = asyncio.get_running_loop().create_future()
+    asyncio.get_running_loop().call_soon(shared.cancel)
+    await shared
+
+
 async def generate_body(data):
     yield data
 
@@ -106,6 +121,12 @@
             return Answer(200, headers, self.generate_halves(), Verdict.RUN)
         if name == "broken-body":
             return Answer(200, (), self.generate_broken_body(), Verdict.RUN)
+        if name == "failing-end":
+            return attrs.evolve(build_answer(b"good"), close=fail_to_close)
+        if name == "cancelled":
+            await await_cancelled_future()
+        if name == "cancelled-body":
+            return Answer(200, (), self.generate_cancelled_body(), Verdict.RUN)
         if name == "broken":
             raise KeyError("a bug of the handler")
         return Answer(
@@ -119,6 +140,10 @@
         yield b"half"
         raise KeyError("a bug of the handler")
 
+    async def generate_cancelled_body(self):
+        yield b"half"
+        await await_cancelled_future()
+
     async def generate_halves(self):
         yield b"half"
         yield b"half"
@@ -143,6 +168,7 @@
     logging.getLogger().addHandler(log_capture)
     logging.getLogger().setLevel(logging.INFO)
     context.log = log_capture.messages
+    context.logged_errors = log_capture.errors
 
     async def serve(fixture):
         await fixture.server.start("server:80")
@@ -254,6 +280,25 @@
     request_after(context, "GET", path)
 
 
+@when('a caller requests "{path}" and then "/wait" on one connection')
+def request_next(context, path):
+    async def scenario(fixture):
+        reader, writer = await connect(fixture.address)
+        writer.write(f"GET {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode())
+        context.received = await reader.readuntil(b"good")
+        writer.write(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        while len(fixture.server.state.tasks) != 1 or "/wait" not in fixture.handled:
+            await asyncio.sleep(0.001)
+        fixture.proceed.set()
+        try:
+            context.good_response = await reader.readuntil(b"good")
+        except asyncio.IncompleteReadError as error:
+            context.good_response = error.partial
+        writer.close()
+
+    run_server(context, scenario, on_sockets=True)
+
+
 @when('a caller sends {method} for "{path}" and "/good" on one connection')
 def request_after(context, method, path):
     async def scenario(fixture):
@@ -403,6 +448,18 @@
     assert len(context.log) == 1, context.log
 
 
+@then("exactly one line was logged, with a traceback")
+def check_traceback(context):
+    check_one_line(context)
+    assert len(context.logged_errors) == 1, context.logged_errors
+
+
+@then("both requests were answered")
+def check_both(context):
+    assert context.received.endswith(b"good"), context.received
+    check_good(context)
+
+
 @then("no verdict not-run was given")
 def check_no_not_run(context):
     assert b"not-run" not in context.received, context.received
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import h11
-from uvicorn.protocols.http.h11_impl import H11Protocol
+from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
 from wagtailstep.models.connection import ConnectionEnd
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
@@ -123,6 +123,7 @@
         started_s = self.loop.time()
         quiet_s = started_s - self.quiet_since_s
         scope[CONNECTION_KEY] = self
+        cycle = self.cycle
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
@@ -133,20 +134,37 @@
             self.log_interruption(scope, started_s, quiet_s)
             self.reset_connection()
         except Exception:
-            self.record_end(ConnectionEnd.RESPONSE_FAILED)
-            logger.exception(
-                "event=response-failed request_id=%s path=%s ended_by=%s",
-                read_request_id(scope),
-                scope["path"],
-                self.ended_by.value,
-            )
-            raise
+            self.handle_failure(scope, cycle)
+            if not cycle.response_started:
+                raise
         finally:
             # The handler of a pipelined request starts with the end of the response
             # before it, while the handler of that one may still be ending.
             if self.handler is asyncio.current_task():
                 self.handler = None
 
+    def handle_failure(self, scope: Any, cycle: RequestResponseCycle) -> None:
+        """Log the error of a handler and end the connection within a response.
+
+        Behind a complete response, the connection may already serve the next request.
+        """
+        request_id = read_request_id(scope)
+        path = scope["path"]
+        if cycle.response_complete:
+            logger.exception(
+                "event=response-end-failed request_id=%s path=%s", request_id, path
+            )
+            return
+        self.record_end(ConnectionEnd.RESPONSE_FAILED)
+        logger.exception(
+            "event=response-failed request_id=%s path=%s ended_by=%s",
+            request_id,
+            path,
+            self.ended_by.value,
+        )
+        if cycle.response_started:
+            self.abort_response()
+
     def log_interruption(self, scope: Any, started_s: float, quiet_s: float) -> None:
         """Log that a request ended without its response, and what ended it.
 
