Answer a request that a foreign cancellation reached

Callers saw: the connection was reset without an answer although the caller was still there; nothing but request-cancelled was logged, and the request was counted as caller-left. Cause: every CancelledError was taken for the handler's own. One that comes from an awaited future or task which somebody else cancelled reached the same branch (3.11: task.cancelling() is 0 then). Change: such an error is one like any other: logged with its traceback, counted as internal-error, answered with 500 and may-have-run; within a response the connection is aborted, so that it can't look complete. A real cancellation ends as before. Admission, in-flight count and slot were released by except BaseException already; scenarios hold that now.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -187,3 +187,10 @@
     When a caller sends POST "/sign"
     Then the answer is 500 with verdict "may-have-run"
     And nothing is in flight
+
+  Scenario: An attempt that something else cancelled is an internal error
+    Given every attempt ends as "a cancelled future"
+    When a caller sends POST "/sign"
+    Then the answer is 500 with verdict "may-have-run"
+    And one request of route "sign" is counted as "internal-error"
+    And nothing is in flight
--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -41,6 +41,8 @@
       | 1.0     | /truncated-chunks |
       | 1.1     | /broken-body      |
       | 1.0     | /broken-body      |
+      | 1.1     | /cancelled-body   |
+      | 1.0     | /cancelled-body   |
 
   Scenario Outline: An answer that can't be written is replaced, not dropped
     Given an HTTP server in memory
@@ -99,6 +101,13 @@
     When a caller requests "/broken" over HTTP "1.1"
     Then the response has status "500" and verdict may-have-run
 
+  Scenario: A handler that something else cancelled still answers
+    Given an HTTP server in memory
+    When a caller requests "/cancelled" over HTTP "1.1"
+    Then the response has status "500" and verdict may-have-run
+    And it is a complete problem with reason "request-failed"
+    And exactly one line was logged, with a traceback
+
   Scenario: An error after a response does not end the next request's connection
     Given an HTTP server in memory
     When a caller requests "/failing-end" and then "/wait" on one connection
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -115,6 +115,11 @@
             self.cancelled += 1
             raise
 
+    async def end_a_cancelled_future(self, request, incoming):
+        shared = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(shared.cancel)
+        await shared
+
     async def end_a_programming_error(self, request, incoming):
         raise KeyError("bug")
 
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -53,12 +53,12 @@
     yield_body,
 )
 from wagtailstep.network.request_reader import RequestReader
-from wagtailstep.network.sender import CALLER_LEFT, AttemptSender
+from wagtailstep.network.sender import CALLER_LEFT, INTERNAL_ERROR, AttemptSender
+from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
 MAX_RELAY_ATTEMPTS = 2
-INTERNAL_ERROR = "internal-error"
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -124,7 +124,9 @@
             outcome = error.reason
             self.reporter.record_failure(incoming, request_id, error)
             return build_error_answer(error, request_id)
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                raise
             outcome = INTERNAL_ERROR
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
             return build_error_answer(build_internal_error(), request_id)
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -5,6 +5,7 @@
 empty chunk, and turns a failure within a response into a second response.
 """
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator, Awaitable, Callable
 from http import HTTPStatus
@@ -36,6 +37,7 @@
     build_internal_error,
     yield_body,
 )
+from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
@@ -99,7 +101,9 @@
                 error=str(error),
             )
             return add_failure_headers(build_error_answer(error, request_id), error)
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                raise
             logger.exception("event=handler-failed path=%s", scope["path"])
             return build_error_answer(build_internal_error())
 
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -21,6 +21,7 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
+from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
@@ -130,10 +131,11 @@
                 await self.inner_app(scope, receive, send)
                 return
             self.log_interruption(scope, started_s, quiet_s)
-        except asyncio.CancelledError:
-            self.log_interruption(scope, started_s, quiet_s)
-            self.reset_connection()
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                self.log_interruption(scope, started_s, quiet_s)
+                self.reset_connection()
+                return
             self.handle_failure(scope, cycle)
             if not cycle.response_started:
                 raise
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -32,11 +32,13 @@
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.exchanges import Exchange
+from wagtailstep.utils.cancellation import is_cancelled
 from wagtailstep.utils.clock import Clock
 
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
 CALLER_LEFT = "caller-left"
+INTERNAL_ERROR = "internal-error"
 DEADLINE_GRACE_MS = 20
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
@@ -275,7 +277,8 @@
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
-            self.log.record_end(exchange, CALLER_LEFT)
+            reason = CALLER_LEFT if is_cancelled() else INTERNAL_ERROR
+            self.log.record_end(exchange, reason)
             raise
         attempt.record_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
