--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -119,19 +119,52 @@
     assert length in (None, str(len(data))), (length, data)
 
 
+def create_gate(client, clock):
+    board = Blackboard(Member("d1", 1, "", "", "bole"))
+    board.targets["contracts/i-1"] = Target(
+        "contracts/i-1", "contracts", "d1", "bole", address=ADDRESS
+    )
+    controller = GateController(SETTINGS, board, clock, random.Random(1))
+    return GateService(SETTINGS, controller, client, clock)
+
+
+class CancelledClient:
+    """Awaits what somebody else cancels."""
+
+    async def send(self, request):
+        shared = asyncio.get_running_loop().create_future()
+        asyncio.get_running_loop().call_soon(shared.cancel)
+        await shared
+
+
+@when("something cancels what the gate sends to the backend server")
+def cancel_sending(context):
+    async def main():
+        context.gate = create_gate(CancelledClient(), LoopClock())
+        try:
+            await send(context.gate, "one")
+        except asyncio.CancelledError:
+            return
+        raise AssertionError("the error was swallowed")
+
+    detangle.run(main, seed=1)
+
+
+@then("the gate's slots are all free")
+def check_slots(context):
+    (queue,) = context.gate.controller.queues.values()
+    assert not queue.running and not context.gate.waiters, queue
+    assert not context.gate.start_times, context.gate.start_times
+
+
 @when('the backend server answers with "{answer}"')
 def answer_request(context, answer):
     context.target = ScriptedTarget(ANSWERS[answer])
 
     async def main():
         clock = LoopClock()
-        board = Blackboard(Member("d1", 1, "", "", "bole"))
-        board.targets["contracts/i-1"] = Target(
-            "contracts/i-1", "contracts", "d1", "bole", address=ADDRESS
-        )
-        controller = GateController(SETTINGS, board, clock, random.Random(1))
         client = HttpClient(SETTINGS.requests, clock)
-        gate = GateService(SETTINGS, controller, client, clock)
+        gate = create_gate(client, clock)
         server = await asyncio.start_server(context.target.serve, "127.0.0.1", 9000)
         assert await send(gate, "one") == "200 one"
         context.outcome = await send(gate, "two")
--- a/features/target_answers.feature
+++ b/features/target_answers.feature
@@ -31,6 +31,10 @@
       | wagtailstep-caller-service    | portal |
       | wagtailstep-timeout-ms        | 2000   |
 
+  Scenario: The slot is free after something else cancelled the sending
+    When something cancels what the gate sends to the backend server
+    Then the gate's slots are all free
+
   Scenario Outline: How the outcome of a request counts for its backend server
     Then a request that ended as "<end>" counts as "<work>"
 
