Close a failed answer when its caller leaves while a retry is borrowed

Callers saw nothing at once; the attempt stayed in flight at its target for ever, so that the entry sent less there, and the gate kept the slot until the deadline. Change: may_replace closes the answer if the wait is interrupted.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -194,3 +194,11 @@
     Then the answer is 500 with verdict "may-have-run"
     And one request of route "sign" is counted as "internal-error"
     And nothing is in flight
+
+  Scenario: A caller that disconnects while a retry is borrowed releases the answer
+    Given the first attempt ends as "server error"
+    And the retries of the fleet are used up
+    When a caller sends GET "/lookup/7" and disconnects after 20 ms
+    Then the answer of the backend server was closed
+    And the outcome blames "caller" with verdict "may-have-run"
+    And nothing is in flight
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -5,6 +5,7 @@
 import random
 from datetime import timedelta
 
+import attrs
 import detangle
 from behave import given, then, when
 from routing_steps import make_member, make_settings, make_target
@@ -203,6 +204,13 @@
     harness.board.targets.clear()
 
 
+@given("the retries of the fleet are used up")
+def use_up_retries(context):
+    settings = context.harness.settings
+    requests = attrs.evolve(settings.requests, retry_ratio=0.0, retry_slack=1e-6)
+    context.harness.settings = attrs.evolve(settings, requests=requests)
+
+
 @given("all targets are ejected")
 def eject_all(context):
     context.harness.board.ejected.update(context.harness.board.targets)
@@ -426,6 +434,11 @@
     assert context.duration <= time / 1000, context.duration
 
 
+@then("the answer of the backend server was closed")
+def check_closed(context):
+    assert context.harness.forwarder.closed == 1
+
+
 @then("the hanging attempt was cancelled")
 def check_cancelled(context):
     assert context.harness.forwarder.cancelled == 1
--- a/src/wagtailstep/network/attempt_log.py
+++ b/src/wagtailstep/network/attempt_log.py
@@ -11,6 +11,8 @@
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger("wagtailstep.network.sender")
+CALLER_LEFT = "caller-left"
+INTERNAL_ERROR = "internal-error"
 
 
 class AttemptLog:
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -36,6 +36,7 @@
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR
 from wagtailstep.network.bodies import (
     AnswerStream,
     OnAnswerEnd,
@@ -53,7 +54,7 @@
     yield_body,
 )
 from wagtailstep.network.request_reader import RequestReader
-from wagtailstep.network.sender import CALLER_LEFT, INTERNAL_ERROR, AttemptSender
+from wagtailstep.network.sender import AttemptSender
 from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -28,7 +28,7 @@
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
-from wagtailstep.network.attempt_log import AttemptLog
+from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.exchanges import Exchange
@@ -37,8 +37,6 @@
 
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
-CALLER_LEFT = "caller-left"
-INTERNAL_ERROR = "internal-error"
 DEADLINE_GRACE_MS = 20
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
@@ -175,9 +173,12 @@
         request = exchange.request
         if self.retries.try_acquire_replacement(request, exchange.sent):
             return True
-        return await self.borrow_retry(
-            exchange
-        ) and self.retries.try_acquire_replacement(request, exchange.sent)
+        try:
+            borrowed = await self.borrow_retry(exchange)
+        except BaseException:
+            await answer.close()
+            raise
+        return borrowed and self.retries.try_acquire_replacement(request, exchange.sent)
 
     async def borrow_retry(self, exchange: Exchange) -> bool:
         """Borrow a retry from other daemons if only the budget forbids one.
