Do not cut off a complete answer for a cancelled request body

Callers saw: a whole answer without its end, or a reset, when a server answered early and something other than the caller cancelled the reading of the request's body. No such cancellation is known to happen today. Cause: at the end of the answer finish_exchange asked the cancelled sending task for its exception, which raises CancelledError there. Change: a connection whose sending was cancelled is not reused, as after any other failure of sending.

--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -99,6 +99,12 @@
     And fewer than 100 chunks of the body were sent
     And request 2 received its own response
 
+  Scenario: A body that something else cancelled does not spoil a complete answer
+    Given an HTTP client and a scripted server
+    When the reading of its body is cancelled after the server has rejected it unread
+    Then request 1 was answered with status 503
+    And request 2 received its own response
+
   Scenario: Informational responses are skipped
     Given an HTTP client and a scripted server
     When it requests "informed" and then "ok" on the same kept-alive connection
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -138,6 +138,7 @@
     def __init__(self, client):
         self.client = client
         self.results = []
+        self.reading_delay_s = 0.0
 
     async def call(
         self,
@@ -160,6 +161,7 @@
         )
         try:
             answer = await self.client.send(request)
+            await asyncio.sleep(self.reading_delay_s)
             text = b"".join([chunk async for chunk in answer.body]).decode()
             await answer.close()
             self.results.append((path, answer.status, text))
@@ -276,6 +278,23 @@
     run_with_server(context, scenario)
 
 
+@when("the reading of its body is cancelled after the server has rejected it unread")
+def cancel_body(context):
+    async def body():
+        shared = asyncio.get_running_loop().create_future()
+        yield b"x"
+        # The answer has arrived but is not read to its end yet.
+        asyncio.get_running_loop().call_later(0.5, shared.cancel)
+        await shared
+
+    async def scenario(caller):
+        caller.reading_delay_s = 1.0
+        await caller.call("/early/1", "POST", body(), 100)
+        await caller.call("/ok/2", "POST")
+
+    run_with_server(context, scenario)
+
+
 @when("a request is cancelled while the server processes it")
 def cancel_request(context):
     async def scenario(caller):
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -296,8 +296,8 @@
         :return: whether the connection can be reused.
         """
         if self.body_sender is not None:
-            sent = self.body_sender.done() and self.body_sender.exception() is None
-            if not sent:
+            sender = self.body_sender
+            if not sender.done() or sender.cancelled() or sender.exception():
                 return False
             self.body_sender = None
         self.last_response_at = now
