Notice that a caller left whose request offers an upgrade

Callers saw nothing; their request went on to its end after they had left. Cause: behind such a request h11 is in MIGHT_SWITCH_PROTOCOL, not DONE, and the connection was left paused. Change: reading goes on in that state too, as behind any other request.

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -124,6 +124,11 @@
     When a caller disconnects while its request is handled
     Then the handler of "/wait" was cancelled
 
+  Scenario: A caller that offers another protocol and disconnects cancels its request
+    Given an HTTP server in memory
+    When a caller that offers an upgrade to "h2c" disconnects while it is handled
+    Then the handler of "/wait" was cancelled
+
   Scenario: A caller that reads slowly slows down the response
     Given an HTTP server in memory
     When a caller reads nothing of a huge response
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -80,6 +80,7 @@
         self.proceed = asyncio.Event()
         self.app = ExchangeApp(self.handle)
         self.server = HttpServer(self.app, self.app.announce_closing)
+        self.address = "server:80"
 
     async def handle(self, incoming):
         self.handled.append(incoming.path)
@@ -334,14 +335,24 @@
 
 @when("a caller disconnects while its request is handled")
 def disconnect_caller(context):
+    disconnect(context, "")
+
+
+@when('a caller that offers an upgrade to "{name}" disconnects while it is handled')
+def disconnect_upgrading_caller(context, name):
+    headers = f"connection: upgrade\r\nupgrade: {name}\r\n"
+    disconnect(context, headers, on_sockets=True)
+
+
+def disconnect(context, headers, on_sockets=False):
     async def scenario(fixture):
-        _, writer = await connect()
-        writer.write(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        _, writer = await connect(fixture.address)
+        writer.write(f"GET /wait HTTP/1.1\r\nhost: a\r\n{headers}\r\n".encode())
         await asyncio.sleep(0.1)
         writer.close()
         await asyncio.sleep(0.1)
 
-    run_server(context, scenario)
+    run_server(context, scenario, on_sockets)
 
 
 @when("a caller reads nothing of a huge response")
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -31,6 +31,8 @@
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
 MS_PER_S = 1_000
+# The second one follows a request that offers to change to another protocol.
+READ_REQUEST_STATES = frozenset({h11.DONE, h11.MIGHT_SWITCH_PROTOCOL})
 
 # Silenced: uvicorn also logs malformed requests and unfinished responses, which this
 # package already logs as key=value lines.
@@ -191,7 +193,7 @@
         uvicorn stops to read there, and would not notice that the caller disconnects.
         """
         super().handle_events()
-        if self.flow.read_paused and self.conn.their_state is h11.DONE:
+        if self.flow.read_paused and self.conn.their_state in READ_REQUEST_STATES:
             pipelined_bytes, _ = self.conn.trailing_data
             if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
                 self.flow.resume_reading()
