--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -39,12 +39,81 @@
       | 1.1     | /truncated-chunks |
       | 1.1     | /truncated-length |
       | 1.0     | /truncated-chunks |
+      | 1.1     | /broken-body      |
+      | 1.0     | /broken-body      |
+      | 1.1     | /cancelled-body   |
+      | 1.0     | /cancelled-body   |
+
+  Scenario Outline: An answer that can't be written is replaced, not dropped
+    Given an HTTP server in memory
+    When a caller requests "<path>" over HTTP "<version>"
+    Then the response has status "502" and verdict may-have-run
+    And it is a complete problem with reason "invalid-answer"
+    And exactly one line was logged
+
+    Examples:
+      | version | path              |
+      | 1.1     | /unwritable       |
+      | 1.0     | /unwritable       |
+      | 1.1     | /unwritable-name  |
+      | 1.1     | /unencodable      |
+      | 1.1     | /status-99        |
+      | 1.1     | /status-101       |
+      | 1.1     | /status-600       |
+      | 1.1     | /status-1000      |
+      | 1.1     | /length-0         |
+
+  Scenario: A connection goes on after an answer that can't be written
+    Given an HTTP server in memory
+    When a caller requests "/unwritable" and "/good" on one connection
+    Then the response has status "502" and verdict may-have-run
+    And the good request was answered
+
+  Scenario Outline: An answer of another length than announced never looks complete
+    Given an HTTP server in memory
+    When a caller requests "<path>" over HTTP "<version>"
+    Then no client takes the response for complete
+    And exactly one line was logged
+
+    Examples:
+      | version | path       |
+      | 1.1     | /length-2  |
+      | 1.1     | /length-4  |
+      | 1.1     | /length-6  |
+      | 1.1     | /length-20 |
+      | 1.0     | /length-6  |
+
+  Scenario Outline: A body that an answer can't have is left out
+    Given an HTTP server in memory
+    When a caller sends <method> for "<path>" and "/good" on one connection
+    Then the response has status "<status>" and no body
+    And the good request was answered
+
+    Examples:
+      | method | path        | status |
+      | GET    | /status-204 | 204    |
+      | GET    | /status-304 | 304    |
+      | HEAD   | /good       | 200    |
+      | HEAD   | /length-9   | 200    |
 
   Scenario: An internal error of the daemon gives the verdict may-have-run
     Given an HTTP server in memory
     When a caller requests "/broken" over HTTP "1.1"
     Then the response has status "500" and verdict may-have-run
 
+  Scenario: A handler that something else cancelled still answers
+    Given an HTTP server in memory
+    When a caller requests "/cancelled" over HTTP "1.1"
+    Then the response has status "500" and verdict may-have-run
+    And it is a complete problem with reason "request-failed"
+    And exactly one line was logged, with a traceback
+
+  Scenario: An error after a response does not end the next request's connection
+    Given an HTTP server in memory
+    When a caller requests "/failing-end" and then "/wait" on one connection
+    Then both requests were answered
+    And exactly one line was logged, with a traceback
+
   Scenario: A caller can't hold a connection with a head that never ends
     Given an HTTP server in memory
     When a caller sends the head of a request one byte every 10 s
@@ -55,6 +124,11 @@
     When a caller disconnects while its request is handled
     Then the handler of "/wait" was cancelled
 
+  Scenario: A caller that offers another protocol and disconnects cancels its request
+    Given an HTTP server in memory
+    When a caller that offers an upgrade to "h2c" disconnects while it is handled
+    Then the handler of "/wait" was cancelled
+
   Scenario: A caller that reads slowly slows down the response
     Given an HTTP server in memory
     When a caller reads nothing of a huge response
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -1,6 +1,7 @@
 """Steps for the HTTP server: callers that send raw bytes to the real server."""
 
 import asyncio
+import json
 import logging
 from datetime import timedelta
 
@@ -36,15 +37,30 @@
     def __init__(self):
         super().__init__()
         self.messages = []
+        self.errors = []
 
     def emit(self, record):
         self.messages.append(record.getMessage())
+        if record.exc_info:
+            self.errors.append(record.exc_info[1])
 
 
 async def close_slowly():
     await asyncio.sleep(0.05)
 
 
+async def fail_to_close():
+    await asyncio.sleep(0.05)
+    raise KeyError("a bug at the end of the response")
+
+
+async def await_cancelled_future():
+    """Await what somebody else cancels."""
+    shared = asyncio.get_running_loop().create_future()
+    asyncio.get_running_loop().call_soon(shared.cancel)
+    await shared
+
+
 async def generate_body(data):
     yield data
 
@@ -64,6 +80,7 @@
         self.proceed = asyncio.Event()
         self.app = ExchangeApp(self.handle)
         self.server = HttpServer(self.app, self.app.announce_closing)
+        self.address = "server:80"
 
     async def handle(self, incoming):
         self.handled.append(incoming.path)
@@ -93,6 +110,24 @@
             return attrs.evolve(build_answer(b"good"), close=close_slowly)
         if name == "unwritable":
             return build_answer(b"good", ("x-broken", "line\nbreak"))
+        if name == "unwritable-name":
+            return build_answer(b"good", ("x broken", "1"))
+        if name == "unencodable":
+            return build_answer(b"good", ("x-broken", "\N{HIRAGANA LETTER A}"))
+        if name.startswith("status-"):
+            status = int(name.removeprefix("status-"))
+            return attrs.evolve(build_answer(b"good"), status=status)
+        if name.startswith("length-"):
+            headers = (("content-length", name.removeprefix("length-")),)
+            return Answer(200, headers, self.generate_halves(), Verdict.RUN)
+        if name == "broken-body":
+            return Answer(200, (), self.generate_broken_body(), Verdict.RUN)
+        if name == "failing-end":
+            return attrs.evolve(build_answer(b"good"), close=fail_to_close)
+        if name == "cancelled":
+            await await_cancelled_future()
+        if name == "cancelled-body":
+            return Answer(200, (), self.generate_cancelled_body(), Verdict.RUN)
         if name == "broken":
             raise KeyError("a bug of the handler")
         return Answer(
@@ -102,6 +137,18 @@
     async def generate_small_body(self):
         yield b"good"
 
+    async def generate_broken_body(self):
+        yield b"half"
+        raise KeyError("a bug of the handler")
+
+    async def generate_cancelled_body(self):
+        yield b"half"
+        await await_cancelled_future()
+
+    async def generate_halves(self):
+        yield b"half"
+        yield b"half"
+
     async def generate_truncated_body(self):
         yield b"half"
         raise TruncatedAnswerError("the backend server stopped")
@@ -122,6 +169,7 @@
     logging.getLogger().addHandler(log_capture)
     logging.getLogger().setLevel(logging.INFO)
     context.log = log_capture.messages
+    context.logged_errors = log_capture.errors
 
     async def serve(fixture):
         await fixture.server.start("server:80")
@@ -228,6 +276,45 @@
     run_server(context, scenario, on_sockets=True)
 
 
+@when('a caller requests "{path}" and "/good" on one connection')
+def request_both(context, path):
+    request_after(context, "GET", path)
+
+
+@when('a caller requests "{path}" and then "/wait" on one connection')
+def request_next(context, path):
+    async def scenario(fixture):
+        reader, writer = await connect(fixture.address)
+        writer.write(f"GET {path} HTTP/1.1\r\nhost: a\r\n\r\n".encode())
+        context.received = await reader.readuntil(b"good")
+        writer.write(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        while len(fixture.server.state.tasks) != 1 or "/wait" not in fixture.handled:
+            await asyncio.sleep(0.001)
+        fixture.proceed.set()
+        try:
+            context.good_response = await reader.readuntil(b"good")
+        except asyncio.IncompleteReadError as error:
+            context.good_response = error.partial
+        writer.close()
+
+    run_server(context, scenario, on_sockets=True)
+
+
+@when('a caller sends {method} for "{path}" and "/good" on one connection')
+def request_after(context, method, path):
+    async def scenario(fixture):
+        request = f"{method} {path} HTTP/1.1\r\nhost: a\r\n\r\n"
+        last_request = b"GET /good HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        received = await send_and_receive(
+            request.encode() + last_request, fixture.address
+        )
+        head, separator, rest = received.partition(b"\r\n\r\n")
+        body, _, context.good_response = rest.partition(b"HTTP/1.1 200 ")
+        context.received = head + separator + body
+
+    run_server(context, scenario, on_sockets=True)
+
+
 @when("a caller sends the head of a request one byte every {pause_s:d} s")
 def send_slowly(context, pause_s):
     async def scenario(fixture):
@@ -248,14 +335,24 @@
 
 @when("a caller disconnects while its request is handled")
 def disconnect_caller(context):
+    disconnect(context, "")
+
+
+@when('a caller that offers an upgrade to "{name}" disconnects while it is handled')
+def disconnect_upgrading_caller(context, name):
+    headers = f"connection: upgrade\r\nupgrade: {name}\r\n"
+    disconnect(context, headers, on_sockets=True)
+
+
+def disconnect(context, headers, on_sockets=False):
     async def scenario(fixture):
-        _, writer = await connect()
-        writer.write(b"GET /wait HTTP/1.1\r\nhost: a\r\n\r\n")
+        _, writer = await connect(fixture.address)
+        writer.write(f"GET /wait HTTP/1.1\r\nhost: a\r\n{headers}\r\n".encode())
         await asyncio.sleep(0.1)
         writer.close()
         await asyncio.sleep(0.1)
 
-    run_server(context, scenario)
+    run_server(context, scenario, on_sockets)
 
 
 @when("a caller reads nothing of a huge response")
@@ -412,6 +509,18 @@
     assert len(context.log) == 1, context.log
 
 
+@then("exactly one line was logged, with a traceback")
+def check_traceback(context):
+    check_one_line(context)
+    assert len(context.logged_errors) == 1, context.logged_errors
+
+
+@then("both requests were answered")
+def check_both(context):
+    assert context.received.endswith(b"good"), context.received
+    check_good(context)
+
+
 @then("no verdict not-run was given")
 def check_no_not_run(context):
     assert b"not-run" not in context.received, context.received
@@ -419,16 +528,23 @@
 
 @then("a client can tell that the response was interrupted")
 def check_interrupted(context):
+    if not context.received.endswith(b"<reset>"):
+        assert b"half" in context.received, context.received
+    check_incomplete(context)
+
+
+@then("no client takes the response for complete")
+def check_incomplete(context):
     if context.received.endswith(b"<reset>"):
         return
-    assert b"half" in context.received, context.received
     parser = h11.Connection(h11.CLIENT)
     parser.send(h11.Request(method="GET", target="/", headers=[("host", "a")]))
     parser.receive_data(context.received)
     parser.receive_data(b"")
     try:
         while parser.next_event() is not h11.PAUSED:
-            assert parser.their_state is not h11.DONE, context.received
+            ended = parser.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+            assert not ended, context.received
     except h11.RemoteProtocolError:
         return
     raise AssertionError("an HTTP client accepts the truncated response as complete")
@@ -441,6 +557,20 @@
     assert "wagtailstep-verdict: may-have-run" in head.lower(), head
 
 
+@then('it is a complete problem with reason "{reason}"')
+def check_problem(context, reason):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert f"wagtailstep-reason: {reason}" in head.decode("latin-1").lower(), head
+    assert json.loads(body)["verdict"] == "may-have-run", body
+
+
+@then('the response has status "{status}" and no body')
+def check_no_body(context, status):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(f"HTTP/1.1 {status} ".encode()), context.received
+    assert body == b"", body
+
+
 @then('the handler of "{path}" was cancelled')
 def check_cancelled(context, path):
     assert context.fixture.cancelled == [path], context.fixture.cancelled
--- a/features/target_answers.feature
+++ b/features/target_answers.feature
@@ -19,6 +19,7 @@
       | a late answer without length | connection-failed may-have-run  |
       | half of its answer           | truncated-answer may-have-run   |
       | no length and an end         | 200 two                         |
+      | a length beside chunks       | 200 two                         |
       | bytes that are no answer     | connection-failed may-have-run  |
 
   Scenario: Every attempt carries the time left, the instance and the caller's service
@@ -30,6 +31,10 @@
       | wagtailstep-caller-service    | portal |
       | wagtailstep-timeout-ms        | 2000   |
 
+  Scenario: The slot is free after something else cancelled the sending
+    When something cancels what the gate sends to the backend server
+    Then the gate's slots are all free
+
   Scenario Outline: How the outcome of a request counts for its backend server
     Then a request that ended as "<end>" counts as "<work>"
 
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -36,6 +36,7 @@
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR
 from wagtailstep.network.bodies import (
     AnswerStream,
     OnAnswerEnd,
@@ -54,12 +55,12 @@
     yield_body,
 )
 from wagtailstep.network.request_reader import RequestReader
-from wagtailstep.network.sender import CALLER_LEFT, AttemptSender
+from wagtailstep.network.sender import AttemptSender
+from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.ids import make_id
 
 MAX_RELAY_ATTEMPTS = 2
-INTERNAL_ERROR = "internal-error"
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -125,7 +126,9 @@
             outcome = error.reason
             self.reporter.record_failure(incoming, request_id, error)
             return build_error_answer(error, request_id)
-        except Exception:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                raise
             outcome = INTERNAL_ERROR
             _LOGGER.exception("event=request-failed request_id=%s", request_id)
             return build_error_answer(build_internal_error(), request_id)
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -15,7 +15,7 @@
 
 import attrs
 import h11
-from uvicorn.protocols.http.h11_impl import H11Protocol
+from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
 from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
@@ -23,6 +23,7 @@
 from wagtailstep.network.early_answers import EarlyAnswer
 from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
+from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.logging import log_event
 
 logger = logging.getLogger(__name__)
@@ -31,8 +32,8 @@
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
 MS_PER_S = 1_000
-# The latter until the response to a request that asks for another protocol.
-REQUEST_READ_STATES = (h11.DONE, h11.MIGHT_SWITCH_PROTOCOL)
+# The second one follows a request that offers to change to another protocol.
+READ_REQUEST_STATES = frozenset({h11.DONE, h11.MIGHT_SWITCH_PROTOCOL})
 
 # Silenced: uvicorn also logs malformed requests and unfinished responses, which this
 # package already logs as key=value lines.
@@ -173,31 +174,51 @@
         quiet_s = started_s - self.quiet_since_s
         scope[CONNECTION_KEY] = self
         answer = EarlyAnswer(self.conn, scope, receive, send)
+        cycle = self.cycle
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
                 await self.inner_app(scope, receive, answer.send)
                 return
             self.log_interruption(scope, started_s, quiet_s)
-        except asyncio.CancelledError:
-            if not answer.written:
+        except (Exception, asyncio.CancelledError) as error:
+            if not is_own_cancellation(error):
+                self.handle_failure(scope, cycle)
+                if not cycle.response_started:
+                    raise
+            elif answer.written:
+                self.transport.close()
+            else:
                 self.log_interruption(scope, started_s, quiet_s)
-            self.reset_connection()
-        except Exception:
-            self.record_end(ConnectionEnd.RESPONSE_FAILED)
-            logger.exception(
-                "event=response-failed request_id=%s path=%s ended_by=%s",
-                read_request_id(scope),
-                scope["path"],
-                self.ended_by.value,
-            )
-            raise
+                self.reset_connection()
         finally:
             # The handler of a pipelined request starts with the end of the response
             # before it, while the handler of that one may still be ending.
             if self.handler is asyncio.current_task():
                 self.handler = None
 
+    def handle_failure(self, scope: Any, cycle: RequestResponseCycle) -> None:
+        """Log the error of a handler and end the connection within a response.
+
+        Behind a complete response, the connection may already serve the next request.
+        """
+        request_id = read_request_id(scope)
+        path = scope["path"]
+        if cycle.response_complete:
+            logger.exception(
+                "event=response-end-failed request_id=%s path=%s", request_id, path
+            )
+            return
+        self.record_end(ConnectionEnd.RESPONSE_FAILED)
+        logger.exception(
+            "event=response-failed request_id=%s path=%s ended_by=%s",
+            request_id,
+            path,
+            self.ended_by.value,
+        )
+        if cycle.response_started:
+            self.abort_response()
+
     def log_interruption(self, scope: Any, started_s: float, quiet_s: float) -> None:
         """Log that a request ended without its response, and what ended it.
 
@@ -222,7 +243,7 @@
         uvicorn stops to read there, and would not notice that the caller disconnects.
         """
         super().handle_events()
-        if self.flow.read_paused and self.conn.their_state in REQUEST_READ_STATES:
+        if self.flow.read_paused and self.conn.their_state in READ_REQUEST_STATES:
             pipelined_bytes, _ = self.conn.trailing_data
             if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
                 self.flow.resume_reading()
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -28,16 +28,16 @@
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
-from wagtailstep.network.attempt_log import AttemptLog
+from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
 from wagtailstep.network.attempts import Attempt
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
+from wagtailstep.utils.cancellation import is_cancelled
 from wagtailstep.utils.clock import Clock
 
 LOGGER = logging.getLogger(__name__)
 FIRST_FAILURE_STATUS = 500
-CALLER_LEFT = "caller-left"
 DEADLINE_GRACE_MS = 20
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
@@ -174,9 +174,12 @@
         request = exchange.request
         if self.retries.try_acquire_replacement(request, exchange.sent):
             return True
-        return await self.borrow_retry(
-            exchange
-        ) and self.retries.try_acquire_replacement(request, exchange.sent)
+        try:
+            borrowed = await self.borrow_retry(exchange)
+        except BaseException:
+            await answer.close()
+            raise
+        return borrowed and self.retries.try_acquire_replacement(request, exchange.sent)
 
     async def borrow_retry(self, exchange: Exchange) -> bool:
         """Borrow a retry from other daemons if only the budget forbids one.
@@ -276,7 +279,8 @@
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
-            self.log.record_end(exchange, CALLER_LEFT)
+            reason = CALLER_LEFT if is_cancelled() else INTERNAL_ERROR
+            self.log.record_end(exchange, reason)
             raise
         attempt.record_answer(answer)
         exchange.verdict = Verdict.MAY_HAVE_RUN
