Report a drain as cut while a caller has not taken its whole answer

Cause: returned True at the limit if no handler was left, although answers were still unsent. Change: bytes that are not sent yet count as unfinished.

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -157,3 +157,8 @@
     Given an HTTP server in memory
     When the server drains for 200 ms without a request
     Then the drain had ended in time
+
+  Scenario: A drain tells that a caller has not taken its whole answer
+    Given an HTTP server in memory
+    When the server drains while a caller has not read the end of its answer
+    Then the drain had not ended in time
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import socket
 from datetime import timedelta
 
 import attrs
@@ -18,6 +19,7 @@
 
 CHUNK = b"#" * 65_536
 HUGE_CHUNKS = 400
+SMALL_BUFFER_BYTES = 4_096
 GOOD_REQUEST = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
 BAD_REQUESTS = {
     "no HTTP": b"what is this\r\n\r\n",
@@ -102,6 +104,8 @@
         if name.startswith("truncated"):
             headers = (("content-length", "100"),) if name.endswith("length") else ()
             return Answer(200, headers, self.generate_truncated_body(), Verdict.RUN)
+        if name == "large":
+            return build_answer(CHUNK[:60_000])
         if name.startswith("echo"):
             return build_answer(name.encode())
         if name == "close":
@@ -120,6 +124,8 @@
         if name.startswith("length-"):
             headers = (("content-length", name.removeprefix("length-")),)
             return Answer(200, headers, self.generate_halves(), Verdict.RUN)
+        if name == "chunked":
+            return Answer(200, (), self.generate_small_body(), Verdict.RUN)
         if name == "broken-body":
             return Answer(200, (), self.generate_broken_body(), Verdict.RUN)
         if name == "failing-end":
@@ -482,6 +488,33 @@
     assert context.fixture.cancelled == [path], context.fixture.cancelled
 
 
+@when("the server drains while a caller has not read the end of its answer")
+def drain_unread_answer(context):
+    async def scenario(fixture):
+        host, _, port = fixture.address.partition(":")
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+            caller.connect((host, int(port)))
+            while not fixture.server.state.connections:
+                await asyncio.sleep(0)
+            (connection,) = fixture.server.state.connections
+            connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES
+            )
+            caller.sendall(b"GET /large HTTP/1.1\r\nhost: a\r\n\r\n")
+            while not fixture.handled or fixture.server.state.tasks:
+                await asyncio.sleep(0)
+            fixture.server.stop_accepting()
+            context.drained = await fixture.server.drain(timedelta(milliseconds=200))
+
+    run_server(context, scenario, on_sockets=True)
+
+
+@then("the drain had not ended in time")
+def check_not_drained(context):
+    assert not context.drained
+
+
 @then("the drain had ended in time")
 def check_drained_in_time(context):
     assert context.drained
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -110,9 +110,16 @@
                 await self.close_unused_connections()
                 await self.wait_for_handlers()
         except TimeoutError:
-            return not self.state.tasks
+            return not self.state.tasks and not self.has_unsent_data()
         return True
 
+    def has_unsent_data(self) -> bool:
+        """Return whether a response is complete but not yet sent as a whole."""
+        return any(
+            connection.transport.get_write_buffer_size()
+            for connection in self.state.connections
+        )
+
     async def wait_for_handlers(self) -> None:
         """Wait until no request is in flight."""
         while self.state.tasks:
