Complete an early answer whose handler is cancelled

Cause: the end of the answer is held back, and the cancelled handler did not send it. Change: it is sent before the cancellation goes on.

--- a/features/caller_connections.feature
+++ b/features/caller_connections.feature
@@ -160,3 +160,8 @@
     Given a kept connection to an HTTP server on sockets
     When the server stops to accept and answers an upload whose caller then leaves
     Then no request was reported as interrupted
+
+  Scenario: A planned stop does not cut the end off an answer that came early
+    Given an HTTP server in memory
+    When the server stops within the linger time of a chunked answer to an upload
+    Then the chunked answer is complete
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -568,6 +568,29 @@
     run_on_stalling_loop(context, scenario)
 
 
+@when("the server stops within the linger time of a chunked answer to an upload")
+def stop_while_lingering(context):
+    async def scenario(fixture, loop):
+        connection = await KeptConnection.open(fixture.address)
+        head = "POST /chunked HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n"
+        connection.writer.write(f"{head}connection: close\r\n\r\nhalf".encode())
+        while "/chunked" not in fixture.handled:
+            await asyncio.sleep(0)
+        await run_turns(10)
+        fixture.server.stop_accepting()
+        await fixture.server.drain(timedelta(milliseconds=200))
+        await fixture.server.close()
+        context.received = await connection.reader.read()
+        connection.writer.close()
+
+    run_on_stalling_loop(context, scenario)
+
+
+@then("the chunked answer is complete")
+def check_last_chunk(context):
+    assert context.received.endswith(b"good\r\n0\r\n\r\n"), context.received
+
+
 @then("the caller could send all of its upload")
 def check_could_send(context):
     assert context.could_send, context.log
--- a/src/wagtailstep/network/early_answers.py
+++ b/src/wagtailstep/network/early_answers.py
@@ -43,8 +43,12 @@
         elif not message.get("more_body", False) and self.has_rest():
             await self.inner_send({**message, "more_body": True})
             self.written = True
-            await self.skip_request()
             message = {**message, "body": b""}
+            try:
+                await self.skip_request()
+            except asyncio.CancelledError:
+                await self.inner_send(message)
+                raise
         await self.inner_send(message)
 
     def has_rest(self) -> bool:
