Notice a deadline also between waits of one turn each

Cause: the timer that notices the deadline was stopped at the end of each wait, before it could run, if every wait took a single turn of the loop. Change: a wait that begins after the deadline notices it at once.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -171,3 +171,7 @@
     When a request gets no answer while each turn of the event loop takes 50 ms
     Then it ends at once as "deadline-exceeded" with verdict "may-have-run"
     And it ended within 500 ms of its deadline
+
+  Scenario: A deadline ends a series of waits of which each takes one turn
+    When what a deadline limits waits again and again, each time for one turn
+    Then the deadline ends it
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -88,6 +88,10 @@
         self.timer: asyncio.Handle | SettledTimer = self.loop.call_at(
             self.when, self.notice
         )
+        if self.has_passed:
+            # Waits of a single turn each would stop the timer before it can run.
+            self.timer.cancel()
+            self.notice()
         return self
 
     async def __aexit__(
