Do not cancel again what a deadline or an attempt timeout is ending

Cause: a second limit that fell due while the first one's cancellation was being handled rescheduled an expired timeout, which raises; an attempt could also spend a retry there. Change: both check first. The fake timeout of asking_gates.feature answers that question, too.

--- a/features/stalls.feature
+++ b/features/stalls.feature
@@ -175,3 +175,8 @@
   Scenario: A deadline ends a series of waits of which each takes one turn
     When what a deadline limits waits again and again, each time for one turn
     Then the deadline ends it
+
+  Scenario: A deadline that passes while what it limits is already being cancelled
+    When a deadline passes while what it limits ends an earlier cancellation slowly
+    Then the deadline ends it
+    And the event loop reported no error
--- a/features/steps/asking_gates_steps.py
+++ b/features/steps/asking_gates_steps.py
@@ -490,6 +490,9 @@
 
     rescheduled = False
 
+    def expired(self):
+        return False
+
     def reschedule(self, when):
         self.rescheduled = True
 
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -29,6 +29,7 @@
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.announcements import add_announcement_routes
 from wagtailstep.network.bodies import ReplayableBody
+from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.forwarder import HttpForwarder
 from wagtailstep.network.gate import MAX_WAIT_FACTOR, GateService
@@ -610,6 +611,57 @@
     run_harness(context, scenario)
 
 
+@when("what a deadline limits waits again and again, each time for one turn")
+def wait_in_short_steps(context):
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        deadline = limit_time(TIME_LEFT)
+        loop.offset_s += TIME_LEFT.total_seconds() + STALL_S
+        context.ended = False
+        for _ in range(MANY_TURNS):
+            loop.offset_s += 0.01
+            try:
+                async with deadline:
+                    await asyncio.sleep(0)
+            except TimeoutError:
+                context.ended = True
+
+    run_on_stalling_loop(scenario)
+
+
+@when("a deadline passes while what it limits ends an earlier cancellation slowly")
+def cancel_twice(context):
+    context.errors = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, details: context.errors.append(details))
+        context.ended = False
+        try:
+            async with limit_time(TIME_LEFT) as deadline:
+                deadline.timeout.reschedule(loop.time())
+                try:
+                    await asyncio.Event().wait()
+                finally:
+                    loop.offset_s += TIME_LEFT.total_seconds() + STALL_S
+                    for _ in range(MANY_TURNS):
+                        await asyncio.sleep(0)
+        except TimeoutError:
+            context.ended = True
+
+    run_on_stalling_loop(scenario)
+
+
+@then("the event loop reported no error")
+def check_no_error(context):
+    assert context.errors == [], context.errors
+
+
+@then("the deadline ends it")
+def check_deadline_ended(context):
+    assert context.ended
+
+
 @when("the process stands still past the connect timeout while it connects")
 def stall_while_connecting(context):
     async def scenario(harness):
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -115,8 +115,9 @@
         self.timer = SettledTimer(now + self.grace_s, self.expire)
 
     def expire(self) -> None:
-        """Cancel what is limited now."""
-        self.timeout.reschedule(self.loop.time())
+        """Cancel what is limited now, unless it is being cancelled already."""
+        if not self.timeout.expired():
+            self.timeout.reschedule(self.loop.time())
 
 
 def limit_time(time_left: timedelta, grace: timedelta = timedelta()) -> Deadline:
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -362,13 +362,11 @@
         While the daemon shuts down or slots are short, the next attempt might be
         rejected and the work be lost, so the attempt is left running.
         """
-        service = exchange.request.service
-        if self.blackboard.draining or self.refusals.has_recent(service):
+        request = exchange.request
+        is_short = self.blackboard.draining or self.refusals.has_recent(request.service)
+        if is_short or timeout.expired() or not exchange.body.replayable:
             return
-        is_replayable = exchange.body.replayable
-        if is_replayable and self.retries.try_acquire_replacement(
-            exchange.request, exchange.sent + 1
-        ):
+        if self.retries.try_acquire_replacement(request, exchange.sent + 1):
             exchange.abandoned = True
             timeout.reschedule(asyncio.get_running_loop().time())
 
