--- a/src/wagtailstep/network/early_answers.py
+++ b/src/wagtailstep/network/early_answers.py
@@ -9,6 +9,7 @@
 
 import h11
 
+# Time for the rest of a request whose response was already written.
 LINGER_S = 2
 CLOSE_HEADER = (b"connection", b"close")
 
--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -30,6 +30,7 @@
     read_int_header,
 )
 from wagtailstep.network.bodies import hold_to_length
+from wagtailstep.network.early_answers import CLOSE_HEADER
 from wagtailstep.network.http_connection import decode_headers, encode_headers
 from wagtailstep.network.http_protocol import CONNECTION_KEY, ServerConnection
 from wagtailstep.network.problems import (
@@ -46,7 +47,6 @@
 
 # RFC 9110: a response with one of these has no body.
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
-CLOSE_HEADER = (b"connection", b"close")
 
 
 class FramingError(BadRequestError):
