Play servers that name a limit or say that they leave, and list what fails

The stand-in of a backend server names a limit, or that it leaves, in its responses. The soak plays both (limits that fall, rise and end, and nonsense; a server that says that it leaves but goes on announcing itself) and compares what reached a server with what each daemon had passed on before.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -23,6 +23,7 @@
 
 from benchmarks.soak.callers import AttemptEnded, CallerGroup, start_callers
 from benchmarks.soak.fleet import Host, SoakFleet
+from benchmarks.soak.server_notices import NoticeCheck
 from benchmarks.soak.tables import TableWatch
 from wagtailstep.fakes.faults import Faults
 
@@ -37,6 +38,7 @@
 # A request that fails because it crossed the close of its connection fails within this
 # time; a request that fails later was lost for another reason.
 MAX_CROSSED_CLOSE_S = 0.2
+RATE_LIMITS = ("1", "1", "0.5", "2.5", "8", "0", "-1", "nan", "1e309", "few")
 REFUSAL_STATUSES = (408, 421, 429, 503)
 MAX_STEPS = 6_000_000
 
@@ -90,6 +92,21 @@
     faults.status, faults.silent, faults.lost_answers = 0, False, 0
 
 
+async def name_limits(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """Let a backend server name limits that fall, rise and end, and nonsense."""
+    for _ in range(rng.randint(1, 3)):
+        fleet.set_faults(host, Faults(rate_limit=rng.choice(RATE_LIMITS)))
+        await asyncio.sleep(rng.uniform(2.0, 7.0))
+    fleet.set_faults(host, Faults())
+
+
+async def announce_leaving(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """Let a backend server say in its answers only that it leaves, and end later."""
+    fleet.set_faults(host, Faults(says_leaving=True))
+    await asyncio.sleep(rng.uniform(2.5, 8.0))
+    await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
+
+
 async def restore_store(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
     """Restore the store from a copy that is some seconds old.
 
@@ -133,6 +150,8 @@
     "hang": create_gray_failure(hang_share=0.5),
     "lose": create_gray_failure(lose_share=0.4),
     "truncate": create_gray_failure(truncate_share=0.4),
+    "limit": name_limits,
+    "leaving": announce_leaving,
     "slow": create_gray_failure(slow_factor=6.0),
 }
 
@@ -189,6 +208,7 @@
         runs = fleet.count_runs()
         result.violations = find_violations(callers.outcomes, runs, final_phase_start)
         result.violations += tables.find_violations()
+        result.violations += NoticeCheck(fleet, callers.outcomes).find_violations()
         watch.cancel()
         if PLANNED_OPERATIONS.issuperset(fault_names):
             result.violations += find_interrupted_requests(callers.outcomes, runs)
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -10,6 +10,12 @@
 
 from benchmarks.soak.fleet import ROUTE_HOST, SoakFleet
 from wagtailstep.exceptions import RequestError
+from wagtailstep.models.headers import (
+    SERVER_LEAVING,
+    SERVER_LIMIT,
+    Headers,
+    find_header,
+)
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import read_complete_body
@@ -35,6 +41,10 @@
     :param is_expected_answer: whether the body is the response to this request.
     :param interrupted: whether the exchange failed when the request may have run.
     :param took_s: seconds until the response or failure.
+    :param host: host of the daemon that the request was sent to.
+    :param server: address of the backend server that answered.
+    :param rate_limit: text of the limit that the server named in its answer.
+    :param server_leaves: whether the server said in its answer that it leaves.
     """
 
     key: str
@@ -44,6 +54,15 @@
     is_expected_answer: bool
     interrupted: bool = False
     took_s: float = 0.0
+    host: str = ""
+    server: str = ""
+    rate_limit: str = ""
+    server_leaves: bool = False
+
+    @property
+    def ended_at_s(self) -> float:
+        """Return when the response was complete or the exchange had failed."""
+        return self.at_s + self.took_s
 
 
 class CallerGroup:
@@ -97,16 +116,28 @@
             time_left=timedelta(milliseconds=TIMEOUT_MS + 500),
         )
         status, is_expected_answer, interrupted = NO_ANSWER, True, False
+        found: Headers = ()
         try:
             answer = await self.client.send(request)
             data = await read_complete_body(answer)
+            found = answer.headers
             status, is_expected_answer = answer.status, data == f"{key}\n".encode()
         except RequestError as error:
             interrupted = error.verdict is not Verdict.NOT_RUN
         took_s = loop.time() - at_s
         self.outcomes.append(
             AttemptEnded(
-                key, unsafe, at_s, status, is_expected_answer, interrupted, took_s
+                key,
+                unsafe,
+                at_s,
+                status,
+                is_expected_answer,
+                interrupted,
+                took_s,
+                host=host,
+                server=find_header(found, "fake-address") or "",
+                rate_limit=find_header(found, SERVER_LIMIT) or "",
+                server_leaves=find_header(found, SERVER_LEAVING) == "1",
             )
         )
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -105,6 +105,32 @@
         return f"d{self.number}"
 
 
+@attrs.frozen
+class FaultChange:
+    """Faults that a backend server has from some time on.
+
+    :param at_s: event loop time in seconds.
+    :param backend: the backend server.
+    :param faults: its faults.
+    """
+
+    at_s: float
+    backend: BackendServer
+    faults: Faults
+
+
+@attrs.frozen
+class Disruption:
+    """A moment from which on the daemon of a host may know less than before.
+
+    :param at_s: event loop time in seconds.
+    :param host: name of the host.
+    """
+
+    at_s: float
+    host: str
+
+
 class SoakFleet:
     """Hosts and a store, with operations that inject faults.
 
@@ -120,6 +146,8 @@
             Host(number, ZONES[number % len(ZONES)]) for number in range(1, size + 1)
         ]
         self.backends: list[BackendServer] = []
+        self.fault_changes: list[FaultChange] = []
+        self.disruptions: list[Disruption] = []
 
     async def start(self) -> None:
         """Start the store and all hosts."""
@@ -157,6 +185,7 @@
 
     async def run_daemon(self, host: Host) -> None:
         """Run a daemon until its host loses power."""
+        self.record_disruption(host)
         host.starts += 1
         host.daemon = SoakDaemon(build_settings(host), self.network)
         await host.daemon.start()
@@ -178,17 +207,17 @@
             restarting.result()
 
     async def run_backend(self, host: Host) -> None:
-        """Run a backend server and its heartbeats until its host loses power."""
+        """Run a backend server and its heartbeats until it ends."""
         settings = BackendServerSettings(
             SERVICE, f"{host.name}:9000", seed=host.number, queue_length=0
         )
-        host.backend = BackendServer(settings)
-        self.backends.append(host.backend)
-        await host.backend.start()
+        backend = host.backend = BackendServer(settings)
+        self.backends.append(backend)
+        await backend.start()
         client = HttpClient(RequestSettings(), LoopClock())
         born = int(SoakClock().utc().timestamp() * 1_000)
         sequence = 0
-        while True:
+        while host.backend is backend:
             sequence += 1
             await self.send_heartbeat(client, host, born, sequence)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
@@ -225,9 +254,31 @@
         """Set the faults of the backend server of a host, if it runs."""
         if host.backend is not None:
             host.backend.faults = faults
+            at_s = asyncio.get_running_loop().time()
+            self.fault_changes.append(FaultChange(at_s, host.backend, faults))
+
+    def record_disruption(self, host: Host) -> None:
+        """Record that a host's daemon restarts or is partitioned."""
+        at_s = asyncio.get_running_loop().time()
+        self.disruptions.append(Disruption(at_s, host.name))
+
+    async def replace_backend(self, host: Host, pause_s: float) -> None:
+        """End the backend server of a host and start its successor.
+
+        :param pause_s: time between the two in seconds.
+        """
+        backend = host.backend
+        if backend is None:
+            return
+        host.backend = None
+        await backend.stop()
+        await asyncio.sleep(pause_s)
+        if host.daemon is not None and host.backend is None:
+            detangle.spawn(self.run_backend(host), host=host.name)
 
     def partition(self, host: Host) -> None:
         """Partition a host from all other hosts, but not from callers and the store."""
+        self.record_disruption(host)
         for other in self.hosts:
             if other is not host:
                 detangle.network().disconnect(host.name, other.name)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,6 +20,28 @@
       | table   | 21   |
       | restart | 22   |
 
+  Scenario Outline: A backend server gets no more requests than the limit that it named
+    When a soak test with the faults "limit, <other>" runs with seed <seed>
+    Then it finds no broken guarantee
+    And at least 1500 requests succeeded
+
+    Examples:
+      | other   | seed |
+      | limit   | 31   |
+      | restart | 32   |
+      | cut     | 33   |
+
+  Scenario Outline: A backend server that says in its answers that it leaves gets no new work
+    When a soak test with the faults "leaving, <other>" runs with seed <seed>
+    Then it finds no broken guarantee
+    And at least 1500 requests succeeded
+
+    Examples:
+      | other   | seed |
+      | leaving | 41   |
+      | restart | 42   |
+      | cut     | 43   |
+
   Scenario: A fleet that takes older tables is detected
     Given daemons that put any table in force
     When a soak test with the faults "older-store, table" runs with seed 21
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -13,7 +13,7 @@
 
 import asyncio
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -25,7 +25,12 @@
 from wagtailstep.exceptions import SettingsError
 from wagtailstep.fakes.announcer import Announcement, Announcer
 from wagtailstep.fakes.faults import Faults, draw_bool, read_faults
-from wagtailstep.fakes.work import Work, WorkCounts, read_work
+from wagtailstep.fakes.work import (
+    KEY_HEADER,
+    Work,
+    WorkCounts,
+    read_work,
+)
 from wagtailstep.models.settings import (
     check_address,
     check_name,
@@ -35,6 +40,20 @@
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.utils.clock import LoopClock
 
+MAX_ARRIVALS = 20_000
+
+
+@attrs.frozen
+class Arrival:
+    """A work request that reached the stand-in, also one that it then shed.
+
+    :param at_s: event loop time in seconds.
+    :param key: name of the request, chosen by its caller.
+    """
+
+    at_s: float
+    key: str
+
 
 @attrs.frozen
 class BackendServerSettings:
@@ -86,6 +105,7 @@
         self.announcer: Announcer | None = None
         self.announce_task: asyncio.Task[None] | None = None
         self.silenced_connections: list[object] = []
+        self.arrivals: deque[Arrival] = deque(maxlen=MAX_ARRIVALS)
         self.application = self.create_application()
         self.server = HttpServer(self.application, lambda: None)
 
@@ -182,8 +202,22 @@
         return build_json_response({"leaving": True})
 
     async def handle_work(self, request: Request) -> Response:
-        """Run a work request, or shed it if the queue is full."""
+        """Handle a work request, and add what the server says of itself."""
         self.record_late_work()
+        self.record_arrival(request)
+        response = await self.run_or_shed(request)
+        for name, value in self.faults.build_headers():
+            response.add_header(name, value)
+        return response
+
+    def record_arrival(self, request: Request) -> None:
+        """Record the arrival of a work request."""
+        key = (request.get_first_header(KEY_HEADER) or b"").decode()
+        at_s = self.clock.monotonic().total_seconds()
+        self.arrivals.append(Arrival(at_s, key))
+
+    async def run_or_shed(self, request: Request) -> Response:
+        """Run a work request, or shed it if the queue is full."""
         if (
             self.requests_in_progress
             >= self.settings.slots + self.settings.queue_length
--- a/src/wagtailstep/fakes/faults.py
+++ b/src/wagtailstep/fakes/faults.py
@@ -7,6 +7,7 @@
 from cattrs.gen import make_dict_structure_fn
 
 from wagtailstep.exceptions import SettingsError
+from wagtailstep.models.headers import SERVER_LEAVING, SERVER_LIMIT
 
 
 @attrs.frozen
@@ -21,6 +22,9 @@
     :param truncate_share: fraction of responses that are truncated, 0 to 1.
     :param lose_share: fraction of requests that run but whose response is lost, 0 to 1.
     :param hang_share: fraction of requests that run but are never answered, 0 to 1.
+    :param rate_limit: text of the header by which each response names the requests a
+        second that the server takes; empty for none.
+    :param says_leaving: whether each response says that the server leaves.
     """
 
     fail_share: float = 0.0
@@ -30,6 +34,8 @@
     truncate_share: float = 0.0
     lose_share: float = 0.0
     hang_share: float = 0.0
+    rate_limit: str = ""
+    says_leaving: bool = False
 
     def active_at(self, now_ms: float) -> "Faults":
         """Return the faults in effect at a given time, with flapping applied."""
@@ -37,6 +43,15 @@
             return Faults()
         return self
 
+    def build_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers that each response of the server carries."""
+        headers = []
+        if self.rate_limit:
+            headers.append((SERVER_LIMIT.encode(), self.rate_limit.encode()))
+        if self.says_leaving:
+            headers.append((SERVER_LEAVING.encode(), b"1"))
+        return headers
+
     def should_fail(self, route: str, rng: random.Random) -> bool:
         """Return whether a request of a route should fail with status 500."""
         if self.fail_route and route == self.fail_route:
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -33,6 +33,10 @@
 EXPECTED_INSTANCE = "wagtailstep-expected-instance"
 # Set by backend servers on responses.
 NOT_EXECUTED = "wagtailstep-not-executed"
+# Requests a second that the server takes from the whole fleet.
+SERVER_LIMIT = "server-limit"
+# "1" if the server is leaving.
+SERVER_LEAVING = "server-leaving"
 FLEET_PREFIX = "wagtailstep-"
 
 # Only daemons may set these on a response.
