Send a backend server no more requests a second than it asks for

Cause: no daemon read the header. The fleet knew only limits of parallel requests, and one slot with requests of 250 ms makes four a second. The class of fault is a bound in a unit that nothing in the fleet counts.

Change: the gate, which every request to a server passes, reads the limit from each response to its own request and starts requests by a token bucket. What would wait too long is refused with the time until its token, also what waits when the limit falls. The limit travels with the target. Entries draw a limited target by the part of its usual rate that it takes. What an entry passed on it tells a gate that has restarted, until the first response tells it. A new process of the server starts without a limit.

Ruled out: shares of the rate for each entry (each would be too small to use), a lower number of parallel requests (the time of a request decides the rate).

--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -17,6 +17,7 @@
     Tick,
 )
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
@@ -115,13 +116,20 @@
         is_renewal = lease is not None and not is_leaving
         self.leases[target_id] = LocalLease(self.clock.monotonic())
         if is_renewal and known is not None:
+            same_process = known.process_started == event.process_started
             renewed = attrs.evolve(
                 event.target,
                 incarnation=known.incarnation,
                 standing=_merge_standing(known.standing, event.target.standing),
+                rate_limit=known.rate_limit if same_process else NO_RATE_LIMIT,
+                process_started=event.process_started,
             )
             return self._store(self._with_daemon_attributes(renewed), known)
-        target = attrs.evolve(event.target, incarnation=self._next_incarnation())
+        target = attrs.evolve(
+            event.target,
+            incarnation=self._next_incarnation(),
+            process_started=event.process_started,
+        )
         return self._store(self._with_daemon_attributes(target), known)
 
     def _register(self, event: TargetAnnounced) -> bool:
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.controllers.request_history import RequestHistory
 from wagtailstep.controllers.target_queue import RunningRequest, TargetQueue
 from wagtailstep.exceptions import (
@@ -38,8 +39,14 @@
     ReportAttemptState,
     RunResult,
     StartRequest,
+    WakeQueue,
 )
 from wagtailstep.models.request import Blame
+from wagtailstep.models.server_notices import (
+    NO_RATE_LIMIT,
+    ServerNoticesReceived,
+    StartsDue,
+)
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
@@ -96,10 +103,10 @@
         queue = self.get_queue(request.target_id)
         self.history.record_accepted(request)
         self.queues_by_serial[request.serial] = queue
-        if queue.has_free_slot and not queue.has_earlier_waiting(request):
+        if self.may_start_now(queue, request):
             return [self.start(queue, request)]
         queue.waiting[request.serial] = request
-        return []
+        return self.schedule_starts(request.target_id, queue)
 
     @handle.register
     def complete_request(self, event: GateRequestEnded) -> list[Any]:
@@ -119,7 +126,7 @@
             self.clock.monotonic(),
             running.concurrent_others,
         )
-        return self.start_waiting(queue)
+        return self.start_waiting(running.request.target_id, queue)
 
     @handle.register
     def cancel_request(self, event: GateRequestAbandoned) -> list[Any]:
@@ -140,6 +147,47 @@
         """Revoke an attempt if it has not arrived, and report its state."""
         return [ReportAttemptState(self.history.revoke(event.attempt_id))]
 
+    @handle.register
+    def resume(self, event: StartsDue) -> list[Any]:
+        """Start the requests that waited for the rate limit of their server."""
+        queue = self.queues.get(event.target_id)
+        if queue is None:
+            return []
+        queue.starts_due_at = None
+        return self.start_waiting(event.target_id, queue)
+
+    @handle.register
+    def apply_notices(self, event: ServerNoticesReceived) -> list[Any]:
+        """Adopt the rate limit that a response names, or its end."""
+        queue = self.queues.get(event.target_id)
+        rate = event.notices.rate_limit
+        if queue is None or rate is None:
+            return []
+        if rate == NO_RATE_LIMIT and not event.executed:
+            return []
+        limit = queue.rate_limit
+        limit.is_confirmed = True
+        if rate == limit.rate:
+            return []
+        is_lower = limit.rate == NO_RATE_LIMIT or NO_RATE_LIMIT < rate < limit.rate
+        limit.set_rate(rate, self.clock.monotonic())
+        refusals = self.refuse_hopeless(queue) if is_lower else []
+        return refusals + self.start_waiting(event.target_id, queue)
+
+    def refuse_hopeless(self, queue: TargetQueue) -> list[Any]:
+        """Refuse waiting requests that a lower rate limit starts too late."""
+        now = self.clock.monotonic()
+        effects: list[Any] = []
+        for serial, request in list(queue.waiting.items()):
+            wait = queue.estimate_wait(now, request)
+            error = self.get_wait_error(request, queue, wait)
+            if error is not None:
+                del queue.waiting[serial]
+                del self.queues_by_serial[serial]
+                self.history.discard_unstarted(request)
+                effects.append(RefuseRequest(serial, error))
+        return effects
+
     def get_refusal_error(self, request: GateRequest) -> RequestError | None:
         """Return the error for a request that can't be accepted, or ``None``."""
         if self.history.is_revoked(request.attempt_id):
@@ -177,13 +225,31 @@
     def get_overload_error(self, request: GateRequest) -> RequestError | None:
         """Return the error for a request that would wait too long, or ``None``."""
         queue = self.get_queue(request.target_id)
-        if queue.has_free_slot and not queue.has_earlier_waiting(request):
+        self.adopt_known_limit(queue, request)
+        if self.may_start_now(queue, request):
             return None
-        now = self.clock.monotonic()
-        wait = queue.estimate_wait(now, request)
-        retry_after = max(MIN_RETRY_AFTER, wait)
+        wait = queue.estimate_wait(self.clock.monotonic(), request)
         if len(queue.waiting) >= self.settings.queue_length:
             return OverloadedError(f"the queue of {request.target_id} is full", wait)
+        return self.get_wait_error(request, queue, wait)
+
+    def adopt_known_limit(self, queue: TargetQueue, request: GateRequest) -> None:
+        """Adopt a rate limit that only the entry knows, after a restart of the gate."""
+        limit = queue.rate_limit
+        if request.known_rate_limit != NO_RATE_LIMIT and not limit.is_confirmed:
+            limit.set_rate(request.known_rate_limit, self.clock.monotonic())
+
+    def may_start_now(self, queue: TargetQueue, request: GateRequest) -> bool:
+        """Return whether a new request may start without waiting."""
+        may_start = queue.may_start(self.clock.monotonic())
+        return may_start and not queue.has_earlier_waiting(request)
+
+    def get_wait_error(
+        self, request: GateRequest, queue: TargetQueue, wait: timedelta
+    ) -> RequestError | None:
+        """Return the error for a request whose expected wait is too long, if it is."""
+        now = self.clock.monotonic()
+        retry_after = max(MIN_RETRY_AFTER, wait)
         if wait > timedelta(milliseconds=self.settings.queue_timeout_ms):
             message = f"the expected wait for {request.target_id} is too long"
             return OverloadedError(message, retry_after)
@@ -233,13 +299,16 @@
 
     def get_queue(self, target_id: str) -> TargetQueue:
         """Return the queue of a known target, adjusted to its number of slots."""
-        slots = self.blackboard.targets[target_id].slots
+        target = self.blackboard.targets[target_id]
         queue = self.queues.get(target_id)
         if queue is None:
             self.remove_unused_queues()
-            queue = TargetQueue(ConcurrencyLimit(slots, self.settings.trust_slots))
-            self.queues[target_id] = queue
-        queue.limit.resize(slots)
+            limit = ConcurrencyLimit(target.slots, self.settings.trust_slots)
+            queue = self.queues[target_id] = TargetQueue(limit)
+        if queue.process_started != target.process_started:
+            queue.process_started = target.process_started
+            queue.rate_limit = RateLimit()
+        queue.limit.resize(target.slots)
         return queue
 
     def remove_unused_queues(self) -> None:
@@ -252,6 +321,7 @@
     def start(self, queue: TargetQueue, request: GateRequest) -> StartRequest:
         """Assign a slot to a request."""
         now = self.clock.monotonic()
+        queue.rate_limit.record_sent(now)
         concurrent_others = len(queue.running)
         for running in queue.running.values():
             running.concurrent_others = max(
@@ -260,10 +330,21 @@
         queue.running[request.serial] = RunningRequest(request, now, concurrent_others)
         return StartRequest(request.serial)
 
-    def start_waiting(self, queue: TargetQueue) -> list[Any]:
-        """Start waiting requests while slots are free; refuse expired ones."""
+    def schedule_starts(self, target_id: str, queue: TargetQueue) -> list[Any]:
+        """Have the queue woken if only the rate limit keeps its requests waiting."""
+        now = self.clock.monotonic()
+        wait = queue.rate_limit.compute_wait(now)
+        if not queue.waiting or not queue.has_free_slot or not wait:
+            return []
+        if queue.starts_due_at is not None and now < queue.starts_due_at <= now + wait:
+            return []
+        queue.starts_due_at = now + wait
+        return [WakeQueue(target_id, wait)]
+
+    def start_waiting(self, target_id: str, queue: TargetQueue) -> list[Any]:
+        """Start waiting requests while their server takes more; refuse expired ones."""
         effects: list[Any] = []
-        while queue.waiting and queue.has_free_slot:
+        while queue.waiting and queue.may_start(self.clock.monotonic()):
             serial, request = queue.pop_next()
             if request.deadline > self.clock.monotonic():
                 effects.append(self.start(queue, request))
@@ -275,7 +356,7 @@
                 Verdict.NOT_RUN,
             )
             effects.append(RefuseRequest(serial, error))
-        return effects
+        return effects + self.schedule_starts(target_id, queue)
 
 
 def build_revoked_error(request: GateRequest) -> RequestError:
--- a/src/wagtailstep/controllers/requested_services.py
+++ b/src/wagtailstep/controllers/requested_services.py
@@ -5,8 +5,10 @@
 
 import attrs
 
+from wagtailstep.controllers.request_rates import RateEstimate
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import MemberState
 from wagtailstep.utils.clock import Clock
 
 MAX_REQUESTED_SERVICES = 1_024
@@ -20,10 +22,12 @@
 
     :param first_requested_at: monotonic time of the first request.
     :param last_requested_at: monotonic time of the latest request.
+    :param rate: estimated rate of the requests at this daemon.
     """
 
     first_requested_at: timedelta
     last_requested_at: timedelta
+    rate: RateEstimate = attrs.field(factory=RateEstimate)
 
 
 class RequestedServices:
@@ -43,6 +47,7 @@
         requested = self.by_name.get(service)
         if requested is not None:
             requested.last_requested_at = now
+            requested.rate.record(now)
             self.by_name.move_to_end(service)
             return
         if len(self.by_name) >= MAX_REQUESTED_SERVICES:
@@ -50,7 +55,8 @@
                 f"service {service!r} cannot be routed: this daemon already tracks "
                 f"the maximum of {MAX_REQUESTED_SERVICES} services; retry later"
             )
-        self.by_name[service] = RequestedService(now, now)
+        self.by_name[service] = requested = RequestedService(now, now)
+        requested.rate.record(now)
         self.blackboard.requested_services.add(service)
 
     def expire(self) -> None:
@@ -63,6 +69,20 @@
             del self.by_name[service]
             self.blackboard.requested_services.discard(service)
 
+    def estimate_target_rate(self, service: str) -> float:
+        """Return the requests a second that each target of a service would get.
+
+        All daemons are assumed to receive as many requests as this one.
+        """
+        requested = self.by_name.get(service)
+        target_count = len(self.blackboard.targets.of_service(service))
+        if requested is None or not target_count:
+            return 0.0
+        own_rate = requested.rate.decay(self.clock.monotonic())
+        states = [member.state for member in self.blackboard.members.values()]
+        daemon_count = max(1, states.count(MemberState.ALIVE))
+        return own_rate * daemon_count / target_count
+
     def is_being_discovered(self, service: str) -> bool:
         """Return whether the targets of a service may still be being discovered.
 
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -16,7 +16,9 @@
 import attrs
 
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
+from wagtailstep.controllers.request_rates import compute_rate_share
 from wagtailstep.controllers.requested_services import RequestedServices
+from wagtailstep.controllers.server_notices import get_rate_limit
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Tick
@@ -28,6 +30,7 @@
     TargetState,
 )
 from wagtailstep.models.request import RequestContext
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
@@ -56,9 +59,12 @@
 
     :param target: the target.
     :param weight: its weight in the table.
-    :param effective_weight: weight in use; below ``weight`` during slow start.
+    :param effective_weight: weight in use; below ``weight`` during slow start, and if
+        the target takes fewer requests a second than the others get.
     :param health: this daemon's assessment of its health.
     :param is_avoided: whether that assessment was to avoid it.
+    :param rate_limit: requests a second that it takes; ``NO_RATE_LIMIT`` if it named
+        no limit.
     """
 
     target: Target
@@ -66,6 +72,7 @@
     effective_weight: float
     health: TargetHealth
     is_avoided: bool
+    rate_limit: float = NO_RATE_LIMIT
 
     @property
     def is_doubted(self) -> bool:
@@ -262,6 +269,8 @@
         target = board.targets.by_id.get(target_id)
         if target is None or target.state is not TargetState.SERVING:
             return False
+        if get_rate_limit(board, target) != candidate.rate_limit:
+            return False
         if target.standing is not candidate.target.standing:
             return False
         if target_id in board.ejected or not self.has_live_gate(target):
@@ -282,9 +291,14 @@
                 continue
             health = board.health.get(target_id, _HEALTHY)
             effective_weight = weight * max(health.ramp, MIN_RAMP)
-            is_avoided = health.avoided
+            rate_limit = get_rate_limit(board, target)
+            if rate_limit != NO_RATE_LIMIT:
+                usual_rate = self.requested_services.estimate_target_rate(service)
+                effective_weight *= compute_rate_share(rate_limit, usual_rate)
             found.append(
-                Candidate(target, weight, effective_weight, health, is_avoided)
+                Candidate(
+                    target, weight, effective_weight, health, health.avoided, rate_limit
+                )
             )
         return found
 
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -7,6 +7,7 @@
 import attrs
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.models.gate import GateRequest
 
 # Fraction of a request's aim after which it is due. 0 orders by arrival; 1 orders by
@@ -37,17 +38,28 @@
     :param limit: limit on the requests that run in parallel.
     :param running: requests that were sent, by serial.
     :param waiting: requests that wait for a slot, by serial, oldest first.
+    :param rate_limit: limit on the requests sent a second.
+    :param starts_due_at: monotonic time at which the next request may be sent within
+        ``rate_limit``, if a timer is set for it.
+    :param process_started: start time of the server's process; 0 if unknown.
     """
 
     limit: ConcurrencyLimit
     running: dict[int, RunningRequest] = attrs.field(factory=dict)
     waiting: OrderedDict[int, GateRequest] = attrs.field(factory=OrderedDict)
+    rate_limit: RateLimit = attrs.field(factory=RateLimit)
+    starts_due_at: timedelta | None = None
+    process_started: int = 0
 
     @property
     def has_free_slot(self) -> bool:
         """Return whether one more request may run now."""
         return len(self.running) < self.limit.max_running
 
+    def may_start(self, now: timedelta) -> bool:
+        """Return whether a slot is free and the rate limit permits a request now."""
+        return self.has_free_slot and not self.rate_limit.compute_wait(now)
+
     @property
     def load(self) -> float:
         """Return the ratio of running and waiting requests to the concurrency limit."""
@@ -70,9 +82,10 @@
         return serial, self.waiting.pop(serial)
 
     def estimate_wait(self, now: timedelta, request: GateRequest) -> timedelta:
-        """Return how long a request that joins the queue now would wait for a slot.
+        """Return how long a request that joins the queue now would wait to start.
 
-        Waiting requests that come after it in the queue's order are ignored.
+        Waiting requests that come after it in the queue's order are ignored, and so is
+        the request itself if it waits already.
 
         The estimate assigns each slot, when it becomes free, to the next request of
         the queue. One long request thus adds no wait while other slots become free.
@@ -85,12 +98,19 @@
         if len(free_after) < self.limit.max_running:
             free_after.insert(0, timedelta())
         order = compute_order(request)
+        ahead = 0
+        arrived_later = False
         for other in self.waiting.values():
-            if compute_order(other) > order:
+            if other is request:
+                arrived_later = True
+                continue
+            other_order = compute_order(other)
+            if other_order > order or (arrived_later and other_order == order):
                 continue
+            ahead += 1
             start = free_after[0]
             heapq.heapreplace(free_after, start + self.expected_duration(other))
-        return free_after[0]
+        return max(free_after[0], self.rate_limit.compute_wait(now, ahead))
 
     def estimate_time_left(self, running: RunningRequest, now: timedelta) -> timedelta:
         """Return the time until a running request is expected to end.
--- a/src/wagtailstep/models/fleet.py
+++ b/src/wagtailstep/models/fleet.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
+
 
 class TargetState(enum.Enum):
     """Stage in the life of a backend server."""
@@ -42,6 +44,10 @@
     :param standing: how well it performs, as judged by its gate.
     :param address: ``host:port``, known to its gate only; if empty, the one in
         ``target_id`` is used.
+    :param rate_limit: requests a second that it takes, as its responses said to its
+        gate; ``NO_RATE_LIMIT`` if the gate knows of no limit.
+    :param process_started: start time of its process, in any unit that increases; 0
+        if unknown.
     """
 
     target_id: str
@@ -53,6 +59,8 @@
     incarnation: int = 0
     standing: TargetStanding = TargetStanding.GOOD
     address: str = ""
+    rate_limit: float = NO_RATE_LIMIT
+    process_started: int = 0
 
     @property
     def instance_id(self) -> str:
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -7,6 +7,7 @@
 
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.fleet import TargetStanding
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 
 
 @attrs.frozen
@@ -28,6 +29,8 @@
         it is refused.
     :param expected_standing: standing of the backend server that the entry knew of
         when it chose the target.
+    :param known_rate_limit: rate limit of the backend server that the entry knows of;
+        ``NO_RATE_LIMIT`` if it knows none.
     """
 
     serial: int
@@ -42,6 +45,7 @@
     arrived_at: timedelta = timedelta()
     may_wait: bool = True
     expected_standing: TargetStanding = TargetStanding.FAILING
+    known_rate_limit: float = NO_RATE_LIMIT
 
 
 class RunResult(enum.Enum):
@@ -122,6 +126,18 @@
     serial: int
 
 
+@attrs.frozen
+class WakeQueue:
+    """Effect: send :class:`~wagtailstep.models.server_notices.StartsDue` later.
+
+    :param target_id: the backend server whose requests wait for its rate limit.
+    :param delay: time until the next one may start.
+    """
+
+    target_id: str
+    delay: timedelta
+
+
 @attrs.frozen
 class RefuseRequest:
     """Effect: end a request that was not started.
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -17,6 +17,7 @@
     TargetStanding,
     TargetState,
 )
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.utils.codec import message
 
 MEMBERS_STREAM = "members"
@@ -223,6 +224,9 @@
     :param standing: value of :class:`TargetStanding`.
     :param position: position among all targets of its daemon, under which digests
         carry its standing; -1 if they don't.
+    :param rate_limit: requests a second that it takes; ``NO_RATE_LIMIT`` if its gate
+        knows of no limit. Daemons of older releases send none.
+    :param process_started: start time of its process; 0 if unknown.
     """
 
     target_id: str
@@ -231,6 +235,8 @@
     incarnation: int
     standing: int = 0
     position: int = -1
+    rate_limit: float = NO_RATE_LIMIT
+    process_started: int = 0
 
     @classmethod
     def from_target(cls, target: Target, position: int) -> "TargetEntry":
@@ -242,6 +248,8 @@
             target.incarnation,
             target.standing,
             position,
+            target.rate_limit,
+            target.process_started,
         )
 
     @property
@@ -265,6 +273,8 @@
             state=_TARGET_STATES[self.state],
             incarnation=self.incarnation,
             standing=TargetStanding(self.standing),
+            rate_limit=self.rate_limit,
+            process_started=self.process_started,
         )
 
 
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -7,6 +7,7 @@
 
 from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.host_routes import RouteKind
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.verdict import Verdict
 
 UNLIMITED_ATTEMPTS = 1_000
@@ -38,6 +39,7 @@
         is free.
     :param expected_standing: standing of the target that the entry knew of when it
         chose the target.
+    :param known_rate_limit: rate limit of the target that the entry knew of then.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     aim_deadline: timedelta | None = None
     may_wait: bool = True
     expected_standing: TargetStanding = TargetStanding.FAILING
+    known_rate_limit: float = NO_RATE_LIMIT
 
     @property
     def needs_duplicate_guard(self) -> bool:
--- a/src/wagtailstep/network/attempts.py
+++ b/src/wagtailstep/network/attempts.py
@@ -1,5 +1,6 @@
 """One attempt at a request: in-flight accounting, outcome and verdict."""
 
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -17,6 +18,8 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 MAX_QUEUEING_MS = 86_400_000
+MAX_CALLS_PER_RUN = 20.0  # A higher ratio comes from a count that has only begun.
+LOGGER = logging.getLogger(__name__)
 
 
 def read_queueing_time(answer: Answer) -> timedelta:
@@ -31,6 +34,18 @@
         return timedelta()
 
 
+def read_calls(text: str) -> dict[str, float]:
+    """Return calls per run by service; malformed entries are skipped."""
+    calls: dict[str, float] = {}
+    for entry in text.split(","):
+        name, _, ratio = entry.partition("=")
+        try:
+            calls[name] = min(float(ratio), MAX_CALLS_PER_RUN)
+        except ValueError:
+            LOGGER.warning("event=calls-unreadable text=%r", entry)
+    return calls
+
+
 @attrs.define
 class Attempt:
     """One attempt, counted as in flight from :meth:`start` to the first :meth:`end`.
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -31,6 +31,7 @@
     BLAME,
     CALLER_SERVICE,
     IDEMPOTENT,
+    KNOWN_RATE_LIMIT,
     MAY_WAIT,
     PRIORITY,
     REASON,
@@ -49,6 +50,7 @@
     remove_fleet_headers,
 )
 from wagtailstep.models.request import Blame, RequestContext
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.http_client import HttpClient
@@ -159,6 +161,8 @@
         headers += ((AIM_MS, str(time_to_aim // MILLISECOND)),)
     if not request.may_wait:
         headers += ((MAY_WAIT, "?0"),)
+    if request.known_rate_limit != NO_RATE_LIMIT:
+        headers += ((KNOWN_RATE_LIMIT, f"{request.known_rate_limit:f}"),)
     return (*headers, (STANDING, str(int(request.expected_standing))))
 
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -32,36 +32,30 @@
     ResponseWaitEnded,
     RunResult,
     StartRequest,
+    WakeQueue,
     WorkEnded,
     WorkResult,
     WorkStarted,
 )
 from wagtailstep.models.headers import (
-    AIM_MS,
-    ATTEMPT_ID,
     CALL_REFUSED,
     CALLER_SERVICE,
     CALLS,
     DAEMON_ANSWER_HEADERS,
     EXPECTED_INSTANCE,
     GATE_ID,
-    IDEMPOTENT,
     LOAD,
-    MAY_WAIT,
-    PRIORITY,
     QUEUEING_MS,
     REQUEST_ID,
-    ROUTE,
-    TARGET,
     TIMEOUT_MS,
     VERDICT,
     Headers,
     build_forwarded_headers,
     find_header,
-    read_int_header,
     remove_fleet_headers,
     remove_headers,
 )
+from wagtailstep.models.server_notices import StartsDue
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import REVOCATION_PATH, AttemptStateAnswer
@@ -70,14 +64,13 @@
     assess_failure,
     assess_work,
     blame_backend_server,
-    read_standing,
-    read_timeout,
-    require_header,
+    read_gate_request,
     validate_answer,
 )
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
+from wagtailstep.network.server_notices import read_received_notices
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
@@ -148,8 +141,8 @@
         """
         if incoming.path.startswith(REVOCATION_PATH):
             return await self.handle_revocation(incoming)
-        request = self.read_request(incoming)
         arrived_at = self.clock.monotonic()
+        request = read_gate_request(incoming, next(self.serials), arrived_at)
         await self.wait_for_slot(request)
         queueing = self.clock.monotonic() - arrived_at
         self.start_times[request.serial] = self.clock.monotonic()
@@ -187,30 +180,6 @@
                 headers += ((CALL_REFUSED, "?1"),)
         return headers
 
-    def read_request(self, incoming: IncomingRequest) -> GateRequest:
-        """Read the entry's headers of a request.
-
-        :raises BadRequestError: if a header is missing or invalid.
-        """
-        headers = incoming.headers
-        request_id = require_header(headers, REQUEST_ID)
-        now = self.clock.monotonic()
-        aim_ms = read_int_header(headers, AIM_MS)
-        return GateRequest(
-            serial=next(self.serials),
-            request_id=request_id,
-            attempt_id=find_header(headers, ATTEMPT_ID) or request_id,
-            target_id=require_header(headers, TARGET),
-            route=find_header(headers, ROUTE) or "",
-            idempotent=find_header(headers, IDEMPOTENT) == "?1",
-            deadline=now + read_timeout(headers),
-            priority=read_int_header(headers, PRIORITY) or 0,
-            aim_deadline=None if aim_ms is None else now + aim_ms * MILLISECOND,
-            arrived_at=now,
-            may_wait=find_header(headers, MAY_WAIT) != "?0",
-            expected_standing=read_standing(headers),
-        )
-
     async def wait_for_slot(self, request: GateRequest) -> None:
         """Wait until the request has a slot.
 
@@ -252,6 +221,7 @@
         try:
             sent = self.build_backend_request(request, incoming)
             answer = await self.client.send(sent)
+            self.record_notices(request, answer)
             if self.settings.caller_request_ids:
                 await validate_answer(request, answer)
         except RequestError as error:
@@ -264,6 +234,13 @@
             raise
         return self.track_answer(request, answer)
 
+    def record_notices(self, request: GateRequest, answer: Answer) -> None:
+        """Follow what the backend server says of itself in a response."""
+        event = read_received_notices(request, answer, self.settings.caller_request_ids)
+        if event is not None:
+            self.apply_effects(self.controller.handle(event))
+            self.dispatch(event)
+
     def build_backend_request(
         self, request: GateRequest, incoming: IncomingRequest
     ) -> HttpRequest:
@@ -388,6 +365,17 @@
         if future is not None and not future.done():
             future.set_result(None)
 
+    @apply.register
+    def apply_wake(self, effect: WakeQueue) -> None:
+        """Let the queue start requests once its rate limit permits one."""
+        asyncio.get_running_loop().call_later(
+            effect.delay.total_seconds(), self.wake_queue, effect.target_id
+        )
+
+    def wake_queue(self, target_id: str) -> None:
+        """Start the requests that may start now."""
+        self.apply_effects(self.controller.handle(StartsDue(target_id)))
+
     @apply.register
     def apply_refusal(self, effect: RefuseRequest) -> None:
         """Reject a queued request."""
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -10,21 +10,31 @@
     NotExecutedError,
     RequestError,
 )
-from wagtailstep.models.exchange import Answer
+from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.gate import GateRequest, RunResult, WorkResult
 from wagtailstep.models.headers import (
+    AIM_MS,
+    ATTEMPT_ID,
+    IDEMPOTENT,
+    KNOWN_RATE_LIMIT,
+    MAY_WAIT,
     NOT_EXECUTED,
+    PRIORITY,
     REQUEST_ID,
+    ROUTE,
     STANDING,
+    TARGET,
     TIMEOUT_MS,
     Headers,
     find_header,
     read_int_header,
 )
 from wagtailstep.models.request import Blame
+from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import discard_answer
+from wagtailstep.network.server_notices import parse_rate
 
 MILLISECOND = timedelta(milliseconds=1)
 # A backend server that rejects a request is full for about the time one request runs.
@@ -57,6 +67,42 @@
     )
 
 
+def read_gate_request(
+    incoming: IncomingRequest, serial: int, now: timedelta
+) -> GateRequest:
+    """Read the entry's headers of a request.
+
+    :param serial: number of the request at its gate.
+    :param now: monotonic time.
+    :raises BadRequestError: if a header is missing or invalid.
+    """
+    headers = incoming.headers
+    request_id = require_header(headers, REQUEST_ID)
+    aim_ms = read_int_header(headers, AIM_MS)
+    return GateRequest(
+        serial=serial,
+        request_id=request_id,
+        attempt_id=find_header(headers, ATTEMPT_ID) or request_id,
+        target_id=require_header(headers, TARGET),
+        route=find_header(headers, ROUTE) or "",
+        idempotent=find_header(headers, IDEMPOTENT) == "?1",
+        deadline=now + read_timeout(headers),
+        priority=read_int_header(headers, PRIORITY) or 0,
+        aim_deadline=None if aim_ms is None else now + aim_ms * MILLISECOND,
+        arrived_at=now,
+        may_wait=find_header(headers, MAY_WAIT) != "?0",
+        expected_standing=read_standing(headers),
+        known_rate_limit=read_known_rate_limit(headers),
+    )
+
+
+def read_known_rate_limit(headers: Headers) -> float:
+    """Return the rate limit of the target as known to the entry."""
+    text = find_header(headers, KNOWN_RATE_LIMIT)
+    rates = [] if text is None else parse_rate(text)
+    return rates[0] if rates else NO_RATE_LIMIT
+
+
 def require_header(headers: Headers, name: str) -> str:
     """Return the value of a header.
 
--- a/src/wagtailstep/network/log_daemon.py
+++ b/src/wagtailstep/network/log_daemon.py
@@ -5,6 +5,7 @@
 from wagtailstep.controllers.ejection import EjectionController
 from wagtailstep.controllers.evidence import EvidenceController
 from wagtailstep.controllers.membership import MembershipController
+from wagtailstep.controllers.server_notices import ServerNoticesController
 from wagtailstep.controllers.table import TableController
 from wagtailstep.models.events import Controller
 from wagtailstep.models.log import LogService
@@ -26,6 +27,7 @@
             MembershipController(*parts),
             AnnouncementController(*parts),
             DisseminationController(*parts),
+            ServerNoticesController(*parts),
             EvidenceController(*parts),
             EjectionController(*parts),
             self.routing,
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -15,6 +15,7 @@
 )
 from wagtailstep.controllers.retries import RetryDenial, RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
+from wagtailstep.controllers.server_notices import get_rate_limit
 from wagtailstep.exceptions import (
     AttemptAbandonedError,
     DeadlineExceededError,
@@ -29,10 +30,11 @@
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
-from wagtailstep.network.attempts import Attempt
+from wagtailstep.network.attempts import Attempt, read_calls
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.server_notices import find_changed_notices
 from wagtailstep.utils.cancellation import is_cancelled
 from wagtailstep.utils.clock import Clock
 
@@ -41,7 +43,6 @@
 DEADLINE_GRACE_MS = 20
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
-MAX_CALLS_PER_RUN = 20.0  # A higher ratio comes from a count that has only begun.
 SHORT_DEADLINE_FACTOR = 4  # Short: below the target's expected latency times this.
 DISCOVERY_POLL_INTERVAL = timedelta(milliseconds=20)
 # Loans arrive within a round trip between zones, or not at all.
@@ -266,6 +267,7 @@
             exchange.request,
             may_wait=self.may_wait(exchange, target),
             expected_standing=target.standing,
+            known_rate_limit=get_rate_limit(self.blackboard, target),
         )
         exchange.tried.add(target.target_id)
         attempt = Attempt(
@@ -283,6 +285,9 @@
             self.log.record_end(exchange, reason)
             raise
         attempt.record_answer(answer)
+        news = find_changed_notices(self.blackboard, target, answer)
+        if news is not None:
+            self.dispatch(news)
         exchange.verdict = Verdict.MAY_HAVE_RUN
         return self.track_end(answer, attempt, exchange)
 
@@ -384,15 +389,3 @@
 def is_full_gate(error: RequestError) -> bool:
     """Return whether a gate had no slot, so that no server got the request."""
     return isinstance(error, OverloadedError) and not error.reached_server
-
-
-def read_calls(text: str) -> dict[str, float]:
-    """Return calls per run by service; malformed entries are skipped."""
-    calls: dict[str, float] = {}
-    for entry in text.split(","):
-        name, _, ratio = entry.partition("=")
-        try:
-            calls[name] = min(float(ratio), MAX_CALLS_PER_RUN)
-        except ValueError:
-            LOGGER.warning("event=calls-unreadable text=%r", entry)
-    return calls
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -8,6 +8,7 @@
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.path_watch import PathWatch
 from wagtailstep.controllers.published_table import PublishedTableController
+from wagtailstep.controllers.server_notices import ServerNoticesController
 from wagtailstep.controllers.target_judge import TargetJudge
 from wagtailstep.models.events import Controller, FollowTable
 from wagtailstep.models.keyed_store import KeyedStore
@@ -47,6 +48,7 @@
             MembershipController(*parts),
             AnnouncementController(*parts),
             DisseminationController(*parts),
+            ServerNoticesController(*parts),
             TargetJudge(*parts),
             CallRatios(*parts),
             PathWatch(*parts),
