Give a server no new work once it says in its responses that it leaves

In the soak, requests went on to reach a server that had said so.

Cause: no daemon read the header; a server that leaves was known only by its announcements.

Change: such a response makes the target a leaving one at its gate, whatever it announces, and that travels like any leave. The entry that passed the response on remembers it by the server's process and never picks it again, also when the gate has restarted and knows nothing.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -116,6 +116,23 @@
     When the entry passes on a response with the limit "none"
     Then the entry knows the limit 0
 
+  Scenario: A server that says it leaves gets nothing new, whatever it announces
+    Given a daemon beside a backend server, and an entry
+    When the backend server's response says at its daemon that it leaves
+    And the leaving server announces itself again
+    Then the gate refuses its requests as "leaving"
+    And the entry picks no target
+
+  Scenario: An entry that passed on that a server leaves never picks it again
+    Given a daemon beside a backend server, and an entry
+    When the entry passes on a response of a leaving server
+    And the daemon beside the backend server restarts
+    Then the entry picks no target
+    When the entry passes on a response with the limit "none"
+    Then the entry picks no target
+    When the backend server restarts under the same name
+    Then the entry picks the target
+
   Scenario Outline: An entry sends a limited target its share, and the others the rest
     Given an entry with 6 targets, of which <limited> take 1 request a second
     When it gets <rate> requests a second, like the daemons beside them
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -17,7 +17,7 @@
     Tick,
 )
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
-from wagtailstep.models.server_notices import NO_RATE_LIMIT
+from wagtailstep.models.server_notices import NO_RATE_LIMIT, ServerNoticesReceived
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
@@ -35,10 +35,12 @@
 
     :param renewed_at: monotonic time of the last announcement.
     :param leaving_since: monotonic time when the target began to leave, or ``None``.
+    :param said_leaving: whether a response said so; announcements don't contradict it.
     """
 
     renewed_at: timedelta
     leaving_since: timedelta | None = None
+    said_leaving: bool = False
 
 
 @attrs.define
@@ -110,8 +112,8 @@
         known = self.blackboard.targets.get(target_id)
         lease = self.leases.get(target_id)
         is_leaving = lease is not None and lease.leaving_since is not None
-        if is_leaving and self.blackboard.draining:
-            # It leaves because this daemon drains; the backend server may still renew.
+        if is_leaving and (self.blackboard.draining or lease.said_leaving):
+            # It leaves because this daemon drains, or announces although it leaves.
             return []
         is_renewal = lease is not None and not is_leaving
         self.leases[target_id] = LocalLease(self.clock.monotonic())
@@ -200,11 +202,19 @@
             effects += self._withdraw(name)
         return effects
 
-    def _withdraw(self, target_id: str) -> list[Any]:
+    @handle.register
+    def _(self, event: ServerNoticesReceived) -> list[Any]:
+        lease = self.leases.get(event.target_id)
+        if not event.notices.leaving or lease is None:
+            return []
+        lease.said_leaving = True
+        return self._withdraw(event.target_id, "response")
+
+    def _withdraw(self, target_id: str, reason: str = "withdrawn") -> list[Any]:
         registration = self.registrations.get(target_id)
         if registration is not None:
             registration.has_withdrawn = True
-        return self._start_leaving(target_id, "withdrawn")
+        return self._start_leaving(target_id, reason)
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -18,7 +18,7 @@
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
 from wagtailstep.controllers.request_rates import compute_rate_share
 from wagtailstep.controllers.requested_services import RequestedServices
-from wagtailstep.controllers.server_notices import get_rate_limit
+from wagtailstep.controllers.server_notices import get_rate_limit, has_said_leaving
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Tick
@@ -269,6 +269,8 @@
         target = board.targets.by_id.get(target_id)
         if target is None or target.state is not TargetState.SERVING:
             return False
+        if has_said_leaving(board, target):
+            return False
         if get_rate_limit(board, target) != candidate.rate_limit:
             return False
         if target.standing is not candidate.target.standing:
@@ -286,6 +288,8 @@
         for target_id, target in board.targets.of_service(service).items():
             if target.state is not TargetState.SERVING or target_id in board.ejected:
                 continue
+            if has_said_leaving(board, target):
+                continue
             weight = board.table.weight(target_id)
             if weight <= 0 or not self.has_live_gate(target):
                 continue
--- a/src/wagtailstep/controllers/server_notices.py
+++ b/src/wagtailstep/controllers/server_notices.py
@@ -75,13 +75,14 @@
             return []
         known = get_remembered(self.blackboard, target)
         updated = merge_notices(known, target, event.notices)
-        is_empty = updated.rate_limit == NO_RATE_LIMIT
+        is_empty = updated.rate_limit == NO_RATE_LIMIT and not updated.leaving
         if updated == known or (known is None and is_empty):
             return []
         self._remember(event.target_id, updated)
         fields = {
             "target": event.target_id,
             "rate_per_s": f"{updated.rate_limit:g}",
+            "leaving": str(updated.leaving).lower(),
         }
         return [RecordEvent("server-notices-forwarded", fields)]
 
@@ -100,12 +101,13 @@
 ) -> RememberedNotices:
     """Return what is known of a server after one more response.
 
-    A limit ends with a response that names none.
+    A limit ends with a response that names none; a server that leaves never returns.
     """
     rate = notices.rate_limit
     if rate is None:
         rate = known.rate_limit if known is not None else NO_RATE_LIMIT
-    return RememberedNotices(target.incarnation, target.process_started, rate)
+    leaving = notices.leaving or (known is not None and known.leaving)
+    return RememberedNotices(target.incarnation, target.process_started, rate, leaving)
 
 
 def get_remembered(board: Blackboard, target: Target) -> RememberedNotices | None:
@@ -118,6 +120,12 @@
     return remembered
 
 
+def has_said_leaving(board: Blackboard, target: Target) -> bool:
+    """Return whether this daemon passed on that a server leaves."""
+    remembered = get_remembered(board, target)
+    return remembered is not None and remembered.leaving
+
+
 def get_rate_limit(board: Blackboard, target: Target) -> float:
     """Return the rate limit of a target; ``NO_RATE_LIMIT`` if none is known.
 
--- a/src/wagtailstep/models/server_notices.py
+++ b/src/wagtailstep/models/server_notices.py
@@ -14,9 +14,11 @@
     :param rate_limit: requests a second that the server takes from the whole fleet, at
         least ``MIN_RATE_LIMIT_PER_S``; ``NO_RATE_LIMIT`` if it names none, ``None`` if
         what it names can't be read.
+    :param leaving: whether the server says that it is leaving.
     """
 
     rate_limit: float | None = NO_RATE_LIMIT
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -30,11 +32,13 @@
     :param process_started: start time of the server's process; 0 if unknown.
     :param rate_limit: requests a second that the server takes; ``NO_RATE_LIMIT`` if it
         named none.
+    :param leaving: whether it said that it is leaving.
     """
 
     incarnation: int
     process_started: int = 0
     rate_limit: float = NO_RATE_LIMIT
+    leaving: bool = False
 
     def applies_to(self, incarnation: int, process_started: int) -> bool:
         """Return whether a target is still the same process of the server."""
--- a/src/wagtailstep/network/server_notices.py
+++ b/src/wagtailstep/network/server_notices.py
@@ -11,6 +11,7 @@
 from wagtailstep.models.headers import (
     NOT_EXECUTED,
     REQUEST_ID,
+    SERVER_LEAVING,
     SERVER_LIMIT,
     Headers,
     find_header,
@@ -35,15 +36,18 @@
 
     Of several limits the lowest counts; those that can't be read are ignored.
     """
+    leaving = False
     rates = []
     has_limit = False
     for name, value in headers:
-        if name == SERVER_LIMIT:
+        if name == SERVER_LEAVING:
+            leaving = leaving or value.strip() == "1"
+        elif name == SERVER_LIMIT:
             has_limit = True
             rates += parse_rate(value)
     if not has_limit:
-        return ServerNotices(NO_RATE_LIMIT)
-    return ServerNotices(min(rates, default=None))
+        return ServerNotices(NO_RATE_LIMIT, leaving)
+    return ServerNotices(min(rates, default=None), leaving)
 
 
 def parse_rate(text: str) -> list[float]:
@@ -80,10 +84,11 @@
     notices = read_server_notices(answer.headers)
     known = board.server_notices.get(target.target_id)
     if known is None:
-        is_news = bool(notices.rate_limit)
+        is_news = notices.leaving or bool(notices.rate_limit)
     else:
         is_news = (
-            notices.rate_limit != known.rate_limit
+            notices.leaving != known.leaving
+            or notices.rate_limit != known.rate_limit
             or known.incarnation != target.incarnation
         )
     return ServerNoticesForwarded(target.target_id, notices) if is_news else None
