Play requests that end their servers, and list what fails

The soak sends such a request again and again to any daemon, and counts the servers that it reaches 3 s after the third end. Its counterpart ends servers, singly or three at a moment, without such a request: then nothing may be refused for it. Callers use 40 paths of each type instead of one.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -22,8 +22,14 @@
 import fire
 
 from benchmarks.soak.callers import AttemptEnded, CallerGroup, start_callers
-from benchmarks.soak.fleet import Host, SoakFleet
+from benchmarks.soak.fleet import (
+    DEADLY_PREFIX,
+    PAUSE_AFTER_CRASH_S,
+    Host,
+    SoakFleet,
+)
 from benchmarks.soak.server_notices import NoticeCheck
+from benchmarks.soak.suspects import find_suspect_violations
 from benchmarks.soak.tables import TableWatch
 from wagtailstep.fakes.faults import Faults
 
@@ -107,6 +113,31 @@
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
+async def send_deadly_requests(
+    fleet: SoakFleet, host: Host, rng: random.Random
+) -> None:
+    """Send a request that ends its servers again and again, to any daemon."""
+    name = f"{DEADLY_PREFIX}{rng.getrandbits(32):08x}"
+    for number in range(rng.randint(12, 24)):
+        entry = rng.choice(fleet.hosts).name
+        key = f"{name}-{number}"
+        detangle.spawn(
+            fleet.callers.send_request(key, entry, False, name), host="callers"
+        )
+        await asyncio.sleep(rng.uniform(0.3, 1.2))
+
+
+async def crash_server(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """End a backend server under its requests, or several at the same moment."""
+    others = rng.sample(fleet.hosts, rng.choice((0, 0, 0, 2)))
+    await asyncio.gather(
+        *(
+            fleet.replace_backend(each, rng.uniform(*PAUSE_AFTER_CRASH_S))
+            for each in {host.name: host, **{h.name: h for h in others}}.values()
+        )
+    )
+
+
 async def restore_store(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
     """Restore the store from a copy that is some seconds old.
 
@@ -152,6 +183,8 @@
     "truncate": create_gray_failure(truncate_share=0.4),
     "limit": name_limits,
     "leaving": announce_leaving,
+    "deadly": send_deadly_requests,
+    "crash": crash_server,
     "slow": create_gray_failure(slow_factor=6.0),
 }
 
@@ -190,6 +223,7 @@
         tables = TableWatch(fleet)
         watch = asyncio.ensure_future(tables.run())
         callers = CallerGroup(fleet, RATE_PER_S, random.Random(rng.random()))
+        fleet.callers = callers
         calls = start_callers(callers)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + FAULT_PHASE_S
@@ -208,6 +242,7 @@
         runs = fleet.count_runs()
         result.violations = find_violations(callers.outcomes, runs, final_phase_start)
         result.violations += tables.find_violations()
+        result.violations += find_suspect_violations(fleet, callers.outcomes)
         result.violations += NoticeCheck(fleet, callers.outcomes).find_violations()
         watch.cancel()
         if PLANNED_OPERATIONS.issuperset(fault_names):
@@ -238,7 +273,10 @@
         if outcome.status == 200 and not outcome.is_expected_answer:
             violations.append(f"{outcome.key} got the response to another request")
     final_outcomes = [
-        outcome for outcome in outcomes if outcome.at_s >= final_phase_start
+        outcome
+        for outcome in outcomes
+        if outcome.at_s >= final_phase_start
+        and not outcome.key.startswith(DEADLY_PREFIX)
     ]
     served = sum(outcome.status == 200 for outcome in final_outcomes)
     if served < MIN_FINAL_SERVED_RATIO * len(final_outcomes):
@@ -263,18 +301,20 @@
     ]
 
 
-def main(seed: int = 1, runs: int = 20) -> None:
+def main(seed: int = 1, runs: int = 20, faults: str = "") -> None:
     """Simulate runs and print their violations.
 
     Run number i has the seed ``seed * 1_000_000 + i``.
 
     :param seed: determines the seeds of the runs.
     :param runs: number of runs.
+    :param faults: names of the faults, separated by ``+``; empty for two by the seed.
     """
     logging.disable(logging.CRITICAL)
     violations = 0
     for index in range(runs):
-        result = run_soak(seed * 1_000_000 + index)
+        names = tuple(faults.split("+")) if faults else ()
+        result = run_soak(seed * 1_000_000 + index, names)
         statuses = collections.Counter(outcome.status for outcome in result.outcomes)
         counted = " ".join(f"{status}={n}" for status, n in sorted(statuses.items()))
         print(f"seed={result.seed} troubles={'+'.join(result.fault_names)} {counted}")
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -11,6 +11,7 @@
 from benchmarks.soak.fleet import ROUTE_HOST, SoakFleet
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.headers import (
+    REASON,
     SERVER_LEAVING,
     SERVER_LIMIT,
     Headers,
@@ -28,6 +29,8 @@
 WORK_MS = 100
 UNSAFE_FRACTION = 0.5
 NO_ANSWER = 0
+# Paths that the requests of each type share.
+RESOURCE_COUNT = 40
 
 
 @attrs.frozen
@@ -45,6 +48,7 @@
     :param server: address of the backend server that answered.
     :param rate_limit: text of the limit that the server named in its answer.
     :param server_leaves: whether the server said in its answer that it leaves.
+    :param reason: why a daemon gave an answer of its own; empty for a server's answer.
     """
 
     key: str
@@ -58,6 +62,7 @@
     server: str = ""
     rate_limit: str = ""
     server_leaves: bool = False
+    reason: str = ""
 
     @property
     def ended_at_s(self) -> float:
@@ -93,11 +98,21 @@
                 unsafe = self.rng.random() < UNSAFE_FRACTION
                 self.sent_count += 1
                 group.create_task(
-                    self.send_request(f"k{self.sent_count}", host, unsafe)
+                    self.send_request(
+                        f"k{self.sent_count}",
+                        host,
+                        unsafe,
+                        str(self.sent_count % RESOURCE_COUNT),
+                    )
                 )
 
-    async def send_request(self, key: str, host: str, unsafe: bool) -> None:
-        """Send one request and record its outcome."""
+    async def send_request(
+        self, key: str, host: str, unsafe: bool, resource: str = "1"
+    ) -> None:
+        """Send one request and record its outcome.
+
+        :param resource: last part of the path.
+        """
         loop = asyncio.get_running_loop()
         at_s = loop.time()
         headers = (
@@ -109,7 +124,7 @@
         request = HttpRequest(
             address=f"{host}:8001",
             method="POST" if unsafe else "GET",
-            path="/sign/1" if unsafe else "/lookup/1",
+            path=f"/sign/{resource}" if unsafe else f"/lookup/{resource}",
             headers=(*headers, ("content-length", "2")) if unsafe else headers,
             body=yield_body(b"{}") if unsafe else None,
             idempotent=not unsafe,
@@ -138,6 +153,7 @@
                 server=find_header(found, "fake-address") or "",
                 rate_limit=find_header(found, SERVER_LIMIT) or "",
                 server_leaves=find_header(found, SERVER_LEAVING) == "1",
+                reason=find_header(found, REASON) or "",
             )
         )
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -4,6 +4,7 @@
 import random
 from collections import Counter
 from datetime import UTC, datetime, timedelta
+from typing import Any
 
 import attrs
 import detangle
@@ -36,6 +37,9 @@
 SHUTDOWN_NOTICE_MS = 1_000
 SHUTDOWN_MS = 4_000
 MAX_STARTS_PER_HOST = 1_000
+# Requests whose names begin with this end each server that runs them.
+DEADLY_PREFIX = "deadly"
+PAUSE_AFTER_CRASH_S = (1.0, 4.0)
 
 
 def build_configuration(version: int) -> bytes:
@@ -131,6 +135,18 @@
     host: str
 
 
+@attrs.frozen
+class ServerCrash:
+    """The end of a backend server by a request.
+
+    :param at_s: event loop time in seconds.
+    :param key: name of the request.
+    """
+
+    at_s: float
+    key: str
+
+
 class SoakFleet:
     """Hosts and a store, with operations that inject faults.
 
@@ -148,6 +164,10 @@
         self.backends: list[BackendServer] = []
         self.fault_changes: list[FaultChange] = []
         self.disruptions: list[Disruption] = []
+        self.crashes: list[ServerCrash] = []
+        self.rng = rng
+        # Sends the requests of faults; set once the callers exist.
+        self.callers: Any = None
 
     async def start(self) -> None:
         """Start the store and all hosts."""
@@ -209,11 +229,16 @@
     async def run_backend(self, host: Host) -> None:
         """Run a backend server and its heartbeats until it ends."""
         settings = BackendServerSettings(
-            SERVICE, f"{host.name}:9000", seed=host.number, queue_length=0
+            SERVICE,
+            f"{host.name}:9000",
+            seed=host.number,
+            queue_length=0,
+            deadly_prefix=DEADLY_PREFIX,
         )
         backend = host.backend = BackendServer(settings)
         self.backends.append(backend)
         await backend.start()
+        detangle.spawn(self.watch_backend(host, backend), host=host.name)
         client = HttpClient(RequestSettings(), LoopClock())
         born = int(SoakClock().utc().timestamp() * 1_000)
         sequence = 0
@@ -222,6 +247,13 @@
             await self.send_heartbeat(client, host, born, sequence)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def watch_backend(self, host: Host, backend: BackendServer) -> None:
+        """End a backend server that a request ended, and start its successor."""
+        await backend.crashed.wait()
+        at_s = asyncio.get_running_loop().time()
+        self.crashes.append(ServerCrash(at_s, backend.crashed_by))
+        await self.replace_backend(host, self.rng.uniform(*PAUSE_AFTER_CRASH_S))
+
     async def send_heartbeat(
         self, client: HttpClient, host: Host, born: int, sequence: int
     ) -> None:
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -41,6 +41,7 @@
 from wagtailstep.utils.clock import LoopClock
 
 MAX_ARRIVALS = 20_000
+MAX_TIME_TO_CRASH_S = 0.12
 
 
 @attrs.frozen
@@ -70,6 +71,8 @@
     :param cold_factor: factor on the processing time right after the start.
     :param drain_limit_s: maximum time to complete requests during a drain.
     :param seed: seed of the random generator.
+    :param deadly_prefix: a request whose key begins with this ends the server soon
+        after it began to run; empty for none.
     """
 
     service: str = attrs.field(validator=check_name)
@@ -82,6 +85,7 @@
     cold_factor: float = positive(4.0)
     drain_limit_s: float = positive(30.0)
     seed: int = 0
+    deadly_prefix: str = ""
 
 
 class BackendServer:
@@ -101,6 +105,9 @@
         self.started_at = timedelta()
         self.drain_started_at: timedelta | None = None
         self.drained = asyncio.Event()
+        # Set when a request ends the server; whoever started it then stops it.
+        self.crashed = asyncio.Event()
+        self.crashed_by = ""
         self.address = ""
         self.announcer: Announcer | None = None
         self.announce_task: asyncio.Task[None] | None = None
@@ -247,6 +254,12 @@
         if faults.should_fail(work.route, self.rng):
             self.counts.failed += 1
             return Response(500)
+        prefix = self.settings.deadly_prefix
+        if prefix and work.key.startswith(prefix):
+            await asyncio.sleep(self.rng.uniform(0, MAX_TIME_TO_CRASH_S))
+            self.crashed_by = work.key
+            self.crashed.set()
+            await asyncio.Event().wait()
         await asyncio.sleep(self.work_time_s(work, faults))
         self.counts.runs[work.key] += 1
         connection = request.scope["wagtailstep.connection"]
