Refuse a request under which three servers ended one after the other

Cause: nothing outlives a request. Retries are bounded for one arrival and for a service; each arrival at any entry starts afresh. The class of fault is a bound on attempts that counts by an identifier which the caller renews.

Change: the gate finds out whether its server is gone when an exchange breaks, and reports all that was in progress as one end. Daemons exchange the ends by request fingerprint. Three ends in turn without a response between block the request at all entries and gates for ten minutes, or until it succeeds. It is not sent again within an arrival after a second end. Arrivals that are refused never run (503, not-run); those under which a server ended get 502.

Evidence: in the collected records one path is in progress at each end of a server, at entries beside servers of both services; so the caller's service is not part of the fingerprint.

The scenario of a caller that leaves during the check failed first (a slot was kept).

--- /dev/null
+++ b/features/suspects.feature
@@ -0,0 +1,117 @@
+Feature: A request that ends each backend server which runs it is soon run no more
+
+  Scenario: Every daemon blocks a request under which three servers ended in turn
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2, 3 in turn
+    Then request "a" is blocked at all daemons
+    And request "b" is blocked at none
+
+  Scenario: Two ends don't block a request
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2 in turn
+    Then request "a" is blocked at none
+
+  Scenario: Servers that end at one moment count once
+    Given 6 daemons that exchange the ends of their servers
+    When the servers of daemons 1, 2, 3, 4 end at one moment under request "a"
+    Then request "a" is blocked at none
+
+  Scenario: A response between the ends clears a request
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2 in turn
+    And daemon 4 answers request "a"
+    And servers end under request "a" at daemons 1, 2 in turn
+    Then request "a" is blocked at none
+
+  Scenario: A response after the last end unblocks a request
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2, 3 in turn
+    And daemon 4 answers request "a"
+    Then request "a" is blocked at none
+
+  Scenario: Only what was in progress at all of the ends is blocked
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under requests "a,b" at daemon 1
+    And servers end under requests "a,c" at daemon 2
+    And servers end under requests "a,b,c" at daemon 3
+    Then request "a" is blocked at all daemons
+    And request "b" is blocked at none
+    And request "c" is blocked at none
+
+  Scenario: Daemons that miss the first messages, or start later, learn it from others
+    Given 6 daemons that exchange the ends of their servers
+    And 1 message in 2 is lost
+    When servers end under request "a" at daemons 1, 2, 3 in turn
+    And daemon 5 restarts
+    And 6 s pass for the daemons
+    Then request "a" is blocked at all daemons
+
+  Scenario: Messages that come late and twice block nothing more
+    Given 6 daemons that exchange the ends of their servers
+    And each message is delivered three times
+    When servers end under request "a" at daemons 1, 2 in turn
+    And 10 s pass for the daemons
+    Then request "a" is blocked at none
+
+  Scenario: A block ends, and so does a suspicion
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2, 3 in turn
+    And servers end under request "b" at daemons 4, 5 in turn
+    And 61 s pass for the daemons
+    Then request "a" is blocked at all daemons
+    And nothing is known of request "b"
+    When 600 s pass for the daemons
+    Then nothing is known of request "a"
+
+  Scenario: Many suspects take bounded memory, and blocked ones are kept
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under request "a" at daemons 1, 2, 3 in turn
+    And servers end under 1000 other requests at daemon 1
+    Then request "a" is blocked at all daemons
+    And each daemon knows at most 256 suspects
+
+  Scenario Outline: Ends of servers without such a request block nothing
+    Given 27 daemons that exchange the ends of their servers
+    When <ends> servers end within 90 s under 4 requests each, of 30 a second for 300 resources
+    Then no request was ever blocked
+
+    Examples:
+      | ends |
+      | 4    |
+      | 16   |
+      | 40   |
+
+  Scenario Outline: What arrives again is recognized by service, method, path, credential and body
+    Then a request with another <part> has <relation> fingerprint
+
+    Examples:
+      | part              | relation   |
+      | service           | a different |
+      | method            | a different |
+      | path              | a different |
+      | query             | a different |
+      | host              | a different |
+      | credential        | a different |
+      | body              | a different |
+      | identifier        | the same   |
+      | timeout           | the same   |
+
+  Scenario Outline: A broken exchange counts only if the server is gone
+    When a backend server <fate> while 2 requests run there
+    Then <reported> requests are reported as in progress at its end
+    And they end as "<reason>" with verdict "may-have-run"
+
+    Examples:
+      | fate                   | reported | reason            |
+      | ends                   | 2        | server-ended      |
+      | resets its connections | 0        | connection-failed |
+
+  Scenario: A caller that leaves while its broken exchange is checked frees its slot
+    When a backend server ends and its caller leaves before the check is done
+    Then the gate's slots are all free
+
+  Scenario: A request that may be repeated is sent once more after a server ended under it
+    When each server that gets a request ends
+    Then an idempotent request was sent to 2 servers and ended with status 502
+    And the next arrival of it was sent to 1 servers and ended with status 502
+    And the next arrival of it was sent to 0 servers and ended with status 503
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -168,6 +168,27 @@
     blame = Blame.PATH
 
 
+class ServerEndedError(ConnectionFailedError):
+    """The backend server ended while the request was in progress there."""
+
+    reason = "server-ended"
+    blame = Blame.BACKEND_SERVER
+
+
+class DeadlyRequestError(BadRequestError):
+    """Backend servers ended under earlier arrivals of the same request.
+
+    :param retry_after: time after which it is admitted again.
+    """
+
+    status = 503
+    reason = "ends-servers"
+
+    def __init__(self, message: str, retry_after: timedelta) -> None:
+        super().__init__(message)
+        self.retry_after = retry_after
+
+
 class TruncatedAnswerError(RequestError):
     """The response ended before it was complete."""
 
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -7,6 +7,7 @@
 from wagtailstep.models.evidence import EjectionCandidate
 from wagtailstep.models.fleet import Member, Target, TargetHealth
 from wagtailstep.models.server_notices import RememberedNotices
+from wagtailstep.models.suspects import SuspectState
 from wagtailstep.models.table import Table
 from wagtailstep.models.targets import TargetMap
 
@@ -50,6 +51,8 @@
         ejection controller from the log of ejections.
     :param server_notices: what backend servers said of themselves in responses that
         this daemon passed on, by ``target_id``; written by the notice controller.
+    :param suspects: requests under which backend servers ended, by fingerprint;
+        written by the controller of suspects.
     :param requested_services: services that callers of this daemon requested;
         written by the routing controller.
     :param in_flight: unfinished requests; written by the routing controller.
@@ -76,6 +79,7 @@
     ejection_candidates: dict[str, EjectionCandidate] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
     server_notices: dict[str, RememberedNotices] = attrs.field(factory=dict)
+    suspects: dict[str, SuspectState] = attrs.field(factory=dict)
     requested_services: set[str] = attrs.field(factory=set)
     in_flight: InFlight = attrs.field(factory=InFlight)
     calls_per_run: dict[str, dict[str, float]] = attrs.field(factory=dict)
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -31,6 +31,8 @@
         when it chose the target.
     :param known_rate_limit: rate limit of the backend server that the entry knows of;
         ``NO_RATE_LIMIT`` if it knows none.
+    :param fingerprint: hash that is the same for each arrival of the same request, or
+        an empty string.
     """
 
     serial: int
@@ -46,6 +48,7 @@
     may_wait: bool = True
     expected_standing: TargetStanding = TargetStanding.FAILING
     known_rate_limit: float = NO_RATE_LIMIT
+    fingerprint: str = ""
 
 
 class RunResult(enum.Enum):
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -40,6 +40,7 @@
     :param expected_standing: standing of the target that the entry knew of when it
         chose the target.
     :param known_rate_limit: rate limit of the target that the entry knew of then.
+    :param fingerprint: hash that is the same for each arrival of the same request.
     """
 
     request_id: str
@@ -61,6 +62,7 @@
     may_wait: bool = True
     expected_standing: TargetStanding = TargetStanding.FAILING
     known_rate_limit: float = NO_RATE_LIMIT
+    fingerprint: str = ""
 
     @property
     def needs_duplicate_guard(self) -> bool:
--- a/src/wagtailstep/network/attempts.py
+++ b/src/wagtailstep/network/attempts.py
@@ -8,8 +8,9 @@
 import attrs
 
 from wagtailstep.controllers.routing import RoutingController
-from wagtailstep.exceptions import RequestError
+from wagtailstep.exceptions import DeadlineExceededError, RequestError
 from wagtailstep.models import headers
+from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.headers import find_header
 from wagtailstep.models.request import AttemptEnded, Blame, RequestContext
@@ -19,6 +20,8 @@
 MIN_SERVER_ERROR_STATUS = 500
 MAX_QUEUEING_MS = 86_400_000
 MAX_CALLS_PER_RUN = 20.0  # A higher ratio comes from a count that has only begun.
+# Short: below the target's expected latency times this.
+SHORT_DEADLINE_FACTOR = 4
 LOGGER = logging.getLogger(__name__)
 
 
@@ -116,3 +119,19 @@
             self.end(verdict, Blame.BACKEND_SERVER)
         else:
             self.end(verdict, Blame.NONE)
+
+
+def determine_blame(error: RequestError, attempt: Attempt, board: Blackboard) -> Blame:
+    """Return the blame for a failed attempt: the caller's after a short deadline.
+
+    Healthy targets would often miss it too and could get ejected otherwise.
+    """
+    is_late = isinstance(error, DeadlineExceededError)
+    if not is_late or error.blame is not Blame.BACKEND_SERVER:
+        return error.blame
+    health = board.health.get(attempt.target_id)
+    if health is None or health.latency is None:
+        return error.blame
+    waited = attempt.clock.monotonic() - attempt.started
+    is_short = waited < SHORT_DEADLINE_FACTOR * health.latency
+    return Blame.CALLER if is_short else error.blame
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -15,6 +15,7 @@
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.verdict import Verdict, combine_verdicts
 from wagtailstep.network.bodies import ReplayableBody
+from wagtailstep.network.interpret import fingerprint_work
 
 OnEnd = Callable[[Verdict, StoredAnswer | None], None]
 
@@ -36,6 +37,7 @@
     :param last_resort: a doubted target that is tried before giving up.
     :param attempt_in_progress: whether an attempt waits for its response head.
     :param abandoned: whether the attempt was cancelled by its attempt timeout.
+    :param crashes: number of attempts under which a backend server ended.
     :param on_end: called once at the end of a run that the duplicate guard allowed.
     :param ended: whether :meth:`end` was called.
     :param released: whether :meth:`release` was called.
@@ -53,6 +55,7 @@
     last_resort: Target | None = None
     attempt_in_progress: bool = False
     abandoned: bool = False
+    crashes: int = 0
     on_end: OnEnd | None = None
     ended: bool = False
     released: bool = False
@@ -63,6 +66,12 @@
         length = read_int_header(self.incoming.headers, "content-length") or 0
         return 0 < length <= self.body.limit
 
+    def identify(self) -> None:
+        """Add the fingerprint to the request, from as much as is known of its body."""
+        body = b"".join(self.body.buffered) if self.body.complete else b""
+        fingerprint = fingerprint_work(self.request, self.incoming, body)
+        self.request = attrs.evolve(self.request, fingerprint=fingerprint)
+
     @property
     def verdict_if_cancelled(self) -> Verdict:
         """Return the verdict in case the request is cancelled now."""
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -12,6 +12,7 @@
     BadRequestError,
     ConnectionFailedError,
     DeadlineExceededError,
+    DeadlyRequestError,
     DoubtedTargetError,
     DuplicateRequestError,
     InvalidAnswerError,
@@ -20,6 +21,7 @@
     NotExecutedError,
     OverloadedError,
     RequestError,
+    ServerEndedError,
     TruncatedAnswerError,
 )
 from wagtailstep.models.blackboard import Blackboard
@@ -30,6 +32,7 @@
     ATTEMPT_ID,
     BLAME,
     CALLER_SERVICE,
+    FINGERPRINT,
     IDEMPOTENT,
     KNOWN_RATE_LIMIT,
     MAY_WAIT,
@@ -67,6 +70,7 @@
     for error_type in (
         BadRequestError,
         ConnectionFailedError,
+        DeadlyRequestError,
         DeadlineExceededError,
         DoubtedTargetError,
         DuplicateRequestError,
@@ -76,6 +80,7 @@
         NoTargetError,
         OverloadedError,
         RequestError,
+        ServerEndedError,
         TruncatedAnswerError,
     )
 }
@@ -163,6 +168,8 @@
         headers += ((MAY_WAIT, "?0"),)
     if request.known_rate_limit != NO_RATE_LIMIT:
         headers += ((KNOWN_RATE_LIMIT, f"{request.known_rate_limit:f}"),)
+    if request.fingerprint:
+        headers += ((FINGERPRINT, request.fingerprint),)
     return (*headers, (STANDING, str(int(request.expected_standing))))
 
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -13,7 +13,6 @@
 import msgspec
 
 from wagtailstep.controllers.gate import GateController
-from wagtailstep.controllers.target_judge import FAILED_CALL_WINDOW
 from wagtailstep.exceptions import (
     BadRequestError,
     DeadlineExceededError,
@@ -38,9 +37,7 @@
     WorkStarted,
 )
 from wagtailstep.models.headers import (
-    CALL_REFUSED,
     CALLER_SERVICE,
-    CALLS,
     DAEMON_ANSWER_HEADERS,
     EXPECTED_INSTANCE,
     GATE_ID,
@@ -49,7 +46,6 @@
     REQUEST_ID,
     TIMEOUT_MS,
     VERDICT,
-    Headers,
     build_forwarded_headers,
     find_header,
     remove_fleet_headers,
@@ -57,13 +53,16 @@
 )
 from wagtailstep.models.server_notices import StartsDue
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.suspects import SuspectAnswered
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import REVOCATION_PATH, AttemptStateAnswer
+from wagtailstep.network.crash_watch import CrashWatch, check_not_deadly
 from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.gate_answers import (
     assess_failure,
     assess_work,
     blame_backend_server,
+    build_call_headers,
     read_gate_request,
     validate_answer,
 )
@@ -81,6 +80,7 @@
 # admitted by their expected wait; rejecting one that waits longer would waste the time
 # it has waited. A leaving backend server must get no new work after 2 s.
 MAX_WAIT_FACTOR = 1.8
+FIRST_ERROR_STATUS = HTTPStatus.BAD_REQUEST
 OVERLOAD_STATUSES = frozenset({429, 503})
 
 
@@ -108,6 +108,7 @@
         self.clock = clock
         self.serials = itertools.count(1)
         self.dispatch = dispatch
+        self.crash_watch = CrashWatch(client, clock, dispatch)
         self.waiters: dict[int, asyncio.Future[None]] = {}
         self.start_times: dict[int, timedelta] = {}
         member = controller.blackboard.this_member
@@ -143,6 +144,7 @@
             return await self.handle_revocation(incoming)
         arrived_at = self.clock.monotonic()
         request = read_gate_request(incoming, next(self.serials), arrived_at)
+        check_not_deadly(self.controller.blackboard, request.fingerprint, arrived_at)
         await self.wait_for_slot(request)
         queueing = self.clock.monotonic() - arrived_at
         self.start_times[request.serial] = self.clock.monotonic()
@@ -160,26 +162,12 @@
             (GATE_ID, self.gate_id),
             (QUEUEING_MS, f"{queueing / MILLISECOND:.1f}"),
             (LOAD, f"{self.controller.queues[request.target_id].load:.2f}"),
-            *self.build_call_headers(request.route, answer.status),
+            *build_call_headers(
+                self.controller.blackboard, request.route, answer.status, self.clock
+            ),
         )
         return attrs.evolve(answer, headers=(*answer.headers, *daemon_headers))
 
-    def build_call_headers(self, route: str, status: int) -> Headers:
-        """Return headers on the calls to other services that a run makes.
-
-        A failure soon after a rejected call is marked as caused by it.
-        """
-        board = self.controller.blackboard
-        ratios = board.calls_per_run.get(route, {})
-        text = ",".join(f"{name}={ratio:.2f}" for name, ratio in ratios.items())
-        headers: Headers = ((CALLS, text),) if text else ()
-        refused_at = board.call_refused_at
-        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
-        if failed and refused_at is not None:
-            if self.clock.monotonic() - refused_at < FAILED_CALL_WINDOW:
-                headers += ((CALL_REFUSED, "?1"),)
-        return headers
-
     async def wait_for_slot(self, request: GateRequest) -> None:
         """Wait until the request has a slot.
 
@@ -220,20 +208,33 @@
         """Send the request to its backend server, without a retry."""
         try:
             sent = self.build_backend_request(request, incoming)
-            answer = await self.client.send(sent)
+            answer = await self.send_watched(request, sent)
             self.record_notices(request, answer)
             if self.settings.caller_request_ids:
                 await validate_answer(request, answer)
         except RequestError as error:
+            self.crash_watch.end(request)
             executed = error.verdict is not Verdict.NOT_RUN
             self.release_slot(request, assess_failure(error), executed)
             self.report_work_result(request, error)
             raise blame_backend_server(error) from error
         except BaseException:
+            self.crash_watch.end(request)
             self.abandon_request(request)
             raise
         return self.track_answer(request, answer)
 
+    async def send_watched(self, request: GateRequest, sent: HttpRequest) -> Answer:
+        """Send the request; find out whether the server ended if that fails.
+
+        :raises RequestError: if there is no response.
+        """
+        self.crash_watch.start(request, sent.address)
+        try:
+            return await self.client.send(sent)
+        except RequestError as error:
+            raise await self.crash_watch.assess(request, error) from error
+
     def record_notices(self, request: GateRequest, answer: Answer) -> None:
         """Follow what the backend server says of itself in a response."""
         event = read_received_notices(request, answer, self.settings.caller_request_ids)
@@ -287,12 +288,24 @@
         async def close() -> None:
             complete = body.complete
             await answer.close()
+            self.report_suspect(request, answer.status, complete)
+            if body.failed:
+                self.crash_watch.check_later(request)
+            else:
+                self.crash_watch.end(request)
             self.release_slot(request, result if complete else RunResult.ABANDONED)
             self.report_work_result(request, None, answer.status, complete, body.failed)
 
         headers = remove_headers(answer.headers, DAEMON_ANSWER_HEADERS)
         return Answer(answer.status, headers, body, Verdict.RUN, close)
 
+    def report_suspect(self, request: GateRequest, status: int, complete: bool) -> None:
+        """Report that a suspected request was answered and ended no server."""
+        if not complete or status >= FIRST_ERROR_STATUS:
+            return
+        if request.fingerprint in self.controller.blackboard.suspects:
+            self.dispatch(SuspectAnswered(request.fingerprint))
+
     def report_work_result(
         self,
         request: GateRequest,
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from http import HTTPStatus
 
+from wagtailstep.controllers.target_judge import FAILED_CALL_WINDOW
 from wagtailstep.exceptions import (
     BadRequestError,
     ConnectionFailedError,
@@ -10,12 +11,16 @@
     NotExecutedError,
     RequestError,
 )
+from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.gate import GateRequest, RunResult, WorkResult
 from wagtailstep.models.headers import (
     AIM_MS,
     ATTEMPT_ID,
+    CALL_REFUSED,
+    CALLS,
+    FINGERPRINT,
     IDEMPOTENT,
     KNOWN_RATE_LIMIT,
     MAY_WAIT,
@@ -35,12 +40,31 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import discard_answer
 from wagtailstep.network.server_notices import parse_rate
+from wagtailstep.utils.clock import Clock
 
 MILLISECOND = timedelta(milliseconds=1)
 # A backend server that rejects a request is full for about the time one request runs.
 NOT_EXECUTED_RETRY_AFTER = timedelta(milliseconds=300)
 
 
+def build_call_headers(
+    board: Blackboard, route: str, status: int, clock: Clock
+) -> Headers:
+    """Return headers on the calls to other services that a run makes.
+
+    A failure soon after a rejected call is marked as caused by it.
+    """
+    ratios = board.calls_per_run.get(route, {})
+    text = ",".join(f"{name}={ratio:.2f}" for name, ratio in ratios.items())
+    headers: Headers = ((CALLS, text),) if text else ()
+    refused_at = board.call_refused_at
+    failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    if failed and refused_at is not None:
+        if clock.monotonic() - refused_at < FAILED_CALL_WINDOW:
+            headers += ((CALL_REFUSED, "?1"),)
+    return headers
+
+
 async def validate_answer(request: GateRequest, answer: Answer) -> None:
     """Check that a response belongs to the request and that the request was run.
 
@@ -93,6 +117,7 @@
         may_wait=find_header(headers, MAY_WAIT) != "?0",
         expected_standing=read_standing(headers),
         known_rate_limit=read_known_rate_limit(headers),
+        fingerprint=find_header(headers, FINGERPRINT) or "",
     )
 
 
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -194,6 +194,26 @@
             return self.idle_limit
         return timedelta(milliseconds=self.settings.unsafe_idle_ms)
 
+    async def is_listening(self, address: str, timeout: timedelta) -> bool:
+        """Return whether a server accepts connections; the connection is kept.
+
+        A server that doesn't respond in time may be listening.
+        """
+        try:
+            async with limit_time(timeout):
+                connection = await open_connection(address, self.clock.monotonic())
+        except TimeoutError:
+            return True
+        except OSError:
+            return False
+        if self.closed:
+            connection.close()
+        else:
+            self.pools.setdefault(address, deque()).append(connection)
+            if self.sweep_timer is None:
+                self.start_sweep_timer()
+        return True
+
     def pop_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
         """Return the most recently used connection that is fit for reuse.
 
--- a/src/wagtailstep/network/interpret.py
+++ b/src/wagtailstep/network/interpret.py
@@ -15,6 +15,7 @@
 
 MAX_NAME_LENGTH = 128
 MAX_TIMEOUT_MS = 86_400_000
+FINGERPRINT_BYTES = 12
 
 _BOOLEANS = {"?0": False, "?1": True}
 
@@ -185,6 +186,27 @@
     return BadRequestError(f"header {name} is {excerpt!r}; allowed: {allowed}")
 
 
+def fingerprint_work(
+    request: RequestContext, incoming: IncomingRequest, body: bytes
+) -> str:
+    """Return a hash that is the same for each arrival of the same request anywhere.
+
+    The service of the instance where it entered is left out, so that arrivals at
+    different instances count together.
+
+    :param body: the complete body if it is buffered, else empty; then only the length
+        tells bodies apart.
+    """
+    parts = [request.service, request.method, request.path]
+    for name in ("host", headers.CREDENTIAL, "content-length"):
+        parts.append(find_header(incoming.headers, name) or "")
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    for part in parts:
+        digest.update(f"{len(part)}:{part}".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
 def fingerprint_request(request: RequestContext, body_start: bytes, length: str) -> str:
     """Return a hash that tells apart different requests with the same key.
 
--- a/src/wagtailstep/network/log_daemon.py
+++ b/src/wagtailstep/network/log_daemon.py
@@ -6,6 +6,7 @@
 from wagtailstep.controllers.evidence import EvidenceController
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.server_notices import ServerNoticesController
+from wagtailstep.controllers.suspects import CrashSuspects
 from wagtailstep.controllers.table import TableController
 from wagtailstep.models.events import Controller
 from wagtailstep.models.log import LogService
@@ -28,6 +29,7 @@
             AnnouncementController(*parts),
             DisseminationController(*parts),
             ServerNoticesController(*parts),
+            CrashSuspects(*parts),
             EvidenceController(*parts),
             EjectionController(*parts),
             self.routing,
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -21,6 +21,7 @@
     DeadlineExceededError,
     OverloadedError,
     RequestError,
+    ServerEndedError,
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder
@@ -30,8 +31,9 @@
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
-from wagtailstep.network.attempts import Attempt, read_calls
+from wagtailstep.network.attempts import Attempt, determine_blame, read_calls
 from wagtailstep.network.bodies import AnswerStream, discard_answer
+from wagtailstep.network.crash_watch import check_not_deadly
 from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.server_notices import find_changed_notices
@@ -43,7 +45,6 @@
 DEADLINE_GRACE_MS = 20
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
-SHORT_DEADLINE_FACTOR = 4  # Short: below the target's expected latency times this.
 DISCOVERY_POLL_INTERVAL = timedelta(milliseconds=20)
 # Loans arrive within a round trip between zones, or not at all.
 LOAN_TIMEOUT = timedelta(milliseconds=40)
@@ -87,7 +88,9 @@
 
         :raises RequestError: if it gets no response; its verdict covers all attempts.
         """
+        exchange.identify()
         request = exchange.request
+        check_not_deadly(self.blackboard, request.fingerprint, self.clock.monotonic())
         await self.wait_for_discovery(request)
         self.retries.record_first_attempt(request.service)
         while True:
@@ -97,6 +100,7 @@
                 answer = await self.attempt(exchange, target)
             except RequestError as exc:
                 exchange.sent += exc.may_have_been_received
+                exchange.crashes += isinstance(exc, ServerEndedError)
                 exchange.include_earlier_attempts(exc)
                 if is_full_gate(exc):
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
@@ -133,12 +137,19 @@
         """Return whether to retry after an attempt without a response."""
         if isinstance(error, AttemptAbandonedError):
             return True
+        if isinstance(error, ServerEndedError) and self.is_suspect(exchange):
+            return self.retries.deny(RetryDenial.ENDS_SERVERS)
         if not exchange.body.replayable:
             return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
         return self.retries.try_acquire_retry(
             exchange.request, error, exchange.attempts, exchange.sent
         )
 
+    def is_suspect(self, exchange: Exchange) -> bool:
+        """Return whether more than one backend server ended under a request."""
+        known = self.blackboard.suspects.get(exchange.request.fingerprint)
+        return exchange.crashes > 1 or (known is not None and known.crashes > 1)
+
     def try_select_last_resort(self, exchange: Exchange) -> bool:
         """Select a doubted target before rejecting; return whether there is one.
 
@@ -277,7 +288,7 @@
         try:
             answer = await self.forward(exchange, target, request)
         except RequestError as error:
-            attempt.end(error.verdict, self.determine_blame(error, attempt))
+            attempt.end(error.verdict, determine_blame(error, attempt, self.blackboard))
             raise
         except BaseException:
             attempt.end(Verdict.MAY_HAVE_RUN, Blame.CALLER)
@@ -291,21 +302,6 @@
         exchange.verdict = Verdict.MAY_HAVE_RUN
         return self.track_end(answer, attempt, exchange)
 
-    def determine_blame(self, error: RequestError, attempt: Attempt) -> Blame:
-        """Return the blame for a failed attempt: the caller's after a short deadline.
-
-        Healthy targets would often miss it too and could get ejected otherwise.
-        """
-        is_late = isinstance(error, DeadlineExceededError)
-        if not is_late or error.blame is not Blame.BACKEND_SERVER:
-            return error.blame
-        health = self.blackboard.health.get(attempt.target_id)
-        if health is None or health.latency is None:
-            return error.blame
-        waited = self.clock.monotonic() - attempt.started
-        is_short = waited < SHORT_DEADLINE_FACTOR * health.latency
-        return Blame.CALLER if is_short else error.blame
-
     async def forward(
         self, exchange: Exchange, target: Target, request: RequestContext
     ) -> Answer:
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -9,6 +9,7 @@
 from wagtailstep.controllers.path_watch import PathWatch
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.server_notices import ServerNoticesController
+from wagtailstep.controllers.suspects import CrashSuspects
 from wagtailstep.controllers.target_judge import TargetJudge
 from wagtailstep.models.events import Controller, FollowTable
 from wagtailstep.models.keyed_store import KeyedStore
@@ -49,6 +50,7 @@
             AnnouncementController(*parts),
             DisseminationController(*parts),
             ServerNoticesController(*parts),
+            CrashSuspects(*parts),
             TargetJudge(*parts),
             CallRatios(*parts),
             PathWatch(*parts),
