Cut off bytes without end from a backend server

A rejection or a failure whose body did not end held the request until its deadline instead of being tried elsewhere.

Cause: reading on towards the next response was bounded by the request's deadline only. An idle connection was looked at when it was to be used again.

Change: at most 32 interim responses are read, 1 MiB of a late response is skipped, and 64 KiB or 100 ms of a response that is dropped are read. Bytes that arrive on an idle connection reset it at once. Heads were bounded by 64 KiB before; a body that is passed on ends with the request's deadline, visibly incomplete, and a slow but whole answer is kept.

--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -1,6 +1,7 @@
 """Streaming, buffering and size limits of request and response bodies."""
 
 from collections.abc import AsyncIterator, Callable
+from datetime import timedelta
 
 from wagtailstep.exceptions import (
     BadRequestError,
@@ -11,6 +12,10 @@
 )
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.deadlines import limit_time
+
+MAX_DISCARDED_BYTES = 65_536
+MAX_DISCARD_TIME = timedelta(milliseconds=100)
 
 OnAnswerEnd = Callable[[Verdict, RequestError | None], None]
 
@@ -235,12 +240,15 @@
 
 
 async def discard_answer(answer: Answer) -> None:
-    """Read and drop a response, so that its connection can be reused."""
+    """Read and drop a short response, so that its connection can be reused.
+
+    The connection of a long or slow one is closed instead.
+    """
     try:
-        async for _ in answer.body:
-            pass
-    except TruncatedAnswerError:
-        # The head is all that counts here, and the connection is already closed.
+        async with limit_time(MAX_DISCARD_TIME):
+            await read_body_start(answer.body, MAX_DISCARDED_BYTES)
+    except (TruncatedAnswerError, TimeoutError):
+        # The head is all that counts here.
         pass
     finally:
         await answer.close()
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -29,6 +30,7 @@
     HttpRequest,
     decode_headers,
     open_connection,
+    reset_transport,
 )
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
@@ -209,9 +211,7 @@
         if self.closed:
             connection.close()
         else:
-            self.pools.setdefault(address, deque()).append(connection)
-            if self.sweep_timer is None:
-                self.start_sweep_timer()
+            self.keep_idle(connection)
         return True
 
     def pop_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
@@ -230,6 +230,7 @@
             elif connection.has_unseen_input:
                 pool.pop().close()
             else:
+                connection.reader.on_unasked = None
                 return pool.pop()
         return None
 
@@ -239,6 +240,13 @@
         if not connection.finish_exchange(now) or self.closed:
             connection.close()
             return
+        self.keep_idle(connection)
+
+    def keep_idle(self, connection: HttpConnection) -> None:
+        """Add a connection to the pool; it is closed if bytes arrive meanwhile."""
+        connection.reader.on_unasked = functools.partial(
+            reset_transport, connection.writer.transport
+        )
         pool = self.pools.setdefault(connection.address, deque())
         pool.append(connection)
         if len(pool) > MAX_IDLE_PER_ADDRESS:
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -4,7 +4,7 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from datetime import timedelta
 
 import attrs
@@ -15,6 +15,10 @@
 
 READ_SIZE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
+# Interim responses (1xx) of one exchange, and bytes of a late response, that are read
+# before the connection is given up.
+MAX_INTERIM_RESPONSES = 32
+MAX_SKIPPED_BYTES = 1_048_576
 CONTINUE = 100
 LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
@@ -68,16 +72,21 @@
 
     An idle connection that has received bytes can't be reused: they would be parsed
     as the response to the next request.
+
+    Attributes: ``on_unasked``, called when bytes arrive on an idle connection.
     """
 
     def __init__(self) -> None:
         super().__init__(limit=READ_SIZE_BYTES)
         self.bytes_received = 0
+        self.on_unasked: Callable[[], None] | None = None
 
     def feed_data(self, data: bytes) -> None:
         """Count and buffer received bytes."""
         self.bytes_received += len(data)
         super().feed_data(data)
+        if self.on_unasked is not None:
+            self.on_unasked()
 
 
 class HttpConnection:
@@ -195,24 +204,20 @@
             event = self.state.next_event()
         return event
 
-    async def read_head(self) -> h11.Response:
-        """Read the head of the final response and skip informational ones (1xx)."""
-        event = await self.read_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self.read_event()
-        return self.require_head(event)
-
-    async def wait_for_continue(self) -> h11.Response | None:
-        """Wait until the server sends ``100 Continue``.
+    async def read_head(self, awaited_status: int | None = None) -> h11.Response | None:
+        """Read the head of the final response and skip informational ones (1xx).
 
-        :return: the head of the final response if the server sends that instead.
+        :param awaited_status: status of the informational response to wait for.
+        :return: ``None`` if that came first.
+        :raises ConnectionResetError: if there are too many informational ones.
         """
-        event = await self.read_event()
-        while isinstance(event, h11.InformationalResponse):
-            if event.status_code == CONTINUE:
-                return None
+        for _ in range(MAX_INTERIM_RESPONSES):
             event = await self.read_event()
-        return self.require_head(event)
+            if not isinstance(event, h11.InformationalResponse):
+                return self.require_head(event)
+            if event.status_code == awaited_status:
+                return None
+        raise ConnectionResetError("the server sends interim responses without end")
 
     def require_head(self, event: h11.Event) -> h11.Response:
         """Return the event if it is the head of a response.
@@ -236,7 +241,7 @@
         if request.body is None or not request.has_body:
             return await self.skip_stale_responses(await self.read_head(), request)
         if request.expects_continue:
-            final_head = await self.wait_for_continue()
+            final_head = await self.read_head(CONTINUE)
             if final_head is not None:
                 return final_head
         self.body_sender = asyncio.create_task(self.send_body(request.body))
@@ -274,7 +279,11 @@
     async def skip_response(self) -> None:
         """Read a response to its end and prepare to read another one."""
         event = await self.read_event()
+        skipped = 0
         while isinstance(event, h11.Data):
+            skipped += len(event.data)
+            if skipped > MAX_SKIPPED_BYTES:
+                raise ConnectionResetError("a stale response is too long to skip")
             event = await self.read_event()
         if not isinstance(event, h11.EndOfMessage) or self.state.our_state is not (
             h11.DONE
