Dispatch what a server says of itself only if it is news

Cause: the gate passed the notices of each response to all controllers, though they rarely change. Change: only what differs from the target's limit or state is dispatched; the gate's own controller still sees each response.

--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -69,7 +69,7 @@
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
-from wagtailstep.network.server_notices import read_received_notices
+from wagtailstep.network.server_notices import is_news, read_received_notices
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
@@ -238,8 +238,11 @@
     def record_notices(self, request: GateRequest, answer: Answer) -> None:
         """Follow what the backend server says of itself in a response."""
         event = read_received_notices(request, answer, self.settings.caller_request_ids)
-        if event is not None:
-            self.apply_effects(self.controller.handle(event))
+        if event is None:
+            return
+        self.apply_effects(self.controller.handle(event))
+        target = self.controller.blackboard.targets.get(request.target_id)
+        if target is not None and is_news(target, event.notices):
             self.dispatch(event)
 
     def build_backend_request(
--- a/src/wagtailstep/network/server_notices.py
+++ b/src/wagtailstep/network/server_notices.py
@@ -6,7 +6,7 @@
 
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer
-from wagtailstep.models.fleet import Target
+from wagtailstep.models.fleet import Target, TargetState
 from wagtailstep.models.gate import GateRequest
 from wagtailstep.models.headers import (
     NOT_EXECUTED,
@@ -77,6 +77,13 @@
     return ServerNoticesReceived(request.target_id, notices, executed)
 
 
+def is_news(target: Target, notices: ServerNotices) -> bool:
+    """Return whether notices differ from what the fleet knows of a target."""
+    if notices.leaving and target.state is not TargetState.LEAVING:
+        return True
+    return notices.rate_limit not in (None, target.rate_limit)
+
+
 def find_changed_notices(
     board: Blackboard, target: Target, answer: Answer
 ) -> ServerNoticesForwarded | None:
