Try targets without a limit first after a refusal

Cause: the share of a limited target holds for each draw anew. A request that was refused once was drawn to limited targets again, and three refusals count as a full service.

Change: a further attempt goes to an untried target without a limit, if there is one.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -133,6 +133,12 @@
     When the backend server restarts under the same name
     Then the entry picks the target
 
+  Scenario: A refused request is sent on to targets without a limit first
+    Given an entry with 6 targets, of which 4 take 1 request a second
+    When it gets 20 requests a second, like the daemons beside them
+    And requests that were refused by a limited target look for another
+    Then none of them goes to a limited target
+
   Scenario Outline: An entry sends a limited target its share, and the others the rest
     Given an entry with 6 targets, of which <limited> take 1 request a second
     When it gets <rate> requests a second, like the daemons beside them
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -314,6 +314,7 @@
     board = context.board
     settings = DaemonSettings("d0", "bole", "h:1", "h:2", "h:3", "h:4")
     routing = RoutingController(settings, board, context.clock, random.Random(1))
+    context.routing = routing
     context.picked = Counter()
     for _ in range(60 * rate):
         context.clock.advance(timedelta(seconds=1 / rate))
@@ -333,6 +334,20 @@
         routing.release(request)
 
 
+@when("requests that were refused by a limited target look for another")
+def pick_again(context):
+    context.picked = Counter(
+        context.routing.pick("contracts", {"contracts/i-0"}).target_id
+        for _ in range(200)
+    )
+
+
+@then("none of them goes to a limited target")
+def check_unlimited(context):
+    limited = {f"contracts/i-{i}" for i in range(context.limited)}
+    assert not limited & set(context.picked), context.picked
+
+
 @then("a limited target gets {least:g} to {most:g} % of them")
 def check_share(context, least, most):
     total = context.picked.total()
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -204,10 +204,14 @@
             del self.pools[service]
 
     def pick_untried(self, service: str, tried: Collection[str]) -> Target:
-        """Pick a target that was not tried, or any target if all were."""
+        """Pick a target that was not tried, or any target if all were.
+
+        One without a rate limit goes first, since a limited one has little to spare.
+        """
         candidates = self.get_pool(service, fresh=True).candidates
         untried = [c for c in candidates if c.target.target_id not in tried]
-        pool = CandidatePool(untried or candidates, self.clock.monotonic())
+        unlimited = [c for c in untried if c.rate_limit == NO_RATE_LIMIT]
+        pool = CandidatePool(unlimited or untried or candidates, self.clock.monotonic())
         return self.choose_cheaper(*pool.draw(self.rng), pool.mean_weight).target
 
     def pick_doubted(self, service: str, tried: Collection[str]) -> Target | None:
