Run a request alone after two servers ended under it

Cause: while servers end about once a second, a rare request can be in progress at three ends in turn by chance, and no response clears it in between. Its run beside the culprit looks like the culprit's.

Change: after two ends in turn without a response, a request waits at its gate until nothing runs there, and nothing starts beside it. It is blocked only if a further server ends then.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -52,6 +52,7 @@
       | deadly          | 51   | 1400   |
       | deadly, restart | 52   | 1400   |
       | crash           | 53   | 1500   |
+      | deadly, crash   | 61000001 | 1400 |
 
   Scenario: A fleet that takes older tables is detected
     Given daemons that put any table in force
--- a/features/steps/suspects_steps.py
+++ b/features/steps/suspects_steps.py
@@ -27,6 +27,7 @@
     InterruptedRun,
     ServerCrashed,
     SuspectAnswered,
+    SuspectState,
 )
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_client import HttpClient
@@ -143,6 +144,12 @@
         context.fleet.end_in_turn(f"d{number}", [f"other-{index}"])
 
 
+@when("request {serial:d} arrives, under which {count:d} servers ended before")
+def arrive_as_suspect(context, serial, count):
+    context.gate.blackboard.suspects["a"] = SuspectState(count)
+    context.gate.arrive(serial, fingerprint="a")
+
+
 @when('daemon {number:d} answers request "{name}"')
 def answer_request(context, number, name):
     context.fleet.dispatch(f"d{number}", SuspectAnswered(name))
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -29,11 +29,43 @@
     And daemon 4 answers request "a"
     Then request "a" is blocked at none
 
+  Scenario: A victim of three ends is not blocked, what ran alone at the last one is
+    Given 6 daemons that exchange the ends of their servers
+    When servers end under requests "a,b" at daemon 1
+    And servers end under requests "a,b" at daemon 2
+    And servers end under requests "a,b" at daemon 3
+    Then request "a" is blocked at none
+    And request "b" is blocked at none
+    When servers end under request "a" at daemons 4 in turn
+    Then request "a" is blocked at all daemons
+    And request "b" is blocked at none
+
+  Scenario: A request under which two servers ended runs alone
+    Given a gate beside a backend server with 4 slots
+    When 2 requests arrive at the gate
+    And request 3 arrives, under which 2 servers ended before
+    And request 4 arrives at the gate with 30000 ms left
+    Then requests 1,2 run
+    When request 1 ends
+    Then requests 2 run
+    When request 2 ends
+    Then requests 3 run
+    And request 4 waits
+    When request 3 ends
+    Then requests 4 run
+
+  Scenario: A request under which one server ended runs beside others
+    Given a gate beside a backend server with 4 slots
+    When 2 requests arrive at the gate
+    And request 3 arrives, under which 1 servers ended before
+    Then requests 1,2,3 run
+
   Scenario: Only what was in progress at all of the ends is blocked
     Given 6 daemons that exchange the ends of their servers
     When servers end under requests "a,b" at daemon 1
     And servers end under requests "a,c" at daemon 2
     And servers end under requests "a,b,c" at daemon 3
+    And servers end under requests "a" at daemon 4
     Then request "a" is blocked at all daemons
     And request "b" is blocked at none
     And request "c" is blocked at none
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -13,6 +13,8 @@
 from http import HTTPStatus
 from typing import Any
 
+import attrs
+
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
 from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.controllers.request_history import RequestHistory
@@ -48,6 +50,7 @@
     StartsDue,
 )
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.suspects import CRASHES_TO_ISOLATE
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
@@ -96,7 +99,7 @@
     @handle.register
     def admit(self, event: GateRequestArrived) -> list[Any]:
         """Start, queue or refuse a new request."""
-        request = event.request
+        request = self.isolate_suspect(event.request)
         error = self.get_refusal_error(request)
         if error is not None:
             return [RefuseRequest(request.serial, error)]
@@ -174,6 +177,13 @@
         refusals = self.refuse_hopeless(queue) if is_lower else []
         return refusals + self.start_waiting(event.target_id, queue)
 
+    def isolate_suspect(self, request: GateRequest) -> GateRequest:
+        """Return the request, marked to run alone if servers ended under it before."""
+        suspect = self.blackboard.suspects.get(request.fingerprint)
+        if suspect is None or suspect.crashes < CRASHES_TO_ISOLATE:
+            return request
+        return attrs.evolve(request, alone=True)
+
     def refuse_hopeless(self, queue: TargetQueue) -> list[Any]:
         """Refuse waiting requests that a lower rate limit starts too late."""
         now = self.clock.monotonic()
@@ -241,7 +251,7 @@
 
     def may_start_now(self, queue: TargetQueue, request: GateRequest) -> bool:
         """Return whether a new request may start without waiting."""
-        may_start = queue.may_start(self.clock.monotonic())
+        may_start = queue.may_start(self.clock.monotonic(), request)
         return may_start and not queue.has_earlier_waiting(request)
 
     def get_wait_error(
@@ -344,8 +354,11 @@
     def start_waiting(self, target_id: str, queue: TargetQueue) -> list[Any]:
         """Start waiting requests while their server takes more; refuse expired ones."""
         effects: list[Any] = []
-        while queue.waiting and queue.may_start(self.clock.monotonic()):
-            serial, request = queue.pop_next()
+        while queue.waiting:
+            serial, request = queue.find_next()
+            if not queue.may_start(self.clock.monotonic(), request):
+                break
+            del queue.waiting[serial]
             if request.deadline > self.clock.monotonic():
                 effects.append(self.start(queue, request))
                 continue
--- a/src/wagtailstep/controllers/suspects.py
+++ b/src/wagtailstep/controllers/suspects.py
@@ -1,8 +1,9 @@
 """Find requests that end each backend server which runs them, and block them.
 
 Everything that was in progress at a server ends with it, so one end says little about
-a request. A request is blocked once several servers have ended under it one after the
-other and none has answered it since. Daemons exchange the ends by gossip; merging is a
+a request. After two ends in turn without a response to it a request runs alone, which
+tells it from what happened to run beside another: it is blocked if a further server
+ends then. Daemons exchange the ends by gossip; merging is a
 union, so messages may be lost, late or repeated.
 """
 
@@ -24,6 +25,7 @@
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.suspects import (
+    CRASHES_TO_ISOLATE,
     NEVER_MS,
     CrashEntry,
     ServerCrashed,
@@ -34,7 +36,6 @@
 )
 from wagtailstep.utils.clock import Clock
 
-CRASHES_TO_BLOCK = 3
 BLOCK_DURATION = timedelta(minutes=10)
 # A request that ends servers returns within seconds; an innocent one is forgotten.
 SUSPICION_LIFETIME = timedelta(seconds=60)
@@ -59,10 +60,12 @@
 
     :param ended_at: monotonic time of the end.
     :param started_at: monotonic time when the request was sent to the server.
+    :param alone: whether nothing else was in progress there.
     """
 
     ended_at: timedelta
     started_at: timedelta
+    alone: bool
 
 
 @attrs.define
@@ -119,19 +122,19 @@
         """Return whether a response was complete after an end."""
         return self.answered_at is not None and crash.ended_at <= self.answered_at
 
-    def count_successive_crashes(self) -> int:
-        """Return how many servers ended one after the other since the last response.
+    def list_successive_crashes(self) -> list[Crash]:
+        """Return the ends one after the other since the last response.
 
-        Runs side by side, at servers that end together, count as one: each later run
-        must have started after the end before it.
+        Of runs side by side, at servers that end together, one is listed: each later
+        run must have started after the end before it.
         """
-        count = 0
+        listed: list[Crash] = []
         last_end = self.answered_at
         for crash in sorted(self.crashes.values(), key=lambda each: each.ended_at):
             if last_end is None or crash.started_at >= last_end - MAX_MESSAGE_DELAY:
-                count += 1
+                listed.append(crash)
                 last_end = crash.ended_at
-        return count
+        return listed
 
 
 class CrashSuspects:
@@ -167,7 +170,8 @@
         names = list(dict.fromkeys(run.fingerprint for run in event.runs))
         for run in event.runs:
             suspect = self._get_suspect(run.fingerprint)
-            suspect.add_crash(crash_id, Crash(now, run.started_at))
+            crash = Crash(now, run.started_at, event.is_single)
+            suspect.add_crash(crash_id, crash)
         return effects + self._report_changes(names) + self._push(names)
 
     @handle.register
@@ -229,7 +233,7 @@
         for each in entry.crashes[:MAX_CRASHES_KEPT]:
             ended_at = now - each.ended_age_ms * MILLISECOND
             started_at = now - each.started_age_ms * MILLISECOND
-            crash = Crash(ended_at, started_at)
+            crash = Crash(ended_at, started_at, each.alone)
             is_news = suspect.add_crash(each.crash_id, crash) or is_news
         return is_news
 
@@ -240,8 +244,9 @@
             suspect = self.suspects.get(name)
             if suspect is None:
                 continue
-            count = suspect.count_successive_crashes()
-            is_blocked = count >= CRASHES_TO_BLOCK
+            crashes = suspect.list_successive_crashes()
+            count = len(crashes)
+            is_blocked = any(each.alone for each in crashes[CRASHES_TO_ISOLATE:])
             if is_blocked != suspect.is_blocked:
                 suspect.is_blocked = is_blocked
                 kind = "request-blocked" if is_blocked else "request-unblocked"
@@ -287,6 +292,7 @@
                 crash_id,
                 (now - crash.ended_at) // MILLISECOND,
                 (now - crash.started_at) // MILLISECOND,
+                crash.alone,
             )
             for crash_id, crash in suspect.crashes.items()
         ),
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -56,9 +56,13 @@
         """Return whether one more request may run now."""
         return len(self.running) < self.limit.max_running
 
-    def may_start(self, now: timedelta) -> bool:
-        """Return whether a slot is free and the rate limit permits a request now."""
-        return self.has_free_slot and not self.rate_limit.compute_wait(now)
+    def may_start(self, now: timedelta, request: GateRequest) -> bool:
+        """Return whether a request may start beside what runs, as far as limits go."""
+        if not self.has_free_slot or self.rate_limit.compute_wait(now):
+            return False
+        if request.alone:
+            return not self.running
+        return not any(running.request.alone for running in self.running.values())
 
     @property
     def load(self) -> float:
@@ -74,12 +78,9 @@
         order = compute_order(request)
         return any(compute_order(other) <= order for other in self.waiting.values())
 
-    def pop_next(self) -> tuple[int, GateRequest]:
-        """Remove and return the first request of the queue, with its serial."""
-        serial = min(
-            self.waiting, key=lambda serial: compute_order(self.waiting[serial])
-        )
-        return serial, self.waiting.pop(serial)
+    def find_next(self) -> tuple[int, GateRequest]:
+        """Return the first request of the queue, with its serial."""
+        return min(self.waiting.items(), key=lambda item: compute_order(item[1]))
 
     def estimate_wait(self, now: timedelta, request: GateRequest) -> timedelta:
         """Return how long a request that joins the queue now would wait to start.
@@ -93,6 +94,12 @@
         free_after = sorted(
             self.estimate_time_left(running, now) for running in self.running.values()
         )
+        is_isolated = request.alone or any(
+            running.request.alone for running in self.running.values()
+        )
+        idle_after = (
+            max(free_after, default=timedelta()) if is_isolated else timedelta()
+        )
         # If more requests run than the limit allows, the first to end free no slot.
         free_after = free_after[max(0, len(free_after) - self.limit.max_running) :]
         if len(free_after) < self.limit.max_running:
@@ -110,7 +117,8 @@
             ahead += 1
             start = free_after[0]
             heapq.heapreplace(free_after, start + self.expected_duration(other))
-        return max(free_after[0], self.rate_limit.compute_wait(now, ahead))
+        rate_wait = self.rate_limit.compute_wait(now, ahead)
+        return max(free_after[0], idle_after, rate_wait)
 
     def estimate_time_left(self, running: RunningRequest, now: timedelta) -> timedelta:
         """Return the time until a running request is expected to end.
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -33,6 +33,7 @@
         ``NO_RATE_LIMIT`` if it knows none.
     :param fingerprint: hash that is the same for each arrival of the same request, or
         an empty string.
+    :param alone: whether nothing else may run at the backend server meanwhile.
     """
 
     serial: int
@@ -49,6 +50,7 @@
     expected_standing: TargetStanding = TargetStanding.FAILING
     known_rate_limit: float = NO_RATE_LIMIT
     fingerprint: str = ""
+    alone: bool = False
 
 
 class RunResult(enum.Enum):
--- a/src/wagtailstep/models/suspects.py
+++ b/src/wagtailstep/models/suspects.py
@@ -8,6 +8,7 @@
 from wagtailstep.utils.codec import message
 
 NEVER_MS = -1
+CRASHES_TO_ISOLATE = 2
 
 
 @attrs.frozen
@@ -33,6 +34,11 @@
     target_id: str
     runs: tuple[InterruptedRun, ...]
 
+    @property
+    def is_single(self) -> bool:
+        """Return whether one request alone was in progress, if repeatedly."""
+        return len({run.fingerprint for run in self.runs}) == 1
+
 
 @attrs.frozen
 class SuspectAnswered:
@@ -49,7 +55,7 @@
     """What the fleet knows of a suspected request.
 
     :param crashes: servers that ended under it one after the other, with no response
-        to it since then.
+        to it since then; from ``CRASHES_TO_ISOLATE`` on it runs alone.
     :param blocked_until: monotonic time until which it is refused, or ``None``.
     """
 
@@ -63,11 +69,13 @@
     :param crash_id: random identifier; the same for all requests in progress then.
     :param ended_age_ms: time since the end.
     :param started_age_ms: time since the request was sent to the server.
+    :param alone: whether nothing else was in progress at the server.
     """
 
     crash_id: int
     ended_age_ms: int
     started_age_ms: int
+    alone: bool = False
 
 
 class SuspectEntry(msgspec.Struct, array_like=True, frozen=True):
