--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -23,7 +23,7 @@
 
 from benchmarks.soak.callers import AttemptEnded, CallerGroup, start_callers
 from benchmarks.soak.fleet import (
-    DEADLY_PREFIX,
+    CRASHING_PREFIX,
     PAUSE_AFTER_CRASH_S,
     Host,
     SoakFleet,
@@ -113,11 +113,11 @@
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
-async def send_deadly_requests(
+async def send_crashing_requests(
     fleet: SoakFleet, host: Host, rng: random.Random
 ) -> None:
-    """Send a request that ends its servers again and again, to any daemon."""
-    name = f"{DEADLY_PREFIX}{rng.getrandbits(32):08x}"
+    """Send a request that crashes its servers repeatedly, to any daemon."""
+    name = f"{CRASHING_PREFIX}{rng.getrandbits(32):08x}"
     for number in range(rng.randint(12, 24)):
         entry = rng.choice(fleet.hosts).name
         key = f"{name}-{number}"
@@ -128,7 +128,7 @@
 
 
 async def crash_server(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
-    """End a backend server under its requests, or several at the same moment."""
+    """Crash a backend server, or several simultaneously, whatever they run."""
     others = rng.sample(fleet.hosts, rng.choice((0, 0, 0, 2)))
     await asyncio.gather(
         *(
@@ -183,7 +183,7 @@
     "truncate": create_gray_failure(truncate_share=0.4),
     "limit": name_limits,
     "leaving": announce_leaving,
-    "deadly": send_deadly_requests,
+    "crashing-request": send_crashing_requests,
     "crash": crash_server,
     "slow": create_gray_failure(slow_factor=6.0),
 }
@@ -276,7 +276,7 @@
         outcome
         for outcome in outcomes
         if outcome.at_s >= final_phase_start
-        and not outcome.key.startswith(DEADLY_PREFIX)
+        and not outcome.key.startswith(CRASHING_PREFIX)
     ]
     served = sum(outcome.status == 200 for outcome in final_outcomes)
     if served < MIN_FINAL_SERVED_RATIO * len(final_outcomes):
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -37,8 +37,8 @@
 SHUTDOWN_NOTICE_MS = 1_000
 SHUTDOWN_MS = 4_000
 MAX_STARTS_PER_HOST = 1_000
-# Requests whose names begin with this end each server that runs them.
-DEADLY_PREFIX = "deadly"
+# Requests whose names begin with this crash each server that runs them.
+CRASHING_PREFIX = "crashing"
 PAUSE_AFTER_CRASH_S = (1.0, 4.0)
 
 
@@ -137,7 +137,7 @@
 
 @attrs.frozen
 class ServerCrash:
-    """The end of a backend server by a request.
+    """The crash of a backend server by a request.
 
     :param at_s: event loop time in seconds.
     :param key: name of the request.
@@ -233,7 +233,7 @@
             f"{host.name}:9000",
             seed=host.number,
             queue_length=0,
-            deadly_prefix=DEADLY_PREFIX,
+            crash_key_prefix=CRASHING_PREFIX,
         )
         backend = host.backend = BackendServer(settings)
         self.backends.append(backend)
@@ -248,7 +248,7 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def watch_backend(self, host: Host, backend: BackendServer) -> None:
-        """End a backend server that a request ended, and start its successor."""
+        """Stop a backend server that a request crashed, and start its successor."""
         await backend.crashed.wait()
         at_s = asyncio.get_running_loop().time()
         self.crashes.append(ServerCrash(at_s, backend.crashed_by))
--- a/benchmarks/soak/server_notices.py
+++ b/benchmarks/soak/server_notices.py
@@ -16,7 +16,7 @@
 # Time after the first naming of a limit from which on it binds.
 BINDING_AFTER_S = 3.0
 # Time after which a daemon that passed on an answer is bound by what it says.
-TOLD_AFTER_S = 0.5
+NOTIFIED_AFTER_S = 0.5
 # Time after which a leaving server gets no more of the requests sent since then.
 DRAIN_S = 2.0
 
@@ -61,12 +61,12 @@
         if not periods:
             return []
         first_s = periods[0].start_s
-        told = self.find_told(backend, lambda outcome: bool(outcome.rate_limit))
+        notified = self.find_notified(backend, lambda outcome: bool(outcome.rate_limit))
         counted = [
             arrival.at_s
             for arrival in backend.arrivals
             if any(p.start_s <= arrival.at_s < p.end_s for p in periods)
-            and self.was_told(arrival, told, TOLD_AFTER_S)
+            and self.was_notified(arrival, notified, NOTIFIED_AFTER_S)
         ]
         for last, at_s in enumerate(counted):
             if at_s < first_s + BINDING_AFTER_S:
@@ -82,11 +82,11 @@
 
     def find_late_work(self, backend: BackendServer) -> list[str]:
         """Return the requests that reached a server that had said it leaves."""
-        told = self.find_told(backend, lambda outcome: outcome.server_leaves)
+        notified = self.find_notified(backend, lambda outcome: outcome.server_leaves)
         return [
             f"{arrival.key} reached {backend.address}, which had said that it leaves"
             for arrival in backend.arrivals
-            if self.was_told(arrival, told, DRAIN_S)
+            if self.was_notified(arrival, notified, DRAIN_S)
         ]
 
     def list_periods(self, backend: BackendServer) -> Iterator[LimitPeriod]:
@@ -99,19 +99,19 @@
                 end_s = math.inf if is_last else changes[index + 1].at_s
                 yield LimitPeriod(change.at_s, end_s, float(text))
 
-    def find_told(
+    def find_notified(
         self, backend: BackendServer, has_notice: Callable[[AttemptEnded], bool]
     ) -> dict[str, list[float]]:
         """Return when each host passed on an answer of a server with a notice."""
-        told: dict[str, list[float]] = {}
+        notified: dict[str, list[float]] = {}
         first_s = backend.started_at.total_seconds()
         last_s = self.find_end(backend)
         for outcome in self.outcomes:
             if outcome.server != backend.address or not has_notice(outcome):
                 continue
             if first_s <= outcome.ended_at_s <= last_s:
-                told.setdefault(outcome.host, []).append(outcome.ended_at_s)
-        return told
+                notified.setdefault(outcome.host, []).append(outcome.ended_at_s)
+        return notified
 
     def find_end(self, backend: BackendServer) -> float:
         """Return when the successor of a server at the same address started."""
@@ -123,10 +123,10 @@
         ]
         return min(started, default=math.inf)
 
-    def was_told(
-        self, arrival: Arrival, told: dict[str, list[float]], after_s: float
+    def was_notified(
+        self, arrival: Arrival, notified: dict[str, list[float]], after_s: float
     ) -> bool:
-        """Return whether the host of a request had been told when it was sent on.
+        """Return whether the host of a request had been notified when it was sent on.
 
         For a leaving server the time counts from the sending by the caller.
         """
@@ -143,8 +143,8 @@
             default=-math.inf,
         )
         return any(
-            disrupted_s < told_s <= reference_s - after_s
-            for told_s in told.get(outcome.host, ())
+            disrupted_s < at_s <= reference_s - after_s
+            for at_s in notified.get(outcome.host, ())
         )
 
 
--- a/benchmarks/soak/suspects.py
+++ b/benchmarks/soak/suspects.py
@@ -1,31 +1,31 @@
-"""Checks on requests that end the backend servers which run them."""
+"""Checks on requests that crash the backend servers which run them."""
 
 from collections.abc import Sequence
 
 from benchmarks.soak.callers import AttemptEnded
-from benchmarks.soak.fleet import DEADLY_PREFIX, SoakFleet
+from benchmarks.soak.fleet import CRASHING_PREFIX, SoakFleet
 
-# Servers that may end before the request has to be recognized.
+# Crashes after which the request has to be recognized.
 CRASHES_TO_RECOGNIZE = 3
 # Time after that from which on it may reach only this many more servers.
 RECOGNIZED_AFTER_S = 3.0
 MAX_FURTHER_ARRIVALS = 3
-BLOCKED_REASON = "ends-servers"
+BLOCKED_REASON = "crashes-servers"
 
 
 def find_suspect_violations(
     fleet: SoakFleet, outcomes: Sequence[AttemptEnded]
 ) -> list[str]:
-    """Return deadly requests that went on reaching servers, and innocent ones blocked.
+    """Return crashing requests that still reached servers, and others blocked.
 
     :param fleet: the fleet.
     :param outcomes: outcomes of all requests.
     """
     found = [
-        f"{outcome.key} ended no server and was refused for that"
+        f"{outcome.key} crashed no server but was refused for that"
         for outcome in outcomes
         if outcome.reason == BLOCKED_REASON
-        and not outcome.key.startswith(DEADLY_PREFIX)
+        and not outcome.key.startswith(CRASHING_PREFIX)
     ]
     names = {crash.key.partition("-")[0] for crash in fleet.crashes}
     for name in sorted(names):
@@ -37,10 +37,10 @@
     fleet: SoakFleet, outcomes: Sequence[AttemptEnded], name: str
 ) -> list[str]:
     """Return a violation if a request reached too many servers after it was known."""
-    ends = sorted(c.at_s for c in fleet.crashes if c.key.partition("-")[0] == name)
-    if len(ends) < CRASHES_TO_RECOGNIZE:
+    crashes = sorted(c.at_s for c in fleet.crashes if c.key.partition("-")[0] == name)
+    if len(crashes) < CRASHES_TO_RECOGNIZE:
         return []
-    known_s = ends[CRASHES_TO_RECOGNIZE - 1] + RECOGNIZED_AFTER_S
+    known_s = crashes[CRASHES_TO_RECOGNIZE - 1] + RECOGNIZED_AFTER_S
     hosts = {outcome.key: outcome.host for outcome in outcomes}
     further = [
         arrival
@@ -53,8 +53,8 @@
     if len(further) <= MAX_FURTHER_ARRIVALS:
         return []
     return [
-        f"{name} reached {len(further)} servers more after it had ended "
-        f"{CRASHES_TO_RECOGNIZE}; {len(ends)} ended in all"
+        f"{name} reached {len(further)} further servers after it had crashed "
+        f"{CRASHES_TO_RECOGNIZE}; {len(crashes)} crashed in all"
     ]
 
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -42,17 +42,17 @@
       | restart | 42   |
       | cut     | 43   |
 
-  Scenario Outline: A request that ends its servers is recognized and no innocent one blocked
+  Scenario Outline: A request that crashes its servers is blocked, and no other request
     When a soak test with the faults "<faults>" runs with seed <seed>
     Then it finds no broken guarantee
     And at least <served> requests succeeded
 
     Examples:
-      | faults          | seed | served |
-      | deadly          | 51   | 1400   |
-      | deadly, restart | 52   | 1400   |
-      | crash           | 53   | 1500   |
-      | deadly, crash   | 61000001 | 1400 |
+      | faults                    | seed     | served |
+      | crashing-request          | 51       | 1400   |
+      | crashing-request, restart | 52       | 1400   |
+      | crash                     | 53       | 1500   |
+      | crashing-request, crash   | 61000001 | 1400   |
 
   Scenario: A fleet that takes older tables is detected
     Given daemons that put any table in force
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -34,10 +34,10 @@
 from wagtailstep.models.membership import TargetEntry, TargetsUpdate
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.server_notices import (
+    QueueWakeDue,
     ServerNotices,
     ServerNoticesForwarded,
     ServerNoticesReceived,
-    StartsDue,
 )
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.http_client import HttpClient
@@ -85,7 +85,7 @@
 @when("{time_ms:d} ms pass and the queue wakes")
 def wake_queue(context, time_ms):
     context.gate.clock.advance(time_ms * MILLISECOND)
-    context.gate.dispatch(StartsDue(TARGET_ID))
+    context.gate.dispatch(QueueWakeDue(TARGET_ID))
 
 
 @when("request {serial:d} arrives without time to wait")
--- a/features/steps/suspects_steps.py
+++ b/features/steps/suspects_steps.py
@@ -1,4 +1,4 @@
-"""Steps for requests under which backend servers end."""
+"""Steps for requests that crash backend servers."""
 
 import asyncio
 import contextlib
@@ -15,7 +15,7 @@
 from wagtailstep.exceptions import (
     ConnectionFailedError,
     RequestError,
-    ServerEndedError,
+    ServerCrashedError,
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
@@ -78,14 +78,14 @@
             if state.blocked_until is not None
         }
 
-    def end_server(self, name, fingerprints, started_at):
+    def crash_server(self, name, fingerprints, started_at):
         runs = tuple(InterruptedRun(each, started_at) for each in fingerprints)
         self.dispatch(name, ServerCrashed(f"contracts/{name}", runs))
 
-    def end_in_turn(self, name, fingerprints):
+    def crash_in_turn(self, name, fingerprints):
         started_at = self.clock.monotonic()
         self.clock.advance(RUN_TIME)
-        self.end_server(name, fingerprints, started_at)
+        self.crash_server(name, fingerprints, started_at)
         self.clock.advance(PAUSE)
 
     def pass_time(self, duration):
@@ -102,7 +102,7 @@
         return sum(s is not None and s.blocked_until is not None for s in states)
 
 
-@given("{count:d} daemons that exchange the ends of their servers")
+@given("{count:d} daemons that exchange crashes of their servers")
 def create_fleet(context, count):
     context.fleet = SuspectFleet(count)
 
@@ -117,34 +117,34 @@
     context.fleet.copies = 3
 
 
-@when('servers end under request "{name}" at daemons {daemons} in turn')
-def end_in_turn(context, name, daemons):
+@when('servers crash running request "{name}" at daemons {daemons} in turn')
+def crash_in_turn(context, name, daemons):
     for number in daemons.split(", "):
-        context.fleet.end_in_turn(f"d{number}", [name])
+        context.fleet.crash_in_turn(f"d{number}", [name])
 
 
-@when('servers end under requests "{names}" at daemon {number:d}')
-def end_under_several(context, names, number):
-    context.fleet.end_in_turn(f"d{number}", names.split(","))
+@when('servers crash running requests "{names}" at daemon {number:d}')
+def crash_running_several(context, names, number):
+    context.fleet.crash_in_turn(f"d{number}", names.split(","))
 
 
-@when('the servers of daemons {daemons} end at one moment under request "{name}"')
-def end_at_once(context, daemons, name):
+@when('the servers of daemons {daemons} crash simultaneously running request "{name}"')
+def crash_simultaneously(context, daemons, name):
     fleet = context.fleet
     started_at = fleet.clock.monotonic()
     fleet.clock.advance(RUN_TIME)
     for number in daemons.split(", "):
-        fleet.end_server(f"d{number}", [name], started_at)
+        fleet.crash_server(f"d{number}", [name], started_at)
         fleet.clock.advance(DELAY)
 
 
-@when("servers end under {count:d} other requests at daemon {number:d}")
-def end_under_many(context, count, number):
+@when("servers crash running {count:d} other requests at daemon {number:d}")
+def crash_running_many(context, count, number):
     for index in range(count):
-        context.fleet.end_in_turn(f"d{number}", [f"other-{index}"])
+        context.fleet.crash_in_turn(f"d{number}", [f"other-{index}"])
 
 
-@when("request {serial:d} arrives, under which {count:d} servers ended before")
+@when("request {serial:d} arrives, during which {count:d} servers crashed before")
 def arrive_as_suspect(context, serial, count):
     context.gate.blackboard.suspects["a"] = SuspectState(count)
     context.gate.arrive(serial, fingerprint="a")
@@ -166,21 +166,21 @@
 
 
 @when(
-    "{ends:d} servers end within {seconds:d} s under {running:d} requests each, of "
-    "{rate:d} a second for {count:d} resources"
+    "{crashes:d} servers crash within {seconds:d} s running {running:d} requests each, "
+    "of {rate:d} a second for {count:d} resources"
 )
-def play_ends(context, ends, seconds, running, rate, count):
+def play_crashes(context, crashes, seconds, running, rate, count):
     fleet = context.fleet
     names = list(fleet.controllers)
     total = rate * seconds
-    ended = set(fleet.rng.sample(range(total), ends))
+    crashing = set(fleet.rng.sample(range(total), crashes))
     for number in range(total):
         started_at = fleet.clock.monotonic()
         fleet.clock.advance(timedelta(seconds=1 / rate))
         name = fleet.rng.choice(names)
-        if number in ended:
+        if number in crashing:
             found = [f"r{fleet.rng.randrange(count)}" for _ in range(running)]
-            fleet.end_server(name, found, started_at)
+            fleet.crash_server(name, found, started_at)
         answered = f"r{fleet.rng.randrange(count)}"
         if answered in fleet.controllers[name].blackboard.suspects:
             fleet.dispatch(name, SuspectAnswered(answered))
@@ -286,7 +286,7 @@
 
 
 @when("a backend server {fate} while 2 requests run there")
-def end_running_server(context, fate):
+def break_running_server(context, fate):
     async def main():
         clock = LoopClock()
         writers = []
@@ -305,7 +305,7 @@
         server = await asyncio.start_server(serve, host, int(port))
         running = [asyncio.create_task(run_at_gate(gate, n)) for n in ("one", "two")]
         await asyncio.sleep(0.2)
-        if fate == "ends":
+        if fate == "crashes":
             server.close()
         for writer in list(writers):
             writer.transport.abort()
@@ -326,7 +326,7 @@
         await asyncio.Event().wait()
 
 
-@when("a backend server ends and its caller leaves before the check is done")
+@when("a backend server crashes and its caller leaves before the check is done")
 def leave_during_check(context):
     async def main():
         context.gate = create_gate(UncheckedClient(), LoopClock())
@@ -341,7 +341,7 @@
     detangle.run(main, seed=1)
 
 
-@then("{count:d} requests are reported as in progress at its end")
+@then("{count:d} requests are reported as in progress at its crash")
 def check_reported(context, count):
     crashes = [e for e in context.reported if isinstance(e, ServerCrashed)]
     assert len(crashes) == (1 if count else 0), crashes
@@ -354,8 +354,8 @@
     assert context.ends == [f"{reason} {verdict}"] * 2, context.ends
 
 
-class EndingServers:
-    """An entry whose targets' servers end under each request."""
+class CrashingServers:
+    """An entry whose targets' servers crash at each request."""
 
     def __init__(self):
         self.entry = EntryWithGates(12, self.answer)
@@ -371,7 +371,7 @@
         run = InterruptedRun(request.fingerprint, self.entry.clock.monotonic())
         self.entry.clock.advance(RUN_TIME)
         self.suspects.handle(ServerCrashed(target_id, (run,)))
-        raise ServerEndedError("the server ended", Verdict.MAY_HAVE_RUN)
+        raise ServerCrashedError("the server crashed", Verdict.MAY_HAVE_RUN)
 
     def send(self, serial):
         self.entry.errors.clear()
@@ -379,9 +379,9 @@
         self.entry.clock.advance(PAUSE)
 
 
-@when("each server that gets a request ends")
-def create_ending_servers(context):
-    context.servers = EndingServers()
+@when("each server that gets a request crashes")
+def create_crashing_servers(context):
+    context.servers = CrashingServers()
     context.serial = 0
 
 
--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -153,7 +153,7 @@
 @then("the gate's slots are all free")
 def check_slots(context):
     (queue,) = context.gate.controller.queues.values()
-    assert not queue.running and not context.gate.waiters, queue
+    assert not queue.running and not context.gate.admission.waiters, queue
     assert not context.gate.start_times, context.gate.start_times
 
 
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -46,11 +46,11 @@
 from wagtailstep.models.request import Blame
 from wagtailstep.models.server_notices import (
     NO_RATE_LIMIT,
+    QueueWakeDue,
     ServerNoticesReceived,
-    StartsDue,
 )
 from wagtailstep.models.settings import DaemonSettings
-from wagtailstep.models.suspects import CRASHES_TO_ISOLATE
+from wagtailstep.models.suspects import CRASHES_BEFORE_EXCLUSIVE
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
@@ -99,7 +99,7 @@
     @handle.register
     def admit(self, event: GateRequestArrived) -> list[Any]:
         """Start, queue or refuse a new request."""
-        request = self.isolate_suspect(event.request)
+        request = self.make_suspect_exclusive(event.request)
         error = self.get_refusal_error(request)
         if error is not None:
             return [RefuseRequest(request.serial, error)]
@@ -109,7 +109,7 @@
         if self.may_start_now(queue, request):
             return [self.start(queue, request)]
         queue.waiting[request.serial] = request
-        return self.schedule_starts(request.target_id, queue)
+        return self.schedule_wake(request.target_id, queue)
 
     @handle.register
     def complete_request(self, event: GateRequestEnded) -> list[Any]:
@@ -151,12 +151,12 @@
         return [ReportAttemptState(self.history.revoke(event.attempt_id))]
 
     @handle.register
-    def resume(self, event: StartsDue) -> list[Any]:
+    def resume(self, event: QueueWakeDue) -> list[Any]:
         """Start the requests that waited for the rate limit of their server."""
         queue = self.queues.get(event.target_id)
         if queue is None:
             return []
-        queue.starts_due_at = None
+        queue.wake_at = None
         return self.start_waiting(event.target_id, queue)
 
     @handle.register
@@ -174,18 +174,18 @@
             return []
         is_lower = limit.rate == NO_RATE_LIMIT or NO_RATE_LIMIT < rate < limit.rate
         limit.set_rate(rate, self.clock.monotonic())
-        refusals = self.refuse_hopeless(queue) if is_lower else []
+        refusals = self.refuse_late_waiting(queue) if is_lower else []
         return refusals + self.start_waiting(event.target_id, queue)
 
-    def isolate_suspect(self, request: GateRequest) -> GateRequest:
-        """Return the request, marked to run alone if servers ended under it before."""
+    def make_suspect_exclusive(self, request: GateRequest) -> GateRequest:
+        """Return the request, marked as exclusive if servers crashed running it."""
         suspect = self.blackboard.suspects.get(request.fingerprint)
-        if suspect is None or suspect.crashes < CRASHES_TO_ISOLATE:
+        if suspect is None or suspect.crashes < CRASHES_BEFORE_EXCLUSIVE:
             return request
-        return attrs.evolve(request, alone=True)
+        return attrs.evolve(request, exclusive=True)
 
-    def refuse_hopeless(self, queue: TargetQueue) -> list[Any]:
-        """Refuse waiting requests that a lower rate limit starts too late."""
+    def refuse_late_waiting(self, queue: TargetQueue) -> list[Any]:
+        """Refuse waiting requests that would start too late at a lower rate limit."""
         now = self.clock.monotonic()
         effects: list[Any] = []
         for serial, request in list(queue.waiting.items()):
@@ -340,15 +340,15 @@
         queue.running[request.serial] = RunningRequest(request, now, concurrent_others)
         return StartRequest(request.serial)
 
-    def schedule_starts(self, target_id: str, queue: TargetQueue) -> list[Any]:
+    def schedule_wake(self, target_id: str, queue: TargetQueue) -> list[Any]:
         """Have the queue woken if only the rate limit keeps its requests waiting."""
         now = self.clock.monotonic()
         wait = queue.rate_limit.compute_wait(now)
         if not queue.waiting or not queue.has_free_slot or not wait:
             return []
-        if queue.starts_due_at is not None and now < queue.starts_due_at <= now + wait:
+        if queue.wake_at is not None and now < queue.wake_at <= now + wait:
             return []
-        queue.starts_due_at = now + wait
+        queue.wake_at = now + wait
         return [WakeQueue(target_id, wait)]
 
     def start_waiting(self, target_id: str, queue: TargetQueue) -> list[Any]:
@@ -369,7 +369,7 @@
                 Verdict.NOT_RUN,
             )
             effects.append(RefuseRequest(serial, error))
-        return effects + self.schedule_starts(target_id, queue)
+        return effects + self.schedule_wake(target_id, queue)
 
 
 def build_revoked_error(request: GateRequest) -> RequestError:
--- a/src/wagtailstep/controllers/rate_limit.py
+++ b/src/wagtailstep/controllers/rate_limit.py
@@ -1,4 +1,4 @@
-"""Rate limit that one backend server asks for, enforced by its gate."""
+"""Rate limit that a backend server requests, enforced by its gate."""
 
 import math
 from datetime import timedelta
@@ -6,7 +6,7 @@
 from wagtailstep.controllers.limits import TokenBucket
 from wagtailstep.models.server_notices import NO_RATE_LIMIT
 
-# A burst longer than this is not sent at once after a quiet time.
+# After an idle period, requests worth this time at the full rate may start at once.
 BURST_DURATION = timedelta(milliseconds=250)
 MICROSECOND = timedelta(microseconds=1)
 MICROSECONDS_PER_S = 1_000_000
@@ -16,8 +16,8 @@
     """Token bucket that starts empty, since requests were sent before it existed.
 
     :param rate: requests a second; ``NO_RATE_LIMIT`` for no limit.
-    :param is_confirmed: whether a response of the server told the rate, and not only
-        an entry that knew of it.
+    :param is_confirmed: whether the rate is from a response of the server, and not from
+        an entry.
     """
 
     def __init__(self) -> None:
--- a/src/wagtailstep/controllers/request_rates.py
+++ b/src/wagtailstep/controllers/request_rates.py
@@ -5,9 +5,10 @@
 
 import attrs
 
-# An average over about this time follows a burst and is not thrown off by a gap.
+# Time constant of the exponential average.
 AVERAGING_TIME = timedelta(seconds=5)
-# Share that a target keeps, so that the end of its limit is noticed.
+# Fraction of its weight that a limited target keeps, so that the end of its limit is
+# detected.
 MIN_RATE_SHARE = 0.02
 
 
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -39,7 +39,7 @@
     NO_TIME = "no-time"
     NO_ATTEMPTS = "no-attempts"
     NO_BUDGET = "no-budget"
-    ENDS_SERVERS = "ends-servers"
+    CRASHES_SERVERS = "crashes-servers"
 
 
 @attrs.define
--- a/src/wagtailstep/controllers/server_notices.py
+++ b/src/wagtailstep/controllers/server_notices.py
@@ -20,7 +20,7 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-# Servers whose notices one daemon remembers; without a notice nothing is remembered.
+# Number of servers whose notices one daemon remembers.
 MAX_REMEMBERED = 1_024
 
 
--- a/src/wagtailstep/controllers/suspects.py
+++ b/src/wagtailstep/controllers/suspects.py
@@ -1,10 +1,10 @@
-"""Find requests that end each backend server which runs them, and block them.
+"""Find requests that crash each backend server which runs them, and block them.
 
-Everything that was in progress at a server ends with it, so one end says little about
-a request. After two ends in turn without a response to it a request runs alone, which
-tells it from what happened to run beside another: it is blocked if a further server
-ends then. Daemons exchange the ends by gossip; merging is a
-union, so messages may be lost, late or repeated.
+All requests in progress at a server fail with it, so one crash says little about each
+of them. After two successive crashes without a response to it, a request runs
+exclusively. If a server crashes then, no other request can be the cause, and the
+request is blocked. Daemons exchange crashes by gossip; merging is a union, so messages
+may be lost, late or repeated.
 """
 
 import random
@@ -25,7 +25,7 @@
 from wagtailstep.models.fleet import Member, MemberState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.suspects import (
-    CRASHES_TO_ISOLATE,
+    CRASHES_BEFORE_EXCLUSIVE,
     NEVER_MS,
     CrashEntry,
     ServerCrashed,
@@ -36,43 +36,48 @@
 )
 from wagtailstep.utils.clock import Clock
 
+# Bounds the harm of a wrong block; each expiry may cost three more crashes.
 BLOCK_DURATION = timedelta(minutes=10)
-# A request that ends servers returns within seconds; an innocent one is forgotten.
+# A client that retries a crashing request does so within this time.
 SUSPICION_LIFETIME = timedelta(seconds=60)
-# Outlives messages about ends before the response.
+# Late messages about crashes before a response arrive within this time.
 ANSWERED_LIFETIME = timedelta(seconds=5)
-# Messages make an end look later than it was, so a run that followed it at once may
-# seem to have started slightly before.
+# A crash received from a peer appears later than it was by the delay of the message, so
+# a run that followed at once may appear to have started before it.
 MAX_MESSAGE_DELAY = timedelta(milliseconds=50)
+# Unsolicited updates reach daemons that missed the first one or have restarted.
 REPEAT_INTERVAL = timedelta(milliseconds=500)
 REPEAT_FANOUT = 2
+# A crash is sent at once to at most this many daemons; updates reach the others.
 PUSH_FANOUT = 32
+# Limits on memory and message size, in requests, crashes of one request and entries.
 MAX_SUSPECTS = 256
 MAX_CRASHES_KEPT = 8
 MAX_ENTRIES_PER_MESSAGE = 64
+# Random identifiers of this length are unique among the crashes kept at one time.
 CRASH_ID_BITS = 48
 MILLISECOND = timedelta(milliseconds=1)
 
 
 @attrs.frozen
 class Crash:
-    """One end of a server while a request was in progress there.
+    """One crash of a server while a request was in progress there.
 
-    :param ended_at: monotonic time of the end.
+    :param crashed_at: monotonic time of the crash.
     :param started_at: monotonic time when the request was sent to the server.
-    :param alone: whether nothing else was in progress there.
+    :param exclusive: whether nothing else was in progress there.
     """
 
-    ended_at: timedelta
+    crashed_at: timedelta
     started_at: timedelta
-    alone: bool
+    exclusive: bool
 
 
 @attrs.define
 class Suspect:
-    """A request that was in progress when servers ended.
+    """A request that was in progress when servers crashed.
 
-    :param crashes: the ends by identifier.
+    :param crashes: the crashes by identifier.
     :param answered_at: monotonic time of the last complete response to it.
     :param is_blocked: whether it is refused.
     """
@@ -84,10 +89,10 @@
     @property
     def last_event_at(self) -> timedelta:
         """Return the monotonic time of what was last heard of it."""
-        ended = [crash.ended_at for crash in self.crashes.values()]
+        times = [crash.crashed_at for crash in self.crashes.values()]
         if self.answered_at is not None:
-            ended.append(self.answered_at)
-        return max(ended)
+            times.append(self.answered_at)
+        return max(times)
 
     @property
     def expires_at(self) -> timedelta:
@@ -98,17 +103,17 @@
         return self.last_event_at + lifetime
 
     def add_crash(self, crash_id: int, crash: Crash) -> bool:
-        """Add the end of a server; return whether it is news."""
+        """Add a crash; return whether it was unknown."""
         if crash_id in self.crashes or self.is_answered_since(crash):
             return False
         self.crashes[crash_id] = crash
         if len(self.crashes) > MAX_CRASHES_KEPT:
-            oldest = min(self.crashes, key=lambda name: self.crashes[name].ended_at)
+            oldest = min(self.crashes, key=lambda name: self.crashes[name].crashed_at)
             del self.crashes[oldest]
         return True
 
     def add_answer(self, answered_at: timedelta) -> bool:
-        """Add a complete response; return whether it is news."""
+        """Add a complete response; return whether it was unknown."""
         latest = self.answered_at
         if latest is not None and answered_at <= latest + MAX_MESSAGE_DELAY:
             return False
@@ -119,26 +124,29 @@
         return True
 
     def is_answered_since(self, crash: Crash) -> bool:
-        """Return whether a response was complete after an end."""
-        return self.answered_at is not None and crash.ended_at <= self.answered_at
+        """Return whether a response was completed after a crash."""
+        return self.answered_at is not None and crash.crashed_at <= self.answered_at
 
     def list_successive_crashes(self) -> list[Crash]:
-        """Return the ends one after the other since the last response.
+        """Return the successive crashes since the last response.
 
-        Of runs side by side, at servers that end together, one is listed: each later
-        run must have started after the end before it.
+        Of concurrent runs, at servers that crash together, one is listed: each run must
+        have started after the previous crash.
         """
         listed: list[Crash] = []
-        last_end = self.answered_at
-        for crash in sorted(self.crashes.values(), key=lambda each: each.ended_at):
-            if last_end is None or crash.started_at >= last_end - MAX_MESSAGE_DELAY:
+        last_crash_at = self.answered_at
+        for crash in sorted(self.crashes.values(), key=lambda each: each.crashed_at):
+            if (
+                last_crash_at is None
+                or crash.started_at >= last_crash_at - MAX_MESSAGE_DELAY
+            ):
                 listed.append(crash)
-                last_end = crash.ended_at
+                last_crash_at = crash.crashed_at
         return listed
 
 
 class CrashSuspects:
-    """Writes ``suspects``: the requests that servers ended under.
+    """Writes ``suspects``: the requests in progress at crashes of servers.
 
     :param blackboard: ``suspects`` is written; source of the members.
     """
@@ -170,7 +178,7 @@
         names = list(dict.fromkeys(run.fingerprint for run in event.runs))
         for run in event.runs:
             suspect = self._get_suspect(run.fingerprint)
-            crash = Crash(now, run.started_at, event.is_single)
+            crash = Crash(now, run.started_at, event.was_exclusive)
             suspect.add_crash(crash_id, crash)
         return effects + self._report_changes(names) + self._push(names)
 
@@ -222,20 +230,20 @@
                 self._remove(name)
 
     def _merge(self, entry: SuspectEntry) -> bool:
-        """Add what a peer knows of a request; return whether it was news."""
+        """Add what a peer knows of a request; return whether anything changed."""
         now = self.clock.monotonic()
         if entry.fingerprint not in self.suspects and not entry.crashes:
             return False
         suspect = self._get_suspect(entry.fingerprint)
-        is_news = False
+        changed = False
         if entry.answered_age_ms != NEVER_MS:
-            is_news = suspect.add_answer(now - entry.answered_age_ms * MILLISECOND)
+            changed = suspect.add_answer(now - entry.answered_age_ms * MILLISECOND)
         for each in entry.crashes[:MAX_CRASHES_KEPT]:
-            ended_at = now - each.ended_age_ms * MILLISECOND
+            crashed_at = now - each.crashed_age_ms * MILLISECOND
             started_at = now - each.started_age_ms * MILLISECOND
-            crash = Crash(ended_at, started_at, each.alone)
-            is_news = suspect.add_crash(each.crash_id, crash) or is_news
-        return is_news
+            crash = Crash(crashed_at, started_at, each.exclusive)
+            changed = suspect.add_crash(each.crash_id, crash) or changed
+        return changed
 
     def _report_changes(self, fingerprints: list[str]) -> list[Any]:
         """Write the state of some requests, and report those that are now blocked."""
@@ -246,7 +254,9 @@
                 continue
             crashes = suspect.list_successive_crashes()
             count = len(crashes)
-            is_blocked = any(each.alone for each in crashes[CRASHES_TO_ISOLATE:])
+            is_blocked = any(
+                each.exclusive for each in crashes[CRASHES_BEFORE_EXCLUSIVE:]
+            )
             if is_blocked != suspect.is_blocked:
                 suspect.is_blocked = is_blocked
                 kind = "request-blocked" if is_blocked else "request-unblocked"
@@ -290,9 +300,9 @@
         tuple(
             CrashEntry(
                 crash_id,
-                (now - crash.ended_at) // MILLISECOND,
+                (now - crash.crashed_at) // MILLISECOND,
                 (now - crash.started_at) // MILLISECOND,
-                crash.alone,
+                crash.exclusive,
             )
             for crash_id, crash in suspect.crashes.items()
         ),
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -39,7 +39,7 @@
     :param running: requests that were sent, by serial.
     :param waiting: requests that wait for a slot, by serial, oldest first.
     :param rate_limit: limit on the requests sent a second.
-    :param starts_due_at: monotonic time at which the next request may be sent within
+    :param wake_at: monotonic time at which the next request may be sent within
         ``rate_limit``, if a timer is set for it.
     :param process_started: start time of the server's process; 0 if unknown.
     """
@@ -48,7 +48,7 @@
     running: dict[int, RunningRequest] = attrs.field(factory=dict)
     waiting: OrderedDict[int, GateRequest] = attrs.field(factory=OrderedDict)
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
-    starts_due_at: timedelta | None = None
+    wake_at: timedelta | None = None
     process_started: int = 0
 
     @property
@@ -60,9 +60,9 @@
         """Return whether a request may start beside what runs, as far as limits go."""
         if not self.has_free_slot or self.rate_limit.compute_wait(now):
             return False
-        if request.alone:
+        if request.exclusive:
             return not self.running
-        return not any(running.request.alone for running in self.running.values())
+        return not any(running.request.exclusive for running in self.running.values())
 
     @property
     def load(self) -> float:
@@ -94,11 +94,11 @@
         free_after = sorted(
             self.estimate_time_left(running, now) for running in self.running.values()
         )
-        is_isolated = request.alone or any(
-            running.request.alone for running in self.running.values()
+        is_exclusive = request.exclusive or any(
+            running.request.exclusive for running in self.running.values()
         )
         idle_after = (
-            max(free_after, default=timedelta()) if is_isolated else timedelta()
+            max(free_after, default=timedelta()) if is_exclusive else timedelta()
         )
         # If more requests run than the limit allows, the first to end free no slot.
         free_after = free_after[max(0, len(free_after) - self.limit.max_running) :]
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -168,21 +168,21 @@
     blame = Blame.PATH
 
 
-class ServerEndedError(ConnectionFailedError):
-    """The backend server ended while the request was in progress there."""
+class ServerCrashedError(ConnectionFailedError):
+    """The backend server crashed while the request was in progress there."""
 
-    reason = "server-ended"
+    reason = "server-crashed"
     blame = Blame.BACKEND_SERVER
 
 
-class DeadlyRequestError(BadRequestError):
-    """Backend servers ended under earlier arrivals of the same request.
+class CrashingRequestError(BadRequestError):
+    """Backend servers crashed while they ran earlier copies of the same request.
 
     :param retry_after: time after which it is admitted again.
     """
 
     status = 503
-    reason = "ends-servers"
+    reason = "crashes-servers"
 
     def __init__(self, message: str, retry_after: timedelta) -> None:
         super().__init__(message)
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -71,8 +71,8 @@
     :param cold_factor: factor on the processing time right after the start.
     :param drain_limit_s: maximum time to complete requests during a drain.
     :param seed: seed of the random generator.
-    :param deadly_prefix: a request whose key begins with this ends the server soon
-        after it began to run; empty for none.
+    :param crash_key_prefix: a request whose key begins with this crashes the server
+        soon after it began to run; empty for none.
     """
 
     service: str = attrs.field(validator=check_name)
@@ -85,7 +85,7 @@
     cold_factor: float = positive(4.0)
     drain_limit_s: float = positive(30.0)
     seed: int = 0
-    deadly_prefix: str = ""
+    crash_key_prefix: str = ""
 
 
 class BackendServer:
@@ -105,7 +105,7 @@
         self.started_at = timedelta()
         self.drain_started_at: timedelta | None = None
         self.drained = asyncio.Event()
-        # Set when a request ends the server; whoever started it then stops it.
+        # Set when a request crashes the server; its starter then stops it.
         self.crashed = asyncio.Event()
         self.crashed_by = ""
         self.address = ""
@@ -254,7 +254,7 @@
         if faults.should_fail(work.route, self.rng):
             self.counts.failed += 1
             return Response(500)
-        prefix = self.settings.deadly_prefix
+        prefix = self.settings.crash_key_prefix
         if prefix and work.key.startswith(prefix):
             await asyncio.sleep(self.rng.uniform(0, MAX_TIME_TO_CRASH_S))
             self.crashed_by = work.key
--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -33,7 +33,8 @@
         ``NO_RATE_LIMIT`` if it knows none.
     :param fingerprint: hash that is the same for each arrival of the same request, or
         an empty string.
-    :param alone: whether nothing else may run at the backend server meanwhile.
+    :param exclusive: whether no other request may run at the backend server at the
+        same time.
     """
 
     serial: int
@@ -50,7 +51,7 @@
     expected_standing: TargetStanding = TargetStanding.FAILING
     known_rate_limit: float = NO_RATE_LIMIT
     fingerprint: str = ""
-    alone: bool = False
+    exclusive: bool = False
 
 
 class RunResult(enum.Enum):
@@ -133,7 +134,7 @@
 
 @attrs.frozen
 class WakeQueue:
-    """Effect: send :class:`~wagtailstep.models.server_notices.StartsDue` later.
+    """Effect: send :class:`~wagtailstep.models.server_notices.QueueWakeDue` later.
 
     :param target_id: the backend server whose requests wait for its rate limit.
     :param delay: time until the next one may start.
--- a/src/wagtailstep/models/server_notices.py
+++ b/src/wagtailstep/models/server_notices.py
@@ -3,7 +3,7 @@
 import attrs
 
 NO_RATE_LIMIT = 0.0
-# A lower limit is taken for this one, so that its end is noticed.
+# Lower limits are raised to this one, so that their end is detected.
 MIN_RATE_LIMIT_PER_S = 0.25
 
 
@@ -75,7 +75,7 @@
 
 
 @attrs.frozen
-class StartsDue:
+class QueueWakeDue:
     """Waiting requests of a backend server may now be started within its rate limit.
 
     :param target_id: the backend server.
--- a/src/wagtailstep/models/suspects.py
+++ b/src/wagtailstep/models/suspects.py
@@ -1,4 +1,4 @@
-"""Requests under which backend servers ended, as events and as messages."""
+"""Requests suspected of crashing backend servers, as events and as messages."""
 
 from datetime import timedelta
 
@@ -7,13 +7,15 @@
 
 from wagtailstep.utils.codec import message
 
+# Age of an event that has not happened.
 NEVER_MS = -1
-CRASHES_TO_ISOLATE = 2
+# Successive crashes after which a request runs exclusively.
+CRASHES_BEFORE_EXCLUSIVE = 2
 
 
 @attrs.frozen
 class InterruptedRun:
-    """A request that was in progress when its backend server ended.
+    """A request that was in progress when its backend server crashed.
 
     :param fingerprint: hash that is the same for each arrival of the same request.
     :param started_at: monotonic time when it was sent to the server.
@@ -25,7 +27,7 @@
 
 @attrs.frozen
 class ServerCrashed:
-    """The backend server beside this daemon ended while requests were in progress.
+    """The backend server beside this daemon crashed while requests were in progress.
 
     :param target_id: the backend server.
     :param runs: the requests that were in progress.
@@ -35,8 +37,8 @@
     runs: tuple[InterruptedRun, ...]
 
     @property
-    def is_single(self) -> bool:
-        """Return whether one request alone was in progress, if repeatedly."""
+    def was_exclusive(self) -> bool:
+        """Return whether all runs were of the same request."""
         return len({run.fingerprint for run in self.runs}) == 1
 
 
@@ -54,8 +56,8 @@
 class SuspectState:
     """What the fleet knows of a suspected request.
 
-    :param crashes: servers that ended under it one after the other, with no response
-        to it since then; from ``CRASHES_TO_ISOLATE`` on it runs alone.
+    :param crashes: number of successive crashes without a response to it; from
+        ``CRASHES_BEFORE_EXCLUSIVE`` on it runs exclusively.
     :param blocked_until: monotonic time until which it is refused, or ``None``.
     """
 
@@ -64,25 +66,25 @@
 
 
 class CrashEntry(msgspec.Struct, array_like=True, frozen=True):
-    """One end of a server in a :class:`SuspectEntry`.
+    """One crash of a server in a :class:`SuspectEntry`.
 
     :param crash_id: random identifier; the same for all requests in progress then.
-    :param ended_age_ms: time since the end.
+    :param crashed_age_ms: time since the crash.
     :param started_age_ms: time since the request was sent to the server.
-    :param alone: whether nothing else was in progress at the server.
+    :param exclusive: whether nothing else was in progress at the server.
     """
 
     crash_id: int
-    ended_age_ms: int
+    crashed_age_ms: int
     started_age_ms: int
-    alone: bool = False
+    exclusive: bool = False
 
 
 class SuspectEntry(msgspec.Struct, array_like=True, frozen=True):
     """One request in a :class:`SuspectsUpdate`.
 
     :param fingerprint: as in :class:`InterruptedRun`.
-    :param crashes: the ends of servers under it.
+    :param crashes: the crashes at which it was in progress.
     :param answered_age_ms: time since the last complete response; ``NEVER_MS`` if none
         is known.
     """
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -14,6 +14,7 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.deadlines import limit_time
 
+# Above these, a new connection is cheaper than reading the rest of a response.
 MAX_DISCARDED_BYTES = 65_536
 MAX_DISCARD_TIME = timedelta(milliseconds=100)
 
--- a/src/wagtailstep/network/crash_watch.py
+++ b/src/wagtailstep/network/crash_watch.py
@@ -1,7 +1,7 @@
-"""Notice at the gate that the backend server ended under its requests.
+"""Detection of crashes of the backend server, at its gate.
 
-A broken exchange has many causes. The server has ended if nothing listens at its
-address right after that.
+A broken exchange has many causes. The server has crashed if nothing listens at its
+address immediately afterwards.
 """
 
 import asyncio
@@ -13,9 +13,9 @@
 
 from wagtailstep.exceptions import (
     ConnectionFailedError,
-    DeadlyRequestError,
+    CrashingRequestError,
     RequestError,
-    ServerEndedError,
+    ServerCrashedError,
     TruncatedAnswerError,
 )
 from wagtailstep.models.blackboard import Blackboard
@@ -27,8 +27,8 @@
 
 # A closed port on the same instance refuses at once.
 CHECK_TIMEOUT = timedelta(milliseconds=200)
-# Exchanges that broke within this time before the check belong to the same end.
-SAME_END_WINDOW = timedelta(milliseconds=500)
+# Exchanges that broke within this time before the check belong to the same crash.
+SAME_CRASH_WINDOW = timedelta(milliseconds=500)
 
 
 @attrs.define
@@ -48,7 +48,7 @@
 
 
 class CrashWatch:
-    """Follows the requests in progress and reports those that a server ended under.
+    """Tracks the requests in progress and reports them if their server crashes.
 
     :param client: opens connections to the backend servers.
     :param clock: source of monotonic time.
@@ -65,16 +65,16 @@
         self.checks: dict[str, asyncio.Task[bool]] = {}
 
     def start(self, request: GateRequest, address: str) -> None:
-        """Follow a request that is being sent."""
+        """Track a request that is being sent."""
         run = InterruptedRun(request.fingerprint, self.clock.monotonic())
         self.runs[request.serial] = WatchedRun(request.target_id, address, run)
 
     def end(self, request: GateRequest) -> None:
-        """Stop following a request whose exchange did not break."""
+        """Stop tracking a request."""
         self.runs.pop(request.serial, None)
 
     async def assess(self, request: GateRequest, error: RequestError) -> RequestError:
-        """Return the error of a failed exchange, more exactly if the server ended."""
+        """Return the error of a failed exchange, or a specific one after a crash."""
         watched = self.runs.get(request.serial)
         is_broken = isinstance(error, ConnectionFailedError | TruncatedAnswerError)
         if watched is None or not is_broken or error.verdict is Verdict.NOT_RUN:
@@ -82,13 +82,13 @@
             return error
         watched.broken_at = self.clock.monotonic()
         try:
-            has_ended = await asyncio.shield(self.check(watched))
+            has_crashed = await asyncio.shield(self.check(watched))
         finally:
             self.end(request)
-        if not has_ended:
+        if not has_crashed:
             return error
-        message = f"{request.target_id} ended while it ran the request"
-        return ServerEndedError(message, error.verdict)
+        message = f"{request.target_id} crashed while it ran the request"
+        return ServerCrashedError(message, error.verdict)
 
     def check_later(self, request: GateRequest) -> None:
         """Check a server whose response broke off, without waiting for the result."""
@@ -99,7 +99,7 @@
         self.check(watched).add_done_callback(lambda _: self.end(request))
 
     def check(self, watched: WatchedRun) -> "asyncio.Task[bool]":
-        """Return the check whether a server has ended; one runs at a time."""
+        """Return the check whether a server has crashed; one runs at a time."""
         task = self.checks.get(watched.target_id)
         if task is None:
             task = asyncio.create_task(self.run_check(watched))
@@ -108,10 +108,10 @@
         return task
 
     async def run_check(self, watched: WatchedRun) -> bool:
-        """Return whether a server has ended; report the requests in progress if so."""
+        """Return whether a server has crashed; report its requests if so."""
         if await self.client.is_listening(watched.address, CHECK_TIMEOUT):
             return False
-        oldest = self.clock.monotonic() - SAME_END_WINDOW
+        oldest = self.clock.monotonic() - SAME_CRASH_WINDOW
         runs = tuple(
             each.run
             for each in self.runs.values()
@@ -124,18 +124,18 @@
         return True
 
 
-def check_not_deadly(board: Blackboard, fingerprint: str, now: timedelta) -> None:
-    """Refuse a request that ended the backend servers which ran it before.
+def check_not_blocked(board: Blackboard, fingerprint: str, now: timedelta) -> None:
+    """Reject a request that is blocked because it crashes backend servers.
 
     :param now: monotonic time.
-    :raises DeadlyRequestError: if it is blocked.
+    :raises CrashingRequestError: if it is blocked.
     """
     suspect = board.suspects.get(fingerprint)
     if suspect is None or suspect.blocked_until is None:
         return
     if suspect.blocked_until > now:
-        raise DeadlyRequestError(
-            f"{suspect.crashes} backend servers ended one after the other while they "
+        raise CrashingRequestError(
+            f"{suspect.crashes} backend servers crashed one after the other while they "
             "ran this request; it was not run again",
             suspect.blocked_until - now,
         )
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -37,7 +37,7 @@
     :param last_resort: a doubted target that is tried before giving up.
     :param attempt_in_progress: whether an attempt waits for its response head.
     :param abandoned: whether the attempt was cancelled by its attempt timeout.
-    :param crashes: number of attempts under which a backend server ended.
+    :param crashes: number of attempts during which a backend server crashed.
     :param on_end: called once at the end of a run that the duplicate guard allowed.
     :param ended: whether :meth:`end` was called.
     :param released: whether :meth:`release` was called.
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -11,8 +11,8 @@
 from wagtailstep.exceptions import (
     BadRequestError,
     ConnectionFailedError,
+    CrashingRequestError,
     DeadlineExceededError,
-    DeadlyRequestError,
     DoubtedTargetError,
     DuplicateRequestError,
     InvalidAnswerError,
@@ -21,7 +21,7 @@
     NotExecutedError,
     OverloadedError,
     RequestError,
-    ServerEndedError,
+    ServerCrashedError,
     TruncatedAnswerError,
 )
 from wagtailstep.models.blackboard import Blackboard
@@ -70,7 +70,7 @@
     for error_type in (
         BadRequestError,
         ConnectionFailedError,
-        DeadlyRequestError,
+        CrashingRequestError,
         DeadlineExceededError,
         DoubtedTargetError,
         DuplicateRequestError,
@@ -80,7 +80,7 @@
         NoTargetError,
         OverloadedError,
         RequestError,
-        ServerEndedError,
+        ServerCrashedError,
         TruncatedAnswerError,
     )
 }
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -5,7 +5,6 @@
 import logging
 from collections.abc import Callable
 from datetime import timedelta
-from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any
 
@@ -25,13 +24,9 @@
     AttemptRevocationRequested,
     GateRequest,
     GateRequestAbandoned,
-    GateRequestArrived,
     GateRequestEnded,
-    RefuseRequest,
     ResponseWaitEnded,
     RunResult,
-    StartRequest,
-    WakeQueue,
     WorkEnded,
     WorkResult,
     WorkStarted,
@@ -51,13 +46,12 @@
     remove_fleet_headers,
     remove_headers,
 )
-from wagtailstep.models.server_notices import StartsDue
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.suspects import SuspectAnswered
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.connection_watch import REVOCATION_PATH, AttemptStateAnswer
-from wagtailstep.network.crash_watch import CrashWatch, check_not_deadly
-from wagtailstep.network.deadlines import limit_time
+from wagtailstep.network.crash_watch import CrashWatch, check_not_blocked
+from wagtailstep.network.gate_admission import GateAdmission
 from wagtailstep.network.gate_answers import (
     assess_failure,
     assess_work,
@@ -69,7 +63,7 @@
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
-from wagtailstep.network.server_notices import is_news, read_received_notices
+from wagtailstep.network.server_notices import changes_target, read_received_notices
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
@@ -109,7 +103,7 @@
         self.serials = itertools.count(1)
         self.dispatch = dispatch
         self.crash_watch = CrashWatch(client, clock, dispatch)
-        self.waiters: dict[int, asyncio.Future[None]] = {}
+        self.admission = GateAdmission(controller)
         self.start_times: dict[int, timedelta] = {}
         member = controller.blackboard.this_member
         # Unique per process: a restarted gate does not know its predecessor's requests.
@@ -144,7 +138,7 @@
             return await self.handle_revocation(incoming)
         arrived_at = self.clock.monotonic()
         request = read_gate_request(incoming, next(self.serials), arrived_at)
-        check_not_deadly(self.controller.blackboard, request.fingerprint, arrived_at)
+        check_not_blocked(self.controller.blackboard, request.fingerprint, arrived_at)
         await self.wait_for_slot(request)
         queueing = self.clock.monotonic() - arrived_at
         self.start_times[request.serial] = self.clock.monotonic()
@@ -173,26 +167,18 @@
 
         :raises RequestError: if the request is rejected; it was not run.
         """
-        future = asyncio.get_running_loop().create_future()
-        self.waiters[request.serial] = future
         max_wait = (
             timedelta(milliseconds=self.settings.queue_timeout_ms) * MAX_WAIT_FACTOR
         )
         max_wait = min(max_wait, request.deadline - self.clock.monotonic())
         try:
-            self.apply_effects(self.controller.handle(GateRequestArrived(request)))
-            if future.done():
-                return future.result()
-            async with limit_time(max_wait):
-                await future
+            await self.admission.wait_for_start(request, max_wait)
         except TimeoutError as error:
             self.abandon_request(request)
             raise self.build_expiry_error(request) from error
         except asyncio.CancelledError:
             self.abandon_request(request)
             raise
-        finally:
-            del self.waiters[request.serial]
 
     def build_expiry_error(self, request: GateRequest) -> RequestError:
         """Return the error for a request that got no slot in time."""
@@ -225,7 +211,7 @@
         return self.track_answer(request, answer)
 
     async def send_watched(self, request: GateRequest, sent: HttpRequest) -> Answer:
-        """Send the request; find out whether the server ended if that fails.
+        """Send the request; if that fails, find out whether the server crashed.
 
         :raises RequestError: if there is no response.
         """
@@ -240,9 +226,9 @@
         event = read_received_notices(request, answer, self.settings.caller_request_ids)
         if event is None:
             return
-        self.apply_effects(self.controller.handle(event))
+        self.admission.dispatch(event)
         target = self.controller.blackboard.targets.get(request.target_id)
-        if target is not None and is_news(target, event.notices):
+        if target is not None and changes_target(target, event.notices):
             self.dispatch(event)
 
     def build_backend_request(
@@ -303,7 +289,7 @@
         return Answer(answer.status, headers, body, Verdict.RUN, close)
 
     def report_suspect(self, request: GateRequest, status: int, complete: bool) -> None:
-        """Report that a suspected request was answered and ended no server."""
+        """Report a successful response to a suspected request."""
         if not complete or status >= FIRST_ERROR_STATUS:
             return
         if request.fingerprint in self.controller.blackboard.suspects:
@@ -354,47 +340,9 @@
     ) -> None:
         """Free the slot of a request."""
         event = GateRequestEnded(request.serial, result, executed)
-        self.apply_effects(self.controller.handle(event))
+        self.admission.dispatch(event)
 
     def abandon_request(self, request: GateRequest) -> None:
         """Remove a cancelled request from the queue or free its slot."""
         event = GateRequestAbandoned(request.serial)
-        self.apply_effects(self.controller.handle(event))
-
-    def apply_effects(self, effects: list[Any]) -> None:
-        """Wake the requests that the controller started or rejected."""
-        for effect in effects:
-            self.apply(effect)
-
-    @singledispatchmethod
-    def apply(self, effect: Any) -> None:
-        """Apply one effect.
-
-        :raises TypeError: if it is none of the gate's effects.
-        """
-        raise TypeError(f"not an effect of the gate: {effect!r}")
-
-    @apply.register
-    def apply_start(self, effect: StartRequest) -> None:
-        """Let a queued request proceed; a cancelled one frees its slot itself."""
-        future = self.waiters.get(effect.serial)
-        if future is not None and not future.done():
-            future.set_result(None)
-
-    @apply.register
-    def apply_wake(self, effect: WakeQueue) -> None:
-        """Let the queue start requests once its rate limit permits one."""
-        asyncio.get_running_loop().call_later(
-            effect.delay.total_seconds(), self.wake_queue, effect.target_id
-        )
-
-    def wake_queue(self, target_id: str) -> None:
-        """Start the requests that may start now."""
-        self.apply_effects(self.controller.handle(StartsDue(target_id)))
-
-    @apply.register
-    def apply_refusal(self, effect: RefuseRequest) -> None:
-        """Reject a queued request."""
-        future = self.waiters.get(effect.serial)
-        if future is not None and not future.done():
-            future.set_exception(effect.error)
+        self.admission.dispatch(event)
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -21,7 +21,7 @@
     DeadlineExceededError,
     OverloadedError,
     RequestError,
-    ServerEndedError,
+    ServerCrashedError,
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder
@@ -33,7 +33,7 @@
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
 from wagtailstep.network.attempts import Attempt, determine_blame, read_calls
 from wagtailstep.network.bodies import AnswerStream, discard_answer
-from wagtailstep.network.crash_watch import check_not_deadly
+from wagtailstep.network.crash_watch import check_not_blocked
 from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.server_notices import find_changed_notices
@@ -90,7 +90,7 @@
         """
         exchange.identify()
         request = exchange.request
-        check_not_deadly(self.blackboard, request.fingerprint, self.clock.monotonic())
+        check_not_blocked(self.blackboard, request.fingerprint, self.clock.monotonic())
         await self.wait_for_discovery(request)
         self.retries.record_first_attempt(request.service)
         while True:
@@ -100,7 +100,7 @@
                 answer = await self.attempt(exchange, target)
             except RequestError as exc:
                 exchange.sent += exc.may_have_been_received
-                exchange.crashes += isinstance(exc, ServerEndedError)
+                exchange.crashes += isinstance(exc, ServerCrashedError)
                 exchange.include_earlier_attempts(exc)
                 if is_full_gate(exc):
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
@@ -137,8 +137,8 @@
         """Return whether to retry after an attempt without a response."""
         if isinstance(error, AttemptAbandonedError):
             return True
-        if isinstance(error, ServerEndedError) and self.is_suspect(exchange):
-            return self.retries.deny(RetryDenial.ENDS_SERVERS)
+        if isinstance(error, ServerCrashedError) and self.is_suspect(exchange):
+            return self.retries.deny(RetryDenial.CRASHES_SERVERS)
         if not exchange.body.replayable:
             return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
         return self.retries.try_acquire_retry(
@@ -146,7 +146,7 @@
         )
 
     def is_suspect(self, exchange: Exchange) -> bool:
-        """Return whether more than one backend server ended under a request."""
+        """Return whether more than one backend server crashed running a request."""
         known = self.blackboard.suspects.get(exchange.request.fingerprint)
         return exchange.crashes > 1 or (known is not None and known.crashes > 1)
 
--- a/src/wagtailstep/network/server_notices.py
+++ b/src/wagtailstep/network/server_notices.py
@@ -77,7 +77,7 @@
     return ServerNoticesReceived(request.target_id, notices, executed)
 
 
-def is_news(target: Target, notices: ServerNotices) -> bool:
+def changes_target(target: Target, notices: ServerNotices) -> bool:
     """Return whether notices differ from what the fleet knows of a target."""
     if notices.leaving and target.state is not TargetState.LEAVING:
         return True
@@ -91,11 +91,11 @@
     notices = read_server_notices(answer.headers)
     known = board.server_notices.get(target.target_id)
     if known is None:
-        is_news = notices.leaving or bool(notices.rate_limit)
+        is_new = notices.leaving or bool(notices.rate_limit)
     else:
-        is_news = (
+        is_new = (
             notices.leaving != known.leaving
             or notices.rate_limit != known.rate_limit
             or known.incarnation != target.incarnation
         )
-    return ServerNoticesForwarded(target.target_id, notices) if is_news else None
+    return ServerNoticesForwarded(target.target_id, notices) if is_new else None
