Check that the soak detects ignored notices and wrong blocks

Four planted faults do: daemons that read no notices (both kinds), that forget crashes, and that block a request after any crash.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,6 +59,26 @@
     When a soak test with the faults "older-store, table" runs with seed 21
     Then it finds a broken guarantee whose description contains "went from"
 
+  Scenario Outline: A fleet that ignores what backend servers say in responses is detected
+    Given daemons that read no notices in responses
+    When a soak test with the faults "<fault>" runs with seed <seed>
+    Then it finds a broken guarantee whose description contains "<text>"
+
+    Examples:
+      | fault   | seed | text               |
+      | limit   | 31   | despite its limit  |
+      | leaving | 41   | said that it leaves |
+
+  Scenario: A fleet that never blocks a request that crashes its servers is detected
+    Given daemons that forget crashes
+    When a soak test with the faults "crashing-request" runs with seed 51
+    Then it finds a broken guarantee whose description contains "further servers"
+
+  Scenario: A fleet that blocks what was in progress at any crash is detected
+    Given daemons that block a request after one crash
+    When a soak test with the faults "crash" runs with seed 53
+    Then it finds a broken guarantee whose description contains "crashed no server"
+
   Scenario: A fleet that resends non-idempotent requests is detected
     Given a retry policy that also resends non-idempotent requests
     When a soak test with the faults "lose, hang" runs with seed 12
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -11,10 +11,15 @@
 from benchmarks.soak.callers import CallerGroup
 from benchmarks.soak.fleet import SERVICE, SoakDaemon, SoakFleet
 
+from wagtailstep.controllers import suspects
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
+from wagtailstep.controllers.suspects import CrashSuspects, Suspect
 from wagtailstep.fakes.faults import Faults
+from wagtailstep.models.server_notices import ServerNotices
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.suspects import ServerCrashed
+from wagtailstep.network import server_notices
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.utils.clock import LoopClock
 
@@ -45,6 +50,34 @@
     context.add_cleanup(patch.stop)
 
 
+@given("daemons that read no notices in responses")
+def ignore_notices(context):
+    patch = mock.patch.object(
+        server_notices, "read_server_notices", lambda headers: ServerNotices()
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("daemons that forget crashes")
+def forget_crashes(context):
+    patch = mock.patch.object(CrashSuspects, "handle", lambda self, event: [])
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("daemons that block a request after one crash")
+def block_at_once(context):
+    for owner, name, value in (
+        (suspects, "CRASHES_BEFORE_EXCLUSIVE", 0),
+        (Suspect, "is_answered_since", lambda self, crash: False),
+        (ServerCrashed, "was_exclusive", True),
+    ):
+        patch = mock.patch.object(owner, name, value)
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
 @when('a soak test with the faults "{names}" runs with seed {seed:d}')
 def run_soak_with_faults(context, names, seed):
     logging.disable(logging.CRITICAL)
