Count a run without a fingerprint as concurrent when its server crashes

Found by reading: during an upgrade, entries of an older release send no fingerprint, and the gate left such runs out before it judged whether a request had run exclusively. One that crashed nothing could be blocked.

Change: all runs are reported, and only those with a fingerprint are suspected.

Measured: the new scenario in features/suspects.feature failed before.

--- a/features/steps/suspects_steps.py
+++ b/features/steps/suspects_steps.py
@@ -21,6 +21,7 @@
 from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Member
+from wagtailstep.models.gate import GateRequest
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.suspects import (
@@ -30,6 +31,7 @@
     SuspectState,
 )
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.crash_watch import CrashWatch
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.interpret import fingerprint_work
 from wagtailstep.network.problems import yield_body
@@ -316,6 +318,36 @@
     detangle.run(main, seed=1)
 
 
+@when("a backend server crashes running a request and one of an older release")
+def crash_with_older_release(context):
+    context.reported = []
+    requests = [
+        GateRequest(
+            1, "r1", "a1", "contracts/i-1", "", True, RUN_TIME, fingerprint="a"
+        ),
+        GateRequest(2, "r2", "a2", "contracts/i-1", "", True, RUN_TIME),
+    ]
+
+    async def main():
+        watch = CrashWatch(
+            HttpClient(SETTINGS.requests, LoopClock()),
+            LoopClock(),
+            context.reported.append,
+        )
+        for request in requests:
+            watch.start(request, ADDRESS)
+        error = ConnectionFailedError("reset", Verdict.MAY_HAVE_RUN)
+        await watch.assess(requests[0], error)
+
+    detangle.run(main, seed=1)
+
+
+@then("the request was not reported as exclusive")
+def check_not_exclusive(context):
+    (crash,) = context.reported
+    assert not crash.was_exclusive, crash
+
+
 class UncheckedClient:
     """Breaks each exchange, and never tells whether the server listens."""
 
--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -138,6 +138,10 @@
       | crashes                | 2        | server-crashed      |
       | resets its connections | 0        | connection-failed |
 
+  Scenario: A run without a fingerprint counts as concurrent
+    When a backend server crashes running a request and one of an older release
+    Then the request was not reported as exclusive
+
   Scenario: A caller that leaves while its broken exchange is checked frees its slot
     When a backend server crashes and its caller leaves before the check is done
     Then the gate's slots are all free
--- a/src/wagtailstep/controllers/suspects.py
+++ b/src/wagtailstep/controllers/suspects.py
@@ -175,8 +175,10 @@
         crash_id = self.rng.getrandbits(CRASH_ID_BITS)
         fields = {"target": event.target_id, "in_progress": str(len(event.runs))}
         effects: list[Any] = [RecordEvent("server-crashed", fields)]
-        names = list(dict.fromkeys(run.fingerprint for run in event.runs))
-        for run in event.runs:
+        # Entries of older releases send no fingerprint.
+        runs = [run for run in event.runs if run.fingerprint]
+        names = list(dict.fromkeys(run.fingerprint for run in runs))
+        for run in runs:
             suspect = self._get_suspect(run.fingerprint)
             crash = Crash(now, run.started_at, event.was_exclusive)
             suspect.add_crash(crash_id, crash)
--- a/src/wagtailstep/network/crash_watch.py
+++ b/src/wagtailstep/network/crash_watch.py
@@ -116,7 +116,6 @@
             each.run
             for each in self.runs.values()
             if each.target_id == watched.target_id
-            and each.run.fingerprint
             and (each.broken_at is None or each.broken_at >= oldest)
         )
         if runs:
