Tell the callers of repeated requests apart by the product's own headers

Found by reading: the fingerprint used a header that only the users' pages name, outside platform/, and which daemons don't pass on to backend servers. It left out the client account and Authorization, which servers do see.

Change: the fingerprint has the account and Authorization instead.

Measured: the two new rows in features/suspects.feature failed before.

--- a/features/suspects.feature
+++ b/features/suspects.feature
@@ -113,7 +113,7 @@
       | 16      |
       | 40      |
 
-  Scenario Outline: What arrives again is recognized by service, method, path, credential and body
+  Scenario Outline: What arrives again is recognized by service, method, path, caller and body
     Then a request with another <part> has <relation> fingerprint
 
     Examples:
@@ -123,7 +123,8 @@
       | path              | a different |
       | query             | a different |
       | host              | a different |
-      | credential        | a different |
+      | client account    | a different |
+      | authorization     | a different |
       | body              | a different |
       | identifier        | the same   |
       | timeout           | the same   |
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -31,7 +31,6 @@
 RETRY_AFTER = "retry-after"
 TRACEPARENT = "traceparent"
 # Set on requests to backend servers.
-CREDENTIAL = "wagtailstep-credential"
 CALLER_SERVICE = "wagtailstep-caller-service"
 EXPECTED_INSTANCE = "wagtailstep-expected-instance"
 # Set by backend servers on responses.
--- a/src/wagtailstep/network/interpret.py
+++ b/src/wagtailstep/network/interpret.py
@@ -197,8 +197,8 @@
     :param body: the complete body if it is buffered, else empty; then only the length
         tells bodies apart.
     """
-    parts = [request.service, request.method, request.path]
-    for name in ("host", headers.CREDENTIAL, "content-length"):
+    parts = [request.service, request.method, request.path, request.account]
+    for name in ("host", "authorization", "content-length"):
         parts.append(find_header(incoming.headers, name) or "")
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in parts:
