Log when a daemon hears of a version of the table

Change: table-announced is written once for each version that another daemon announces before it is in force; table-in-force says how long ago that was.

Measured: the new scenario in features/published_table.feature failed before (no such event).

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -94,6 +94,14 @@
     And 10 s pass for all daemons
     Then all daemons know era 2
 
+  Scenario: The log tells that a version was announced before its document came
+    When daemon 0 reads version 6 from the store
+    And daemon 0 receives version 7 from daemon 1
+    And 1 s pass for all daemons
+    And daemon 0 reads version 7 from the store
+    Then the log of daemon 0 has table-announced with version 7
+    And the log of daemon 0 has table-in-force with heard_ms_before 1000
+
   Scenario: An unreadable document changes nothing
     When daemon 0 reads version 7 from the store
     And daemon 0 reads an unreadable version 9 from the store
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -12,6 +12,7 @@
 from wagtailstep.models.events import (
     FollowTable,
     PeerMessageReceived,
+    RecordEvent,
     SendToPeer,
     StoreEraRead,
     Tick,
@@ -50,6 +51,7 @@
     context.clock = ManualClock()
     context.without_announcements = set()
     context.documents = []
+    context.records = []
     members = {
         f"d{i}": Member(
             f"d{i}", 1, f"127.0.0.1:{7000 + i}", "127.0.0.1:1", f"zone-{i % zones}"
@@ -89,6 +91,8 @@
                 context.followers.add if effect.active else context.followers.discard
             )
             update(sender)
+        if isinstance(effect, RecordEvent):
+            context.records.append((sender, effect))
         if not isinstance(effect, SendToPeer):
             continue
         index = int(effect.address.rpartition(":")[2]) - 7000
@@ -198,6 +202,18 @@
     context.answers = context.daemons[index].handle(event)
 
 
+@when("daemon {index:d} receives version {version:d} from daemon {sender:d}")
+def receive_version_message(context, index, version, sender):
+    event = PeerMessageReceived(f"d{sender}", TableVersionMessage(version, 0))
+    deliver(context, index, context.daemons[index].handle(event))
+
+
+@then("the log of daemon {index:d} has {kind} with {field} {value}")
+def check_log(context, index, kind, field, value):
+    found = [e.fields for at, e in context.records if at == index and e.kind == kind]
+    assert any(fields.get(field) == value for fields in found), found
+
+
 @then("daemon {index:d} answered with the document only")
 def check_document_only(context, index):
     (answer,) = context.answers
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -87,6 +87,8 @@
         self.document: TableDocument | None = None
         self.unreadable_versions: set[int] = set()
         self.announced: AnnouncedVersion | None = None
+        self.heard_version = -1
+        self.heard_at = timedelta()
         self.next_digest_at = timedelta()
 
     @property
@@ -181,13 +183,24 @@
         """
         if version in self.unreadable_versions:
             return []
+        effects = self.record_announced(version, daemon_id)
         is_near = not self.reads and self.members.is_in_own_zone(daemon_id)
         if is_near or self.document is None:
-            return self.members.send_to(daemon_id, TableDocumentRequest(self.version))
+            request = TableDocumentRequest(self.version)
+            return effects + self.members.send_to(daemon_id, request)
         if self.announced is None or self.announced.version < version:
             request_at = self.clock.monotonic() + REQUEST_DELAY
             self.announced = AnnouncedVersion(version, daemon_id, request_at)
-        return []
+        return effects
+
+    def record_announced(self, version: int, daemon_id: str) -> list[Any]:
+        """Record the first announcement of a version that is not in force here."""
+        if version <= self.heard_version:
+            return []
+        self.heard_version = version
+        self.heard_at = self.clock.monotonic()
+        fields = {"version": str(version), "announced_by": daemon_id}
+        return [RecordEvent("table-announced", fields)]
 
     def request_announced(self, now: timedelta) -> list[Any]:
         """Request the announced version if it is due and still missing."""
@@ -232,12 +245,22 @@
             return [self.record_unreadable(document.version, error)]
         self.document = document
         self.put_in_force(table)
-        fields = {"version": str(document.version), "source": source}
+        fields = {
+            "version": str(document.version),
+            "source": source,
+            "heard_ms_before": str(self.measure_heard_ms(document.version)),
+        }
         event = RecordEvent("table-in-force", fields)
         near = self.members.select_own_zone(self.settings.push_fanout)
         # One anywhere, for zones whose readers are cut off.
         return [event, *self.announce_to(near + self.members.sample(1))]
 
+    def measure_heard_ms(self, version: int) -> int:
+        """Return the milliseconds since a version was announced, or 0 if it wasn't."""
+        if version != self.heard_version:
+            return 0
+        return (self.clock.monotonic() - self.heard_at) // timedelta(milliseconds=1)
+
     def put_in_force(self, table: Table) -> None:
         """Write a table to the blackboard and request a small table's services."""
         board = self.blackboard
