Check in the soak that versions of the table are in force in time

Callers' requests were handled by a version that had been replaced more than 2 s before. No soak could see it: versions were sampled, but only for falling ones and at the end, and in a fleet of six in three zones every daemon reads the table itself.

Change: the soak holds a daemon to 2 s from the publication of a version if it has run, and the store was undisturbed and not cut off from it, for 3 s. A table soak of 15 to 27 hosts without callers publishes a version every 0.7 to 2 s while hosts are cut off from each other, the readers from the store, or many lose power.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,9 +5,9 @@
 servers. Each run injects two types of faults repeatedly and concurrently, then ends
 all faults. Guarantees: no unsafe request runs twice; a request that was refused as not
 run never ran; every response is complete and belongs to the caller's request; planned
-operations alone interrupt no request; no daemon's table goes back to an older version;
-after the faults, requests are served again, and each daemon is registered and has the
-newest table.
+operations alone interrupt no request; no daemon's table goes back to an older version,
+and each version is in force in time at daemons that reach the store; after the faults,
+requests are served again, and each daemon is registered and has the newest table.
 """
 
 import asyncio
@@ -30,6 +30,7 @@
 )
 from benchmarks.soak.server_notices import NoticeCheck
 from benchmarks.soak.suspects import find_suspect_violations
+from benchmarks.soak.table_delays import TableDelayWatch
 from benchmarks.soak.tables import TableWatch
 from wagtailstep.fakes.faults import Faults
 
@@ -221,7 +222,8 @@
         await fleet.start()
         await asyncio.sleep(WARMUP_S)
         tables = TableWatch(fleet)
-        watch = asyncio.ensure_future(tables.run())
+        delays = TableDelayWatch(fleet)
+        watches = [asyncio.ensure_future(each.run()) for each in (tables, delays)]
         callers = CallerGroup(fleet, RATE_PER_S, random.Random(rng.random()))
         fleet.callers = callers
         calls = start_callers(callers)
@@ -244,7 +246,9 @@
         result.violations += tables.find_violations()
         result.violations += find_suspect_violations(fleet, callers.outcomes)
         result.violations += NoticeCheck(fleet, callers.outcomes).find_violations()
-        watch.cancel()
+        result.violations += delays.find_violations()
+        for watch in watches:
+            watch.cancel()
         if PLANNED_OPERATIONS.issuperset(fault_names):
             result.violations += find_interrupted_requests(callers.outcomes, runs)
 
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -28,7 +28,8 @@
 from wagtailstep.platform.stand_in import StandInStore
 from wagtailstep.utils.clock import LoopClock
 
-STORE = "store:8000"
+STORE_HOST = "store"
+STORE = f"{STORE_HOST}:8000"
 SERVICE = "contracts"
 ROUTE_HOST = "book.example"
 ZONES = ("bole", "piassa", "kirkos")
@@ -135,6 +136,18 @@
     host: str
 
 
+@attrs.frozen
+class Publication:
+    """A version of the configuration that the store acknowledged to the operator.
+
+    :param at_s: event loop time in seconds.
+    :param version: the version.
+    """
+
+    at_s: float
+    version: int
+
+
 @attrs.frozen
 class ServerCrash:
     """The crash of a backend server by a request.
@@ -165,6 +178,9 @@
         self.fault_changes: list[FaultChange] = []
         self.disruptions: list[Disruption] = []
         self.crashes: list[ServerCrash] = []
+        self.publications: list[Publication] = []
+        # Names of the hosts that are cut off from the store.
+        self.storeless: set[str] = set()
         self.rng = rng
         # Sends the requests of faults; set once the callers exist.
         self.callers: Any = None
@@ -172,7 +188,7 @@
     async def start(self) -> None:
         """Start the store and all hosts."""
         self.publish()
-        detangle.spawn(self.store.start(STORE), host="store")
+        detangle.spawn(self.store.start(STORE), host=STORE_HOST)
         await asyncio.sleep(0.1)
         for host in self.hosts:
             self.power_on(host)
@@ -186,6 +202,8 @@
         """Write the current version of the configuration."""
         record = build_configuration(self.version)
         self.store.put("keyed.op", "config", record)
+        at_s = asyncio.get_running_loop().time()
+        self.publications.append(Publication(at_s, self.version))
 
     def power_on(self, host: Host) -> None:
         """Start the backend server and the daemon of a host."""
@@ -313,13 +331,23 @@
         self.record_disruption(host)
         for other in self.hosts:
             if other is not host:
-                detangle.network().disconnect(host.name, other.name)
-                self.network.rules.block([host.name], [other.name])
-                self.network.rules.block([other.name], [host.name])
+                self.disconnect(host, other)
+
+    def disconnect(self, host: Host, other: Host) -> None:
+        """Cut two hosts off from each other."""
+        detangle.network().disconnect(host.name, other.name)
+        self.network.rules.block([host.name], [other.name])
+        self.network.rules.block([other.name], [host.name])
+
+    def cut_from_store(self, host: Host) -> None:
+        """Cut a host off from the store, but not from the other hosts."""
+        self.storeless.add(host.name)
+        detangle.network().disconnect(host.name, STORE_HOST)
 
     def heal(self) -> None:
         """Restore all links."""
         detangle.network().heal()
+        self.storeless.clear()
         self.network.rules.blocked_links.clear()
 
     def count_runs(self) -> Counter[str]:
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -92,3 +92,17 @@
   Scenario: After a power loss of all hosts every daemon soon knows all targets
     When all 6 hosts of a fleet lose power and restart at the same time
     Then 600 ms later each daemon knows 6 targets
+
+  Scenario Outline: A daemon that reaches the store has each version in force in time
+    When a table soak of <hosts> hosts with the fault "<fault>" runs with seed <seed>
+    Then no version was in force too late, of at least <judged> judged
+
+    Examples:
+      | hosts | fault                 | seed     | judged |
+      | 15    | calm                  | 1000000  | 250    |
+      | 15    | hosts-cut-off         | 1000000  | 250    |
+      | 15    | readers-cut-off       | 1000000  | 250    |
+      | 15    | readers-without-store | 1000000  | 150    |
+      | 27    | readers-without-power | 1000000  | 400    |
+      | 21    | most-without-power    | 12000002 | 300    |
+      | 27    | halves                | 5000002  | 400    |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -10,6 +10,7 @@
 from benchmarks.platform_soak import run_soak
 from benchmarks.soak.callers import CallerGroup
 from benchmarks.soak.fleet import SERVICE, SoakDaemon, SoakFleet
+from benchmarks.table_soak import run_table_soak
 
 from wagtailstep.controllers import suspects
 from wagtailstep.controllers.published_table import PublishedTableController
@@ -87,6 +88,23 @@
         logging.disable(logging.NOTSET)
 
 
+@when(
+    'a table soak of {hosts:d} hosts with the fault "{fault}" runs with seed {seed:d}'
+)
+def run_table_soak_with_fault(context, hosts, fault, seed):
+    logging.disable(logging.CRITICAL)
+    try:
+        context.result = run_table_soak(seed, fault, hosts)
+    finally:
+        logging.disable(logging.NOTSET)
+
+
+@then("no version was in force too late, of at least {count:d} judged")
+def check_delays(context, count):
+    assert not context.result.violations, context.result.violations
+    assert context.result.judged >= count, context.result.judged
+
+
 @then("it finds no broken guarantee")
 def check_no_violation(context):
     assert not context.result.violations, context.result.violations
