Request a missing version of the table again, from another daemon

A second daemon that announced the same version was not asked.

Change: up to four daemons that announced a version are asked in turn, every 250 ms, at most eight times until it is announced again.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -86,6 +86,14 @@
     And 10 s pass for all daemons
     Then 2 daemons of each zone follow the table
 
+  Scenario: A version is requested from the next daemon that announced it
+    When all daemons read version 6 of 4 bytes from the store
+    And daemon 2 reads version 7 from the store and announces it to nobody
+    And daemon 5 receives version 7 from daemon 1
+    And daemon 5 receives version 7 from daemon 2
+    And 1 s pass for daemon 5
+    Then daemon 5 has version 7 in force
+
   Scenario: Daemons that do not follow the table learn that the store was restored
     Given 27 daemons in 3 zones that follow published tables
     When all daemons read version 6 of 4 bytes from the store
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -51,6 +51,7 @@
     context.clock = ManualClock()
     context.without_announcements = set()
     context.documents = []
+    context.requesters = set()
     context.records = []
     members = {
         f"d{i}": Member(
@@ -214,6 +215,22 @@
     assert any(fields.get(field) == value for fields in found), found
 
 
+@when(
+    "daemon {index:d} reads version {version:d} from the store and announces it to "
+    "nobody"
+)
+def read_silently(context, index, version):
+    event = TablePublished(TableDocument(version, b"good"), "store")
+    context.daemons[index].handle(event)
+
+
+@when("{seconds:d} s pass for daemon {index:d}")
+def pass_time_for_one(context, seconds, index):
+    for _ in range(timedelta(seconds=seconds) // TICK):
+        context.clock.advance(TICK)
+        deliver(context, index, context.daemons[index].handle(Tick()))
+
+
 @then("daemon {index:d} answered with the document only")
 def check_document_only(context, index):
     (answer,) = context.answers
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -1,12 +1,12 @@
 """A table that operators publish as versioned documents through the platform.
 
 The newest version seen is in force; an older one never replaces it. Daemons announce
-their versions to each other. One that cannot read a version from the platform requests
-the document from a daemon that announced it; usually the platform is faster, and then
-no document travels between daemons.
+their versions to each other. One that did not read a version from the platform requests
+the document from the daemons that announced it, in turn, until it has it.
 """
 
 import random
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -41,22 +41,41 @@
 # Targets of a small table's services are discovered before the first request. With
 # more services a daemon keeps only the targets of those that callers request.
 MAX_PREFETCHED_SERVICES = 32
-# Time that the platform gets to deliver a version before a peer is asked for it.
+# Time that the platform gets to deliver a version before a peer is asked for it, and a
+# peer before the next one is asked.
 REQUEST_DELAY = timedelta(milliseconds=250)
+# Daemons that announced a version and are asked for it in turn.
+MAX_ANNOUNCERS = 4
+MAX_REQUESTS = 8
 
 
-@attrs.frozen
-class AnnouncedVersion:
-    """A version that another daemon has in force and this one does not.
+@attrs.define
+class MissingVersion:
+    """A version that other daemons have in force and this one does not.
 
     :param version: the version.
-    :param daemon_id: the daemon that announced it.
+    :param announcers: ``daemon_id`` of daemons that announced it; the first is asked
+        next.
+    :param heard_at: monotonic time at which it was first announced.
     :param request_at: monotonic time at which to request it.
+    :param requests_left: how many more requests are sent for it.
     """
 
     version: int
-    daemon_id: str
+    announcers: deque[str]
+    heard_at: timedelta
     request_at: timedelta
+    requests_left: int = MAX_REQUESTS
+
+    def add_announcer(self, daemon_id: str) -> None:
+        """Add a daemon to ask, before those that have already been asked."""
+        if daemon_id not in self.announcers:
+            self.announcers.appendleft(daemon_id)
+
+    def take_announcer(self) -> str:
+        """Return the daemon to ask now; it is the last one to be asked again."""
+        self.announcers.rotate(-1)
+        return self.announcers[-1]
 
 
 class PublishedTableController:
@@ -86,9 +105,7 @@
         self.reads = True
         self.document: TableDocument | None = None
         self.unreadable_versions: set[int] = set()
-        self.announced: AnnouncedVersion | None = None
-        self.heard_version = -1
-        self.heard_at = timedelta()
+        self.missing: MissingVersion | None = None
         self.next_digest_at = timedelta()
 
     @property
@@ -117,7 +134,7 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
-        effects = self.request_announced(now)
+        effects = self.request_missing(now)
         if now < self.next_digest_at:
             return effects
         interval = timedelta(milliseconds=self.settings.digest_interval_ms)
@@ -183,35 +200,38 @@
         """
         if version in self.unreadable_versions:
             return []
-        effects = self.record_announced(version, daemon_id)
-        is_near = not self.reads and self.members.is_in_own_zone(daemon_id)
-        if is_near or self.document is None:
-            request = TableDocumentRequest(self.version)
-            return effects + self.members.send_to(daemon_id, request)
-        if self.announced is None or self.announced.version < version:
-            request_at = self.clock.monotonic() + REQUEST_DELAY
-            self.announced = AnnouncedVersion(version, daemon_id, request_at)
-        return effects
-
-    def record_announced(self, version: int, daemon_id: str) -> list[Any]:
-        """Record the first announcement of a version that is not in force here."""
-        if version <= self.heard_version:
+        missing = self.missing
+        if missing is not None and missing.version > version:
             return []
-        self.heard_version = version
-        self.heard_at = self.clock.monotonic()
+        now = self.clock.monotonic()
+        is_near = not self.reads and self.members.is_in_own_zone(daemon_id)
+        is_urgent = is_near or self.document is None
+        if missing is not None and missing.version == version:
+            missing.add_announcer(daemon_id)
+            if is_urgent and missing.requests_left == MAX_REQUESTS:
+                missing.request_at = now
+            return self.request_missing(now)
+        heard_at = now if missing is None else missing.heard_at
+        request_at = now if is_urgent else now + REQUEST_DELAY
+        announcers = deque([daemon_id], maxlen=MAX_ANNOUNCERS)
+        self.missing = MissingVersion(version, announcers, heard_at, request_at)
         fields = {"version": str(version), "announced_by": daemon_id}
-        return [RecordEvent("table-announced", fields)]
+        announced = RecordEvent("table-announced", fields)
+        return [announced, *self.request_missing(now)]
 
-    def request_announced(self, now: timedelta) -> list[Any]:
+    def request_missing(self, now: timedelta) -> list[Any]:
         """Request the announced version if it is due and still missing."""
-        announced = self.announced
-        if announced is None or now < announced.request_at:
+        missing = self.missing
+        if missing is None or now < missing.request_at:
             return []
-        self.announced = None
-        if announced.version <= self.version:
+        if not missing.requests_left:
+            # Announced again if a daemon really has it.
+            self.missing = None
             return []
+        missing.requests_left -= 1
+        missing.request_at = now + REQUEST_DELAY
         request = TableDocumentRequest(self.version)
-        return self.members.send_to(announced.daemon_id, request)
+        return self.members.send_to(missing.take_announcer(), request)
 
     def announce_to(self, members: list[Member]) -> list[Any]:
         """Announce the version in force to some members."""
@@ -229,6 +249,8 @@
     def record_unreadable(self, version: int, error: DecodeError) -> RecordEvent:
         """Remember an unreadable version, so that it is not read again."""
         self.unreadable_versions.add(version)
+        if self.missing is not None and self.missing.version == version:
+            self.missing = None
         fields = {"version": str(version), "error": str(error)}
         return RecordEvent("table-unreadable", fields)
 
@@ -248,18 +270,23 @@
         fields = {
             "version": str(document.version),
             "source": source,
-            "heard_ms_before": str(self.measure_heard_ms(document.version)),
+            "heard_ms_before": str(self.clear_missing()),
         }
         event = RecordEvent("table-in-force", fields)
         near = self.members.select_own_zone(self.settings.push_fanout)
         # One anywhere, for zones whose readers are cut off.
         return [event, *self.announce_to(near + self.members.sample(1))]
 
-    def measure_heard_ms(self, version: int) -> int:
-        """Return the milliseconds since a version was announced, or 0 if it wasn't."""
-        if version != self.heard_version:
+    def clear_missing(self) -> int:
+        """Forget the missing version if it is in force now.
+
+        :return: the milliseconds since it was announced; 0 if it was not.
+        """
+        missing = self.missing
+        if missing is None or missing.version > self.version:
             return 0
-        return (self.clock.monotonic() - self.heard_at) // timedelta(milliseconds=1)
+        self.missing = None
+        return (self.clock.monotonic() - missing.heard_at) // timedelta(milliseconds=1)
 
     def put_in_force(self, table: Table) -> None:
         """Write a table to the blackboard and request a small table's services."""
