Judge by the age of what a daemon knows whether it reads the table

Cause: two daemons of each zone read the table for all, and the others relied on announcements reaching them. What told them that they missed none was how long ago anybody in the fleet had been heard of who counted as a reader, and that guess took 7 to 9 s with 27 daemons to fail. Announcements to members that are gone, cut off or without the store were not noticed for as long. A reader counted as one while the store had lost its waiting read, for up to 4.1 s.

Change: a daemon knows up to which time it has every version, from its own reads or from messages that carry the age of the sender's knowledge. Readers tell their zone after each read. Above 1.2 s of age, or 0.4 s after it was told of a version that did not come, a daemon reads for itself, whatever the reason, after a delay of up to 0.3 s so that the first can spare the others. Readers wait 1.4 s at most, by turns. A daemon that can't read the newest version confirms nobody's knowledge.

Changed checks: "The newest table is read" counts 5 calls, not 3: a reader that hears of no other reads after 0.9 s. "All daemons follow the table" now needs that none reaches the store; that only the designated ones don't is a scenario of its own, in which others take over within 2 s (15 s before). The call rate is measured with both readers of a zone; its limits are the same.

--- a/benchmarks/table_soak.py
+++ b/benchmarks/table_soak.py
@@ -117,6 +117,30 @@
     await lose_power(fleet, rng.sample(fleet.hosts, len(fleet.hosts) * 11 // 20))
 
 
+async def cut_half_from_store(fleet: SoakFleet, rng: random.Random) -> None:
+    """Cut half of the hosts off from the store."""
+    for host in rng.sample(fleet.hosts, len(fleet.hosts) // 2):
+        fleet.cut_from_store(host)
+    await asyncio.sleep(FAULT_S)
+    fleet.heal()
+
+
+async def silence_store(fleet: SoakFleet, rng: random.Random) -> None:
+    """Let the store lose all calls for a moment, which ends no connection."""
+    fleet.store.faults.silent = True
+    await asyncio.sleep(rng.uniform(0.2, FAULT_S / 2))
+    fleet.store.faults.silent = False
+    await asyncio.sleep(FAULT_S / 2)
+
+
+async def refuse_calls(fleet: SoakFleet, rng: random.Random) -> None:
+    """Let the store refuse all calls."""
+    fleet.store.faults.status = 503
+    await asyncio.sleep(rng.uniform(0.2, FAULT_S / 2))
+    fleet.store.faults.status = 0
+    await asyncio.sleep(FAULT_S / 2)
+
+
 TABLE_FAULTS: dict[str, TableFault] = {
     "calm": run_calm,
     "hosts-cut-off": cut_hosts_off,
@@ -125,6 +149,9 @@
     "readers-without-store": cut_readers_from_store,
     "readers-without-power": lose_power_of_readers,
     "most-without-power": lose_power_of_most,
+    "half-without-store": cut_half_from_store,
+    "store-silent": silence_store,
+    "store-refuses": refuse_calls,
 }
 
 
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -66,7 +66,7 @@
     When a daemon follows the table and version 9 is published after 1 s
     Then it received the versions 7 9
     And version 9 was received within 50 ms
-    And the store was called 3 times
+    And the store was called 5 times
 
   Scenario: Changes are found although the store has lost their history
     Given the platform's store with version 7
--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -75,17 +75,39 @@
       | 103     | 3     |
       | 235     | 5     |
 
-  Scenario: All daemons follow the table while no designated one can reach the store
+  Scenario: All daemons follow the table while none can reach the store
     Given 27 daemons in 3 zones that follow published tables
     When all daemons read version 6 of 4 bytes from the store
     And 10 s pass for all daemons
-    And no follower can reach the store any more
+    And no daemon can reach the store any more
     And 15 s pass for all daemons
     Then all daemons follow the table
-    When the followers can reach the store again
+    When all daemons can reach the store again
     And 10 s pass for all daemons
     Then 2 daemons of each zone follow the table
 
+  Scenario: Others follow the table while no designated daemon can reach the store
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    And no follower can reach the store any more
+    And 2 s pass for all daemons
+    Then at most 4 daemons of each zone that can reach the store follow the table
+    When the followers that can reach the store read version 7
+    And 1 s pass for all daemons
+    Then all daemons have version 7 in force
+    When all daemons can reach the store again
+    And 10 s pass for all daemons
+    Then 2 daemons of each zone follow the table
+
+  Scenario: What daemons tell each other does not keep their knowledge young
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    And no daemon can reach the store any more
+    And 5 s pass for all daemons
+    Then the knowledge of each daemon is 4900 to 6500 ms old
+
   Scenario: A version is requested from the next daemon that announced it
     When all daemons read version 6 of 4 bytes from the store
     And daemon 2 reads version 7 from the store and announces it to nobody
@@ -94,6 +116,15 @@
     And 1 s pass for daemon 5
     Then daemon 5 has version 7 in force
 
+  Scenario: A daemon that can't read the newest version does not confirm others' knowledge
+    When all daemons read version 6 of 4 bytes from the store
+    And daemon 0 reads an unreadable version 9 from the store
+    And daemon 0 announces its version
+    Then daemon 0 told no age of its knowledge
+    When daemon 0 reads version 10 from the store
+    And daemon 0 announces its version
+    Then daemon 0 told the age of its knowledge
+
   Scenario: Daemons that do not follow the table learn that the store was restored
     Given 27 daemons in 3 zones that follow published tables
     When all daemons read version 6 of 4 bytes from the store
--- a/features/readiness.feature
+++ b/features/readiness.feature
@@ -37,3 +37,8 @@
     Given the metrics of a daemon
     When 5 s pass, a new table comes into force, and 2 s pass
     Then the table is 2 s old
+
+  Scenario: The age of what a daemon knows of the table is exported
+    Given the metrics of a daemon
+    When all versions of the table are known up to a time, and 3 s pass
+    Then the exported text has "wagtailstep_table_known_age_seconds" of 3
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -1,6 +1,7 @@
 """Steps for the adapter to the platform."""
 
 import asyncio
+import functools
 import json
 import pathlib
 import random
@@ -16,7 +17,7 @@
 
 from wagtailstep.commands.read_settings import structure_settings
 from wagtailstep.controllers.membership import MembershipController
-from wagtailstep.controllers.table_readers import READERS_PER_ZONE
+from wagtailstep.controllers.table_freshness import READERS_PER_ZONE, TableFreshness
 from wagtailstep.exceptions import (
     AppendUnknownError,
     BadRequestError,
@@ -25,10 +26,19 @@
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import StoreEraRead
+from wagtailstep.models.fleet import Member
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
 from wagtailstep.models.log import NullLogService
-from wagtailstep.models.published_table import TableDocument
-from wagtailstep.models.settings import DaemonSettings, MembershipSettings
+from wagtailstep.models.published_table import (
+    TableDocument,
+    TablePublished,
+    TableReadConfirmed,
+)
+from wagtailstep.models.settings import (
+    DaemonSettings,
+    MembershipSettings,
+    TableSettings,
+)
 from wagtailstep.network.daemon import build_local_member
 from wagtailstep.network.runtime import Runtime, RuntimeAdapters
 from wagtailstep.network.table_follower import TableFollower
@@ -237,31 +247,52 @@
     return store, PlatformStore(StoreSettings(STORE, 1_000), LoopClock())
 
 
-def follow_table(context, change_store):
-    """Follow the table while a coroutine changes the store."""
+def follow_table(context, change_store, count=1):
+    """Follow the table with daemons of one zone while a coroutine changes the store."""
     context.received_versions = []
     context.eras = []
 
     async def main():
         loop = asyncio.get_running_loop()
         store, client = await start_store(context)
+        clock = LoopClock()
+        freshness = [
+            TableFreshness(
+                TableSettings(),
+                Blackboard(Member("d", 1, "", "", "bole")),
+                clock,
+                random.Random(i),
+            )
+            for i in range(count)
+        ]
 
-        def record_version(event):
+        def record(index, event):
             if isinstance(event, StoreEraRead):
                 context.eras.append(event.era)
-                return
-            context.received_versions.append((loop.time(), event.document.version))
-
-        follower = TableFollower(
-            client,
-            find_document,
-            record_version,
-            lambda reachable: None,
-            random.Random(1),
-        )
-        task = asyncio.create_task(follower.run())
+            elif isinstance(event, TablePublished):
+                received = (loop.time(), event.document.version)
+                context.received_versions.append(received)
+            elif isinstance(event, TableReadConfirmed):
+                freshness[index].confirm_read(event.confirmed_at)
+                for other in freshness:
+                    other.confirm_age(freshness[index].measure_age_ms())
+
+        followers = [
+            TableFollower(
+                client,
+                find_document,
+                freshness[index].choose_wait,
+                clock,
+                functools.partial(record, index),
+                lambda reachable: None,
+                random.Random(index),
+            )
+            for index in range(count)
+        ]
+        tasks = [asyncio.create_task(each.run()) for each in followers]
         await change_store(store)
-        task.cancel()
+        for task in tasks:
+            task.cancel()
         context.calls = store.calls
 
     detangle.run(main, seed=1)
@@ -275,9 +306,11 @@
     async def change_store(store):
         await asyncio.sleep(seconds)
 
-    follow_table(context, change_store)
+    # Those of one zone hear of each other's reads.
+    follow_table(context, change_store, READERS_PER_ZONE)
     followers = min(daemons, zones * READERS_PER_ZONE)
-    context.calls_per_s = followers * len(context.calls) / seconds
+    calls = len(context.calls) / READERS_PER_ZONE
+    context.calls_per_s = followers * calls / seconds
 
 
 @when(
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -24,6 +24,7 @@
     TableDocument,
     TableDocumentMessage,
     TablePublished,
+    TableReadConfirmed,
     TableVersionMessage,
 )
 from wagtailstep.models.settings import DaemonSettings
@@ -32,6 +33,8 @@
 from wagtailstep.utils.codec import encode_message
 
 TICK = timedelta(milliseconds=100)
+# Ticks between two reads of a daemon that follows the table.
+TICKS_PER_READ = 8
 
 
 def read_document(document):
@@ -51,6 +54,7 @@
     context.clock = ManualClock()
     context.without_announcements = set()
     context.documents = []
+    context.ticks = 0
     context.requesters = set()
     context.records = []
     members = {
@@ -163,7 +167,35 @@
         context.boards[index].log_reachable = False
 
 
-@when("the followers can reach the store again")
+@when("no daemon can reach the store any more")
+def lose_store_everywhere(context):
+    for board in context.boards:
+        board.log_reachable = False
+
+
+@then(
+    "at most {count:d} daemons of each zone that can reach the store follow the table"
+)
+def check_reaching_followers(context, count):
+    zones = dict.fromkeys(b.this_member.availability_zone for b in context.boards)
+    for zone in zones:
+        found = [
+            index
+            for index in context.followers
+            if context.boards[index].this_member.availability_zone == zone
+            and context.boards[index].log_reachable
+        ]
+        assert 1 <= len(found) <= count, (zone, found)
+
+
+@when("the followers that can reach the store read version {version:d}")
+def read_at_reaching_followers(context, version):
+    for index in sorted(context.followers):
+        if context.boards[index].log_reachable:
+            read_version(context, index, version)
+
+
+@when("all daemons can reach the store again")
 def regain_store(context):
     for board in context.boards:
         board.log_reachable = True
@@ -215,6 +247,12 @@
     assert any(fields.get(field) == value for fields in found), found
 
 
+@then("the knowledge of each daemon is {least:d} to {most:d} ms old")
+def check_ages(context, least, most):
+    ages = [daemon.freshness.measure_age_ms() for daemon in context.daemons]
+    assert least <= min(ages) <= max(ages) <= most, ages
+
+
 @when(
     "daemon {index:d} reads version {version:d} from the store and announces it to "
     "nobody"
@@ -231,6 +269,22 @@
         deliver(context, index, context.daemons[index].handle(Tick()))
 
 
+@when("daemon {index:d} announces its version")
+def announce(context, index):
+    effects = context.daemons[index].handle(TableReadConfirmed(timedelta()))
+    context.announced = [effect.message for effect in effects]
+
+
+@then("daemon {index:d} told no age of its knowledge")
+def check_no_age(context, index):
+    assert {message.known_age_ms for message in context.announced} == {-1}
+
+
+@then("daemon {index:d} told the age of its knowledge")
+def check_age_told(context, index):
+    assert {message.known_age_ms for message in context.announced} == {0}
+
+
 @then("daemon {index:d} answered with the document only")
 def check_document_only(context, index):
     (answer,) = context.answers
@@ -264,8 +318,21 @@
 def pass_time(context, seconds):
     for _ in range(timedelta(seconds=seconds) // TICK):
         context.clock.advance(TICK)
+        context.ticks += 1
         for index, daemon in enumerate(context.daemons):
             deliver(context, index, daemon.handle(Tick()))
+            is_due = context.ticks % TICKS_PER_READ == index % TICKS_PER_READ
+            if is_due and index in context.followers:
+                confirm_read(context, index)
+
+
+def confirm_read(context, index):
+    """End a read without a new version, if a daemon reaches the store and has all."""
+    newest = max(daemon.version for daemon in context.daemons)
+    daemon = context.daemons[index]
+    if context.boards[index].log_reachable and daemon.version == newest:
+        event = TableReadConfirmed(context.clock.monotonic())
+        deliver(context, index, daemon.handle(event))
 
 
 @then("all daemons have version {version:d} in force")
--- a/features/steps/readiness_steps.py
+++ b/features/steps/readiness_steps.py
@@ -1,5 +1,6 @@
 """Steps for the readiness and the metrics of a daemon."""
 
+import re
 from datetime import timedelta
 
 from behave import given, then, when
@@ -94,3 +95,16 @@
 @then('the exported text has the gauge "{name}"')
 def check_gauge(context, name):
     assert f"# TYPE {name}" in context.exported, context.exported
+
+
+@when("all versions of the table are known up to a time, and {seconds:d} s pass")
+def know_table(context, seconds):
+    context.board.table_known_at = context.clock.monotonic()
+    context.clock.advance(timedelta(seconds=seconds))
+    context.exported = context.metrics.export_text().decode()
+
+
+@then('the exported text has "{name}" of {value:d}')
+def check_value(context, name, value):
+    pattern = rf"^{name}\{{.*\}} {value}\.0$"
+    assert re.search(pattern, context.exported, re.MULTILINE), context.exported
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -1,8 +1,10 @@
 """A table that operators publish as versioned documents through the platform.
 
 The newest version seen is in force; an older one never replaces it. Daemons announce
-their versions to each other. One that did not read a version from the platform requests
-the document from the daemons that announced it, in turn, until it has it.
+their versions to each other, with the age of what they know. One that did not read a
+version from the platform requests the document from the daemons that announced it, in
+turn, until it has it; one whose knowledge gets too old reads the platform itself
+(:mod:`wagtailstep.controllers.table_freshness`).
 """
 
 import random
@@ -14,8 +16,8 @@
 
 import attrs
 
+from wagtailstep.controllers.table_freshness import UNKNOWN_AGE_MS, TableFreshness
 from wagtailstep.controllers.table_members import TableMembers
-from wagtailstep.controllers.table_readers import TableReaders
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
@@ -31,6 +33,7 @@
     TableDocumentMessage,
     TableDocumentRequest,
     TablePublished,
+    TableReadConfirmed,
     TableVersionMessage,
 )
 from wagtailstep.models.settings import DaemonSettings
@@ -81,8 +84,8 @@
 class PublishedTableController:
     """Keep the newest published table in force.
 
-    :param blackboard: ``table``, ``table_known``, ``table_since``, ``store_era`` and
-        ``requested_services`` are written.
+    :param blackboard: ``table``, ``table_known``, ``table_since``, ``table_known_at``,
+        ``store_era`` and ``requested_services`` are written.
     :param read_document: parses a document, and raises
         :class:`wagtailstep.exceptions.DecodeError` if it is malformed.
     """
@@ -101,10 +104,11 @@
         self.rng = rng
         self.read_document = read_document
         self.members = TableMembers(settings.daemon_id, blackboard, rng)
-        self.readers = TableReaders(blackboard, clock, rng)
+        self.freshness = TableFreshness(self.settings, blackboard, clock, rng)
         self.reads = True
         self.document: TableDocument | None = None
         self.unreadable_versions: set[int] = set()
+        self.reads_newest = True
         self.missing: MissingVersion | None = None
         self.next_digest_at = timedelta()
 
@@ -122,6 +126,14 @@
     def _(self, event: TablePublished) -> list[Any]:
         return self.apply_document(event.document, event.source)
 
+    @handle.register
+    def _(self, event: TableReadConfirmed) -> list[Any]:
+        self.freshness.confirm_read(event.confirmed_at)
+        self.reads_newest = event.is_readable
+        if self.document is None:
+            return []
+        return self.announce_to(self.members.list_own_zone())
+
     @handle.register
     def _(self, event: StoreEraRead) -> list[Any]:
         self.blackboard.store_era = max(self.blackboard.store_era, event.era)
@@ -135,26 +147,32 @@
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
         effects = self.request_missing(now)
-        if now < self.next_digest_at:
-            return effects
-        interval = timedelta(milliseconds=self.settings.digest_interval_ms)
-        self.next_digest_at = now + interval * (0.75 + 0.5 * self.rng.random())
-        effects += self.choose_reader()
-        return effects + self.announce_to(self.members.sample(1))
-
-    def choose_reader(self) -> list[Any]:
+        is_digest_due = now >= self.next_digest_at
+        if is_digest_due:
+            interval = timedelta(milliseconds=self.settings.digest_interval_ms)
+            self.next_digest_at = now + interval * (0.75 + 0.5 * self.rng.random())
+            self.freshness.update_designated()
+        effects += self.choose_reader(now)
+        if is_digest_due:
+            effects += self.announce_to(self.members.sample(1))
+        return effects
+
+    def choose_reader(self, now: timedelta) -> list[Any]:
         """Start or stop to follow the table at the platform.
 
         A daemon without a table follows it in any case.
         """
-        must_read = self.readers.must_read() or self.document is None
+        missing = self.missing
+        behind = timedelta() if missing is None else now - missing.heard_at
+        must_read = self.freshness.must_read(behind) or self.document is None
         if must_read == self.reads:
             return []
         self.reads = must_read
         fields = {
             "reads": str(must_read),
-            "designated": str(self.readers.is_designated()),
-            "reader_age_ms": str(self.readers.measure_age_ms()),
+            "designated": str(self.freshness.designated),
+            "known_age_ms": str(self.freshness.measure_age_ms()),
+            "behind_ms": str(behind // timedelta(milliseconds=1)),
         }
         return [FollowTable(must_read), RecordEvent("table-reader", fields)]
 
@@ -165,16 +183,17 @@
 
     @handle_message.register
     def _(self, message: TableVersionMessage, sender: str) -> list[Any]:
-        self.readers.observe_age(message.reader_age_ms)
         self.blackboard.store_era = max(self.blackboard.store_era, message.store_era)
         if message.version < self.version and message.reader_age_ms < 0:
             # An older release takes the document without a request, and would answer
             # an announcement with its version again and again.
             return self.send_document(sender)
         if message.version < self.version:
+            self.freshness.confirm_age(message.known_age_ms)
             return self.members.send_to(sender, self.build_version_message())
         if message.version > self.version:
             return self.handle_newer_version(message.version, sender)
+        self.freshness.confirm_age(message.known_age_ms)
         return []
 
     @handle_message.register
@@ -243,8 +262,15 @@
 
     def build_version_message(self) -> TableVersionMessage:
         """Return the message about the version in force and the readers."""
-        age_ms = self.readers.measure_age_ms()
-        return TableVersionMessage(self.version, age_ms, self.blackboard.store_era)
+        age_ms = self.freshness.measure_age_ms()
+        unreadable = max(self.unreadable_versions, default=-1)
+        is_newest = self.reads_newest and unreadable <= self.version
+        return TableVersionMessage(
+            self.version,
+            age_ms,
+            self.blackboard.store_era,
+            age_ms if is_newest else UNKNOWN_AGE_MS,
+        )
 
     def record_unreadable(self, version: int, error: DecodeError) -> RecordEvent:
         """Remember an unreadable version, so that it is not read again."""
--- a/src/wagtailstep/controllers/table_members.py
+++ b/src/wagtailstep/controllers/table_members.py
@@ -37,6 +37,15 @@
         usable = [members[name] for name in drawn if self._may_answer(members[name])]
         return usable[:count]
 
+    def list_own_zone(self) -> list[Member]:
+        """Return the other members of this daemon's zone that may answer."""
+        zone = self.blackboard.this_member.availability_zone
+        return [
+            member
+            for member in self.blackboard.members.values()
+            if member.availability_zone == zone and self._may_answer(member)
+        ]
+
     def select_own_zone(self, count: int) -> list[Member]:
         """Return up to a number of members of this daemon's zone.
 
@@ -44,12 +53,7 @@
         the order of the names reach everyone past any single member that is gone, and
         the others, random ones, shorten the way.
         """
-        zone = self.blackboard.this_member.availability_zone
-        usable = [
-            member
-            for member in self.blackboard.members.values()
-            if member.availability_zone == zone and self._may_answer(member)
-        ]
+        usable = self.list_own_zone()
         # Those behind this daemon's name come first, then the order starts over.
         usable.sort(key=lambda each: (each.daemon_id < self.daemon_id, each.daemon_id))
         successors = usable[: min(count, ZONE_SUCCESSORS)]
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -38,6 +38,9 @@
         may be accepted; written by the table controller.
     :param table_since: wall-clock time at which ``table`` came into force; written
         by the table controller.
+    :param table_known_at: monotonic time before which all published versions of the
+        table are known; ``None`` if tables are not published; written by the table
+        controller.
     :param members: known daemons by ``daemon_id``, including this one; written by the
         membership controller.
     :param targets: known targets by ``target_id``, indexed by service; written by
@@ -72,6 +75,7 @@
     table: Table = attrs.field(factory=Table)
     table_known: bool = False
     table_since: datetime | None = None
+    table_known_at: timedelta | None = None
     members: dict[str, Member] = attrs.field(factory=dict)
     targets: TargetMap = attrs.field(factory=TargetMap, converter=TargetMap)
     local_targets: set[str] = attrs.field(factory=set)
--- a/src/wagtailstep/models/published_table.py
+++ b/src/wagtailstep/models/published_table.py
@@ -1,5 +1,7 @@
 """Published table documents, and the messages by which daemons exchange them."""
 
+from datetime import timedelta
+
 import attrs
 import msgspec
 
@@ -30,19 +32,36 @@
     source: str
 
 
+@attrs.frozen
+class TableReadConfirmed:
+    """A read of the table at the platform has ended, with or without a new version.
+
+    :param confirmed_at: monotonic time; each version published before it was part of
+        this read or of an earlier one, and was reported by :class:`TablePublished`.
+    :param is_readable: whether the newest of them could be decoded.
+    """
+
+    confirmed_at: timedelta
+    is_readable: bool = True
+
+
 @message
 class TableVersionMessage(msgspec.Struct, array_like=True, frozen=True):
     """Report the version in force at the sender.
 
     :param version: the version; -1 for none.
-    :param reader_age_ms: time since a designated reader of the table was last known to
-        read, in milliseconds; negative if unknown.
+    :param reader_age_ms: same as ``known_age_ms``, for older releases; negative from
+        releases that send documents without a request.
     :param store_era: the newest known era of the platform's store; negative if unknown.
+    :param known_age_ms: time in milliseconds since which versions may have been
+        published that the sender does not know; negative if it knows of one that it
+        can't read, and from older releases.
     """
 
     version: int
     reader_age_ms: int = -1
     store_era: int = -1
+    known_age_ms: int = -1
 
 
 @message
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -227,6 +227,8 @@
 class TableSettings:
     """How daemons exchange the table and store it in the log.
 
+    :param apply_limit_ms: time within which a published version has to be in force at
+        each daemon that can reach the platform.
     :param digest_interval_ms: time between two digests to a random member.
     :param repeat_interval_ms: time between two unsolicited sends of the newest records
         to a random member, which may be able to receive but not to send requests.
@@ -245,6 +247,7 @@
         one is due.
     """
 
+    apply_limit_ms: int = positive(2_000)
     digest_interval_ms: int = positive(1_000)
     repeat_interval_ms: int = positive(4_000)
     repeat_bytes: int = positive(1_024)
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -89,11 +89,13 @@
         }
         for name, read in gauges.items():
             self.meter.create_observable_gauge(name, [_create_gauge_callback(read)])
-        self.meter.create_observable_gauge(
-            "wagtailstep.table.age",
-            [_create_gauge_callback(self.compute_table_age)],
-            unit="s",
-        )
+        ages = {
+            "wagtailstep.table.age": self.compute_table_age,
+            "wagtailstep.table.known.age": self.compute_known_age,
+        }
+        for name, read in ages.items():
+            callback = _create_gauge_callback(read)
+            self.meter.create_observable_gauge(name, [callback], unit="s")
 
     def add_service_gauge(
         self, name: str, unit: str, read: Callable[[], Mapping[str, float]]
@@ -113,6 +115,13 @@
         """Return the seconds since the current table took effect."""
         return (self.clock.monotonic() - self.table_since) / timedelta(seconds=1)
 
+    def compute_known_age(self) -> float:
+        """Return the seconds since which a newer table may have been published."""
+        known_at = self.blackboard.table_known_at
+        if known_at is None:
+            return 0.0
+        return (self.clock.monotonic() - known_at) / timedelta(seconds=1)
+
     def record_store_call(self, outcome: str) -> None:
         """Count a finished call to the platform's store by its outcome."""
         self.store_calls.add(1, {"outcome": outcome})
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -44,8 +44,9 @@
         Each gate judges the standing of its own target.
         """
         parts = (self.settings, self.blackboard, self.clock, self.rng)
+        self.table = PublishedTableController(*parts, build_table)
         return (
-            PublishedTableController(*parts, build_table),
+            self.table,
             MembershipController(*parts),
             AnnouncementController(*parts),
             DisseminationController(*parts),
@@ -68,6 +69,8 @@
         follower = TableFollower(
             self.store,
             find_document,
+            self.table.freshness.choose_wait,
+            self.clock,
             self.runtime.dispatch,
             self.runtime.record_log_reachability,
             self.rng,
