Check that the table soak detects daemons that never doubt their table

With daemons that read only if they are designated, 15 hosts whose readers are cut off from the store have late versions.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -54,6 +54,11 @@
       | crash                     | 53       | 1500   |
       | crashing-request, crash   | 61000001 | 1400   |
 
+  Scenario: A fleet whose daemons trust that they hear of every version is detected
+    Given daemons that never read the table for want of fresh knowledge
+    When a table soak of 15 hosts with the fault "readers-without-store" runs with seed 1000000
+    Then it finds a broken guarantee whose description contains "did not have version"
+
   Scenario: A fleet that takes older tables is detected
     Given daemons that put any table in force
     When a soak test with the faults "older-store, table" runs with seed 21
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -16,6 +16,7 @@
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.suspects import CrashSuspects, Suspect
+from wagtailstep.controllers.table_freshness import TableFreshness
 from wagtailstep.fakes.faults import Faults
 from wagtailstep.models.server_notices import ServerNotices
 from wagtailstep.models.settings import RequestSettings
@@ -44,6 +45,15 @@
     context.add_cleanup(patch.stop)
 
 
+@given("daemons that never read the table for want of fresh knowledge")
+def trust_readers(context):
+    patch = mock.patch.object(
+        TableFreshness, "must_read", lambda self, behind: self.designated
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given("daemons that put any table in force")
 def ignore_versions(context):
     patch = mock.patch.object(PublishedTableController, "version", -1)
