Reuse no connection that its server is about to close

A request that is sent just as its server closes the idle connection fails, and one that can't be repeated is lost to its caller. The header Keep-Alive, by which a server names the time, was not read: an idle connection was reused for up to 5 s (2 s for non-idempotent requests) whatever it said.

Change: a connection is not reused after four fifths of the time that the last response on it named.

Measured: two of the five new rows in features/http_client.feature fail on (timeout=2 and Timeout=1 reused after 2 s), all pass now.

--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -87,6 +87,20 @@
     Then request 2 received its own response
     And the server accepted 2 connections
 
+  Scenario Outline: A connection is not reused when its server is about to close it
+    Given an HTTP client and a scripted server
+    When an idempotent request is sent 2 s after another one, to "<path>"
+    Then request 2 received its own response
+    And the server accepted <count> connections
+
+    Examples:
+      | path                       | count |
+      | keep-alive/timeout=2       | 2     |
+      | keep-alive/max=9,Timeout=1 | 2     |
+      | keep-alive/timeout=3       | 1     |
+      | keep-alive/timeout=-1      | 1     |
+      | keep-alive/timeout=soon    | 1     |
+
   Scenario: An unused connection is closed
     Given an HTTP client and a scripted server
     When it requests "ok" and then "ok" on the same kept-alive connection
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -88,13 +88,16 @@
             await asyncio.sleep(5)
         if behaviour == "informed":
             writer.write(b"HTTP/1.1 103 Early Hints\r\nlink: </x>\r\n\r\n")
-        self.answer(state, writer, 200, path.encode())
+        keep_alive = path.split("/")[2] if behaviour == "keep-alive" else ""
+        self.answer(state, writer, 200, path.encode(), keep_alive)
         if behaviour == "extra":
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra")
         return True
 
-    def answer(self, state, writer, status, body):
+    def answer(self, state, writer, status, body, keep_alive=""):
         headers = [("content-length", str(len(body)))]
+        if keep_alive:
+            headers.append(("keep-alive", keep_alive))
         for event in (
             h11.Response(status_code=status, headers=headers),
             h11.Data(data=body),
@@ -261,6 +264,16 @@
     run_with_server(context, scenario)
 
 
+@when('an idempotent request is sent {gap_s:d} s after another one, to "{path}"')
+def send_idempotent_to_path(context, gap_s, path):
+    async def scenario(caller):
+        await caller.call(f"/{path}")
+        await asyncio.sleep(gap_s)
+        await caller.call("/ok/2")
+
+    run_with_server(context, scenario)
+
+
 @when("it sends a body of {chunks:d} chunks that the server rejects unread")
 def send_refused_body(context, chunks):
     context.chunks_sent = 0
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -1,6 +1,8 @@
 """Names of the HTTP headers that daemons use, and functions to edit headers."""
 
+import re
 from collections.abc import Iterable
+from datetime import timedelta
 
 SERVICE = "wagtailstep-service"
 ROUTE = "wagtailstep-route"
@@ -79,6 +81,8 @@
     }
 )
 
+KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*([0-9]{1,6})\b", re.ASCII | re.I)
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -97,6 +101,12 @@
     return int(value) if value.isascii() and value.isdigit() else None
 
 
+def read_keep_alive(headers: Headers) -> timedelta | None:
+    """Return for how long a server keeps an idle connection, or ``None`` if unknown."""
+    match = KEEP_ALIVE_TIMEOUT.search(find_header(headers, "keep-alive") or "")
+    return None if match is None else timedelta(seconds=int(match[1]))
+
+
 def remove_headers(headers: Headers, names: frozenset[str]) -> Headers:
     """Return the headers without those of the given lower-case names."""
     return tuple(pair for pair in headers if pair[0] not in names)
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -19,7 +19,12 @@
     TruncatedAnswerError,
 )
 from wagtailstep.models.exchange import Answer
-from wagtailstep.models.headers import GATE_ID, find_header, remove_hop_by_hop
+from wagtailstep.models.headers import (
+    GATE_ID,
+    find_header,
+    read_keep_alive,
+    remove_hop_by_hop,
+)
 from wagtailstep.models.request import Blame
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.verdict import Verdict
@@ -36,6 +41,8 @@
 from wagtailstep.utils.clock import Clock
 
 MAX_IDLE_PER_ADDRESS = 8
+# A request must not cross the close of its connection.
+USED_KEEP_ALIVE_SHARE = 0.8
 
 
 class ResponseBody:
@@ -155,7 +162,9 @@
             if watch is not None:
                 watch.stop()
         body = ResponseBody(self, connection, deadline)
-        headers = remove_hop_by_hop(decode_headers(head.headers))
+        all_headers = decode_headers(head.headers)
+        connection.keep_alive = read_keep_alive(all_headers)
+        headers = remove_hop_by_hop(all_headers)
         # Refusals of a gate lack its identifier; the connection keeps the known one.
         connection.gate_id = find_header(headers, GATE_ID) or connection.gate_id
         return Answer(head.status_code, headers, body, Verdict.RUN, body.close)
@@ -223,7 +232,7 @@
         now = self.clock.monotonic()
         while pool:
             connection = pool[-1]
-            if not connection.is_clean:
+            if not connection.is_clean or self.is_near_close(connection, now):
                 pool.pop().close()
             elif now - connection.last_response_at > max_age:
                 return None
@@ -234,6 +243,13 @@
                 return pool.pop()
         return None
 
+    def is_near_close(self, connection: HttpConnection, now: timedelta) -> bool:
+        """Return whether the server said that it closes a connection about now."""
+        if connection.keep_alive is None:
+            return False
+        limit = connection.keep_alive * USED_KEEP_ALIVE_SHARE
+        return now - connection.last_response_at > limit
+
     def release(self, connection: HttpConnection) -> None:
         """Return a connection to the pool after a complete response, or close it."""
         now = self.clock.monotonic()
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -110,6 +110,7 @@
         self.writer = writer
         self.last_response_at = now
         self.idle_since = now
+        self.keep_alive: timedelta | None = None
         self.reused = False
         self.bytes_sent = False
         self.gate_id = ""
