Let a daemon that has just started confirm nobody's knowledge of the table

Found by reading. A daemon counted its knowledge from its start, before its first read. One that started while the store was away, and got a table from a peer or none at all, told others that it knew all versions up to its start; they then put off their own reads.

Change: knowledge starts an hour old.

Measured: in the new scenario 15 of 27 daemons took their knowledge for 2.0 to 2.2 s old without the change, and none now, 7 s after the last read.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -108,6 +108,16 @@
     And 5 s pass for all daemons
     Then the knowledge of each daemon is 4900 to 6500 ms old
 
+  Scenario: A daemon that has just started does not confirm others' knowledge
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    And no daemon can reach the store any more
+    And 5 s pass for all daemons
+    And daemon 26 starts again
+    And 2 s pass for all daemons
+    Then the knowledge of each daemon is 6900 to 8500 ms old
+
   Scenario: A version is requested from the next daemon that announced it
     When all daemons read version 6 of 4 bytes from the store
     And daemon 2 reads version 7 from the store and announces it to nobody
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -64,6 +64,7 @@
         for i in range(count)
     }
     context.boards = []
+    context.settings = []
     context.daemons = []
     context.followers = set(range(count))
     for index, (name, member) in enumerate(members.items()):
@@ -75,6 +76,7 @@
         board = Blackboard(member, members=dict(members), log_reachable=True)
         rng = random.Random(index)
         context.boards.append(board)
+        context.settings.append(settings)
         context.daemons.append(
             PublishedTableController(settings, board, context.clock, rng, read_document)
         )
@@ -247,6 +249,17 @@
     assert any(fields.get(field) == value for fields in found), found
 
 
+@when("daemon {index:d} starts again")
+def restart_daemon(context, index):
+    board = context.boards[index]
+    context.boards[index] = Blackboard(board.this_member, members=dict(board.members))
+    parts = (context.settings[index], context.boards[index], context.clock)
+    context.followers.add(index)
+    context.daemons[index] = PublishedTableController(
+        *parts, random.Random(index), read_document
+    )
+
+
 @then("the knowledge of each daemon is {least:d} to {most:d} ms old")
 def check_ages(context, least, most):
     ages = [daemon.freshness.measure_age_ms() for daemon in context.daemons]
--- a/src/wagtailstep/controllers/table_freshness.py
+++ b/src/wagtailstep/controllers/table_freshness.py
@@ -35,6 +35,8 @@
 MAX_PEER_AGE_INTERVALS = 1.15
 CONFIRMED_INTERVALS = 0.15
 MILLISECOND = timedelta(milliseconds=1)
+# Stands for no knowledge at all, until the first read here or elsewhere is heard of.
+INITIAL_AGE = timedelta(hours=1)
 UNKNOWN_AGE_MS = -1
 
 
@@ -62,8 +64,8 @@
         self.lone_read_interval = limit * LONE_READ_INTERVAL_SHARE
         self.max_age = limit * MAX_AGE_SHARE
         self.takeover_delay = limit * TAKEOVER_SPREAD_SHARE * rng.random()
-        self.known_at = clock.monotonic()
-        self.peer_known_at = self.known_at - limit
+        self.known_at = clock.monotonic() - INITIAL_AGE
+        self.peer_known_at = self.known_at
         self.too_old_since: timedelta | None = None
         self.reads_until = timedelta()
         self.designated = True
