--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -273,7 +273,7 @@
                 received = (loop.time(), event.document.version)
                 context.received_versions.append(received)
             elif isinstance(event, TableReadConfirmed):
-                freshness[index].confirm_read(event.confirmed_at)
+                freshness[index].raise_known_at(event.confirmed_at)
                 for other in freshness:
                     other.confirm_age(freshness[index].measure_age_ms())
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -48,7 +48,7 @@
 @given("daemons that never read the table for want of fresh knowledge")
 def trust_readers(context):
     patch = mock.patch.object(
-        TableFreshness, "must_read", lambda self, behind: self.designated
+        TableFreshness, "decide_reading", lambda self, behind: self.designated
     )
     patch.start()
     context.add_cleanup(patch.stop)
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -128,7 +128,7 @@
 
     @handle.register
     def _(self, event: TableReadConfirmed) -> list[Any]:
-        self.freshness.confirm_read(event.confirmed_at)
+        self.freshness.raise_known_at(event.confirmed_at)
         self.reads_newest = event.is_readable
         if self.document is None:
             return []
@@ -164,17 +164,17 @@
         """
         missing = self.missing
         behind = timedelta() if missing is None else now - missing.heard_at
-        must_read = self.freshness.must_read(behind) or self.document is None
-        if must_read == self.reads:
+        reads = self.freshness.decide_reading(behind) or self.document is None
+        if reads == self.reads:
             return []
-        self.reads = must_read
+        self.reads = reads
         fields = {
-            "reads": str(must_read),
+            "reads": str(reads),
             "designated": str(self.freshness.designated),
             "known_age_ms": str(self.freshness.measure_age_ms()),
             "behind_ms": str(behind // timedelta(milliseconds=1)),
         }
-        return [FollowTable(must_read), RecordEvent("table-reader", fields)]
+        return [FollowTable(reads), RecordEvent("table-reader", fields)]
 
     @singledispatchmethod
     def handle_message(self, message: Any, sender: str) -> list[Any]:
@@ -261,7 +261,7 @@
         return effects
 
     def build_version_message(self) -> TableVersionMessage:
-        """Return the message about the version in force and the readers."""
+        """Return the message about the version in force and the age of knowledge."""
         age_ms = self.freshness.measure_age_ms()
         unreadable = max(self.unreadable_versions, default=-1)
         is_newest = self.reads_newest and unreadable <= self.version
--- a/src/wagtailstep/controllers/table_freshness.py
+++ b/src/wagtailstep/controllers/table_freshness.py
@@ -71,14 +71,6 @@
         self.designated = True
         self.is_first = True
 
-    def confirm_read(self, confirmed_at: timedelta) -> None:
-        """Record a read at the platform.
-
-        :param confirmed_at: monotonic time before which all published versions were
-            part of this or an earlier read.
-        """
-        self.set_known_at(confirmed_at)
-
     def confirm_age(self, age_ms: int) -> None:
         """Record the age of the knowledge of a daemon whose version is in force here.
 
@@ -89,10 +81,10 @@
         known_at = self.clock.monotonic() - age_ms * MILLISECOND - TRANSIT_ALLOWANCE
         if known_at > self.known_at:
             self.peer_known_at = known_at
-            self.set_known_at(known_at)
+            self.raise_known_at(known_at)
 
-    def set_known_at(self, known_at: timedelta) -> None:
-        """Raise the time up to which all published versions are known."""
+    def raise_known_at(self, known_at: timedelta) -> None:
+        """Record that all versions published before a monotonic time are known."""
         self.known_at = max(self.known_at, known_at)
         self.blackboard.table_known_at = self.known_at
 
@@ -104,8 +96,8 @@
         """Return the age of this daemon's knowledge in milliseconds, rounded up."""
         return -(-self.measure_age() // MILLISECOND)
 
-    def must_read(self, behind: timedelta) -> bool:
-        """Return whether this daemon has to read the table at the platform.
+    def decide_reading(self, behind: timedelta) -> bool:
+        """Return whether this daemon reads the table at the platform from now on.
 
         :param behind: time since a newer version than the one in force was announced;
             zero if there is none.
