Read the store's document of a version that a peer sent corrupted

Found by reading, as another way to serve by a version that has been replaced: a daemon that got a document it could not decode from a peer marked its version as unreadable, and then refused the right document of that version from the store. It stayed with the older version until the operator published another one.

Change: what is not read again is that document, by its hash, not its version.

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -53,6 +53,12 @@
     And daemon 0 receives a corrupt version 9 from daemon 1
     Then daemon 0 has version 7 in force
 
+  Scenario: A corrupt document from a peer doesn't keep out the one in the store
+    When daemon 0 reads version 7 from the store
+    And daemon 0 receives a corrupt version 9 from daemon 1
+    And daemon 0 reads version 9 from the store
+    Then daemon 0 has version 9 in force
+
   Scenario: A daemon that can't read the store gets the table from its peers
     Given daemon 5 receives no announced version
     When daemon 0 reads version 7 from the store
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import attrs
+import xxhash
 
 from wagtailstep.controllers.table_freshness import UNKNOWN_AGE_MS, TableFreshness
 from wagtailstep.controllers.table_members import TableMembers
@@ -107,7 +108,8 @@
         self.freshness = TableFreshness(self.settings, blackboard, clock, rng)
         self.reads = True
         self.document: TableDocument | None = None
-        self.unreadable_versions: set[int] = set()
+        # Hash of the last document that could not be read, by version.
+        self.unreadable_versions: dict[int, int] = {}
         self.reads_newest = True
         self.missing: MissingVersion | None = None
         self.next_digest_at = timedelta()
@@ -272,25 +274,34 @@
             age_ms if is_newest else UNKNOWN_AGE_MS,
         )
 
-    def record_unreadable(self, version: int, error: DecodeError) -> RecordEvent:
-        """Remember an unreadable version, so that it is not read again."""
-        self.unreadable_versions.add(version)
+    def record_unreadable(
+        self, document: TableDocument, error: DecodeError
+    ) -> RecordEvent:
+        """Remember an unreadable document, so that it is not read again.
+
+        Another document of that version is, since a corrupt one may come from a peer.
+        """
+        version = document.version
+        self.unreadable_versions[version] = xxhash.xxh64_intdigest(document.data)
         if self.missing is not None and self.missing.version == version:
             self.missing = None
         fields = {"version": str(version), "error": str(error)}
         return RecordEvent("table-unreadable", fields)
 
+    def is_unreadable(self, document: TableDocument) -> bool:
+        """Return whether the same document could not be read before."""
+        known_hash = self.unreadable_versions.get(document.version)
+        return known_hash == xxhash.xxh64_intdigest(document.data)
+
     def apply_document(self, document: TableDocument, source: str) -> list[Any]:
         """Put a document in force if it is newer, and announce it to other members."""
-        if (
-            document.version <= self.version
-            or document.version in self.unreadable_versions
-        ):
+        if document.version <= self.version or self.is_unreadable(document):
             return []
         try:
             table = self.read_document(document)
         except DecodeError as error:
-            return [self.record_unreadable(document.version, error)]
+            return [self.record_unreadable(document, error)]
+        self.unreadable_versions.pop(document.version, None)
         self.document = document
         self.put_in_force(table)
         fields = {
