Announce no read of a daemon that has stopped to follow the table

At a start of all daemons each has a waiting read, which ends after the first message of the readers has stopped it; each then told its whole zone, which opens a connection to every daemon of it.

Measured: the new scenario fails before (a daemon that does not follow sends 8).

--- a/features/published_table.feature
+++ b/features/published_table.feature
@@ -141,6 +141,12 @@
     And daemon 0 announces its version
     Then daemon 0 told the age of its knowledge
 
+  Scenario: A read that ends after a daemon has stopped to follow the table is not announced
+    Given 27 daemons in 3 zones that follow published tables
+    When all daemons read version 6 of 4 bytes from the store
+    And 10 s pass for all daemons
+    Then a read that ends is announced to 8 daemons by followers, to none by others
+
   Scenario: Daemons that do not follow the table learn that the store was restored
     Given 27 daemons in 3 zones that follow published tables
     When all daemons read version 6 of 4 bytes from the store
--- a/features/steps/published_table_steps.py
+++ b/features/steps/published_table_steps.py
@@ -288,6 +288,15 @@
     context.announced = [effect.message for effect in effects]
 
 
+@then(
+    "a read that ends is announced to {count:d} daemons by followers, to none by others"
+)
+def check_announced_reads(context, count):
+    for index, daemon in enumerate(context.daemons):
+        sent = len(daemon.handle(TableReadConfirmed(timedelta())))
+        assert sent == (count if index in context.followers else 0), (index, sent)
+
+
 @then("daemon {index:d} told no age of its knowledge")
 def check_no_age(context, index):
     assert {message.known_age_ms for message in context.announced} == {-1}
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -132,7 +132,7 @@
     def _(self, event: TableReadConfirmed) -> list[Any]:
         self.freshness.raise_known_at(event.confirmed_at)
         self.reads_newest = event.is_readable
-        if self.document is None:
+        if self.document is None or not self.reads:
             return []
         return self.announce_to(self.members.list_own_zone())
 
