Keep the table in force when one route is from a newer release

Cause: a route whose kind is unknown (`download` on two new deployments) made the whole document unreadable, so no daemon had a table.

Change: `download` is an idempotent kind. An unknown kind is not idempotent and gets one attempt. A row that can't be read costs its own host and prefix, which answer 503 (not run); the log line of the version, the table status and a metric count such rows. The examples of the former outline "An invalid configuration is refused" that spoiled one row moved to the new outline, which checks the rejection, the other route and the count. A document without a readable version, list of routes or limits is still refused whole, since the limits apply to every request.

Measured: features/platform_adapter.feature passes.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -42,12 +42,7 @@
       | new          | old               |
       | "r7"         | "seven"           |
       | "r7"         | 7                 |
-      | "unsafe"     | "odd"             |
-      | "3000ms"     | "soon"            |
-      | "3000ms"     | 3000              |
-      | "3000ms"     | "99999999999999s" |
       | "routes"     | "roads"           |
-      | ,1,"huvo11a" | ,1,null           |
       | "10s"        | "10"              |
       | "10s"        | 10                |
       | "10s"        | "0s"              |
@@ -57,6 +52,33 @@
       | "90000ms"    | "0ms"             |
       | "90000ms"    | "1e9s"            |
 
+  Scenario Outline: One row from a newer release costs only its own requests
+    Given the platform's example configuration with <old> in place of <new>
+    Then it is in force, and path "/lohu930/1" selects route "r-zji9n73"
+    And requests of path "/pufi791/1" are rejected as not run with status 503
+    And its status counts 1 unreadable route
+
+    Examples:
+      | new          | old               |
+      | "unsafe"     | 7                 |
+      | "3000ms"     | "soon"            |
+      | "3000ms"     | 3000              |
+      | "3000ms"     | "99999999999999s" |
+      | ,1,"huvo11a" | ,1,null           |
+      | ,1,"huvo11a" | ,"top","huvo11a"  |
+
+  Scenario: A route of an unknown kind is sent once and never repeated
+    Given the platform's example configuration with "odd" in place of "unsafe"
+    Then route "r-hh2b9wu" has the kind "unknown", is not idempotent and is sent to at most 1
+
+  Scenario: A download is repeated like any idempotent request
+    Given the platform's example configuration with "download" in place of "unsafe"
+    Then route "r-hh2b9wu" has the kind "download", is idempotent and is sent to at most 2
+
+  Scenario: Fields that this release does not know are ignored
+    Given the platform's example configuration with "new":{"x":[1]},"limits" in place of "limits"
+    Then it is in force, and path "/lohu930/1" selects route "r-zji9n73"
+
   Scenario: Arbitrary bytes from other writers are refused without a crash
     Then each of 300 random configurations is either read or refused
     And each of 300 random heartbeats is either read or refused
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -23,9 +23,11 @@
     BadRequestError,
     DecodeError,
     LogError,
+    UnreadableRouteError,
 )
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import StoreEraRead
+from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
 from wagtailstep.models.log import NullLogService
@@ -39,7 +41,10 @@
     MembershipSettings,
     TableSettings,
 )
+from wagtailstep.models.status import describe_status
+from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.daemon import build_local_member
+from wagtailstep.network.interpret import find_route
 from wagtailstep.network.runtime import Runtime, RuntimeAdapters
 from wagtailstep.network.table_follower import TableFollower
 from wagtailstep.platform.configuration import build_table, find_document
@@ -47,7 +52,7 @@
 from wagtailstep.platform.settings import PlatformSettings, StoreSettings
 from wagtailstep.platform.stand_in import StandInStore
 from wagtailstep.platform.store import PlatformStore
-from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.clock import LoopClock, ManualClock
 
 CONFIGURATION = (
     '{"version":"r7","routes":{"columns":["name","host","path-prefix","kind","timeout",'
@@ -159,6 +164,48 @@
     assert not is_readable(document.data)
 
 
+def build_changed_table(context):
+    document = find_document(KeyedRecords({"config": context.corrupt_data}, 1))
+    return build_table(document)
+
+
+@then('it is in force, and path "{path}" selects route "{name}"')
+def check_in_force(context, path, name):
+    table = build_changed_table(context)
+    assert table.host_routes.find("ficu95.example", path).name == name
+
+
+@then('requests of path "{path}" are rejected as not run with status {status:d}')
+def check_unreadable_route(context, path, status):
+    incoming = IncomingRequest("POST", path, (("host", "ficu95.example"),), None)
+    try:
+        find_route(incoming, build_changed_table(context))
+    except UnreadableRouteError as error:
+        assert (error.status, error.verdict) == (status, Verdict.NOT_RUN), error
+        assert error.retry_after is not None
+    else:
+        raise AssertionError(f"{path} has a route")
+
+
+@then("its status counts {count:d} unreadable route")
+def check_unreadable_count(context, count):
+    board = Blackboard(build_local_member(SETTINGS, ManualClock()))
+    board.table = build_changed_table(context)
+    assert describe_status(board).unreadable_routes == count
+
+
+@then(
+    'route "{name}" has the kind "{kind}", {idempotent} idempotent and is sent to at '
+    "most {attempts:d}"
+)
+def check_kind(context, name, kind, idempotent, attempts):
+    routes = {each.name: each for each in build_changed_table(context).host_routes}
+    route = routes[name]
+    assert route.kind.value == kind, route
+    assert route.kind.idempotent == (idempotent == "is"), route
+    assert route.max_attempts == attempts, route
+
+
 def json_values():
     scalars = strategies.one_of(
         strategies.none(),
--- a/src/wagtailstep/commands/table_status.py
+++ b/src/wagtailstep/commands/table_status.py
@@ -100,6 +100,8 @@
         "version": status.table_version,
         "since": _format_time(status.table_since_utc),
     }
+    if status.unreadable_routes:
+        fields["unreadable_routes"] = status.unreadable_routes
     if not _is_behind(status, newest):
         return fields | {"state": "in-force"}
     missed = edits.get(status.table_version + 1)
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -309,6 +309,9 @@
             "source": source,
             "heard_ms_before": str(self.clear_missing()),
         }
+        if unreadable := table.host_routes.unreadable:
+            fields["unreadable_routes"] = str(len(unreadable))
+            fields["error"] = unreadable[0].error
         event = RecordEvent("table-in-force", fields)
         near = self.members.select_own_zone(self.settings.push_fanout)
         # One anywhere, for zones whose readers are cut off.
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -148,6 +148,12 @@
     reason = "not-ready"
 
 
+class UnreadableRouteError(TemporaryRefusalError):
+    """The row of the table that matches the request could not be read."""
+
+    reason = "unreadable-route"
+
+
 class NoTargetError(TemporaryRefusalError):
     """No backend server of the service can currently accept the request."""
 
--- a/src/wagtailstep/models/host_routes.py
+++ b/src/wagtailstep/models/host_routes.py
@@ -1,7 +1,7 @@
 """Routes of an approved table, selected by host and path."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 
 import attrs
@@ -10,17 +10,25 @@
 class RouteKind(enum.Enum):
     """Whether requests of a route are idempotent.
 
-    ``UPLOAD`` is a non-idempotent route with large request bodies.
+    ``UPLOAD`` is a non-idempotent route with large request bodies, ``DOWNLOAD`` an
+    idempotent one with large responses. ``UNKNOWN`` is any kind that this release does
+    not know.
     """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     UPLOAD = "upload"
+    DOWNLOAD = "download"
+    UNKNOWN = "unknown"
+
+    @classmethod
+    def _missing_(cls, value: object) -> "RouteKind | None":
+        return cls.UNKNOWN if isinstance(value, str) else None
 
     @property
     def idempotent(self) -> bool:
         """Return whether a request of this kind may run more than once."""
-        return self is RouteKind.SAFE
+        return self in (RouteKind.SAFE, RouteKind.DOWNLOAD)
 
 
 @attrs.frozen
@@ -61,27 +69,49 @@
     parts: tuple[WeightedService, ...]
 
 
+@attrs.frozen
+class UnreadableRoute:
+    """A row of the table that holds a route which this release can't read.
+
+    Its requests are rejected as not run: a shorter prefix may belong to another
+    service.
+
+    :param host: as in :class:`HostRoute`; empty if it is unreadable as well.
+    :param path_prefix: as in :class:`HostRoute`.
+    :param error: what is wrong with the row.
+    """
+
+    host: str
+    path_prefix: str
+    error: str
+
+
 class HostRoutes:
     """The routes of a table, looked up by host and longest path prefix.
 
-    :param routes: the routes.
+    :param routes: the routes, with those that could not be read.
+
+    Attributes: ``unreadable``, the routes that could not be read.
     """
 
-    def __init__(self, routes: Iterable[HostRoute] = ()) -> None:
-        self.by_host: dict[str, dict[str, HostRoute]] = {}
+    def __init__(self, routes: Iterable[HostRoute | UnreadableRoute] = ()) -> None:
+        self.by_host: dict[str, dict[str, HostRoute | UnreadableRoute]] = {}
+        self.unreadable: list[UnreadableRoute] = []
         for route in routes:
+            if isinstance(route, UnreadableRoute):
+                self.unreadable.append(route)
             self.by_host.setdefault(route.host, {})[route.path_prefix] = route
 
     def __bool__(self) -> bool:
         """Return whether there is any route."""
         return bool(self.by_host)
 
-    def __iter__(self) -> Iterable[HostRoute]:
-        """Iterate over all routes."""
+    def __iter__(self) -> Iterator[HostRoute]:
+        """Iterate over all readable routes."""
         for routes in self.by_host.values():
-            yield from routes.values()
+            yield from (each for each in routes.values() if isinstance(each, HostRoute))
 
-    def find(self, host: str, path: str) -> HostRoute | None:
+    def find(self, host: str, path: str) -> HostRoute | UnreadableRoute | None:
         """Return the route that matches a request, or ``None``.
 
         :param host: value of the ``Host`` header; a port is ignored.
--- a/src/wagtailstep/models/status.py
+++ b/src/wagtailstep/models/status.py
@@ -18,6 +18,8 @@
     :param table_version: version of the table in force here.
     :param table_known: whether it has any table.
     :param table_since_utc: when that version came into force.
+    :param unreadable_routes: routes of that version that this release can't read; their
+        requests are rejected.
     :param log_reachable: whether the last call of the log service succeeded.
     :param draining: whether it is shutting down.
     :param members: number of daemons by their state as known here.
@@ -40,6 +42,7 @@
     ejected: list[str]
     steered: list[str]
     in_flight: int
+    unreadable_routes: int = 0
 
 
 def describe_status(blackboard: Blackboard) -> DaemonStatus:
@@ -60,4 +63,5 @@
         ejected=sorted(blackboard.ejected),
         steered=sorted(steered),
         in_flight=sum(blackboard.in_flight.by_service.values()),
+        unreadable_routes=len(blackboard.table.host_routes.unreadable),
     )
--- a/src/wagtailstep/network/interpret.py
+++ b/src/wagtailstep/network/interpret.py
@@ -3,11 +3,15 @@
 import hashlib
 from datetime import timedelta
 
-from wagtailstep.exceptions import BadRequestError, NoRouteError
+from wagtailstep.exceptions import (
+    BadRequestError,
+    NoRouteError,
+    UnreadableRouteError,
+)
 from wagtailstep.models import headers
 from wagtailstep.models.exchange import IncomingRequest
 from wagtailstep.models.headers import find_header
-from wagtailstep.models.host_routes import HostRoute
+from wagtailstep.models.host_routes import HostRoute, UnreadableRoute
 from wagtailstep.models.idempotency import MAX_KEY_LENGTH
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
@@ -96,6 +100,7 @@
     """Return the route that matches the host and path of a request.
 
     :raises NoRouteError: if none matches.
+    :raises UnreadableRouteError: if the row that matches could not be read.
     """
     host = find_header(incoming.headers, "host") or ""
     route = table.host_routes.find(host, incoming.path)
@@ -103,6 +108,11 @@
         raise NoRouteError(
             f"no route matches host {host!r} and the path of the request"
         )
+    if isinstance(route, UnreadableRoute):
+        raise UnreadableRouteError(
+            f"the route of host {host!r} and this path is written for a newer release "
+            "of this daemon; upgrade it or retry at another daemon"
+        )
     return route
 
 
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -81,6 +81,9 @@
     def add_blackboard_gauges(self) -> None:
         """Register the gauges that read the blackboard."""
         gauges = {
+            "wagtailstep.table.unreadable_routes": lambda: len(
+                self.blackboard.table.host_routes.unreadable
+            ),
             "wagtailstep.table.version": lambda: self.blackboard.table.version,
             "wagtailstep.members": lambda: len(self.blackboard.members),
             "wagtailstep.targets": lambda: len(self.blackboard.targets),
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -12,6 +12,7 @@
     HostRoute,
     HostRoutes,
     RouteKind,
+    UnreadableRoute,
     WeightedService,
 )
 from wagtailstep.models.keyed_store import KeyedRecords
@@ -106,14 +107,9 @@
     :raises DecodeError: if the configuration is malformed.
     """
     configuration = decode_configuration(document.data)
-    try:
-        rows = msgspec.convert(configuration.routes.to_dicts(), list[RouteRow])
-        routes = HostRoutes(build_route(row) for row in rows)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DecodeError(f"a route is malformed: {error}") from error
     return Table(
         version=document.version,
-        host_routes=routes,
+        host_routes=HostRoutes(map(read_route, configuration.routes.to_dicts())),
         max_body_bytes=configuration.limits.max_body_bytes,
         connection_limits=build_connection_limits(configuration.limits),
     )
@@ -188,11 +184,27 @@
     return duration
 
 
+def read_route(fields: dict[str, Any]) -> HostRoute | UnreadableRoute:
+    """Read a route from the fields of its row.
+
+    The platform accepts only valid configurations, so a row that can't be read was
+    written for a newer release. It must not keep all other routes out of service.
+    """
+    try:
+        return build_route(msgspec.convert(fields, RouteRow))
+    except (msgspec.MsgspecError, DecodeError, ValueError) as error:
+        host, prefix = (str(fields.get(name, "")) for name in ("host", "path-prefix"))
+        return UnreadableRoute(host.lower(), prefix, str(error))
+
+
 def build_route(row: RouteRow) -> HostRoute:
     """Build a route from its row.
 
+    A kind that this release does not know is treated as not idempotent and gets a
+    single attempt.
+
     :raises DecodeError: if a duration is malformed.
-    :raises ValueError: if its kind is unknown or it has no service.
+    :raises ValueError: if it has no service.
     """
     parts = tuple(
         WeightedService(part.service, part.weight) for part in row.traffic_split or ()
@@ -201,14 +213,15 @@
         if row.service is None:
             raise ValueError(f"route {row.name!r} has no service")
         parts = (WeightedService(row.service),)
+    kind = RouteKind(row.kind)
     return HostRoute(
         name=row.name,
         host=row.host.lower(),
         path_prefix=row.path_prefix,
-        kind=RouteKind(row.kind),
+        kind=kind,
         timeout=parse_duration(row.timeout),
         aim=parse_duration(row.aim),
         priority=row.priority,
-        max_attempts=row.max_attempts,
+        max_attempts=1 if kind is RouteKind.UNKNOWN else row.max_attempts,
         parts=parts,
     )
