--- a/src/wagtailstep/models/gate.py
+++ b/src/wagtailstep/models/gate.py
@@ -35,6 +35,8 @@
         an empty string.
     :param exclusive: whether no other request may run at the backend server at the
         same time.
+    :param account: client account, or an empty string.
+    :param account_priority: as in :class:`~wagtailstep.models.request.RequestContext`.
     """
 
     serial: int
@@ -52,6 +54,14 @@
     known_rate_limit: float = NO_RATE_LIMIT
     fingerprint: str = ""
     exclusive: bool = False
+    account: str = ""
+    account_priority: int | None = None
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the sort key by importance: the account's priority goes first."""
+        priority = self.account_priority
+        return (self.priority if priority is None else priority, self.priority)
 
 
 class RunResult(enum.Enum):
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -41,6 +41,8 @@
         chose the target.
     :param known_rate_limit: rate limit of the target that the entry knew of then.
     :param fingerprint: hash that is the same for each arrival of the same request.
+    :param account_priority: rank of its client account, which goes before
+        ``priority``; ``None`` if the account has none.
     """
 
     request_id: str
@@ -63,12 +65,19 @@
     expected_standing: TargetStanding = TargetStanding.FAILING
     known_rate_limit: float = NO_RATE_LIMIT
     fingerprint: str = ""
+    account_priority: int | None = None
 
     @property
     def needs_duplicate_guard(self) -> bool:
         """Return whether its key must protect it from running twice."""
         return self.idempotency_key is not None and not self.idempotent
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the sort key by importance: the account's priority goes first."""
+        priority = self.account_priority
+        return (self.priority if priority is None else priority, self.priority)
+
 
 class Blame(enum.Enum):
     """What a failure is attributed to."""
