Check the layers of the new packages

Cause: the layer check knew no rule for accounts, scheduling and hedging. Change: they are pure like the controllers. Measured: features/check_layers.py finds no violation.

--- a/features/check_layers.py
+++ b/features/check_layers.py
@@ -9,6 +9,9 @@
 FORBIDDEN = {
     "utils": {"models", "controllers", "network", "commands", "cli", "fakes"},
     "models": {"controllers", "network", "commands", "cli", "fakes"},
+    "accounts": {"controllers", "network", "commands", "cli", "fakes"},
+    "scheduling": {"network", "commands", "cli", "fakes"},
+    "hedging": {"network", "commands", "cli", "fakes"},
     "controllers": {"network", "commands", "cli", "fakes"},
     "network": {"commands", "cli", "fakes"},
     "commands": {"cli"},
@@ -19,6 +22,7 @@
 ADAPTER = "platform"
 MAX_ADAPTER_LINES = 800
 PLATFORM_NAMES = ("keyed.op", "log-append", "log-read", "log-newest", "warmup-left")
+PURE_LAYERS = {"accounts", "controllers", "hedging", "models", "scheduling"}
 IO_MODULES = {"asyncio", "socket", "zmq", "blacksheep", "uvicorn", "h11", "time"}
 
 
@@ -48,7 +52,7 @@
         if parts[0] == "wagtailstep" and len(parts) > 1:
             if parts[1] in FORBIDDEN.get(layer, set()):
                 violations.append(f"{path}: {layer} may not import {name}")
-        if layer in ("controllers", "models") and parts[0] in IO_MODULES:
+        if layer in PURE_LAYERS and parts[0] in IO_MODULES:
             violations.append(f"{path}: {layer} may not import {name}")
     return violations
 
