Identify callers by the keys of client accounts

Change: a directory of accounts by keyed hash, filled in steps before a table comes into force; the entry refuses missing and unknown keys with 401 and passes the account on to the gate and the backend server. Errors about malformed heads no longer quote the header, which may hold a key.

--- a/src/wagtailstep/commands/explain_request.py
+++ b/src/wagtailstep/commands/explain_request.py
@@ -221,6 +221,7 @@
         return f"overloaded: {asked} gates tried had no free slot in time"
     texts = {
         "no-target": "no target of the service was known",
+        "unknown-key": "its key of a client account was missing or unknown",
         "no-route": "no route matches the request",
         "not-ready": "the daemon had not received a table yet",
         "leaving": "the targets tried were leaving",
--- a/src/wagtailstep/commands/table_status.py
+++ b/src/wagtailstep/commands/table_status.py
@@ -102,6 +102,10 @@
     }
     if status.unreadable_routes:
         fields["unreadable_routes"] = status.unreadable_routes
+    if status.accounts is not None:
+        fields["accounts"] = status.accounts
+    if status.unreadable_accounts:
+        fields["unreadable_accounts"] = status.unreadable_accounts
     if not _is_behind(status, newest):
         return fields | {"state": "in-force"}
     missed = edits.get(status.table_version + 1)
--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -17,6 +17,11 @@
 import attrs
 import xxhash
 
+from wagtailstep.controllers.table_build import (
+    BUILD_PAUSE,
+    TableBuild,
+    TableBuilder,
+)
 from wagtailstep.controllers.table_freshness import UNKNOWN_AGE_MS, TableFreshness
 from wagtailstep.controllers.table_members import TableMembers
 from wagtailstep.exceptions import DecodeError
@@ -30,6 +35,8 @@
 )
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.published_table import (
+    ContinueTableBuild,
+    TableBuildDue,
     TableDocument,
     TableDocumentMessage,
     TableDocumentRequest,
@@ -113,12 +120,18 @@
         self.reads_newest = True
         self.missing: MissingVersion | None = None
         self.next_digest_at = timedelta()
+        self.builder = TableBuilder()
 
     @property
     def version(self) -> int:
         """Return the version in force, or -1 if there is none."""
         return -1 if self.document is None else self.document.version
 
+    @property
+    def received_version(self) -> int:
+        """Return the newest readable version received, even if not in force yet."""
+        return max(self.version, self.builder.version)
+
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
         """Ignore an event that the table does not depend on."""
@@ -145,6 +158,10 @@
     def _(self, event: PeerMessageReceived) -> list[Any]:
         return self.handle_message(event.message, event.sender)
 
+    @handle.register
+    def _(self, event: TableBuildDue) -> list[Any]:
+        return self.continue_build()
+
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         now = self.clock.monotonic()
@@ -219,7 +236,7 @@
         A daemon that reads the table itself will usually have it sooner. One that does
         not read it is usually told by a daemon of its own zone.
         """
-        if version in self.unreadable_versions:
+        if version in self.unreadable_versions or version <= self.received_version:
             return []
         missing = self.missing
         if missing is not None and missing.version > version:
@@ -245,6 +262,8 @@
         missing = self.missing
         if missing is None or now < missing.request_at:
             return []
+        if missing.version <= self.received_version:
+            return []
         if not missing.requests_left:
             # Announced again if a daemon really has it.
             self.missing = None
@@ -266,7 +285,11 @@
         """Return the message about the version in force and the age of knowledge."""
         age_ms = self.freshness.measure_age_ms()
         unreadable = max(self.unreadable_versions, default=-1)
-        is_newest = self.reads_newest and unreadable <= self.version
+        is_newest = (
+            self.reads_newest
+            and unreadable <= self.version
+            and self.received_version == self.version
+        )
         return TableVersionMessage(
             self.version,
             age_ms,
@@ -294,14 +317,36 @@
         return known_hash == xxhash.xxh64_intdigest(document.data)
 
     def apply_document(self, document: TableDocument, source: str) -> list[Any]:
-        """Put a document in force if it is newer, and announce it to other members."""
-        if document.version <= self.version or self.is_unreadable(document):
+        """Put a document in force if it is newer, at once unless it is large."""
+        if document.version <= self.received_version or self.is_unreadable(document):
+            return []
+        if self.builder.current is not None:
+            self.builder.postpone(document, source)
             return []
         try:
             table = self.read_document(document)
         except DecodeError as error:
             return [self.record_unreadable(document, error)]
         self.unreadable_versions.pop(document.version, None)
+        self.builder.current = TableBuild(document, source, table)
+        return self.continue_build()
+
+    def continue_build(self) -> list[Any]:
+        """Add accounts to the table that is being built; put it in force with all."""
+        if self.builder.current is None:
+            return []
+        build = self.builder.advance()
+        if build is None:
+            return [ContinueTableBuild(BUILD_PAUSE)]
+        effects = self.complete_build(build)
+        waiting = self.builder.take_next_document()
+        if waiting is not None:
+            effects += self.apply_document(*waiting)
+        return effects
+
+    def complete_build(self, build: TableBuild) -> list[Any]:
+        """Put a complete table in force and announce it to other members."""
+        document, source, table = build.document, build.source, build.table
         self.document = document
         self.put_in_force(table)
         fields = {
@@ -312,6 +357,11 @@
         if unreadable := table.host_routes.unreadable:
             fields["unreadable_routes"] = str(len(unreadable))
             fields["error"] = unreadable[0].error
+        if (accounts := table.client_accounts) is not None:
+            fields["accounts"] = str(len(accounts))
+            if accounts.unreadable:
+                fields["unreadable_accounts"] = str(len(accounts.unreadable))
+                fields["account_error"] = accounts.unreadable[0].error
         event = RecordEvent("table-in-force", fields)
         near = self.members.select_own_zone(self.settings.push_fanout)
         # One anywhere, for zones whose readers are cut off.
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -118,6 +118,13 @@
     reason = "no-route"
 
 
+class UnknownKeyError(BadRequestError):
+    """The request has no key of a client account, or one that is not in the table."""
+
+    status = 401
+    reason = "unknown-key"
+
+
 class NotExecutedError(OverloadedError):
     """The backend server rejected the request and states that it did not run it."""
 
@@ -154,6 +161,12 @@
     reason = "unreadable-route"
 
 
+class UnreadableAccountError(TemporaryRefusalError):
+    """The row of the client account that the key belongs to could not be read."""
+
+    reason = "unreadable-account"
+
+
 class NoTargetError(TemporaryRefusalError):
     """No backend server of the service can currently accept the request."""
 
--- a/src/wagtailstep/models/exchange.py
+++ b/src/wagtailstep/models/exchange.py
@@ -26,6 +26,7 @@
     :param body: chunks of the body; reading it applies back-pressure. Reading raises
         :class:`wagtailstep.exceptions.BadRequestError` if the caller truncated it.
     :param caller_ip: IP address of the caller; empty if it is not known.
+    :param from_daemon: whether another daemon's entry sent it.
     """
 
     method: str
@@ -33,6 +34,7 @@
     headers: Headers
     body: AsyncIterator[bytes]
     caller_ip: str = ""
+    from_daemon: bool = False
 
 
 @attrs.define
--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -7,6 +7,9 @@
 SERVICE = "wagtailstep-service"
 ROUTE = "wagtailstep-route"
 ACCOUNT = "wagtailstep-account"
+ACCOUNT_PRIORITY = "wagtailstep-account-priority"
+# The key of a client account; daemons never pass it on.
+CREDENTIAL = "wagtailstep-credential"
 IDEMPOTENT = "wagtailstep-idempotent"
 TIMEOUT_MS = "wagtailstep-timeout-ms"
 VERDICT = "wagtailstep-verdict"
@@ -34,6 +37,7 @@
 TRACEPARENT = "traceparent"
 # Set on requests to backend servers.
 CALLER_SERVICE = "wagtailstep-caller-service"
+TENANT = "wagtailstep-tenant"
 EXPECTED_INSTANCE = "wagtailstep-expected-instance"
 # Set by backend servers on responses.
 NOT_EXECUTED = "wagtailstep-not-executed"
@@ -101,6 +105,16 @@
     return int(value) if value.isascii() and value.isdigit() else None
 
 
+def encode_text(text: str) -> str:
+    """Return any text as a header value, which holds its octets in UTF-8."""
+    return text.encode().decode("latin-1")
+
+
+def decode_text(value: str) -> str:
+    """Return the text that a header value holds in UTF-8."""
+    return value.encode("latin-1", "replace").decode(errors="replace")
+
+
 def read_keep_alive(headers: Headers) -> timedelta | None:
     """Return for how long a server keeps an idle connection, or ``None`` if unknown."""
     match = KEEP_ALIVE_TIMEOUT.search(find_header(headers, "keep-alive") or "")
--- a/src/wagtailstep/models/host_routes.py
+++ b/src/wagtailstep/models/host_routes.py
@@ -56,6 +56,7 @@
     :param priority: rank among the routes of a service; 0 goes first.
     :param max_attempts: highest number of targets that one request is sent to.
     :param parts: services that the requests are split between; at least one.
+    :param public: whether its requests need no key of a client account.
     """
 
     name: str
@@ -67,6 +68,7 @@
     priority: int
     max_attempts: int
     parts: tuple[WeightedService, ...]
+    public: bool = False
 
 
 @attrs.frozen
--- a/src/wagtailstep/models/published_table.py
+++ b/src/wagtailstep/models/published_table.py
@@ -45,6 +45,21 @@
     is_readable: bool = True
 
 
+@attrs.frozen
+class ContinueTableBuild:
+    """Effect: send :class:`TableBuildDue` after a pause.
+
+    :param pause: time for other work.
+    """
+
+    pause: timedelta
+
+
+@attrs.frozen
+class TableBuildDue:
+    """The next accounts of a large table are to be added."""
+
+
 @message
 class TableVersionMessage(msgspec.Struct, array_like=True, frozen=True):
     """Report the version in force at the sender.
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from wagtailstep.accounts.directory import ClientAccount
 from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.host_routes import RouteKind
 from wagtailstep.models.server_notices import NO_RATE_LIMIT
@@ -43,6 +44,9 @@
     :param fingerprint: hash that is the same for each arrival of the same request.
     :param account_priority: rank of its client account, which goes before
         ``priority``; ``None`` if the account has none.
+    :param client_account: the account in the table that its key belongs to, or
+        ``None``. Without client accounts in the table, ``account`` is what the caller
+        said.
     """
 
     request_id: str
@@ -66,6 +70,7 @@
     known_rate_limit: float = NO_RATE_LIMIT
     fingerprint: str = ""
     account_priority: int | None = None
+    client_account: ClientAccount | None = None
 
     @property
     def needs_duplicate_guard(self) -> bool:
--- a/src/wagtailstep/models/status.py
+++ b/src/wagtailstep/models/status.py
@@ -27,6 +27,9 @@
     :param ejected: targets ejected for the whole fleet.
     :param steered: targets that this daemon avoids as far as the floor permits.
     :param in_flight: unfinished requests of its callers.
+    :param accounts: client accounts of that version; ``None`` if it lists none.
+    :param unreadable_accounts: those among them that this release can't read; requests
+        with their keys are rejected.
     """
 
     daemon_id: str
@@ -43,11 +46,14 @@
     steered: list[str]
     in_flight: int
     unreadable_routes: int = 0
+    accounts: int | None = None
+    unreadable_accounts: int = 0
 
 
 def describe_status(blackboard: Blackboard) -> DaemonStatus:
     """Build the status of a daemon from its blackboard."""
     member = blackboard.this_member
+    accounts = blackboard.table.client_accounts
     steered = [name for name, h in blackboard.health.items() if h.avoided]
     return DaemonStatus(
         daemon_id=member.daemon_id,
@@ -64,4 +70,6 @@
         steered=sorted(steered),
         in_flight=sum(blackboard.in_flight.by_service.values()),
         unreadable_routes=len(blackboard.table.host_routes.unreadable),
+        accounts=None if accounts is None else len(accounts),
+        unreadable_accounts=0 if accounts is None else len(accounts.unreadable),
     )
--- a/src/wagtailstep/network/caller_app.py
+++ b/src/wagtailstep/network/caller_app.py
@@ -139,6 +139,8 @@
 
     def handle(incoming: IncomingRequest) -> Awaitable[Answer]:
         relayed = find_header(incoming.headers, RELAYED) is not None
-        return entry(incoming) if relayed else gate(incoming)
+        if relayed:
+            return entry(attrs.evolve(incoming, from_daemon=True))
+        return gate(incoming)
 
     return handle
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -36,6 +36,7 @@
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.account_headers import replace_account_headers
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR
 from wagtailstep.network.bodies import (
     AnswerStream,
@@ -361,7 +362,7 @@
         """Return the request as it is sent to the other daemon's entry."""
         time_left_ms = max(1, int(time_left.total_seconds() * 1_000))
         marked = replace_headers(
-            exchange.incoming.headers,
+            replace_account_headers(exchange.incoming.headers, exchange.request),
             (headers.TIMEOUT_MS, str(time_left_ms)),
             (headers.RELAYED, self.settings.daemon_id),
         )
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -55,6 +55,7 @@
 from wagtailstep.models.request import Blame, RequestContext
 from wagtailstep.models.server_notices import NO_RATE_LIMIT
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.account_headers import build_account_headers
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
@@ -170,6 +171,7 @@
         headers += ((KNOWN_RATE_LIMIT, f"{request.known_rate_limit:f}"),)
     if request.fingerprint:
         headers += ((FINGERPRINT, request.fingerprint),)
+    headers += build_account_headers(request)
     return (*headers, (STANDING, str(int(request.expected_standing))))
 
 
--- a/src/wagtailstep/network/gate.py
+++ b/src/wagtailstep/network/gate.py
@@ -39,9 +39,11 @@
     LOAD,
     QUEUEING_MS,
     REQUEST_ID,
+    TENANT,
     TIMEOUT_MS,
     VERDICT,
     build_forwarded_headers,
+    encode_text,
     find_header,
     remove_fleet_headers,
     remove_headers,
@@ -253,6 +255,8 @@
         caller_service = find_header(incoming.headers, CALLER_SERVICE)
         if caller_service is not None:
             daemon_headers.append((CALLER_SERVICE, caller_service))
+        if request.account:
+            daemon_headers.append((TENANT, encode_text(request.account)))
         return HttpRequest(
             address=target.dial_address,
             method=incoming.method,
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -16,6 +16,8 @@
 from wagtailstep.models.fleet import TargetStanding
 from wagtailstep.models.gate import GateRequest, RunResult, WorkResult
 from wagtailstep.models.headers import (
+    ACCOUNT,
+    ACCOUNT_PRIORITY,
     AIM_MS,
     ATTEMPT_ID,
     CALL_REFUSED,
@@ -32,6 +34,7 @@
     TARGET,
     TIMEOUT_MS,
     Headers,
+    decode_text,
     find_header,
     read_int_header,
 )
@@ -118,6 +121,8 @@
         expected_standing=read_standing(headers),
         known_rate_limit=read_known_rate_limit(headers),
         fingerprint=find_header(headers, FINGERPRINT) or "",
+        account=decode_text(find_header(headers, ACCOUNT) or ""),
+        account_priority=read_int_header(headers, ACCOUNT_PRIORITY),
     )
 
 
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import re
 import sys
 from collections.abc import Callable
 from http import HTTPStatus
@@ -32,6 +33,8 @@
 MAX_PIPELINED_BYTES = 65_536
 CONNECTION_KEY = "wagtailstep.connection"
 MS_PER_S = 1_000
+# "illegal header line: bytearray(b'...')"
+QUOTED_BYTES = re.compile(r":? *(bytearray\()?\bb['\"].*", re.DOTALL)
 # The second one follows a request that offers to change to another protocol.
 READ_REQUEST_STATES = frozenset({h11.DONE, h11.MIGHT_SWITCH_PROTOCOL})
 
@@ -291,19 +294,20 @@
         """Reject a malformed request, or reset the connection within an exchange."""
         error = sys.exc_info()[1]
         status = getattr(error, "error_status_hint", 400)
+        detail = remove_quoted_bytes(str(error or msg))
         log_event(
             logger,
             "malformed-request",
             level=logging.WARNING,
             client=self.client,
             status=status,
-            error=error or msg,
+            error=detail,
         )
         self.record_end(ConnectionEnd.MALFORMED_REQUEST)
         if self.conn.our_state is not h11.IDLE or self.is_responding:
             self.reset_connection()
             return
-        self.send_error_response(status, str(error or msg))
+        self.send_error_response(status, detail)
 
     def refuse_late_head(self, wait: Wait) -> None:
         """Reject a request whose head is still incomplete, so that it never runs."""
@@ -336,6 +340,14 @@
         self.transport.close()
 
 
+def remove_quoted_bytes(text: str) -> str:
+    """Return an error text of h11 without the part of the request that it quotes.
+
+    The quoted header may hold the key of a client account.
+    """
+    return QUOTED_BYTES.sub("", text)
+
+
 def read_request_id(scope: Any) -> str:
     """Return the identifier that the caller gave its request, or ``""``."""
     value = dict(scope["headers"]).get(REQUEST_ID.encode(), b"")
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -84,6 +84,9 @@
             "wagtailstep.table.unreadable_routes": lambda: len(
                 self.blackboard.table.host_routes.unreadable
             ),
+            "wagtailstep.table.accounts": lambda: len(
+                self.blackboard.table.client_accounts or ()
+            ),
             "wagtailstep.table.version": lambda: self.blackboard.table.version,
             "wagtailstep.members": lambda: len(self.blackboard.members),
             "wagtailstep.targets": lambda: len(self.blackboard.targets),
--- a/src/wagtailstep/network/problems.py
+++ b/src/wagtailstep/network/problems.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import AsyncIterator
 from datetime import timedelta
+from http import HTTPStatus
 
 import attrs
 import msgspec
@@ -75,6 +76,9 @@
         (headers.REASON, error.reason),
         (headers.REQUEST_ID, request_id),
     ]
+    if error.status == HTTPStatus.UNAUTHORIZED:
+        # RFC 9110 section 15.5.2: the response has to name a scheme.
+        result.append(("www-authenticate", "Wagtailstep-Credential"))
     retry_after = choose_retry_after(error)
     if retry_after is not None:
         seconds = max(1, math.ceil(retry_after.total_seconds()))
--- a/src/wagtailstep/network/request_reader.py
+++ b/src/wagtailstep/network/request_reader.py
@@ -10,6 +10,11 @@
 from wagtailstep.models.headers import find_header, read_int_header
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.account_headers import (
+    identify_account,
+    remove_untrusted_headers,
+    set_account,
+)
 from wagtailstep.network.bodies import build_body_size_error
 from wagtailstep.network.interpret import (
     find_route,
@@ -72,8 +77,8 @@
         """Read a request's head.
 
         :raises NotReadyError: if routing it needs the table, which is not known yet.
-        :raises RequestError: if a header is invalid, no route matches, or the body is
-            too long.
+        :raises RequestError: if a header is invalid, no route matches, the body is
+            too long, or the request needs the key of a client account and has none.
         """
         now = self.clock.monotonic()
         table = self.blackboard.table
@@ -84,10 +89,16 @@
         if not names_service:
             # Only the table tells whether there are routes by host.
             self.check_ready()
-        if names_service or not (always_by_host or table.host_routes):
-            return interpret_request(incoming, request_id, table, self.settings, now)
-        route = find_route(incoming, table)
-        service = self.splitter.choose(route)
-        return interpret_routed_request(
-            incoming, request_id, route, service, self.settings, now
-        )
+        route = None
+        if not names_service and (always_by_host or table.host_routes):
+            route = find_route(incoming, table)
+        account = identify_account(incoming, table.client_accounts, route)
+        incoming = remove_untrusted_headers(incoming, table.client_accounts)
+        if route is None:
+            request = interpret_request(incoming, request_id, table, self.settings, now)
+        else:
+            service = self.splitter.choose(route)
+            request = interpret_routed_request(
+                incoming, request_id, route, service, self.settings, now
+            )
+        return set_account(request, account)
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -31,6 +31,7 @@
 from wagtailstep.models.keyed_store import Collection, KeyedStore, NullKeyedStore
 from wagtailstep.models.log import LogService
 from wagtailstep.models.peer import PeerChannel, StampedMessage
+from wagtailstep.models.published_table import ContinueTableBuild, TableBuildDue
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.log_follower import LogFollower
 from wagtailstep.utils.clock import Clock
@@ -253,6 +254,11 @@
         }
         self.dispatch(MembersListed(addresses))
 
+    async def continue_table_build(self, effect: ContinueTableBuild) -> None:
+        """Dispatch that the next accounts of a table are to be added."""
+        await asyncio.sleep(effect.pause.total_seconds())
+        self.dispatch(TableBuildDue())
+
     async def run_probe(self, effect: ProbeTarget) -> None:
         """Probe a target and dispatch the result."""
         self.dispatch(await self.adapters.probe(effect))
@@ -304,6 +310,11 @@
     runtime.spawn(runtime.run_probe(effect))
 
 
+@apply_effect.register
+def _(effect: ContinueTableBuild, runtime: Runtime) -> None:
+    runtime.spawn(runtime.continue_table_build(effect))
+
+
 @apply_effect.register
 def _(effect: RecordEvent, runtime: Runtime) -> None:
     runtime.record_event(effect.kind, **effect.fields)
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -2,10 +2,16 @@
 
 import re
 from datetime import timedelta
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
+from wagtailstep.accounts.directory import (
+    AccountDirectory,
+    AccountRow,
+    ClientAccount,
+    UnreadableAccount,
+)
 from wagtailstep.exceptions import DecodeError
 from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.host_routes import (
@@ -22,6 +28,8 @@
 CONFIG_KEY = "config"
 VERSION_PATTERN = re.compile(r"r([0-9]+)")
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+# The name is sent in a header.
+ACCOUNT_NAME = r"\A[^\x00-\x20\x7f]([^\x00-\x1f\x7f]{0,126}[^\x00-\x20\x7f])?\Z"
 DURATION_UNITS = {"ms": timedelta(milliseconds=1), "s": timedelta(seconds=1)}
 
 
@@ -67,6 +75,23 @@
     service: str | None = None
     max_attempts: int = 1
     traffic_split: list[SplitPart] | None = None
+    public: bool = False
+
+
+class TenantList(msgspec.Struct):
+    """The client accounts; each row is decoded when its account is added."""
+
+    columns: list[str]
+    rows: list[msgspec.Raw]
+
+
+class TenantRow(msgspec.Struct, rename="kebab"):
+    """One client account, without its keys."""
+
+    name: Annotated[str, msgspec.Meta(pattern=ACCOUNT_NAME)]
+    priority: Annotated[int, msgspec.Meta(ge=0)] | None = None
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class Limits(msgspec.Struct, rename="kebab", frozen=True):
@@ -88,6 +113,7 @@
     version: str
     routes: ColumnarList
     limits: Limits = Limits()
+    tenants: TenantList | None = None
 
 
 def find_document(records: KeyedRecords) -> TableDocument | None:
@@ -112,6 +138,7 @@
         host_routes=HostRoutes(map(read_route, configuration.routes.to_dicts())),
         max_body_bytes=configuration.limits.max_body_bytes,
         connection_limits=build_connection_limits(configuration.limits),
+        client_accounts=build_accounts(configuration.tenants),
     )
 
 
@@ -224,4 +251,27 @@
         priority=row.priority,
         max_attempts=1 if kind is RouteKind.UNKNOWN else row.max_attempts,
         parts=parts,
+        public=row.public,
     )
+
+
+def build_accounts(tenants: TenantList | None) -> AccountDirectory | None:
+    """Return the directory of the client accounts, to which none was added yet."""
+    if tenants is None:
+        return None
+    return AccountDirectory(read_account(tenants.columns, row) for row in tenants.rows)
+
+
+def read_account(columns: list[str], data: msgspec.Raw) -> AccountRow:
+    """Read a client account and its keys from its row."""
+    keys: tuple[str, ...] = ()
+    try:
+        values = msgspec.json.decode(data, type=list)
+        (fields,) = ColumnarList(columns, [values]).to_dicts()
+        given = fields.get("api-keys")
+        if isinstance(given, list):
+            keys = tuple(key for key in given if isinstance(key, str))
+        row = msgspec.convert(fields, TenantRow)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        return UnreadableAccount(str(error)), keys
+    return ClientAccount(row.name, row.priority, row.rate_per_s, row.burst), keys
