--- a/src/wagtailstep/controllers/published_table.py
+++ b/src/wagtailstep/controllers/published_table.py
@@ -320,28 +320,20 @@
         """Put a document in force if it is newer, at once unless it is large."""
         if document.version <= self.received_version or self.is_unreadable(document):
             return []
-        if self.builder.current is not None:
-            self.builder.postpone(document, source)
-            return []
         try:
             table = self.read_document(document)
         except DecodeError as error:
             return [self.record_unreadable(document, error)]
         self.unreadable_versions.pop(document.version, None)
-        self.builder.current = TableBuild(document, source, table)
-        return self.continue_build()
+        is_next = self.builder.add(TableBuild(document, source, table))
+        return self.continue_build() if is_next else []
 
     def continue_build(self) -> list[Any]:
         """Add accounts to the table that is being built; put it in force with all."""
-        if self.builder.current is None:
-            return []
         build = self.builder.advance()
-        if build is None:
-            return [ContinueTableBuild(BUILD_PAUSE)]
-        effects = self.complete_build(build)
-        waiting = self.builder.take_next_document()
-        if waiting is not None:
-            effects += self.apply_document(*waiting)
+        effects = [] if build is None else self.complete_build(build)
+        if self.builder.current is not None:
+            effects.append(ContinueTableBuild(BUILD_PAUSE))
         return effects
 
     def complete_build(self, build: TableBuild) -> list[Any]:
--- a/src/wagtailstep/controllers/table_build.py
+++ b/src/wagtailstep/controllers/table_build.py
@@ -41,40 +41,41 @@
 class TableBuilder:
     """Builds one table at a time.
 
-    A build is finished before a newer document is read; otherwise versions that follow
-    each other faster than they are built would never come into force.
+    A build is finished before a newer one starts; otherwise versions that follow each
+    other faster than they are built would never come into force.
 
-    Attributes: ``current``, the unfinished build; ``next_document``, the newest
-    document that arrived during it, and where it was read.
+    Attributes: ``current``, the unfinished build; ``waiting``, the newest one that was
+    added during it.
     """
 
     def __init__(self) -> None:
         self.current: TableBuild | None = None
-        self.next_document: tuple[TableDocument, str] | None = None
+        self.waiting: TableBuild | None = None
 
     @property
     def version(self) -> int:
-        """Return the version that is being built, or -1 if there is none."""
-        return -1 if self.current is None else self.current.document.version
+        """Return the newest version that was added and is unfinished, or -1."""
+        newest = self.waiting or self.current
+        return -1 if newest is None else newest.document.version
 
-    def postpone(self, document: TableDocument, source: str) -> None:
-        """Keep a document for the time after the build if it is the newest."""
-        waiting = self.next_document
-        if waiting is None or document.version > waiting[0].version:
-            self.next_document = (document, source)
+    def add(self, build: TableBuild) -> bool:
+        """Add the build of a newer version than that of all earlier builds.
 
-    def take_next_document(self) -> tuple[TableDocument, str] | None:
-        """Return the document that was kept, if any."""
-        document, self.next_document = self.next_document, None
-        return document
+        :return: whether it is the next one to do a step of.
+        """
+        if self.current is not None:
+            self.waiting = build
+            return False
+        self.current = build
+        return True
 
     def advance(self) -> TableBuild | None:
-        """Do the next step of the build.
+        """Do the next step.
 
-        :return: the build if this completed it.
+        :return: the build that this completed, if any.
         """
         build = self.current
         if build is None or not build.add_accounts():
             return None
-        self.current = None
+        self.current, self.waiting = self.waiting, None
         return build
--- a/src/wagtailstep/models/exchange.py
+++ b/src/wagtailstep/models/exchange.py
@@ -22,7 +22,8 @@
 
     :param method: HTTP method in capitals.
     :param path: path and query string.
-    :param headers: pairs of lower-case name and value.
+    :param headers: pairs of lower-case name and value. They may hold the key of a
+        client account, so they are left out of ``repr``.
     :param body: chunks of the body; reading it applies back-pressure. Reading raises
         :class:`wagtailstep.exceptions.BadRequestError` if the caller truncated it.
     :param caller_ip: IP address of the caller; empty if it is not known.
@@ -31,7 +32,7 @@
 
     method: str
     path: str
-    headers: Headers
+    headers: Headers = attrs.field(repr=False)
     body: AsyncIterator[bytes]
     caller_ip: str = ""
     from_daemon: bool = False
--- a/src/wagtailstep/models/published_table.py
+++ b/src/wagtailstep/models/published_table.py
@@ -13,11 +13,12 @@
     """One version of the table as it was published.
 
     :param version: its version; a higher version replaces it.
-    :param data: the document in the format of the platform.
+    :param data: the document in the format of the platform. It may hold keys of client
+        accounts, so it is left out of ``repr``.
     """
 
     version: int
-    data: bytes
+    data: bytes = attrs.field(repr=False)
 
 
 @attrs.frozen
