--- a/src/wagtailstep/models/published_table.py
+++ b/src/wagtailstep/models/published_table.py
@@ -13,11 +13,12 @@
     """One version of the table as it was published.
 
     :param version: its version; a higher version replaces it.
-    :param data: the document in the format of the platform.
+    :param data: the document in the format of the platform. It may hold keys of client
+        accounts, so it is left out of ``repr``.
     """
 
     version: int
-    data: bytes
+    data: bytes = attrs.field(repr=False)
 
 
 @attrs.frozen
@@ -45,6 +46,21 @@
     is_readable: bool = True
 
 
+@attrs.frozen
+class ContinueTableBuild:
+    """Effect: send :class:`TableBuildDue` after a pause.
+
+    :param pause: time for other work.
+    """
+
+    pause: timedelta
+
+
+@attrs.frozen
+class TableBuildDue:
+    """The next accounts of a large table are to be added."""
+
+
 @message
 class TableVersionMessage(msgspec.Struct, array_like=True, frozen=True):
     """Report the version in force at the sender.
