Test requests that claim to be relayed without a key

Cause: a trial that believed the account headers of callers passed all tests. Change: the relayed request carries forged headers, and is sent without a key.

--- a/features/steps/account_keys_steps.py
+++ b/features/steps/account_keys_steps.py
@@ -361,24 +361,34 @@
     async def scenario(fleet):
         ticket = await fleet.hosts[0].daemon.entry.issue_ticket("contracts")
         headers = (
-            *encode_key(key),
             ("wagtailstep-service", "contracts"),
             ("idempotency-key", ticket),
-            (TENANT, "forged"),
+            (TENANT, "hall"),
             (PRIORITY, "7"),
+            ("wagtailstep-account", "x" * 200),
+            ("wagtailstep-relayed", "?1"),
         )
-        context.result = await fleet.call("relayed", "/sign/1", headers, host="d2")
+        for name, given in (("forged", ()), ("relayed", encode_key(key))):
+            result = await fleet.call(name, "/sign/1", (*headers, *given), host="d2")
+            context.results[name] = result
 
+    context.results = {}
     run_fleet(context, scenario)
 
 
+@then("the same request without a key is refused, whatever a daemon would have said")
+def check_forged(context):
+    assert context.results["forged"][0] == 401, context.results
+    assert not context.fleet.sent_to_servers("forged")
+
+
 @then(
     "it is answered with status {status:d}, and the servers got account "
     '"{account}" with priority {priority}'
 )
 def check_relayed(context, status, account, priority):
     fleet = context.fleet
-    assert context.result[0] == status, context.result
+    assert context.results["relayed"][0] == status, context.results
     relayed = [r for r in fleet.sent if find_header(r.headers, "wagtailstep-relayed")]
     assert [request.address for request in relayed] == ["d1:8002"], relayed
     assert find_header(relayed[0].headers, PRIORITY) == priority, relayed
