--- a/features/account_keys.feature
+++ b/features/account_keys.feature
@@ -119,6 +119,7 @@
   Scenario: A relayed request is served without its key
     When a request with a ticket and "key-h1" is sent through another daemon
     Then it is answered with status 200, and the servers got account "hall" with priority 1
+    And the same request without a key is refused, whatever a daemon would have said
     And no daemon sent a key
 
   Scenario: Keys appear nowhere, also when requests fail
@@ -133,9 +134,16 @@
 
   Scenario: A table with many accounts comes into force in steps, complete
     When tables 5, 6 and 7 with 2500 accounts are published within one step
-    Then table 5 and table 7 came into force, each after 3 steps
+    Then table 5 and table 7 came into force, each after 7 steps
     And each account of table 7 is found by its key
     And no other daemon was told meanwhile that the newest version is in force
 
+  Scenario: A large table is compressed before it is asked for, not when it is sent
+    When table 5 with 6000 accounts is in force and another daemon requests it
+    Then it is sent compressed already, and the other daemon can read it
+
+  Scenario: The control channel takes the table of the design scale
+    Then a table with 47000 accounts fits into a control message
+
   Scenario: Equal keys have different digests in different processes
     Then the digest of a key differs between two processes
