--- a/src/wagtailstep/models/table.py
+++ b/src/wagtailstep/models/table.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from wagtailstep.accounts.directory import AccountDirectory
 from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.host_routes import HostRoutes
 from wagtailstep.models.packed_rows import PackedRows
@@ -182,6 +183,7 @@
     :param host_routes: routes by host and path, if the table is a published document.
     :param max_body_bytes: size limit of request bodies; 0 for no limit.
     :param connection_limits: time limits of callers' connections.
+    :param client_accounts: the client accounts, or ``None`` if the table lists none.
     """
 
     version: int = 0
@@ -196,6 +198,7 @@
     connection_limits: ConnectionLimits = attrs.field(
         default=ConnectionLimits(), eq=False
     )
+    client_accounts: AccountDirectory | None = attrs.field(default=None, eq=False)
 
     def service_row(self, service: str) -> ServiceRow:
         """Return the row of a service, or one with default values."""
