Keep the quotas of client accounts over the whole fleet

Cause: limits of accounts apply at each daemon, so an account that uses many daemons gets many times its rate. Change: an account's home daemon holds its token bucket, entries take leases from it before they send a request; the deputy and a local bucket replace a silent home.

--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -111,6 +111,13 @@
         super().__init__(message, Verdict.NOT_RUN, status, retry_after)
 
 
+class QuotaExceededError(OverloadedError):
+    """The client account of the request has used up its quota of the whole fleet."""
+
+    status = 429
+    reason = "quota-exceeded"
+
+
 class NoRouteError(BadRequestError):
     """No route of the table matches host and path."""
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -24,6 +24,7 @@
 from wagtailstep.models.keyed_store import KeyedStore, NullKeyedStore
 from wagtailstep.models.log import LogService, NullLogService
 from wagtailstep.models.peer import PeerChannel
+from wagtailstep.models.quotas import QuotaDecided, ScheduleQuotaCheck
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.status import DaemonStatus, describe_status
 from wagtailstep.network.announcements import add_announcement_routes
@@ -145,6 +146,14 @@
             apply=self.runtime.apply_all,
         )
         self.runtime.effect_handlers[RequestDecided] = self.entry.deliver_decision
+        quotas = self.entry.quotas
+        self.runtime.controllers = (
+            *self.runtime.controllers,
+            quotas.home,
+            quotas.leases,
+        )
+        self.runtime.effect_handlers[QuotaDecided] = quotas.deliver_decision
+        self.runtime.effect_handlers[ScheduleQuotaCheck] = quotas.schedule_check
         shared = self.entry.sender.retries.shared_budget
         if shared is not None:
             lending = RetryLending(self.blackboard, self.clock, self.rng, shared)
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -30,21 +30,14 @@
     Replay,
     RequestDecided,
     RunLocally,
-    StoredAnswer,
     Wait,
 )
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.answer_buffer import buffer_answer, track_end
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR
-from wagtailstep.network.bodies import (
-    AnswerStream,
-    OnAnswerEnd,
-    ReplayableBody,
-    limit_body,
-    prepend_chunks,
-    read_body_start,
-)
+from wagtailstep.network.bodies import ReplayableBody, limit_body
 from wagtailstep.network.deadlines import limit_time
 from wagtailstep.network.entry_notes import EntryReporter
 from wagtailstep.network.exchanges import Exchange
@@ -54,6 +47,7 @@
     build_internal_error,
     yield_body,
 )
+from wagtailstep.network.quota_wait import QuotaWait
 from wagtailstep.network.request_reader import RequestReader
 from wagtailstep.network.sender import AttemptSender
 from wagtailstep.utils.cancellation import is_own_cancellation
@@ -73,9 +67,9 @@
     :param forwarder: sends attempts to gates.
     :param relay: sends requests with an idempotency key to other daemons' entries.
     :param dispatch: passes an event to all controllers and applies their effects.
-    :param apply: applies effects that the guard returned; it passes each
+    :param apply: applies effects that the guard or ``quotas`` returned; it passes each
         :class:`~wagtailstep.models.idempotency.RequestDecided` to
-        :meth:`deliver_decision`.
+        :meth:`deliver_decision`, and effects of ``quotas`` to it.
     """
 
     def __init__(
@@ -105,6 +99,7 @@
             blackboard, clock, routing, retries, forwarder, dispatch
         )
         self.reporter = EntryReporter(settings, blackboard, clock, dispatch)
+        self.quotas = QuotaWait(blackboard, clock, rng, apply)
         self.pending_decisions: dict[str, asyncio.Future[Decision]] = {}
 
     async def handle(self, incoming: IncomingRequest) -> Answer:
@@ -182,9 +177,10 @@
         """Send a request, or first ask the guard if it has an idempotency key."""
         if exchange.request.needs_duplicate_guard:
             return await self.serve_guarded(exchange)
-        if exchange.has_small_body:
-            await self.within_deadline(exchange, exchange.body.prefetch())
-        return await self.sender.run(exchange)
+        async with self.quotas.hold_token(exchange):
+            if exchange.has_small_body:
+                await self.within_deadline(exchange, exchange.body.prefetch())
+            return await self.sender.run(exchange)
 
     def downgrade_unproven_not_run(
         self, request: RequestContext, error: RequestError
@@ -310,7 +306,7 @@
                 "the daemon that may run it is no longer a known member"
             )
         answer = await self.relay_request(exchange, member)
-        return self.track_end(answer, lambda verdict, _: exchange.release())
+        return track_end(answer, lambda verdict, _: exchange.release())
 
     @execute_decision.register
     async def _(self, decision: RunLocally, exchange: Exchange) -> Answer:
@@ -318,7 +314,10 @@
             self.guard.finish_run(decision.run_id, verdict, answer)
         )
         try:
-            return await self.buffer_answer(await self.sender.run(exchange), exchange)
+            async with self.quotas.hold_token(exchange):
+                answer = await self.sender.run(exchange)
+            limit = self.settings.requests.answer_bytes
+            return await buffer_answer(answer, exchange, limit)
         except RequestError as error:
             exchange.end(error.verdict)
             raise
@@ -369,29 +368,3 @@
         return IncomingRequest(
             incoming.method, incoming.path, marked, exchange.body.open()
         )
-
-    async def buffer_answer(self, answer: Answer, exchange: Exchange) -> Answer:
-        """Buffer a small response, so that a resend of the request can get it too.
-
-        A response above the size limit is streamed and not stored.
-
-        :raises RequestError: if the response is truncated.
-        """
-        limit = self.settings.requests.answer_bytes
-        try:
-            chunks, complete = await read_body_start(answer.body, limit)
-        except BaseException:
-            await answer.close()
-            raise
-        if complete:
-            data = b"".join(chunks)
-            stored = StoredAnswer(answer.status, answer.headers, data)
-            await answer.close()
-            exchange.end(Verdict.RUN, stored)
-            return Answer(answer.status, answer.headers, yield_body(data), Verdict.RUN)
-        answer.body = prepend_chunks(chunks, answer.body)
-        return self.track_end(answer, lambda verdict, _: exchange.end(verdict))
-
-    def track_end(self, answer: Answer, on_end: OnAnswerEnd) -> Answer:
-        """Return the response with a body that calls ``on_end`` at its end."""
-        return AnswerStream(answer, on_end).build_answer()
