--- a/features/account_quotas.feature
+++ b/features/account_quotas.feature
@@ -62,6 +62,7 @@
     Given an entry with the quota of an account whose home is another daemon
     When 1 request of the account arrives and the home grants 5 tokens
     Then after 1100 ms 4 tokens are returned to the home
+    And a home that had no token left grants them again
 
   Scenario: A late grant is used by the next request
     # Guards against tokens that are lost when the home answers after its timeout.
--- a/features/steps/account_quotas_steps.py
+++ b/features/steps/account_quotas_steps.py
@@ -291,6 +291,16 @@
     effect = context.entry.sent[-1]
     assert effect.address == context.entry.deciders[0]
     assert (effect.message.amount, effect.message.returned) == (0, amount)
+    context.returned = effect.message
+
+
+@then("a home that had no token left grants them again")
+def check_granted_again(context):
+    account = context.entry.account
+    home = create_home(9, {"union": account}, "union", 0)
+    assert home.grant(account, 1_000).amount < 1_000
+    home.handle(PeerMessageReceived("d1", context.returned))
+    assert home.grant(account, 1_000).amount == context.returned.returned
 
 
 @when(
