--- a/features/steps/account_keys_steps.py
+++ b/features/steps/account_keys_steps.py
@@ -368,8 +368,8 @@
             ("wagtailstep-account", "x" * 200),
             ("wagtailstep-relayed", "?1"),
         )
-        for name, given in (("forged", ()), ("relayed", encode_key(key))):
-            result = await fleet.call(name, "/sign/1", (*headers, *given), host="d2")
+        for name, sent in (("forged", ()), ("relayed", encode_key(key))):
+            result = await fleet.call(name, "/sign/1", (*headers, *sent), host="d2")
             context.results[name] = result
 
     context.results = {}
--- a/src/wagtailstep/accounts/directory.py
+++ b/src/wagtailstep/accounts/directory.py
@@ -22,7 +22,8 @@
     :param name: name of the account; unique.
     :param priority: rank of its requests, 0 first; ``None`` if it has none.
     :param rate_per_s: requests per second of the whole fleet; 0 for no limit.
-    :param burst: requests that may exceed the rate for a moment; 0 for no limit.
+    :param burst: requests that may be sent at once after an idle period; 0 for as many
+        as the rate gives in a second.
     """
 
     name: str
@@ -93,6 +94,10 @@
             if key:
                 self.by_digest.setdefault(compute_digest(key), account)
 
+    def find_name(self, name: str) -> ClientAccount | None:
+        """Return the readable account of a name, or ``None`` if there is none."""
+        return self.by_name.get(name)
+
     def find(self, key: str) -> ClientAccount | UnreadableAccount | None:
         """Return the account that a key belongs to, or ``None``."""
         return self.by_digest.get(compute_digest(key))
