Let requests that servers declined wait for a retry

With `requests.declined_queue_length` above 0, a declined arrival is charged to the budget but is no execution. Without an available retry the request waits, by rank and due time, while one is expected in time; the expected time comes from the budget's own window and from recent loans.

--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -100,6 +100,7 @@
         error: RequestError,
         attempts: int,
         sent: int = 0,
+        declined: int = 0,
     ) -> bool:
         """Return whether to retry a request; if so, charge the budget.
 
@@ -107,6 +108,8 @@
         :param error: how the last attempt ended.
         :param attempts: attempts made so far, the first one included.
         :param sent: those of them that may have reached a backend server.
+        :param declined: those of ``sent`` that servers declined, if these are not to
+            count as executions.
         """
         self.denial = None
         if not error.verdict.allows_resend(request.idempotent):
@@ -119,7 +122,9 @@
             may_retry = attempts < MAX_LEAVING_ATTEMPTS
             return may_retry or self.deny(RetryDenial.NO_ATTEMPTS)
         if self.shared_budget is not None:
-            return self.try_acquire_shared_retry(request, error, attempts, sent)
+            return self.try_acquire_shared_retry(
+                request, error, attempts, sent, declined
+            )
         if isinstance(error, OverloadedError) and attempts > 1:
             return self.deny(RetryDenial.NO_ATTEMPTS)
         if attempts >= self.settings.max_attempts:
@@ -128,7 +133,12 @@
         return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
     def try_acquire_shared_retry(
-        self, request: RequestContext, error: RequestError, attempts: int, sent: int
+        self,
+        request: RequestContext,
+        error: RequestError,
+        attempts: int,
+        sent: int,
+        declined: int,
     ) -> bool:
         """Return whether to retry within the fleet's budget; if so, charge it.
 
@@ -137,20 +147,53 @@
         assert self.shared_budget is not None
         if attempts >= MAX_UNSENT_ATTEMPTS + sent:
             return self.deny(RetryDenial.NO_ATTEMPTS)
-        if not self.has_attempts_left(request, sent):
+        if not self.has_attempts_left(request, sent - declined):
             return self.deny(RetryDenial.NO_ATTEMPTS)
-        if isinstance(error, OverloadedError) and attempts > MAX_OVERLOADED_ATTEMPTS:
+        gates_asked = attempts - declined
+        if isinstance(error, OverloadedError) and gates_asked > MAX_OVERLOADED_ATTEMPTS:
             return self.deny(RetryDenial.NO_ATTEMPTS)
         may_retry = not sent or self.shared_budget.try_acquire(request)
         return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
+    def may_resend_declined(
+        self,
+        request: RequestContext,
+        error: RequestError,
+        gates_asked: int,
+        executions: int,
+    ) -> bool:
+        """Return whether a request that servers declined may be sent again.
+
+        It may be sent once the budget covers it; this method doesn't charge it.
+
+        :param error: how the last attempt ended, with the verdict on all attempts.
+        :param gates_asked: attempts that were not declined by a server.
+        :param executions: those of them that a server may have executed.
+        """
+        self.denial = None
+        if not error.verdict.allows_resend(request.idempotent):
+            return self.deny(RetryDenial.NOT_REPEATABLE)
+        if not self.has_time_left(request):
+            return self.deny(RetryDenial.NO_TIME)
+        if not self.has_attempts_left(request, executions):
+            return self.deny(RetryDenial.NO_ATTEMPTS)
+        if not error.reached_server and gates_asked > MAX_OVERLOADED_ATTEMPTS:
+            return self.deny(RetryDenial.NO_ATTEMPTS)
+        return True
+
     def record_calls(self, route: str, calls_per_run: dict[str, float]) -> None:
         """Record the calls that a run of a route makes, and repeats when retried."""
         if self.shared_budget is not None:
             self.shared_budget.record_calls(route, calls_per_run)
 
-    def try_acquire_replacement(self, request: RequestContext, sent: int) -> bool:
-        """Return whether to replace a failed or slow attempt; if so, charge it."""
+    def try_acquire_replacement(
+        self, request: RequestContext, sent: int, kept_ratio: float = 0.0
+    ) -> bool:
+        """Return whether to replace a failed or slow attempt; if so, charge it.
+
+        :param sent: backend servers that may have executed the request.
+        :param kept_ratio: part of the budget that must be left afterwards.
+        """
         self.denial = None
         if self.shared_budget is None or not request.idempotent:
             return self.deny(RetryDenial.NOT_REPEATABLE)
@@ -158,6 +201,8 @@
             return self.deny(RetryDenial.NO_ATTEMPTS)
         if not self.has_time_left(request):
             return self.deny(RetryDenial.NO_TIME)
+        if kept_ratio and not self.shared_budget.can_spare(request, kept_ratio):
+            return self.deny(RetryDenial.NO_BUDGET)
         may_retry = self.shared_budget.try_acquire(request)
         return may_retry or self.deny(RetryDenial.NO_BUDGET)
 
--- a/src/wagtailstep/controllers/shared_budget.py
+++ b/src/wagtailstep/controllers/shared_budget.py
@@ -1,5 +1,6 @@
 """The retry budget that all daemons share, and this daemon's part of it."""
 
+import heapq
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
@@ -19,6 +20,15 @@
 # A lender counts a loan as used for this long after it was made, in addition to the
 # window. Above the validity, since clocks of two machines drift.
 LOAN_HOLD = timedelta(seconds=2)
+# Loans of this time predict those to come. Lenders refill within the window, so an
+# older loan says little.
+LOAN_RATE_WINDOW = timedelta(seconds=2)
+# A shorter time since the first request of a window gives no usable rate.
+MIN_RATE_TIME = timedelta(seconds=1)
+# Waits are predicted this far; the longest deadline is 40 s.
+MAX_WINDOWS_PREDICTED = 4
+# Sums of many fractions of a retry are inexact.
+ROUNDING_ERROR = 1e-9
 
 
 @attrs.define
@@ -87,6 +97,7 @@
         self.retries: dict[str, WindowedSum] = {}
         self.lent: dict[str, WindowedSum] = {}
         self.loans: dict[str, deque[Loan]] = {}
+        self.borrowed: dict[str, WindowedSum] = {}
         self.calls_by_route: dict[str, dict[str, float]] = {}
 
     def record_request(self, service: str) -> None:
@@ -123,6 +134,81 @@
         self.max_daemon_count = max(self.max_daemon_count, self.count_daemons())
         return all(self.compute_remaining(name) >= cost for name, cost in costs.items())
 
+    def can_spare(self, request: RequestContext, kept_ratio: float) -> bool:
+        """Return whether a retry leaves a part of this daemon's allowance unused.
+
+        :param kept_ratio: the part, of the allowance for each service.
+        """
+        return all(
+            self.compute_remaining(name) - cost
+            >= kept_ratio * self.compute_allowed(name)
+            for name, cost in self.compute_costs(request).items()
+        )
+
+    def compute_wait(self, costs: dict[str, float]) -> timedelta | None:
+        """Return after what time the budgets are expected to cover given costs.
+
+        Requests and loans are assumed to arrive at their recent rates, and each retry
+        that becomes available to be used at once, so that it does so again a window
+        later.
+
+        :param costs: by service.
+        :return: ``None`` if nothing indicates that they ever will.
+        """
+        longest = timedelta()
+        for name, cost in costs.items():
+            wait = self._compute_service_wait(name, cost)
+            if wait is None:
+                return None
+            longest = max(longest, wait)
+        return longest
+
+    def _compute_service_wait(self, service: str, cost: float) -> timedelta | None:
+        missing = cost - self.compute_remaining(service) - ROUNDING_ERROR
+        if missing <= 0:
+            return timedelta()
+        # What exceeds a shrunken allowance has to expire first.
+        missing += max(0.0, -self.compute_own_remaining(service))
+        now = self.clock.monotonic()
+        growth = self._estimate_growth(service)
+        releases = self._list_releases(service, now)
+        # An allowance below one retry never covers one without loans.
+        is_enough = self.compute_allowed(service) >= 1.0
+        for windows in range(1, MAX_WINDOWS_PREDICTED + 1 if is_enough else 2):
+            for recorded_at, amount in releases:
+                wait = recorded_at + windows * self.window - now
+                grown = growth * wait.total_seconds()
+                if grown >= missing:
+                    return timedelta(seconds=missing / growth)
+                missing -= amount
+                if grown >= missing:
+                    return wait
+        return timedelta(seconds=missing / growth) if growth > 0 else None
+
+    def _list_releases(
+        self, service: str, now: timedelta
+    ) -> list[tuple[timedelta, float]]:
+        """Return when amounts were used or lent, oldest first, the rest as used now."""
+        used = self._get_window(self.retries, service).entries
+        lent = self._get_window(self.lent, service).entries
+        left = self.compute_own_remaining(service)
+        rest = [(now, left)] if left >= 1.0 else []
+        return list(heapq.merge(used, lent, rest))
+
+    def _estimate_growth(self, service: str) -> float:
+        """Return the retries per second that loans and a window not yet full add."""
+        now = self.clock.monotonic()
+        borrowed = self.borrowed.setdefault(service, WindowedSum())
+        borrowed.expire_before(now - LOAN_RATE_WINDOW)
+        growth = borrowed.total / LOAN_RATE_WINDOW.total_seconds()
+        requests = self._get_window(self.requests, service)
+        if requests.entries:
+            age = max(MIN_RATE_TIME, now - requests.entries[0][0])
+            rate = requests.total / age.total_seconds()
+            added = rate - requests.total / self.window.total_seconds()
+            growth += self.settings.retry_ratio * max(0.0, added)
+        return growth
+
     def compute_costs(self, request: RequestContext) -> dict[str, float]:
         """Return what one more run of a request costs, by service."""
         costs = {request.service: 1.0}
@@ -169,6 +255,8 @@
         if amount > 0 and self.clock.monotonic() < expires_at:
             loans = self.loans.setdefault(service, deque())
             loans.append(Loan(amount, expires_at))
+            borrowed = self.borrowed.setdefault(service, WindowedSum())
+            borrowed.add(amount, self.clock.monotonic())
 
     def _use_loans(self, service: str, amount: float) -> None:
         loans = self._get_loans(service)
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -141,6 +141,9 @@
         may make for a service within ``retry_window_ms``; 0 gives each daemon a
         ``retry_burst`` of its own instead.
     :param retry_window_ms: length of the sliding window in which retries are counted.
+    :param declined_queue_length: requests declined by a backend server that may wait
+        for a retry at one daemon; 0 refuses them when the budget is used up, and
+        counts a declined arrival as an execution. Needs ``retry_slack``.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -165,6 +168,7 @@
     trust_slots: bool = False
     retry_slack: float = not_negative(0.0)
     retry_window_ms: int = positive(10_000)
+    declined_queue_length: int = not_negative(0)
 
 
 @attrs.frozen
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -154,6 +154,11 @@
                 "{retry}",
                 shared.compute_remaining_by_service,
             )
+        queue = self.entry.sender.declined.queue
+        if queue is not None:
+            self.metrics.add_service_gauge(
+                "wagtailstep.declined.waiting", "{request}", queue.count_waiting
+            )
 
     def build_servers(self) -> None:
         """Create the HTTP servers without listening yet."""
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -30,6 +30,9 @@
     :param routing: released when the request has ended.
     :param attempts: number of attempts made.
     :param sent: number of attempts that may have reached a backend server.
+    :param declined: number of those attempts that a server proved not to have executed;
+        stays 0 unless declined requests may wait for a retry.
+    :param last_declined: ``target_id`` of the last server that declined, or empty.
     :param tried: ``target_id`` of the targets tried so far.
     :param verdict: combined verdict of all attempts that have ended.
     :param expected_waits: wait for a slot that each gate without a free one has
@@ -49,6 +52,8 @@
     routing: RoutingController
     attempts: int = 0
     sent: int = 0
+    declined: int = 0
+    last_declined: str = ""
     tried: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
     expected_waits: dict[str, timedelta] = attrs.field(factory=dict)
@@ -66,6 +71,11 @@
         length = read_int_header(self.incoming.headers, "content-length") or 0
         return 0 < length <= self.body.limit
 
+    @property
+    def executions(self) -> int:
+        """Return the number of backend servers that may have executed the request."""
+        return self.sent - self.declined
+
     def identify(self) -> None:
         """Add the fingerprint to the request, from as much as is known of its body."""
         body = b"".join(self.body.buffered) if self.body.complete else b""
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -12,6 +12,7 @@
 from prometheus_client import CollectorRegistry, generate_latest
 
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.declined_requests import DeclinedWaitEnded
 from wagtailstep.models.events import Tick
 from wagtailstep.models.gate import WorkEnded
 from wagtailstep.models.request import AttemptEnded, RequestEnded
@@ -76,6 +77,11 @@
             unit="s",
             description="Time that the backend server beside this daemon worked.",
         )
+        self.declined_waits = self.meter.create_counter(
+            "wagtailstep.declined.waits",
+            unit="{request}",
+            description="Declined requests that got a retry late or were given up.",
+        )
         self.add_blackboard_gauges()
 
     def add_blackboard_gauges(self) -> None:
@@ -151,6 +157,9 @@
             self.attempts.add(1, attributes)
             service = {"service": event.request.service}
             self.attempt_latency.record(event.latency.total_seconds(), service)
+        if isinstance(event, DeclinedWaitEnded):
+            wait = {"service": event.service, "outcome": event.end.value}
+            self.declined_waits.add(1, wait)
         return []
 
     def export_text(self) -> bytes:
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -28,13 +28,13 @@
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.headers import CALL_REFUSED, CALLS, find_header
 from wagtailstep.models.request import Blame, RequestContext
-from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR, AttemptLog
 from wagtailstep.network.attempts import Attempt, determine_blame, read_calls
 from wagtailstep.network.bodies import AnswerStream, discard_answer
 from wagtailstep.network.crash_watch import check_not_blocked
 from wagtailstep.network.deadlines import SettledTimer, limit_time
+from wagtailstep.network.declined_wait import DeclinedWait
 from wagtailstep.network.exchanges import Exchange
 from wagtailstep.network.server_notices import find_changed_notices
 from wagtailstep.utils.cancellation import is_cancelled
@@ -46,10 +46,6 @@
 GATES_BEFORE_QUEUEING = 3  # Rarely all full, at four slots each and a load of 3/4.
 ZERO = timedelta()
 DISCOVERY_POLL_INTERVAL = timedelta(milliseconds=20)
-# Loans arrive within a round trip between zones, or not at all.
-LOAN_TIMEOUT = timedelta(milliseconds=40)
-LOAN_POLL_INTERVAL = timedelta(milliseconds=4)
-MIN_TIME_TO_BORROW = timedelta(milliseconds=100)
 
 
 class AttemptSender:
@@ -78,6 +74,7 @@
         self.dispatch = dispatch
         self.refusals = RecentRefusals(clock)
         self.log = AttemptLog(blackboard, clock)
+        self.declined = DeclinedWait(blackboard, clock, routing, retries, dispatch)
 
     def time_left(self, request: RequestContext) -> timedelta:
         """Return the time until a request's deadline, at least zero."""
@@ -101,6 +98,7 @@
             except RequestError as exc:
                 exchange.sent += exc.may_have_been_received
                 exchange.crashes += isinstance(exc, ServerCrashedError)
+                self.declined.record_failure(exchange, target, exc)
                 exchange.include_earlier_attempts(exc)
                 if is_full_gate(exc):
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
@@ -113,6 +111,7 @@
                     self.log.record_resend(exchange, target, exc.reason)
                 continue
             exchange.sent += 1
+            self.declined.record_answer(target)
             self.record_calls(request.route, answer)
             if not await self.may_replace(exchange, answer):
                 is_failure = answer.status >= FIRST_FAILURE_STATUS
@@ -124,9 +123,14 @@
 
     async def may_continue(self, exchange: Exchange, error: RequestError) -> bool:
         """Return whether to try another target after an attempt without a response."""
-        if self.may_resend(exchange, error):
+        if self.declined.applies_to(exchange, error):
+            if await self.declined.try_acquire_retry(exchange, error):
+                return True
+        elif self.may_resend(exchange, error):
             return True
-        if await self.borrow_retry(exchange) and self.may_resend(exchange, error):
+        elif await self.declined.borrow_retry(exchange.request) and self.may_resend(
+            exchange, error
+        ):
             return True
         if not is_full_gate(error):
             return False
@@ -142,7 +146,11 @@
         if not exchange.body.replayable:
             return self.retries.deny(RetryDenial.BODY_NOT_KEPT)
         return self.retries.try_acquire_retry(
-            exchange.request, error, exchange.attempts, exchange.sent
+            exchange.request,
+            error,
+            exchange.attempts,
+            exchange.sent,
+            exchange.declined,
         )
 
     def is_suspect(self, exchange: Exchange) -> bool:
@@ -165,7 +173,7 @@
         if target is None or not self.retries.has_time_left(request):
             return False
         if exchange.sent and not self.retries.try_acquire_replacement(
-            request, exchange.sent
+            request, exchange.executions
         ):
             return False
         exchange.last_resort = target
@@ -184,33 +192,16 @@
         if find_header(answer.headers, CALL_REFUSED) is not None:
             return self.retries.deny(RetryDenial.CALL_REFUSED)
         request = exchange.request
-        if self.retries.try_acquire_replacement(request, exchange.sent):
+        if self.retries.try_acquire_replacement(request, exchange.executions):
             return True
         try:
-            borrowed = await self.borrow_retry(exchange)
+            borrowed = await self.declined.borrow_retry(exchange.request)
         except BaseException:
             await answer.close()
             raise
-        return borrowed and self.retries.try_acquire_replacement(request, exchange.sent)
-
-    async def borrow_retry(self, exchange: Exchange) -> bool:
-        """Borrow a retry from other daemons if only the budget forbids one.
-
-        :return: whether the budget suffices now.
-        """
-        budget = self.retries.shared_budget
-        request = exchange.request
-        if budget is None or self.retries.denial is not RetryDenial.NO_BUDGET:
-            return False
-        if self.time_left(request) < MIN_TIME_TO_BORROW:
-            return False
-        costs = budget.compute_costs(request)
-        self.dispatch(RetriesMissing(costs))
-        for _ in range(LOAN_TIMEOUT // LOAN_POLL_INTERVAL):
-            if budget.can_afford(costs):
-                return True
-            await asyncio.sleep(LOAN_POLL_INTERVAL.total_seconds())
-        return budget.can_afford(costs)
+        return borrowed and self.retries.try_acquire_replacement(
+            request, exchange.executions
+        )
 
     def record_calls(self, route: str, answer: Answer) -> None:
         """Record the calls per run of a route, as reported by the gate."""
@@ -236,7 +227,8 @@
             if len(exchange.expected_waits) >= GATES_BEFORE_QUEUEING:
                 return self.select_shortest_wait(exchange)
             may_probe = functools.partial(self.retries.can_retry_failure, request)
-            return self.routing.pick(request.service, exchange.tried, may_probe)
+            excluded = self.declined.find_excluded(exchange)
+            return self.routing.pick(request.service, excluded, may_probe)
         except RequestError as error:
             exchange.include_earlier_attempts(error)
             self.log.record_end(exchange, error.reason)
@@ -367,7 +359,9 @@
         is_short = self.blackboard.draining or self.refusals.has_recent(request.service)
         if is_short or timeout.expired() or not exchange.body.replayable:
             return
-        if self.retries.try_acquire_replacement(request, exchange.sent + 1):
+        if self.retries.try_acquire_replacement(
+            request, exchange.executions + 1, self.declined.kept_ratio
+        ):
             exchange.abandoned = True
             timeout.reschedule(asyncio.get_running_loop().time())
 
