Charge a retry once, and predict waits in one pass

A prediction let the growth of a window that fills go on for ever, a granted retry that ended at a full gate was charged again at each further gate, and each 10 ms the waits of all requests were predicted anew from the start. Change: RetryForecast covers rising costs in one pass over the releases and ends the growth with the window; a retry that arrived at no server serves for the next attempt; predictions are renewed each 100 ms, when a request joins, and when a loan that was asked for is overdue.

--- a/features/declined_requests.feature
+++ b/features/declined_requests.feature
@@ -69,6 +69,14 @@
     And it ended between 0 and 50 ms after it was sent
     And the ends of waits were reported as "too-late"
 
+  # Guards against a second charge for a retry that never arrived at a server.
+  Scenario: A retry that ended at a full gate serves for the next attempt
+    Given the budget is one retry in 2000 ms, just used up
+    And the attempts end as "decline, full, full, answer"
+    When a non-idempotent request with 5000 ms left is sent
+    Then it ends with 200 after 4 arrivals
+    And it ended between 2000 and 2020 ms after it was sent
+
   # Guards against the loss of a body that is too long to be kept.
   Scenario: A request whose body can't be replayed doesn't wait
     Given the budget is one retry in 2000 ms, just used up
@@ -136,10 +144,10 @@
     And the attempts end as "decline, decline, answer"
     When these requests are sent
       | name | rank | aim_ms | left_ms | leaves_ms |
-      | gone | 0    | 500    | 9000    | 100       |
+      | gone | 0    | 500    | 9000    | 20        |
       | next | 0    | 900    | 1500    |           |
-    Then "next" ended with 503 between 0 and 50 ms
-    And the ends of waits were reported as "too-late, cancelled"
+    Then "next" ended with 200 between 1000 and 1020 ms
+    And the ends of waits were reported as "cancelled, woken"
     And no request waits any more
 
   # Guards against waits that end in a refusal because the prediction was wrong.
--- a/src/wagtailstep/controllers/shared_budget.py
+++ b/src/wagtailstep/controllers/shared_budget.py
@@ -7,6 +7,10 @@
 
 import attrs
 
+from wagtailstep.controllers.retry_forecast import (
+    MAX_WINDOWS_PREDICTED,
+    RetryForecast,
+)
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.utils.clock import Clock
@@ -25,10 +29,6 @@
 LOAN_RATE_WINDOW = timedelta(seconds=2)
 # A shorter time since the first request of a window gives no usable rate.
 MIN_RATE_TIME = timedelta(seconds=1)
-# Waits are predicted this far; the longest deadline is 40 s.
-MAX_WINDOWS_PREDICTED = 4
-# Sums of many fractions of a retry are inexact.
-ROUNDING_ERROR = 1e-9
 
 
 @attrs.define
@@ -148,66 +148,56 @@
     def compute_wait(self, costs: dict[str, float]) -> timedelta | None:
         """Return after what time the budgets are expected to cover given costs.
 
-        Requests and loans are assumed to arrive at their recent rates, and each retry
-        that becomes available to be used at once, so that it does so again a window
-        later.
-
         :param costs: by service.
         :return: ``None`` if nothing indicates that they ever will.
         """
         longest = timedelta()
         for name, cost in costs.items():
-            wait = self._compute_service_wait(name, cost)
+            wait = self.forecast(name).compute_wait(cost)
             if wait is None:
                 return None
             longest = max(longest, wait)
         return longest
 
-    def _compute_service_wait(self, service: str, cost: float) -> timedelta | None:
-        missing = cost - self.compute_remaining(service) - ROUNDING_ERROR
-        if missing <= 0:
-            return timedelta()
-        # What exceeds a shrunken allowance has to expire first.
-        missing += max(0.0, -self.compute_own_remaining(service))
-        now = self.clock.monotonic()
-        growth = self._estimate_growth(service)
-        releases = self._list_releases(service, now)
-        # An allowance below one retry never covers one without loans.
-        is_enough = self.compute_allowed(service) >= 1.0
-        for windows in range(1, MAX_WINDOWS_PREDICTED + 1 if is_enough else 2):
-            for recorded_at, amount in releases:
-                wait = recorded_at + windows * self.window - now
-                grown = growth * wait.total_seconds()
-                if grown >= missing:
-                    return timedelta(seconds=missing / growth)
-                missing -= amount
-                if grown >= missing:
-                    return wait
-        return timedelta(seconds=missing / growth) if growth > 0 else None
-
-    def _list_releases(
-        self, service: str, now: timedelta
-    ) -> list[tuple[timedelta, float]]:
-        """Return when amounts were used or lent, oldest first, the rest as used now."""
-        used = self._get_window(self.retries, service).entries
-        lent = self._get_window(self.lent, service).entries
-        left = self.compute_own_remaining(service)
-        rest = [(now, left)] if left >= 1.0 else []
-        return list(heapq.merge(used, lent, rest))
+    def forecast(self, service: str) -> RetryForecast:
+        """Return what is known of the retries that become available for a service.
 
-    def _estimate_growth(self, service: str) -> float:
-        """Return the retries per second that loans and a window not yet full add."""
+        Requests and loans are assumed to arrive at their recent rates.
+        """
         now = self.clock.monotonic()
         borrowed = self.borrowed.setdefault(service, WindowedSum())
         borrowed.expire_before(now - LOAN_RATE_WINDOW)
-        growth = borrowed.total / LOAN_RATE_WINDOW.total_seconds()
+        left = self.compute_own_remaining(service)
+        used = self._get_window(self.retries, service).entries
+        lent = self._get_window(self.lent, service).entries
+        releases = [
+            (recorded_at + self.window - now, amount)
+            for recorded_at, amount in heapq.merge(used, lent)
+        ]
+        # An allowance below one retry never covers one without loans.
+        is_enough = self.compute_allowed(service) >= 1.0
+        if is_enough and left > 0:
+            releases.append((self.window, left))
+            releases.sort()
+        growth, growth_time = self._estimate_growth(service, now)
+        return RetryForecast(
+            available=left + self.compute_remaining(service) - max(0.0, left),
+            releases=releases,
+            windows=MAX_WINDOWS_PREDICTED if is_enough else 1,
+            window=self.window,
+            growth=growth,
+            growth_time=growth_time,
+            loan_rate=borrowed.total / LOAN_RATE_WINDOW.total_seconds(),
+        )
+
+    def _estimate_growth(self, service: str, now: timedelta) -> tuple[float, timedelta]:
+        """Return the retries per second that a window not yet full adds, how long."""
         requests = self._get_window(self.requests, service)
-        if requests.entries:
-            age = max(MIN_RATE_TIME, now - requests.entries[0][0])
-            rate = requests.total / age.total_seconds()
-            added = rate - requests.total / self.window.total_seconds()
-            growth += self.settings.retry_ratio * max(0.0, added)
-        return growth
+        if not requests.entries:
+            return 0.0, timedelta()
+        age = max(MIN_RATE_TIME, now - requests.entries[0][0])
+        rate = requests.total / age.total_seconds()
+        return self.settings.retry_ratio * rate, max(timedelta(), self.window - age)
 
     def compute_costs(self, request: RequestContext) -> dict[str, float]:
         """Return what one more run of a request costs, by service."""
--- a/src/wagtailstep/network/declined_wait.py
+++ b/src/wagtailstep/network/declined_wait.py
@@ -112,7 +112,8 @@
         """Return whether to send a request again, once it has got a retry.
 
         The retry is charged before the backoff, so that a request never waits for a
-        refusal.
+        refusal. One that was charged but ended at a full gate, before it arrived at a
+        server, serves for the next attempt.
         """
         request = exchange.request
         if not exchange.body.replayable:
@@ -122,6 +123,8 @@
             request, error, gates_asked, exchange.executions
         ):
             return False
+        if exchange.retries_charged >= exchange.sent:
+            return True
         assert self.queue is not None
         expected_duration = self.estimate_duration(request.service)
         time_left = request.deadline - self.clock.monotonic()
@@ -138,6 +141,7 @@
         self.record_end(waiting, waited)
         if waiting.end is not WaitEnd.WOKEN:
             return self.retries.deny(RetryDenial.NO_BUDGET)
+        exchange.retries_charged += 1
         if isinstance(error, NotExecutedError) and backoff > waited:
             await asyncio.sleep((backoff - waited).total_seconds())
         return True
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -32,6 +32,7 @@
     :param sent: number of attempts that may have reached a backend server.
     :param declined: number of those attempts that a server proved not to have executed;
         stays 0 unless declined requests may wait for a retry.
+    :param retries_charged: retries that were charged to the budget after a decline.
     :param last_declined: ``target_id`` of the last server that declined, or empty.
     :param tried: ``target_id`` of the targets tried so far.
     :param verdict: combined verdict of all attempts that have ended.
@@ -53,6 +54,7 @@
     attempts: int = 0
     sent: int = 0
     declined: int = 0
+    retries_charged: int = 0
     last_declined: str = ""
     tried: set[str] = attrs.field(factory=set)
     verdict: Verdict = Verdict.NOT_RUN
--- a/src/wagtailstep/scheduling/declined_requests.py
+++ b/src/wagtailstep/scheduling/declined_requests.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from wagtailstep.controllers.retry_forecast import RetryForecast
 from wagtailstep.controllers.shared_budget import SharedRetryBudget
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.declined_requests import WaitEnd
@@ -21,6 +22,8 @@
 LOAN_REQUEST_INTERVAL = timedelta(milliseconds=250)
 LOAN_ARRIVAL_TIME = timedelta(milliseconds=40)
 LENDERS_PER_REQUEST = 3
+# Predictions of all waits are renewed this often, and when a request joins.
+PREDICTION_INTERVAL = timedelta(milliseconds=100)
 # Part of the budget that the replacement of slow attempts leaves to other retries.
 KEPT_RATIO = 0.25
 
@@ -71,6 +74,8 @@
         self.waiting: list[WaitingRequest] = []
         self.declined_at: dict[str, timedelta] = {}
         self.loans_requested_at: dict[str, timedelta] = {}
+        self.predict_at = timedelta()
+        self.forecasts: dict[str, RetryForecast] = {}
 
     def record_decline(self, target_id: str) -> None:
         """Record that a backend server declined a request."""
@@ -124,6 +129,7 @@
         )
         self.waiting.append(waiting)
         self.waiting.sort(key=lambda each: each.order)
+        self.predict_at = self.clock.monotonic()
         return waiting
 
     def remove(self, waiting: WaitingRequest) -> None:
@@ -140,10 +146,18 @@
         :return: the requests whose wait has ended.
         """
         ahead: dict[str, float] = {}
+        now = self.clock.monotonic()
+        self.forecasts = {}
+        is_prediction_due = now >= self.predict_at
+        if is_prediction_due:
+            self.predict_at = now + PREDICTION_INTERVAL
         kept: list[WaitingRequest] = []
         ended: list[WaitingRequest] = []
         for waiting in self.waiting:
             waiting.end = self._find_end(waiting, ahead, len(kept))
+            if waiting.end is None and is_prediction_due:
+                in_time = self._is_in_time(waiting, ahead)
+                waiting.end = None if in_time else WaitEnd.TOO_LATE
             if waiting.end is not None:
                 ended.append(waiting)
                 continue
@@ -162,26 +176,29 @@
             return WaitEnd.DRAINING
         if position >= self.max_waiting:
             return WaitEnd.QUEUE_FULL
-        if not self._is_in_time(waiting, ahead):
+        if self.clock.monotonic() >= waiting.latest_at:
             return WaitEnd.TOO_LATE
         return None
 
     def _is_in_time(self, waiting: WaitingRequest, ahead: dict[str, float]) -> bool:
         """Return whether a retry is expected in time, or a loan may still arrive."""
-        now = self.clock.monotonic()
-        if now >= waiting.latest_at:
-            return False
-        own = {name: ahead.get(name, 0.0) + c for name, c in waiting.costs.items()}
-        wait = self.budget.compute_wait(own)
-        if wait is not None and now + wait <= waiting.latest_at:
-            return True
-        return self._may_get_loan(waiting.request.service)
+        latest = waiting.latest_at - self.clock.monotonic()
+        for name, cost in waiting.costs.items():
+            if name not in self.forecasts:
+                self.forecasts[name] = self.budget.forecast(name)
+            wait = self.forecasts[name].compute_wait(cost + ahead.get(name, 0.0))
+            if wait is None or wait > latest:
+                return self._may_get_loan(waiting.request.service)
+        return True
 
     def _may_get_loan(self, service: str) -> bool:
-        requested_at = self.loans_requested_at.get(service)
-        if requested_at is None or self._may_request_loans(service):
+        if self._may_request_loans(service):
             return True
-        return self.clock.monotonic() - requested_at < LOAN_ARRIVAL_TIME
+        arrives_by = self.loans_requested_at[service] + LOAN_ARRIVAL_TIME
+        if self.clock.monotonic() >= arrives_by:
+            return False
+        self.predict_at = min(self.predict_at, arrives_by)
+        return True
 
     def _may_request_loans(self, service: str) -> bool:
         requested_at = self.loans_requested_at.get(service)
@@ -206,6 +223,8 @@
         now = self.clock.monotonic()
         for name in totals:
             self.loans_requested_at[name] = now
+        # A request that only a loan can serve is refused when none has arrived.
+        self.predict_at = min(self.predict_at, now + LOAN_ARRIVAL_TIME)
         return RetriesMissing(
             {
                 name: max(largest[name], total / LENDERS_PER_REQUEST)
