--- a/features/declined_requests.feature
+++ b/features/declined_requests.feature
@@ -60,6 +60,29 @@
     And it ended between 2000 and 2020 ms after it was sent
     And the ends of waits were reported as "woken"
 
+  # Guards against a wait for the daemon's own window while others have retries left.
+  Scenario: A loan ends the wait
+    Given the budget is one retry in 2000 ms, just used up
+    And another daemon lends a retry 20 ms after it was asked
+    And the attempts end as "decline, answer"
+    When a non-idempotent request with 1500 ms left is sent
+    Then it ends with 200 after 2 arrivals
+    And it ended between 20 and 35 ms after it was sent
+
+  # Guards against waits that operators can't see.
+  Scenario: Each wait is logged and counted
+    Given the budget is one retry in 1000 ms, just used up
+    And the log lines of waits are recorded
+    And the attempts end as "decline, decline, answer"
+    When these requests are sent
+      | name  | rank | aim_ms | left_ms |
+      | first | 0    | 500    | 1500    |
+      | other | 1    | 500    | 1500    |
+    Then one line reports the wait of "first" with reason "woken" and 1000 ms
+    And one line reports the wait of "other" with reason "too-late" and 39 ms
+    And the metrics count 1 wait that ended as "woken"
+    And the metrics count 1 wait that ended as "too-late"
+
   # Guards against a wait that can't end well; a loan may arrive in the first 40 ms.
   Scenario: A request is refused early if no retry is expected in time
     Given the budget is one retry in 2000 ms, just used up
--- a/features/steps/declined_requests_steps.py
+++ b/features/steps/declined_requests_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 import random
 from datetime import timedelta
 
@@ -23,10 +24,12 @@
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.fleet import TargetHealth
 from wagtailstep.models.request import RequestContext
+from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.bodies import ReplayableBody
 from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.network.problems import yield_body
 from wagtailstep.network.sender import AttemptSender
 from wagtailstep.utils.clock import LoopClock, ManualClock
@@ -68,6 +71,7 @@
         self.arrivals = []
         self.events = []
         self.draining_at_s = None
+        self.loan_delay_s = None
         self.sent = {}
         self.plans = []
         self.settings = RequestSettings(
@@ -97,9 +101,19 @@
             self.routing,
             self.policy,
             self,
-            self.events.append,
+            self.dispatch,
         )
 
+    def dispatch(self, event):
+        """Record an event; another daemon may lend what is missing."""
+        self.events.append(event)
+        if isinstance(event, RetriesMissing) and self.loan_delay_s is not None:
+            budget, now = self.policy.shared_budget, self.clock.monotonic()
+            for service, amount in event.costs.items():
+                asyncio.get_running_loop().call_later(
+                    self.loan_delay_s, budget.add_loan, service, amount, now
+                )
+
     def seconds(self):
         return (self.clock.monotonic() - self.started).total_seconds()
 
@@ -278,6 +292,41 @@
     context.fleet.draining_at_s = time / 1000
 
 
+@given("another daemon lends a retry {time:d} ms after it was asked")
+def set_loan(context, time):
+    context.fleet.loan_delay_s = time / 1000
+
+
+@given("the log lines of waits are recorded")
+def record_lines(context):
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = lambda record: context.lines.append(record.getMessage())
+    logger = logging.getLogger("wagtailstep.network.declined_wait")
+    logger.addHandler(handler)
+    logger.setLevel(logging.INFO)
+    context.add_cleanup(logger.setLevel, logging.NOTSET)
+    context.add_cleanup(logger.removeHandler, handler)
+
+
+@then('one line reports the wait of "{name}" with reason "{reason}" and {time:d} ms')
+def check_line(context, name, reason, time):
+    (line,) = [line for line in context.lines if f"request_id={name}" in line]
+    assert line.startswith("event=declined-wait-ended"), line
+    assert f"reason={reason} waited_ms={time}" in line, line
+
+
+@then('the metrics count {count:d} wait that ended as "{end}"')
+def check_metric(context, count, end):
+    recorder = MetricsRecorder(Blackboard(make_member("d1")), ManualClock())
+    for event in context.fleet.events:
+        recorder.handle(event)
+    lines = recorder.export_text().decode().splitlines()
+    (line,) = [line for line in lines if f'outcome="{end}"' in line]
+    assert line.startswith("wagtailstep_declined_waits"), line
+    assert float(line.rpartition(" ")[2]) == count, line
+
+
 @then("it ends with {status:d} after {count:d} arrivals")
 def check_end(context, status, count):
     assert context.last.status == status, context.last
