--- a/src/wagtailstep/controllers/shared_budget.py
+++ b/src/wagtailstep/controllers/shared_budget.py
@@ -1,11 +1,16 @@
 """The retry budget that all daemons share, and this daemon's part of it."""
 
+import heapq
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 
 import attrs
 
+from wagtailstep.controllers.retry_forecast import (
+    MAX_WINDOWS_PREDICTED,
+    RetryForecast,
+)
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.utils.clock import Clock
@@ -19,6 +24,11 @@
 # A lender counts a loan as used for this long after it was made, in addition to the
 # window. Above the validity, since clocks of two machines drift.
 LOAN_HOLD = timedelta(seconds=2)
+# Loans of this time predict those to come. Lenders refill within the window, so an
+# older loan says little.
+LOAN_RATE_WINDOW = timedelta(seconds=2)
+# A shorter time since the first request of a window gives no usable rate.
+MIN_RATE_TIME = timedelta(seconds=1)
 
 
 @attrs.define
@@ -87,6 +97,7 @@
         self.retries: dict[str, WindowedSum] = {}
         self.lent: dict[str, WindowedSum] = {}
         self.loans: dict[str, deque[Loan]] = {}
+        self.borrowed: dict[str, WindowedSum] = {}
         self.calls_by_route: dict[str, dict[str, float]] = {}
 
     def record_request(self, service: str) -> None:
@@ -123,6 +134,71 @@
         self.max_daemon_count = max(self.max_daemon_count, self.count_daemons())
         return all(self.compute_remaining(name) >= cost for name, cost in costs.items())
 
+    def can_spare(self, request: RequestContext, kept_ratio: float) -> bool:
+        """Return whether a retry leaves a part of this daemon's allowance unused.
+
+        :param kept_ratio: the part, of the allowance for each service.
+        """
+        return all(
+            self.compute_remaining(name) - cost
+            >= kept_ratio * self.compute_allowed(name)
+            for name, cost in self.compute_costs(request).items()
+        )
+
+    def compute_wait(self, costs: dict[str, float]) -> timedelta | None:
+        """Return after what time the budgets are expected to cover given costs.
+
+        :param costs: by service.
+        :return: ``None`` if nothing indicates that they ever will.
+        """
+        longest = timedelta()
+        for name, cost in costs.items():
+            wait = self.forecast(name).compute_wait(cost)
+            if wait is None:
+                return None
+            longest = max(longest, wait)
+        return longest
+
+    def forecast(self, service: str) -> RetryForecast:
+        """Return what is known of the retries that become available for a service.
+
+        Requests and loans are assumed to arrive at their recent rates.
+        """
+        now = self.clock.monotonic()
+        borrowed = self.borrowed.setdefault(service, WindowedSum())
+        borrowed.expire_before(now - LOAN_RATE_WINDOW)
+        left = self.compute_own_remaining(service)
+        used = self._get_window(self.retries, service).entries
+        lent = self._get_window(self.lent, service).entries
+        releases = [
+            (recorded_at + self.window - now, amount)
+            for recorded_at, amount in heapq.merge(used, lent)
+        ]
+        # An allowance below one retry never covers one without loans.
+        is_enough = self.compute_allowed(service) >= 1.0
+        if is_enough and left > 0:
+            releases.append((self.window, left))
+            releases.sort()
+        growth, growth_time = self._estimate_growth(service, now)
+        return RetryForecast(
+            available=left + self.compute_remaining(service) - max(0.0, left),
+            releases=releases,
+            windows=MAX_WINDOWS_PREDICTED if is_enough else 1,
+            window=self.window,
+            growth=growth,
+            growth_time=growth_time,
+            loan_rate=borrowed.total / LOAN_RATE_WINDOW.total_seconds(),
+        )
+
+    def _estimate_growth(self, service: str, now: timedelta) -> tuple[float, timedelta]:
+        """Return the retries per second that a window not yet full adds, how long."""
+        requests = self._get_window(self.requests, service)
+        if not requests.entries:
+            return 0.0, timedelta()
+        age = max(MIN_RATE_TIME, now - requests.entries[0][0])
+        rate = requests.total / age.total_seconds()
+        return self.settings.retry_ratio * rate, max(timedelta(), self.window - age)
+
     def compute_costs(self, request: RequestContext) -> dict[str, float]:
         """Return what one more run of a request costs, by service."""
         costs = {request.service: 1.0}
@@ -169,6 +245,8 @@
         if amount > 0 and self.clock.monotonic() < expires_at:
             loans = self.loans.setdefault(service, deque())
             loans.append(Loan(amount, expires_at))
+            borrowed = self.borrowed.setdefault(service, WindowedSum())
+            borrowed.add(amount, self.clock.monotonic())
 
     def _use_loans(self, service: str, amount: float) -> None:
         loans = self._get_loans(service)
