Share a server's slots fairly among client accounts

Cause: the gate's queue knew only priority and due time. An account that sent ten times its load filled the queue, and the last to arrive was refused.

Change: waiting requests are ordered by rank, then by start-time fair queueing of accounts by slot time, then by due time (scheduling/fair_order.py). If the queue is full, its last request is refused, and one that joins ahead of others has them checked again. Without accounts neither happens, and the order is the former one. The checks of waiting times moved to controllers/gate_waits.py; WaitEstimate adds the requests of a queue one at a time, so that a check of the whole queue is one pass.

--- /dev/null
+++ b/features/steps/fair_queue_steps.py
@@ -0,0 +1,355 @@
+"""Steps for the order of the gate's queue among client accounts."""
+
+import collections
+import heapq
+import itertools
+import random
+from datetime import timedelta
+
+import attrs
+from behave import given, then, when
+
+from wagtailstep.controllers.gate import GateController
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.gate import (
+    GateRequest,
+    GateRequestArrived,
+    GateRequestEnded,
+    RefuseRequest,
+    RunResult,
+    StartRequest,
+)
+from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.utils.clock import ManualClock
+
+MILLISECOND = timedelta(milliseconds=1)
+WORK = {"sign": 100 * MILLISECOND, "upload": 300 * MILLISECOND}
+TARGET_ID = "contracts/127.0.0.1:9000"
+
+
+def arrive(context, first, last, **changes):
+    for serial in range(first, last + 1):
+        context.gate.arrive(serial, **changes)
+
+
+@given('requests of route "{route}" that take {time_ms:d} ms each have run')
+def run_route_before(context, route, time_ms):
+    context.gate.run_requests(20, time_ms, route, -300)
+
+
+@when("requests {first:d} to {last:d} arrive without an account")
+def arrive_without_account(context, first, last):
+    arrive(context, first, last)
+
+
+@when('requests {first:d} to {last:d} arrive of account "{account}"')
+def arrive_of_account(context, first, last, account):
+    arrive(context, first, last, account=account)
+
+
+@when('request {serial:d} arrives of account "{account}"')
+def arrive_one_of_account(context, serial, account):
+    arrive(context, serial, serial, account=account)
+
+
+@when('requests {first:d} to {last:d} for route "{route}" arrive of account "{name}"')
+def arrive_for_route(context, first, last, name, route):
+    arrive(context, first, last, account=name, route=route)
+
+
+@when(
+    'requests {first:d} to {last:d} arrive of account "{account}" '
+    "with account priority {priority:d}"
+)
+def arrive_with_rank(context, first, last, account, priority):
+    arrive(context, first, last, account=account, account_priority=priority)
+
+
+@when(
+    'request {serial:d} arrives of account "{account}" with {time:d} ms until its '
+    "deadline"
+)
+def arrive_with_deadline(context, serial, account, time):
+    deadline = context.gate.clock.monotonic() + time * MILLISECOND
+    arrive(context, serial, serial, account=account, deadline=deadline)
+
+
+def end_running(context, duration=None):
+    (serial,) = context.gate.running
+    context.ran = [*getattr(context, "ran", []), serial]
+    work = duration or WORK[context.gate.requests[serial].route]
+    context.gate.clock.advance(work)
+    context.gate.end(serial)
+
+
+@when("the running request takes {time_ms:d} ms")
+def run_longer(context, time_ms):
+    end_running(context, time_ms * MILLISECOND)
+
+
+@when("{count:d} requests run one after the other")
+def run_some(context, count):
+    for _ in range(count):
+        end_running(context)
+
+
+@when("all requests run one after the other")
+def run_all(context):
+    while context.gate.running:
+        end_running(context)
+
+
+@then("they ran in the order {serials}")
+def check_order(context, serials):
+    expected = [int(serial) for serial in serials.split(",")]
+    assert context.ran == expected, (context.ran, context.gate.refusals)
+
+
+@when("{rounds:d} rounds of requests without accounts wait and run")
+def run_rounds(context, rounds):
+    rng = random.Random(1)
+    context.rounds = []
+    gate = context.gate
+    for number in range(rounds):
+        first = 1 + 20 * number
+        serials = range(first, first + 12)
+        for serial in serials:
+            now = gate.clock.monotonic()
+            # Coarse values make equal priorities and due times frequent.
+            aim = rng.choice([None, now + rng.randint(4, 8) * timedelta(seconds=1)])
+            gate.arrive(
+                serial,
+                priority=rng.randint(0, 2),
+                route=rng.choice(["sign", "upload"]),
+                aim_deadline=aim,
+                arrived_at=now,
+                deadline=now + rng.randint(9, 20) * timedelta(seconds=1),
+            )
+            gate.clock.advance(rng.choice([0, 1000]) * MILLISECOND / 100)
+        waiting = [serial for serial in serials if serial not in gate.refusals]
+        context.ran = []
+        run_all(context)
+        context.rounds.append((waiting, context.ran))
+
+
+@then("each request ran by priority, due time and arrival")
+def check_former_order(context):
+    def key(serial):
+        request = context.gate.requests[serial]
+        end = request.aim_deadline or request.deadline
+        due_at = request.arrived_at + 0.75 * (end - request.arrived_at)
+        return request.priority, due_at, serial
+
+    assert any(len(ran) > 5 for _, ran in context.rounds)
+    for waiting, ran in context.rounds:
+        first, *others = waiting
+        assert ran == [first, *sorted(others, key=key)], ran
+
+
+def count_remembered(context):
+    order = context.gate.queue.fair_order
+    return len(order.active) + len(order.idle)
+
+
+@then("the queue remembers no account")
+def check_nothing_remembered(context):
+    assert count_remembered(context) == 0
+    assert not context.gate.queue.fair_order.virtual_times
+
+
+@when("{count:d} accounts send one request each to a queue that is never empty")
+def send_from_many_accounts(context, count):
+    for serial in range(1, count + 1):
+        context.gate.arrive(serial, account=f"account-{serial}")
+        if serial > 4:
+            end_running(context)
+
+
+@then("the queue remembers at most {count:d} accounts")
+def check_bounded(context, count):
+    assert count / 2 < count_remembered(context) <= count, count_remembered(context)
+
+
+@attrs.frozen
+class AccountLoad:
+    """Load of one client account.
+
+    :param weight: its load relative to an ordinary account.
+    :param route: route of all its requests.
+    """
+
+    name: str
+    weight: float
+    route: str
+    priority: int | None = None
+
+
+# Work and latency objectives in the range of the new deployments
+# (docs/design/milestone-accounts-and-load.md).
+ROUTES = {
+    "call": (150 * MILLISECOND, 600 * MILLISECOND),
+    "page": (200 * MILLISECOND, 800 * MILLISECOND),
+    "upload": (300 * MILLISECOND, 1_200 * MILLISECOND),
+}
+SLOTS = 6
+BUSY = "account-0"
+
+
+@given("{count:d} accounts of equal load, of which one sends ten times as much")
+def create_accounts(context, count):
+    routes = list(ROUTES)
+    context.accounts = [
+        AccountLoad(f"account-{i}", 10.0 if i == 0 else 1.0, routes[i % 3])
+        for i in range(count)
+    ]
+
+
+@given("the accounts have {count:d} ranks")
+def set_ranks(context, count):
+    context.accounts = [
+        attrs.evolve(account, priority=i // 3 % count)
+        for i, account in enumerate(context.accounts)
+    ]
+
+
+def compute_arrival_time(work_offered):
+    """Return when load 0.8 for 10 s and 2 for 10 s in turns have offered some work.
+
+    :param work_offered: time in which the full capacity does this work.
+    """
+    cycles, rest = divmod(work_offered, timedelta(seconds=28))
+    calm = min(rest, timedelta(seconds=8))
+    return cycles * timedelta(seconds=20) + calm / 0.8 + (rest - calm) / 2
+
+
+class LoadedGate:
+    """One gate under load in virtual time; counts requests served in time."""
+
+    def __init__(self, accounts, rng):
+        self.rng = rng
+        self.accounts = accounts
+        self.clock = ManualClock()
+        board = Blackboard(Member("d0", 1, "", "", "bole"))
+        board.targets[TARGET_ID] = Target(
+            TARGET_ID, "contracts", "d0", "bole", slots=SLOTS
+        )
+        settings = DaemonSettings(
+            "d0",
+            "bole",
+            "a:1",
+            "a:2",
+            "a:3",
+            "127.0.0.1:4",
+            requests=RequestSettings(trust_slots=True),
+        )
+        self.gate = GateController(settings, board, self.clock, rng)
+        self.completions = []
+        self.requests = {}
+        self.sent = collections.Counter()
+        self.in_time = collections.Counter()
+        self.work = collections.Counter()
+
+    def run_until(self, until):
+        while self.completions and self.completions[0][0] <= until:
+            at, serial = heapq.heappop(self.completions)
+            self.clock.advance(at - self.clock.monotonic())
+            request = self.requests.pop(serial)
+            self.in_time[request.account] += at <= request.aim_deadline
+            self.apply(self.gate.handle(GateRequestEnded(serial, RunResult.ANSWERED)))
+        self.clock.advance(until - self.clock.monotonic())
+
+    def apply(self, effects):
+        for effect in effects:
+            request = self.requests[effect.serial]
+            if isinstance(effect, RefuseRequest):
+                assert effect.error.verdict.value == "not-run"
+                del self.requests[effect.serial]
+            elif isinstance(effect, StartRequest):
+                work = ROUTES[request.route][0] * self.rng.lognormvariate(-0.05, 0.3)
+                self.work[request.account] += work.total_seconds()
+                at = self.clock.monotonic() + work
+                heapq.heappush(self.completions, (at, effect.serial))
+
+    def send(self, serial, account):
+        now = self.clock.monotonic()
+        self.sent[account.name] += 1
+        request = self.requests[serial] = GateRequest(
+            serial=serial,
+            request_id=f"r{serial}",
+            attempt_id=f"a{serial}",
+            target_id=TARGET_ID,
+            route=account.route,
+            idempotent=False,
+            deadline=now + 4 * timedelta(seconds=1),
+            aim_deadline=now + ROUTES[account.route][1],
+            arrived_at=now,
+            account=account.name,
+            account_priority=account.priority,
+        )
+        self.apply(self.gate.handle(GateRequestArrived(request)))
+
+    def run(self, duration_s):
+        """Send requests: 10 s at 0.8 of the capacity, 10 s at 2 times.
+
+        Each account sends at a steady rate with a jitter of half an interval. With
+        Poisson arrivals, differences in the number of requests sent would exceed those
+        that the queue makes.
+        """
+        total_weight = sum(account.weight for account in self.accounts)
+        # Accounts of equal weight need equal work, so short requests are more frequent.
+        intervals = {
+            account: ROUTES[account.route][0] * total_weight / account.weight / SLOTS
+            for account in self.accounts
+        }
+        arrivals = [
+            (self.rng.random() * interval, index)
+            for index, interval in enumerate(intervals.values())
+        ]
+        heapq.heapify(arrivals)
+        for serial in itertools.count():
+            work_offered, index = arrivals[0]
+            now = compute_arrival_time(work_offered)
+            if now > timedelta(seconds=duration_s):
+                break
+            account = self.accounts[index]
+            self.run_until(now)
+            self.send(serial, account)
+            interval = intervals[account] * self.rng.uniform(0.5, 1.5)
+            heapq.heapreplace(arrivals, (work_offered + interval, index))
+        self.run_until(now + timedelta(seconds=10))
+        return {name: self.in_time[name] / sent for name, sent in self.sent.items()}
+
+
+@when(
+    "requests arrive for {duration:d} s, with bursts of 2 times the capacity, "
+    "by seed {seed:d}"
+)
+def run_load(context, duration, seed):
+    context.loaded = LoadedGate(context.accounts, random.Random(seed))
+    context.shares = context.loaded.run(duration)
+
+
+@then("the worst tenth of the other accounts is served {ratio:g} of their mean in time")
+def check_worst_tenth(context, ratio):
+    others = sorted(share for name, share in context.shares.items() if name != BUSY)
+    worst = others[: len(others) // 10]
+    mean = sum(others) / len(others)
+    worst_mean = sum(worst) / len(worst)
+    assert worst_mean >= ratio * mean, (worst_mean, mean, context.shares[BUSY])
+
+
+@then("the busy account is not served better than that mean")
+def check_busy(context):
+    others = [share for name, share in context.shares.items() if name != BUSY]
+    assert sum(others) / len(others) >= context.shares[BUSY], context.shares
+
+
+@then("no rank is served better in time than a higher one")
+def check_ranks(context):
+    by_rank = collections.defaultdict(list)
+    for account in context.accounts:
+        if account.name != BUSY:
+            by_rank[account.priority].append(context.shares[account.name])
+    means = [sum(by_rank[rank]) / len(by_rank[rank]) for rank in sorted(by_rank)]
+    assert means == sorted(means, reverse=True), means
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -8,7 +8,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable
-from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any
@@ -16,9 +15,10 @@
 import attrs
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.controllers.gate_waits import MIN_RETRY_AFTER, get_wait_error
 from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.controllers.request_history import RequestHistory
-from wagtailstep.controllers.target_queue import RunningRequest, TargetQueue
+from wagtailstep.controllers.target_queue import TargetQueue
 from wagtailstep.exceptions import (
     ConnectionFailedError,
     DeadlineExceededError,
@@ -54,18 +54,6 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.clock import Clock
 
-# A request that would miss its aim may still wait this long for the next slot.
-MAX_WAIT_PAST_AIM = timedelta(milliseconds=150)
-# A request that should try another gate first may wait this long instead. Trying one
-# takes a few milliseconds and work at both ends. With four slots and requests of a
-# quarter of a second the next slot is free after about this time.
-MAX_WAIT_BEFORE_REROUTE = timedelta(milliseconds=60)
-# Time reserved between the start of a request and its aim, as a multiple of its
-# expected duration: one to run and one for the error of the estimated wait. The
-# figures are in docs/design/queueing.md.
-AIM_RESERVE_FACTOR = 2.0
-MIN_RETRY_AFTER = timedelta(milliseconds=200)
-
 
 class GateController:
     """Decides which requests are started, queued or refused.
@@ -108,8 +96,11 @@
         self.queues_by_serial[request.serial] = queue
         if self.may_start_now(queue, request):
             return [self.start(queue, request)]
-        queue.waiting[request.serial] = request
-        return self.schedule_wake(request.target_id, queue)
+        effects = self.make_room(queue, request)
+        queue.join(request)
+        if queue.has_accounts(request):
+            effects += self.refuse_behind(queue, request)
+        return effects + self.schedule_wake(request.target_id, queue)
 
     @handle.register
     def complete_request(self, event: GateRequestEnded) -> list[Any]:
@@ -117,7 +108,7 @@
         queue = self.queues_by_serial.pop(event.serial, None)
         if queue is None:
             return []
-        running = queue.running.pop(event.serial)
+        running = queue.end(event.serial, self.clock.monotonic())
         if event.executed:
             self.history.record_ended(running.request)
         else:
@@ -142,7 +133,7 @@
                 GateRequestEnded(event.serial, RunResult.ABANDONED)
             )
         del self.queues_by_serial[event.serial]
-        self.history.discard_unstarted(queue.waiting.pop(event.serial))
+        self.history.discard_unstarted(queue.leave(event.serial))
         return []
 
     @handle.register
@@ -184,20 +175,53 @@
             return request
         return attrs.evolve(request, exclusive=True)
 
+    def make_room(self, queue: TargetQueue, request: GateRequest) -> list[Any]:
+        """Refuse the last waiting request if the queue is too full for a new one."""
+        if len(queue.waiting) < self.settings.queue_length:
+            return []
+        last = queue.sort_waiting(request)[-1]
+        wait = queue.estimate_wait(self.clock.monotonic(), last)
+        message = f"the queue of {last.target_id} is full, and others go first"
+        error = OverloadedError(message, max(MIN_RETRY_AFTER, wait))
+        return [self.refuse_waiting(queue, last, error)]
+
+    def refuse_behind(self, queue: TargetQueue, request: GateRequest) -> list[Any]:
+        """Refuse requests that would start too late behind one that has joined."""
+        now = self.clock.monotonic()
+        effects: list[Any] = []
+        estimate = queue.create_wait_estimate(now)
+        is_behind = False
+        for other in queue.sort_waiting():
+            if is_behind:
+                wait = estimate.compute_wait(other)
+                error = get_wait_error(self.settings, queue, other, now, wait)
+                if error is not None:
+                    effects.append(self.refuse_waiting(queue, other, error))
+                    continue
+            is_behind = is_behind or other is request
+            estimate.add(other)
+        return effects
+
     def refuse_late_waiting(self, queue: TargetQueue) -> list[Any]:
         """Refuse waiting requests that would start too late at a lower rate limit."""
         now = self.clock.monotonic()
         effects: list[Any] = []
-        for serial, request in list(queue.waiting.items()):
+        for request in list(queue.waiting.values()):
             wait = queue.estimate_wait(now, request)
-            error = self.get_wait_error(request, queue, wait)
+            error = get_wait_error(self.settings, queue, request, now, wait)
             if error is not None:
-                del queue.waiting[serial]
-                del self.queues_by_serial[serial]
-                self.history.discard_unstarted(request)
-                effects.append(RefuseRequest(serial, error))
+                effects.append(self.refuse_waiting(queue, request, error))
         return effects
 
+    def refuse_waiting(
+        self, queue: TargetQueue, request: GateRequest, error: RequestError
+    ) -> RefuseRequest:
+        """Remove a request from a queue and refuse it."""
+        queue.leave(request.serial)
+        del self.queues_by_serial[request.serial]
+        self.history.discard_unstarted(request)
+        return RefuseRequest(request.serial, error)
+
     def get_refusal_error(self, request: GateRequest) -> RequestError | None:
         """Return the error for a request that can't be accepted, or ``None``."""
         if self.history.is_revoked(request.attempt_id):
@@ -238,10 +262,21 @@
         self.adopt_known_limit(queue, request)
         if self.may_start_now(queue, request):
             return None
-        wait = queue.estimate_wait(self.clock.monotonic(), request)
-        if len(queue.waiting) >= self.settings.queue_length:
+        now = self.clock.monotonic()
+        wait = queue.estimate_wait(now, request)
+        is_full = len(queue.waiting) >= self.settings.queue_length
+        if is_full and not self.may_displace(queue, request):
             return OverloadedError(f"the queue of {request.target_id} is full", wait)
-        return self.get_wait_error(request, queue, wait)
+        return get_wait_error(self.settings, queue, request, now, wait)
+
+    def may_displace(self, queue: TargetQueue, request: GateRequest) -> bool:
+        """Return whether a new request goes before one that waits in a full queue.
+
+        Without client accounts a waiting request keeps its place.
+        """
+        if not queue.waiting or not queue.has_accounts(request):
+            return False
+        return queue.sort_waiting(request)[-1] is not request
 
     def adopt_known_limit(self, queue: TargetQueue, request: GateRequest) -> None:
         """Adopt a rate limit that only the entry knows, after a restart of the gate."""
@@ -254,40 +289,6 @@
         may_start = queue.may_start(self.clock.monotonic(), request)
         return may_start and not queue.has_earlier_waiting(request)
 
-    def get_wait_error(
-        self, request: GateRequest, queue: TargetQueue, wait: timedelta
-    ) -> RequestError | None:
-        """Return the error for a request whose expected wait is too long, if it is."""
-        now = self.clock.monotonic()
-        retry_after = max(MIN_RETRY_AFTER, wait)
-        if wait > timedelta(milliseconds=self.settings.queue_timeout_ms):
-            message = f"the expected wait for {request.target_id} is too long"
-            return OverloadedError(message, retry_after)
-        if not request.may_wait and wait > MAX_WAIT_BEFORE_REROUTE:
-            return OverloadedError(f"no slot of {request.target_id} is free", wait)
-        ends_at = now + wait + queue.expected_duration(request)
-        if self.would_miss_aim(request, queue, now + wait):
-            message = f"{request.target_id} can't answer within the latency aim"
-            return OverloadedError(message, retry_after)
-        if ends_at > request.deadline:
-            message = f"{request.target_id} can't answer before the deadline"
-            return OverloadedError(message, retry_after)
-        return None
-
-    def would_miss_aim(
-        self, request: GateRequest, queue: TargetQueue, starts_at: timedelta
-    ) -> bool:
-        """Return whether a request that waits in a queue would miss its aim.
-
-        Under overload a longer queue delays all responses without raising throughput.
-        """
-        if request.aim_deadline is None:
-            return False
-        if starts_at - self.clock.monotonic() <= MAX_WAIT_PAST_AIM:
-            return False
-        reserve = AIM_RESERVE_FACTOR * queue.expected_duration(request)
-        return starts_at + reserve > request.aim_deadline
-
     def count_waiting(self) -> dict[str, int]:
         """Return the number of requests that wait for a slot, by service."""
         return self.count_by_service(lambda queue: len(queue.waiting))
@@ -330,14 +331,7 @@
 
     def start(self, queue: TargetQueue, request: GateRequest) -> StartRequest:
         """Assign a slot to a request."""
-        now = self.clock.monotonic()
-        queue.rate_limit.record_sent(now)
-        concurrent_others = len(queue.running)
-        for running in queue.running.values():
-            running.concurrent_others = max(
-                running.concurrent_others, concurrent_others
-            )
-        queue.running[request.serial] = RunningRequest(request, now, concurrent_others)
+        queue.start(request, self.clock.monotonic())
         return StartRequest(request.serial)
 
     def schedule_wake(self, target_id: str, queue: TargetQueue) -> list[Any]:
@@ -355,20 +349,17 @@
         """Start waiting requests while their server takes more; refuse expired ones."""
         effects: list[Any] = []
         while queue.waiting:
-            serial, request = queue.find_next()
+            request = queue.find_next()
             if not queue.may_start(self.clock.monotonic(), request):
                 break
-            del queue.waiting[serial]
             if request.deadline > self.clock.monotonic():
                 effects.append(self.start(queue, request))
                 continue
-            del self.queues_by_serial[serial]
-            self.history.discard_unstarted(request)
             error = DeadlineExceededError(
                 "the deadline passed while the request waited for a slot",
                 Verdict.NOT_RUN,
             )
-            effects.append(RefuseRequest(serial, error))
+            effects.append(self.refuse_waiting(queue, request, error))
         return effects + self.schedule_wake(target_id, queue)
 
 
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -9,11 +9,7 @@
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
 from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.models.gate import GateRequest
-
-# Fraction of a request's aim after which it is due. 0 orders by arrival; 1 orders by
-# the end of the aim, which makes long requests late. The figures are in
-# docs/design/queueing.md.
-DUE_TIME_RATIO = 0.75
+from wagtailstep.scheduling.fair_order import FairOrder
 
 
 @attrs.define
@@ -42,6 +38,7 @@
     :param wake_at: monotonic time at which the next request may be sent within
         ``rate_limit``, if a timer is set for it.
     :param process_started: start time of the server's process; 0 if unknown.
+    :param fair_order: order of the waiting requests.
     """
 
     limit: ConcurrencyLimit
@@ -50,6 +47,7 @@
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     wake_at: timedelta | None = None
     process_started: int = 0
+    fair_order: FairOrder = attrs.field(factory=FairOrder)
 
     @property
     def has_free_slot(self) -> bool:
@@ -73,52 +71,82 @@
         """Return the expected duration of a request at the backend server."""
         return self.limit.typical_time(request.route)
 
+    def join(self, request: GateRequest) -> None:
+        """Add a request to those that wait."""
+        self.waiting[request.serial] = request
+        self.fair_order.record_waiting(request)
+
+    def leave(self, serial: int) -> GateRequest:
+        """Remove a request from those that wait."""
+        request = self.waiting.pop(serial)
+        self.fair_order.record_left(request)
+        return request
+
+    def start(self, request: GateRequest, now: timedelta) -> None:
+        """Assign a slot to a request; one that waits leaves the queue."""
+        # The account is charged first: it keeps its tag while it has requests.
+        self.fair_order.record_started(request, self.expected_duration(request))
+        if request.serial in self.waiting:
+            self.leave(request.serial)
+        self.rate_limit.record_sent(now)
+        concurrent_others = len(self.running)
+        for running in self.running.values():
+            running.concurrent_others = max(
+                running.concurrent_others, concurrent_others
+            )
+        self.running[request.serial] = RunningRequest(request, now, concurrent_others)
+
+    def end(self, serial: int, now: timedelta) -> RunningRequest:
+        """Free the slot of a request."""
+        running = self.running.pop(serial)
+        self.fair_order.record_ended(running.request, now - running.started_at)
+        return running
+
+    def has_accounts(self, request: GateRequest) -> bool:
+        """Return whether a new or a waiting request belongs to a client account."""
+        return bool(request.account) or any(
+            other.account for other in self.waiting.values()
+        )
+
+    def sort_waiting(self, new: GateRequest | None = None) -> list[GateRequest]:
+        """Return the waiting requests, and a new one if given, in their order."""
+        requests = list(self.waiting.values())
+        if new is not None and new.serial not in self.waiting:
+            requests.append(new)
+        return self.fair_order.sort(requests, self.expected_duration)
+
     def has_earlier_waiting(self, request: GateRequest) -> bool:
         """Return whether a waiting request has precedence over a new one."""
-        order = compute_order(request)
-        return any(compute_order(other) <= order for other in self.waiting.values())
+        return bool(self.waiting) and self.sort_waiting(request)[0] is not request
 
-    def find_next(self) -> tuple[int, GateRequest]:
-        """Return the first request of the queue, with its serial."""
-        return min(self.waiting.items(), key=lambda item: compute_order(item[1]))
+    def find_next(self) -> GateRequest:
+        """Return the first request of the queue."""
+        return self.sort_waiting()[0]
 
     def estimate_wait(self, now: timedelta, request: GateRequest) -> timedelta:
         """Return how long a request that joins the queue now would wait to start.
 
         Waiting requests that come after it in the queue's order are ignored, and so is
         the request itself if it waits already.
-
-        The estimate assigns each slot, when it becomes free, to the next request of
-        the queue. One long request thus adds no wait while other slots become free.
         """
+        estimate = self.create_wait_estimate(now)
+        for other in self.sort_waiting(request):
+            if other is request:
+                break
+            estimate.add(other)
+        return estimate.compute_wait(request)
+
+    def create_wait_estimate(self, now: timedelta) -> "WaitEstimate":
+        """Return an estimate with the running requests and no waiting ones."""
         free_after = sorted(
             self.estimate_time_left(running, now) for running in self.running.values()
         )
-        is_exclusive = request.exclusive or any(
-            running.request.exclusive for running in self.running.values()
-        )
-        idle_after = (
-            max(free_after, default=timedelta()) if is_exclusive else timedelta()
-        )
+        all_free_after = max(free_after, default=timedelta())
         # If more requests run than the limit allows, the first to end free no slot.
         free_after = free_after[max(0, len(free_after) - self.limit.max_running) :]
         if len(free_after) < self.limit.max_running:
             free_after.insert(0, timedelta())
-        order = compute_order(request)
-        ahead = 0
-        arrived_later = False
-        for other in self.waiting.values():
-            if other is request:
-                arrived_later = True
-                continue
-            other_order = compute_order(other)
-            if other_order > order or (arrived_later and other_order == order):
-                continue
-            ahead += 1
-            start = free_after[0]
-            heapq.heapreplace(free_after, start + self.expected_duration(other))
-        rate_wait = self.rate_limit.compute_wait(now, ahead)
-        return max(free_after[0], idle_after, rate_wait)
+        return WaitEstimate(self, now, free_after, all_free_after)
 
     def estimate_time_left(self, running: RunningRequest, now: timedelta) -> timedelta:
         """Return the time until a running request is expected to end.
@@ -130,13 +158,38 @@
         return max(expected - (now - running.started_at), expected / 2)
 
 
-def compute_order(request: GateRequest) -> tuple[int, timedelta]:
-    """Return the sort key of a request: its priority, then its due time.
+@attrs.define
+class WaitEstimate:
+    """Waiting times of the requests of a queue, which are added in their order.
+
+    The estimate assigns each slot, when it becomes free, to the next request of the
+    queue. One long request thus adds no wait while other slots become free.
 
-    Requests with an early aim or deadline are mostly short. If they go first, more
-    requests are answered than in order of arrival. Others of the same priority don't
-    starve, since their due times do not move.
+    :param queue: the queue.
+    :param now: monotonic time.
+    :param free_after: heap of the times from now until each slot is free.
+    :param all_free_after: time until all running requests have ended.
+    :param ahead: number of requests added.
     """
-    useful_until = request.aim_deadline or request.deadline
-    useful_for = useful_until - request.arrived_at
-    return request.priority, request.arrived_at + DUE_TIME_RATIO * useful_for
+
+    queue: TargetQueue
+    now: timedelta
+    free_after: list[timedelta]
+    all_free_after: timedelta
+    ahead: int = 0
+
+    def compute_wait(self, request: GateRequest) -> timedelta:
+        """Return how long a request waits to start after those that were added."""
+        running = self.queue.running.values()
+        is_exclusive = request.exclusive or any(
+            other.request.exclusive for other in running
+        )
+        idle_after = self.all_free_after if is_exclusive else timedelta()
+        rate_wait = self.queue.rate_limit.compute_wait(self.now, self.ahead)
+        return max(self.free_after[0], idle_after, rate_wait)
+
+    def add(self, request: GateRequest) -> None:
+        """Add a request that starts before those that follow."""
+        ends_after = self.free_after[0] + self.queue.expected_duration(request)
+        heapq.heapreplace(self.free_after, ends_after)
+        self.ahead += 1
