Export who waits at a gate and who was refused, by rank and cause

Cause: the metric of waiting requests had no rank and no cause, so that an operator couldn't tell a busy account that is held back from a service that lacks slots.

Change: wagtailstep.gate.queued and wagtailstep.gate.refused by service, rank (0, 1, 2, 3+) and cause; neither names targets or accounts. The counts of the gate moved to controllers/gate_counts.py, their registration to network/gate_metrics.py.

--- a/features/fair_queue.feature
+++ b/features/fair_queue.feature
@@ -129,6 +129,37 @@
     When 3000 accounts send one request each to a queue that is never empty
     Then the queue remembers at most 1010 accounts
 
+  # Guards against an operator who can't tell which requests wait, and why.
+  Scenario: Waiting requests are exported by rank and cause
+    Given a gate beside a backend server with 1 slots
+    When requests 1 to 2 arrive of account "gold" with account priority 0
+    And requests 3 to 5 arrive of account "calm" with account priority 7
+    Then the gate exports 1 as "wagtailstep_gate_queued" of rank "0" for cause "slots"
+    And the gate exports 3 as "wagtailstep_gate_queued" of rank "3+" for cause "slots"
+    And the gate exports no account
+
+  # Guards against refusals whose cause an operator can't see.
+  Scenario: Refused requests are exported by rank and cause
+    Given a gate beside a backend server with 1 slots
+    When requests 1 to 17 arrive of account "busy"
+    And request 18 arrives of account "calm"
+    And request 19 arrives of account "busy"
+    Then the gate exports 1 as "wagtailstep_gate_refused_total" of rank "0" for cause "displaced"
+    And the gate exports 1 as "wagtailstep_gate_refused_total" of rank "0" for cause "full"
+
+  # Guards against refusals that are counted under another cause.
+  Scenario: Requests that may not wait, come late or are overtaken are told apart
+    Given a gate beside a backend server with 1 slots
+    And requests that take 400 ms each have run
+    When request 1 arrives of account "busy"
+    And request 2 arrives of account "busy" with 700 ms until its deadline
+    And request 3 arrives of account "busy" with 900 ms until its deadline
+    And request 4 arrives of account "calm"
+    And request 5 arrives that may not wait
+    Then the gate exports 1 as "wagtailstep_gate_refused_total" of rank "0" for cause "late"
+    And the gate exports 1 as "wagtailstep_gate_refused_total" of rank "0" for cause "overtaken"
+    And the gate exports 1 as "wagtailstep_gate_refused_total" of rank "0" for cause "no-slot"
+
   # Guards against an account that costs the others their share under overload.
   Scenario Outline: One account at ten times its load takes no other's share
     Given 74 accounts of equal load, of which one sends ten times as much
--- a/features/steps/fair_queue_steps.py
+++ b/features/steps/fair_queue_steps.py
@@ -21,6 +21,8 @@
     StartRequest,
 )
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.network.gate_metrics import register_gate_metrics
+from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.utils.clock import ManualClock
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -171,6 +173,32 @@
     assert count / 2 < count_remembered(context) <= count, count_remembered(context)
 
 
+def export_metrics(context):
+    metrics = MetricsRecorder(context.gate.blackboard, context.gate.clock)
+    register_gate_metrics(metrics, context.gate.controller.counts)
+    return metrics.export_text().decode()
+
+
+@then(
+    'the gate exports {count:d} as "{name}" of rank "{rank}" for cause "{cause}"',
+)
+def check_exported(context, count, name, rank, cause):
+    labels = (f'rank="{rank}"', f'cause="{cause}"', 'service="contracts"')
+    lines = [
+        line
+        for line in export_metrics(context).splitlines()
+        if line.startswith(f"{name}{{") and all(label in line for label in labels)
+    ]
+    assert [float(line.split()[-1]) for line in lines] == [count], lines
+
+
+@then("the gate exports no account")
+def check_no_account(context):
+    exported = export_metrics(context)
+    names = {request.account for request in context.gate.requests.values()}
+    assert not any(name in exported for name in names), exported
+
+
 @attrs.frozen
 class AccountLoad:
     """Load of one client account.
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -6,8 +6,6 @@
 """
 
 import random
-from collections import Counter
-from collections.abc import Callable
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any
@@ -15,6 +13,7 @@
 import attrs
 
 from wagtailstep.controllers.concurrency import ConcurrencyLimit
+from wagtailstep.controllers.gate_counts import GateCounts, RefusalCause
 from wagtailstep.controllers.gate_waits import MIN_RETRY_AFTER, get_wait_error
 from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.controllers.request_history import RequestHistory
@@ -78,6 +77,7 @@
         self.queues: dict[str, TargetQueue] = {}
         self.queues_by_serial: dict[int, TargetQueue] = {}
         self.history = RequestHistory(clock)
+        self.counts = GateCounts(self.queues, clock)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -183,6 +183,7 @@
         wait = queue.estimate_wait(self.clock.monotonic(), last)
         message = f"the queue of {last.target_id} is full, and others go first"
         error = OverloadedError(message, max(MIN_RETRY_AFTER, wait))
+        self.counts.record_refusal(last, RefusalCause.DISPLACED)
         return [self.refuse_waiting(queue, last, error)]
 
     def refuse_behind(self, queue: TargetQueue, request: GateRequest) -> list[Any]:
@@ -196,6 +197,7 @@
                 wait = estimate.compute_wait(other)
                 error = get_wait_error(self.settings, queue, other, now, wait)
                 if error is not None:
+                    self.counts.record_refusal(other, RefusalCause.OVERTAKEN)
                     effects.append(self.refuse_waiting(queue, other, error))
                     continue
             is_behind = is_behind or other is request
@@ -210,6 +212,7 @@
             wait = queue.estimate_wait(now, request)
             error = get_wait_error(self.settings, queue, request, now, wait)
             if error is not None:
+                self.counts.record_refusal(request, RefusalCause.RATE_LIMIT)
                 effects.append(self.refuse_waiting(queue, request, error))
         return effects
 
@@ -266,8 +269,13 @@
         wait = queue.estimate_wait(now, request)
         is_full = len(queue.waiting) >= self.settings.queue_length
         if is_full and not self.may_displace(queue, request):
+            self.counts.record_refusal(request, RefusalCause.FULL)
             return OverloadedError(f"the queue of {request.target_id} is full", wait)
-        return get_wait_error(self.settings, queue, request, now, wait)
+        error = get_wait_error(self.settings, queue, request, now, wait)
+        if error is not None:
+            cause = RefusalCause.LATE if request.may_wait else RefusalCause.NO_SLOT
+            self.counts.record_refusal(request, cause)
+        return error
 
     def may_displace(self, queue: TargetQueue, request: GateRequest) -> bool:
         """Return whether a new request goes before one that waits in a full queue.
@@ -289,21 +297,6 @@
         may_start = queue.may_start(self.clock.monotonic(), request)
         return may_start and not queue.has_earlier_waiting(request)
 
-    def count_waiting(self) -> dict[str, int]:
-        """Return the number of requests that wait for a slot, by service."""
-        return self.count_by_service(lambda queue: len(queue.waiting))
-
-    def count_running(self) -> dict[str, int]:
-        """Return the number of requests that occupy a slot, by service."""
-        return self.count_by_service(lambda queue: len(queue.running))
-
-    def count_by_service(self, count: Callable[[TargetQueue], int]) -> dict[str, int]:
-        """Return the sum of a number over the queues of each service."""
-        counts: Counter[str] = Counter()
-        for target_id, queue in self.queues.items():
-            counts[target_id.partition("/")[0]] += count(queue)
-        return counts
-
     def is_local(self, target: Target) -> bool:
         """Return whether a target's backend server is beside this daemon."""
         return target.daemon_id == self.blackboard.this_member.daemon_id
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -36,6 +36,7 @@
 from wagtailstep.network.exchange_app import ExchangeApp
 from wagtailstep.network.forwarder import HttpForwarder
 from wagtailstep.network.gate import GateService
+from wagtailstep.network.gate_metrics import register_gate_metrics
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.network.metrics import MetricsRecorder
@@ -75,12 +76,7 @@
         self.guard = DuplicateGuard(*parts)
         self.metrics = MetricsRecorder(self.blackboard, self.clock)
         gate_controller = GateController(*parts)
-        self.metrics.add_service_gauge(
-            "wagtailstep.gate.waiting", "{request}", gate_controller.count_waiting
-        )
-        self.metrics.add_service_gauge(
-            "wagtailstep.gate.running", "{request}", gate_controller.count_running
-        )
+        register_gate_metrics(self.metrics, gate_controller.counts)
         self.gate = GateService(
             self.settings, gate_controller, self.client, self.clock, self.dispatch
         )
