Keep the expected waits unchanged without client accounts

Cause: the estimate now assigned slots in the queue's order instead of the order of arrival. That changed refusals in deployments without client accounts.

Change: without accounts, the requests ahead are added by arrival as before. A scenario checks the expected wait, another that a displaced request gets its refusal without delay.

--- a/features/fair_queue.feature
+++ b/features/fair_queue.feature
@@ -7,6 +7,20 @@
     When 300 rounds of requests without accounts wait and run
     Then each request ran by priority, due time and arrival
 
+  # Guards against other refusals in deployments without client accounts: there the
+  # estimate assigns slots to requests in order of arrival, not in the queue's order.
+  Scenario: Without accounts, the expected wait is the former one
+    Given a gate beside a backend server with 2 slots
+    And requests that take 100 ms each have run
+    And requests of route "upload" that take 400 ms each have run
+    When request 1 of route "upload" arrives with 30000 ms left
+    And request 2 of route "sign" arrives with 30000 ms left
+    And request 3 of route "upload" arrives with 20000 ms left
+    And request 4 of route "sign" arrives with 10000 ms left
+    And request 5 arrives that may not wait
+    Then request 5 is refused as "overloaded" with verdict "not-run"
+    And request 5 gets a time to retry of 500 to 500 ms
+
   # Guards against displacement in deployments without client accounts.
   Scenario: A waiting request without an account keeps its place in a full queue
     Given a gate beside a backend server with 1 slots
@@ -83,6 +97,12 @@
     And request 17 gets a time to retry of 200 to 1000 ms
     And request 18 waits
 
+  # Guards against a displaced request whose caller hears of it only at its deadline.
+  Scenario: A displaced request gets its refusal without delay
+    Given a gate beside a backend server with 1 slots
+    When 17 requests of account "busy" wait for the gate, and one of account "calm" joins
+    Then request 17 has got its refusal, and the others wait
+
   # Guards against a request that displaces one with precedence over it.
   Scenario: If the queue is full, a new request that would be the last is refused
     Given a gate beside a backend server with 1 slots
--- a/features/steps/fair_queue_steps.py
+++ b/features/steps/fair_queue_steps.py
@@ -1,5 +1,6 @@
 """Steps for the order of the gate's queue among client accounts."""
 
+import asyncio
 import collections
 import heapq
 import itertools
@@ -10,6 +11,7 @@
 from behave import given, then, when
 
 from wagtailstep.controllers.gate import GateController
+from wagtailstep.exceptions import OverloadedError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import Member, Target
 from wagtailstep.models.gate import (
@@ -21,6 +23,7 @@
     StartRequest,
 )
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
+from wagtailstep.network.gate_admission import GateAdmission
 from wagtailstep.network.gate_metrics import register_gate_metrics
 from wagtailstep.network.metrics import MetricsRecorder
 from wagtailstep.utils.clock import ManualClock
@@ -77,6 +80,12 @@
     arrive(context, serial, serial, account=account, deadline=deadline)
 
 
+@when('request {serial:d} of route "{route}" arrives with {time_ms:d} ms left')
+def arrive_on_route(context, serial, route, time_ms):
+    deadline = context.gate.clock.monotonic() + time_ms * MILLISECOND
+    arrive(context, serial, serial, route=route, deadline=deadline)
+
+
 def end_running(context, duration=None):
     (serial,) = context.gate.running
     context.ran = [*getattr(context, "ran", []), serial]
@@ -173,6 +182,48 @@
     assert count / 2 < count_remembered(context) <= count, count_remembered(context)
 
 
+@when(
+    '{count:d} requests of account "{first}" wait for the gate, '
+    'and one of account "{second}" joins'
+)
+def join_full_gate(context, count, first, second):
+    admission = GateAdmission(context.gate.controller)
+
+    async def main():
+        tasks = {}
+        for serial in range(1, count + 2):
+            request = GateRequest(
+                serial=serial,
+                request_id=f"request-{serial}",
+                attempt_id=f"attempt-{serial}",
+                target_id=TARGET_ID,
+                route="sign",
+                idempotent=False,
+                deadline=timedelta(seconds=30),
+                account=second if serial > count else first,
+            )
+            waiting = admission.wait_for_start(request, timedelta(seconds=30))
+            tasks[serial] = asyncio.create_task(waiting)
+            await asyncio.sleep(0)
+        # One turn of the loop for the refused task to end.
+        await asyncio.sleep(0)
+        context.ended = {
+            serial: task.exception() for serial, task in tasks.items() if task.done()
+        }
+        for task in tasks.values():
+            task.cancel()
+
+    asyncio.run(main())
+
+
+@then("request {serial:d} has got its refusal, and the others wait")
+def check_refused_alone(context, serial):
+    # Request 1 has a slot.
+    assert set(context.ended) == {1, serial}, context.ended
+    assert context.ended[1] is None
+    assert isinstance(context.ended[serial], OverloadedError), context.ended
+
+
 def export_metrics(context):
     metrics = MetricsRecorder(context.gate.blackboard, context.gate.clock)
     register_gate_metrics(metrics, context.gate.controller.counts)
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -129,10 +129,16 @@
         Waiting requests that come after it in the queue's order are ignored, and so is
         the request itself if it waits already.
         """
+        ordered = self.sort_waiting(request)
+        ahead = ordered[: ordered.index(request)]
+        if not self.has_accounts(request):
+            # Adding them by arrival keeps refusals unchanged without client accounts.
+            serials = {other.serial for other in ahead}
+            ahead = [
+                other for other in self.waiting.values() if other.serial in serials
+            ]
         estimate = self.create_wait_estimate(now)
-        for other in self.sort_waiting(request):
-            if other is request:
-                break
+        for other in ahead:
             estimate.add(other)
         return estimate.compute_wait(request)
 
