--- a/features/account_keys.feature
+++ b/features/account_keys.feature
@@ -119,6 +119,7 @@
   Scenario: A relayed request is served without its key
     When a request with a ticket and "key-h1" is sent through another daemon
     Then it is answered with status 200, and the servers got account "hall" with priority 1
+    And the same request without a key is refused, whatever a daemon would have said
     And no daemon sent a key
 
   Scenario: Keys appear nowhere, also when requests fail
--- a/features/steps/account_keys_steps.py
+++ b/features/steps/account_keys_steps.py
@@ -207,8 +207,9 @@
             assert account == row["account"], (row, request.headers)
 
 
-def check_no_key_sent(fleet):
-    for request in fleet.sent:
+@then("no daemon sent a key")
+def check_no_key_sent(context):
+    for request in context.fleet.sent:
         assert find_header(request.headers, CREDENTIAL) is None, request.headers
 
 
@@ -227,7 +228,7 @@
 
     run_fleet(context, scenario)
     assert context.fleet.sent or not any(row["status"] == "200" for row in rows)
-    check_no_key_sent(context.fleet)
+    check_no_key_sent(context)
 
 
 @then("requests are answered")
@@ -361,32 +362,37 @@
     async def scenario(fleet):
         ticket = await fleet.hosts[0].daemon.entry.issue_ticket("contracts")
         headers = (
-            *encode_key(key),
             ("wagtailstep-service", "contracts"),
             ("idempotency-key", ticket),
-            (TENANT, "forged"),
+            (TENANT, "hall"),
             (PRIORITY, "7"),
+            ("wagtailstep-account", "x" * 200),
+            ("wagtailstep-relayed", "?1"),
         )
-        context.result = await fleet.call("relayed", "/sign/1", headers, host="d2")
+        for name, own in (("forged", ()), ("relayed", encode_key(key))):
+            call = fleet.call(name, "/sign/1", (*headers, *own), host="d2")
+            context.results[name] = await call
 
+    context.results = {}
     run_fleet(context, scenario)
 
 
+@then("the same request without a key is refused, whatever a daemon would have said")
+def check_forged(context):
+    assert context.results["forged"][0] == 401, context.results
+    assert not context.fleet.sent_to_servers("forged")
+
+
 @then(
     "it is answered with status {status:d}, and the servers got account "
     '"{account}" with priority {priority}'
 )
 def check_relayed(context, status, account, priority):
     fleet = context.fleet
-    assert context.result[0] == status, context.result
+    assert context.results["relayed"][0] == status, context.results
     relayed = [r for r in fleet.sent if find_header(r.headers, "wagtailstep-relayed")]
     assert [request.address for request in relayed] == ["d1:8002"], relayed
     assert find_header(relayed[0].headers, PRIORITY) == priority, relayed
     (request,) = fleet.sent_to_servers("relayed")
     found = [value for name, value in request.headers if name == TENANT]
     assert found == [account], request.headers
-
-
-@then("no daemon sent a key")
-def check_keys_kept(context):
-    check_no_key_sent(context.fleet)
