--- a/src/wagtailstep/controllers/table_build.py
+++ b/src/wagtailstep/controllers/table_build.py
@@ -8,8 +8,8 @@
 from wagtailstep.models.published_table import TableDocument, TableDocumentMessage
 from wagtailstep.models.table import Table
 
-# 47,000 accounts with two keys each take over a second of processor time on a busy
-# machine (docs/measurements/accounts.md), during which no request would be served.
+# In one step, 47,000 accounts with two keys each stall the event loop for 670 to 750 ms
+# (docs/measurements/accounts.md).
 ACCOUNTS_PER_STEP = 400
 BUILD_PAUSE = timedelta(milliseconds=5)
 # Compressing the document of 47,000 accounts for another daemon takes 130 ms.
