--- a/features/steps/account_keys_steps.py
+++ b/features/steps/account_keys_steps.py
@@ -207,8 +207,9 @@
             assert account == row["account"], (row, request.headers)
 
 
-def check_no_key_sent(fleet):
-    for request in fleet.sent:
+@then("no daemon sent a key")
+def check_no_key_sent(context):
+    for request in context.fleet.sent:
         assert find_header(request.headers, CREDENTIAL) is None, request.headers
 
 
@@ -227,7 +228,7 @@
 
     run_fleet(context, scenario)
     assert context.fleet.sent or not any(row["status"] == "200" for row in rows)
-    check_no_key_sent(context.fleet)
+    check_no_key_sent(context)
 
 
 @then("requests are answered")
@@ -368,9 +369,9 @@
             ("wagtailstep-account", "x" * 200),
             ("wagtailstep-relayed", "?1"),
         )
-        for name, sent in (("forged", ()), ("relayed", encode_key(key))):
-            result = await fleet.call(name, "/sign/1", (*headers, *sent), host="d2")
-            context.results[name] = result
+        for name, own in (("forged", ()), ("relayed", encode_key(key))):
+            call = fleet.call(name, "/sign/1", (*headers, *own), host="d2")
+            context.results[name] = await call
 
     context.results = {}
     run_fleet(context, scenario)
@@ -395,8 +396,3 @@
     (request,) = fleet.sent_to_servers("relayed")
     found = [value for name, value in request.headers if name == TENANT]
     assert found == [account], request.headers
-
-
-@then("no daemon sent a key")
-def check_keys_kept(context):
-    check_no_key_sent(context.fleet)
