Pass the declined arrivals to the planted fault of the histories

Cause: "resend of a non-idempotent request" replaces try_acquire_retry by a function with its former arguments; with the new argument `declined` the call failed, and the checker found an internal error in place of the fault. Change: the planted function accepts the argument; what it plants and what the scenario expects are as before. Measured: features/histories.feature before: 25 passed, 1 failed (this one); the scenario passes after the change. features/declined_requests.feature: 23 scenarios pass.

--- a/features/steps/histories_steps.py
+++ b/features/steps/histories_steps.py
@@ -163,7 +163,7 @@
     "resend of a non-idempotent request": (
         RetryPolicy,
         "try_acquire_retry",
-        lambda policy, request, error, attempts, sent=0: attempts < 3,
+        lambda policy, request, error, attempts, sent=0, declined=0: attempts < 3,
     ),
     "answer of another request": (FakeFleet, "execute", return_previous_answer),
     "truncated answer passed on as whole": (
