--- a/src/wagtailstep/controllers/shared_budget.py
+++ b/src/wagtailstep/controllers/shared_budget.py
@@ -135,9 +135,13 @@
         borrowed = sum(loan.amount for loan in self._get_loans(service))
         return max(0.0, self.compute_own_remaining(service)) + borrowed
 
+    def count_requests(self, service: str) -> float:
+        """Return the requests that this daemon received in the current window."""
+        return self._get_window(self.requests, service).total
+
     def compute_allowed(self, service: str) -> float:
         """Return this daemon's part of the retries for a service."""
-        requests = self._get_window(self.requests, service).total
+        requests = self.count_requests(service)
         slack = self.settings.retry_slack / self.max_daemon_count
         return self.settings.retry_ratio * requests + slack
 
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -141,6 +141,9 @@
         may make for a service within ``retry_window_ms``; 0 gives each daemon a
         ``retry_burst`` of its own instead.
     :param retry_window_ms: length of the sliding window in which retries are counted.
+    :param hedge_ratio: second copies of slow idempotent requests that a daemon may send
+        within ``retry_window_ms``, as a share of its requests for the service; 0 for
+        none. Each one also takes a retry, so it needs ``retry_slack``.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -165,6 +168,7 @@
     trust_slots: bool = False
     retry_slack: float = not_negative(0.0)
     retry_window_ms: int = positive(10_000)
+    hedge_ratio: float = not_negative(0.0)
 
 
 @attrs.frozen
