Race two copies of a slow request and deliver the better response

Cause: hedges need a second attempt beside one that is still running. Change: with hedge_ratio above 0, HedgedAttempts replaces the abandoning of slow attempts. The first copy keeps running in the task of its request; the first response below 500 is delivered and the other copy is cancelled and closed. A copy that lost is evidence that its target is slow. Without hedge_ratio the sender runs as before.

--- a/features/evidence.feature
+++ b/features/evidence.feature
@@ -25,6 +25,16 @@
       | 1e-6  | 4        |
       | 1e-12 | 8        |
 
+  Scenario Outline: Copies that lost to a faster one show that their target is slow
+    Given a daemon that knows 6 targets in 3 zones
+    When 60 copies sent to one target lose after <waited> ms and the others succeed
+    Then that target is <avoided> by this daemon
+
+    Examples: the others usually take 20 ms
+      | waited | avoided     |
+      | 100    | avoided     |
+      | 20     | not avoided |
+
   Scenario: Failures at all targets are not blamed on any of them
     Given a daemon that knows 6 targets in 3 zones
     When all targets fail half of their requests for 20 s
--- a/features/path_watch.feature
+++ b/features/path_watch.feature
@@ -30,3 +30,9 @@
     When an attempt ends with blame "path"
     And an attempt ends with blame "none"
     Then the path is "used"
+
+  Scenario: A slow copy that lost raises the typical latency, but does not blame the path
+    When an attempt ends with blame "none"
+    And a copy that waited for 1200 ms loses
+    Then the path is "used"
+    And its typical latency is 300 ms
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -16,6 +16,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import ProbeFinished, SendToPeer, Tick
 from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.hedging import SlowCopyLost
 from wagtailstep.models.request import AttemptEnded, Blame, RequestContext
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.table import ServiceRow, Table
@@ -117,6 +118,22 @@
     run_load_on_unhealthy(context, 60 * STEP.total_seconds(), blame=Blame(blame))
 
 
+@when("60 copies sent to one target lose after {waited:d} ms and the others succeed")
+def lose_copies(context, waited):
+    harness = context.harness
+    request = RequestContext(
+        "r", "s", "lookup", "", "GET", "/", True, None, timedelta()
+    )
+    lost = SlowCopyLost(request, context.unhealthy, timedelta(milliseconds=waited))
+    for _ in range(60):
+        for name in harness.names:
+            if name == context.unhealthy:
+                harness.handle(lost)
+            else:
+                harness.end_request(name)
+        harness.advance()
+
+
 @then("that target is {avoided} by this daemon")
 def check_avoided(context, avoided):
     expected = set() if avoided == "not avoided" else {context.unhealthy}
--- a/features/steps/path_watch_steps.py
+++ b/features/steps/path_watch_steps.py
@@ -10,6 +10,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import GateUnresponsive, Tick
 from wagtailstep.models.fleet import Member, Target
+from wagtailstep.models.hedging import SlowCopyLost
 from wagtailstep.models.request import AttemptEnded, Blame
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
@@ -54,6 +55,18 @@
         context.watch.handle(Tick())
 
 
+@when("a copy that waited for {waited:d} ms loses")
+def lose_copy(context, waited):
+    wait = timedelta(milliseconds=waited)
+    context.watch.handle(SlowCopyLost(make_request(context), "contracts/i-2", wait))
+
+
+@then("its typical latency is {expected:d} ms")
+def check_latency(context, expected):
+    latency = context.board.health["contracts/i-2"].latency
+    assert latency == timedelta(milliseconds=expected), latency
+
+
 @then('the path is "{state}"')
 def check_path(context, state):
     health = context.board.health.get("contracts/i-2")
--- a/src/wagtailstep/controllers/evidence.py
+++ b/src/wagtailstep/controllers/evidence.py
@@ -45,6 +45,7 @@
     UnhealthyNotice,
     unpack_evidence,
 )
+from wagtailstep.models.hedging import SlowCopyLost
 from wagtailstep.models.request import AttemptEnded, Blame
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
@@ -93,12 +94,18 @@
         self.stalls.record_completion(event.target_id, self.clock.monotonic())
         if event.blame in (Blame.PATH, Blame.CONNECTION):
             return self.record_path_failure(target, event.blame)
-        if event.blame in (Blame.OVERLOAD, Blame.CALLER):
-            return []
-        if event.blame is Blame.NONE and event.verdict is not Verdict.RUN:
+        unfinished = event.blame is Blame.NONE and event.verdict is not Verdict.RUN
+        if unfinished or event.blame in (Blame.OVERLOAD, Blame.CALLER):
             return []
         return self.record_outcome(target, event)
 
+    @handle.register
+    def _(self, event: SlowCopyLost) -> list[Any]:
+        if (target := self.get_target_evidence(event.target_id)) is None:
+            return []
+        self.services[target.service].record_slow_copy(target, event, self.clock)
+        return self.evaluate(target)
+
     @handle.register
     def _(self, event: ProbeFinished) -> list[Any]:
         state = self.health_tracker.states.get(event.target_id)
@@ -253,8 +260,7 @@
         """Add a log-likelihood ratio to the test of the path to a target."""
         limits = self.services[target.service].limits
         slot = limits.slot_at(self.clock.monotonic())
-        cap = SLOT_CAP[Symptom.UNREACHABLE]
-        target.path.add(ratio, cap, slot, limits.score_decay)
+        target.path.add(ratio, SLOT_CAP[Symptom.UNREACHABLE], slot, limits.score_decay)
 
     def evaluate_stalls(self, now: timedelta) -> list[Any]:
         """Record stalls of targets that have requests in flight and complete none."""
@@ -286,11 +292,9 @@
 
     def evaluate(self, target: TargetEvidence) -> list[Any]:
         """Evaluate a target after a bad outcome or report."""
-        service = self.services[target.service]
+        service, now = self.services[target.service], self.clock.monotonic()
         sharing = self.sharing.get_sharing(target.service)
-        now = self.clock.monotonic()
-        daemons = max(1, len(sharing.members))
-        finding = evaluate_target(service, target, now, daemons)
+        finding = evaluate_target(service, target, now, max(1, len(sharing.members)))
         if finding is None:
             self.write_health(target)
             return []
@@ -382,8 +386,7 @@
             return None
         service = self.services.get(known.service)
         if service is None:
-            limits = self.get_limits(known.service)
-            service = ServiceEvidence(known.service, limits)
+            service = ServiceEvidence(known.service, self.get_limits(known.service))
             self.services[known.service] = service
         if target_id in service.targets:
             return service.targets[target_id]
--- a/src/wagtailstep/controllers/evidence_state.py
+++ b/src/wagtailstep/controllers/evidence_state.py
@@ -13,6 +13,8 @@
     TestLimits,
 )
 from wagtailstep.models.evidence import STALL_ROUTE, Symptom
+from wagtailstep.models.hedging import SlowCopyLost
+from wagtailstep.utils.clock import Clock
 
 # Limit on what one time slot may add to a score or take from it, in nats.
 SLOT_CAP = {
@@ -311,6 +313,20 @@
         cap = SLOT_CAP[Symptom.HANGING]
         tests.local[Symptom.HANGING].add(ratio, cap, slot, self.limits.score_decay)
 
+    def record_slow_copy(
+        self, target: TargetEvidence, lost: SlowCopyLost, clock: Clock
+    ) -> None:
+        """Record that a copy of a request was slow, if its wait shows that.
+
+        It says nothing about success or failure, as the copy was cancelled.
+        """
+        route = lost.request.route
+        baseline = self.get_baseline(route)
+        if baseline.reference.is_slow(lost.waited):
+            slot = self.limits.slot_at(clock.monotonic())
+            tests = target.get_tests(route)
+            self.update_tests(tests, baseline, Symptom.SLOW, True, slot)
+
     def record_report(
         self,
         target: TargetEvidence,
--- a/src/wagtailstep/controllers/path_watch.py
+++ b/src/wagtailstep/controllers/path_watch.py
@@ -14,6 +14,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import GateUnresponsive, RecordEvent, Tick
 from wagtailstep.models.fleet import TargetHealth
+from wagtailstep.models.hedging import SlowCopyLost
 from wagtailstep.models.request import AttemptEnded, Blame
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.verdict import Verdict
@@ -91,6 +92,14 @@
             self.write_health(event.target_id, path)
         return []
 
+    @handle.register
+    def _(self, event: SlowCopyLost) -> list[Any]:
+        if event.target_id in self.blackboard.targets:
+            path = self.paths.setdefault(event.target_id, PathState())
+            path.record_latency(event.waited)
+            self.write_health(event.target_id, path)
+        return []
+
     @handle.register
     def _(self, event: GateUnresponsive) -> list[Any]:
         effects: list[Any] = []
--- a/src/wagtailstep/network/attempt_log.py
+++ b/src/wagtailstep/network/attempt_log.py
@@ -33,11 +33,13 @@
         target: Target | None = None,
         denial: RetryDenial | None = None,
     ) -> None:
-        """Log how a request ended.
+        """Log how a request ended; the end of a hedge is logged elsewhere.
 
         :param target: the target whose response was passed on.
         :param denial: why it was not sent again after a failure.
         """
+        if exchange.is_hedge:
+            return
         request = exchange.request
         left = max(timedelta(), request.deadline - self.clock.monotonic())
         log_event(
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -1,6 +1,8 @@
 """State that the entry keeps of one request until the request has ended."""
 
-from collections.abc import Callable
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 from http import HTTPStatus
 
@@ -15,9 +17,11 @@
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.verdict import Verdict, combine_verdicts
 from wagtailstep.network.bodies import ReplayableBody
+from wagtailstep.network.deadlines import SettledTimer
 from wagtailstep.network.interpret import fingerprint_work
 
 OnEnd = Callable[[Verdict, StoredAnswer | None], None]
+StartHedgeTimer = Callable[[asyncio.Timeout], SettledTimer | None]
 
 
 @attrs.define
@@ -41,6 +45,10 @@
     :param on_end: called once at the end of a run that the duplicate guard allowed.
     :param ended: whether :meth:`end` was called.
     :param released: whether :meth:`release` was called.
+    :param start_hedge_timer: called when an attempt begins to wait for its response
+        head, with the timeout that cancels it; ``None`` without hedging.
+    :param is_hedge: whether this is the state of a second copy only.
+    :param kept_admitted: whether :meth:`release` has no effect for the moment.
     """
 
     request: RequestContext
@@ -59,6 +67,9 @@
     on_end: OnEnd | None = None
     ended: bool = False
     released: bool = False
+    start_hedge_timer: StartHedgeTimer | None = None
+    is_hedge: bool = False
+    kept_admitted: bool = False
 
     @property
     def has_small_body(self) -> bool:
@@ -117,6 +128,15 @@
 
     def release(self) -> None:
         """Release the request's admission; later calls do nothing."""
-        if not self.released:
+        if not self.released and not self.kept_admitted:
             self.released = True
             self.routing.release(self.request)
+
+    @contextlib.asynccontextmanager
+    async def keep_admitted(self) -> AsyncIterator[None]:
+        """Keep the request admitted while a response that is not used is closed."""
+        self.kept_admitted = True
+        try:
+            yield
+        finally:
+            self.kept_admitted = False
--- a/src/wagtailstep/network/metrics.py
+++ b/src/wagtailstep/network/metrics.py
@@ -14,6 +14,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Tick
 from wagtailstep.models.gate import WorkEnded
+from wagtailstep.models.hedging import HedgeRecorded
 from wagtailstep.models.request import AttemptEnded, RequestEnded
 from wagtailstep.utils.clock import Clock
 
@@ -66,6 +67,11 @@
         self.attempts = self.meter.create_counter(
             "wagtailstep.attempts", unit="1", description="Attempts that ended."
         )
+        self.hedges = self.meter.create_counter(
+            "wagtailstep.hedges",
+            unit="{hedge}",
+            description="Second copies of slow requests, by outcome and reason.",
+        )
         self.attempt_latency = self.meter.create_histogram(
             "wagtailstep.attempt.duration",
             unit="s",
@@ -142,6 +148,13 @@
         if isinstance(event, WorkEnded):
             result = {"result": event.result.value}
             self.work_duration.record(event.duration.total_seconds(), result)
+        if isinstance(event, HedgeRecorded):
+            attributes = {
+                "service": event.service,
+                "outcome": event.outcome.value,
+                "reason": event.reason,
+            }
+            self.hedges.add(1, attributes)
         if isinstance(event, AttemptEnded):
             attributes = {
                 "service": event.request.service,
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -23,6 +23,7 @@
     RequestError,
     ServerCrashedError,
 )
+from wagtailstep.hedging.policy import HedgePolicy
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder
 from wagtailstep.models.fleet import Target
@@ -36,6 +37,7 @@
 from wagtailstep.network.crash_watch import check_not_blocked
 from wagtailstep.network.deadlines import SettledTimer, limit_time
 from wagtailstep.network.exchanges import Exchange
+from wagtailstep.network.hedged_attempts import HedgedAttempts
 from wagtailstep.network.server_notices import find_changed_notices
 from wagtailstep.utils.cancellation import is_cancelled
 from wagtailstep.utils.clock import Clock
@@ -78,6 +80,10 @@
         self.dispatch = dispatch
         self.refusals = RecentRefusals(clock)
         self.log = AttemptLog(blackboard, clock)
+        self.hedges: HedgedAttempts | None = None
+        if retries.settings.hedge_ratio:
+            policy = HedgePolicy(retries.settings, clock, retries, self.refusals)
+            self.hedges = HedgedAttempts(routing, policy, dispatch, self.attempt)
 
     def time_left(self, request: RequestContext) -> timedelta:
         """Return the time until a request's deadline, at least zero."""
@@ -97,7 +103,10 @@
             target = self.select_target(exchange)
             exchange.attempts += 1
             try:
-                answer = await self.attempt(exchange, target)
+                if self.hedges is None:
+                    answer = await self.attempt(exchange, target)
+                else:
+                    target, answer = await self.hedges.attempt(exchange, target)
             except RequestError as exc:
                 exchange.sent += exc.may_have_been_received
                 exchange.crashes += isinstance(exc, ServerCrashedError)
@@ -348,7 +357,9 @@
         time_left: timedelta,
         timeout: asyncio.Timeout,
     ) -> SettledTimer | None:
-        """Start the timer that abandons a slow attempt before the deadline."""
+        """Start the timer that hedges or abandons a slow attempt."""
+        if exchange.start_hedge_timer is not None:
+            return exchange.start_hedge_timer(timeout)
         health = self.blackboard.health.get(target.target_id)
         expected_latency = health.latency if health is not None else None
         delay = compute_attempt_timeout(exchange.request, time_left, expected_latency)
