--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -144,6 +144,9 @@
     :param declined_queue_length: requests declined by a backend server that may wait
         for a retry at one daemon; 0 refuses them when the budget is used up, and
         counts a declined arrival as an execution. Needs ``retry_slack``.
+    :param hedge_ratio: second copies of slow idempotent requests that a daemon may send
+        within ``retry_window_ms``, as a share of its requests for the service; 0 for
+        none. Each one also takes a retry, so it needs ``retry_slack``.
     """
 
     default_timeout_ms: int = positive(30_000)
@@ -169,6 +172,7 @@
     retry_slack: float = not_negative(0.0)
     retry_window_ms: int = positive(10_000)
     declined_queue_length: int = not_negative(0)
+    hedge_ratio: float = not_negative(0.0)
 
 
 @attrs.frozen
