Spend quota tokens soon after their grant, and match answers to their requests

Change: the body is read first; waits have identifiers of their own; a grant for a caller that left is returned; a grant counts for the message that it answers, from the daemon that was asked, and serials differ between processes of a daemon. A relayed request no longer reads the account that its caller named.

--- a/src/wagtailstep/accounts/account_leases.py
+++ b/src/wagtailstep/accounts/account_leases.py
@@ -44,11 +44,13 @@
     :param amount: tokens that were requested.
     :param due_at: monotonic time until which the daemon asked last should answer.
     :param asked: ``daemon_id`` of the daemons asked so far.
+    :param serials: serials of the messages to them.
     """
 
     amount: int
     due_at: timedelta
     asked: list[str]
+    serials: set[int] = attrs.field(factory=set)
 
 
 @attrs.define
--- a/src/wagtailstep/accounts/quota_leases.py
+++ b/src/wagtailstep/accounts/quota_leases.py
@@ -41,6 +41,7 @@
 MAX_DENIAL = timedelta(milliseconds=250)
 RETRY_JITTER_RATIO = 0.1
 RETRY_JITTER = timedelta(milliseconds=10)
+SERIAL_BITS = 20
 MAX_ASKED = 2  # Home and deputy.
 MAX_ACCOUNTS = 65_536
 MAX_TRACKED_REQUESTS = 4_096
@@ -88,7 +89,8 @@
         self.rng = rng
         self.home = home
         self.members = home.members
-        self.serial = 0
+        # Late answers to a former process of this daemon must match no serial.
+        self.serial = blackboard.this_member.incarnation << SERIAL_BITS
         self.accounts: OrderedDict[str, AccountLeases] = OrderedDict()
         self.pending: dict[str, AccountLeases] = {}
         self.leased: dict[str, AccountLeases] = {}
@@ -117,7 +119,7 @@
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
         if isinstance(event.message, QuotaGrant):
-            return self._receive_grant(event.message)
+            return self._receive_grant(event.message, event.sender)
         return []
 
     def decide(self, account: ClientAccount, request_id: str) -> QuotaOutcome:
@@ -226,6 +228,7 @@
         if member is None:
             return [ScheduleQuotaCheck(timeout)]
         self.serial += 1
+        pending.serials.add(self.serial)
         self.sent[self.serial] = SentRequest(name, now, decider)
         if len(self.sent) > MAX_TRACKED_REQUESTS:
             self.sent.popitem(last=False)
@@ -235,14 +238,17 @@
             ScheduleQuotaCheck(timeout),
         ]
 
-    def _receive_grant(self, grant: QuotaGrant) -> list[Any]:
-        sent = self.sent.pop(grant.serial, None)
-        state = self.accounts.get(sent.account) if sent is not None else None
-        if sent is None or state is None:
+    def _receive_grant(self, grant: QuotaGrant, sender: str) -> list[Any]:
+        sent = self.sent.get(grant.serial)
+        if sent is None or sent.receiver != sender:
+            return []
+        del self.sent[grant.serial]
+        state = self.accounts.get(sent.account)
+        if state is None:
             return []
         now = self.clock.monotonic()
         pending = state.pending
-        if pending is not None and sent.receiver in pending.asked:
+        if pending is not None and grant.serial in pending.serials:
             return self._apply_grant(state, grant, now, sent.receiver, sent.sent_at)
         self._add_lease(state, grant.amount, sent.sent_at, sent.receiver)
         return self._serve_waiting(state, now)
--- a/src/wagtailstep/network/account_headers.py
+++ b/src/wagtailstep/network/account_headers.py
@@ -93,9 +93,11 @@
     incoming: IncomingRequest, directory: AccountDirectory | None
 ) -> IncomingRequest:
     """Return a request without what only daemons may say about its account."""
-    if directory is None or incoming.from_daemon:
+    if directory is None:
         return incoming
-    kept = remove_headers(incoming.headers, UNTRUSTED_HEADERS)
+    # A daemon without a list of accounts relays what its caller said in this header.
+    names = frozenset({ACCOUNT}) if incoming.from_daemon else UNTRUSTED_HEADERS
+    kept = remove_headers(incoming.headers, names)
     return attrs.evolve(incoming, headers=kept)
 
 
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -178,9 +178,11 @@
         """Send a request, or first ask the guard if it has an idempotency key."""
         if exchange.request.needs_duplicate_guard:
             return await self.serve_guarded(exchange)
+        if exchange.has_small_body:
+            await self.within_deadline(exchange, exchange.body.prefetch())
+        # A token that is held while a slow body arrives would be used much later than
+        # it was granted, together with others.
         async with self.quotas.hold_token(exchange):
-            if exchange.has_small_body:
-                await self.within_deadline(exchange, exchange.body.prefetch())
             return await self.sender.run(exchange)
 
     def downgrade_unproven_not_run(
--- a/src/wagtailstep/network/quota_wait.py
+++ b/src/wagtailstep/network/quota_wait.py
@@ -1,6 +1,7 @@
 """Keeps requests waiting until the quota of their client account permits them."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -49,7 +50,8 @@
         self.apply = apply
         self.home = QuotaHome(blackboard, clock)
         self.leases = QuotaLeases(blackboard, clock, rng, self.home)
-        self.futures: dict[str, asyncio.Future[QuotaDecision]] = {}
+        self.serials = itertools.count(1)
+        self.futures: dict[str, tuple[str, asyncio.Future[QuotaDecision]]] = {}
 
     @asynccontextmanager
     async def hold_token(self, exchange: Exchange) -> AsyncIterator[None]:
@@ -86,12 +88,15 @@
         :raises QuotaExceededError: if the account has no token left.
         :raises DeadlineExceededError: if the deadline passes first.
         """
-        outcome = self.leases.decide(account, request.request_id)
+        # Callers may send several requests with the same identifier.
+        wait_id = str(next(self.serials))
+        outcome = self.leases.decide(account, wait_id)
         decision = outcome.decision
         if decision is not None:
             self.apply(list(outcome.effects))
         else:
-            decision = await self.wait(account, request, list(outcome.effects))
+            effects = list(outcome.effects)
+            decision = await self.wait(account, request, wait_id, effects)
         if not decision.admitted:
             raise QuotaExceededError(
                 f"client account {account.name!r} has used up its quota of "
@@ -102,14 +107,19 @@
         return decision
 
     async def wait(
-        self, account: ClientAccount, request: RequestContext, effects: list[Any]
+        self,
+        account: ClientAccount,
+        request: RequestContext,
+        wait_id: str,
+        effects: list[Any],
     ) -> QuotaDecision:
         """Wait until :meth:`deliver_decision` passes on the decision.
 
+        :param wait_id: identifier of this wait.
         :raises DeadlineExceededError: if the deadline passes first.
         """
         future = asyncio.get_running_loop().create_future()
-        self.futures[request.request_id] = future
+        self.futures[wait_id] = (account.name, future)
         self.apply(effects)
         decision = None
         try:
@@ -124,20 +134,20 @@
             ) from None
         finally:
             if decision is None:
-                self.cancel_wait(account, request, future)
+                self.cancel_wait(account, wait_id, future)
 
     def cancel_wait(
         self,
         account: ClientAccount,
-        request: RequestContext,
+        wait_id: str,
         future: asyncio.Future[QuotaDecision],
     ) -> None:
         """Withdraw a request, or return the token that it has just been given.
 
         The decision may arrive in the same event loop step as the cancellation.
         """
-        if self.futures.pop(request.request_id, None) is not None:
-            self.leases.cancel_wait(account.name, request.request_id)
+        if self.futures.pop(wait_id, None) is not None:
+            self.leases.cancel_wait(account.name, wait_id)
         elif future.done() and not future.cancelled():
             self.return_unused(account.name, future.result())
 
@@ -148,8 +158,14 @@
 
     def deliver_decision(self, effect: QuotaDecided) -> None:
         """Pass the decision to the request that waits for it."""
-        future = self.futures.pop(effect.request_id, None)
-        if future is not None and not future.done():
+        waiting = self.futures.pop(effect.request_id, None)
+        if waiting is None:
+            return
+        account, future = waiting
+        if future.done():
+            # The caller has just left.
+            self.return_unused(account, effect.decision)
+        else:
             future.set_result(effect.decision)
 
     def schedule_check(self, effect: ScheduleQuotaCheck) -> None:
