Find the deciders of quotas again only where members changed

Change: a change of members updates the deciders found so far; members are read once a second also without accounts; only full buckets are forgotten.

--- a/src/wagtailstep/accounts/quota_bucket.py
+++ b/src/wagtailstep/accounts/quota_bucket.py
@@ -112,6 +112,11 @@
             self.deputy_grants.append((now, granted))
         return granted
 
+    def is_full(self, now: timedelta) -> bool:
+        """Return whether it holds as many tokens as it can, if it were refilled now."""
+        gained = (now - self.updated_at).total_seconds() * self.rate
+        return self.tokens + gained >= self.capacity
+
     def give_back(self, amount: int) -> None:
         """Add tokens that were granted and not used."""
         self._add(amount)
--- a/src/wagtailstep/accounts/quota_home.py
+++ b/src/wagtailstep/accounts/quota_home.py
@@ -19,12 +19,15 @@
 from wagtailstep.models.quotas import QuotaGrant, QuotaRequest
 from wagtailstep.utils.clock import Clock
 
-# A bucket that is not used for this long is full, unless its burst takes longer than
-# that to refill.
+# A full bucket that is not used for this long is forgotten. One that is not full would
+# get tokens too early if it was created anew.
 IDLE_TIME = timedelta(minutes=1)
 # At the design scale of 47,000 accounts and 1,800 daemons one daemon is home or deputy
 # of about 52 accounts.
 MAX_BUCKETS = 4_096
+# Members are read also without accounts. A first list of accounts would otherwise find
+# all members new, and homes would grant less than the quotas.
+UNUSED_REFRESH_INTERVAL = timedelta(seconds=1)
 # Daemons lose sight of others, or see them again, one after the other. Meanwhile
 # several may be the home of one account: an account of 84 per second exceeded the bound
 # by 19 in a partition without a delay, and by 16 after restarts with one that only
@@ -70,15 +73,16 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         directory = self.blackboard.table.client_accounts
-        if directory is None and not self.buckets:
+        is_unused = directory is None and not self.buckets
+        if is_unused and self.members.age < UNUSED_REFRESH_INTERVAL:
             return []
         self.members.refresh()
         now = self.clock.monotonic()
-        while self.buckets:
-            name, bucket = next(iter(self.buckets.items()))
+        for name, bucket in list(self.buckets.items()):
             if now - bucket.used_at < IDLE_TIME:
                 break
-            del self.buckets[name]
+            if bucket.is_full(now):
+                del self.buckets[name]
         basis = (directory, self.members.changed_at)
         if basis != self.basis:
             self.basis = basis
--- a/src/wagtailstep/accounts/quota_members.py
+++ b/src/wagtailstep/accounts/quota_members.py
@@ -1,5 +1,7 @@
 """Which daemons decide on the quota of a client account, and for which share of it."""
 
+import heapq
+from collections.abc import Iterable
 from datetime import timedelta
 
 import xxhash
@@ -18,6 +20,23 @@
 MAX_CACHED_ACCOUNTS = 16_384
 
 
+# Above this number of hashes, deciders are found anew when they are needed.
+MAX_COMPARISONS = 10_000
+DECIDERS = 2  # Home and deputy.
+
+
+def rank_members(account: str, members: Iterable[str]) -> tuple[str, ...]:
+    """Return the first members for an account by rendezvous hashing.
+
+    A change of members moves only the accounts whose home or deputy joined or left.
+    """
+
+    def compute_key(name: str) -> tuple[int, str]:
+        return xxhash.xxh64_intdigest(f"{account}\n{name}".encode()), name
+
+    return tuple(heapq.nlargest(DECIDERS, members, key=compute_key))
+
+
 class QuotaMembers:
     """The usable members, and the home and deputy that they give each account.
 
@@ -39,6 +58,11 @@
         """Return the ``daemon_id`` of this daemon."""
         return self.blackboard.this_member.daemon_id
 
+    @property
+    def age(self) -> timedelta:
+        """Return the time since the members were last read."""
+        return self.clock.monotonic() - self.refreshed_at
+
     @property
     def scale(self) -> float:
         """Return the share of each quota that the usable members grant together."""
@@ -57,7 +81,7 @@
         names = [name for name, member in members.items() if member.state is alive]
         usable = frozenset(names or [self.this_id])
         if usable != self.usable:
-            self.deciders.clear()
+            self.update_deciders(self.usable - usable, usable - self.usable)
             for daemon_id in self.usable - usable:
                 self.absent_since[daemon_id] = now
             self.usable = usable
@@ -68,25 +92,29 @@
             if left or daemon_id in usable or now - since >= ABSENCE_MEMORY:
                 del self.absent_since[daemon_id]
 
+    def update_deciders(self, gone: frozenset[str], joined: frozenset[str]) -> None:
+        """Apply changed members to the deciders found so far.
+
+        Ranking all members of a large fleet for each account would stall the daemon.
+        """
+        if len(self.deciders) * len(joined) > MAX_COMPARISONS:
+            self.deciders.clear()
+            return
+        for account, found in list(self.deciders.items()):
+            if gone.intersection(found) or len(found) < DECIDERS:
+                del self.deciders[account]
+            elif joined:
+                self.deciders[account] = rank_members(account, (*found, *joined))
+
     def find_deciders(self, account: str) -> tuple[str, ...]:
         """Return the home of an account and its deputy, if there is another daemon."""
         if self.clock.monotonic() - self.refreshed_at >= MAX_AGE:
             self.refresh()
         found = self.deciders.get(account)
         if found is None:
-            # Rendezvous hashing: a change of members moves only the accounts whose
-            # home or deputy joined or left.
-            ranked = sorted(
-                self.usable,
-                key=lambda name: (
-                    xxhash.xxh64_intdigest(f"{account}\n{name}".encode()),
-                    name,
-                ),
-                reverse=True,
-            )
             if len(self.deciders) >= MAX_CACHED_ACCOUNTS:
                 self.deciders.clear()
-            found = self.deciders[account] = tuple(ranked[:2])
+            found = self.deciders[account] = rank_members(account, self.usable)
         return found
 
     def is_first(self, account: str) -> bool:
