Forget old loans, and let no account or request block others for ever

Change: loans expire when they are added; the virtual time follows evicted accounts; a waiting request keeps what it needs and no more, and one that its daemon can never afford waits for a loan only.

--- a/features/fair_queue.feature
+++ b/features/fair_queue.feature
@@ -198,3 +198,8 @@
     And the accounts have 3 ranks
     When requests arrive for 200 s, with bursts of 2 times the capacity, by seed 3
     Then no rank is served better in time than a higher one
+
+  Scenario: An account that was served once is not passed by thousands of new ones for ever
+    Given 3000 accounts of one rank that always have a request waiting
+    When 9000 requests are served
+    Then each account was served at least once
--- a/features/shared_retries.feature
+++ b/features/shared_retries.feature
@@ -47,3 +47,8 @@
   Scenario: A daemon that lent its retries does not make them itself
     Given 2 daemons with a shared budget of ratio 0.19 and slack 64
     Then what one daemon lends is missing there for 12 s and ends at the borrower after 1 s
+
+  Scenario: Loans of the past are forgotten by a daemon where no request waits for one
+    Given 2 daemons with a shared budget of ratio 0.19 and slack 64
+    When one of them borrows a retry each second for 60 s
+    Then it remembers at most 3 loans
--- a/features/steps/shared_retries_steps.py
+++ b/features/steps/shared_retries_steps.py
@@ -240,3 +240,17 @@
 @then("a request that {count:d} backend servers received is not sent again")
 def check_sent(context, count):
     assert not try_acquire_retry_after(context, CONNECTION_LOST, count, count)
+
+
+@when("one of them borrows a retry each second for {seconds:d} s")
+def borrow_each_second(context, seconds):
+    budget = context.policies[0].shared_budget
+    for _ in range(seconds):
+        budget.add_loan("contracts", 1.0, context.clock.monotonic())
+        context.clock.advance(timedelta(seconds=1))
+
+
+@then("it remembers at most {count:d} loans")
+def check_forgotten(context, count):
+    remembered = context.policies[0].shared_budget.borrowed["contracts"].entries
+    assert len(remembered) <= count, len(remembered)
--- a/src/wagtailstep/controllers/shared_budget.py
+++ b/src/wagtailstep/controllers/shared_budget.py
@@ -249,8 +249,10 @@
         if amount > 0 and self.clock.monotonic() < expires_at:
             loans = self.loans.setdefault(service, deque())
             loans.append(Loan(amount, expires_at))
+            now = self.clock.monotonic()
             borrowed = self.borrowed.setdefault(service, WindowedSum())
-            borrowed.add(amount, self.clock.monotonic())
+            borrowed.expire_before(now - LOAN_RATE_WINDOW)
+            borrowed.add(amount, now)
 
     def _use_loans(self, service: str, amount: float) -> None:
         loans = self._get_loans(service)
--- a/src/wagtailstep/scheduling/declined_requests.py
+++ b/src/wagtailstep/scheduling/declined_requests.py
@@ -140,8 +140,8 @@
     def decide(self) -> list[WaitingRequest]:
         """Give the available retries to the first requests, give up hopeless ones.
 
-        A request that can't be granted its retry blocks those behind it that use the
-        same budgets.
+        What the requests that still wait need is kept for them; those behind them get
+        what is left.
 
         :return: the requests whose wait has ended.
         """
@@ -169,8 +169,10 @@
     def _find_end(
         self, waiting: WaitingRequest, ahead: dict[str, float], position: int
     ) -> WaitEnd | None:
-        is_blocked = any(name in ahead for name in waiting.costs)
-        if not is_blocked and self.budget.try_acquire(waiting.request):
+        needed = {
+            name: cost + ahead.get(name, 0.0) for name, cost in waiting.costs.items()
+        }
+        if self.budget.can_afford(needed) and self.budget.try_acquire(waiting.request):
             return WaitEnd.WOKEN
         if self.blackboard.draining:
             return WaitEnd.DRAINING
@@ -184,6 +186,9 @@
         """Return whether a retry is expected in time, or a loan may still arrive."""
         latest = waiting.latest_at - self.clock.monotonic()
         for name, cost in waiting.costs.items():
+            if cost > self.budget.compute_allowed(name):
+                # Its own part never covers the request.
+                return self._may_get_loan(waiting.request.service)
             if name not in self.forecasts:
                 self.forecasts[name] = self.budget.forecast(name)
             wait = self.forecasts[name].compute_wait(cost + ahead.get(name, 0.0))
--- a/src/wagtailstep/scheduling/fair_order.py
+++ b/src/wagtailstep/scheduling/fair_order.py
@@ -150,7 +150,11 @@
             if not self.active:
                 self.virtual_times.clear()
         while len(self.idle) > MAX_IDLE_ACCOUNTS:
-            self.idle.popitem(last=False)
+            (rank, _), evicted = self.idle.popitem(last=False)
+            # It starts at the virtual time again, which must not be before its tag:
+            # accounts that still wait would be passed for ever.
+            virtual_time = self.virtual_times.get(rank, timedelta())
+            self.virtual_times[rank] = max(virtual_time, evicted.tag)
 
 
 def get_flow_key(request: GateRequest) -> FlowKey:
