--- a/src/wagtailstep/hedging/latencies.py
+++ b/src/wagtailstep/hedging/latencies.py
@@ -65,7 +65,9 @@
 
     def record(self, latency: timedelta, now: timedelta) -> None:
         """Add one latency."""
-        if now - self.renewed_at >= PERIOD:
+        # The percentiles of a period with fewer samples would never be read.
+        is_full = self.newer.get_total_count() >= MIN_SAMPLES
+        if is_full and now - self.renewed_at >= PERIOD:
             self.renewed_at = now
             self.older, self.newer = self.newer, create_histogram()
         latency_ms = min(MAX_LATENCY_MS, max(1, round(latency / MILLISECOND)))
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -49,6 +49,7 @@
     :param on_end: called once at the end of a run that the duplicate guard allowed.
     :param ended: whether :meth:`end` was called.
     :param released: whether :meth:`release` was called.
+    :param hedged: whether a second copy has been sent; there is never another one.
     :param start_hedge_timer: called when an attempt begins to wait for its response
         head, with the timeout that cancels it; ``None`` without hedging.
     :param is_hedge: whether this is the state of a second copy only.
@@ -74,6 +75,7 @@
     on_end: OnEnd | None = None
     ended: bool = False
     released: bool = False
+    hedged: bool = False
     start_hedge_timer: StartHedgeTimer | None = None
     is_hedge: bool = False
     kept_admitted: bool = False
--- a/src/wagtailstep/network/hedged_attempts.py
+++ b/src/wagtailstep/network/hedged_attempts.py
@@ -82,7 +82,7 @@
             accounts for the error; the other copy is accounted for here.
         """
         delay = None
-        if not exchange.sent:
+        if not exchange.sent and not exchange.hedged:
             delay = self.policy.compute_delay(exchange.request)
         if delay is not None and not has_body(exchange):
             # Reading the end of an empty body does not wait.
@@ -132,6 +132,7 @@
             return
         assert race.hedge_target is not None
         exchange.attempts += 1
+        exchange.hedged = True
         self.record(race, HedgeOutcome.SENT)
         race.hedge = asyncio.create_task(self.run_hedge(race, race.hedge_target))
         race.hedge.add_done_callback(functools.partial(self.finish_hedge, race))
@@ -178,7 +179,6 @@
             if following is None:
                 break
             race.hedge_target = following
-            exchange.attempts += 1
             result = await self.send_copy(second, following)
         return result
 
