Say the reasons of constants and counters more plainly

Change: comments and doc comments only. Measured: formatter, linter and layer check; features/declined_requests.feature.

--- a/src/wagtailstep/accounts/quota_home.py
+++ b/src/wagtailstep/accounts/quota_home.py
@@ -28,10 +28,10 @@
 # Members are read also without accounts. A first list of accounts would otherwise find
 # all members new, and homes would grant less than the quotas.
 UNUSED_REFRESH_INTERVAL = timedelta(seconds=1)
-# Daemons lose sight of others, or see them again, one after the other. Meanwhile
-# several may be the home of one account: an account of 84 per second exceeded the bound
-# by 19 in a partition without a delay, and by 16 after restarts with one that only
-# lost members caused (trials).
+# Daemons notice a change of members one after the other. Meanwhile several may be the
+# home of one account: one with 84 requests per second exceeded the bound by 19 requests
+# in a partition without a delay, and by 16 after restarts with a delay that only lost
+# members started.
 SETTLING_TIME = timedelta(seconds=1)
 MAX_PROMOTION_DELAY = timedelta(milliseconds=1_500)
 MILLISECOND = timedelta(milliseconds=1)
--- a/src/wagtailstep/accounts/quota_members.py
+++ b/src/wagtailstep/accounts/quota_members.py
@@ -11,8 +11,8 @@
 from wagtailstep.utils.clock import Clock
 
 # A daemon that was usable within this time and did not leave gracefully may be on the
-# other side of a partition, where it grants its share of each quota. In a partition of
-# 22 s, 10 s exceeded the bound by 300 requests (trial, accounts of 64 and 94 per s).
+# other side of a partition, where it grants its share of each quota. A value of 10 s
+# exceeded the bound by 300 requests in a partition of 22 s.
 ABSENCE_MEMORY = timedelta(seconds=60)
 # Members are read at once if no tick did so lately, as for the first account.
 MAX_AGE = timedelta(seconds=1)
--- a/src/wagtailstep/hedging/policy.py
+++ b/src/wagtailstep/hedging/policy.py
@@ -13,8 +13,8 @@
 
 # Part of its retry allowance that a daemon keeps for requests that failed.
 BUDGET_RESERVE_RATIO = 0.5
-# A limit below this share can't cover all requests beyond the 95th percentile. Waiting
-# longer leaves it to the slowest ones.
+# Share of the requests beyond the 95th percentile. A lower limit can't cover them all;
+# a longer delay leaves it to the slowest ones.
 FULL_COVERAGE_RATIO = 0.05
 LONGER_DELAY_FACTOR = 2.0
 # As many gates without a free slot show that the service lacks capacity.
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -18,7 +18,8 @@
 class RequestContext:
     """What is known about a request, apart from its body.
 
-    :param request_id: unique identifier, assigned by the first daemon.
+    :param request_id: identifier, assigned by the first daemon, or by the caller with
+        ``caller_request_ids``; then several requests may have the same one.
     :param service: name of the requested service.
     :param route: name of the route; limits and latencies are tracked per route.
     :param account: client account, or an empty string.
--- a/src/wagtailstep/network/declined_wait.py
+++ b/src/wagtailstep/network/declined_wait.py
@@ -82,7 +82,7 @@
         if error.verdict is Verdict.NOT_RUN:
             exchange.declined += 1
             exchange.last_declined = target.target_id
-            # Its gate had a slot, so it is no longer one of the full gates.
+            # It got a slot there, so the announced wait no longer applies.
             exchange.expected_waits.pop(target.target_id, None)
             self.queue.record_decline(target.target_id)
 
--- a/src/wagtailstep/network/exchanges.py
+++ b/src/wagtailstep/network/exchanges.py
@@ -36,7 +36,8 @@
     :param sent: number of attempts that may have reached a backend server.
     :param declined: number of those attempts that a server proved not to have executed;
         stays 0 unless declined requests may wait for a retry.
-    :param retries_charged: retries that were charged to the budget after a decline.
+    :param retries_charged: retries that were charged to the budget after a decline; if
+        it equals ``sent``, the next arrival at a server is charged already.
     :param last_declined: ``target_id`` of the last server that declined, or empty.
     :param tried: ``target_id`` of the targets tried so far.
     :param verdict: combined verdict of all attempts that have ended.
@@ -44,7 +45,8 @@
         announced, by ``target_id``.
     :param last_resort: a doubted target that is tried before giving up.
     :param attempt_in_progress: whether an attempt waits for its response head.
-    :param abandoned: whether the attempt was cancelled by its attempt timeout.
+    :param abandoned: whether the attempt was cancelled by its attempt timeout, or since
+        a second copy has won.
     :param crashes: number of attempts during which a backend server crashed.
     :param on_end: called once at the end of a run that the duplicate guard allowed.
     :param ended: whether :meth:`end` was called.
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -351,7 +351,7 @@
         time_left: timedelta,
         timeout: asyncio.Timeout,
     ) -> SettledTimer | None:
-        """Start the timer that hedges or abandons a slow attempt."""
+        """Start the timer of the hedge; without hedging, one that abandons attempts."""
         if exchange.start_hedge_timer is not None:
             return exchange.start_hedge_timer(timeout)
         health = self.blackboard.health.get(target.target_id)
--- a/src/wagtailstep/scheduling/declined_requests.py
+++ b/src/wagtailstep/scheduling/declined_requests.py
@@ -18,8 +18,9 @@
 MAX_BACKOFF = timedelta(milliseconds=160)
 # A server that declined this recently is likely to decline the next request too.
 DECLINE_RETENTION = timedelta(milliseconds=500)
-# As controllers.retry_lending asks for loans, and as long as one takes to arrive.
+# Equals ASK_INTERVAL of controllers.retry_lending, which ignores earlier requests.
 LOAN_REQUEST_INTERVAL = timedelta(milliseconds=250)
+# A loan arrives within a round trip between zones, or not at all.
 LOAN_ARRIVAL_TIME = timedelta(milliseconds=40)
 LENDERS_PER_REQUEST = 3
 # Predictions of all waits are renewed this often, and when a request joins.
