Report which targets an entry excludes, and why

Cause: a gate logs its standing and an entry the start of an avoidance, but nothing told how much of a service an entry leaves out, nor for which reason.

Change: RoutingController counts the targets of a service that are not in the draw by reason, and logs targets-excluded on a change, at most once a second and service. Candidates and their draws move to a module of their own.

On the old code the new scenario has no report to look at.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -113,3 +113,11 @@
     When requests for 3000 unknown services are admitted
     Then the targets of at most 1024 services are requested
     And none of them is requested any more after 11 minutes
+
+  Scenario: What is excluded from the draw is reported by reason, once a second
+    Given target 1 is "leaving"
+    And target 2 is "beside a daemon that is gone"
+    And targets 3 are avoided
+    When picks are made for 2500 ms while target 3 changes between avoided and usable
+    Then the first report says "drawn=1 not_serving=1 gate_gone=1 path_avoided=1"
+    And there are 3 reports
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -348,3 +348,30 @@
     assert len(board.targets_of("contracts")) == 3
     board.targets.pop(make_target(5, service="other5").target_id)
     assert len(board.targets) == 19_002
+
+
+@when(
+    "picks are made for {duration_ms:d} ms while target {number:d} changes between "
+    "avoided and usable"
+)
+def pick_while_changing(context, duration_ms, number):
+    context.reports = []
+    context.routing.requested_services.record_request("contracts")
+    for step in range(duration_ms // 100):
+        health = TargetHealth(avoided=step % 2 == 0)
+        context.board.health[target_id_of(number)] = health
+        context.routing.pick("contracts")
+        context.reports += context.routing.handle(Tick())
+        context.clock.advance(timedelta(milliseconds=100))
+
+
+@then('the first report says "{text}"')
+def check_first_report(context, text):
+    fields = context.reports[0].fields
+    assert fields.pop("service") == "contracts"
+    assert " ".join(f"{k}={v}" for k, v in fields.items()) == text, fields
+
+
+@then("there are {count:d} reports")
+def check_report_count(context, count):
+    assert len(context.reports) == count, context.reports
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -6,15 +6,19 @@
 to their weights, and busy ones get fewer.
 """
 
-import itertools
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections import Counter
+from collections.abc import Callable, Collection
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
 
-import attrs
-
+from wagtailstep.controllers.candidates import (
+    Candidate,
+    CandidatePool,
+    exclude_doubted,
+)
+from wagtailstep.controllers.exclusions import ExclusionLog, ExclusionReason
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
 from wagtailstep.controllers.request_rates import compute_rate_share
 from wagtailstep.controllers.requested_services import RequestedServices
@@ -53,65 +57,6 @@
 _USABLE_MEMBERS = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
 
 
-@attrs.frozen
-class Candidate:
-    """A target that may be picked.
-
-    :param target: the target.
-    :param weight: its weight in the table.
-    :param effective_weight: weight in use; below ``weight`` during slow start, and if
-        the target takes fewer requests a second than the others get.
-    :param health: this daemon's assessment of its health.
-    :param is_avoided: whether that assessment was to avoid it.
-    :param rate_limit: requests a second that it takes; ``NO_RATE_LIMIT`` if it named
-        no limit.
-    """
-
-    target: Target
-    weight: float
-    effective_weight: float
-    health: TargetHealth
-    is_avoided: bool
-    rate_limit: float = NO_RATE_LIMIT
-
-    @property
-    def is_doubted(self) -> bool:
-        """Return whether one more outcome would decide the standing at its gate."""
-        return self.target.standing is TargetStanding.DOUBTED
-
-
-class CandidatePool:
-    """The candidates of one service, prepared for repeated draws.
-
-    :param candidates: the candidates, at least one.
-    :param created_at: monotonic time when they were collected.
-    :param doubted: targets in doubted standing, for requests that can be retried.
-    :param draw_weights: weights by which candidates are drawn; the effective weights
-        if empty.
-    """
-
-    def __init__(
-        self,
-        candidates: list[Candidate],
-        created_at: timedelta,
-        doubted: Sequence[Candidate] = (),
-        draw_weights: Sequence[float] = (),
-    ) -> None:
-        self.candidates = candidates
-        self.doubted = doubted
-        self.created_at = created_at
-        weights = [c.effective_weight for c in candidates]
-        self.cumulative_weights = list(itertools.accumulate(draw_weights or weights))
-        self.mean_weight = sum(weights) / len(weights)
-
-    def draw(self, rng: random.Random) -> tuple[Candidate, Candidate]:
-        """Draw two candidates by weight; they may be the same one."""
-        first, second = rng.choices(
-            self.candidates, cum_weights=self.cumulative_weights, k=2
-        )
-        return first, second
-
-
 class RoutingController:
     """Admits requests, picks targets and maintains the in-flight counts.
 
@@ -135,6 +80,7 @@
         self.pools: dict[str, CandidatePool] = {}
         self.account_limiter = AccountLimiter(settings.requests, clock)
         self.requested_services = RequestedServices(blackboard, clock)
+        self.exclusions = ExclusionLog(clock)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -144,7 +90,7 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         self.requested_services.expire()
-        return []
+        return self.exclusions.create_events(self.requested_services.by_name)
 
     def admit(self, request: RequestContext) -> None:
         """Count a request as in flight; each admitted one needs one :meth:`release`.
@@ -242,8 +188,10 @@
         ):
             return pool
         self.pools.pop(service, None)
-        candidates = self.find_candidates(service)
+        excluded: Counter[ExclusionReason] = Counter()
+        candidates = self.find_candidates(service, excluded)
         if not candidates:
+            self.exclusions.record(service, 0, excluded)
             raise NoTargetError(
                 f"no backend server of service {service!r} currently accepts requests; "
                 "retry after the time in Retry-After"
@@ -251,6 +199,11 @@
         usable = self.exclude_avoided(service, candidates)
         kept = exclude_doubted(usable)
         doubted = [c for c in usable if c.is_doubted and c not in kept]
+        excluded[ExclusionReason.PATH_AVOIDED] += len(candidates) - len(usable)
+        for candidate in usable:
+            if candidate not in kept:
+                excluded[get_standing_reason(candidate)] += 1
+        self.exclusions.record(service, len(kept), excluded)
         weights = [self.compute_draw_weight(c) for c in kept]
         pool = self.pools[service] = CandidatePool(kept, now, doubted, weights)
         return pool
@@ -285,17 +238,21 @@
         same_avoidance = health.avoided == candidate.is_avoided
         return same_avoidance and board.table.weight(target_id) == candidate.weight
 
-    def find_candidates(self, service: str) -> list[Candidate]:
-        """Return the targets of a service that accept requests."""
+    def find_candidates(
+        self, service: str, excluded: Counter[ExclusionReason] | None = None
+    ) -> list[Candidate]:
+        """Return the targets of a service that accept requests.
+
+        :param excluded: counts the others by reason.
+        """
         board = self.blackboard
         found = []
         for target_id, target in board.targets.of_service(service).items():
-            if target.state is not TargetState.SERVING or target_id in board.ejected:
-                continue
-            if has_said_leaving(board, target):
-                continue
             weight = board.table.weight(target_id)
-            if weight <= 0 or not self.has_live_gate(target):
+            reason = self.find_exclusion(target, weight)
+            if reason is not None:
+                if excluded is not None:
+                    excluded[reason] += 1
                 continue
             health = board.health.get(target_id, _HEALTHY)
             effective_weight = weight * max(health.ramp, MIN_RAMP)
@@ -310,6 +267,22 @@
             )
         return found
 
+    def find_exclusion(self, target: Target, weight: float) -> ExclusionReason | None:
+        """Return why a target accepts no requests, or ``None`` if it does.
+
+        :param weight: its weight in the table.
+        """
+        board = self.blackboard
+        if target.state is not TargetState.SERVING or has_said_leaving(board, target):
+            return ExclusionReason.NOT_SERVING
+        if target.target_id in board.ejected:
+            return ExclusionReason.EJECTED
+        if weight <= 0:
+            return ExclusionReason.WITHOUT_WEIGHT
+        if not self.has_live_gate(target):
+            return ExclusionReason.GATE_GONE
+        return None
+
     def has_live_gate(self, target: Target) -> bool:
         """Return whether the daemon beside a target is known and alive or suspect."""
         member = self.blackboard.members.get(target.daemon_id)
@@ -365,18 +338,11 @@
         return cost * candidate.health.penalty * STANDING_COST_FACTORS[target.standing]
 
 
-def exclude_doubted(candidates: list[Candidate]) -> list[Candidate]:
-    """Exclude targets in doubted or failing standing, unless there is no better one.
-
-    A gate judges only by failures at its own backend server, so load on other targets
-    never counts against one, and a healthy target soon returns to good standing. A
-    few good targets that refuse excess load serve more than many that fail it.
-    """
-    for limit in (TargetStanding.DOUBTED, TargetStanding.FAILING):
-        kept = [c for c in candidates if c.target.standing < limit]
-        if kept:
-            return kept
-    return candidates
+def get_standing_reason(candidate: Candidate) -> ExclusionReason:
+    """Return the reason for which a candidate was excluded by its standing."""
+    if candidate.is_doubted:
+        return ExclusionReason.DOUBTED
+    return ExclusionReason.FAILING
 
 
 def _avoidance_order(candidate: Candidate) -> tuple[float, str]:
--- a/src/wagtailstep/hedging/targets.py
+++ b/src/wagtailstep/hedging/targets.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Collection
 
-from wagtailstep.controllers.routing import CandidatePool, RoutingController
+from wagtailstep.controllers.candidates import CandidatePool
+from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.fleet import MemberState, Target, TargetStanding
 
