Try failing servers again after a second, however many are doubted

Cause: a standing outlived its evidence. A gate called its server failing until the log odds had decayed, up to 4.5 s after the last failure, and digests took up to 3 s more to tell a fleet of 100. Entries sent it nothing in that time, so no success could clear it. Doubted servers shared a quarter of the repeatable requests, however many they were. Class: an exclusion that prevents the evidence which would end it.

The load test breaks with the controllers alone.

Change: a server is failing for a second after its last failure and doubted then; other daemons know it as doubted only, and its gate refuses meanwhile. The share of repeatable requests that try doubted servers grows with their number, from a quarter to 70 %. An entry without a better target says so, and the gate accepts. It works because each server gets a request within two seconds of the hold, as long as retries are left.

That a standing is known at once in a small fleet is checked with doubted, since failing doesn't travel any more; a new scenario checks that.

--- a/features/dissemination.feature
+++ b/features/dissemination.feature
@@ -79,9 +79,18 @@
 
   Scenario: In a small fleet a changed standing is known everywhere at once
     When 20 seconds pass on the bus
+    And the backend servers beside d03 become "doubted"
+    And 1 seconds pass on the bus
+    Then all daemons consider the servers beside d03 "doubted"
+
+  Scenario: That a doubted server fails again concerns its own gate only
+    When 20 seconds pass on the bus
+    And the backend servers beside d03 become "doubted"
+    And 1 seconds pass on the bus
     And the backend servers beside d03 become "failing"
     And 1 seconds pass on the bus
-    Then all daemons consider the servers beside d03 "failing"
+    Then all other daemons consider the servers beside d03 "doubted"
+    And 0 updates of targets were sent since
 
   Scenario: Lost, duplicated and delayed messages let no healthy target lapse
     Given 5 percent of the messages on the bus are lost and 5 percent duplicated
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -59,6 +59,11 @@
     Then it finds no broken guarantee
     And at least 3500 requests succeeded
 
+  Scenario: A fleet that excludes failing servers until their log odds decay is detected
+    Given daemons that exclude failing servers until their log odds decay
+    When a soak test of 40 hosts with the faults "spontaneous, most" runs with seed 91000003
+    Then it finds a broken guarantee whose description contains "sound servers got nothing"
+
   Scenario: A fleet whose daemons trust that they hear of every version is detected
     Given daemons that never read the table for want of fresh knowledge
     When a table soak of 15 hosts with the fault "readers-without-store" runs with seed 1000000
--- a/features/sound_servers.feature
+++ b/features/sound_servers.feature
@@ -5,25 +5,27 @@
 
   Scenario: Servers that fail in short bursts are used again soon after
     Given 60 % of the servers fail 85 % of their requests for 1 s every 3 s
-    When 200 requests a second are sent for 40 s with seed 1
+    When 200 requests a second are sent for 60 s with seeds 1 to 3
     Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
-    And at least 81.6 % of the requests are served
+    And at least 83.4 % of the requests are served, with a tolerance of 0.6
 
   Scenario: Servers that failed by themselves are used again while most are disturbed
     Given 30 % of the servers fail 85 % of their requests, others every 12 s
     And all but 20 servers are disturbed and spoil 18 % of their responses
-    When 200 requests a second are sent for 40 s with seed 1
+    When 200 requests a second are sent for 60 s with seeds 1 to 3
     Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
-    And at least 88.1 % of the requests are served
+    And at least 89.2 % of the requests are served, with a tolerance of 0.6
 
+  # Served when a failing server was excluded until its log odds had decayed. The
+  # tolerance is two standard deviations of the mean of three seeds.
   Scenario Outline: Using servers again costs callers nothing while <situation>
     Given <situation>
-    When 200 requests a second are sent for 40 s with seed 1
-    Then at least <served> % of the requests are served
+    When 200 requests a second are sent for 60 s with seeds 1 to 3
+    Then at least <served> % of the requests are served, with a tolerance of <tolerance>
 
     Examples:
-      | situation                                                              | served |
-      | 30 % of the servers fail 85 % of their requests, others every 12 s      | 97.7   |
-      | all servers fail 2 % of their requests                                 | 98.4   |
-      | all servers decline 55 % of their requests for 8 s                     | 91.6   |
-      | 60 % of the servers fail for 4 s and return cold                       | 97.7   |
+      | situation                                                          | served | tolerance |
+      | 30 % of the servers fail 85 % of their requests, others every 12 s | 98.0   | 0.2       |
+      | all servers fail 2 % of their requests                             | 98.6   | 0.2       |
+      | all servers decline 55 % of their requests for 8 s                 | 94.6   | 0.2       |
+      | 60 % of the servers fail for 4 s and return cold                   | 98.4   | 0.2       |
--- a/features/steps/control_bus_steps.py
+++ b/features/steps/control_bus_steps.py
@@ -220,7 +220,22 @@
 
 @then('all daemons consider the servers beside {daemon_ids} "{standing}"')
 def check_standing(context, daemon_ids, standing):
-    for node in get_running_nodes(context):
+    check_standing_at(get_running_nodes(context), daemon_ids, standing)
+
+
+@then('all other daemons consider the servers beside {daemon_ids} "{standing}"')
+def check_standing_elsewhere(context, daemon_ids, standing):
+    others = [
+        node
+        for node in get_running_nodes(context)
+        if node.daemon_id not in daemon_ids.split(",")
+    ]
+    assert others
+    check_standing_at(others, daemon_ids, standing)
+
+
+def check_standing_at(nodes, daemon_ids, standing):
+    for node in nodes:
         for target in node.blackboard.targets.values():
             if target.daemon_id in daemon_ids.split(","):
                 found = target.standing.name.lower()
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from datetime import timedelta
 from unittest import mock
 
 import detangle
@@ -12,7 +13,12 @@
 from benchmarks.soak.fleet import SERVICE, SoakDaemon, SoakFleet
 from benchmarks.table_soak import run_table_soak
 
-from wagtailstep.controllers import suspects
+from wagtailstep.controllers import (
+    candidates,
+    dissemination,
+    suspects,
+    target_judge,
+)
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.suspects import CrashSuspects, Suspect
@@ -54,6 +60,17 @@
     context.add_cleanup(patch.stop)
 
 
+@given("daemons that exclude failing servers until their log odds decay")
+def exclude_failing(context):
+    for patch in (
+        mock.patch.object(target_judge, "FAILING_HOLD", timedelta(days=1)),
+        mock.patch.object(candidates, "MAX_PROBE_RATIO", candidates.MIN_PROBE_RATIO),
+        mock.patch.object(dissemination, "limit_standing", lambda target: target),
+    ):
+        patch.start()
+        context.add_cleanup(patch.stop)
+
+
 @given("daemons that put any table in force")
 def ignore_versions(context):
     patch = mock.patch.object(PublishedTableController, "version", -1)
--- a/features/steps/target_judge_steps.py
+++ b/features/steps/target_judge_steps.py
@@ -165,3 +165,17 @@
     picked = [routing.pick("contracts", may_probe=may_probe) for _ in range(1000)]
     doubted = sum(target.standing is TargetStanding.DOUBTED for target in picked)
     assert low <= doubted / 10 <= high, doubted
+
+
+@then('the gate of the last target is told to accept a standing of "{standing}"')
+def check_expected_standing(context, standing):
+    routing = RoutingController(
+        SETTINGS, context.board, context.clock, random.Random(1)
+    )
+    last = list(context.board.targets.values())[-1]
+    found = routing.get_expected_standing(last)
+    assert found is TargetStanding[standing.upper()], found
+    assert (
+        routing.get_expected_standing(last, is_last_resort=True)
+        is TargetStanding.FAILING
+    ) == (last.standing >= TargetStanding.DOUBTED)
--- a/features/target_judge.feature
+++ b/features/target_judge.feature
@@ -31,6 +31,13 @@
     And 4 s pass
     Then the standing is "doubted"
 
+  Scenario: A failing backend server is kept from all requests for a second only
+    When its work ends as "failed" 5 times
+    And 1 s pass
+    Then the standing is "doubted"
+    When its work ends as "failed"
+    Then the standing is "failing"
+
   Scenario: Hanging work is detected before its deadline
     When its work ends as "done" after 200 ms, 20 times
     And work starts and gets no response for 1200 ms
@@ -84,6 +91,21 @@
       | 2        | non-idempotent | failing | run     |
       | 2        | idempotent     | failing | run     |
 
+  Scenario: The more targets are doubted, the more idempotent requests probe them
+    Given targets with the standings "good good doubted doubted doubted doubted"
+    Then between 65 and 75 % of "idempotent" requests go to the doubted target
+    And between 0 and 0 % of "non-idempotent" requests go to the doubted target
+
+  Scenario Outline: A gate knows whether its entry has a better target
+    Given targets with the standings "<standings>"
+    Then the gate of the last target is told to accept a standing of "<accepted>"
+
+    Examples:
+      | standings       | accepted |
+      | good good       | good     |
+      | good doubted    | doubted  |
+      | doubted doubted | failing  |
+
   Scenario: Idempotent requests probe a doubted target
     Given targets with the standings "good good good good good good good doubted"
     Then between 20 and 30 % of "idempotent" requests go to the doubted target
--- a/src/wagtailstep/controllers/candidates.py
+++ b/src/wagtailstep/controllers/candidates.py
@@ -10,6 +10,15 @@
 from wagtailstep.models.fleet import Target, TargetHealth, TargetStanding
 from wagtailstep.models.server_notices import NO_RATE_LIMIT
 
+# Fraction of the repeatable requests that try a doubted target while there is one, so
+# that a target doubted for a random failure is cleared in a fraction of a second.
+MIN_PROBE_RATIO = 0.25
+# The rest shows by its success that the service works.
+MAX_PROBE_RATIO = 0.7
+# Doubted targets get this many times their proportional part of these requests. Other
+# requests never try them.
+PROBE_SHARE_FACTOR = 1.6
+
 
 @attrs.frozen
 class Candidate:
@@ -62,6 +71,17 @@
         self.cumulative_weights = list(itertools.accumulate(draw_weights or weights))
         self.mean_weight = sum(weights) / len(weights)
 
+    def compute_probe_ratio(self) -> float:
+        """Return the fraction of the repeatable requests that try a doubted target.
+
+        It grows with the part of the service that is doubted, so that each target is
+        tried at least once in two seconds however many are doubted: a gate keeps its
+        target from all requests for at most ``FAILING_HOLD`` of that time. Only
+        requests whose failure could be retried count, so the retry budget limits it.
+        """
+        share = len(self.doubted) / (len(self.doubted) + len(self.candidates))
+        return min(MAX_PROBE_RATIO, max(MIN_PROBE_RATIO, PROBE_SHARE_FACTOR * share))
+
     def draw(self, rng: random.Random) -> tuple[Candidate, Candidate]:
         """Draw two candidates by weight; they may be the same one."""
         first, second = rng.choices(
@@ -76,6 +96,12 @@
     A gate judges only by failures at its own backend server, so load on other targets
     never counts against one, and a healthy target soon returns to good standing. A
     few good targets that refuse excess load serve more than many that fail it.
+
+    What is excluded here is limited in time, not in number: a repeatable request tries
+    each doubted target within seconds (:meth:`CandidatePool.compute_probe_ratio`), its
+    gate refuses all for at most ``FAILING_HOLD``, and without any request the log odds
+    decay within six seconds. Avoided paths (``MAX_AVOIDANCE``, for one daemon) and
+    targets that declined (``DECLINE_RETENTION``) come on top.
     """
     for limit in (TargetStanding.DOUBTED, TargetStanding.FAILING):
         kept = [c for c in candidates if c.target.standing < limit]
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -12,6 +12,7 @@
 from wagtailstep.controllers.packed_standings import (
     NO_STANDINGS,
     differ_in_standing_only,
+    limit_standing,
     pack_standings,
 )
 from wagtailstep.controllers.renewal_times import compute_renewal_times
@@ -257,7 +258,9 @@
 
     def _push_local_changes(self, now: timedelta) -> list[Any]:
         board = self.blackboard
-        targets = tuple(board.targets[name] for name in sorted(board.local_targets))
+        targets = tuple(
+            limit_standing(board.targets[name]) for name in sorted(board.local_targets)
+        )
         if targets == self.advertised_targets:
             return []
         services = frozenset(t.service for t in targets + self.advertised_targets)
--- a/src/wagtailstep/controllers/packed_standings.py
+++ b/src/wagtailstep/controllers/packed_standings.py
@@ -18,6 +18,17 @@
 NO_STANDINGS = -1
 
 
+def limit_standing(target: Target) -> Target:
+    """Return a target as other daemons should know it: doubted if it is failing.
+
+    A gate keeps requests from a failing server for a time shorter than that in which
+    a digest reaches all daemons, and refuses in that time by itself.
+    """
+    if target.standing is not TargetStanding.FAILING:
+        return target
+    return attrs.evolve(target, standing=TargetStanding.DOUBTED)
+
+
 def pack_standings(targets: Iterable[Target]) -> int:
     """Return the standings of a daemon's targets, in the order of its updates."""
     packed = 0
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -41,9 +41,6 @@
 # Lowest fraction of its weight that a target has in use during slow start.
 MIN_RAMP = 0.05
 CANDIDATES_LIFETIME = timedelta(milliseconds=50)
-# Fraction of the idempotent requests that go to a doubted target while there is one,
-# so that a target doubted for a random failure is cleared in a fraction of a second.
-DOUBTED_PROBE_RATIO = 0.25
 # A cold backend server takes about twice as long for a request; a doubted one is
 # likely to fail it, which costs a second attempt.
 STANDING_COST_FACTORS = {
@@ -141,7 +138,11 @@
             return self.pick_untried(service, tried)
         while True:
             pool = self.get_pool(service)
-            if pool.doubted and may_probe() and self.rng.random() < DOUBTED_PROBE_RATIO:
+            if (
+                pool.doubted
+                and may_probe()
+                and self.rng.random() < pool.compute_probe_ratio()
+            ):
                 first = second = self.rng.choice(pool.doubted)
             else:
                 first, second = pool.draw(self.rng)
@@ -173,6 +174,20 @@
         best_standing = min(target.standing for target in doubted)
         return self.rng.choice([t for t in doubted if t.standing is best_standing])
 
+    def get_expected_standing(
+        self, target: Target, is_last_resort: bool = False
+    ) -> TargetStanding:
+        """Return the worst standing in which a gate should accept a request.
+
+        :param is_last_resort: whether the gates of all better targets are full.
+        """
+        if target.standing < TargetStanding.DOUBTED:
+            return target.standing
+        candidates = self.get_pool(target.service).candidates
+        best = min(candidate.target.standing for candidate in candidates)
+        has_better = best < TargetStanding.DOUBTED and not is_last_resort
+        return target.standing if has_better else TargetStanding.FAILING
+
     def get_pool(self, service: str, fresh: bool = False) -> CandidatePool:
         """Return the candidates of a service, from the cache while it is valid.
 
@@ -293,6 +308,9 @@
     ) -> list[Candidate]:
         """Exclude avoided targets as far as the floor permits.
 
+        A path is avoided by this daemon alone, for at most ``MAX_AVOIDANCE``. Targets
+        in doubted standing are excluded from the rest (:func:`exclude_doubted`).
+
         :return: at least one candidate, with a total weight of at least the floor if
             all candidates together have that much.
         """
--- a/src/wagtailstep/models/fleet.py
+++ b/src/wagtailstep/models/fleet.py
@@ -20,7 +20,8 @@
     """How well a backend server performs, as judged by its gate.
 
     A ``DOUBTED`` server failed recently and gets only requests whose failure does no
-    harm. A ``FAILING`` one gets only requests that show whether it still fails.
+    harm. A ``FAILING`` one has just failed several and gets none for a short time; only
+    its own gate knows it as such.
     """
 
     GOOD = 0
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -280,7 +280,9 @@
         request = attrs.evolve(
             exchange.request,
             may_wait=self.may_wait(exchange, target),
-            expected_standing=target.standing,
+            expected_standing=self.routing.get_expected_standing(
+                target, is_last_resort=target is exchange.last_resort
+            ),
             known_rate_limit=get_rate_limit(self.blackboard, target),
         )
         exchange.tried.add(target.target_id)
