Find the doubted targets of a pool by their standing, not by comparing all

Cause: get_pool looked for each usable target in the list of those kept, comparing all fields of the targets; the counts of targets-excluded did so again. A pool is built for every attempt after 50 ms, so in a large fleet for nearly each.

Change: all kept targets have a better standing than the others, so one comparison of standings divides them. The doc of the probe ratio no longer promises a time.

--- a/src/wagtailstep/controllers/candidates.py
+++ b/src/wagtailstep/controllers/candidates.py
@@ -74,10 +74,10 @@
     def compute_probe_ratio(self) -> float:
         """Return the fraction of the repeatable requests that try a doubted target.
 
-        It grows with the part of the service that is doubted, so that each target is
-        tried at least once in two seconds however many are doubted: a gate keeps its
-        target from all requests for at most ``FAILING_HOLD`` of that time. Only
-        requests whose failure could be retried count, so the retry budget limits it.
+        It grows with the part of the service that is doubted, so that the rate at which
+        each target is tried doesn't fall with their number. That is no guarantee: it
+        takes repeatable requests, and only those count whose failure could be retried,
+        so the retry budget limits it, and for each target ``FAILING_HOLD`` at its gate.
         """
         share = len(self.doubted) / (len(self.doubted) + len(self.candidates))
         return min(MAX_PROBE_RATIO, max(MIN_PROBE_RATIO, PROBE_SHARE_FACTOR * share))
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -213,11 +213,12 @@
             )
         usable = self.exclude_avoided(service, candidates)
         kept = exclude_doubted(usable)
-        doubted = [c for c in usable if c.is_doubted and c not in kept]
+        worst_kept = max(c.target.standing for c in kept)
+        worse = [c for c in usable if c.target.standing > worst_kept]
+        doubted = [c for c in worse if c.is_doubted]
         excluded[ExclusionReason.PATH_AVOIDED] += len(candidates) - len(usable)
-        for candidate in usable:
-            if candidate not in kept:
-                excluded[get_standing_reason(candidate)] += 1
+        excluded[ExclusionReason.DOUBTED] += len(doubted)
+        excluded[ExclusionReason.FAILING] += len(worse) - len(doubted)
         self.exclusions.record(service, len(kept), excluded)
         weights = [self.compute_draw_weight(c) for c in kept]
         pool = self.pools[service] = CandidatePool(kept, now, doubted, weights)
@@ -356,13 +357,6 @@
         return cost * candidate.health.penalty * STANDING_COST_FACTORS[target.standing]
 
 
-def get_standing_reason(candidate: Candidate) -> ExclusionReason:
-    """Return the reason for which a candidate was excluded by its standing."""
-    if candidate.is_doubted:
-        return ExclusionReason.DOUBTED
-    return ExclusionReason.FAILING
-
-
 def _avoidance_order(candidate: Candidate) -> tuple[float, str]:
     return candidate.health.penalty, candidate.target.target_id
 
