--- a/features/sound_servers.feature
+++ b/features/sound_servers.feature
@@ -16,6 +16,19 @@
     Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
     And at least 89.2 % of the requests are served, with a tolerance of 0.6
 
+  Scenario Outline: Servers are used again where <share> % of the requests may be repeated and <retries>
+    Given 60 % of the servers fail 85 % of their requests for 1 s every 3 s
+    And <share> % of the requests may be repeated, while <retries>
+    When 200 requests a second are sent for 60 s with seeds 1 to 3
+    Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
+    And at least <served> % of the requests are served, with a tolerance of 0.6
+
+    Examples:
+      | share | retries          | served |
+      | 0     | retries are left | 78.3   |
+      | 10    | retries are left | 81.2   |
+      | 30    | no retry is left | 82.4   |
+
   # Served when a failing server was excluded until its log odds had decayed. The
   # tolerance is two standard deviations of the mean of three seeds.
   Scenario Outline: Using servers again costs callers nothing while <situation>
--- a/features/standing_load.py
+++ b/features/standing_load.py
@@ -88,15 +88,29 @@
     """Sends requests for a time and keeps what callers and servers saw.
 
     :param behave: called each tick with this object; sets how the servers fail.
+    :param has_retries: whether the retry budget covers any retry.
     """
 
-    def __init__(self, count, rate, behave, seed, delay_s=0.0, idempotent_share=0.3):
+    def __init__(
+        self,
+        count,
+        rate,
+        behave,
+        seed,
+        delay_s=0.0,
+        idempotent_share=0.3,
+        has_retries=True,
+    ):
         self.rng = random.Random(seed)
         self.rate, self.behave, self.delay_s = rate, behave, delay_s
         self.idempotent_share = idempotent_share
         self.clock = ManualClock()
         requests = RequestSettings(
-            retry_slack=208, retry_ratio=0.15, trust_slots=True, max_attempts=3
+            # Zero would select a budget of another kind.
+            retry_slack=208 if has_retries else 1e-9,
+            retry_ratio=0.15 if has_retries else 0.0,
+            trust_slots=True,
+            max_attempts=3,
         )
         addresses = ("a:1", "a:2", "a:3", "a:4")
         settings = DaemonSettings("d0", "bole", *addresses, requests=requests)
--- a/features/steps/sound_servers_steps.py
+++ b/features/steps/sound_servers_steps.py
@@ -16,6 +16,7 @@
 def configure_servers(context, count, delay):
     context.count, context.delay = count, delay
     context.conducts = []
+    context.load_options = {}
 
 
 @given(
@@ -73,6 +74,14 @@
     context.conducts.append(lambda: behave)
 
 
+@given("{share:d} % of the requests may be repeated, while {retries} left")
+def limit_repeats(context, share, retries):
+    context.load_options = {
+        "idempotent_share": share / 100,
+        "has_retries": retries == "retries are",
+    }
+
+
 @given("all servers fail {share:d} % of their requests")
 def fail_everywhere(context, share):
     def behave(load):
@@ -117,7 +126,9 @@
             for conduct in conducts:
                 conduct(load)
 
-        load = StandingLoad(context.count, rate, behave, seed, context.delay)
+        load = StandingLoad(
+            context.count, rate, behave, seed, context.delay, **context.load_options
+        )
         context.loads.append(load.run(last))
 
 
