Tie each answer of a backend server to the request it belongs to

Cause: the head of a response was compared with the request only if the request had no body, or its body was already sent; a refusal never by the gate; and nothing told two requests with one identifier apart. Change: one ResponseMatcher for each connection compares every head. A connection carries an identifier once, and isn't reused after a response without one. The gate trusts no refusal with another identifier.

--- a/src/wagtailstep/network/exchange_app.py
+++ b/src/wagtailstep/network/exchange_app.py
@@ -31,13 +31,14 @@
 )
 from wagtailstep.network.bodies import hold_to_length
 from wagtailstep.network.early_answers import CLOSE_HEADER
-from wagtailstep.network.http_connection import decode_headers, encode_headers
+from wagtailstep.network.http_connection import encode_headers
 from wagtailstep.network.http_protocol import CONNECTION_KEY, ServerConnection
 from wagtailstep.network.problems import (
     build_error_answer,
     build_internal_error,
     yield_body,
 )
+from wagtailstep.network.response_matching import decode_headers
 from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.logging import log_event
 
--- a/src/wagtailstep/network/gate_answers.py
+++ b/src/wagtailstep/network/gate_answers.py
@@ -74,15 +74,18 @@
     :raises RequestError: otherwise, with the verdict that the response allows.
     """
     headers = answer.headers
+    answered_id = find_header(headers, REQUEST_ID)
     misdirected = answer.status == HTTPStatus.MISDIRECTED_REQUEST
-    if misdirected or find_header(headers, NOT_EXECUTED) is not None:
+    is_refusal = misdirected or find_header(headers, NOT_EXECUTED) is not None
+    # Refusals may lack the identifier, but only those with it are matched to requests.
+    if is_refusal and answered_id in (None, request.request_id):
         await discard_answer(answer)
         message = f"{request.target_id} rejected the request (status {answer.status})"
         error = NotExecutedError(message, NOT_EXECUTED_RETRY_AFTER)
         if misdirected:
             error.blame = Blame.BACKEND_SERVER
         raise error
-    if find_header(headers, REQUEST_ID) != request.request_id:
+    if answered_id != request.request_id:
         fault = "a response without the identifier of the request"
     elif find_header(headers, "content-encoding") is not None:
         fault = "a response with a content-encoding that was not requested"
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -33,10 +33,10 @@
 from wagtailstep.network.http_connection import (
     HttpConnection,
     HttpRequest,
-    decode_headers,
     open_connection,
     reset_transport,
 )
+from wagtailstep.network.response_matching import decode_headers
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 
@@ -185,7 +185,7 @@
 
         :raises RequestError: if no connection can be opened; nothing was sent.
         """
-        connection = self.pop_idle(request.address, self.compute_max_age(request))
+        connection = self.pop_idle(request)
         if connection is not None:
             return connection
         connect_timeout = timedelta(milliseconds=self.settings.connect_timeout_ms)
@@ -223,24 +223,26 @@
             self.keep_idle(connection)
         return True
 
-    def pop_idle(self, address: str, max_age: timedelta) -> HttpConnection | None:
-        """Return the most recently used connection that is fit for reuse.
-
-        :param max_age: maximum time since its last response.
-        """
-        pool = self.pools.get(address)
+    def pop_idle(self, request: HttpRequest) -> HttpConnection | None:
+        """Return the most recently used connection that is fit for a request."""
+        pool = self.pools.get(request.address, deque())
+        max_age = self.compute_max_age(request)
         now = self.clock.monotonic()
-        while pool:
-            connection = pool[-1]
+        for connection in reversed(tuple(pool)):
             if not connection.is_clean or self.is_near_close(connection, now):
-                pool.pop().close()
+                pool.remove(connection)
+                connection.close()
             elif now - connection.last_response_at > max_age:
                 return None
+            elif not connection.matcher.may_match(request.expected_request_id):
+                continue
             elif connection.has_unseen_input:
-                pool.pop().close()
+                pool.remove(connection)
+                connection.close()
             else:
                 connection.reader.on_unasked = None
-                return pool.pop()
+                pool.remove(connection)
+                return connection
         return None
 
     def is_near_close(self, connection: HttpConnection, now: timedelta) -> bool:
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -4,14 +4,15 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
 import attrs
 import h11
 
 from wagtailstep.exceptions import BadRequestError, RequestError
-from wagtailstep.models.headers import REQUEST_ID, Headers, find_header
+from wagtailstep.models.headers import Headers, find_header
+from wagtailstep.network.response_matching import ResponseMatcher, decode_headers
 
 READ_SIZE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -37,8 +38,8 @@
     :param time_left: time until the complete response must have arrived.
     :param attempt_id: identifier of this attempt at the gate; empty for requests
         that are not sent to a gate.
-    :param expected_request_id: request identifier that the response echoes; stale
-        responses with another one are skipped. Empty disables the check.
+    :param expected_request_id: request identifier that the response echoes; responses
+        to earlier requests are skipped. Empty disables the check.
     :param silence_timeout: time without a response after which the gate is queried,
         over a new connection, for the state of the attempt.
     """
@@ -117,6 +118,7 @@
         self.failure: RequestError | None = None
         self.bytes_consumed = 0
         self.body_sender: asyncio.Task[None] | None = None
+        self.matcher = ResponseMatcher()
         self.state = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -238,13 +240,14 @@
         being sent when this returns.
         """
         self.bytes_sent = False
+        self.matcher.start(request.expected_request_id)
         self.start_request(request)
         if request.body is None or not request.has_body:
-            return await self.skip_stale_responses(await self.read_head(), request)
+            return await self.accept_head(await self.read_head())
         if request.expects_continue:
             final_head = await self.read_head(CONTINUE)
             if final_head is not None:
-                return final_head
+                return await self.accept_head(final_head)
         self.body_sender = asyncio.create_task(self.send_body(request.body))
         head_task = asyncio.create_task(self.read_head())
         head_task.add_done_callback(_retrieve_exception)
@@ -254,25 +257,19 @@
             )
             if not head_task.done():
                 self.raise_body_error()
-            head = await head_task
-            if self.body_sender.done():
-                return await self.skip_stale_responses(head, request)
-            return head
+            return await self.accept_head(await head_task)
         finally:
             head_task.cancel()
 
-    async def skip_stale_responses(
-        self, head: h11.Response, request: HttpRequest
-    ) -> h11.Response:
-        """Skip late responses to earlier requests, recognized by their identifiers.
+    async def accept_head(self, head: h11.Response) -> h11.Response:
+        """Return the head of the response to this request; skip earlier responses.
 
-        :return: the head of the first response that can belong to this request.
+        :param head: the first head that was read.
+        :raises ConnectionResetError: if an earlier response can't be skipped.
         """
-        while (
-            request.expected_request_id
-            and self.reused
-            and is_stale_response(head, request)
-        ):
+        while self.matcher.is_stale(decode_headers(head.headers)) and self.reused:
+            if self.body_sender is not None:
+                await self.body_sender
             await self.skip_response()
             head = await self.read_head()
         return head
@@ -327,7 +324,7 @@
             self.body_sender = None
         self.last_response_at = now
         self.idle_since = now
-        if self.state.our_state is not h11.DONE:
+        if self.state.our_state is not h11.DONE or not self.matcher.may_match_more:
             return False
         if self.state.their_state is not h11.DONE or self.state.trailing_data[0]:
             return False
@@ -349,12 +346,6 @@
         reset_transport(self.writer.transport)
 
 
-def is_stale_response(head: h11.Response, request: HttpRequest) -> bool:
-    """Return whether a response carries the identifier of another request."""
-    response_id = find_header(decode_headers(head.headers), REQUEST_ID)
-    return response_id is not None and response_id != request.expected_request_id
-
-
 def reset_transport(transport: asyncio.WriteTransport) -> None:
     """Close immediately and make the kernel drop undelivered data.
 
@@ -376,14 +367,6 @@
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
 
 
-def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
-    """Return decoded headers with lower-case names."""
-    return tuple(
-        (name.decode("ascii").lower(), value.decode("latin-1"))
-        for name, value in headers
-    )
-
-
 async def open_connection(address: str, now: timedelta) -> HttpConnection:
     """Open a connection to ``host:port``.
 
