Refuse odd heartbeats, and survive nested or endless values in every reader

Operators of other systems saw processes end, or stop following, after another writer left one odd entry. Cause here: msgspec raises RecursionError for deep nesting, which no reader but one caught; numbers of a heartbeat had no bounds, so that 'born' in the future hid all later processes at an address and 2^64 could not be encoded for other daemons; names of any length became identifiers; int() rejects 5,000 digits. Change: DECODE_FAILURES names both errors, for each reader; bounds for numbers and names of heartbeats, versions and numbers in headers.

--- a/src/wagtailstep/models/headers.py
+++ b/src/wagtailstep/models/headers.py
@@ -85,6 +85,8 @@
     }
 )
 
+# More than a 64-bit number has is no value that this package sends.
+MAX_DIGITS = 18
 KEEP_ALIVE_TIMEOUT = re.compile(r"\btimeout\s*=\s*([0-9]{1,6})\b", re.ASCII | re.I)
 
 Headers = tuple[tuple[str, str], ...]
@@ -102,7 +104,8 @@
 def read_int_header(headers: Headers, name: str) -> int | None:
     """Return the value of a header as an integer, or ``None`` if it is not one."""
     value = find_header(headers, name) or ""
-    return int(value) if value.isascii() and value.isdigit() else None
+    is_number = value.isascii() and value.isdigit() and len(value) <= MAX_DIGITS
+    return int(value) if is_number else None
 
 
 def encode_text(text: str) -> str:
--- a/src/wagtailstep/network/announcements.py
+++ b/src/wagtailstep/network/announcements.py
@@ -15,6 +15,7 @@
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -174,7 +175,7 @@
         raise BadRequestError(
             f"{error}; give address (host:port) and slots (1 to {MAX_SLOTS})"
         ) from error
-    except msgspec.DecodeError as error:
+    except DECODE_FAILURES as error:
         raise BadRequestError(f"body is not valid JSON: {error}") from error
 
 
--- a/src/wagtailstep/network/connection_watch.py
+++ b/src/wagtailstep/network/connection_watch.py
@@ -21,6 +21,7 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.deadlines import handle_arrivals
 from wagtailstep.network.http_connection import HttpConnection, HttpRequest
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 QUERY_TIMEOUT = timedelta(milliseconds=500)
 # Within this time the gate still knows every attempt that has arrived, so "not seen"
@@ -102,7 +103,7 @@
             answer = await self.send(query)
             data = b"".join([chunk async for chunk in answer.body])
             return msgspec.json.decode(data, type=AttemptStateAnswer).state
-        except (RequestError, msgspec.MsgspecError):
+        except (RequestError, *DECODE_FAILURES):
             self.on_unreachable(self.connection.address)
             return None
 
--- a/src/wagtailstep/network/daemon_client.py
+++ b/src/wagtailstep/network/daemon_client.py
@@ -13,6 +13,7 @@
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 REQUEST_TIMEOUT = timedelta(seconds=3)
 STATUS_OK = 200
@@ -63,7 +64,7 @@
         try:
             if response.status == STATUS_OK:
                 return msgspec.json.decode(data, type=response_type)
-        except msgspec.MsgspecError:
+        except DECODE_FAILURES:
             pass
         message = (
             f"{address} did not respond as a daemon does: HTTP status {response.status}"
--- a/src/wagtailstep/network/forwarder.py
+++ b/src/wagtailstep/network/forwarder.py
@@ -59,6 +59,7 @@
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 MILLISECOND = timedelta(milliseconds=1)
 GATE_DEADLINE_MARGIN = timedelta(milliseconds=20)
@@ -258,7 +259,7 @@
             if len(data) > MAX_PROBLEM_BYTES:
                 break
         return msgspec.json.decode(data, type=Problem).detail
-    except (TruncatedAnswerError, msgspec.MsgspecError):
+    except (TruncatedAnswerError, *DECODE_FAILURES):
         return "the gate rejected the request without a readable reason"
     finally:
         await answer.close()
--- a/src/wagtailstep/network/log_client.py
+++ b/src/wagtailstep/network/log_client.py
@@ -17,6 +17,7 @@
 from wagtailstep.models.settings import LogSettings
 from wagtailstep.network.service_client import HttpReply, ServiceClient
 from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 _CREATED = 201
 _OK = 200
@@ -105,7 +106,7 @@
 def _decode(reply: HttpReply, reply_type: type[_T]) -> _T:
     try:
         return msgspec.json.decode(reply.body, type=reply_type)
-    except msgspec.MsgspecError as error:
+    except DECODE_FAILURES as error:
         text = f"malformed log response with HTTP status {reply.status}: {error}"
         if reply_type is AppendReply:
             raise AppendUnknownError(text) from error
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -24,9 +24,10 @@
 from wagtailstep.models.keyed_store import KeyedRecords
 from wagtailstep.models.published_table import TableDocument
 from wagtailstep.models.table import Table
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 CONFIG_KEY = "config"
-VERSION_PATTERN = re.compile(r"r([0-9]+)")
+VERSION_PATTERN = re.compile(r"r([0-9]{1,18})")
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 ROW_DECODER = msgspec.json.Decoder(list[Any])
 # The name is sent in a header.
@@ -150,7 +151,7 @@
     """
     try:
         return msgspec.json.decode(data, type=Configuration)
-    except msgspec.MsgspecError as error:
+    except DECODE_FAILURES as error:
         raise DecodeError(f"the configuration is malformed: {error}") from error
 
 
@@ -272,6 +273,6 @@
         if isinstance(given, list):
             keys = tuple(key for key in given if isinstance(key, str))
         row = msgspec.convert(fields, TenantRow)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_FAILURES as error:
         return UnreadableAccount(str(error)), keys
     return ClientAccount(row.name, row.priority, row.rate_per_s, row.burst), keys
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -1,8 +1,10 @@
 """Converts heartbeats of the target on this machine into announcements."""
 
 import logging
+import re
 from collections.abc import Callable
-from typing import Any
+from datetime import timedelta
+from typing import Annotated, Any
 
 import msgspec
 from blacksheep import Application, Content, Request, Response
@@ -14,10 +16,20 @@
 from wagtailstep.network.announcements import check_address, check_slots
 from wagtailstep.platform.configuration import parse_duration
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
 INSTANCE_PATH = "/v1/instances/{id}"
+# Identifiers become part of header values and log lines.
+INSTANCE_ID = re.compile(r"[A-Za-z0-9._:-]{1,64}")
+SERVICE_PATTERN = r"^[A-Za-z0-9._-]{1,64}$"
+# Part of the messages between daemons, whose numbers have 64 bits.
+Count = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+# A process that says it started later than this from now can't be believed: it would
+# hide all that start before that time.
+MAX_CLOCK_ERROR = timedelta(minutes=1)
+MILLISECOND = timedelta(milliseconds=1)
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
 
@@ -30,13 +42,13 @@
     :param born: start time of the process, as Unix time in milliseconds.
     """
 
-    service: str
+    service: Annotated[str, msgspec.Meta(pattern=SERVICE_PATTERN)]
     address: str
     state: str
     slots: int
     warmup_left: str = "0ms"
-    sequence: int = 0
-    born: int = 0
+    sequence: Count = 0
+    born: Count = 0
 
 
 class HeartbeatHandler:
@@ -59,8 +71,10 @@
         instance_id = request.route_values["id"]
         try:
             event = self.parse_heartbeat(instance_id, await request.read() or b"")
-        except (msgspec.MsgspecError, BadRequestError, DecodeError) as error:
-            log_event(LOGGER, "heartbeat-refused", instance=instance_id, error=error)
+        except (*DECODE_FAILURES, BadRequestError, DecodeError) as error:
+            log_event(
+                LOGGER, "heartbeat-refused", instance=instance_id[:64], error=error
+            )
             return Response(400)
         self.dispatch(event)
         return Response(200, None, Content(b"application/json", b"{}"))
@@ -69,14 +83,19 @@
         """Convert the body of a heartbeat into an announcement.
 
         :raises MsgspecError: if the body has missing or invalid fields.
+        :raises RecursionError: if the body is nested too deeply.
         :raises BadRequestError: if a value is not allowed.
         :raises DecodeError: if a duration is malformed.
         """
+        if INSTANCE_ID.fullmatch(instance_id) is None:
+            raise BadRequestError("the identifier is too long or has other characters")
         heartbeat = msgspec.json.decode(body, type=Heartbeat)
         if heartbeat.state not in TARGET_STATES:
             raise BadRequestError(f"state {heartbeat.state!r} is unknown")
         check_address(heartbeat.address, self.settings)
         check_slots(heartbeat.slots)
+        if heartbeat.born > self.get_unix_ms() + MAX_CLOCK_ERROR // MILLISECOND:
+            raise BadRequestError(f"born {heartbeat.born} is in the future")
         warming = bool(parse_duration(heartbeat.warmup_left))
         target = Target(
             target_id=f"{heartbeat.service}/{instance_id}",
@@ -93,12 +112,18 @@
     async def handle_withdrawal(self, request: Request) -> Response:
         """Handle the withdrawal of a target."""
         instance_id = request.route_values["id"]
-        # Same unit and epoch as ``born`` of a heartbeat.
-        now_ms = int(self.clock.utc().timestamp() * 1_000)
-        event = InstanceWithdrawn(instance_id, self.settings.service, now_ms)
+        if INSTANCE_ID.fullmatch(instance_id) is None:
+            return Response(400)
+        event = InstanceWithdrawn(
+            instance_id, self.settings.service, self.get_unix_ms()
+        )
         self.dispatch(event)
         return Response(200, None, Content(b"application/json", b"{}"))
 
+    def get_unix_ms(self) -> int:
+        """Return the time in the unit and epoch of ``born`` of a heartbeat."""
+        return int(self.clock.utc().timestamp() * 1_000)
+
 
 def add_heartbeat_routes(
     app: Application,
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -20,6 +20,7 @@
 from wagtailstep.network.service_client import HttpReply, ServiceClient
 from wagtailstep.platform.settings import StoreSettings
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 # The operator owns ``keyed.op``; its record ``config`` contains the table.
 TOPICS = {
@@ -166,7 +167,7 @@
     """
     try:
         return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as error:
+    except DECODE_FAILURES as error:
         raise LogUnavailableError(
             f"the store's response is malformed: {error}"
         ) from error
--- a/src/wagtailstep/utils/codec.py
+++ b/src/wagtailstep/utils/codec.py
@@ -13,6 +13,9 @@
 from wagtailstep.exceptions import DecodeError
 
 _T = TypeVar("_T", bound=type)
+# Raised by msgspec for bytes that it can't decode, the second one if they are nested
+# too deeply, even within fields that are skipped.
+DECODE_FAILURES = (msgspec.MsgspecError, RecursionError)
 _MESSAGE_TYPES: dict[str, type] = {}
 _WIRE_NAMES: dict[type, str] = {}
 
@@ -56,5 +59,5 @@
         envelope = msgspec.msgpack.decode(data, type=_Envelope)
         cls = _MESSAGE_TYPES[envelope.name]
         return msgspec.msgpack.decode(envelope.fields, type=cls)
-    except (KeyError, msgspec.MsgspecError) as error:
+    except (KeyError, *DECODE_FAILURES) as error:
         raise DecodeError(f"not a known message: {error}") from error
