--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -1,7 +1,6 @@
 """Converts the operator's configuration into a table."""
 
 import re
-from datetime import timedelta
 from typing import Annotated, Any
 
 import msgspec
@@ -25,14 +24,13 @@
 from wagtailstep.models.published_table import TableDocument
 from wagtailstep.models.table import Table
 from wagtailstep.utils.codec import DECODE_FAILURES
+from wagtailstep.utils.durations import parse_duration, parse_positive_duration
 
 CONFIG_KEY = "config"
 VERSION_PATTERN = re.compile(r"r([0-9]{1,18})")
-DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
 ROW_DECODER = msgspec.json.Decoder(list[Any])
 # The name is sent in a header.
 ACCOUNT_NAME = r"\A[^\x00-\x20\x7f]([^\x00-\x1f\x7f]{0,126}[^\x00-\x20\x7f])?\Z"
-DURATION_UNITS = {"ms": timedelta(milliseconds=1), "s": timedelta(seconds=1)}
 
 
 class ColumnarList(msgspec.Struct):
@@ -168,22 +166,6 @@
     return int(match[1])
 
 
-def parse_duration(text: str) -> timedelta:
-    """Parse a duration such as ``250ms`` or ``1.5s``.
-
-    :raises DecodeError: if it is malformed or too long to be represented.
-    """
-    match = DURATION_PATTERN.fullmatch(text)
-    if match is None:
-        raise DecodeError(
-            f"{text!r} is not a duration; expected a number and the unit ms or s"
-        )
-    try:
-        return float(match[1]) * DURATION_UNITS[match[2]]
-    except OverflowError as error:
-        raise DecodeError(f"{text!r} is too long for a duration") from error
-
-
 def build_connection_limits(limits: Limits) -> ConnectionLimits:
     """Build the time limits of connections; one that is left out has its default.
 
@@ -202,17 +184,6 @@
     )
 
 
-def parse_positive_duration(text: str) -> timedelta:
-    """Parse a duration that has to be longer than zero.
-
-    :raises DecodeError: if it is malformed or not positive.
-    """
-    duration = parse_duration(text)
-    if not duration:
-        raise DecodeError(f"{text!r} is not a duration longer than zero")
-    return duration
-
-
 def read_route(fields: dict[str, Any]) -> HostRoute | UnreadableRoute:
     """Read a route from the fields of its row.
 
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -14,9 +14,9 @@
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.announcements import check_address, check_slots
-from wagtailstep.platform.configuration import parse_duration
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
+from wagtailstep.utils.durations import parse_duration
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
