Use a new process of a server whose predecessor said that it leaves

Cause: an announcement was ignored while the lease of the target had 'said_leaving', also that of a newer process, until the drain limit had passed. Change: only announcements of the same process are held to what it said.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -20,6 +20,14 @@
     And process 6 of "contracts/i-1" announces itself with sequence 1 as "serving"
     Then the target "contracts/i-1" is "serving"
 
+  Scenario: A new process is not held to what the one before it said in a response
+    When process 5 of "contracts/i-1" announces itself with sequence 9 as "serving"
+    And a response of "contracts/i-1" says that it leaves
+    And process 5 of "contracts/i-1" announces itself with sequence 10 as "serving"
+    Then the target "contracts/i-1" is "leaving"
+    When process 6 of "contracts/i-1" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "serving"
+
   Scenario: A newer process takes over an address, an older one does not
     When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
     And process 6 of "archive/i-2" announces itself with sequence 1 as "serving"
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -4,6 +4,7 @@
 
 from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
 from wagtailstep.models.fleet import Target, TargetState
+from wagtailstep.models.server_notices import ServerNotices, ServerNoticesReceived
 
 
 @when(
@@ -23,6 +24,12 @@
     context.controller.handle(TargetAnnounced(target, born, sequence))
 
 
+@when('a response of "{target_id}" says that it leaves')
+def say_leaving_in_response(context, target_id):
+    notices = ServerNotices(leaving=True)
+    context.controller.handle(ServerNoticesReceived(target_id, notices, executed=True))
+
+
 @then('the target "{target_id}" is "{state}"')
 def check_target(context, target_id, state):
     target = context.board.targets.get(target_id)
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -35,7 +35,8 @@
 
     :param renewed_at: monotonic time of the last announcement.
     :param leaving_since: monotonic time when the target began to leave, or ``None``.
-    :param said_leaving: whether a response said so; announcements don't contradict it.
+    :param said_leaving: whether a response said so; further announcements of the same
+        process don't contradict it.
     """
 
     renewed_at: timedelta
@@ -112,7 +113,12 @@
         known = self.blackboard.targets.get(target_id)
         lease = self.leases.get(target_id)
         is_leaving = lease is not None and lease.leaving_since is not None
-        if is_leaving and (self.blackboard.draining or lease.said_leaving):
+        is_replaced = known is not None and event.process_started > (
+            known.process_started
+        )
+        if is_leaving and (
+            self.blackboard.draining or (lease.said_leaving and not is_replaced)
+        ):
             # It leaves because this daemon drains, or announces although it leaves.
             return []
         is_renewal = lease is not None and not is_leaving
