Try doubted servers with any request where retryable ones are too few

Cause: a doubted server got only requests whose failure could be retried. With two thirds of the requests not repeatable and the retries spent, nobody tried it until its log odds had decayed (5.5 s) and all daemons had heard of it (3 s). Class: an exclusion that ends by traffic of one kind and by a budget that trouble spends first. Change: while 5 to 10 % of a daemon's requests for the service go unserved, the others make trials too, as many as retryable ones leave missing. A gate admits one at a time from 1.5 s after the last failure on; a success after that counts twice.

--- a/features/sound_servers.feature
+++ b/features/sound_servers.feature
@@ -25,9 +25,9 @@
 
     Examples:
       | share | retries          | served |
-      | 0     | retries are left | 78.3   |
-      | 10    | retries are left | 81.2   |
-      | 30    | no retry is left | 82.4   |
+      | 0     | retries are left | 78.7   |
+      | 10    | retries are left | 81.5   |
+      | 30    | no retry is left | 82.1   |
 
   # Served when a failing server was excluded until its log odds had decayed. The
   # tolerance is two standard deviations of the mean of three seeds.
--- a/features/standing_load.py
+++ b/features/standing_load.py
@@ -129,7 +129,10 @@
                 target.target_id, board, GateController(*parts), TargetJudge(*parts)
             )
         self.routing = RoutingController(settings, self.board, self.clock, self.rng)
-        # One entry stands for all: its part of the budget is the whole.
+        # One entry stands for all: its requests and its retries are those of all.
+        self.routing.requested_services.estimate_target_rate = lambda service: (
+            rate / count
+        )
         self.retries = RetryPolicy(requests, self.clock, lambda: 1)
         self.retries.shared_budget.max_daemon_count = 1
         self.events = []
@@ -282,6 +285,7 @@
 
     def finish(self, call, served):
         self.routing.release(call.context)
+        self.routing.record_outcome("contracts", served)
         self.outcomes.append((call.sent_s, served, self.now_s - call.sent_s))
 
     def compute_served_share(self):
--- a/src/wagtailstep/controllers/candidates.py
+++ b/src/wagtailstep/controllers/candidates.py
@@ -15,8 +15,7 @@
 MIN_PROBE_RATIO = 0.25
 # The rest shows by its success that the service works.
 MAX_PROBE_RATIO = 0.7
-# Doubted targets get this many times their proportional part of these requests. Other
-# requests never try them.
+# Doubted targets get this many times their proportional part of these requests.
 PROBE_SHARE_FACTOR = 1.6
 
 
@@ -71,16 +70,21 @@
         self.cumulative_weights = list(itertools.accumulate(draw_weights or weights))
         self.mean_weight = sum(weights) / len(weights)
 
+    @property
+    def doubted_share(self) -> float:
+        """Return the part of the targets that are doubted."""
+        return len(self.doubted) / (len(self.doubted) + len(self.candidates))
+
     def compute_probe_ratio(self) -> float:
         """Return the fraction of the repeatable requests that try a doubted target.
 
         It grows with the part of the service that is doubted, so that the rate at which
-        each target is tried doesn't fall with their number. That is no guarantee: it
-        takes repeatable requests, and only those count whose failure could be retried,
-        so the retry budget limits it, and for each target ``FAILING_HOLD`` at its gate.
+        each target is tried doesn't fall with their number. It takes repeatable
+        requests whose failure could be retried; where these are too few, others make
+        trials (:class:`~wagtailstep.controllers.trials.ServiceTrials`).
         """
-        share = len(self.doubted) / (len(self.doubted) + len(self.candidates))
-        return min(MAX_PROBE_RATIO, max(MIN_PROBE_RATIO, PROBE_SHARE_FACTOR * share))
+        ratio = PROBE_SHARE_FACTOR * self.doubted_share
+        return min(MAX_PROBE_RATIO, max(MIN_PROBE_RATIO, ratio))
 
     def draw(self, rng: random.Random) -> tuple[Candidate, Candidate]:
         """Draw two candidates by weight; they may be the same one."""
@@ -97,11 +101,14 @@
     never counts against one, and a healthy target soon returns to good standing. A
     few good targets that refuse excess load serve more than many that fail it.
 
-    What is excluded here is limited in time, not in number: a repeatable request tries
-    each doubted target within seconds (:meth:`CandidatePool.compute_probe_ratio`), its
-    gate refuses all for at most ``FAILING_HOLD``, and without any request the log odds
-    decay within six seconds. Avoided paths (``MAX_AVOIDANCE``, for one daemon) and
-    targets that declined (``DECLINE_RETENTION``) come on top.
+    What is excluded here is limited in time, not in number. Requests of any kind try
+    each doubted target within seconds: retryable ones
+    (:meth:`CandidatePool.compute_probe_ratio`) and, while the service leaves requests
+    unserved, others (:class:`~wagtailstep.controllers.trials.ServiceTrials`). Its gate
+    refuses all for at most ``FAILING_HOLD``, the others for ``TRIAL_DELAY``, and
+    without any request the log odds decay within six seconds. Avoided paths
+    (``MAX_AVOIDANCE``, for one daemon) and targets that declined
+    (``DECLINE_RETENTION``) come on top.
     """
     for limit in (TargetStanding.DOUBTED, TargetStanding.FAILING):
         kept = [c for c in candidates if c.target.standing < limit]
--- a/src/wagtailstep/controllers/gate.py
+++ b/src/wagtailstep/controllers/gate.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from datetime import timedelta
 from functools import singledispatchmethod
 from http import HTTPStatus
 from typing import Any
@@ -18,6 +19,7 @@
 from wagtailstep.controllers.rate_limit import RateLimit
 from wagtailstep.controllers.request_history import RequestHistory
 from wagtailstep.controllers.target_queue import TargetQueue
+from wagtailstep.controllers.trials import may_try
 from wagtailstep.exceptions import (
     ConnectionFailedError,
     DeadlineExceededError,
@@ -252,12 +254,18 @@
 
         The entry may have chosen the target before it received the current standing.
         A backend server that fails immediately always has free slots, so it would
-        otherwise attract requests.
+        otherwise attract requests. An entry that knows no better target expects the
+        worst standing, and nothing is refused for it.
         """
-        if target.standing <= request.expected_standing:
+        if request.expected_standing is TargetStanding.FAILING:
             return False
-        limit = TargetStanding.FAILING if request.idempotent else TargetStanding.DOUBTED
-        return target.standing >= limit
+        if target.standing is TargetStanding.FAILING:
+            return True
+        if target.standing < TargetStanding.DOUBTED or request.idempotent:
+            return False
+        queue = self.get_queue(target.target_id)
+        failed_at = self.blackboard.last_failures.get(target.target_id, timedelta.min)
+        return not may_try(queue, failed_at, self.clock.monotonic())
 
     def get_overload_error(self, request: GateRequest) -> RequestError | None:
         """Return the error for a request that would wait too long, or ``None``."""
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -23,6 +23,7 @@
 from wagtailstep.controllers.request_rates import compute_rate_share
 from wagtailstep.controllers.requested_services import RequestedServices
 from wagtailstep.controllers.server_notices import get_rate_limit, has_said_leaving
+from wagtailstep.controllers.trials import ServiceTrials
 from wagtailstep.exceptions import NoTargetError
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import Tick
@@ -78,6 +79,7 @@
         self.account_limiter = AccountLimiter(settings.requests, clock)
         self.requested_services = RequestedServices(blackboard, clock)
         self.exclusions = ExclusionLog(clock)
+        self.trials: dict[str, ServiceTrials] = {}
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -87,6 +89,8 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         self.requested_services.expire()
+        for service in self.trials.keys() - self.requested_services.by_name.keys():
+            del self.trials[service]
         return self.exclusions.create_events(self.requested_services.by_name)
 
     def admit(self, request: RequestContext) -> None:
@@ -130,18 +134,16 @@
         :param tried: ``target_id`` of targets where this request already failed;
             picked again only if there is no other.
         :param may_probe: returns whether the request could be retried after a
-            failure. Some of these requests go to doubted targets, so that the doubt
-            is soon resolved. Only called if there is a doubted target.
+            failure. More of these requests go to doubted targets than of others, so
+            that the doubt is soon resolved. Only called if there is a doubted target.
         :raises NoTargetError: if no target accepts requests.
         """
         if tried:
             return self.pick_untried(service, tried)
         while True:
             pool = self.get_pool(service)
-            if (
-                pool.doubted
-                and may_probe()
-                and self.rng.random() < pool.compute_probe_ratio()
+            if pool.doubted and self.rng.random() < self.compute_try_ratio(
+                service, pool, may_probe()
             ):
                 first = second = self.rng.choice(pool.doubted)
             else:
@@ -150,6 +152,27 @@
                 return self.choose_cheaper(first, second, pool.mean_weight).target
             del self.pools[service]
 
+    def compute_try_ratio(
+        self, service: str, pool: CandidatePool, is_retryable: bool
+    ) -> float:
+        """Return the probability that a request tries a doubted target.
+
+        :param is_retryable: whether the request could be retried after a failure.
+        """
+        trials = self.trials.setdefault(service, ServiceTrials())
+        now = self.clock.monotonic()
+        trials.record_request(is_retryable, now)
+        probe_ratio = pool.compute_probe_ratio()
+        if is_retryable:
+            return probe_ratio
+        target_rate = self.requested_services.estimate_target_rate(service)
+        return trials.compute_ratio(pool.doubted_share, probe_ratio, target_rate, now)
+
+    def record_outcome(self, service: str, served: bool) -> None:
+        """Record how a request ended, other than by the caller's doing."""
+        trials = self.trials.setdefault(service, ServiceTrials())
+        trials.record_outcome(served, self.clock.monotonic())
+
     def pick_untried(self, service: str, tried: Collection[str]) -> Target:
         """Pick a target that was not tried, or any target if all were.
 
--- a/src/wagtailstep/controllers/target_judge.py
+++ b/src/wagtailstep/controllers/target_judge.py
@@ -51,6 +51,9 @@
     # ln(0.5 / 0.988) = -0.7, increased so that three successes offset one failure.
     WorkResult.DONE: -1.2,
 }
+# A success of work that began after the last failure counts as many times while the
+# server is doubted: failures come in bursts, and it shows that the burst is over.
+LATER_SUCCESS_FACTOR = 2.0
 # Log odds do not decay for this time after a failure, and then by DECAY_PER_S nats per
 # second: an idle server is tried again within 4 s, as faults mostly last seconds.
 DECAY_DELAY = timedelta(seconds=1.5)
@@ -105,10 +108,18 @@
             self.log_odds = max(PRIOR_LOG_ODDS, self.log_odds - decayed)
         self.updated_at = now
 
-    def record_result(self, result: WorkResult, now: timedelta) -> None:
-        """Update the log odds with one outcome."""
+    def record_result(
+        self, result: WorkResult, now: timedelta, started_at: timedelta
+    ) -> None:
+        """Update the log odds with one outcome.
+
+        :param started_at: monotonic time when the work began.
+        """
         self.decay(now)
         evidence = EVIDENCE_NATS[result]
+        is_later = started_at > self.failed_at
+        if evidence < 0 and is_later and self.log_odds > DOUBTED_ABOVE:
+            evidence *= LATER_SUCCESS_FACTOR
         if evidence > 0:
             self.failed_at = now
         self.log_odds = min(MAX_LOG_ODDS, max(PRIOR_LOG_ODDS, self.log_odds + evidence))
@@ -127,7 +138,7 @@
 class TargetJudge:
     """Controller that writes the standing of the local backend servers.
 
-    :param blackboard: ``standing`` of local targets is written.
+    :param blackboard: ``standing`` of local targets and ``last_failures`` are written.
     """
 
     def __init__(
@@ -176,7 +187,8 @@
             return []
         if event.result is WorkResult.LATE and self.had_short_deadline(event):
             return []
-        return self.record_result(event.target_id, event.result)
+        started_at = self.clock.monotonic() - event.duration
+        return self.record_result(event.target_id, event.result, started_at)
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
@@ -185,6 +197,7 @@
         for target_id, suspicion in list(self.suspicions.items()):
             if target_id not in self.blackboard.local_targets:
                 del self.suspicions[target_id]
+                self.blackboard.last_failures.pop(target_id, None)
                 continue
             suspicion.decay(now)
             effects += self.write_standing(target_id, suspicion)
@@ -230,15 +243,20 @@
             limit = timedelta(seconds=typical_s * OVERDUE_FACTOR)
             if now - running.started_at > max(limit, MIN_OVERDUE_TIME):
                 running.counted_overdue = True
-                effects += self.record_result(running.target_id, WorkResult.LATE)
+                effects += self.record_result(
+                    running.target_id, WorkResult.LATE, running.started_at
+                )
         return effects
 
-    def record_result(self, target_id: str, result: WorkResult) -> list[Any]:
+    def record_result(
+        self, target_id: str, result: WorkResult, started_at: timedelta
+    ) -> list[Any]:
         """Record one outcome of a local backend server."""
         if target_id not in self.blackboard.local_targets:
             return []
         suspicion = self.suspicions.setdefault(target_id, Suspicion())
-        suspicion.record_result(result, self.clock.monotonic())
+        suspicion.record_result(result, self.clock.monotonic(), started_at)
+        self.blackboard.last_failures[target_id] = suspicion.failed_at
         return self.write_standing(target_id, suspicion)
 
     def write_standing(self, target_id: str, suspicion: Suspicion) -> list[Any]:
--- a/src/wagtailstep/controllers/target_queue.py
+++ b/src/wagtailstep/controllers/target_queue.py
@@ -37,6 +37,7 @@
     :param rate_limit: limit on the requests sent a second.
     :param wake_at: monotonic time at which the next request may be sent within
         ``rate_limit``, if a timer is set for it.
+    :param last_started_at: monotonic time at which a request was last sent.
     :param process_started: start time of the server's process; 0 if unknown.
     :param fair_order: order of the waiting requests.
     """
@@ -46,6 +47,7 @@
     waiting: OrderedDict[int, GateRequest] = attrs.field(factory=OrderedDict)
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     wake_at: timedelta | None = None
+    last_started_at: timedelta = timedelta.min
     process_started: int = 0
     fair_order: FairOrder = attrs.field(factory=FairOrder)
 
@@ -84,6 +86,7 @@
 
     def start(self, request: GateRequest, now: timedelta) -> None:
         """Assign a slot to a request; one that waits leaves the queue."""
+        self.last_started_at = now
         # The account is charged first: it keeps its tag while it has requests.
         self.fair_order.record_started(request, self.expected_duration(request))
         if request.serial in self.waiting:
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -64,6 +64,8 @@
         ratio controller.
     :param call_refused_at: monotonic time of the last refused call made by the backend
         server beside this daemon; written by the controller that assesses it.
+    :param last_failures: monotonic time of the last failure held against each local
+        backend server that was judged; written by the target judge.
     :param log_reachable: whether the log service can be reached; written by the
         runtime.
     :param store_era: the newest era of the platform's store that the fleet is known to
@@ -88,6 +90,7 @@
     in_flight: InFlight = attrs.field(factory=InFlight)
     calls_per_run: dict[str, dict[str, float]] = attrs.field(factory=dict)
     call_refused_at: timedelta | None = None
+    last_failures: dict[str, timedelta] = attrs.field(factory=dict)
     log_reachable: bool = False
     store_era: int = -1
     draining: bool = False
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from functools import singledispatchmethod
+from http import HTTPStatus
 from typing import Any
 
 from wagtailstep.controllers.guard import DuplicateGuard
@@ -118,8 +119,12 @@
             self.reporter.record_request(incoming, request)
             answer = await self.serve(request, incoming)
             outcome = f"status-{answer.status}"
+            served = answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+            self.routing.record_outcome(request.service, served)
         except RequestError as error:
             outcome = error.reason
+            if request is not None and error.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+                self.routing.record_outcome(request.service, served=False)
             self.reporter.record_failure(incoming, request_id, error)
             return build_error_answer(error, request_id)
         except (Exception, asyncio.CancelledError) as error:
