--- a/features/declined_requests.feature
+++ b/features/declined_requests.feature
@@ -38,6 +38,19 @@
     Then it ends with 502 after 8 arrivals
     And its verdict is "may-have-run"
 
+  # Guards against paying again for a retry that no server has received.
+  Scenario Outline: A retry that gates refuse before a server receives it is charged once
+    Given the attempts end as "<ends>"
+    When an idempotent request with 5000 ms left is sent
+    Then it ends with 200 after <count> arrivals
+    And 1 retry was charged
+
+    Examples:
+      | ends                           | count |
+      | fail, doubted, answer          | 3     |
+      | lost, doubted, doubted, answer | 4     |
+      | decline, doubted, answer       | 3     |
+
   # Guards against a request that returns in a tight loop.
   Scenario: The backoff grows with each decline
     Given the attempts end as "decline"
--- a/features/steps/declined_requests_steps.py
+++ b/features/steps/declined_requests_steps.py
@@ -15,6 +15,7 @@
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.exceptions import (
     ConnectionFailedError,
+    DoubtedTargetError,
     NotExecutedError,
     OverloadedError,
     RequestError,
@@ -130,6 +131,8 @@
             raise NotExecutedError("declined", SECOND)
         if end == "lost":
             raise ConnectionFailedError("lost", Verdict.MAY_HAVE_RUN)
+        if end == "doubted":
+            raise DoubtedTargetError("doubted")
         if end == "full":
             raise OverloadedError("full", SECOND)
         status = 500 if end == "fail" else 200
@@ -239,6 +242,9 @@
             left, safety.startswith("an idempotent"), body_bytes=size
         )
         context.last = await fleet.send(exchange)
+        budget = fleet.policy.shared_budget
+        unused = budget.compute_own_remaining("contracts")
+        context.charged = budget.compute_allowed("contracts") - unused
 
     fleet.run(main)
 
@@ -331,6 +337,11 @@
     assert len(context.fleet.arrivals) == count, context.fleet.arrivals
 
 
+@then("{count:d} retry was charged")
+def check_charged(context, count):
+    assert context.charged == count, context.charged
+
+
 @then('its verdict is "{verdict}"')
 def check_verdict(context, verdict):
     assert context.last.end.verdict.value == verdict, context.last.end
