Take a single failure among few requests for no shortage

Cause: an entry of a large fleet sees some 15 requests for a service in the time that the unserved part is averaged over, so one failure among them is 7 % and started trials of requests that can't be retried.

--- a/src/wagtailstep/controllers/trials.py
+++ b/src/wagtailstep/controllers/trials.py
@@ -19,6 +19,9 @@
 # the doubt to decay.
 MIN_UNSERVED_RATIO = 0.05
 FULL_UNSERVED_RATIO = 0.1
+# Served requests a second that are assumed beside those counted, so that a single
+# failure among few requests is no sign of a shortage.
+ASSUMED_SERVED_PER_S = 1.0
 # Lowest assumed part of requests that can't be retried.
 MIN_OTHERS_RATIO = 0.05
 # Time without a failure after which a gate admits a trial.
@@ -70,9 +73,9 @@
         :param target_rate: requests a second that each target would get.
         :param now: monotonic time.
         """
-        ended = self.ended.decay(now)
-        if not ended or target_rate <= 0:
+        if target_rate <= 0:
             return 0.0
+        ended = self.ended.decay(now) + ASSUMED_SERVED_PER_S
         shortage = (self.unserved.decay(now) / ended - MIN_UNSERVED_RATIO) / (
             FULL_UNSERVED_RATIO - MIN_UNSERVED_RATIO
         )
