Show a target back in service after its acknowledged leave

Cause: what a daemon has acknowledged is held in its memory only; a process that was killed and started again accepts a heartbeat that was sent before the DELETE.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -72,6 +72,7 @@
         names = ("inbound", "outbound", "ready", "control")
         self.listen = {n: f"{self.ip}:{p}" for n, p in zip(names, ports, strict=False)}
         self.internal = [ports[4], ports[4]]
+        self.settings = fleet.folder / f"{self.name}.json"
         self.process = None
         self.starts = 0
 
@@ -79,7 +80,8 @@
         host, port = self.listen[name].split(":")
         return host, int(port)
 
-    async def start(self):
+    def write_settings(self):
+        """Write the settings file as the platform fills it, and return the role."""
         with open(ROOT / "deploy/system.toml", "rb") as file:
             role = tomllib.load(file)["roles"]["daemon"]
         fields = {
@@ -92,13 +94,17 @@
             "bounds": BOUNDS,
             "platform": {"address": self.fleet.store_address},
         }
-        settings = self.fleet.folder / f"{self.name}.json"
-        settings.write_text(render((ROOT / role["template"]).read_text(), fields))
+        template = (ROOT / role["template"]).read_text()
+        self.settings.write_text(render(template, fields))
+        return role
+
+    async def start(self):
+        role = self.write_settings()
         self.starts += 1
         log = open(self.fleet.folder / f"{self.name}.{self.starts}.log", "wb")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         env["PYTHONPATH"] = str(ROOT / "target/deps")
-        env["WAGTAILSTEP_NODE_FILE"] = str(settings)
+        env["WAGTAILSTEP_NODE_FILE"] = str(self.settings)
         self.process = await asyncio.create_subprocess_exec(
             *role["run"].split(), cwd=ROOT, env=env, stdout=log, stderr=log
         )
@@ -202,11 +208,14 @@
         returns whether the request is rejected unrun.
     """
 
-    def __init__(self, fleet, daemon, instance, slots=4, work_s=0.1, decline=None):
+    def __init__(
+        self, fleet, daemon, instance, slots=4, work_s=0.1, decline=None, address=""
+    ):
         self.fleet, self.daemon, self.id = fleet, daemon, instance
         self.slots, self.work_s = slots, work_s
         self.decline = decline or (lambda length: False)
-        self.address = f"{daemon.ip}:{free_port(daemon.ip)}"
+        self.service = daemon.service
+        self.address = address or f"{daemon.ip}:{free_port(daemon.ip)}"
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.running = 0
@@ -231,7 +240,7 @@
     def build_beat(self, state="ready"):
         self.sequence += 1
         body = {
-            "service": self.daemon.service,
+            "service": self.service,
             "address": self.address,
             "zone": ZONE,
             "version": "v1",
@@ -300,6 +309,8 @@
             async with self.free:
                 record.write(f"target {self.id} runs {request_id} {len(body)} bytes")
                 self.fleet.runs.append((record.now(), self, request_id, len(body)))
+                caller = headers.get("wagtailstep-caller-service", "")
+                self.fleet.callers.append((request_id, caller))
                 await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
@@ -317,7 +328,8 @@
 class Fleet:
     """The store, the daemons and the targets of one run.
 
-    Attributes: ``arrivals`` and ``runs``, what the targets saw.
+    Attributes: ``arrivals`` and ``runs``, what the targets saw; ``callers``, the service
+    that each run named as its caller.
     """
 
     def __init__(self, record):
@@ -326,7 +338,7 @@
         self.net = (random.randrange(2, 250), random.randrange(2, 250))
         self.store = StandInStore()
         self.daemons, self.targets = [], []
-        self.arrivals, self.runs = [], []
+        self.arrivals, self.runs, self.callers = [], [], []
         self.serials = 0
 
     async def start_store(self):
