--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -160,7 +160,10 @@
     if "chunked" in headers.get("transfer-encoding", ""):
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line:
+                raise asyncio.IncompleteReadError(b"", None)
+            size = int(line.split(b";")[0], 16)
             chunk = await reader.readexactly(size + 2)
             if not size:
                 return body
