--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -226,6 +226,7 @@
         self.queue_length = 40
         self.server = self.beats = None
         self.writers = set()
+        self.beat_answers = []
 
     async def start(self):
         host, port = self.address.split(":")
@@ -268,7 +269,8 @@
 
     async def send_beats(self):
         while True:
-            await self.send_beat(self.build_beat())
+            status = await self.send_beat(self.build_beat())
+            self.beat_answers.append((self.fleet.record.now(), status))
             await asyncio.sleep(HEARTBEAT_S)
 
     async def serve(self, reader, writer):
