--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """Uploads whose first target rejects them before their body is in."""
 
 import asyncio
+import pathlib
 import random
 
 from fleet import CaseCannotRun, build_request, read_answer, run_case
@@ -85,4 +86,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, __file__.rpartition("/")[0])
+    run_case(case, pathlib.Path(__file__).parent)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import pathlib
 
 from fleet import exchange, run_case
 
@@ -89,4 +90,4 @@
 
 
 if __name__ == "__main__":
-    run_case(case, __file__.rpartition("/")[0])
+    run_case(case, pathlib.Path(__file__).parent)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from wagtailstep.platform.stand_in import StandInStore
 
@@ -358,7 +359,13 @@
             "version": f"r{version}",
             "routes": {"columns": columns, "rows": routes},
             "services": {
-                "columns": ["name", "health-path", "max-connections", "protocol", "tls"],
+                "columns": [
+                    "name",
+                    "health-path",
+                    "max-connections",
+                    "protocol",
+                    "tls",
+                ],
                 "rows": rows,
             },
             "limits": {
@@ -408,7 +415,7 @@
     :param case: called with the fleet and whether to make the disruption; returns
         whether the rule held.
     """
-    record = Record(pathlib.Path(folder) / "record.txt")
+    record = Record(pathlib.Path(folder).resolve() / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main():
@@ -420,8 +427,9 @@
 
     try:
         held = asyncio.run(main())
-    except (CaseCannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:
         record.write(f"the case could not run: {error!r}")
+        traceback.print_exc()
         sys.exit(2)
     record.write("the rule held" if held else "the rule was broken")
     sys.exit(0 if held else 1)
