Fit the shutdown to the platform's grace

Cause: deploy/settings.json had a fixed shutdown_ms of 5300, which only fits a grace of 6 s. The template didn't read the grace of the deployment. Change: the template passes the bounds as one table, platform/ reads the grace, and the product gives requests 0.95 of it; the notice takes half of it at most. Without a grace the drain limits of the table apply, so requests are waited for.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -170,6 +170,8 @@
     def __init__(self, size: int, rng: random.Random) -> None:
         self.network = MemoryNetwork(rng)
         self.store = StandInStore()
+        # The platform's bounds that daemons are told when they start.
+        self.bounds: dict[str, str] = {}
         self.version = 1
         self.hosts = [
             Host(number, ZONES[number % len(ZONES)]) for number in range(1, size + 1)
@@ -229,7 +231,7 @@
         """Run a daemon until its host loses power."""
         self.record_disruption(host)
         host.starts += 1
-        host.daemon = SoakDaemon(build_settings(host), self.network)
+        host.daemon = SoakDaemon(build_settings(host, self.bounds), self.network)
         await host.daemon.start()
 
     async def restart_daemon(self, host: Host) -> None:
@@ -364,7 +366,7 @@
         return runs
 
 
-def build_settings(host: Host) -> PlatformSettings:
+def build_settings(host: Host, bounds: dict[str, str]) -> PlatformSettings:
     """Build the settings of a host's daemon, as the platform's templates do."""
     name = host.name
     daemon = DaemonSettings(
@@ -396,4 +398,4 @@
             renew_ms=1_500,
         ),
     )
-    return PlatformSettings(daemon, StoreSettings(STORE))
+    return PlatformSettings(daemon, StoreSettings(STORE), bounds)
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -158,3 +158,21 @@
     Given the platform's example settings
     When the template "deploy/settings.json" is rendered with them
     Then the settings are those of daemon "sidecar-bole-1"
+
+  # Guards against requests that are cut although the grace has not passed.
+  Scenario Outline: A shutdown takes as long as the platform's grace allows
+    Given the platform's example settings with the grace <grace>
+    When the template "deploy/settings.json" is rendered with them
+    Then a shutdown ends <shutdown> ms after SIGTERM, and <notice> ms of that are its notice
+
+    Examples:
+      | grace   | shutdown | notice |
+      | 6s      | 5700     | 2600   |
+      | 10s     | 9500     | 2600   |
+      | 4000ms  | 3800     | 2000   |
+      | nothing | 0        | 2600   |
+
+  Scenario: Settings with a malformed grace are refused
+    Given the platform's example settings with the grace soon
+    When the template "deploy/settings.json" is rendered with them
+    Then they are refused with a line that names "bounds.grace"
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -23,6 +23,7 @@
     BadRequestError,
     DecodeError,
     LogError,
+    SettingsError,
     UnreadableRouteError,
 )
 from wagtailstep.models.blackboard import Blackboard
@@ -673,3 +674,31 @@
 def check_settings(context, daemon_id):
     settings = structure_settings(context.rendered, PlatformSettings, "rendered")
     assert settings.daemon.daemon_id == daemon_id
+
+
+@given("the platform's example settings with the grace {grace}")
+def prepare_grace(context, grace):
+    given_grace = {} if grace == "nothing" else {"grace": grace}
+    context.node = {**NODE, "bounds": {**NODE["bounds"], **given_grace}}
+
+
+@then(
+    "a shutdown ends {shutdown:d} ms after SIGTERM, and {notice:d} ms of that are its "
+    "notice"
+)
+def check_shutdown(context, shutdown, notice):
+    settings = structure_settings(context.rendered, PlatformSettings, "rendered")
+    daemon = settings.build_daemon_settings()
+    found = (daemon.shutdown_ms, daemon.shutdown_notice_ms)
+    assert found == (shutdown, notice), found
+
+
+@then('they are refused with a line that names "{name}"')
+def check_refused_settings(context, name):
+    try:
+        settings = structure_settings(context.rendered, PlatformSettings, "rendered")
+        settings.build_daemon_settings()
+    except SettingsError as error:
+        assert name in str(error) and "\n" not in str(error), error
+    else:
+        raise AssertionError("the settings were accepted")
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -2,6 +2,7 @@
 
 import re
 from collections.abc import Callable
+from datetime import timedelta
 from typing import Any
 
 import attrs
@@ -10,6 +11,11 @@
 
 _ADDRESS = re.compile(r"^[^\s:/]+:\d{1,5}$")
 MAX_PORT = 65_535
+MILLISECOND = timedelta(milliseconds=1)
+# Part of the time between SIGTERM and SIGKILL in which requests may end. The rest is
+# for closing.
+SHUTDOWN_SHARE = 0.95
+MAX_NOTICE_SHARE = 0.5
 
 
 class SettingValueError(SettingsError, ValueError):
@@ -310,3 +316,17 @@
     membership: MembershipSettings = MembershipSettings()
     log: LogSettings = LogSettings()
     table: TableSettings = TableSettings()
+
+
+def fit_to_grace(settings: DaemonSettings, grace: timedelta) -> DaemonSettings:
+    """Return settings whose shutdown uses the time that the platform grants for it.
+
+    :param grace: time between SIGTERM and SIGKILL.
+    """
+    grace_ms = grace / MILLISECOND
+    longest_notice_ms = max(1, round(MAX_NOTICE_SHARE * grace_ms))
+    return attrs.evolve(
+        settings,
+        shutdown_ms=max(1, round(SHUTDOWN_SHARE * grace_ms)),
+        shutdown_notice_ms=min(settings.shutdown_notice_ms, longest_notice_ms),
+    )
--- a/src/wagtailstep/network/service_client.py
+++ b/src/wagtailstep/network/service_client.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
+from typing import TypeVar
 
 import attrs
+import msgspec
 
 from wagtailstep.exceptions import (
     AppendUnknownError,
@@ -20,10 +23,13 @@
 from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.codec import DECODE_FAILURES
 
 # Below the usual idle timeout of servers, so that few calls hit a closed connection.
 MAX_IDLE_MS = 2_000
 
+_T = TypeVar("_T")
+
 
 @attrs.frozen
 class HttpReply:
@@ -38,6 +44,15 @@
     body: bytes
     headers: Headers = ()
 
+    def get_ok_body(self) -> bytes:
+        """Return the body of a response with status 200.
+
+        :raises LogUnavailableError: if it has another status.
+        """
+        if self.status != HTTPStatus.OK:
+            raise LogUnavailableError(f"the response has status {self.status}")
+        return self.body
+
 
 class ServiceClient:
     """Call one service over a pool of connections.
@@ -122,3 +137,14 @@
     if error.verdict is Verdict.NOT_RUN:
         return LogUnavailableError(f"{error}; the append was not sent")
     return AppendUnknownError(f"{error}; the append was sent, but not acknowledged")
+
+
+def decode_json(body: bytes, kind: type[_T]) -> _T:
+    """Decode the JSON body of a response.
+
+    :raises LogUnavailableError: if it is malformed.
+    """
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except DECODE_FAILURES as error:
+        raise LogUnavailableError(f"the response is malformed: {error}") from error
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -31,7 +31,7 @@
 
     def __init__(self, settings: PlatformSettings, clock: Clock) -> None:
         self.store = PlatformStore(settings.store, clock)
-        super().__init__(settings.daemon, clock)
+        super().__init__(settings.build_daemon_settings(), clock)
         self.store.calls.on_end = self.metrics.record_store_call
 
     def get_keyed_store(self) -> KeyedStore:
--- a/src/wagtailstep/platform/program.py
+++ b/src/wagtailstep/platform/program.py
@@ -22,9 +22,9 @@
     """
     settings = read_platform_settings()
     drained = run_daemon(
-        settings.daemon,
+        settings.build_daemon_settings(),
         lambda: PlatformDaemon(settings, LoopClock()),
-        lambda: read_platform_settings().daemon,
+        lambda: read_platform_settings().build_daemon_settings(),
     )
     return status_codes.SUCCESS if drained else status_codes.ERROR
 
--- a/src/wagtailstep/platform/settings.py
+++ b/src/wagtailstep/platform/settings.py
@@ -1,8 +1,18 @@
 """Settings of a daemon on the platform, rendered by ``deploy/settings.json``."""
 
+from typing import Any
+
 import attrs
 
-from wagtailstep.models.settings import DaemonSettings, check_address, positive
+from wagtailstep.exceptions import DecodeError
+from wagtailstep.models.settings import (
+    DaemonSettings,
+    SettingValueError,
+    check_address,
+    fit_to_grace,
+    positive,
+)
+from wagtailstep.utils.durations import parse_positive_duration
 
 
 @attrs.frozen
@@ -23,7 +33,25 @@
 
     :param daemon: settings of the daemon.
     :param store: settings of the platform's metadata store.
+    :param bounds: the platform's time limits and other bounds by name. ``grace`` is the
+        time between SIGTERM and SIGKILL. Without it, a daemon that shuts down waits for
+        its requests as long as the drain limits of the table allow.
     """
 
     daemon: DaemonSettings
     store: StoreSettings
+    bounds: dict[str, Any] = attrs.field(factory=dict)
+
+    def build_daemon_settings(self) -> DaemonSettings:
+        """Return the settings of the daemon with its shutdown fitted to the grace.
+
+        :raises SettingValueError: if the grace is malformed.
+        """
+        text = self.bounds.get("grace")
+        if text is None:
+            return self.daemon
+        try:
+            return fit_to_grace(self.daemon, parse_positive_duration(text))
+        except (DecodeError, TypeError) as error:
+            message = f"key bounds.grace: {error}"
+            raise SettingValueError("bounds.grace", message) from error
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -13,11 +13,11 @@
 from wagtailstep.platform.store import (
     ERA_HEADER,
     READ_HEADER,
-    RECORD_LENGTH,
     parse_keyed_record,
     parse_records,
 )
 from wagtailstep.utils.callbacks import do_nothing
+from wagtailstep.utils.framing import FRAME_LENGTH
 
 UNANSWERED_CALL_S = 3_600.0
 
@@ -178,7 +178,7 @@
         data = READ_HEADER.pack(topic.next_offset, topic.oldest_offset)
         for offset, record in topic.records:
             if offset >= start:
-                data += RECORD_LENGTH.pack(len(record)) + record
+                data += FRAME_LENGTH.pack(len(record)) + record
         return Response(200, None, Content(b"application/octet-stream", data))
 
     async def newest(self, topic: Topic, query: dict[str, str], body: bytes) -> Any:
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -6,21 +6,25 @@
 from collections.abc import Iterator
 from datetime import timedelta
 from http import HTTPStatus
-from typing import TypeVar
 
 import msgspec
 
 from wagtailstep.exceptions import (
     AppendUnknownError,
+    DecodeError,
     LogUnavailableError,
     RecordExpiredError,
 )
 from wagtailstep.models.headers import read_int_header
 from wagtailstep.models.keyed_store import Collection, KeyedRecords
-from wagtailstep.network.service_client import HttpReply, ServiceClient
+from wagtailstep.network.service_client import (
+    HttpReply,
+    ServiceClient,
+    decode_json,
+)
 from wagtailstep.platform.settings import StoreSettings
 from wagtailstep.utils.clock import Clock
-from wagtailstep.utils.codec import DECODE_FAILURES
+from wagtailstep.utils.framing import FRAME_LENGTH, split_frames
 
 # The operator owns ``keyed.op``; its record ``config`` contains the table.
 TOPICS = {
@@ -28,7 +32,6 @@
     Collection.MEMBERS: "keyed.wagtailstep-members",
 }
 MILLISECOND = timedelta(milliseconds=1)
-RECORD_LENGTH = struct.Struct(">I")
 READ_HEADER = struct.Struct(">QQ")
 MAX_PAGES = 100
 ERA_HEADER = "store-era"
@@ -43,8 +46,6 @@
     }
 )
 
-_T = TypeVar("_T")
-
 
 class NewestItem(msgspec.Struct):
     """Newest record of a key; ``value`` is base64-encoded."""
@@ -97,7 +98,7 @@
         for _ in range(MAX_PAGES):
             query = f"topic={TOPICS[collection]}&part=0{after_parameter}"
             reply = await self.calls.read(f"/v1/log-newest?{query}", self.timeout)
-            page = decode_json(get_ok_body(reply), NewestPage)
+            page = decode_json(reply.get_ok_body(), NewestPage)
             if first_page_end is None:
                 first_page_end, era = page.end, read_era(reply)
             elif read_era(reply) != era:
@@ -119,7 +120,7 @@
             raise RecordExpiredError(decode_json(reply.body, ExpiredReply).first)
         values: dict[str, bytes] = {}
         next_offset = offset
-        for record in parse_records(get_ok_body(reply)):
+        for record in parse_records(reply.get_ok_body()):
             next_offset += 1
             key, value = parse_keyed_record(record)
             values[key] = value
@@ -128,7 +129,7 @@
     async def put(self, collection: Collection, key: str, value: bytes) -> None:
         """Append a record that becomes the newest one of its key."""
         record = bytes([len(key.encode())]) + key.encode() + value
-        body = RECORD_LENGTH.pack(len(record)) + record
+        body = FRAME_LENGTH.pack(len(record)) + record
         path = f"/v1/log-append?topic={TOPICS[collection]}&part=0"
         reply = await self.calls.append(path, body, self.timeout)
         if reply.status in STATUSES_WITHOUT_EFFECT:
@@ -150,29 +151,6 @@
     return read_int_header(reply.headers, ERA_HEADER) or 0
 
 
-def get_ok_body(reply: HttpReply) -> bytes:
-    """Return the body of a response with status 200.
-
-    :raises LogUnavailableError: if it has another status.
-    """
-    if reply.status != HTTPStatus.OK:
-        raise LogUnavailableError(f"the store responded with status {reply.status}")
-    return reply.body
-
-
-def decode_json(body: bytes, kind: type[_T]) -> _T:
-    """Decode a JSON body.
-
-    :raises LogUnavailableError: if it is malformed.
-    """
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except DECODE_FAILURES as error:
-        raise LogUnavailableError(
-            f"the store's response is malformed: {error}"
-        ) from error
-
-
 def decode_items(items: list[NewestItem]) -> dict[str, bytes]:
     """Return the values of newest records by key.
 
@@ -189,20 +167,10 @@
 
     :raises LogUnavailableError: if the body is truncated within a record.
     """
-    position = READ_HEADER.size
-    while position < len(body):
-        start = position + RECORD_LENGTH.size
-        if start > len(body):
-            raise LogUnavailableError(
-                "the store's response is truncated within a record"
-            )
-        (length,) = RECORD_LENGTH.unpack_from(body, position)
-        position = start + length
-        if position > len(body):
-            raise LogUnavailableError(
-                "the store's response is truncated within a record"
-            )
-        yield body[start:position]
+    try:
+        yield from split_frames(body, READ_HEADER.size)
+    except DecodeError as error:
+        raise LogUnavailableError(f"the store's response: {error}") from error
 
 
 def parse_keyed_record(record: bytes) -> tuple[str, bytes]:
