Reject requests that a shutdown would cut

Cause: nothing compared the time left in a shutdown with the time that a request takes. A body that arrived 4 to 5.6 s after SIGTERM was sent on as at any time. Change: ShutdownAdmission decides, without a network, until when a request may be sent, from its deadline, its latency objective and the recent durations of its route. First attempts, retries and waits ask it. A body that arrives too late is no longer waited for. AttemptEnded carries the time to the end of the response. Evidence: features/shutdown.feature failed before: 7 of 46 uploads of 20 kB cut ('ASSERT FAILED: [('u32', 1.4), ...'), 5 of 46 of 90 kB. Result: none cut; 30 of 46 served as before, the others refused and not run.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -172,6 +172,7 @@
         self.store = StandInStore()
         # The platform's bounds that daemons are told when they start.
         self.bounds: dict[str, str] = {}
+        self.shutdown_notice_ms = SHUTDOWN_NOTICE_MS
         self.version = 1
         self.hosts = [
             Host(number, ZONES[number % len(ZONES)]) for number in range(1, size + 1)
@@ -231,7 +232,8 @@
         """Run a daemon until its host loses power."""
         self.record_disruption(host)
         host.starts += 1
-        host.daemon = SoakDaemon(build_settings(host, self.bounds), self.network)
+        settings = build_settings(host, self.shutdown_notice_ms, self.bounds)
+        host.daemon = SoakDaemon(settings, self.network)
         await host.daemon.start()
 
     async def restart_daemon(self, host: Host) -> None:
@@ -366,7 +368,9 @@
         return runs
 
 
-def build_settings(host: Host, bounds: dict[str, str]) -> PlatformSettings:
+def build_settings(
+    host: Host, shutdown_notice_ms: int, bounds: dict[str, str]
+) -> PlatformSettings:
     """Build the settings of a host's daemon, as the platform's templates do."""
     name = host.name
     daemon = DaemonSettings(
@@ -381,7 +385,7 @@
         # needs a seed of its own.
         seed=host.number * MAX_STARTS_PER_HOST + host.starts,
         shutdown_ms=SHUTDOWN_MS,
-        shutdown_notice_ms=SHUTDOWN_NOTICE_MS,
+        shutdown_notice_ms=shutdown_notice_ms,
         requests=RequestSettings(
             trust_slots=True,
             connect_timeout_ms=300,
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -10,3 +10,37 @@
       | grace |
       | 10s   |
       | 6s    |
+
+  # Guards against requests that are passed on late in the grace and cut at its end.
+  Scenario Outline: Requests whose bodies arrive late in the grace are answered or refused
+    Given a fleet whose platform gives a grace of <grace>
+    When uploads of <size> bytes that take <body> ms to arrive and <work> ms to run reach a daemon around SIGTERM
+    Then each one that began more than <body> ms before the end of the grace has a complete answer
+    And those that were refused as not run have not run
+    And at least <served> of them are served
+
+    Examples:
+      | grace | size  | body | work | served |
+      | 6s    | 20000 | 3000 | 1500 | 20     |
+      | 6s    | 90000 | 3000 | 1500 | 20     |
+
+  Scenario Outline: What a daemon that shuts down passes on depends on the time that is left
+    Given requests of a route with an aim of <aim> ms that recently took <recent> ms
+    When a request with <timeout> ms until its deadline is to be sent <left> ms before the end of a shutdown
+    Then it is <decision>
+
+    Examples:
+      | aim  | recent   | timeout | left | decision |
+      | 800  | 200      | 5000    | 1100 | sent     |
+      | 800  | 200      | 5000    | 900  | rejected |
+      | 800  | 200 2000 | 5000    | 2600 | sent     |
+      | 800  | 200 2000 | 5000    | 2400 | rejected |
+      | 800  | 2000     | 900     | 950  | sent     |
+      | 0    | nothing  | 5000    | 2600 | sent     |
+      | 0    | nothing  | 5000    | 2400 | rejected |
+      | 0    | 100      | 5000    | 200  | sent     |
+
+  Scenario: A daemon that serves passes on any request
+    Given requests of a route with an aim of 800 ms that recently took 4000 ms
+    When a request with 5000 ms until its deadline is to be sent
+    Then it is sent
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -55,6 +55,9 @@
 class RetryPolicy:
     """Decides on retries by verdict, idempotency, attempts, time and budget.
 
+    :param count_daemons: returns the number of daemons that share a budget.
+    :param may_start: returns whether this daemon may still send a request.
+
     Attributes: ``denial``, why the last decision was negative.
     """
 
@@ -63,9 +66,11 @@
         settings: RequestSettings,
         clock: Clock,
         count_daemons: Callable[[], int] = lambda: 1,
+        may_start: Callable[[RequestContext], bool] = lambda request: True,
     ) -> None:
         self.settings = settings
         self.clock = clock
+        self.may_start = may_start
         self.shared_budget = None
         if settings.retry_slack:
             self.shared_budget = SharedRetryBudget(settings, clock, count_daemons)
@@ -217,9 +222,13 @@
         return sent < min(request.max_attempts, self.settings.max_attempts)
 
     def has_time_left(self, request: RequestContext) -> bool:
-        """Return whether enough time is left for another attempt."""
+        """Return whether enough time is left for another attempt.
+
+        A shutdown of this daemon may leave less than the deadline does.
+        """
         time_left = request.deadline - self.clock.monotonic()
-        return time_left.total_seconds() * 1_000 >= MIN_TIME_LEFT_MS
+        is_in_time = time_left.total_seconds() * 1_000 >= MIN_TIME_LEFT_MS
+        return is_in_time and self.may_start(request)
 
     def try_acquire_token(self, service: str) -> bool:
         """Consume one retry of a service's budget; return whether there was one."""
--- /dev/null
+++ b/src/wagtailstep/controllers/shutdown.py
@@ -0,0 +1,83 @@
+"""Which requests a daemon that shuts down still passes on."""
+
+import random
+from collections import OrderedDict, deque
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.request import AttemptEnded, RequestContext
+from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.clock import Clock
+
+MAX_ROUTES = 256
+RECENT_ATTEMPTS = 32
+# Allows for a request that takes somewhat longer than the recent ones of its route.
+DURATION_MARGIN = 1.25
+# Assumed of a route without a latency objective and recent requests.
+DEFAULT_DURATION = timedelta(seconds=2)
+
+
+class ShutdownAdmission:
+    """Decide until when a request may be sent to a backend server.
+
+    A daemon that shuts down rejects what it would probably have to cut. That applies
+    to its own callers only, who may send the request to any other daemon at once, and
+    lasts from SIGTERM to the end of the process. Nothing is rejected without a limit
+    of the shutdown, or if the request's deadline falls before that limit. Other limits
+    on a request (retries, quotas, suspects) apply independently.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        blackboard: Blackboard,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.blackboard = blackboard
+        self.clock = clock
+        self.durations: OrderedDict[tuple[str, str], deque[timedelta]] = OrderedDict()
+
+    @singledispatchmethod
+    def handle(self, event: Any) -> list[Any]:
+        """Ignore an event that says nothing about the duration of requests."""
+        return []
+
+    @handle.register
+    def _(self, event: AttemptEnded) -> list[Any]:
+        if event.status is None:
+            return []
+        key = (event.request.service, event.request.route)
+        durations = self.durations.get(key)
+        if durations is None:
+            durations = self.durations[key] = deque(maxlen=RECENT_ATTEMPTS)
+            if len(self.durations) > MAX_ROUTES:
+                self.durations.popitem(last=False)
+        self.durations.move_to_end(key)
+        durations.append(event.duration)
+        return []
+
+    def may_start(self, request: RequestContext) -> bool:
+        """Return whether a request may be sent to a backend server now."""
+        latest_start = self.compute_latest_start(request)
+        return latest_start is None or self.clock.monotonic() <= latest_start
+
+    def compute_latest_start(self, request: RequestContext) -> timedelta | None:
+        """Return the monotonic time until which a request may be sent.
+
+        :return: ``None`` if the shutdown sets no limit.
+        """
+        stops_at = self.blackboard.stops_at
+        if stops_at is None or request.deadline <= stops_at:
+            return None
+        return stops_at - DURATION_MARGIN * self.estimate_duration(request)
+
+    def estimate_duration(self, request: RequestContext) -> timedelta:
+        """Return how long a request may take, from what is known of its route.
+
+        That is its latency objective, or longer if recent requests took longer.
+        """
+        recent = self.durations.get((request.service, request.route), ())
+        return max((request.aim, *recent)) or DEFAULT_DURATION
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -79,6 +79,11 @@
         """Return whether a backend server may have received the request."""
         return self.reached_server or self.verdict is not Verdict.NOT_RUN
 
+    @property
+    def is_full_gate(self) -> bool:
+        """Return whether a gate had no slot, so that no server got the request."""
+        return isinstance(self, OverloadedError) and not self.reached_server
+
 
 class BadRequestError(RequestError):
     """The request is invalid; resending it unchanged would fail again."""
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -71,6 +71,8 @@
     :param store_era: the newest era of the platform's store that the fleet is known to
         have seen; -1 before the first read; written by the table controller.
     :param draining: whether this daemon is shutting down; written by the runtime.
+    :param stops_at: monotonic time at which a daemon that shuts down ends requests that
+        are still in flight; ``None`` before; written by the runtime.
     """
 
     this_member: Member
@@ -94,6 +96,7 @@
     log_reachable: bool = False
     store_era: int = -1
     draining: bool = False
+    stops_at: timedelta | None = None
 
     @property
     def local_services(self) -> set[str]:
--- a/src/wagtailstep/models/request.py
+++ b/src/wagtailstep/models/request.py
@@ -124,6 +124,7 @@
     :param blame: what a failure is attributed to.
     :param latency: time from sending to the head of the response or the failure.
     :param queueing: part of ``latency`` that it waited for a slot at the gate.
+    :param duration: time from sending to the end of the response or the failure.
     """
 
     request: RequestContext
@@ -133,3 +134,4 @@
     blame: Blame
     latency: timedelta
     queueing: timedelta = timedelta()
+    duration: timedelta = timedelta()
--- a/src/wagtailstep/network/attempts.py
+++ b/src/wagtailstep/network/attempts.py
@@ -93,7 +93,8 @@
             return
         self.ended = True
         self.routing.end_attempt(self.target_id)
-        head_time = self.answered or self.clock.monotonic()
+        now = self.clock.monotonic()
+        head_time = self.answered or now
         outcome = AttemptEnded(
             request=self.request,
             target_id=self.target_id,
@@ -102,6 +103,7 @@
             blame=blame,
             latency=head_time - self.started,
             queueing=self.queueing,
+            duration=now - self.started,
         )
         self.dispatch(outcome)
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -147,6 +147,7 @@
             *self.runtime.controllers,
             quotas.home,
             quotas.leases,
+            self.entry.admission,
         )
         self.runtime.effect_handlers[QuotaDecided] = quotas.deliver_decision
         self.runtime.effect_handlers[ScheduleQuotaCheck] = quotas.schedule_check
@@ -234,6 +235,8 @@
         notice = timedelta(milliseconds=self.settings.shutdown_notice_ms)
         limit = self.compute_shutdown_limit(notice)
         self.blackboard.draining = True
+        self.blackboard.stops_at = self.clock.monotonic() + notice + limit
+        self.entry.arriving_bodies.limit_all()
         self.caller_app.announce_closing()
         self.runtime.record_event("daemon-draining", limit_s=limit.total_seconds())
         await asyncio.sleep(notice.total_seconds())
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -76,6 +76,16 @@
         """Return whether the deadline has passed."""
         return self.loop.time() >= self.when
 
+    def move_forward(self, when: float) -> None:
+        """Let the deadline fall due earlier, if that time is earlier.
+
+        :param when: event loop time in seconds; only effective inside ``async with``.
+        """
+        if when < self.when and self.late_until is None:
+            self.when = when
+            self.timer.cancel()
+            self.timer = self.loop.call_at(when, self.notice)
+
     async def __aenter__(self) -> Self:
         """Start to limit what follows.
 
--- a/src/wagtailstep/network/entry.py
+++ b/src/wagtailstep/network/entry.py
@@ -18,7 +18,8 @@
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.controllers.runs import build_unknown_outcome_error
-from wagtailstep.exceptions import DeadlineExceededError, RequestError
+from wagtailstep.controllers.shutdown import ShutdownAdmission
+from wagtailstep.exceptions import DeadlineExceededError, LeavingError, RequestError
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.exchange import Answer, Forwarder, IncomingRequest, Relay
@@ -38,6 +39,7 @@
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.account_headers import replace_account_headers
 from wagtailstep.network.answer_buffer import buffer_answer, track_end
+from wagtailstep.network.arriving_bodies import ArrivingBodies
 from wagtailstep.network.attempt_log import CALLER_LEFT, INTERNAL_ERROR
 from wagtailstep.network.bodies import ReplayableBody, limit_body
 from wagtailstep.network.deadlines import limit_time
@@ -95,7 +97,14 @@
         self.guard = guard
         self.relay = relay
         self.apply = apply
-        retries = RetryPolicy(settings.requests, clock, lambda: len(blackboard.members))
+        self.admission = ShutdownAdmission(settings, blackboard, clock, rng)
+        self.arriving_bodies = ArrivingBodies(self.admission, clock)
+        retries = RetryPolicy(
+            settings.requests,
+            clock,
+            lambda: len(blackboard.members),
+            self.admission.may_start,
+        )
         self.reader = RequestReader(settings.requests, blackboard, clock, rng)
         self.sender = AttemptSender(
             blackboard, clock, routing, retries, forwarder, dispatch
@@ -234,9 +243,15 @@
         """
         request = exchange.request
         try:
-            async with limit_time(self.sender.time_left(request)):
-                return await reading
+            async with limit_time(self.sender.time_left(request)) as deadline:
+                with self.arriving_bodies.track(request, deadline):
+                    return await reading
         except TimeoutError:
+            if self.blackboard.draining and self.sender.time_left(request):
+                raise LeavingError(
+                    "this daemon is shutting down and the request body has not "
+                    "arrived; send the request to another one"
+                ) from None
             error = DeadlineExceededError(
                 "request body did not arrive before the deadline; send the request "
                 "again with a longer timeout",
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -19,7 +19,7 @@
 from wagtailstep.exceptions import (
     AttemptAbandonedError,
     DeadlineExceededError,
-    OverloadedError,
+    LeavingError,
     RequestError,
     ServerCrashedError,
 )
@@ -111,14 +111,14 @@
                 exchange.crashes += isinstance(exc, ServerCrashedError)
                 self.declined.record_failure(exchange, target, exc)
                 exchange.include_earlier_attempts(exc)
-                if is_full_gate(exc):
+                if exc.is_full_gate:
                     exchange.expected_waits[target.target_id] = exc.retry_after or ZERO
                 if not await self.may_continue(exchange, exc):
                     self.log.record_end(
                         exchange, exc.reason, denial=self.retries.denial
                     )
                     raise
-                if not is_full_gate(exc):
+                if not exc.is_full_gate:
                     self.log.record_resend(exchange, target, exc.reason)
                 continue
             exchange.sent += 1
@@ -143,7 +143,7 @@
             exchange, error
         ):
             return True
-        if not is_full_gate(error):
+        if not error.is_full_gate:
             return False
         self.refusals.record_refusal(exchange.request.service)
         return self.try_select_last_resort(exchange)
@@ -232,6 +232,10 @@
                     "deadline exceeded before the request was sent",
                     Verdict.NOT_RUN,
                 )
+            if not self.retries.may_start(request):
+                raise LeavingError(
+                    "this daemon is shutting down; send the request to another one"
+                )
             last_resort = exchange.last_resort
             if last_resort is not None and last_resort.target_id not in exchange.tried:
                 return last_resort
@@ -389,8 +393,3 @@
                 exchange.release()
 
         return AnswerStream(answer, end).build_answer()
-
-
-def is_full_gate(error: RequestError) -> bool:
-    """Return whether a gate had no slot, so that no server got the request."""
-    return isinstance(error, OverloadedError) and not error.reached_server
