Keep reading a request body when its attempt ends

Cause: the reader of the body belonged to the attempt. Closing the connection only schedules its cancellation, so the body counted as replayable, the second attempt started, and the cancelled read then spoilt the body for it. Change: while a body is streamed, a read outlives its attempt and buffers the chunk for the next one. A body whose start is no longer kept can't be opened again (BodyNotKeptError, 503, not run). The generic retrieve_exception moved to utils/. The former scenario of that name expected the 503 that came from the same fault; its check that no attempt gets a truncated body stays.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -96,11 +96,31 @@
     When a caller sends POST "/upload" with a slow body of 5 chunks
     Then the answer is 413 with verdict "may-have-run"
 
-  Scenario: A body whose reading was cancelled never looks complete
-    Given the first attempt ends as "gate overloaded while the body is on its way"
+  # Guards against a 400 for a proper upload whose first server rejected it early.
+  Scenario Outline: A body whose reading was cancelled is sent again as a whole
+    Given the first <count> attempts end as "<end>"
+    When a caller sends POST "/upload" with a slow body of 5 chunks
+    Then no attempt got a body that looked complete and was not
+    And the answer is 200 with verdict "run"
+    And the last attempt got a body of 5 bytes
+
+    Examples:
+      | count | end                                                        |
+      | 1     | gate overloaded while the body is on its way               |
+      | 1     | server declines while the body is on its way               |
+      | 1     | server declines while a read of the body ends              |
+
+  Scenario: A body that is no longer kept is not sent again
+    Given the first attempt ends as "server declines while the body is on its way"
+    And the entry keeps at most 1 byte of a body
     When a caller sends POST "/upload" with a slow body of 5 chunks
     Then no attempt got a body that looked complete and was not
     And the answer is 503 with verdict "not-run"
+    And 1 attempt was made
+
+  Scenario: A body that has outgrown what is kept can't be opened again
+    When a body of 5 chunks of which 1 byte is kept is read and opened again
+    Then that is rejected as not run with reason "body-not-kept"
 
   Scenario: A body that the caller interrupts ends as may-have-run
     When a caller sends POST "/upload" and interrupts its body
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -23,6 +23,7 @@
 from wagtailstep.models.request import AttemptEnded, RequestEnded
 from wagtailstep.models.table import RouteRow
 from wagtailstep.models.verdict import Verdict
+from wagtailstep.network.bodies import ReplayableBody
 from wagtailstep.network.entry import EntryService
 from wagtailstep.utils.clock import LoopClock
 
@@ -106,6 +107,22 @@
         await asyncio.gather(reading, return_exceptions=True)
         return await self.end_gate_overloaded(request, incoming)
 
+    async def end_server_declines_while_the_body_is_on_its_way(self, request, incoming):
+        reading = asyncio.create_task(self.read_body(incoming))
+        await asyncio.sleep(0.025)
+        # The reader ends in a later turn of the event loop.
+        reading.cancel()
+        raise exceptions.NotExecutedError("full", timedelta(seconds=2))
+
+    async def end_server_declines_while_a_read_of_the_body_ends(
+        self, request, incoming
+    ):
+        reading = asyncio.create_task(self.read_body(incoming))
+        # The next chunk arrives in the same turn as the cancellation.
+        await asyncio.sleep(0.02)
+        reading.cancel()
+        raise exceptions.NotExecutedError("full", timedelta(seconds=2))
+
     async def end_gate_leaving(self, request, incoming):
         raise exceptions.LeavingError("leaving")
 
@@ -237,6 +254,13 @@
     context.harness.board.table.max_body_bytes = size
 
 
+@given("the entry keeps at most {size:d} byte of a body")
+def limit_kept_body(context, size):
+    settings = context.harness.settings
+    requests = attrs.evolve(settings.requests, replay_body_bytes=size)
+    context.harness.settings = attrs.evolve(settings, requests=requests)
+
+
 @given("the targets typically take {usual:d} ms")
 def set_typical_latency(context, usual):
     board = context.harness.board
@@ -322,6 +346,28 @@
     send(context, method, path, body=yield_chunks([b"x"] * count, delay=0.01))
 
 
+@when(
+    "a body of {count:d} chunks of which {size:d} byte is kept is read and opened again"
+)
+def open_again(context, count, size):
+    async def read_and_open():
+        body = ReplayableBody(yield_chunks([b"x"] * count), size)
+        assert b"".join([chunk async for chunk in body.open()]) == b"x" * count
+        try:
+            body.open()
+        except exceptions.RequestError as error:
+            context.error = error
+
+    context.error = None
+    detangle.run(read_and_open)
+
+
+@then('that is rejected as not run with reason "{reason}"')
+def check_open_rejected(context, reason):
+    assert context.error is not None and context.error.reason == reason, context.error
+    assert context.error.verdict is NOT_RUN
+
+
 @when('a caller sends {method:w} "{path:S}" and interrupts its body')
 def send_interrupted_body(context, method, path):
     error = exceptions.BadRequestError("the caller interrupted the body")
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -161,6 +161,21 @@
     reason = "leaving"
 
 
+class BodyNotKeptError(TemporaryRefusalError):
+    """The start of the request body is no longer buffered, so it can't be resent.
+
+    :param limit: size in bytes up to which a body is buffered.
+    """
+
+    reason = "body-not-kept"
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(
+            f"the request body exceeds the {limit} bytes that are kept for another "
+            "attempt; send the request again"
+        )
+
+
 class NotReadyError(TemporaryRefusalError):
     """This daemon is still starting and accepts no requests yet."""
 
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -1,10 +1,12 @@
 """Streaming, buffering and size limits of request and response bodies."""
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
 from wagtailstep.exceptions import (
     BadRequestError,
+    BodyNotKeptError,
     BodyTooLargeError,
     InvalidAnswerError,
     RequestError,
@@ -13,6 +15,7 @@
 from wagtailstep.models.exchange import Answer
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.deadlines import limit_time
+from wagtailstep.utils.callbacks import retrieve_exception
 
 # Above these, a new connection is cheaper than reading the rest of a response.
 MAX_DISCARDED_BYTES = 65_536
@@ -59,6 +62,7 @@
         self.complete = False
         self.overflowed = False
         self.error: BaseException | None = None
+        self.reading: asyncio.Task[None] | None = None
 
     @property
     def replayable(self) -> bool:
@@ -72,21 +76,28 @@
         :raises RequestError: if the caller aborted the body.
         """
         while not self.complete and self.buffered_bytes < self.limit:
-            await self.read_chunk()
+            await self.buffer_chunk()
         return b"".join(self.buffered)[: self.limit]
 
-    async def read_chunk(self) -> bool:
-        """Read one chunk and buffer it.
-
-        :return: whether there was another chunk.
-        """
+    async def buffer_chunk(self) -> None:
+        """Read one chunk and buffer it, or note that the body is complete."""
         chunk = await self.read_source()
         if chunk is None:
             self.complete = True
-            return False
+            return
         self.buffered.append(chunk)
         self.buffered_bytes += len(chunk)
-        return True
+
+    async def read_on(self) -> None:
+        """Wait until one more chunk is buffered, or the body is complete.
+
+        The read goes on if this is cancelled, so that the chunk is there for the next
+        attempt. It ends with the caller's connection at the latest.
+        """
+        if self.reading is None or self.reading.done():
+            self.reading = asyncio.create_task(self.buffer_chunk())
+            self.reading.add_done_callback(retrieve_exception)
+        await asyncio.shield(self.reading)
 
     async def read_source(self) -> bytes | None:
         """Return the next chunk from the caller, or ``None`` at the end.
@@ -105,22 +116,40 @@
             self.error = error
             raise
 
-    async def open(self) -> AsyncIterator[bytes]:
+    def open(self) -> AsyncIterator[bytes]:
+        """Return the body from its start.
+
+        :raises BodyNotKeptError: if its start is not buffered any more.
+        """
+        if self.overflowed:
+            raise BodyNotKeptError(self.limit)
+        return self.iterate()
+
+    async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body from its start.
 
         Once more than ``limit`` bytes have been yielded, the buffer is dropped and
         the body can't be replayed any more.
+
+        :raises BodyNotKeptError: if another reader has got that far before.
         """
         position = 0
         while not self.overflowed:
-            if position == len(self.buffered) and not await self.read_chunk():
-                return
+            if position == len(self.buffered):
+                if self.complete:
+                    return
+                await self.read_on()
+                continue
             chunk = self.buffered[position]
             position += 1
             if self.buffered_bytes > self.limit and position == len(self.buffered):
                 self.overflowed = True
                 self.buffered.clear()
+                yield chunk
+                break
             yield chunk
+        else:
+            raise BodyNotKeptError(self.limit)
         while (chunk := await self.read_source()) is not None:
             yield chunk
 
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -13,6 +13,7 @@
 from wagtailstep.exceptions import BadRequestError, RequestError
 from wagtailstep.models.headers import Headers, find_header
 from wagtailstep.network.response_matching import ResponseMatcher, decode_headers
+from wagtailstep.utils.callbacks import retrieve_exception
 
 READ_SIZE_BYTES = 65_536
 MAX_HEAD_BYTES = 65_536
@@ -250,7 +251,7 @@
                 return await self.accept_head(final_head)
         self.body_sender = asyncio.create_task(self.send_body(request.body))
         head_task = asyncio.create_task(self.read_head())
-        head_task.add_done_callback(_retrieve_exception)
+        head_task.add_done_callback(retrieve_exception)
         try:
             await asyncio.wait(
                 {self.body_sender, head_task}, return_when=asyncio.FIRST_COMPLETED
@@ -341,7 +342,7 @@
         """Close immediately and drop buffered data; may be called repeatedly."""
         if self.body_sender is not None:
             self.body_sender.cancel()
-            self.body_sender.add_done_callback(_retrieve_exception)
+            self.body_sender.add_done_callback(retrieve_exception)
             self.body_sender = None
         reset_transport(self.writer.transport)
 
@@ -357,11 +358,6 @@
     transport.abort()
 
 
-def _retrieve_exception(task: asyncio.Task[None]) -> None:
-    if not task.cancelled():
-        task.exception()
-
-
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return headers encoded for the wire."""
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
