Record departures before they are acknowledged

Cause: what a daemon had acknowledged was in its memory only. Its next process took any heartbeat for news, and the other daemons believed that process. Change: a departure (target and start time of the process) is written to the store before the 200, told to the other daemons with the targets, read by the daemon's next process, and repeated to it by the others. It counts for 10 s and excludes that process only. Nothing waits for these reads, so sound servers and later processes are offered as before. The platform's columnar lists moved to utils/.

--- /dev/null
+++ b/features/departures.feature
@@ -0,0 +1,39 @@
+Feature: A backend server that has left stays left, whatever happens to its daemon
+
+  # Guards against requests that reach a server after its leave was acknowledged.
+  Scenario Outline: A late heartbeat doesn't bring back a server that has left
+    Given a fleet of daemons with a backend server each
+    When a server leaves by <call> and <disruption> <delay> ms after the acknowledgement
+    And a heartbeat that it sent before arrives 4000 ms after that
+    Then no daemon offers it from 2000 ms after the acknowledgement on
+
+    Examples:
+      | call     | disruption                                | delay |
+      | DELETE   | its daemon is killed                      | 200   |
+      | DELETE   | its daemon is killed                      | 20    |
+      | draining | its daemon is killed                      | 300   |
+      | DELETE   | all daemons are killed                    | 20    |
+      | DELETE   | its daemon is killed with the store away  | 300   |
+      | DELETE   | nothing happens                           | 200   |
+
+  Scenario: A new process of a server that has left is offered as soon as before
+    Given a fleet of daemons with a backend server each
+    When a server leaves by DELETE and its daemon is killed 200 ms after the acknowledgement
+    And a new process of the server sends a heartbeat 1500 ms after that
+    Then all daemons offer it 300 ms after its heartbeat
+
+  Scenario Outline: A daemon that is killed beside a sound server offers it as soon as before
+    Given a fleet of daemons with a backend server each
+    When <disruption> beside a sound server
+    Then all daemons offer it 300 ms after its heartbeat
+
+    Examples:
+      | disruption                               |
+      | its daemon is killed                     |
+      | its daemon is killed with the store slow |
+
+  Scenario: Departures are forgotten by the store and the daemons
+    Given a fleet of daemons with a backend server each
+    When a server leaves by DELETE and nothing happens 200 ms after the acknowledgement
+    And 15000 ms pass after its departure
+    Then neither the store nor a daemon knows of a departure
--- /dev/null
+++ b/features/steps/departures_steps.py
@@ -0,0 +1,259 @@
+"""Steps for servers whose daemon is killed after they have left, in virtual time."""
+
+import asyncio
+import random
+from datetime import timedelta
+
+import detangle
+import msgspec
+from behave import given, then, when
+from benchmarks.soak.fleet import SERVICE, SoakClock, SoakFleet
+
+from wagtailstep.exceptions import RequestError
+from wagtailstep.models.fleet import TargetState
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.bodies import read_complete_body
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import HttpRequest
+from wagtailstep.network.problems import yield_body
+from wagtailstep.platform.store import TOPICS, Collection, parse_keyed_record
+from wagtailstep.utils.clock import LoopClock
+
+FLEET_SIZE = 3
+WARMUP_S = 6.0
+DOWN_S = 1.0
+WATCH_S = 8.0
+POLL_S = 0.02
+SLOW_STORE_S = 0.9
+CALL_TIMEOUT = timedelta(seconds=1)
+DEPARTURES = TOPICS[Collection.DEPARTURES]
+
+
+class DepartureRun:
+    """A fleet, and one server of it whose announcements the test sends itself."""
+
+    def __init__(self):
+        self.offers = []
+
+    async def start(self):
+        self.fleet = SoakFleet(FLEET_SIZE, random.Random(1))
+        await self.fleet.start()
+        await asyncio.sleep(WARMUP_S)
+        self.host = self.fleet.hosts[0]
+        self.target_id = f"{SERVICE}/i-{self.host.name}"
+        # The server's own heartbeats end here.
+        self.host.backend = None
+        await asyncio.sleep(2)
+        self.born = int(SoakClock().utc().timestamp() * 1_000)
+        self.sequence = 0
+        await self.call("PUT", self.build_heartbeat("ready"))
+        await asyncio.sleep(1)
+
+    def build_heartbeat(self, state):
+        self.sequence += 1
+        return {
+            "service": SERVICE,
+            "address": f"{self.host.name}:9000",
+            "zone": self.host.zone,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "warmup-left": "0ms",
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+
+    async def call(self, method, content):
+        data = msgspec.json.encode(content) if content else b""
+        request = HttpRequest(
+            address=f"{self.host.name}:8004",
+            method=method,
+            path=f"/v1/instances/i-{self.host.name}",
+            headers=(("host", "a"), ("content-length", str(len(data)))),
+            body=yield_body(data),
+            idempotent=True,
+            time_left=CALL_TIMEOUT,
+        )
+        try:
+            # A pooled connection would not survive a kill of the daemon.
+            client = HttpClient(RequestSettings(), LoopClock())
+            answer = await client.send(request)
+            await read_complete_body(answer)
+            return answer.status
+        except RequestError:
+            return 0
+
+    async def leave(self, kind):
+        if kind == "DELETE":
+            status = await self.call("DELETE", None)
+        else:
+            status = await self.call("PUT", self.build_heartbeat("draining"))
+        assert status == 200, status
+        self.acknowledged_at_s = asyncio.get_running_loop().time()
+
+    async def kill(self, hosts):
+        """Kill the daemons of hosts and start them again."""
+        for host in hosts:
+            self.fleet.power_off(host)
+        await asyncio.sleep(DOWN_S)
+        for host in hosts:
+            detangle.network().restart(host.name)
+            detangle.spawn(self.fleet.run_daemon(host), host=host.name)
+            if host is not self.host:
+                detangle.spawn(self.fleet.run_backend(host), host=host.name)
+
+    def offered_by(self):
+        return [
+            host.name
+            for host in self.fleet.hosts
+            if host.daemon is not None and self.is_offered_at(host.daemon)
+        ]
+
+    def is_offered_at(self, daemon):
+        target = daemon.blackboard.targets.get(self.target_id)
+        return target is not None and target.state is TargetState.SERVING
+
+    async def watch(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            self.offers.append((loop.time(), self.offered_by()))
+            await asyncio.sleep(POLL_S)
+
+    async def disrupt(self, kind):
+        faults = self.fleet.store.faults
+        if kind == "nothing happens":
+            return
+        hosts = self.fleet.hosts if kind.startswith("all") else [self.host]
+        if kind.endswith("store slow"):
+            faults.silent = True
+            asyncio.get_running_loop().call_later(
+                DOWN_S + SLOW_STORE_S, setattr, faults, "silent", False
+            )
+        await self.kill(hosts)
+        if kind.endswith("store away"):
+            faults.silent = False
+
+    def play(self, scenario):
+        async def main():
+            await self.start()
+            watching = asyncio.ensure_future(self.watch())
+            await detangle.spawn(scenario(), host="servers")
+            watching.cancel()
+            records = self.fleet.store.get_topic(DEPARTURES).records
+            self.newest = dict(parse_keyed_record(record) for _, record in records)
+            self.known = [
+                host.daemon.blackboard.departures
+                for host in self.fleet.hosts
+                if host.daemon is not None
+            ]
+
+        detangle.run(main, seed=1)
+
+
+@given("a fleet of daemons with a backend server each")
+def create_run(context):
+    context.run = DepartureRun()
+    context.steps = []
+
+
+@when(
+    "a server leaves by {call} and {disruption} {delay:d} ms after the acknowledgement"
+)
+def leave(context, call, disruption, delay):
+    run = context.run
+
+    async def step():
+        run.fleet.store.faults.silent = disruption.endswith("store away")
+        await run.leave(call)
+        await asyncio.sleep(delay / 1_000)
+        await run.disrupt(disruption)
+
+    context.steps.append(step)
+
+
+@when("a heartbeat that it sent before arrives {delay:d} ms after that")
+def deliver_late(context, delay):
+    run = context.run
+    first = context.steps.pop()
+
+    async def step():
+        late = run.build_heartbeat("ready")
+        await first()
+        at_s = run.acknowledged_at_s + delay / 1_000
+        await asyncio.sleep(at_s - asyncio.get_running_loop().time())
+        assert await run.call("PUT", late) == 200
+        await asyncio.sleep(WATCH_S)
+
+    run.play(step)
+
+
+@when("a new process of the server sends a heartbeat {delay:d} ms after that")
+def start_again(context, delay):
+    run = context.run
+    first = context.steps.pop()
+
+    async def step():
+        await first()
+        await asyncio.sleep(delay / 1_000)
+        run.born = int(SoakClock().utc().timestamp() * 1_000)
+        run.sequence = 0
+        await announce_and_wait(run)
+
+    run.play(step)
+
+
+async def announce_and_wait(run):
+    assert await run.call("PUT", run.build_heartbeat("ready")) == 200
+    run.announced_at_s = asyncio.get_running_loop().time()
+    await asyncio.sleep(WATCH_S)
+
+
+@when("{disruption} beside a sound server")
+def kill_beside_sound(context, disruption):
+    run = context.run
+
+    async def step():
+        await run.disrupt(disruption)
+        while run.host.daemon is None or await run.call("GET", None) == 0:
+            await asyncio.sleep(POLL_S)
+        await announce_and_wait(run)
+
+    run.play(step)
+
+
+@when("{time:d} ms pass after its departure")
+def wait(context, time):
+    first = context.steps.pop()
+
+    async def step():
+        await first()
+        await asyncio.sleep(time / 1_000)
+
+    context.run.play(step)
+
+
+@then("no daemon offers it from {time:d} ms after the acknowledgement on")
+def check_not_offered(context, time):
+    run = context.run
+    start_s = run.acknowledged_at_s + time / 1_000
+    offers = [
+        (round(at_s - run.acknowledged_at_s, 2), names)
+        for at_s, names in run.offers
+        if at_s >= start_s and names
+    ]
+    assert not offers, offers[:3]
+
+
+@then("all daemons offer it {time:d} ms after its heartbeat")
+def check_offered(context, time):
+    run = context.run
+    due_s = run.announced_at_s + time / 1_000
+    names = next(names for at_s, names in run.offers if at_s >= due_s)
+    assert len(names) == FLEET_SIZE, names
+
+
+@then("neither the store nor a daemon knows of a departure")
+def check_forgotten(context):
+    run = context.run
+    assert run.newest and not any(run.newest.values()), run.newest
+    assert not any(run.known), run.known
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import OrderedDict
+from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
 from typing import Any
@@ -9,14 +10,23 @@
 import attrs
 
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.departures import (
+    MAX_ANNOUNCEMENT_DELAY,
+    Departure,
+    DeparturesListed,
+    DeparturesSaved,
+    SaveDepartures,
+)
 from wagtailstep.models.events import (
     InstanceWithdrawn,
+    PeerMessageReceived,
     RecordEvent,
     TargetAnnounced,
     TargetWithdrawn,
     Tick,
 )
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
+from wagtailstep.models.membership import DeparturesHeard
 from wagtailstep.models.server_notices import NO_RATE_LIMIT, ServerNoticesReceived
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
@@ -24,9 +34,9 @@
 # Processes of local backend servers, past ones too, whose late announcements are
 # recognized. One instance sees a few a day.
 MAX_REGISTRATIONS = 64
-# Announcements are delayed by seconds at most. If a process seems to have started
-# before a withdrawal that is older than this, its clock was probably set back.
-MAX_ANNOUNCEMENT_DELAY = timedelta(seconds=10)
+# Departures that are recorded at a time; older ones are dropped.
+MAX_DEPARTURES = 16
+SAVE_RETRY_INTERVAL = timedelta(seconds=1)
 
 
 @attrs.define
@@ -81,6 +91,11 @@
 
     A target that leaves stays on the blackboard as leaving until the drain limit
     of its service has passed, so that its gate can finish the requests in flight.
+
+    A process that has announced that it leaves is a departure. It is recorded for the
+    next process of this daemon, and told to the other daemons, for as long as earlier
+    announcements may still arrive. It excludes that process only: a later one of the
+    same target is accepted at once, and so is any process that has not departed.
     """
 
     def __init__(
@@ -96,6 +111,8 @@
         self.leases: dict[str, LocalLease] = {}
         self.registrations: OrderedDict[str, Registration] = OrderedDict()
         self.incarnation = 0
+        self.departures_until: dict[str, timedelta] = {}
+        self.save_at: timedelta | None = None
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -108,8 +125,7 @@
         if not self._register(event):
             return []
         if event.target.state is TargetState.LEAVING:
-            self.registrations[target_id].has_withdrawn = True
-            return self._start_leaving(target_id, "announced")
+            return self._withdraw(target_id, "announced")
         known = self.blackboard.targets.get(target_id)
         lease = self.leases.get(target_id)
         is_leaving = lease is not None and lease.leaving_since is not None
@@ -202,7 +218,7 @@
             self.registrations[name] = Registration(
                 born=event.left_at, has_withdrawn=True, expires_at=expires_at
             )
-            return []
+            return self._record_departure(name)
         effects: list[Any] = []
         for name in names:
             effects += self._withdraw(name)
@@ -218,14 +234,72 @@
 
     def _withdraw(self, target_id: str, reason: str = "withdrawn") -> list[Any]:
         registration = self.registrations.get(target_id)
-        if registration is not None:
+        if registration is None:
+            return self._start_leaving(target_id, reason)
+        is_news = not registration.has_withdrawn
+        registration.has_withdrawn = True
+        effects = self._start_leaving(target_id, reason)
+        return effects + self._record_departure(target_id) if is_news else effects
+
+    def _record_departure(self, target_id: str) -> list[Any]:
+        process_started = self.registrations[target_id].born
+        if not process_started:
+            # Nothing tells its announcements from those of a later process.
+            return []
+        self._keep_departure(Departure(target_id, process_started))
+        return self._save_departures()
+
+    def _keep_departure(self, departure: Departure) -> None:
+        departures = self.blackboard.departures
+        name = departure.target_id
+        departures.pop(name, None)
+        departures[name] = departure
+        self.departures_until[name] = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
+        while len(departures) > MAX_DEPARTURES:
+            oldest = next(iter(departures))
+            del departures[oldest], self.departures_until[oldest]
+
+    def _save_departures(self) -> list[Any]:
+        self.save_at = None
+        return [SaveDepartures(tuple(self.blackboard.departures.values()))]
+
+    @handle.register
+    def _(self, event: DeparturesSaved) -> list[Any]:
+        if not event.succeeded:
+            self.save_at = self.clock.monotonic() + SAVE_RETRY_INTERVAL
+        return []
+
+    @handle.register
+    def _(self, event: DeparturesListed) -> list[Any]:
+        return self._restore_departures(event.departures)
+
+    @handle.register
+    def _(self, event: PeerMessageReceived) -> list[Any]:
+        if not isinstance(event.message, DeparturesHeard):
+            return []
+        return self._restore_departures(event.message.departures)
+
+    def _restore_departures(self, departures: Iterable[Departure]) -> list[Any]:
+        """Hold processes to what they told an earlier process of this daemon."""
+        effects: list[Any] = []
+        for departure in departures:
+            name = departure.target_id
+            registration = self.registrations.setdefault(name, Registration())
+            if registration.born > departure.process_started:
+                continue
+            if registration.has_withdrawn and registration.born:
+                continue
+            registration.born = departure.process_started
             registration.has_withdrawn = True
-        return self._start_leaving(target_id, reason)
+            registration.expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
+            self._keep_departure(departure)
+            effects += self._start_leaving(name, "departed-before")
+        return effects
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
-        effects: list[Any] = []
         self._expire_registrations()
+        effects = self._expire_departures()
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
         return effects
@@ -236,6 +310,14 @@
             if registration.expires_at is not None and now >= registration.expires_at:
                 del self.registrations[name]
 
+    def _expire_departures(self) -> list[Any]:
+        now = self.clock.monotonic()
+        expired = [name for name, at in self.departures_until.items() if now >= at]
+        for name in expired:
+            del self.blackboard.departures[name], self.departures_until[name]
+        is_due = self.save_at is not None and now >= self.save_at
+        return self._save_departures() if expired or is_due else []
+
     def _check_lease(self, target_id: str, lease: LocalLease) -> list[Any]:
         now = self.clock.monotonic()
         if lease.leaving_since is not None:
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -30,6 +30,7 @@
     AGE_UNIT_MS,
     HEARTBEAT_EPOCH_MS,
     HEARTBEAT_UNIT_MS,
+    DeparturesHeard,
     Digest,
     DigestRequest,
     TargetEntry,
@@ -102,7 +103,7 @@
             peers = max(map(len, self.interest.peers_by_service.values()), default=0)
             self.times = compute_renewal_times(self.settings, peers)
             self.leases.lease = self.times.lease
-        effects = self._push_local_changes(now)
+        effects = self._push_local_changes(now) + self._remind_of_departures()
         self._renew_local_targets(now)
         effects += self._send_digests(now)
         if now >= self.scan_at:
@@ -197,14 +198,29 @@
             return []
         if not changed:
             return []
+        effects = self._report_departures(message)
         self.pulls.discard(message.daemon_id)
         needed = self.interest.needed_by_member.get(message.daemon_id, frozenset())
         self.digests.add(message.daemon_id, needed)
-        effects = self._record_leaving(message)
+        effects += self._record_leaving(message)
         if message.urgent:
             effects += self._forward(message, sender)
         return effects
 
+    def _remind_of_departures(self) -> list[Any]:
+        untold = self.leases.departures.pop_untold(self.blackboard.members)
+        return [
+            SendToPeer(address, DeparturesHeard(departures), True)
+            for address, departures in untold.items()
+        ]
+
+    def _report_departures(self, update: TargetsUpdate) -> list[Any]:
+        departures = self.leases.departures.find_contradicted(update)
+        member = self.blackboard.members.get(update.daemon_id)
+        if not departures or member is None:
+            return []
+        return [SendToPeer(member.peer_address, DeparturesHeard(departures), True)]
+
     def _record_leaving(self, update: TargetsUpdate) -> list[Any]:
         leaving = list(TargetState).index(TargetState.LEAVING)
         return [
@@ -302,6 +318,7 @@
                 if target.service in services
             ),
             urgent=urgent,
+            departures=tuple(self.blackboard.departures.values()),
         )
 
     def _build_held_update(
@@ -328,6 +345,7 @@
                 if t.service in covered
             ),
             urgent=urgent,
+            departures=self.leases.departures.list_of(held.targets),
         )
 
     def _expire_leases(self, now: timedelta) -> list[Any]:
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from wagtailstep.controllers.heard_departures import HeardDepartures
 from wagtailstep.controllers.packed_standings import NO_STANDINGS, apply_standings
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.fleet import Target
@@ -70,6 +71,7 @@
         self.lease = lease
         self.held_targets: dict[str, HeldTargets] = {}
         self.last_heartbeats: dict[str, int] = {}
+        self.departures = HeardDepartures()
 
     def renew(
         self,
@@ -109,8 +111,13 @@
         :return: whether the held targets changed.
         :raises IndexError: if a target is in a state that doesn't exist.
         """
+        self.departures.add(
+            update.departures, update.daemon_id, self.blackboard.members, now
+        )
         targets = tuple(
-            entry.to_target(update.daemon_id, update.availability_zone)
+            self.departures.correct(
+                entry.to_target(update.daemon_id, update.availability_zone)
+            )
             for entry in update.targets
         )
         made_at = now - timedelta(milliseconds=update.age_ms)
@@ -156,6 +163,7 @@
         :return: the daemons that they belong to.
         """
         lapsed = []
+        self.departures.expire(now)
         for daemon_id, held in self.held_targets.items():
             if held.published and now - held.renewed_at >= self.lease:
                 self._withdraw(held)
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from wagtailstep.models.departures import Departure
 from wagtailstep.models.evidence import EjectionCandidate
 from wagtailstep.models.fleet import Member, Target, TargetHealth
 from wagtailstep.models.server_notices import RememberedNotices
@@ -47,6 +48,8 @@
         the dissemination controller.
     :param local_targets: ``target_id`` of backend servers beside this daemon;
         written by the announcement controller.
+    :param departures: processes of local backend servers that have just left, by
+        ``target_id``; written by the announcement controller.
     :param health: assessment by ``target_id``; written by the evidence controller.
     :param ejection_candidates: targets that are unhealthy by the evidence of several
         daemons, by ``target_id``; written by the evidence controller.
@@ -83,6 +86,7 @@
     members: dict[str, Member] = attrs.field(factory=dict)
     targets: TargetMap = attrs.field(factory=TargetMap, converter=TargetMap)
     local_targets: set[str] = attrs.field(factory=set)
+    departures: dict[str, Departure] = attrs.field(factory=dict)
     health: dict[str, TargetHealth] = attrs.field(factory=dict)
     ejection_candidates: dict[str, EjectionCandidate] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
--- a/src/wagtailstep/models/keyed_store.py
+++ b/src/wagtailstep/models/keyed_store.py
@@ -11,11 +11,14 @@
     """The collections that daemons use.
 
     ``TABLE`` holds the table that operators publish. ``MEMBERS`` holds the address of
-    each daemon's control channel by its ``daemon_id``.
+    each daemon's control channel by its ``daemon_id``. ``DEPARTURES`` holds by the same
+    key which backend server processes have just left; see
+    :mod:`wagtailstep.models.departures`.
     """
 
     TABLE = "table"
     MEMBERS = "members"
+    DEPARTURES = "departures"
 
 
 @attrs.frozen
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -10,6 +10,7 @@
 import msgspec
 import xxhash
 
+from wagtailstep.models.departures import Departure
 from wagtailstep.models.fleet import (
     Member,
     MemberState,
@@ -338,6 +339,8 @@
         ``targets`` has no target beside this daemon.
     :param targets: the targets.
     :param urgent: whether receivers propagate it at once.
+    :param departures: processes of these targets that have just left. Daemons of older
+        releases send none.
     """
 
     daemon_id: str
@@ -348,6 +351,17 @@
     services: tuple[str, ...]
     targets: tuple[TargetEntry, ...]
     urgent: bool = False
+    departures: tuple[Departure, ...] = ()
+
+
+@message
+class DeparturesHeard(msgspec.Struct, array_like=True, frozen=True):
+    """Tell a daemon of departures that it has announced as serving again.
+
+    :param departures: departures that an earlier process of that daemon told.
+    """
+
+    departures: tuple[Departure, ...]
 
 
 @message
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -18,6 +18,7 @@
 from wagtailstep.controllers.retry_lending import RetryLending
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.departures import SaveDepartures
 from wagtailstep.models.events import Controller, GateUnresponsive
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
@@ -33,6 +34,7 @@
     DaemonEndpoints,
     create_gate_port_handler,
 )
+from wagtailstep.network.departure_records import DepartureRecords
 from wagtailstep.network.entry import EntryService
 from wagtailstep.network.exchange_app import ExchangeApp
 from wagtailstep.network.forwarder import HttpForwarder
@@ -92,13 +94,18 @@
             self.forwarder,
         )
         self.log = self.create_log_service()
+        store = self.get_keyed_store()
+        self.departure_records = DepartureRecords(
+            store, self.settings.daemon_id, self.clock, self.dispatch
+        )
         adapters = RuntimeAdapters(
             log=self.log,
             channel=self.create_channel(),
             probe=prober.probe,
-            store=self.get_keyed_store(),
+            store=store,
         )
         self.runtime = Runtime(*parts, adapters)
+        self.runtime.effect_handlers[SaveDepartures] = self.departure_records.save
         self.runtime.controllers = self.create_controllers()
         self.client.on_unreachable = lambda address: self.dispatch(
             GateUnresponsive(address)
@@ -219,6 +226,7 @@
                     self.metrics_server.start(self.settings.metrics_address)
                 )
         await self.runtime.start()
+        self.runtime.spawn(self.departure_records.read())
         self.runtime.record_event(
             "daemon-started",
             caller_address=self.settings.caller_address,
@@ -283,6 +291,7 @@
             self.metrics_server,
         ):
             await server.close()
+        self.departure_records.close()
         self.client.close()
         self.log.close()
 
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -24,6 +24,7 @@
 from wagtailstep.models.published_table import TableDocument
 from wagtailstep.models.table import Table
 from wagtailstep.utils.codec import DECODE_FAILURES
+from wagtailstep.utils.columns import ColumnarList
 from wagtailstep.utils.durations import parse_duration, parse_positive_duration
 
 CONFIG_KEY = "config"
@@ -33,24 +34,6 @@
 ACCOUNT_NAME = r"\A[^\x00-\x20\x7f]([^\x00-\x1f\x7f]{0,126}[^\x00-\x20\x7f])?\Z"
 
 
-class ColumnarList(msgspec.Struct):
-    """A list of objects, encoded as field names and rows of values."""
-
-    columns: list[str]
-    rows: list[list[Any]]
-
-    def to_dicts(self) -> list[dict[str, Any]]:
-        """Return the objects; fields without a value are omitted."""
-        return [
-            {
-                name: value
-                for name, value in zip(self.columns, row, strict=False)
-                if value is not None
-            }
-            for row in self.rows
-        ]
-
-
 class SplitPart(msgspec.Struct):
     """One part of ``traffic-split``."""
 
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -61,7 +61,13 @@
 
     def add_target_routes(self, app: Application) -> None:
         """Add the heartbeat endpoints in place of announcements."""
-        add_heartbeat_routes(app, self.runtime.dispatch, self.settings, self.clock)
+        add_heartbeat_routes(
+            app,
+            self.runtime.dispatch,
+            self.settings,
+            self.clock,
+            self.departure_records.wait_until_saved,
+        )
 
     async def start(self) -> None:
         """Start the daemon and follow the operator's configuration."""
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -2,7 +2,7 @@
 
 import logging
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import timedelta
 from typing import Annotated, Any
 
@@ -14,6 +14,7 @@
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.announcements import check_address, check_slots
+from wagtailstep.utils.callbacks import return_at_once
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.durations import parse_duration
@@ -57,12 +58,18 @@
     :param dispatch: called with each event.
     :param settings: settings of the daemon.
     :param clock: clock for the time of a withdrawal.
+    :param wait_until_saved: waits until a departure is recorded.
     """
 
     def __init__(
-        self, dispatch: Callable[[Any], None], settings: DaemonSettings, clock: Clock
+        self,
+        dispatch: Callable[[Any], None],
+        settings: DaemonSettings,
+        clock: Clock,
+        wait_until_saved: Callable[[], Awaitable[None]] = return_at_once,
     ) -> None:
         self.dispatch = dispatch
+        self.wait_until_saved = wait_until_saved
         self.settings = settings
         self.clock = clock
 
@@ -76,7 +83,12 @@
                 LOGGER, "heartbeat-refused", instance=instance_id[:64], error=error
             )
             return Response(400)
+        return await self.acknowledge(event)
+
+    async def acknowledge(self, event: TargetAnnounced | InstanceWithdrawn) -> Response:
+        """Dispatch an event and answer once a departure that it reports is recorded."""
         self.dispatch(event)
+        await self.wait_until_saved()
         return Response(200, None, Content(b"application/json", b"{}"))
 
     def parse_heartbeat(self, instance_id: str, body: bytes) -> TargetAnnounced:
@@ -117,8 +129,7 @@
         event = InstanceWithdrawn(
             instance_id, self.settings.service, self.get_unix_ms()
         )
-        self.dispatch(event)
-        return Response(200, None, Content(b"application/json", b"{}"))
+        return await self.acknowledge(event)
 
     def get_unix_ms(self) -> int:
         """Return the time in the unit and epoch of ``born`` of a heartbeat."""
@@ -130,9 +141,10 @@
     dispatch: Callable[[Any], None],
     settings: DaemonSettings,
     clock: Clock,
+    wait_until_saved: Callable[[], Awaitable[None]],
 ) -> None:
     """Add the routes for heartbeats to an application."""
-    handler = HeartbeatHandler(dispatch, settings, clock)
+    handler = HeartbeatHandler(dispatch, settings, clock, wait_until_saved)
 
     # The router sets attributes on its handlers, which only works for functions.
     async def handle_heartbeat(request: Request) -> Response:
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -30,6 +30,7 @@
 TOPICS = {
     Collection.TABLE: "keyed.op",
     Collection.MEMBERS: "keyed.wagtailstep-members",
+    Collection.DEPARTURES: "keyed.wagtailstep-departures",
 }
 MILLISECOND = timedelta(milliseconds=1)
 READ_HEADER = struct.Struct(">QQ")
--- a/src/wagtailstep/utils/callbacks.py
+++ b/src/wagtailstep/utils/callbacks.py
@@ -12,3 +12,7 @@
     """Mark the exception of a task as seen, for tasks that nobody may await."""
     if not task.cancelled():
         task.exception()
+
+
+async def return_at_once(*_: Any) -> None:
+    """Accept any arguments and wait for nothing."""
