Refuse heartbeats that lack fields

Cause: fields that a heartbeat lacked had defaults, and a start time of 0 switched off each check that compares start times. Change: all fields but the start time are required and typed; an announcement without a start time is ignored where one is known of the target or its address. Heartbeats of the soak and of tests have all fields; rows about other faults keep just that fault.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -287,8 +287,11 @@
         heartbeat = {
             "service": SERVICE,
             "address": f"{host.name}:9000",
+            "zone": host.zone,
+            "version": "v1",
             "slots": 4,
             "state": "ready",
+            "warmup-left": "0ms",
             "sequence": sequence,
             "born": born,
         }
--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -56,3 +56,21 @@
     And 11 seconds pass without an announcement
     And process 8 of "contracts/i-1" announces itself with sequence 1 as "serving"
     Then the target "contracts/i-1" is "serving"
+
+  # Guards against announcements of another writer, which has left the start time out.
+  Scenario Outline: An announcement without a start time doesn't concern a process that has one
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 0 of "<target>" announces itself with sequence 9 as "<state>"
+    Then the target "contracts/i-1" is "serving"
+    And the target "archive/i-1" is "gone"
+
+    Examples:
+      | target        | state   |
+      | contracts/i-1 | leaving |
+      | archive/i-1   | serving |
+
+  Scenario: An announcement without a start time doesn't bring back a process that has left
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And its backend server withdraws
+    And process 0 of "contracts/i-1" announces itself with sequence 9 as "serving"
+    Then the target "contracts/i-1" is "leaving"
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -1,5 +1,7 @@
 Feature: An entry that can't be read costs itself only
 
+  # Guards against heartbeats of another writer that take a server out of service, bring
+  # it back or have another service's requests sent to it.
   Scenario Outline: An odd heartbeat is refused, and the next good one is accepted
     When a heartbeat with <oddity> arrives, and then a good one
     Then the odd one is answered with <status>, the good one with 200
@@ -22,6 +24,16 @@
       | slots without end              | 400    |
       | an identifier with spaces      | 400    |
       | bytes that are no text         | 400    |
+      | no service                     | 400    |
+      | no address                     | 400    |
+      | no zone                        | 400    |
+      | no version                     | 400    |
+      | no slots                       | 400    |
+      | no state                       | 400    |
+      | no warmup-left                 | 400    |
+      | no sequence                    | 400    |
+      | a zone of 5                    | 400    |
+      | a version of 1                 | 400    |
 
   Scenario Outline: Whatever the bytes, a reader returns a value or raises its error
     Then 300 inputs, and deeply nested ones, raise only typed errors in the reader of <what>
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -39,7 +39,18 @@
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
 NOW_MS = int(NOW.timestamp() * 1_000)
 HOUR_MS = 3_600_000
+MISSING = object()
 ODD_FIELDS = {
+    "no service": {"service": MISSING},
+    "no address": {"address": MISSING},
+    "no zone": {"zone": MISSING},
+    "no version": {"version": MISSING},
+    "no slots": {"slots": MISSING},
+    "no state": {"state": MISSING},
+    "no warmup-left": {"warmup-left": MISSING},
+    "no sequence": {"sequence": MISSING},
+    "a zone of 5": {"zone": 5},
+    "a version of 1": {"version": 1},
     "born of 10000000000000000000000": {"born": 10**22},
     "born in an hour": {"born": NOW_MS + HOUR_MS},
     "born of -5": {"born": -5},
@@ -71,10 +82,15 @@
         "address": "127.0.0.1:8000",
         "state": "ready",
         "slots": 4,
+        "zone": "bole",
+        "version": "v1",
+        "warmup-left": "0ms",
         "sequence": 1,
         "born": NOW_MS - HOUR_MS,
     }
-    return json.dumps(heartbeat | changes).encode()
+    changed = heartbeat | changes
+    present = {name: value for name, value in changed.items() if value is not MISSING}
+    return json.dumps(present).encode()
 
 
 def build_odd(oddity):
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -269,7 +269,8 @@
 
 @then("each of {count:d} random heartbeats is either read or refused")
 def check_random_heartbeats(context, count):
-    names = ["service", "address", "slots", "state", "warmup-left", "sequence", "born"]
+    names = ["service", "address", "zone", "version", "slots", "state"]
+    names += ["warmup-left", "sequence", "born"]
     heartbeats = strategies.one_of(
         strategies.dictionaries(strategies.sampled_from(names), json_values()),
         json_values(),
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -162,9 +162,11 @@
         :return: whether it is neither late nor from a process that has withdrawn.
         """
         target = event.target
-        if event.process_started and event.process_started < self._latest_start_at(
-            target.address
-        ):
+        known = self.registrations.get(target.target_id, Registration())
+        if known.born and not event.process_started:
+            # Processes of this server name their start time, so it is not from one.
+            return False
+        if event.process_started < self._latest_start_at(target.address):
             return False
         registration = self.registrations.setdefault(target.target_id, Registration())
         self.registrations.move_to_end(target.target_id)
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -35,20 +35,22 @@
 
 
 class Heartbeat(msgspec.Struct, rename="kebab"):
-    """Body of a heartbeat.
+    """Body of a heartbeat. One without all fields was not written by a target.
 
     :param address: ``host:port`` of the target; reachable only from its own machine.
     :param warmup_left: remaining time of its warm-up, during which it is slow.
     :param sequence: increases with each heartbeat of one process.
-    :param born: start time of the process, as Unix time in milliseconds.
+    :param born: start time of the process, as Unix time in milliseconds; 0 if unknown.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=SERVICE_PATTERN)]
     address: str
     state: str
+    zone: str
+    version: str
     slots: int
-    warmup_left: str = "0ms"
-    sequence: Count = 0
+    warmup_left: str
+    sequence: Count
     born: Count = 0
 
 
