Bound the time to return of accounts with tiny rates

Callers of an account whose rate is tiny saw 500, internal error, in place of a 429. Cause: the time until the next token, 1 / rate seconds, overflows a timedelta; both the fleet's quota and the limit at one daemon compute it. Result: they pass, with the row of an ordinary rate.

--- a/features/account_quotas.feature
+++ b/features/account_quotas.feature
@@ -170,3 +170,14 @@
     When a caller of account "union" sends 2 requests with the same ticket
     Then all 2 requests of the account are answered with 200
     And 1 attempt was made
+
+  # Guards against an internal error in place of a refusal: a time of 1e300 s overflows.
+  Scenario Outline: An account with a tiny rate is refused with a time to return
+    Given a client account with <rate> requests a second whose tokens are used up
+    Then its quota and its limit at one daemon name a wait of <wait> s
+
+    Examples:
+      | rate   | wait  |
+      | 0.5    | 2     |
+      | 1e-300 | 86400 |
+      | 5e-324 | 86400 |
--- a/features/steps/account_quotas_steps.py
+++ b/features/steps/account_quotas_steps.py
@@ -18,9 +18,15 @@
 
 from wagtailstep import exceptions
 from wagtailstep.accounts.directory import ClientAccount, build_directory
-from wagtailstep.accounts.quota_bucket import DEPUTY_SHARE, compute_spare
+from wagtailstep.accounts.quota_bucket import (
+    DEPUTY_SHARE,
+    QuotaBucket,
+    compute_spare,
+)
 from wagtailstep.accounts.quota_home import QuotaHome
 from wagtailstep.accounts.quota_leases import QuotaLeases
+from wagtailstep.controllers.limits import AccountLimiter
+from wagtailstep.exceptions import OverloadedError
 from wagtailstep.models import headers
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
@@ -31,7 +37,9 @@
     QuotaGrant,
     ScheduleQuotaCheck,
 )
-from wagtailstep.models.table import Table
+from wagtailstep.models.request import RequestContext
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.models.table import ServiceRow, Table
 from wagtailstep.utils.clock import ManualClock
 
 MILLISECOND = timedelta(milliseconds=1)
@@ -609,3 +617,36 @@
     quotas = context.harness.entry.quotas
     assert not quotas.futures
     assert not quotas.leases.accounts["union"].waiting
+
+
+@given("a client account with {text} requests a second whose tokens are used up")
+def use_up_tokens(context, text):
+    rate = float(text)
+    account = ClientAccount("studio", None, rate, 1.0)
+    now = timedelta()
+    bucket = QuotaBucket(account, 0.0, now, now, is_home=True, scale=1.0)
+    context.waits = [bucket.compute_wait(now)]
+    limits = AccountLimiter(RequestSettings(), ManualClock())
+    limits.get_bucket("contracts/studio", rate).tokens = 0.0
+    row = ServiceRow("contracts", account_rate_limit=rate)
+    table = Table(services={"contracts": row})
+    request = RequestContext(
+        request_id="r1",
+        service="contracts",
+        route="sign",
+        account="studio",
+        method="POST",
+        path="/sign",
+        idempotent=False,
+        idempotency_key=None,
+        deadline=timedelta(seconds=5),
+    )
+    try:
+        limits.acquire_token(table, request)
+    except OverloadedError as error:
+        context.waits.append(error.retry_after)
+
+
+@then("its quota and its limit at one daemon name a wait of {wait:d} s")
+def check_waits(context, wait):
+    assert context.waits == [timedelta(seconds=wait)] * 2, context.waits
--- a/src/wagtailstep/accounts/quota_bucket.py
+++ b/src/wagtailstep/accounts/quota_bucket.py
@@ -7,6 +7,7 @@
 import attrs
 
 from wagtailstep.accounts.directory import ClientAccount
+from wagtailstep.utils.durations import compute_refill_time
 
 # The promised bound on the requests of an account that reach servers in any window:
 # (rate x window + burst) x BOUND_FACTOR + BOUND_EXTRA.
@@ -124,7 +125,7 @@
     def compute_wait(self, now: timedelta) -> timedelta:
         """Return the time until the next token is available."""
         missing = max(0.0, 1.0 - self.tokens)
-        wait = timedelta(seconds=missing / self.rate)
+        wait = compute_refill_time(missing, self.rate)
         if not self.is_home and self._compute_deputy_rest(now) < 1:
             wait = max(wait, self.deputy_grants[0][0] + BOUND_WINDOW - now)
         return wait
--- a/src/wagtailstep/controllers/limits.py
+++ b/src/wagtailstep/controllers/limits.py
@@ -11,6 +11,7 @@
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.models.table import Table
 from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.durations import compute_refill_time
 
 RETRY_AFTER = timedelta(seconds=1)
 TOO_MANY_REQUESTS = 429
@@ -89,7 +90,7 @@
         account_id = f"{request.service}/{request.account}"
         bucket = self.get_bucket(account_id, rate)
         if bucket.tokens < 1:
-            wait = timedelta(seconds=(1 - bucket.tokens) / rate)
+            wait = compute_refill_time(1 - bucket.tokens, rate)
             raise OverloadedError(
                 f"client account {request.account!r} has exceeded its rate limit of "
                 f"{rate:g} requests per second at this daemon; retry after the time "
--- a/src/wagtailstep/utils/durations.py
+++ b/src/wagtailstep/utils/durations.py
@@ -1,4 +1,4 @@
-"""Durations written as a number and a unit."""
+"""Durations: as text with a unit, and those until a rate has added an amount."""
 
 import re
 from datetime import timedelta
@@ -6,6 +6,8 @@
 from wagtailstep.exceptions import DecodeError
 
 DURATION_PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+# A caller that is told to return later than this will have given up.
+MAX_REFILL_TIME = timedelta(days=1)
 DURATION_UNITS = {"ms": timedelta(milliseconds=1), "s": timedelta(seconds=1)}
 
 
@@ -34,3 +36,13 @@
     if not duration:
         raise DecodeError(f"{text!r} is not a duration longer than zero")
     return duration
+
+
+def compute_refill_time(missing: float, rate: float) -> timedelta:
+    """Return after what time a rate has added an amount, at most a day.
+
+    :param rate: what is added per second, at least 0.
+    """
+    if missing >= MAX_REFILL_TIME.total_seconds() * rate:
+        return MAX_REFILL_TIME
+    return timedelta(seconds=missing / rate)
