End waits for a retry when the service has no target left

Callers saw a request that a server had declined wait for seconds for a retry that could be sent nowhere, and end with 503 at its deadline. Cause: the end of a wait depended on the budget, the time and the queue only. Change: a wait ends at the next decision, 10 ms later at most, if all targets of the service are gone or leave. Such requests are refused as not run and may come back. Evidence: both rows of "A service that has no target left ends the waits" failed before ('ASSERT FAILED: 2.0', a wait that went on until its retry).

--- a/features/declined_requests.feature
+++ b/features/declined_requests.feature
@@ -174,6 +174,25 @@
     And "b" ended with 503 between 300 and 320 ms
     And no request waits any more
 
+  # Guards against waits for a retry that could be sent nowhere.
+  Scenario Outline: A service that has no target left ends the waits of its requests
+    Given the budget is one retry in 1000 ms, just used up
+    And the attempts end as "decline"
+    And all targets of the service <change> after 300 ms
+    When these requests are sent
+      | name | rank | aim_ms | left_ms |
+      | a    | 0    | 3000   | 9000    |
+      | b    | 0    | 2000   | 9000    |
+    Then "a" ended with 503 between 300 and 320 ms
+    And "b" ended with 503 between 300 and 320 ms
+    And the ends of waits were reported as "no-target, no-target"
+    And no request waits any more
+
+    Examples:
+      | change     |
+      | are gone   |
+      | leave      |
+
   # Guards against a retry that is kept for a caller that has gone.
   Scenario: A caller that leaves makes room for the next request
     Given the budget is one retry in 1000 ms, just used up
--- a/features/steps/declined_requests_steps.py
+++ b/features/steps/declined_requests_steps.py
@@ -23,7 +23,7 @@
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.declined_requests import DeclinedWaitEnded
 from wagtailstep.models.exchange import Answer, IncomingRequest
-from wagtailstep.models.fleet import TargetHealth
+from wagtailstep.models.fleet import TargetHealth, TargetState
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.models.settings import DaemonSettings, RequestSettings
@@ -71,7 +71,8 @@
         self.order = None
         self.arrivals = []
         self.events = []
-        self.draining_at_s = None
+        self.change_at_s = None
+        self.change = None
         self.loan_delay_s = None
         self.sent = {}
         self.plans = []
@@ -115,6 +116,18 @@
                     self.loan_delay_s, budget.add_loan, service, amount, now
                 )
 
+    def start_draining(self):
+        self.board.draining = True
+
+    def let_all_leave(self):
+        for name, target in list(self.board.targets.items()):
+            leaving = attrs.evolve(target, state=TargetState.LEAVING)
+            self.board.targets[name] = leaving
+
+    def remove_all(self):
+        for name in list(self.board.targets):
+            del self.board.targets[name]
+
     def seconds(self):
         return (self.clock.monotonic() - self.started).total_seconds()
 
@@ -278,9 +291,9 @@
             )
             tasks[row["name"]] = asyncio.create_task(fleet.send(exchange))
             await asyncio.sleep(0.001)
-        if fleet.draining_at_s is not None:
-            await asyncio.sleep(fleet.draining_at_s)
-            fleet.board.draining = True
+        if fleet.change_at_s is not None:
+            await asyncio.sleep(fleet.change_at_s)
+            fleet.change()
         for row in context.table:
             if row.get("leaves_ms", ""):
                 await asyncio.sleep(int(row["leaves_ms"]) / 1000)
@@ -293,7 +306,15 @@
 
 @given("the daemon begins to shut down after {time:d} ms")
 def set_draining(context, time):
-    context.fleet.draining_at_s = time / 1000
+    context.fleet.change_at_s = time / 1000
+    context.fleet.change = context.fleet.start_draining
+
+
+@given("all targets of the service {change} after {time:d} ms")
+def set_lost_targets(context, change, time):
+    fleet = context.fleet
+    fleet.change_at_s = time / 1000
+    fleet.change = {"leave": fleet.let_all_leave, "are gone": fleet.remove_all}[change]
 
 
 @given("another daemon lends a retry {time:d} ms after it was asked")
--- a/src/wagtailstep/models/declined_requests.py
+++ b/src/wagtailstep/models/declined_requests.py
@@ -13,6 +13,7 @@
     TOO_LATE = "too-late"
     QUEUE_FULL = "queue-full"
     DRAINING = "draining"
+    NO_TARGET = "no-target"
     CANCELLED = "cancelled"
 
 
--- a/src/wagtailstep/scheduling/declined_requests.py
+++ b/src/wagtailstep/scheduling/declined_requests.py
@@ -10,6 +10,7 @@
 from wagtailstep.controllers.shared_budget import SharedRetryBudget
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.declined_requests import WaitEnd
+from wagtailstep.models.fleet import TargetState
 from wagtailstep.models.request import RequestContext
 from wagtailstep.models.retry_lending import RetriesMissing
 from wagtailstep.utils.clock import Clock
@@ -56,7 +57,7 @@
 class DeclinedRequests:
     """Queue of the requests that wait for a retry, and the servers that declined.
 
-    :param blackboard: says whether the daemon shuts down.
+    :param blackboard: knows the targets, and whether the daemon shuts down.
     :param budget: this daemon's part of the fleet's retries.
     :param max_waiting: highest number of waiting requests.
     """
@@ -170,6 +171,8 @@
     def _find_end(
         self, waiting: WaitingRequest, ahead: dict[str, float], position: int
     ) -> WaitEnd | None:
+        if not self._has_target(waiting.request.service):
+            return WaitEnd.NO_TARGET
         needed = {
             name: cost + ahead.get(name, 0.0) for name, cost in waiting.costs.items()
         }
@@ -183,6 +186,10 @@
             return WaitEnd.TOO_LATE
         return None
 
+    def _has_target(self, service: str) -> bool:
+        targets = self.blackboard.targets.of_service(service).values()
+        return any(target.state is not TargetState.LEAVING for target in targets)
+
     def _is_in_time(self, waiting: WaitingRequest, ahead: dict[str, float]) -> bool:
         """Return whether a retry is expected in time, or a loan may still arrive."""
         latest = waiting.latest_at - self.clock.monotonic()
