--- a/features/declined_requests.feature
+++ b/features/declined_requests.feature
@@ -64,22 +64,6 @@
     Then each ended with 200
     And at most 30 arrivals were at targets 1,2,3
 
-  # Guards against queueing where the server has just declined, at a short wait.
-  Scenario Outline: A request doesn't queue where the server has just declined others
-    Given the gates of targets 1,2,3 are full at first, with waits of 100,500,600 ms
-    And targets 4,5,6 are gone
-    And targets <declining> have just declined other requests
-    When a non-idempotent request with 5000 ms left is sent
-    Then it ends with 200 after 4 arrivals
-    And the last arrival was at target <chosen>
-
-    Examples:
-      | declining | chosen |
-      | none      | 1      |
-      | 1         | 2      |
-      | 1,2       | 3      |
-      | 1,2,3     | 1      |
-
   # Guards against the refusal of a request that has seconds left.
   Scenario: A request waits for a retry that becomes available in time
     Given the budget is one retry in 2000 ms, just used up
--- a/src/wagtailstep/network/declined_wait.py
+++ b/src/wagtailstep/network/declined_wait.py
@@ -101,13 +101,6 @@
             candidates, exchange.tried, exchange.last_declined
         )
 
-    def prefer_accepting(self, names: list[str]) -> list[str]:
-        """Return those targets that haven't declined recently, or all if all have."""
-        if self.queue is None:
-            return names
-        declining = self.queue.list_declining()
-        return [name for name in names if name not in declining] or names
-
     def applies_to(self, exchange: Exchange, error: RequestError) -> bool:
         """Return whether a failed attempt is handled here.
 
--- a/src/wagtailstep/network/sender.py
+++ b/src/wagtailstep/network/sender.py
@@ -252,16 +252,13 @@
     def select_shortest_wait(self, exchange: Exchange) -> Target:
         """Select the target with the shortest expected wait of those asked so far.
 
-        Those that have just declined other requests come last.
-
         :raises NoTargetError: if they have all left and there is no other target.
         """
         targets = self.blackboard.targets
         known = [name for name in exchange.expected_waits if name in targets]
         if not known:
             return self.routing.pick(exchange.request.service, exchange.tried)
-        choices = self.declined.prefer_accepting(known)
-        return targets[min(choices, key=exchange.expected_waits.__getitem__)]
+        return targets[min(known, key=exchange.expected_waits.__getitem__)]
 
     def may_wait(self, exchange: Exchange, target: Target) -> bool:
         """Return whether a request may be queued at a gate; a few are asked first."""
--- a/src/wagtailstep/scheduling/declined_requests.py
+++ b/src/wagtailstep/scheduling/declined_requests.py
@@ -93,15 +93,6 @@
         """Record that a backend server executed a request, so it no longer declines."""
         self.declined_at.pop(target_id, None)
 
-    def list_declining(self) -> set[str]:
-        """Return the ``target_id`` of servers that have declined a request recently."""
-        now = self.clock.monotonic()
-        return {
-            name
-            for name, at in self.declined_at.items()
-            if now - at < DECLINE_RETENTION
-        }
-
     def find_excluded(
         self, candidates: Collection[str], tried: Collection[str], last: str
     ) -> set[str]:
@@ -113,7 +104,12 @@
         :return: as many of the tried and the recently declining targets as leave at
             least one candidate, if possible.
         """
-        recent = self.list_declining()
+        now = self.clock.monotonic()
+        recent = {
+            name
+            for name, at in self.declined_at.items()
+            if now - at < DECLINE_RETENTION
+        }
         choices = ({*tried, *recent}, {*recent, last}, {*tried}, {last})
         for excluded in choices:
             if any(name not in excluded for name in candidates):
