Judge a shutdown's requests by the last minute, and departures by their process

Cause: found on reading the diff: one slow answer of long ago would have kept a route's requests out of a whole shutdown; and a departure was taken for known if any earlier process of the target had withdrawn. Change: answers count for 60 s; a departure is known if it is of the same process.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -40,6 +40,12 @@
       | 0    | nothing  | 5000    | 2400 | rejected |
       | 0    | 100      | 5000    | 200  | sent     |
 
+  Scenario: Requests of long ago say nothing about the time that a request takes
+    Given requests of a route with an aim of 800 ms that recently took 4000 ms
+    And the last one ended 70 s ago
+    When a request with 5000 ms until its deadline is to be sent 1100 ms before the end of a shutdown
+    Then it is sent
+
   Scenario: A daemon that serves passes on any request
     Given requests of a route with an aim of 800 ms that recently took 4000 ms
     When a request with 5000 ms until its deadline is to be sent
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -244,6 +244,11 @@
         context.admission.handle(event)
 
 
+@given("the last one ended {age:d} s ago")
+def let_time_pass(context, age):
+    context.clock.advance(timedelta(seconds=age))
+
+
 @when("a request with {timeout:d} ms until its deadline is to be sent")
 def decide(context, timeout):
     deadline = context.clock.monotonic() + timeout * MILLISECOND
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -287,9 +287,10 @@
         for departure in departures:
             name = departure.target_id
             registration = self.registrations.setdefault(name, Registration())
-            if registration.born > departure.process_started:
-                continue
-            if registration.has_withdrawn and registration.born:
+            is_known = registration.born == departure.process_started
+            if registration.born > departure.process_started or (
+                is_known and registration.has_withdrawn
+            ):
                 continue
             registration.born = departure.process_started
             registration.has_withdrawn = True
--- a/src/wagtailstep/controllers/shutdown.py
+++ b/src/wagtailstep/controllers/shutdown.py
@@ -12,7 +12,9 @@
 from wagtailstep.utils.clock import Clock
 
 MAX_ROUTES = 256
-RECENT_ATTEMPTS = 32
+MAX_ATTEMPTS = 32
+# Attempts that ended longer ago say little about the servers of today.
+RECENT_TIME = timedelta(seconds=60)
 # Allows for a request that takes somewhat longer than the recent ones of its route.
 DURATION_MARGIN = 1.25
 # Assumed of a route without a latency objective and recent requests.
@@ -38,7 +40,10 @@
     ) -> None:
         self.blackboard = blackboard
         self.clock = clock
-        self.durations: OrderedDict[tuple[str, str], deque[timedelta]] = OrderedDict()
+        # Monotonic times of ends, and durations, by service and route.
+        self.attempts: OrderedDict[
+            tuple[str, str], deque[tuple[timedelta, timedelta]]
+        ] = OrderedDict()
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -50,13 +55,13 @@
         if event.status is None:
             return []
         key = (event.request.service, event.request.route)
-        durations = self.durations.get(key)
-        if durations is None:
-            durations = self.durations[key] = deque(maxlen=RECENT_ATTEMPTS)
-            if len(self.durations) > MAX_ROUTES:
-                self.durations.popitem(last=False)
-        self.durations.move_to_end(key)
-        durations.append(event.duration)
+        attempts = self.attempts.get(key)
+        if attempts is None:
+            attempts = self.attempts[key] = deque(maxlen=MAX_ATTEMPTS)
+            if len(self.attempts) > MAX_ROUTES:
+                self.attempts.popitem(last=False)
+        self.attempts.move_to_end(key)
+        attempts.append((self.clock.monotonic(), event.duration))
         return []
 
     def may_start(self, request: RequestContext) -> bool:
@@ -79,5 +84,7 @@
 
         That is its latency objective, or longer if recent requests took longer.
         """
-        recent = self.durations.get((request.service, request.route), ())
+        oldest = self.clock.monotonic() - RECENT_TIME
+        attempts = self.attempts.get((request.service, request.route), ())
+        recent = [duration for ended_at, duration in attempts if ended_at >= oldest]
         return max((request.aim, *recent)) or DEFAULT_DURATION
