Play departures and odd heartbeats in the soak

Change: the faults 'departure' and 'odd-heartbeats', and a check of what reaches a server from 2 s after its acknowledged departure on. A server that leaves is not ready, so the check of the floor leaves it out; before, it found 'sound servers' that were leaving (69 lines in departure+restart). Work is excused only if the daemon that sent it on was started or cut off within 3 s: traced for the one case found of departure+store, 0.1 s after a start with the store silent. A second restart of a daemon that shuts down does nothing; two at once had made the soak itself fail.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -27,6 +27,11 @@
     CallerGroup,
     start_callers,
 )
+from benchmarks.soak.departures import (
+    find_late_work,
+    leave_before_late_heartbeats,
+    send_odd_heartbeats,
+)
 from benchmarks.soak.fleet import (
     CRASHING_PREFIX,
     PAUSE_AFTER_CRASH_S,
@@ -240,6 +245,8 @@
     "truncate": create_gray_failure(truncate_share=0.4),
     "limit": name_limits,
     "leaving": announce_leaving,
+    "departure": leave_before_late_heartbeats,
+    "odd-heartbeats": send_odd_heartbeats,
     "crashing-request": send_crashing_requests,
     "crash": crash_server,
     "slow": create_gray_failure(slow_factor=6.0),
@@ -310,6 +317,7 @@
         result.violations = find_violations(callers.outcomes, runs, final_phase_start)
         result.violations += tables.find_violations()
         result.violations += find_suspect_violations(fleet, callers.outcomes)
+        result.violations += find_late_work(fleet, callers.outcomes)
         result.violations += NoticeCheck(fleet, callers.outcomes).find_violations()
         result.violations += delays.find_violations()
         result.violations += floor.find_violations(callers.outcomes)
--- /dev/null
+++ b/benchmarks/soak/departures.py
@@ -0,0 +1,108 @@
+"""Backend servers that leave, with heartbeats that come late or from another writer."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+from benchmarks.soak.callers import AttemptEnded
+from benchmarks.soak.fleet import DepartedServer, Host, SoakFleet
+from wagtailstep.models.settings import RequestSettings
+from wagtailstep.network.http_client import HttpClient
+from wagtailstep.utils.clock import LoopClock
+
+# The platform's bound on new work after an acknowledged departure.
+DRAIN_S = 2.0
+# Time without a disruption after which the platform holds a daemon to its bounds.
+STABLE_S = 3.0
+MAX_HEARTBEAT_DELAY_S = 5.0
+# A backend server serves for this long after its departure.
+SERVES_ON_S = 7.0
+RESTART_SHARE = 0.7
+OPTIONAL_FIELDS = ("zone", "version", "warmup-left", "sequence", "born")
+
+
+async def leave_before_late_heartbeats(
+    fleet: SoakFleet, host: Host, rng: random.Random
+) -> None:
+    """Let a server leave, restart its daemon, and let heartbeats arrive late."""
+    backend = host.backend
+    if backend is None or host.daemon is None:
+        return
+    late = fleet.build_heartbeat(host, "ready")
+    host.is_leaving = True
+    if rng.random() < 0.5:
+        status = await call(fleet, host, "DELETE", {})
+    else:
+        heartbeat = fleet.build_heartbeat(host, "draining")
+        status = await call(fleet, host, "PUT", heartbeat)
+    loop = asyncio.get_running_loop()
+    left_at_s = loop.time()
+    if status == 200:
+        fleet.departures.append(DepartedServer(left_at_s, backend))
+    await asyncio.sleep(rng.uniform(0.0, 0.5))
+    if rng.random() < RESTART_SHARE:
+        await fleet.restart_daemon(host)
+    delay_s = rng.uniform(0.5, MAX_HEARTBEAT_DELAY_S)
+    await asyncio.sleep(max(0.0, left_at_s + delay_s - loop.time()))
+    await call(fleet, host, "PUT", late)
+    await call(fleet, host, "PUT", leave_out_fields(late, rng))
+    await asyncio.sleep(max(0.0, left_at_s + SERVES_ON_S - loop.time()))
+    await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
+
+
+async def send_odd_heartbeats(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """Let another writer send heartbeats for a server, without some of the fields."""
+    for _ in range(rng.randint(1, 4)):
+        heartbeat = fleet.build_heartbeat(host, rng.choice(("ready", "draining")))
+        await call(fleet, host, "PUT", leave_out_fields(heartbeat, rng))
+        await asyncio.sleep(rng.uniform(0.1, 1.5))
+
+
+def leave_out_fields(
+    heartbeat: dict[str, object], rng: random.Random
+) -> dict[str, object]:
+    """Return a heartbeat without some of the fields that name no server."""
+    missing = rng.sample(OPTIONAL_FIELDS, rng.randint(1, len(OPTIONAL_FIELDS)))
+    return {name: value for name, value in heartbeat.items() if name not in missing}
+
+
+async def call(
+    fleet: SoakFleet, host: Host, method: str, content: dict[str, object]
+) -> int:
+    """Call the daemon of a host over a new connection and return the status."""
+    client = HttpClient(RequestSettings(), LoopClock())
+    try:
+        return await fleet.call_daemon(client, host, method, content)
+    finally:
+        client.close()
+
+
+def find_late_work(fleet: SoakFleet, outcomes: Sequence[AttemptEnded]) -> list[str]:
+    """Return new work that reached a server too late after its departure.
+
+    Work counts if it was sent on by a daemon that had run undisturbed for a while.
+
+    :param outcomes: outcomes of all requests.
+    """
+    sent = {outcome.key: outcome for outcome in outcomes}
+    violations = []
+    for departed in fleet.departures:
+        for arrival in departed.backend.arrivals:
+            outcome = sent.get(arrival.key)
+            after_s = arrival.at_s - departed.at_s
+            if outcome is None or after_s <= DRAIN_S:
+                continue
+            if not was_disturbed(fleet, outcome.host, arrival.at_s):
+                violations.append(
+                    f"{arrival.key} reached {departed.backend.address} {after_s:.1f} s "
+                    f"after its departure, sent on by {outcome.host}"
+                )
+    return violations
+
+
+def was_disturbed(fleet: SoakFleet, host: str, at_s: float) -> bool:
+    """Return whether a daemon was started or cut off shortly before a time."""
+    return any(
+        disruption.host == host and 0 <= at_s - disruption.at_s < STABLE_S
+        for disruption in fleet.disruptions
+    )
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -96,6 +96,9 @@
     :param daemon: the running daemon; ``None`` while the power is off.
     :param backend: the running backend server; ``None`` while the power is off.
     :param starts: how often its daemon was started.
+    :param born: start time of the backend server, as Unix time in milliseconds.
+    :param sequence: number of its last heartbeat.
+    :param is_leaving: whether it sends no heartbeats, since it has said that it leaves.
     """
 
     number: int
@@ -103,6 +106,9 @@
     daemon: SoakDaemon | None = None
     backend: BackendServer | None = None
     starts: int = 0
+    born: int = 0
+    sequence: int = 0
+    is_leaving: bool = False
 
     @property
     def name(self) -> str:
@@ -160,6 +166,18 @@
     key: str
 
 
+@attrs.frozen
+class DepartedServer:
+    """A backend server whose departure its daemon has acknowledged.
+
+    :param at_s: event loop time in seconds.
+    :param backend: the backend server.
+    """
+
+    at_s: float
+    backend: BackendServer
+
+
 class SoakFleet:
     """Hosts and a store, with operations that inject faults.
 
@@ -182,6 +200,7 @@
         self.disruptions: list[Disruption] = []
         self.crashes: list[ServerCrash] = []
         self.publications: list[Publication] = []
+        self.departures: list[DepartedServer] = []
         # Names of the hosts that are cut off from the store.
         self.storeless: set[str] = set()
         # Names of the hosts that are partitioned from all others.
@@ -239,7 +258,8 @@
     async def restart_daemon(self, host: Host) -> None:
         """Shut a daemon down gracefully, as SIGTERM does, and start a new one."""
         daemon = host.daemon
-        if daemon is None:
+        if daemon is None or daemon.blackboard.draining:
+            # A daemon that shuts down ignores a second signal.
             return
 
         async def shut_down_and_start() -> None:
@@ -266,11 +286,13 @@
         await backend.start()
         detangle.spawn(self.watch_backend(host, backend), host=host.name)
         client = HttpClient(RequestSettings(), LoopClock())
-        born = int(SoakClock().utc().timestamp() * 1_000)
-        sequence = 0
+        host.born = int(SoakClock().utc().timestamp() * 1_000)
+        host.sequence = 0
+        host.is_leaving = False
         while host.backend is backend:
-            sequence += 1
-            await self.send_heartbeat(client, host, born, sequence)
+            if not host.is_leaving:
+                heartbeat = self.build_heartbeat(host, "ready")
+                await self.call_daemon(client, host, "PUT", heartbeat)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def watch_backend(self, host: Host, backend: BackendServer) -> None:
@@ -280,25 +302,33 @@
         self.crashes.append(ServerCrash(at_s, backend.crashed_by))
         await self.replace_backend(host, self.rng.uniform(*PAUSE_AFTER_CRASH_S))
 
-    async def send_heartbeat(
-        self, client: HttpClient, host: Host, born: int, sequence: int
-    ) -> None:
-        """Send one heartbeat."""
-        heartbeat = {
+    def build_heartbeat(self, host: Host, state: str) -> dict[str, Any]:
+        """Build the next heartbeat of a backend server."""
+        host.sequence += 1
+        return {
             "service": SERVICE,
             "address": f"{host.name}:9000",
             "zone": host.zone,
             "version": "v1",
             "slots": 4,
-            "state": "ready",
+            "state": state,
             "warmup-left": "0ms",
-            "sequence": sequence,
-            "born": born,
+            "sequence": host.sequence,
+            "born": host.born,
         }
-        data = msgspec.json.encode(heartbeat)
+
+    async def call_daemon(
+        self, client: HttpClient, host: Host, method: str, content: dict[str, Any]
+    ) -> int:
+        """Call the daemon beside a backend server.
+
+        :param content: fields of the JSON body; empty for no body.
+        :return: the status of the response; 0 without one.
+        """
+        data = msgspec.json.encode(content) if content else b""
         request = HttpRequest(
             address=f"{host.name}:8004",
-            method="PUT",
+            method=method,
             path=f"/v1/instances/i-{host.name}",
             headers=(("host", host.name), ("content-length", str(len(data)))),
             body=yield_body(data),
@@ -306,10 +336,12 @@
             time_left=HEARTBEAT_TIMEOUT,
         )
         try:
-            await read_complete_body(await client.send(request))
+            answer = await client.send(request)
+            await read_complete_body(answer)
+            return answer.status
         except RequestError:
             # The daemon is down; the next heartbeat will register the server again.
-            pass
+            return 0
 
     def set_faults(self, host: Host, faults: Faults) -> None:
         """Set the faults of the backend server of a host, if it runs."""
--- a/benchmarks/soak/floor.py
+++ b/benchmarks/soak/floor.py
@@ -87,6 +87,8 @@
             return True
         if host.name in self.fleet.partitioned or host.daemon.blackboard.draining:
             return True
+        if host.is_leaving:
+            return True
         has_faults = host.backend.faults != Faults()
         return has_faults and host.name not in self.fleet.failing_by_themselves
 
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -42,6 +42,22 @@
       | restart | 42   |
       | cut     | 43   |
 
+  Scenario Outline: A backend server that has left gets no new work
+    When a soak test with the faults "<faults>" runs with seed <seed>
+    Then it finds no broken guarantee
+    And at least 1500 requests succeeded
+
+    Examples:
+      | faults                    | seed |
+      | departure                 | 71   |
+      | departure, odd-heartbeats | 72   |
+      | odd-heartbeats, table     | 73   |
+
+  Scenario: A fleet whose daemons forget departures when they restart is detected
+    Given daemons that record no departures
+    When a soak test with the faults "departure" runs with seed 71
+    Then it finds a broken guarantee whose description contains "after its departure"
+
   Scenario Outline: A request that crashes its servers is blocked, and no other request
     When a soak test with the faults "<faults>" runs with seed <seed>
     Then it finds no broken guarantee
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,6 +19,7 @@
     suspects,
     target_judge,
 )
+from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.published_table import PublishedTableController
 from wagtailstep.controllers.retries import RetryPolicy
 from wagtailstep.controllers.suspects import CrashSuspects, Suspect
@@ -87,6 +88,15 @@
     context.add_cleanup(patch.stop)
 
 
+@given("daemons that record no departures")
+def forget_departures(context):
+    patch = mock.patch.object(
+        AnnouncementController, "_record_departure", lambda self, target_id: []
+    )
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 @given("daemons that forget crashes")
 def forget_crashes(context):
     patch = mock.patch.object(CrashSuspects, "handle", lambda self, event: [])
