Name reminders, buffered chunks and shortened deadlines for what they are

Cause: read as a newcomer: DeparturesHeard beside HeardDepartures, 'read on', 'untold' and a deadline that moves 'forward' don't say what happens; constants had no reason. Change: names, doc comments and reasons only.

--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -26,7 +26,7 @@
     Tick,
 )
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
-from wagtailstep.models.membership import DeparturesHeard
+from wagtailstep.models.membership import DepartureReminder
 from wagtailstep.models.server_notices import NO_RATE_LIMIT, ServerNoticesReceived
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
@@ -60,7 +60,8 @@
 
     :param born: when its process started, as in ``TargetAnnounced.born``.
     :param sequence: number of the announcement.
-    :param has_withdrawn: whether that process announced that it is leaving.
+    :param has_withdrawn: whether that process announced that it is leaving; such a
+        process is a departure.
     :param expires_at: monotonic time when it is removed; ``None`` for never.
     """
 
@@ -277,7 +278,7 @@
 
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
-        if not isinstance(event.message, DeparturesHeard):
+        if not isinstance(event.message, DepartureReminder):
             return []
         return self._restore_departures(event.message.departures)
 
--- a/src/wagtailstep/controllers/heard_departures.py
+++ b/src/wagtailstep/controllers/heard_departures.py
@@ -10,6 +10,7 @@
 from wagtailstep.models.fleet import Member, Target, TargetState
 from wagtailstep.models.membership import TargetsUpdate
 
+# Bounds the memory; the oldest are dropped first.
 MAX_DEPARTURES = 4_096
 
 
@@ -82,7 +83,7 @@
             return target
         return attrs.evolve(target, state=TargetState.LEAVING)
 
-    def find_contradicted(self, update: TargetsUpdate) -> tuple[Departure, ...]:
+    def find_announced_again(self, update: TargetsUpdate) -> tuple[Departure, ...]:
         """Return the departures whose processes are announced as serving."""
         serving = list(TargetState).index(TargetState.SERVING)
         found = (
@@ -92,22 +93,22 @@
         )
         return tuple(departure for departure in found if departure is not None)
 
-    def pop_untold(
+    def pop_reminders(
         self, members: Mapping[str, Member]
     ) -> dict[str, tuple[Departure, ...]]:
-        """Return departures of which a daemon may not know since it has restarted.
+        """Return departures that daemons must be reminded of since they restarted.
 
         :return: departures by ``host:port`` of the daemon's control channel; each is
             returned once for each incarnation.
         """
-        untold: dict[str, tuple[Departure, ...]] = {}
+        reminders: dict[str, tuple[Departure, ...]] = {}
         for known in self.heard.values():
             member = members.get(known.daemon_id)
             if member is not None and member.incarnation > known.incarnation:
                 known.incarnation = member.incarnation
                 address = member.peer_address
-                untold[address] = (*untold.get(address, ()), known.departure)
-        return untold
+                reminders[address] = (*reminders.get(address, ()), known.departure)
+        return reminders
 
     def list_of(self, targets: Iterable[Target]) -> tuple[Departure, ...]:
         """Return the departures of some targets."""
--- a/src/wagtailstep/controllers/shutdown.py
+++ b/src/wagtailstep/controllers/shutdown.py
@@ -11,8 +11,10 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
+# Bounds the memory for services with many routes; those used last are kept.
 MAX_ROUTES = 256
-MAX_ATTEMPTS = 32
+# Enough to include slow requests among the usual ones of a route.
+KEPT_ATTEMPTS = 32
 # Attempts that ended longer ago say little about the servers of today.
 RECENT_TIME = timedelta(seconds=60)
 # Allows for a request that takes somewhat longer than the recent ones of its route.
@@ -57,7 +59,7 @@
         key = (event.request.service, event.request.route)
         attempts = self.attempts.get(key)
         if attempts is None:
-            attempts = self.attempts[key] = deque(maxlen=MAX_ATTEMPTS)
+            attempts = self.attempts[key] = deque(maxlen=KEPT_ATTEMPTS)
             if len(self.attempts) > MAX_ROUTES:
                 self.attempts.popitem(last=False)
         self.attempts.move_to_end(key)
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -355,10 +355,10 @@
 
 
 @message
-class DeparturesHeard(msgspec.Struct, array_like=True, frozen=True):
-    """Tell a daemon of departures that it has announced as serving again.
+class DepartureReminder(msgspec.Struct, array_like=True, frozen=True):
+    """Remind a daemon of departures that its earlier process knew of.
 
-    :param departures: departures that an earlier process of that daemon told.
+    :param departures: departures of servers beside the receiver.
     """
 
     departures: tuple[Departure, ...]
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -15,6 +15,7 @@
 # Part of the time between SIGTERM and SIGKILL in which requests may end. The rest is
 # for closing.
 SHUTDOWN_SHARE = 0.95
+# Leaves requests that arrive at the end of the notice as much time as it took.
 MAX_NOTICE_SHARE = 0.5
 
 
--- a/src/wagtailstep/network/arriving_bodies.py
+++ b/src/wagtailstep/network/arriving_bodies.py
@@ -33,14 +33,14 @@
             del self.deadlines[deadline]
 
     def limit_all(self) -> None:
-        """Move the deadlines of all arriving bodies forward for a shutdown."""
+        """Shorten the deadlines of all arriving bodies as a shutdown demands."""
         for deadline, request in self.deadlines.items():
             self.limit(request, deadline)
 
     def limit(self, request: RequestContext, deadline: Deadline) -> None:
-        """Move the deadline of one body forward if the daemon shuts down."""
+        """Shorten the deadline of one body if the daemon shuts down."""
         latest_start = self.admission.compute_latest_start(request)
         if latest_start is not None:
             time_left = max(timedelta(), latest_start - self.clock.monotonic())
             now_s = asyncio.get_running_loop().time()
-            deadline.move_forward(now_s + time_left.total_seconds())
+            deadline.shorten_to(now_s + time_left.total_seconds())
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -88,7 +88,7 @@
         self.buffered.append(chunk)
         self.buffered_bytes += len(chunk)
 
-    async def read_on(self) -> None:
+    async def buffer_next_chunk(self) -> None:
         """Wait until one more chunk is buffered, or the body is complete.
 
         The read goes on if this is cancelled, so that the chunk is there for the next
@@ -138,7 +138,7 @@
             if position == len(self.buffered):
                 if self.complete:
                     return
-                await self.read_on()
+                await self.buffer_next_chunk()
                 continue
             chunk = self.buffered[position]
             position += 1
--- a/src/wagtailstep/network/deadlines.py
+++ b/src/wagtailstep/network/deadlines.py
@@ -76,8 +76,8 @@
         """Return whether the deadline has passed."""
         return self.loop.time() >= self.when
 
-    def move_forward(self, when: float) -> None:
-        """Let the deadline fall due earlier, if that time is earlier.
+    def shorten_to(self, when: float) -> None:
+        """Let the deadline fall due at a given time, if that is earlier.
 
         :param when: event loop time in seconds; only effective inside ``async with``.
         """
