Split departures out of the controllers of announcements and dissemination

DepartureRecords in network/ and a record in controllers/ would have had one name. Change: DepartureRecord decides what is recorded and until when, DepartureStore writes and reads it, HeardDepartures builds reminders; a registration says has_departed. No behaviour is meant to change.

--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -9,13 +9,13 @@
 
 import attrs
 
+from wagtailstep.controllers.departure_record import DepartureRecord
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import (
     MAX_ANNOUNCEMENT_DELAY,
     Departure,
     DeparturesListed,
     DeparturesSaved,
-    SaveDepartures,
 )
 from wagtailstep.models.events import (
     InstanceWithdrawn,
@@ -34,9 +34,6 @@
 # Processes of local backend servers, past ones too, whose late announcements are
 # recognized. One instance sees a few a day.
 MAX_REGISTRATIONS = 64
-# Departures that are recorded at a time; older ones are dropped.
-MAX_DEPARTURES = 16
-SAVE_RETRY_INTERVAL = timedelta(seconds=1)
 
 
 @attrs.define
@@ -60,14 +57,13 @@
 
     :param born: when its process started, as in ``TargetAnnounced.born``.
     :param sequence: number of the announcement.
-    :param has_withdrawn: whether that process announced that it is leaving; such a
-        process is a departure.
+    :param has_departed: whether that process has announced that it leaves.
     :param expires_at: monotonic time when it is removed; ``None`` for never.
     """
 
     born: int = 0
     sequence: int = 0
-    has_withdrawn: bool = False
+    has_departed: bool = False
     expires_at: timedelta | None = None
 
     def apply_announcement(self, born: int, sequence: int) -> bool:
@@ -78,7 +74,7 @@
         if born and born < self.born:
             return False
         if born > self.born:
-            self.born, self.sequence, self.has_withdrawn = born, sequence, False
+            self.born, self.sequence, self.has_departed = born, sequence, False
             self.expires_at = None
             return True
         if sequence and sequence <= self.sequence:
@@ -93,10 +89,8 @@
     A target that leaves stays on the blackboard as leaving until the drain limit
     of its service has passed, so that its gate can finish the requests in flight.
 
-    A process that has announced that it leaves is a departure. It is recorded for the
-    next process of this daemon, and told to the other daemons, for as long as earlier
-    announcements may still arrive. It excludes that process only: a later one of the
-    same target is accepted at once, and so is any process that has not departed.
+    A process that has announced that it leaves has departed: its other announcements
+    no longer count. See :class:`DepartureRecord` for what limits that.
     """
 
     def __init__(
@@ -112,8 +106,7 @@
         self.leases: dict[str, LocalLease] = {}
         self.registrations: OrderedDict[str, Registration] = OrderedDict()
         self.incarnation = 0
-        self.departures_until: dict[str, timedelta] = {}
-        self.save_at: timedelta | None = None
+        self.departures = DepartureRecord(blackboard, clock)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -160,7 +153,7 @@
     def _register(self, event: TargetAnnounced) -> bool:
         """Record an announcement, and remove a server whose address it takes over.
 
-        :return: whether it is neither late nor from a process that has withdrawn.
+        :return: whether it is neither late nor from a process that has departed.
         """
         target = event.target
         known = self.registrations.get(target.target_id, Registration())
@@ -175,7 +168,7 @@
             self.registrations.popitem(last=False)
         if not registration.apply_announcement(event.process_started, event.sequence):
             return False
-        if registration.has_withdrawn and event.process_started:
+        if registration.has_departed and event.process_started:
             return False
         self._remove_replaced(target)
         return True
@@ -219,7 +212,7 @@
             name = f"{event.service}/{event.instance_id}"
             expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
             self.registrations[name] = Registration(
-                born=event.left_at, has_withdrawn=True, expires_at=expires_at
+                born=event.left_at, has_departed=True, expires_at=expires_at
             )
             return self._record_departure(name)
         effects: list[Any] = []
@@ -239,37 +232,21 @@
         registration = self.registrations.get(target_id)
         if registration is None:
             return self._start_leaving(target_id, reason)
-        is_news = not registration.has_withdrawn
-        registration.has_withdrawn = True
+        is_new = not registration.has_departed
+        registration.has_departed = True
         effects = self._start_leaving(target_id, reason)
-        return effects + self._record_departure(target_id) if is_news else effects
+        return effects + self._record_departure(target_id) if is_new else effects
 
     def _record_departure(self, target_id: str) -> list[Any]:
         process_started = self.registrations[target_id].born
         if not process_started:
             # Nothing tells its announcements from those of a later process.
             return []
-        self._keep_departure(Departure(target_id, process_started))
-        return self._save_departures()
-
-    def _keep_departure(self, departure: Departure) -> None:
-        departures = self.blackboard.departures
-        name = departure.target_id
-        departures.pop(name, None)
-        departures[name] = departure
-        self.departures_until[name] = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
-        while len(departures) > MAX_DEPARTURES:
-            oldest = next(iter(departures))
-            del departures[oldest], self.departures_until[oldest]
-
-    def _save_departures(self) -> list[Any]:
-        self.save_at = None
-        return [SaveDepartures(tuple(self.blackboard.departures.values()))]
+        return self.departures.add_and_save(Departure(target_id, process_started))
 
     @handle.register
     def _(self, event: DeparturesSaved) -> list[Any]:
-        if not event.succeeded:
-            self.save_at = self.clock.monotonic() + SAVE_RETRY_INTERVAL
+        self.departures.complete_save(event.succeeded)
         return []
 
     @handle.register
@@ -283,27 +260,27 @@
         return self._restore_departures(event.message.departures)
 
     def _restore_departures(self, departures: Iterable[Departure]) -> list[Any]:
-        """Hold processes to what they told an earlier process of this daemon."""
+        """Hold backend servers to what they told an earlier process of this daemon."""
         effects: list[Any] = []
         for departure in departures:
             name = departure.target_id
             registration = self.registrations.setdefault(name, Registration())
-            is_known = registration.born == departure.process_started
+            is_same = registration.born == departure.process_started
             if registration.born > departure.process_started or (
-                is_known and registration.has_withdrawn
+                is_same and registration.has_departed
             ):
                 continue
             registration.born = departure.process_started
-            registration.has_withdrawn = True
+            registration.has_departed = True
             registration.expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
-            self._keep_departure(departure)
+            self.departures.add(departure)
             effects += self._start_leaving(name, "departed-before")
         return effects
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         self._expire_registrations()
-        effects = self._expire_departures()
+        effects = self.departures.expire()
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
         return effects
@@ -314,14 +291,6 @@
             if registration.expires_at is not None and now >= registration.expires_at:
                 del self.registrations[name]
 
-    def _expire_departures(self) -> list[Any]:
-        now = self.clock.monotonic()
-        expired = [name for name, at in self.departures_until.items() if now >= at]
-        for name in expired:
-            del self.blackboard.departures[name], self.departures_until[name]
-        is_due = self.save_at is not None and now >= self.save_at
-        return self._save_departures() if expired or is_due else []
-
     def _check_lease(self, target_id: str, lease: LocalLease) -> list[Any]:
         now = self.clock.monotonic()
         if lease.leaving_since is not None:
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -30,7 +30,6 @@
     AGE_UNIT_MS,
     HEARTBEAT_EPOCH_MS,
     HEARTBEAT_UNIT_MS,
-    DepartureReminder,
     Digest,
     DigestRequest,
     TargetEntry,
@@ -103,7 +102,8 @@
             peers = max(map(len, self.interest.peers_by_service.values()), default=0)
             self.times = compute_renewal_times(self.settings, peers)
             self.leases.lease = self.times.lease
-        effects = self._push_local_changes(now) + self._remind_restarted()
+        effects = self._push_local_changes(now)
+        effects += self.leases.departures.remind_restarted(self.blackboard.members)
         self._renew_local_targets(now)
         effects += self._send_digests(now)
         if now >= self.scan_at:
@@ -198,7 +198,7 @@
             return []
         if not changed:
             return []
-        effects = self._remind_of_announced(message)
+        effects = self.leases.departures.remind_of(message, self.blackboard.members)
         self.pulls.discard(message.daemon_id)
         needed = self.interest.needed_by_member.get(message.daemon_id, frozenset())
         self.digests.add(message.daemon_id, needed)
@@ -207,20 +207,6 @@
             effects += self._forward(message, sender)
         return effects
 
-    def _remind_restarted(self) -> list[Any]:
-        untold = self.leases.departures.pop_reminders(self.blackboard.members)
-        return [
-            SendToPeer(address, DepartureReminder(departures), True)
-            for address, departures in untold.items()
-        ]
-
-    def _remind_of_announced(self, update: TargetsUpdate) -> list[Any]:
-        departures = self.leases.departures.find_announced_again(update)
-        member = self.blackboard.members.get(update.daemon_id)
-        if not departures or member is None:
-            return []
-        return [SendToPeer(member.peer_address, DepartureReminder(departures), True)]
-
     def _record_leaving(self, update: TargetsUpdate) -> list[Any]:
         leaving = list(TargetState).index(TargetState.LEAVING)
         return [
--- a/src/wagtailstep/controllers/heard_departures.py
+++ b/src/wagtailstep/controllers/heard_departures.py
@@ -3,12 +3,14 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
+from typing import Any
 
 import attrs
 
 from wagtailstep.models.departures import MAX_ANNOUNCEMENT_DELAY, Departure
+from wagtailstep.models.events import SendToPeer
 from wagtailstep.models.fleet import Member, Target, TargetState
-from wagtailstep.models.membership import TargetsUpdate
+from wagtailstep.models.membership import DepartureReminder, TargetsUpdate
 
 # Bounds the memory; the oldest are dropped first.
 MAX_DEPARTURES = 4_096
@@ -83,32 +85,31 @@
             return target
         return attrs.evolve(target, state=TargetState.LEAVING)
 
-    def find_announced_again(self, update: TargetsUpdate) -> tuple[Departure, ...]:
-        """Return the departures whose processes are announced as serving."""
+    def remind_of(
+        self, update: TargetsUpdate, members: Mapping[str, Member]
+    ) -> list[Any]:
+        """Remind a daemon of departures whose processes it announces as serving."""
         serving = list(TargetState).index(TargetState.SERVING)
         found = (
             self.find(entry.target_id, entry.process_started)
             for entry in update.targets
             if entry.state == serving
         )
-        return tuple(departure for departure in found if departure is not None)
-
-    def pop_reminders(
-        self, members: Mapping[str, Member]
-    ) -> dict[str, tuple[Departure, ...]]:
-        """Return departures that daemons must be reminded of since they restarted.
-
-        :return: departures by ``host:port`` of the daemon's control channel; each is
-            returned once for each incarnation.
-        """
-        reminders: dict[str, tuple[Departure, ...]] = {}
+        departures = tuple(departure for departure in found if departure is not None)
+        member = members.get(update.daemon_id)
+        if not departures or member is None:
+            return []
+        return [build_reminder(member, departures)]
+
+    def remind_restarted(self, members: Mapping[str, Member]) -> list[Any]:
+        """Remind daemons, once in each incarnation, of departures beside them."""
+        effects = []
         for known in self.heard.values():
             member = members.get(known.daemon_id)
             if member is not None and member.incarnation > known.incarnation:
                 known.incarnation = member.incarnation
-                address = member.peer_address
-                reminders[address] = (*reminders.get(address, ()), known.departure)
-        return reminders
+                effects.append(build_reminder(member, (known.departure,)))
+        return effects
 
     def list_of(self, targets: Iterable[Target]) -> tuple[Departure, ...]:
         """Return the departures of some targets."""
@@ -120,3 +121,8 @@
         expired = [name for name, known in self.heard.items() if now >= known.until]
         for name in expired:
             del self.heard[name]
+
+
+def build_reminder(member: Member, departures: tuple[Departure, ...]) -> SendToPeer:
+    """Return the effect that reminds a daemon of departures."""
+    return SendToPeer(member.peer_address, DepartureReminder(departures), urgent=True)
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -34,7 +34,7 @@
     DaemonEndpoints,
     create_gate_port_handler,
 )
-from wagtailstep.network.departure_records import DepartureRecords
+from wagtailstep.network.departure_store import DepartureStore
 from wagtailstep.network.entry import EntryService
 from wagtailstep.network.exchange_app import ExchangeApp
 from wagtailstep.network.forwarder import HttpForwarder
@@ -95,7 +95,7 @@
         )
         self.log = self.create_log_service()
         store = self.get_keyed_store()
-        self.departure_records = DepartureRecords(
+        self.departure_store = DepartureStore(
             store, self.settings.daemon_id, self.clock, self.dispatch
         )
         adapters = RuntimeAdapters(
@@ -105,7 +105,7 @@
             store=store,
         )
         self.runtime = Runtime(*parts, adapters)
-        self.runtime.effect_handlers[SaveDepartures] = self.departure_records.save
+        self.runtime.effect_handlers[SaveDepartures] = self.departure_store.save
         self.runtime.controllers = self.create_controllers()
         self.client.on_unreachable = lambda address: self.dispatch(
             GateUnresponsive(address)
@@ -226,7 +226,7 @@
                     self.metrics_server.start(self.settings.metrics_address)
                 )
         await self.runtime.start()
-        self.runtime.spawn(self.departure_records.read())
+        self.runtime.spawn(self.departure_store.read())
         self.runtime.record_event(
             "daemon-started",
             caller_address=self.settings.caller_address,
@@ -291,7 +291,7 @@
             self.metrics_server,
         ):
             await server.close()
-        self.departure_records.close()
+        self.departure_store.close()
         self.client.close()
         self.log.close()
 
--- a/src/wagtailstep/network/departure_records.py
+++ b/src/wagtailstep/network/departure_store.py
@@ -32,7 +32,7 @@
 READ_RETRY_INTERVAL = timedelta(seconds=1)
 
 
-class DepartureRecords:
+class DepartureStore:
     """Write and read the record, one call at a time.
 
     :param store: the platform's keyed store.
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -66,7 +66,7 @@
             self.runtime.dispatch,
             self.settings,
             self.clock,
-            self.departure_records.wait_until_saved,
+            self.departure_store.wait_until_saved,
         )
 
     async def start(self) -> None:
