--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -619,7 +619,7 @@
         await machine.prepare()
         return machine
 
-    def configure(self, version, routes, **limits):
+    def configure(self, version, routes, aim="800ms", **limits):
         """Write a configuration as the operator does.
 
         :param routes: rows of name, path prefix, kind, timeout, service, attempts.
@@ -629,7 +629,7 @@
             " traffic-split"
         ).split()
         rows = [
-            [name, HOST, prefix, kind, timeout, "800ms", 1, service, attempts, None]
+            [name, HOST, prefix, kind, timeout, aim, 1, service, attempts, None]
             for name, prefix, kind, timeout, service, attempts in routes
         ]
         services = sorted({row[7] for row in rows})
