--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,6 @@
-"""A daemon is restarted after it acknowledged a departure, and forgets it after 10 s.
+"""A departure is acknowledged although it is recorded nowhere; all processes are killed.
 
-A heartbeat without `born` then brings the departed target back while it still serves.
+A late heartbeat then brings the departed target back, and it gets new work.
 """
 
 import asyncio
@@ -14,15 +14,16 @@
 from lab import Lab, Target, now, run_case  # noqa: E402
 
 DRAIN_S = 2.0  # bound `drain`
-DOWN_S = 0.5  # pause between the kill and the start of the process
-ODD_AT_S = 12.5  # after the acknowledgement
-STAY_S = 15.0  # for how long the target goes on to serve
-CLIENTS = 4
+STABLE_S = 3.0  # bound `stable-window`
+OUTAGE_S = 4.5  # the store is down (`platform_down`, `busy`)
+DOWN_S = 0.9  # pause between the kill and the start of the processes
+LATE_S = 4.6  # how late the heartbeat arrives
+STAY_S = 14.0  # for how long the target goes on to serve
 
 
 async def play(lab: Lab):
     machines = [await lab.add_machine(zone, "alpha") for zone in ("bole", "piassa", "kirkos")]
-    lab.configure(1, [("sign", "/sign/", "unsafe", "3000ms", "alpha", 2)])
+    lab.configure(1, [("lookup", "/lookup/", "safe", "4000ms", "alpha", 2)])
     targets = [
         Target(lab, machine, "alpha", f"i-{machine.name}") for machine in machines
     ]
@@ -31,45 +32,58 @@
         await target.start()
     for machine in machines:
         assert await machine.wait_ready()
-    await asyncio.sleep(5)
+    await asyncio.sleep(STABLE_S + 2)
 
+    # The target of the first machine leaves; it is one that never reports `draining`.
     leaving = targets[0]
+    if lab.trouble:
+        lab.note("store-down")
+        lab.store.modes = {machine.name: "busy" for machine in machines}
+    await asyncio.sleep(0.5)
     leaving.beating.cancel()
-    await asyncio.sleep(0.1)
+    late_beat = leaving.build_beat()
+    beat_sent_at = now()
+    await asyncio.sleep(0.2)
     if not await leaving.withdraw():
         return None
     acknowledged_at = now()
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(0.5)
     if lab.trouble:
-        machines[0].signal(signal.SIGKILL)
-        await machines[0].process.wait(5)
+        for machine in machines:
+            machine.signal(signal.SIGKILL)
+        for machine in machines:
+            await machine.process.wait(5)
         await asyncio.sleep(DOWN_S)
-        machines[0].start()
-        assert await machines[0].wait_ready()
-    await asyncio.sleep(acknowledged_at + ODD_AT_S - now())
-    odd_beat = leaving.build_beat()
-    del odd_beat["born"]
-    lab.note("odd-heartbeat", target=leaving.name)
-    await leaving.call("PUT", odd_beat)
+        for machine in machines:
+            machine.start()
+        started_at = now()
+        await asyncio.sleep(max(0, beat_sent_at - 0.7 + OUTAGE_S - now()))
+        lab.note("store-up")
+        lab.store.modes = {}
+        calm_at = max(now(), started_at)
+    else:
+        calm_at = now()
+    await asyncio.sleep(max(0, beat_sent_at + LATE_S - now()))
+    lab.note("late-beat-arrives", target=leaving.name, sequence=late_beat["sequence"])
+    await leaving.call("PUT", late_beat)
 
-    async def ask_always(number):
-        serial = 0
-        while now() < acknowledged_at + STAY_S:
-            serial += 1
-            # Requests enter at the two machines that nothing disturbs.
-            machine = machines[1 + (number + serial) % 2]
-            await lab.ask(machine, "POST", f"/sign/{number}-{serial}", b"body", 3000)
-            await asyncio.sleep(0.05)
-
-    await asyncio.gather(*(ask_always(number) for number in range(CLIENTS)))
-    lab.note("target-exits", target=leaving.name)
-    await leaving.stop()
+    # From now on all machines are in touch.
+    await asyncio.sleep(max(0, calm_at + STABLE_S + 0.5 - now()))
+    for machine in machines:
+        assert await machine.wait_ready(5)
+    judged_from = now()
+    lab.note("judged-from-here")
+    serial = 0
+    while now() < acknowledged_at + STAY_S:
+        serial += 1
+        await lab.ask(machines[serial % 3], "GET", f"/lookup/{serial}")
+        await asyncio.sleep(0.05)
     late = [
         run
         for run in lab.runs
-        if run[2] is leaving and run[0] > acknowledged_at + DRAIN_S
+        if run[2] is leaving and run[0] > max(judged_from, acknowledged_at + DRAIN_S)
     ]
-    lab.note("late-requests", target=leaving.name, count=len(late))
+    lab.note("late-requests", target=leaving.name, count=len(late), asked=serial)
     return bool(late)
 
 
