--- a/features/steps/earlier_answers_steps.py
+++ b/features/steps/earlier_answers_steps.py
@@ -4,6 +4,7 @@
 
 import detangle
 from behave import then, when
+from scripted_servers import start_scripted_server
 from target_answers_steps import (
     ADDRESS,
     SETTINGS,
@@ -111,7 +112,7 @@
         client = HttpClient(SETTINGS.requests, clock)
         gate = create_gate(client, clock)
         host, _, port = ADDRESS.rpartition(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = await start_scripted_server(serve, host, int(port))
         result = await script(gate)
         client.close()
         server.close()
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -6,6 +6,7 @@
 import detangle
 from asking_gates_steps import EntryWithGates
 from behave import given, then, when
+from scripted_servers import start_scripted_server
 from target_answers_steps import (
     ADDRESS,
     SETTINGS,
@@ -125,7 +126,7 @@
         context.gate = create_gate(client, clock)
         context.server = EndlessServer(*ENDLESS[name])
         host, _, port = ADDRESS.rpartition(":")
-        server = await asyncio.start_server(context.server.serve, host, int(port))
+        server = await start_scripted_server(context.server.serve, host, int(port))
         assert await send(context.gate, "one") == "200 whole"
         started_at = clock.monotonic()
         context.outcome = await send(context.gate, "two")
@@ -153,7 +154,7 @@
         client = HttpClient(SETTINGS.requests, clock)
         gate = create_gate(client, clock)
         host, _, port = ADDRESS.rpartition(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = await start_scripted_server(serve, host, int(port))
         started_at = clock.monotonic()
         context.outcome = await send(gate, "two")
         context.took = clock.monotonic() - started_at
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -7,6 +7,7 @@
 import detangle
 import h11
 from behave import given, then, when
+from scripted_servers import start_scripted_server
 
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.settings import RequestSettings
@@ -28,7 +29,7 @@
         self.body_bytes = 0
 
     async def listen(self):
-        server = await asyncio.start_server(self.serve, "server", 80)
+        server = await start_scripted_server(self.serve, "server", 80)
         await server.serve_forever()
 
     async def serve(self, reader, writer):
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -1,6 +1,5 @@
 """Steps for what backend servers say of themselves in their responses."""
 
-import asyncio
 import random
 from collections import Counter
 from datetime import timedelta
@@ -9,6 +8,7 @@
 import detangle
 from behave import given, then, when
 from gate_steps import TARGET_ID
+from scripted_servers import start_scripted_server
 from target_answers_steps import (
     ANSWERS,
     SETTINGS,
@@ -122,7 +122,7 @@
         client = HttpClient(SETTINGS.requests, clock)
         gate = create_gate(client, clock)
         target = ScriptedTarget(context.target_answer)
-        server = await asyncio.start_server(target.serve, "127.0.0.1", 9000)
+        server = await start_scripted_server(target.serve, "127.0.0.1", 9000)
         await send(gate, "one")
         await send(gate, "two")
         client.close()
--- a/features/steps/stalls_steps.py
+++ b/features/steps/stalls_steps.py
@@ -13,6 +13,7 @@
 from caller_connections_steps import STALL_S, StallingLoop
 from entry_steps import EntryHarness
 from routing_steps import make_member, make_settings
+from scripted_servers import start_scripted_server
 
 from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.attempt_timeout import ATTEMPT_TIMEOUT_FRACTION
@@ -68,7 +69,7 @@
         self.received = []
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await start_scripted_server(self.serve, "127.0.0.1", 0)
         host, port = self.server.sockets[0].getsockname()
         return f"{host}:{port}"
 
--- a/features/steps/suspects_steps.py
+++ b/features/steps/suspects_steps.py
@@ -9,6 +9,7 @@
 import detangle
 from asking_gates_steps import EntryWithGates
 from behave import given, then, when
+from scripted_servers import start_scripted_server
 from target_answers_steps import ADDRESS, SETTINGS, create_gate
 
 from wagtailstep.controllers.suspects import MAX_SUSPECTS, CrashSuspects
@@ -306,7 +307,7 @@
         gate.dispatch = context.reported.append
         gate.crash_watch.dispatch = context.reported.append
         host, _, port = ADDRESS.rpartition(":")
-        server = await asyncio.start_server(serve, host, int(port))
+        server = await start_scripted_server(serve, host, int(port))
         running = [asyncio.create_task(run_at_gate(gate, n)) for n in ("one", "two")]
         await asyncio.sleep(0.2)
         if fate == "crashes":
--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -6,6 +6,7 @@
 
 import detangle
 from behave import then, when
+from scripted_servers import start_scripted_server
 
 from wagtailstep.controllers.gate import GateController
 from wagtailstep.exceptions import (
@@ -165,7 +166,7 @@
         clock = LoopClock()
         client = HttpClient(SETTINGS.requests, clock)
         gate = create_gate(client, clock)
-        server = await asyncio.start_server(context.target.serve, "127.0.0.1", 9000)
+        server = await start_scripted_server(context.target.serve, "127.0.0.1", 9000)
         assert await send(gate, "one") == "200 one"
         context.outcome = await send(gate, "two")
         await asyncio.sleep(timedelta(seconds=1).total_seconds())
