Give each departure a record of its own in the store

Callers saw: requests reached a backend server that had left, after a kill of all daemons, although the store had acknowledged the record of its departure.

Cause: a daemon kept all departures in one record that it replaced without a condition. A replacing write whose response was lost may be applied seconds later, and then undid a record that was acknowledged meanwhile.

Change: each departure has a record whose key contains the start time of the daemon's process and a number. A write that is late can only repeat or remove the record of its own departure. The effect SaveDepartures names the departures that count; DepartureStore writes what is missing first, then removes the rest, also what an earlier process or an earlier version left. Departures in excess of 16 are no longer dropped, since they may have been acknowledged, and all are written again when the store was restored from an older copy.

Writes per departure stay two, one for the record and one to remove it.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -16,6 +16,15 @@
       | DELETE   | its daemon is killed with the store away  | 300   |
       | DELETE   | nothing happens                           | 200   |
 
+  # Guards against a write without an answer that replaces a later one.
+  Scenario: A write that the store applies late doesn't undo an acknowledged record
+    Given a fleet of daemons with a backend server each
+    When a server leaves and its next process leaves while the record is removed late
+    And all daemons are killed 300 ms after that, and the store is back
+    And a heartbeat that it sent before arrives 4600 ms after that
+    Then no leave was acknowledged that a daemon forgot
+    And its leave was acknowledged
+
   Scenario: A new process of a server that has left is offered as soon as before
     Given a fleet of daemons with a backend server each
     When a server leaves by DELETE and its daemon is killed 200 ms after the acknowledgement
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -10,12 +10,14 @@
 from benchmarks.soak.fleet import SERVICE, SoakClock, SoakFleet
 
 from wagtailstep.exceptions import RequestError
+from wagtailstep.models.departures import MAX_ANNOUNCEMENT_DELAY
 from wagtailstep.models.fleet import TargetState
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.bodies import read_complete_body
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_connection import HttpRequest
 from wagtailstep.network.problems import yield_body
+from wagtailstep.platform.stand_in import LATE_APPEND_S, StoreFaults
 from wagtailstep.platform.store import TOPICS, Collection, parse_keyed_record
 from wagtailstep.utils.clock import LoopClock
 
@@ -25,6 +27,8 @@
 WATCH_S = 8.0
 POLL_S = 0.02
 SLOW_STORE_S = 0.9
+REPEAT_S = 0.2
+DRAIN_MS = 2_000
 CALL_TIMEOUT = timedelta(seconds=1)
 DEPARTURES = TOPICS[Collection.DEPARTURES]
 
@@ -34,6 +38,8 @@
 
     def __init__(self):
         self.offers = []
+        self.acknowledged_at_s = None
+        self.late_heartbeat = None
 
     async def start(self):
         self.fleet = SoakFleet(FLEET_SIZE, random.Random(1))
@@ -84,12 +90,33 @@
             return 0
 
     async def leave(self, kind):
+        assert await self.ask_to_leave(kind), kind
+
+    async def ask_to_leave(self, kind):
+        """Send a message by which the server leaves; return whether it succeeded."""
         if kind == "DELETE":
             status = await self.call("DELETE", None)
         else:
             status = await self.call("PUT", self.build_heartbeat("draining"))
-        assert status == 200, status
-        self.acknowledged_at_s = asyncio.get_running_loop().time()
+        self.answered_at_s = asyncio.get_running_loop().time()
+        if status == 200 and self.acknowledged_at_s is None:
+            self.acknowledged_at_s = self.answered_at_s
+        return status == 200
+
+    def start_trouble(self, kind):
+        faults = self.fleet.store.faults
+        if kind == "refuses calls":
+            faults.status = 503
+        elif kind == "gives no answers":
+            faults.silent = True
+        elif kind == "loses an answer":
+            faults.lost_answers = 1
+        else:
+            assert kind == "applies a write late"
+            faults.late_appends = 1
+
+    def end_trouble(self):
+        self.fleet.store.faults = StoreFaults()
 
     async def kill(self, hosts):
         """Kill the daemons of hosts and start them again."""
@@ -123,7 +150,7 @@
         faults = self.fleet.store.faults
         if kind == "nothing happens":
             return
-        hosts = self.fleet.hosts if kind.startswith("all") else [self.host]
+        hosts = self.choose_hosts(kind)
         if kind.endswith("store slow"):
             faults.silent = True
             asyncio.get_running_loop().call_later(
@@ -133,6 +160,9 @@
         if kind.endswith("store away"):
             faults.silent = False
 
+    def choose_hosts(self, disruption):
+        return self.fleet.hosts if disruption.startswith("all") else [self.host]
+
     def play(self, scenario):
         async def main():
             await self.start()
@@ -171,6 +201,76 @@
     context.steps.append(step)
 
 
+@when("a server leaves by {call} {times:d} times while the store {trouble}")
+def leave_in_trouble(context, call, times, trouble):
+    run = context.run
+
+    async def step():
+        run.start_trouble(trouble)
+        for _ in range(times):
+            await run.ask_to_leave(call)
+            await asyncio.sleep(REPEAT_S)
+
+    context.steps.append(step)
+
+
+@when(
+    "a server leaves by {call} every {interval:d} ms while the store {trouble} for "
+    "{time:d} ms"
+)
+def leave_until_acknowledged(context, call, interval, trouble, time):
+    run = context.run
+
+    async def step():
+        run.start_trouble(trouble)
+        loop = asyncio.get_running_loop()
+        run.trouble_ends_at_s = loop.time() + time / 1_000
+        loop.call_at(run.trouble_ends_at_s, run.end_trouble)
+        while run.acknowledged_at_s is None:
+            assert loop.time() < run.trouble_ends_at_s + WATCH_S
+            await run.ask_to_leave(call)
+            await asyncio.sleep(interval / 1_000)
+
+    context.steps.append(step)
+
+
+@when("a server leaves and its next process leaves while the record is removed late")
+def leave_beside_late_removal(context):
+    run = context.run
+
+    async def step():
+        await run.leave("DELETE")
+        await asyncio.sleep(MAX_ANNOUNCEMENT_DELAY.total_seconds() - 0.5)
+        run.start_trouble("applies a write late")
+        run.born = int(SoakClock().utc().timestamp() * 1_000)
+        run.sequence = 0
+        assert await run.call("PUT", run.build_heartbeat("ready")) == 200
+        while run.fleet.store.faults.late_appends:
+            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LATE_APPEND_S - 1)
+        run.acknowledged_at_s = None
+        run.late_heartbeat = run.build_heartbeat("ready")
+        while not await run.ask_to_leave("DELETE"):
+            await asyncio.sleep(REPEAT_S)
+        await asyncio.sleep(2)
+
+    context.steps.append(step)
+
+
+@when("{killed} killed {delay:d} ms after that, and the store is back")
+def kill_after_leave(context, killed, delay):
+    run = context.run
+    first = context.steps.pop()
+
+    async def step():
+        await first()
+        await asyncio.sleep(delay / 1_000)
+        await run.kill(run.choose_hosts(killed))
+        run.end_trouble()
+
+    context.steps.append(step)
+
+
 @when("a heartbeat that it sent before arrives {delay:d} ms after that")
 def deliver_late(context, delay):
     run = context.run
@@ -179,7 +279,8 @@
     async def step():
         late = run.build_heartbeat("ready")
         await first()
-        at_s = run.acknowledged_at_s + delay / 1_000
+        late = run.late_heartbeat or late
+        at_s = run.answered_at_s + delay / 1_000
         await asyncio.sleep(at_s - asyncio.get_running_loop().time())
         assert await run.call("PUT", late) == 200
         await asyncio.sleep(WATCH_S)
@@ -232,12 +333,40 @@
     context.run.play(step)
 
 
+@then("no leave was acknowledged that a daemon forgot")
+def check_remembered(context):
+    if context.run.acknowledged_at_s is not None:
+        check_not_offered(context, DRAIN_MS, context.run.acknowledged_at_s)
+
+
+@then("its leave was acknowledged")
+def check_acknowledged(context):
+    assert context.run.acknowledged_at_s is not None
+
+
+@then("its leave was acknowledged {time:d} ms after the trouble at the latest")
+def check_acknowledged_soon(context, time):
+    run = context.run
+    assert run.acknowledged_at_s is not None
+    after_s = run.acknowledged_at_s - run.trouble_ends_at_s
+    assert after_s <= time / 1_000, after_s
+
+
 @then("no daemon offers it from {time:d} ms after the acknowledgement on")
-def check_not_offered(context, time):
+def check_not_offered_since(context, time):
+    check_not_offered(context, time, context.run.acknowledged_at_s)
+
+
+@then("no daemon offers it from {time:d} ms after the last answer on")
+def check_not_offered_after_answer(context, time):
+    check_not_offered(context, time, context.run.answered_at_s)
+
+
+def check_not_offered(context, time, since_s):
     run = context.run
-    start_s = run.acknowledged_at_s + time / 1_000
+    start_s = since_s + time / 1_000
     offers = [
-        (round(at_s - run.acknowledged_at_s, 2), names)
+        (round(at_s - since_s, 2), names)
         for at_s, names in run.offers
         if at_s >= start_s and names
     ]
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -9,7 +9,10 @@
 
 import attrs
 
-from wagtailstep.controllers.departure_record import DepartureRecord
+from wagtailstep.controllers.departure_record import (
+    SAVE_RETRY_INTERVAL,
+    DepartureRecord,
+)
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import (
     MAX_ANNOUNCEMENT_DELAY,
@@ -246,11 +249,14 @@
 
     @handle.register
     def _(self, event: DeparturesSaved) -> list[Any]:
-        self.departures.complete_save(event.succeeded)
+        if not event.succeeded:
+            self.departures.schedule_save(SAVE_RETRY_INTERVAL)
         return []
 
     @handle.register
     def _(self, event: DeparturesListed) -> list[Any]:
+        # Removes the records of those that don't count here.
+        self.departures.schedule_save(MAX_ANNOUNCEMENT_DELAY)
         return self._restore_departures(event.departures)
 
     @handle.register
@@ -280,7 +286,8 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         self._expire_registrations()
-        effects = self.departures.expire()
+        self.departures.expire()
+        effects = self.departures.save_if_due()
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
         return effects
--- a/src/wagtailstep/controllers/departure_record.py
+++ b/src/wagtailstep/controllers/departure_record.py
@@ -11,7 +11,7 @@
 )
 from wagtailstep.utils.clock import Clock
 
-# Bounds the size of the record; the oldest departures are dropped first.
+# Bounds the number of records and the size of messages to other daemons.
 MAX_DEPARTURES = 16
 SAVE_RETRY_INTERVAL = timedelta(seconds=1)
 
@@ -27,45 +27,59 @@
     """
 
     def __init__(self, blackboard: Blackboard, clock: Clock) -> None:
+        self.blackboard = blackboard
         self.departures = blackboard.departures
         self.clock = clock
         # Monotonic times by target.
         self.counts_until: dict[str, timedelta] = {}
         self.save_at: timedelta | None = None
+        self.saved_era = blackboard.store_era
 
-    def add(self, departure: Departure) -> None:
-        """Keep a departure on the blackboard without saving it."""
+    def add(self, departure: Departure) -> bool:
+        """Keep a departure on the blackboard without saving it.
+
+        :return: whether it is kept. There is no room for more than ``MAX_DEPARTURES``;
+            none is dropped before it expires, since it may have been acknowledged.
+        """
         name = departure.target_id
-        self.departures.pop(name, None)
+        known = self.departures.get(name)
+        if known == departure:
+            return True
+        if known is None and len(self.departures) >= MAX_DEPARTURES:
+            return False
         self.departures[name] = departure
         self.counts_until[name] = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
-        while len(self.departures) > MAX_DEPARTURES:
-            self.remove(next(iter(self.departures)))
+        return True
 
     def add_and_save(self, departure: Departure) -> list[Any]:
-        """Keep a departure and save the record."""
-        self.add(departure)
-        return self.save()
+        """Keep a departure and save it, also if an earlier save of it has failed."""
+        return self.save() if self.add(departure) else []
 
     def save(self) -> list[Any]:
-        """Save the record with the departures that count now."""
+        """Save the departures that count now."""
         self.save_at = None
-        return [SaveDepartures(tuple(self.departures.values()))]
+        self.saved_era = self.blackboard.store_era
+        return [SaveDepartures(tuple(self.departures.values()), self.saved_era)]
+
+    def schedule_save(self, delay: timedelta) -> None:
+        """Save the departures that count after a delay."""
+        self.save_at = self.clock.monotonic() + delay
 
-    def complete_save(self, succeeded: bool) -> None:
-        """Handle the outcome of a save; a failed one is repeated later."""
-        if not succeeded:
-            self.save_at = self.clock.monotonic() + SAVE_RETRY_INTERVAL
+    def save_if_due(self) -> list[Any]:
+        """Save the departures if that is scheduled, or if the store has lost some."""
+        is_due = self.save_at is not None and self.clock.monotonic() >= self.save_at
+        is_restored = self.blackboard.store_era > self.saved_era
+        return self.save() if is_due or (is_restored and self.departures) else []
 
-    def expire(self) -> list[Any]:
-        """Remove departures that no longer count, and repeat a failed save."""
+    def expire(self) -> list[Departure]:
+        """Remove and return the departures that no longer count."""
         now = self.clock.monotonic()
-        expired = [name for name, until in self.counts_until.items() if now >= until]
-        for name in expired:
-            self.remove(name)
-        is_due = self.save_at is not None and now >= self.save_at
-        return self.save() if expired or is_due else []
-
-    def remove(self, target_id: str) -> None:
-        """Remove the departure of a target."""
-        del self.departures[target_id], self.counts_until[target_id]
+        names = [name for name, until in self.counts_until.items() if now >= until]
+        if names:
+            self.schedule_save(timedelta())
+        return [self.remove(name) for name in names]
+
+    def remove(self, target_id: str) -> Departure:
+        """Remove the departure of a target and return it."""
+        del self.counts_until[target_id]
+        return self.departures.pop(target_id)
--- a/src/wagtailstep/models/departures.py
+++ b/src/wagtailstep/models/departures.py
@@ -25,21 +25,26 @@
 
 @attrs.frozen
 class SaveDepartures:
-    """Effect: replace this daemon's record of departures.
+    """Effect: bring this daemon's records in the store in line with these departures.
 
-    :param departures: those that still count; empty to remove the record.
+    :param departures: those that still count; the records of all others are removed.
+    :param store_era: newest known era of the store, see
+        :class:`~wagtailstep.models.keyed_store.KeyedRecords`; -1 if unknown.
     """
 
     departures: tuple[Departure, ...]
+    store_era: int = -1
 
 
 @attrs.frozen
 class DeparturesSaved:
-    """A :class:`SaveDepartures` effect has ended.
+    """A write for a :class:`SaveDepartures` effect has ended.
 
-    :param succeeded: whether the store has acknowledged the record.
+    :param recorded: the departures whose records the store has acknowledged.
+    :param succeeded: whether the write had the intended effect.
     """
 
+    recorded: frozenset[Departure]
     succeeded: bool
 
 
--- a/src/wagtailstep/network/departure_store.py
+++ b/src/wagtailstep/network/departure_store.py
@@ -1,10 +1,11 @@
-"""This daemon's record of departed backend servers in the platform's store.
+"""This daemon's records of departed backend servers in the platform's store.
 
-A daemon acknowledges a departure once it is recorded, so that its next process ignores
-announcements of the departed one that arrive late.
+A departure is acknowledged once it is recorded, so that the next process of the daemon
+ignores announcements of the departed one that arrive late.
 """
 
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable
 from datetime import timedelta
@@ -33,10 +34,15 @@
 
 
 class DepartureStore:
-    """Write and read the record, one call at a time.
+    """Write and read the records, one call at a time.
+
+    A write without a response may be applied seconds later. Each departure therefore
+    has a record of its own, whose key no later process uses: whichever write is late,
+    it doesn't replace the record of another departure.
 
     :param store: the platform's keyed store.
-    :param daemon_id: key of the record.
+    :param daemon_id: first part of the keys of the records.
+    :param clock: its time at the start of the process is the second part.
     :param dispatch: passes the outcomes of calls.
     """
 
@@ -49,29 +55,72 @@
     ) -> None:
         self.store = store
         self.daemon_id = daemon_id
+        started_ms = int(clock.utc().timestamp() * 1_000)
+        self.key_prefix = f"{daemon_id}/{started_ms:x}"
+        self.numbers = itertools.count()
         self.clock = clock
         self.dispatch = dispatch
-        self.unsaved: tuple[Departure, ...] | None = None
+        self.wanted: tuple[Departure, ...] = ()
+        self.store_era = -1
+        # Records that are in the store or may be, by key.
+        self.records: dict[str, tuple[Departure, ...]] = {}
+        # Departures whose records the store has acknowledged.
+        self.recorded: set[Departure] = set()
         self.writing: asyncio.Task[None] | None = None
 
     def save(self, effect: SaveDepartures) -> None:
-        """Write the record; while a write is under way, only the newest one follows."""
-        self.unsaved = effect.departures
+        """Write missing records and remove those that are no longer wanted."""
+        self.wanted = effect.departures
+        if effect.store_era > self.store_era >= 0:
+            # The store was restored from an older copy.
+            self.recorded.clear()
+        self.store_era = max(self.store_era, effect.store_era)
         if self.writing is None or self.writing.done():
             self.writing = asyncio.create_task(self.write())
 
     async def write(self) -> None:
-        """Write until the newest record is saved or a call has failed."""
-        while self.unsaved is not None:
-            departures, self.unsaved = self.unsaved, None
+        """Write until the store is up to date or a call has failed."""
+        succeeded = True
+        while succeeded and (change := self.choose_change()) is not None:
+            key, departures = change
             value = msgspec.json.encode(departures) if departures else b""
             try:
-                await self.store.put(Collection.DEPARTURES, self.daemon_id, value)
+                await self.store.put(Collection.DEPARTURES, key, value)
             except LogError as error:
                 log_event(LOGGER, "departures-not-saved", error=error)
-                self.dispatch(DeparturesSaved(succeeded=False))
-                return
-        self.dispatch(DeparturesSaved(succeeded=True))
+                succeeded = False
+            else:
+                self.complete_change(key, departures)
+            self.dispatch(DeparturesSaved(frozenset(self.recorded), succeeded))
+
+    def choose_change(self) -> tuple[str, tuple[Departure, ...]] | None:
+        """Return the next record to write, with its key; an empty one is removed.
+
+        Acknowledgements wait for new records, so these go before removals.
+        """
+        for departure in self.wanted:
+            if departure not in self.recorded:
+                return self.assign_key(departure), (departure,)
+        for key, departures in self.records.items():
+            if not any(departure in self.wanted for departure in departures):
+                return key, ()
+        return None
+
+    def assign_key(self, departure: Departure) -> str:
+        """Return the key of the record of a departure."""
+        for key, departures in self.records.items():
+            if departures == (departure,):
+                return key
+        key = f"{self.key_prefix}-{next(self.numbers)}"
+        self.records[key] = (departure,)
+        return key
+
+    def complete_change(self, key: str, departures: tuple[Departure, ...]) -> None:
+        """Handle the store's acknowledgement of a change."""
+        if departures:
+            self.recorded.update(departures)
+        else:
+            self.recorded.difference_update(self.records.pop(key))
 
     async def wait_until_saved(self) -> None:
         """Wait until the write under way has ended, for a limited time."""
@@ -83,16 +132,22 @@
         give_up_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
         while True:
             try:
-                records = await self.store.read_newest(Collection.DEPARTURES)
+                listed = await self.store.read_newest(Collection.DEPARTURES)
                 break
             except LogError as error:
                 log_event(LOGGER, "departures-not-read", error=error)
             if self.clock.monotonic() >= give_up_at:
                 return
             await asyncio.sleep(READ_RETRY_INTERVAL.total_seconds())
-        departures = decode_departures(records.values.get(self.daemon_id, b""))
+        departures: list[Departure] = []
+        for key, value in listed.values.items():
+            # Earlier versions wrote one record per daemon, without the second part.
+            if key.partition("/")[0] == self.daemon_id and key not in self.records:
+                self.records[key] = decode_departures(value)
+                departures += self.records[key]
         if departures:
-            self.dispatch(DeparturesListed(departures))
+            self.recorded.update(departures)
+            self.dispatch(DeparturesListed(tuple(departures)))
 
     def close(self) -> None:
         """Stop writing."""
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any
 
@@ -20,6 +21,7 @@
 from wagtailstep.utils.framing import FRAME_LENGTH
 
 UNANSWERED_CALL_S = 3_600.0
+LATE_APPEND_S = 4.0
 
 
 @attrs.define
@@ -50,6 +52,13 @@
         self.appended = asyncio.Event()
         return offset
 
+    def append_all(self, records: Sequence[bytes]) -> int:
+        """Append records and return the offset of the first one."""
+        offset = self.next_offset
+        for record in records:
+            self.append(record)
+        return offset
+
     def compact(self) -> None:
         """Drop all but the newest record of each key, and expire earlier offsets."""
         newest_records = {
@@ -66,12 +75,15 @@
     :param status: status of responses to calls, which then have no effect; 0 for none.
     :param silent: whether calls have no effect and get no response.
     :param lost_answers: number of next appends that take effect but get no response.
+    :param late_appends: number of next appends that get no response and take effect
+        ``LATE_APPEND_S`` later.
     :param truncated_answers: whether response bodies are truncated.
     """
 
     status: int = 0
     silent: bool = False
     lost_answers: int = 0
+    late_appends: int = 0
     truncated_answers: bool = False
 
 
@@ -156,9 +168,14 @@
     async def append(self, topic: Topic, query: dict[str, str], body: bytes) -> Any:
         """Append the records of a body, all or nothing."""
         self.on_append()
-        offset = topic.next_offset
-        for record in parse_records(bytes(READ_HEADER.size) + body):
-            topic.append(record)
+        records = list(parse_records(bytes(READ_HEADER.size) + body))
+        if self.faults.late_appends:
+            self.faults.late_appends -= 1
+            # Not awaited here, as the caller closes the connection before.
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_APPEND_S, topic.append_all, records)
+            await asyncio.sleep(UNANSWERED_CALL_S)
+        offset = topic.append_all(records)
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
             await asyncio.sleep(UNANSWERED_CALL_S)
