Acknowledge a departure only once it is recorded

Cause: the acknowledgement waited for the end of the write of the record, not for its success, for 0.5 s at most; a repeated message found no write under way and was acknowledged at once.

Change: the registration of a target knows whether the departure of its process is settled: recorded, or so old that no earlier announcement can arrive. The message of a leaving server waits for that for 0.8 s at most and gets 503 with Retry-After otherwise, at once if the write fails. Repeated messages repeat a failed write. Ready heartbeats are acknowledged as before, and the server gets no new work from its first message on.

The scenario 'its daemon is killed with the store away' expected a 200 for a departure that nothing had recorded. It is replaced by 'The other daemons remember a leave that couldn't be recorded', with the same kill, heartbeat and bound, counted from the refusal. The soak's daemons that recorded no departures now acknowledge them nevertheless; otherwise they would refuse every leave. The soak repeats leaves, kills all daemons at times, delays writes, and checks that a leave beside a sound daemon and store is acknowledged in time.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -28,6 +28,7 @@
     start_callers,
 )
 from benchmarks.soak.departures import (
+    find_ignored_leaves,
     find_late_work,
     leave_before_late_heartbeats,
     send_odd_heartbeats,
@@ -35,6 +36,7 @@
 from benchmarks.soak.fleet import (
     CRASHING_PREFIX,
     PAUSE_AFTER_CRASH_S,
+    STORE_HOST,
     Host,
     SoakFleet,
 )
@@ -117,12 +119,16 @@
 
 
 async def disrupt_store(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
-    """Make the store return errors, hang, or lose responses for a while."""
+    """Make the store return errors, hang, lose or delay responses for a while."""
     faults = fleet.store.faults
-    fault = rng.choice(("status", "silent", "lost_answers"))
-    setattr(faults, fault, {"status": 503, "silent": True, "lost_answers": 5}[fault])
+    values = {"status": 503, "silent": True, "lost_answers": 5, "late_appends": 5}
+    fault = rng.choice(list(values))
+    fleet.record_disruption(STORE_HOST)
+    setattr(faults, fault, values[fault])
     await asyncio.sleep(rng.uniform(1.0, 6.0))
-    faults.status, faults.silent, faults.lost_answers = 0, False, 0
+    faults.status = faults.lost_answers = faults.late_appends = 0
+    faults.silent = False
+    fleet.record_disruption(STORE_HOST)
 
 
 async def name_limits(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
@@ -173,10 +179,12 @@
     """
     fleet.store.back_up()
     await asyncio.sleep(rng.uniform(0.5, 4.0))
+    fleet.record_disruption(STORE_HOST)
     fleet.store.faults.status = 503
     await asyncio.sleep(rng.uniform(0.1, 1.0))
     fleet.store.restore()
     fleet.store.faults.status = 0
+    fleet.record_disruption(STORE_HOST)
     await asyncio.sleep(rng.uniform(0.0, 1.0))
     for _ in range(rng.randrange(3)):
         fleet.store.put("keyed.op", "other", b"x")
@@ -318,6 +326,7 @@
         result.violations += tables.find_violations()
         result.violations += find_suspect_violations(fleet, callers.outcomes)
         result.violations += find_late_work(fleet, callers.outcomes)
+        result.violations += find_ignored_leaves(fleet)
         result.violations += NoticeCheck(fleet, callers.outcomes).find_violations()
         result.violations += delays.find_violations()
         result.violations += floor.find_violations(callers.outcomes)
--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -5,7 +5,13 @@
 from collections.abc import Sequence
 
 from benchmarks.soak.callers import AttemptEnded
-from benchmarks.soak.fleet import DepartedServer, Host, SoakFleet
+from benchmarks.soak.fleet import (
+    STORE_HOST,
+    DepartedServer,
+    Disruption,
+    Host,
+    SoakFleet,
+)
 from wagtailstep.models.settings import RequestSettings
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.utils.clock import LoopClock
@@ -18,6 +24,11 @@
 # A backend server serves for this long after its departure.
 SERVES_ON_S = 7.0
 RESTART_SHARE = 0.7
+KILL_ALL_SHARE = 0.15
+DOWN_S = 0.9
+# The platform's bound on the time to an acknowledgement.
+ACK_S = 4.0
+LEAVE_INTERVAL_S = 1.0
 OPTIONAL_FIELDS = ("zone", "version", "warmup-left", "sequence", "born")
 
 
@@ -30,18 +41,10 @@
         return
     late = fleet.build_heartbeat(host, "ready")
     host.is_leaving = True
-    if rng.random() < 0.5:
-        status = await call(fleet, host, "DELETE", {})
-    else:
-        heartbeat = fleet.build_heartbeat(host, "draining")
-        status = await call(fleet, host, "PUT", heartbeat)
-    loop = asyncio.get_running_loop()
-    left_at_s = loop.time()
-    if status == 200:
-        fleet.departures.append(DepartedServer(left_at_s, backend))
+    left_at_s = await leave(fleet, host, rng.choice(("DELETE", "draining")))
     await asyncio.sleep(rng.uniform(0.0, 0.5))
-    if rng.random() < RESTART_SHARE:
-        await fleet.restart_daemon(host)
+    await restart_some(fleet, host, rng)
+    loop = asyncio.get_running_loop()
     delay_s = rng.uniform(0.5, MAX_HEARTBEAT_DELAY_S)
     await asyncio.sleep(max(0.0, left_at_s + delay_s - loop.time()))
     await call(fleet, host, "PUT", late)
@@ -50,6 +53,42 @@
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
+async def leave(fleet: SoakFleet, host: Host, kind: str) -> float:
+    """Let a server say that it leaves until that is acknowledged, or it gives up.
+
+    :param kind: ``DELETE`` or ``draining``.
+    :return: event loop time of the acknowledgement, or of the last call without one.
+    """
+    loop = asyncio.get_running_loop()
+    leaving_since_s = loop.time()
+    while True:
+        if kind == "DELETE":
+            status = await call(fleet, host, "DELETE", {})
+        else:
+            heartbeat = fleet.build_heartbeat(host, "draining")
+            status = await call(fleet, host, "PUT", heartbeat)
+        if status == 200:
+            fleet.departures.append(DepartedServer(loop.time(), host.backend))
+            return loop.time()
+        if loop.time() - leaving_since_s > ACK_S:
+            fleet.ignored_leaves.append(Disruption(leaving_since_s, host.name))
+            return loop.time()
+        await asyncio.sleep(LEAVE_INTERVAL_S)
+
+
+async def restart_some(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
+    """Restart the daemon of a host, or kill all daemons at once, or do neither."""
+    draw = rng.random()
+    if draw < RESTART_SHARE:
+        await fleet.restart_daemon(host)
+    elif draw < RESTART_SHARE + KILL_ALL_SHARE:
+        killed = [other for other in fleet.hosts if other.daemon is not None]
+        for other in killed:
+            fleet.power_off(other)
+        await asyncio.sleep(DOWN_S)
+        await asyncio.gather(*(fleet.restore_power(other) for other in killed))
+
+
 async def send_odd_heartbeats(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
     """Let another writer send heartbeats for a server, without some of the fields."""
     for _ in range(rng.randint(1, 4)):
@@ -100,6 +139,20 @@
     return violations
 
 
+def find_ignored_leaves(fleet: SoakFleet) -> list[str]:
+    """Return leaves without an acknowledgement beside a sound daemon and store."""
+    return [
+        f"the server beside {leave.host} that left at {leave.at_s:.1f} s had no "
+        f"acknowledgement after {ACK_S} s"
+        for leave in fleet.ignored_leaves
+        if not any(
+            disruption.host in (leave.host, STORE_HOST)
+            and -ACK_S <= leave.at_s - disruption.at_s < STABLE_S
+            for disruption in fleet.disruptions
+        )
+    ]
+
+
 def was_disturbed(fleet: SoakFleet, host: str, at_s: float) -> bool:
     """Return whether a daemon was started or cut off shortly before a time."""
     return any(
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -201,6 +201,8 @@
         self.crashes: list[ServerCrash] = []
         self.publications: list[Publication] = []
         self.departures: list[DepartedServer] = []
+        # Servers that said that they leave and got no acknowledgement, by host.
+        self.ignored_leaves: list[Disruption] = []
         # Names of the hosts that are cut off from the store.
         self.storeless: set[str] = set()
         # Names of the hosts that are partitioned from all others.
@@ -249,7 +251,7 @@
 
     async def run_daemon(self, host: Host) -> None:
         """Run a daemon until its host loses power."""
-        self.record_disruption(host)
+        self.record_disruption(host.name)
         host.starts += 1
         settings = build_settings(host, self.shutdown_notice_ms, self.bounds)
         host.daemon = SoakDaemon(settings, self.network)
@@ -350,10 +352,10 @@
             at_s = asyncio.get_running_loop().time()
             self.fault_changes.append(FaultChange(at_s, host.backend, faults))
 
-    def record_disruption(self, host: Host) -> None:
-        """Record that a host's daemon restarts or is partitioned."""
+    def record_disruption(self, host_name: str) -> None:
+        """Record that a daemon restarts or is partitioned, or that the store fails."""
         at_s = asyncio.get_running_loop().time()
-        self.disruptions.append(Disruption(at_s, host.name))
+        self.disruptions.append(Disruption(at_s, host_name))
 
     async def replace_backend(self, host: Host, pause_s: float) -> None:
         """End the backend server of a host and start its successor.
@@ -371,7 +373,7 @@
 
     def partition(self, host: Host) -> None:
         """Partition a host from all other hosts, but not from callers and the store."""
-        self.record_disruption(host)
+        self.record_disruption(host.name)
         self.partitioned.add(host.name)
         for other in self.hosts:
             if other is not host:
--- a/features/departures.feature
+++ b/features/departures.feature
@@ -13,9 +13,40 @@
       | DELETE   | its daemon is killed                      | 20    |
       | draining | its daemon is killed                      | 300   |
       | DELETE   | all daemons are killed                    | 20    |
-      | DELETE   | its daemon is killed with the store away  | 300   |
       | DELETE   | nothing happens                           | 200   |
 
+  # Guards against an acknowledgement that only processes remember: after a kill of all
+  # of them, a late heartbeat brought the server back.
+  Scenario Outline: A leave is acknowledged only once it is recorded
+    Given a fleet of daemons with a backend server each
+    When a server leaves by <call> <times> times while the store <trouble>
+    And all daemons are killed 300 ms after that, and the store is back
+    And a heartbeat that it sent before arrives 4600 ms after that
+    Then no leave was acknowledged that a daemon forgot
+
+    Examples:
+      | call     | times | trouble                 |
+      | DELETE   | 1     | refuses calls           |
+      | draining | 1     | refuses calls           |
+      | DELETE   | 3     | refuses calls           |
+      | draining | 3     | refuses calls           |
+      | DELETE   | 2     | gives no answers        |
+      | DELETE   | 2     | loses an answer         |
+      | DELETE   | 2     | applies a write late    |
+
+  Scenario Outline: A leave is acknowledged as soon as the store takes its record
+    Given a fleet of daemons with a backend server each
+    When a server leaves by <call> every 500 ms while the store <trouble> for 1600 ms
+    And all daemons are killed 300 ms after that, and the store is back
+    And a heartbeat that it sent before arrives 4600 ms after that
+    Then its leave was acknowledged 700 ms after the trouble at the latest
+    And no leave was acknowledged that a daemon forgot
+
+    Examples:
+      | call     | trouble       |
+      | DELETE   | refuses calls |
+      | draining | refuses calls |
+
   # Guards against a write without an answer that replaces a later one.
   Scenario: A write that the store applies late doesn't undo an acknowledged record
     Given a fleet of daemons with a backend server each
@@ -25,6 +56,13 @@
     Then no leave was acknowledged that a daemon forgot
     And its leave was acknowledged
 
+  Scenario: The other daemons remember a leave that couldn't be recorded
+    Given a fleet of daemons with a backend server each
+    When a server leaves by DELETE 1 times while the store gives no answers
+    And its daemon is killed 300 ms after that, and the store is back
+    And a heartbeat that it sent before arrives 4000 ms after that
+    Then no daemon offers it from 2000 ms after the last answer on
+
   Scenario: A new process of a server that has left is offered as soon as before
     Given a fleet of daemons with a backend server each
     When a server leaves by DELETE and its daemon is killed 200 ms after the acknowledgement
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -52,9 +52,10 @@
       | departure                 | 71   |
       | departure, odd-heartbeats | 72   |
       | odd-heartbeats, table     | 73   |
+      | departure, store          | 74   |
 
   Scenario: A fleet whose daemons forget departures when they restart is detected
-    Given daemons that record no departures
+    Given daemons that acknowledge departures without a record
     When a soak test with the faults "departure" runs with seed 71
     Then it finds a broken guarantee whose description contains "after its departure"
 
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -157,8 +157,6 @@
                 DOWN_S + SLOW_STORE_S, setattr, faults, "silent", False
             )
         await self.kill(hosts)
-        if kind.endswith("store away"):
-            faults.silent = False
 
     def choose_hosts(self, disruption):
         return self.fleet.hosts if disruption.startswith("all") else [self.host]
@@ -193,7 +191,6 @@
     run = context.run
 
     async def step():
-        run.fleet.store.faults.silent = disruption.endswith("store away")
         await run.leave(call)
         await asyncio.sleep(delay / 1_000)
         await run.disrupt(disruption)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -88,11 +88,13 @@
     context.add_cleanup(patch.stop)
 
 
-@given("daemons that record no departures")
+@given("daemons that acknowledge departures without a record")
 def forget_departures(context):
-    patch = mock.patch.object(
-        AnnouncementController, "_record_departure", lambda self, target_id: []
-    )
+    def settle(self, target_id):
+        self.registrations[target_id].departure_settled = True
+        return []
+
+    patch = mock.patch.object(AnnouncementController, "_record_departure", settle)
     patch.start()
     context.add_cleanup(patch.stop)
 
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -61,12 +61,15 @@
     :param born: when its process started, as in ``TargetAnnounced.born``.
     :param sequence: number of the announcement.
     :param has_departed: whether that process has announced that it leaves.
+    :param departure_settled: whether its departure is recorded, or no announcement
+        from before can arrive any more.
     :param expires_at: monotonic time when it is removed; ``None`` for never.
     """
 
     born: int = 0
     sequence: int = 0
     has_departed: bool = False
+    departure_settled: bool = False
     expires_at: timedelta | None = None
 
     def apply_announcement(self, born: int, sequence: int) -> bool:
@@ -77,7 +80,8 @@
         if born and born < self.born:
             return False
         if born > self.born:
-            self.born, self.sequence, self.has_departed = born, sequence, False
+            self.born, self.sequence = born, sequence
+            self.has_departed = self.departure_settled = False
             self.expires_at = None
             return True
         if sequence and sequence <= self.sequence:
@@ -119,22 +123,23 @@
     @handle.register
     def _(self, event: TargetAnnounced) -> list[Any]:
         target_id = event.target.target_id
+        is_leaving = event.target.state is TargetState.LEAVING
         if not self._register(event):
-            return []
-        if event.target.state is TargetState.LEAVING:
+            return self._repeat_save(event) if is_leaving else []
+        if is_leaving:
             return self._withdraw(target_id, "announced")
         known = self.blackboard.targets.get(target_id)
         lease = self.leases.get(target_id)
-        is_leaving = lease is not None and lease.leaving_since is not None
+        was_leaving = lease is not None and lease.leaving_since is not None
         is_replaced = known is not None and event.process_started > (
             known.process_started
         )
-        if is_leaving and (
+        if was_leaving and (
             self.blackboard.draining or (lease.said_leaving and not is_replaced)
         ):
             # It leaves because this daemon drains, or announces although it leaves.
             return []
-        is_renewal = lease is not None and not is_leaving
+        is_renewal = lease is not None and not was_leaving
         self.leases[target_id] = LocalLease(self.clock.monotonic())
         if is_renewal and known is not None:
             same_process = known.process_started == event.process_started
@@ -204,11 +209,7 @@
 
     @handle.register
     def _(self, event: InstanceWithdrawn) -> list[Any]:
-        names = [
-            name
-            for name in self.registrations
-            if name.partition("/")[2] == event.instance_id
-        ]
+        names = self._find_registered(event.instance_id)
         if not names:
             # It was announced to an earlier process of this daemon. Reject its earlier
             # announcements if they still arrive.
@@ -235,20 +236,63 @@
         registration = self.registrations.get(target_id)
         if registration is None:
             return self._start_leaving(target_id, reason)
-        is_new = not registration.has_departed
         registration.has_departed = True
-        effects = self._start_leaving(target_id, reason)
-        return effects + self._record_departure(target_id) if is_new else effects
+        return self._start_leaving(target_id, reason) + self._record_departure(
+            target_id
+        )
 
     def _record_departure(self, target_id: str) -> list[Any]:
-        process_started = self.registrations[target_id].born
-        if not process_started:
+        registration = self.registrations[target_id]
+        if not registration.born:
             # Nothing tells its announcements from those of a later process.
+            registration.departure_settled = True
+        if registration.departure_settled:
             return []
-        return self.departures.add_and_save(Departure(target_id, process_started))
+        return self.departures.add_and_save(Departure(target_id, registration.born))
+
+    def _repeat_save(self, event: TargetAnnounced) -> list[Any]:
+        """Save the departure again of a process that still announces that it leaves."""
+        target_id = event.target.target_id
+        registration = self.registrations.get(target_id, Registration())
+        is_same = registration.born == event.process_started
+        if not is_same or not registration.has_departed:
+            return []
+        return self._record_departure(target_id)
+
+    def is_departure_settled(self, instance_id: str) -> bool:
+        """Return whether the departures of a backend server may be acknowledged.
+
+        That is so once they are recorded, or after ``MAX_ANNOUNCEMENT_DELAY``.
+
+        :param instance_id: target identifier without the service.
+        """
+        registrations = [
+            self.registrations[name] for name in self._find_registered(instance_id)
+        ]
+        return bool(registrations) and all(
+            registration.departure_settled
+            for registration in registrations
+            if registration.has_departed
+        )
+
+    def _find_registered(self, instance_id: str) -> list[str]:
+        """Return the targets that a backend server was announced as."""
+        return [
+            name for name in self.registrations if name.partition("/")[2] == instance_id
+        ]
+
+    def _settle(self, departures: Iterable[Departure]) -> None:
+        for departure in departures:
+            registration = self.registrations.get(departure.target_id)
+            is_same = registration is not None and (
+                registration.born == departure.process_started
+            )
+            if is_same and registration.has_departed:
+                registration.departure_settled = True
 
     @handle.register
     def _(self, event: DeparturesSaved) -> list[Any]:
+        self._settle(event.recorded)
         if not event.succeeded:
             self.departures.schedule_save(SAVE_RETRY_INTERVAL)
         return []
@@ -257,7 +301,9 @@
     def _(self, event: DeparturesListed) -> list[Any]:
         # Removes the records of those that don't count here.
         self.departures.schedule_save(MAX_ANNOUNCEMENT_DELAY)
-        return self._restore_departures(event.departures)
+        effects = self._restore_departures(event.departures)
+        self._settle(event.departures)
+        return effects
 
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
@@ -278,6 +324,7 @@
                 continue
             registration.born = departure.process_started
             registration.has_departed = True
+            registration.departure_settled = False
             registration.expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
             self.departures.add(departure)
             effects += self._start_leaving(name, "departed-before")
@@ -286,7 +333,7 @@
     @handle.register
     def _(self, event: Tick) -> list[Any]:
         self._expire_registrations()
-        self.departures.expire()
+        self._settle(self.departures.expire())
         effects = self.departures.save_if_due()
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
--- a/src/wagtailstep/network/departure_store.py
+++ b/src/wagtailstep/network/departure_store.py
@@ -27,9 +27,8 @@
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
-# An acknowledgement must arrive within a second; a store that takes longer than this
-# does not delay it further.
-MAX_SAVE_TIME = timedelta(milliseconds=500)
+# An acknowledgement must arrive within a second.
+MAX_RECORD_TIME = timedelta(milliseconds=800)
 READ_RETRY_INTERVAL = timedelta(seconds=1)
 
 
@@ -67,6 +66,7 @@
         # Departures whose records the store has acknowledged.
         self.recorded: set[Departure] = set()
         self.writing: asyncio.Task[None] | None = None
+        self.call_ended = asyncio.Event()
 
     def save(self, effect: SaveDepartures) -> None:
         """Write missing records and remove those that are no longer wanted."""
@@ -92,6 +92,8 @@
             else:
                 self.complete_change(key, departures)
             self.dispatch(DeparturesSaved(frozenset(self.recorded), succeeded))
+            self.call_ended.set()
+            self.call_ended = asyncio.Event()
 
     def choose_change(self) -> tuple[str, tuple[Departure, ...]] | None:
         """Return the next record to write, with its key; an empty one is removed.
@@ -122,10 +124,21 @@
         else:
             self.recorded.difference_update(self.records.pop(key))
 
-    async def wait_until_saved(self) -> None:
-        """Wait until the write under way has ended, for a limited time."""
-        if self.writing is not None and not self.writing.done():
-            await asyncio.wait({self.writing}, timeout=MAX_SAVE_TIME.total_seconds())
+    async def wait_until(self, is_settled: Callable[[], bool]) -> bool:
+        """Wait for writes until a condition holds, for ``MAX_RECORD_TIME`` at most.
+
+        :param is_settled: whether all departures that matter are recorded.
+        :return: the condition; ``False`` as soon as a write has failed.
+        """
+        ends_at = self.clock.monotonic() + MAX_RECORD_TIME
+        while not is_settled():
+            time_left = (ends_at - self.clock.monotonic()).total_seconds()
+            if self.writing is None or self.writing.done() or time_left <= 0:
+                return False
+            ended = asyncio.ensure_future(self.call_ended.wait())
+            await asyncio.wait({ended, self.writing}, timeout=time_left)
+            ended.cancel()
+        return True
 
     async def read(self) -> None:
         """Read what an earlier process recorded, while late announcements may come."""
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -45,10 +45,11 @@
         """
         parts = (self.settings, self.blackboard, self.clock, self.rng)
         self.table = PublishedTableController(*parts, build_table)
+        self.announcements = AnnouncementController(*parts)
         return (
             self.table,
             MembershipController(*parts),
-            AnnouncementController(*parts),
+            self.announcements,
             DisseminationController(*parts),
             ServerNoticesController(*parts),
             CrashSuspects(*parts),
@@ -66,7 +67,16 @@
             self.runtime.dispatch,
             self.settings,
             self.clock,
-            self.departure_store.wait_until_saved,
+            self.wait_until_settled,
+        )
+
+    async def wait_until_settled(self, instance_id: str) -> bool:
+        """Wait for a limited time until a departure may be acknowledged.
+
+        :return: whether it may.
+        """
+        return await self.departure_store.wait_until(
+            lambda: self.announcements.is_departure_settled(instance_id)
         )
 
     async def start(self) -> None:
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -14,7 +14,7 @@
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.announcements import check_address, check_slots
-from wagtailstep.utils.callbacks import return_at_once
+from wagtailstep.utils.callbacks import return_true
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.durations import parse_duration
@@ -31,6 +31,7 @@
 # hide all that start before that time.
 MAX_CLOCK_ERROR = timedelta(minutes=1)
 MILLISECOND = timedelta(milliseconds=1)
+REFUSAL_RETRY_S = 1
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
 
@@ -60,7 +61,8 @@
     :param dispatch: called with each event.
     :param settings: settings of the daemon.
     :param clock: clock for the time of a withdrawal.
-    :param wait_until_saved: waits until a departure is recorded.
+    :param wait_until_settled: waits for a limited time until the departure of an
+        instance is recorded; returns whether it is.
     """
 
     def __init__(
@@ -68,10 +70,10 @@
         dispatch: Callable[[Any], None],
         settings: DaemonSettings,
         clock: Clock,
-        wait_until_saved: Callable[[], Awaitable[None]] = return_at_once,
+        wait_until_settled: Callable[[str], Awaitable[bool]] = return_true,
     ) -> None:
         self.dispatch = dispatch
-        self.wait_until_saved = wait_until_saved
+        self.wait_until_settled = wait_until_settled
         self.settings = settings
         self.clock = clock
 
@@ -85,13 +87,25 @@
                 LOGGER, "heartbeat-refused", instance=instance_id[:64], error=error
             )
             return Response(400)
-        return await self.acknowledge(event)
-
-    async def acknowledge(self, event: TargetAnnounced | InstanceWithdrawn) -> Response:
-        """Dispatch an event and answer once a departure that it reports is recorded."""
         self.dispatch(event)
-        await self.wait_until_saved()
-        return Response(200, None, Content(b"application/json", b"{}"))
+        if event.target.state is TargetState.LEAVING:
+            return await self.acknowledge_departure(instance_id)
+        return build_acknowledgement()
+
+    async def acknowledge_departure(self, instance_id: str) -> Response:
+        """Answer the message of a backend server that leaves.
+
+        It isn't acknowledged before its departure is recorded, since otherwise this
+        daemon's next process could offer it again. Without an acknowledgement it gets
+        no new work either. A refusal is limited to the time for which the store
+        doesn't take the record and to ``MAX_ANNOUNCEMENT_DELAY``.
+        """
+        if await self.wait_until_settled(instance_id):
+            return build_acknowledgement()
+        log_event(LOGGER, "departure-not-acknowledged", instance=instance_id)
+        response = Response(503)
+        response.add_header(b"retry-after", str(REFUSAL_RETRY_S).encode())
+        return response
 
     def parse_heartbeat(self, instance_id: str, body: bytes) -> TargetAnnounced:
         """Convert the body of a heartbeat into an announcement.
@@ -131,22 +145,28 @@
         event = InstanceWithdrawn(
             instance_id, self.settings.service, self.get_unix_ms()
         )
-        return await self.acknowledge(event)
+        self.dispatch(event)
+        return await self.acknowledge_departure(instance_id)
 
     def get_unix_ms(self) -> int:
         """Return the time in the unit and epoch of ``born`` of a heartbeat."""
         return int(self.clock.utc().timestamp() * 1_000)
 
 
+def build_acknowledgement() -> Response:
+    """Return the response that acknowledges a message of a backend server."""
+    return Response(200, None, Content(b"application/json", b"{}"))
+
+
 def add_heartbeat_routes(
     app: Application,
     dispatch: Callable[[Any], None],
     settings: DaemonSettings,
     clock: Clock,
-    wait_until_saved: Callable[[], Awaitable[None]],
+    wait_until_settled: Callable[[str], Awaitable[bool]],
 ) -> None:
     """Add the routes for heartbeats to an application."""
-    handler = HeartbeatHandler(dispatch, settings, clock, wait_until_saved)
+    handler = HeartbeatHandler(dispatch, settings, clock, wait_until_settled)
 
     # The router sets attributes on its handlers, which only works for functions.
     async def handle_heartbeat(request: Request) -> Response:
--- a/src/wagtailstep/utils/callbacks.py
+++ b/src/wagtailstep/utils/callbacks.py
@@ -14,5 +14,6 @@
         task.exception()
 
 
-async def return_at_once(*_: Any) -> None:
-    """Accept any arguments and wait for nothing."""
+async def return_true(*_: Any) -> bool:
+    """Accept any arguments and return ``True``."""
+    return True
