End an answer without length only once its request is written

Callers saw: a part of an answer as a complete 200, when a backend server answered an upload early, without a length, and closed its socket while the upload was being written.

Cause: a closed socket first sends its end, and a reset only in reply to the next bytes of the upload. The gate took the first for the end of the answer.

Change: the end of an answer below 400 that is the end of its connection waits until the request is written, up to its deadline; if the server has reset the connection by then, the answer is broken off. Parts of the body are passed on as they come, early rejections end at once as before.

--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -25,6 +25,7 @@
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.gate_answers import assess_work
 from wagtailstep.network.http_client import HttpClient
+from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import LoopClock
 
@@ -93,7 +94,7 @@
         writer.close()
 
 
-async def send(gate, name):
+async def send(gate, name, headers=(), body=None):
     """Send a request through the gate and return its outcome."""
     headers = (
         ("host", "a.test"),
@@ -102,8 +103,10 @@
         ("wagtailstep-idempotent", "?0"),
         ("wagtailstep-caller-service", "portal"),
         ("wagtailstep-timeout-ms", str(TIME_LEFT_MS)),
+        *headers,
     )
-    incoming = IncomingRequest("POST", "/sign/", headers, yield_body(b""))
+    body = yield_body(b"") if body is None else body
+    incoming = IncomingRequest("POST", "/sign/", headers, body)
     try:
         answer = await gate.handle(incoming)
         data = b"".join([chunk async for chunk in answer.body])
@@ -120,15 +123,86 @@
     assert length in (None, str(len(data))), (length, data)
 
 
-def create_gate(client, clock):
+def create_gate(client, clock, address=ADDRESS):
     board = Blackboard(Member("d1", 1, "", "", "bole"))
     board.targets["contracts/i-1"] = Target(
-        "contracts/i-1", "contracts", "d1", "bole", address=ADDRESS
+        "contracts/i-1", "contracts", "d1", "bole", address=address
     )
     controller = GateController(SETTINGS, board, clock, random.Random(1))
     return GateService(SETTINGS, controller, client, clock)
 
 
+HEADS = {
+    "answers 200": "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\n\r\npart",
+    "answers 200 in chunks": (
+        "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
+    ),
+    "answers 413": (
+        "HTTP/1.1 413 Too Large\r\nWagtailstep-Request-Id: two\r\n\r\npart"
+    ),
+}
+UPLOAD_CHUNKS = 30
+UPLOAD_CHUNK = b"u" * 4_096
+UPLOAD_END = b"0\r\n\r\n"
+
+
+class EarlyTarget:
+    """Answers an upload within it and ends the connection in a given way."""
+
+    def __init__(self, answer, end):
+        self.answer = answer
+        self.end = end
+
+    async def serve(self, reader, writer):
+        if self.answer.endswith("after it"):
+            data = b""
+            while not data.endswith(UPLOAD_END):
+                data += await reader.read(len(UPLOAD_CHUNK))
+        else:
+            await reader.readuntil(UPLOAD_CHUNK)
+        writer.write(HEADS[self.answer.removesuffix(" after it")].encode())
+        await writer.drain()
+        if self.end == "closes its socket late":
+            await asyncio.sleep(0.05)
+        if self.end == "ends its side and reads on":
+            writer.write_eof()
+            await reader.read()
+        elif self.end == "resets the connection":
+            reset_transport(writer.transport)
+        writer.close()
+
+
+async def yield_upload():
+    for _ in range(UPLOAD_CHUNKS):
+        yield UPLOAD_CHUNK
+        await asyncio.sleep(0.005)
+
+
+@when("the backend server {answer} while an upload is being sent, and {end}")
+def answer_within_upload(context, answer, end):
+    async def main():
+        clock = LoopClock()
+        client = HttpClient(SETTINGS.requests, clock)
+        target = EarlyTarget(answer, end)
+        server = await start_scripted_server(target.serve, "127.0.0.1", 0)
+        _, port = server.sockets[0].getsockname()
+        gate = create_gate(client, clock, f"127.0.0.1:{port}")
+        context.outcome = await send(
+            gate, "two", (("transfer-encoding", "chunked"),), yield_upload()
+        )
+        client.close()
+        server.close()
+
+    # Resets need real sockets.
+    asyncio.run(main())
+
+
+@then('the upload ends as "{outcome}"')
+def check_upload(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
 class CancelledClient:
     """Awaits what somebody else cancels."""
 
@@ -160,7 +234,11 @@
 
 @when('the backend server answers with "{answer}"')
 def answer_request(context, answer):
-    context.target = ScriptedTarget(ANSWERS[answer])
+    play_answer(context, ANSWERS[answer])
+
+
+def play_answer(context, answer):
+    context.target = ScriptedTarget(answer)
 
     async def main():
         clock = LoopClock()
--- a/features/target_answers.feature
+++ b/features/target_answers.feature
@@ -22,6 +22,22 @@
       | a length beside chunks       | 200 two                         |
       | bytes that are no answer     | connection-failed may-have-run  |
 
+  # Guards against a part of an answer that looks whole: a socket that is closed within an
+  # upload ends the answer like a server that has only ended its side.
+  Scenario Outline: An answer without length that ends within an upload is not whole
+    When the backend server <answers> while an upload is being sent, and <end>
+    Then the upload ends as "<outcome>"
+
+    Examples:
+      | answers                 | end                           | outcome                       |
+      | answers 200             | closes its socket             | truncated-answer may-have-run |
+      | answers 200             | resets the connection         | truncated-answer may-have-run |
+      | answers 200             | closes its socket late        | truncated-answer may-have-run |
+      | answers 200             | ends its side and reads on    | 200 part                      |
+      | answers 200 in chunks   | closes its socket             | 200 part                      |
+      | answers 413             | closes its socket             | 413 part                      |
+      | answers 200 after it    | closes its socket             | 200 part                      |
+
   Scenario: Every attempt carries the time left, the instance and the caller's service
     When the backend server answers with "its own answer"
     Then it received the headers
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
+from http import HTTPStatus
 
 import h11
 
@@ -51,14 +52,20 @@
     :param client: client whose pool the connection is released to.
     :param connection: connection that the body is read from.
     :param deadline: limits each read of the body.
+    :param status: status of the response.
     """
 
     def __init__(
-        self, client: "HttpClient", connection: HttpConnection, deadline: Deadline
+        self,
+        client: "HttpClient",
+        connection: HttpConnection,
+        deadline: Deadline,
+        status: int,
     ) -> None:
         self.client = client
         self.connection = connection
         self.deadline = deadline
+        self.status = status
         self.ended = False
         self.complete = False
         self.failed = False
@@ -82,12 +89,23 @@
         self.client.release(self.connection)
         raise StopAsyncIteration
 
+    @property
+    def needs_confirmation(self) -> bool:
+        """Return whether the end of the connection may have cut the response short.
+
+        An early rejection is passed on at once: the rest of the request is not wanted.
+        """
+        return self.status < HTTPStatus.BAD_REQUEST and self.connection.ends_with_close
+
     async def read_event(self) -> h11.Event:
         """Read one event; close the connection on failure."""
         address = self.connection.address
         try:
             async with self.deadline:
-                return await self.connection.read_event()
+                event = await self.connection.read_event()
+                if isinstance(event, h11.EndOfMessage) and self.needs_confirmation:
+                    await self.connection.confirm_close()
+                return event
         except TimeoutError as error:
             await self.close()
             self.failed = True
@@ -161,7 +179,7 @@
         finally:
             if watch is not None:
                 watch.stop()
-        body = ResponseBody(self, connection, deadline)
+        body = ResponseBody(self, connection, deadline, head.status_code)
         all_headers = decode_headers(head.headers)
         connection.keep_alive = read_keep_alive(all_headers)
         headers = remove_hop_by_hop(all_headers)
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -22,6 +22,8 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_SKIPPED_BYTES = 1_048_576
 CONTINUE = 100
+# Time for the reset that follows bytes sent to a closed socket.
+RESET_DELAY = timedelta(milliseconds=20)
 LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
 
@@ -312,6 +314,43 @@
         if error is not None and not isinstance(error, OSError):
             raise error
 
+    @property
+    def ends_with_close(self) -> bool:
+        """Return whether the end of the connection is the end of the response."""
+        return self.state.trailing_data[1]
+
+    async def confirm_close(self) -> None:
+        """Wait until a server that has ended its side has received the whole request.
+
+        If it closed the connection instead, the response that ends so may be a part of
+        one: the rest of the request is answered with a reset.
+
+        :raises OSError: if the request can't be written.
+        :raises RequestError: if the body of the request ended early.
+        """
+        sender = self.body_sender
+        if sender is None:
+            return
+        is_sending = not sender.done()
+        await asyncio.wait({sender})
+        sender.result()
+        self.writer.transport.set_write_buffer_limits(0)
+        await self.writer.drain()
+        if is_sending:
+            await asyncio.sleep(RESET_DELAY.total_seconds())
+        if self.is_reset:
+            raise ConnectionResetError("the server closed it within the request")
+
+    @property
+    def is_reset(self) -> bool:
+        """Return whether the server has reset the connection."""
+        sock = self.writer.get_extra_info("socket")
+        if sock is None or sock.fileno() < 0:
+            return True
+        poller = select.poll()
+        poller.register(sock, 0)
+        return bool(poller.poll(0))
+
     def finish_exchange(self, now: timedelta) -> bool:
         """Prepare for the next request after a complete response.
 
