Reject statuses above 599 from backend servers

Callers could see an answer whose status HTTP doesn't define.

Cause: the HTTP parser takes any three digits from 200 on; other status lines are errors.

Change: a head with a status above 599 counts as a failed connection.

Result: of the 13 new rows two (600 and 999) ended as '600 two' and '999 two' before and end as 'connection-failed may-have-run' now; 000, 001, 099, 101, 20, 2000, 0200, -20, +20, 2e2 and none held before.

--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -232,6 +232,12 @@
     assert not context.gate.start_times, context.gate.start_times
 
 
+@when('the backend server answers with the status "{status}"')
+def answer_with_status(context, status):
+    code = "" if status == "none" else f" {status}"
+    play_answer(context, OWN_ANSWER.replace(" 200 OK", code, 1))
+
+
 @when('the backend server answers with "{answer}"')
 def answer_request(context, answer):
     play_answer(context, ANSWERS[answer])
--- a/features/target_answers.feature
+++ b/features/target_answers.feature
@@ -38,6 +38,27 @@
       | answers 413             | closes its socket             | 413 part                      |
       | answers 200 after it    | closes its socket             | 200 part                      |
 
+  # Guards against an answer whose status is none, passed on as an answer.
+  Scenario Outline: A status line that HTTP doesn't know is no answer
+    When the backend server answers with the status "<status>"
+    Then request 2 ends as "connection-failed may-have-run"
+
+    Examples:
+      | status |
+      | 000    |
+      | 001    |
+      | 099    |
+      | 101    |
+      | 600    |
+      | 999    |
+      | 20     |
+      | 2000   |
+      | 0200   |
+      | -20    |
+      | +20    |
+      | 2e2    |
+      | none   |
+
   Scenario: Every attempt carries the time left, the instance and the caller's service
     When the backend server answers with "its own answer"
     Then it received the headers
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -22,6 +22,7 @@
 MAX_INTERIM_RESPONSES = 32
 MAX_SKIPPED_BYTES = 1_048_576
 CONTINUE = 100
+MAX_STATUS = 599
 # Time for the reset that follows bytes sent to a closed socket.
 RESET_DELAY = timedelta(milliseconds=20)
 LINGER_AND_RESET = struct.pack("ii", 1, 0)
@@ -228,12 +229,15 @@
     def require_head(self, event: h11.Event) -> h11.Response:
         """Return the event if it is the head of a response.
 
-        :raises ConnectionResetError: if the server closed the connection instead.
+        :raises ConnectionResetError: if the server closed the connection instead, or
+            sent a status that HTTP doesn't define.
         """
         if not isinstance(event, h11.Response):
             raise ConnectionResetError(
                 "the server closed the connection without a response"
             )
+        if event.status_code > MAX_STATUS:
+            raise ConnectionResetError(f"the server sent status {event.status_code}")
         return event
 
     async def exchange_heads(self, request: HttpRequest) -> h11.Response:
