Limit the size of responses that a platform service sends

Cause: the store's responses were collected without a limit for as long as the call may take, some 20 s for a read that waits. A faulty service could fill the memory of each daemon that reads from it.

Change: a response of more than 8 MiB is given up and counts as unavailable. Heads were limited before, as are messages between daemons; answers of backend servers and of other gates are passed on in pieces.

--- a/features/endless_bytes.feature
+++ b/features/endless_bytes.feature
@@ -26,3 +26,16 @@
     Given gates whose backend servers fail with a body without end
     When 2 idempotent requests look for a slot one at a time
     Then each was sent twice within 500 ms
+
+  # Guards against a daemon that keeps them all until it runs out of memory.
+  Scenario Outline: A response without end of a platform service is given up
+    When a platform service answers a read with <bytes>, and goes on until it is closed
+    Then the read fails
+    And the service is closed after at most 9000 KiB
+
+    Examples:
+      | bytes                        |
+      | a head line without end      |
+      | header lines without end     |
+      | a body without length or end |
+      | chunks without end           |
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -15,17 +15,20 @@
     create_gate,
 )
 
-from wagtailstep.exceptions import RequestError
+from wagtailstep.exceptions import LogUnavailableError, RequestError
 from wagtailstep.models.exchange import Answer, IncomingRequest
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.problems import yield_body
+from wagtailstep.network.service_client import ServiceClient
 from wagtailstep.utils.clock import LoopClock
 
 # About 4 MB a second of virtual time.
 PIECE_BYTES = 4_096
 PIECE_INTERVAL_S = 0.001
 KIB = 1_024
+CONNECT_TIMEOUT = timedelta(seconds=1)
+READ_TIMEOUT = timedelta(seconds=20)
 HEAD = "HTTP/1.1 200 OK\r\nWagtailstep-Request-Id: two\r\n"
 CHUNK = b"1000\r\n" + b"x" * 4_096 + b"\r\n"
 # The first bytes, and what follows without end.
@@ -139,6 +142,38 @@
     detangle.run(main, seed=1)
 
 
+@when("a platform service answers a read with {name}, and goes on until it is closed")
+def answer_read_without_end(context, name):
+    async def main():
+        client = ServiceClient(
+            "the service", ADDRESS, timedelta(seconds=1), LoopClock()
+        )
+        context.server = EndlessServer(*ENDLESS[name])
+        host, _, port = ADDRESS.rpartition(":")
+        server = await start_scripted_server(context.server.serve, host, int(port))
+        await client.read("/one", READ_TIMEOUT)
+        context.error = None
+        try:
+            await client.read("/two", READ_TIMEOUT)
+        except LogUnavailableError as error:
+            context.error = error
+        await asyncio.wait_for(context.server.closed.wait(), 30)
+        client.close()
+        server.close()
+
+    detangle.run(main, seed=1)
+
+
+@then("the read fails")
+def check_read_failed(context):
+    assert context.error is not None
+
+
+@then("the service is closed after at most {size:d} KiB")
+def check_sent(context, size):
+    assert context.server.sent_bytes <= size * KIB, context.server.sent_bytes
+
+
 @when("the backend server sends an answer of {count:d} parts in {time_ms:d} ms")
 def answer_slowly(context, count, time_ms):
     async def serve(reader, writer):
--- a/src/wagtailstep/network/bodies.py
+++ b/src/wagtailstep/network/bodies.py
@@ -258,13 +258,23 @@
         yield chunk
 
 
-async def read_complete_body(answer: Answer) -> bytes:
+async def read_complete_body(answer: Answer, max_bytes: int | None = None) -> bytes:
     """Return the complete body of a response; close the response in any case.
 
-    :raises TruncatedAnswerError: if the body ends early.
+    :param max_bytes: size from which on the response is given up; ``None`` for none.
+    :raises TruncatedAnswerError: if the body ends early or is too long.
     """
+    chunks: list[bytes] = []
+    size = 0
     try:
-        return b"".join([chunk async for chunk in answer.body])
+        async for chunk in answer.body:
+            chunks.append(chunk)
+            size += len(chunk)
+            if max_bytes is not None and size > max_bytes:
+                raise TruncatedAnswerError(
+                    f"the body has more than {max_bytes} bytes; the rest is not read"
+                )
+        return b"".join(chunks)
     finally:
         await answer.close()
 
--- a/src/wagtailstep/network/service_client.py
+++ b/src/wagtailstep/network/service_client.py
@@ -27,6 +27,8 @@
 
 # Below the usual idle timeout of servers, so that few calls hit a closed connection.
 MAX_IDLE_MS = 2_000
+# Far more than a page of records, and little enough for the smallest instances.
+MAX_REPLY_BYTES = 8 * 1_048_576
 
 _T = TypeVar("_T")
 
@@ -98,7 +100,7 @@
         )
         try:
             answer = await self.client.send(request)
-            content = await read_complete_body(answer)
+            content = await read_complete_body(answer, MAX_REPLY_BYTES)
             reply = HttpReply(answer.status, content, answer.headers)
         except RequestError as error:
             self.on_end(error.reason)
