Stop reading heartbeats and announcements that are too long

Cause: the whole body of a heartbeat was read before it was checked, and that of an announcement before its length was. A faulty process beside the daemon could fill its memory.

Change: both are read in pieces up to a limit, 64 KiB and 4 KiB. The steps of announcements send their bodies in pieces, as the server does.

Result: the new row with 80,000 KiB was read to its end before and is answered with 400 after 68 KiB now.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -35,6 +35,16 @@
       | a zone of 5                    | 400    |
       | a version of 1                 | 400    |
 
+  # Guards against a local process that fills the daemon's memory.
+  Scenario Outline: A heartbeat that is too long is not read to its end
+    When a heartbeat of <size> KiB arrives
+    Then it is answered with <status> after at most <read> KiB
+
+    Examples:
+      | size  | status | read |
+      | 2     | 200    | 4    |
+      | 80000 | 400    | 72   |
+
   Scenario Outline: Whatever the bytes, a reader returns a value or raises its error
     Then 300 inputs, and deeply nested ones, raise only typed errors in the reader of <what>
 
--- a/features/steps/announcements_steps.py
+++ b/features/steps/announcements_steps.py
@@ -1,13 +1,15 @@
 """Steps for announcements of backend servers."""
 
 import asyncio
+import functools
 import json
 import logging
 import random
 from datetime import timedelta
 
 from behave import given, then, when
-from blacksheep import Application, Content, Request, Router
+from blacksheep import Application, Request, Router
+from blacksheep.contents import StreamedContent
 
 from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.models.blackboard import Blackboard
@@ -15,6 +17,7 @@
 from wagtailstep.models.fleet import Member, Target
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.announcements import LOGGER, add_announcement_routes
+from wagtailstep.network.problems import yield_body
 from wagtailstep.utils.clock import ManualClock
 
 SETTINGS = DaemonSettings(
@@ -99,7 +102,9 @@
 def send_request(context, method, path, body):
     request = Request(method, path.encode(), [])
     if body != "nothing":
-        request = request.with_content(Content(b"application/json", body.encode()))
+        provider = functools.partial(yield_body, body.encode())
+        content = StreamedContent(b"application/json", provider)
+        request = request.with_content(content)
     context.response = asyncio.run(context.app.handle(request))
 
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -65,15 +65,23 @@
 }
 
 
+KIB = 1_024
+PIECE_BYTES = 4_096
+
+
 class FakeRequest:
     """What the handler reads of a request."""
 
     def __init__(self, instance_id, body):
         self.route_values = {"id": instance_id}
         self.body = body
+        self.read_bytes = 0
 
-    async def read(self):
-        return self.body
+    async def stream(self):
+        for start in range(0, len(self.body), PIECE_BYTES):
+            piece = self.body[start : start + PIECE_BYTES]
+            self.read_bytes += len(piece)
+            yield piece
 
 
 def build_body(**changes):
@@ -125,6 +133,20 @@
     context.statuses = asyncio.run(main())
 
 
+@when("a heartbeat of {size:d} KiB arrives")
+def send_long(context, size):
+    context.request = FakeRequest("i-1", b" " * size * KIB + build_body())
+    handler = create_handler([])
+    response = asyncio.run(handler.handle_heartbeat(context.request))
+    context.status = response.status
+
+
+@then("it is answered with {status:d} after at most {size:d} KiB")
+def check_read(context, status, size):
+    assert context.status == status, context.status
+    assert context.request.read_bytes <= size * KIB, context.request.read_bytes
+
+
 @then("the odd one is answered with {odd:d}, the good one with {good:d}")
 def check_statuses(context, odd, good):
     assert context.statuses == [odd, good], context.statuses
--- a/src/wagtailstep/network/announcements.py
+++ b/src/wagtailstep/network/announcements.py
@@ -63,7 +63,9 @@
         """Handle ``PUT /v1/targets/{service}``: register or renew a target."""
         try:
             service = parse_service(request)
-            announcement = parse_announcement(await request.read())
+            announcement = parse_announcement(
+                await read_limited_body(request, MAX_BODY_BYTES)
+            )
             check_address(announcement.address, self.settings)
             check_slots(announcement.slots)
         except BadRequestError as error:
@@ -145,6 +147,21 @@
     app.router.add("DELETE", ROUTE, withdraw)
 
 
+async def read_limited_body(request: Request, max_bytes: int) -> bytes:
+    """Read the body of a request from a local backend server.
+
+    :raises BadRequestError: if it is too long; the rest is not read.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
+            raise BadRequestError(f"the body has more than {max_bytes} bytes", 413)
+    return b"".join(chunks)
+
+
 def parse_service(request: Request) -> str:
     """Return the service named in the path.
 
@@ -162,13 +179,8 @@
 def parse_announcement(body: bytes | None) -> Announcement:
     """Parse the body of an announcement.
 
-    :raises BadRequestError: if it is too long, is not JSON, or has an invalid or
-        unknown key.
+    :raises BadRequestError: if it is not JSON, or has an invalid or unknown key.
     """
-    if body is not None and len(body) > MAX_BODY_BYTES:
-        raise BadRequestError(
-            f"body has {len(body)} bytes; at most {MAX_BODY_BYTES} are allowed", 413
-        )
     try:
         return msgspec.json.decode(body or b"", type=Announcement)
     except msgspec.ValidationError as error:
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -13,7 +13,11 @@
 from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
 from wagtailstep.models.settings import DaemonSettings
-from wagtailstep.network.announcements import check_address, check_slots
+from wagtailstep.network.announcements import (
+    check_address,
+    check_slots,
+    read_limited_body,
+)
 from wagtailstep.utils.callbacks import return_true
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
@@ -32,6 +36,7 @@
 MAX_CLOCK_ERROR = timedelta(minutes=1)
 MILLISECOND = timedelta(milliseconds=1)
 REFUSAL_RETRY_S = 1
+MAX_HEARTBEAT_BYTES = 65_536
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
 
@@ -81,7 +86,8 @@
         """Handle a heartbeat."""
         instance_id = request.route_values["id"]
         try:
-            event = self.parse_heartbeat(instance_id, await request.read() or b"")
+            body = await read_limited_body(request, MAX_HEARTBEAT_BYTES)
+            event = self.parse_heartbeat(instance_id, body)
         except (*DECODE_FAILURES, BadRequestError, DecodeError) as error:
             log_event(
                 LOGGER, "heartbeat-refused", instance=instance_id[:64], error=error
