Require the start time in every heartbeat

Cause: a heartbeat without the start time of its process was accepted as long as the daemon remembered no start time of that target. After a restart it remembers none; a departure that its earlier process recorded is forgotten after 10 s, a limit for late heartbeats, while one of another writer may come at any time.

Change: the field born is required at all times, as a number from 1 on, and a heartbeat without it is answered with 400. Two rows of platform_adapter.feature took heartbeats without it for valid; the platform's page says that it is always there, so these rows have it now, as have the rows that are odd in another field, and a new row without it announces nothing.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -63,6 +63,21 @@
     And a heartbeat that it sent before arrives 4000 ms after that
     Then no daemon offers it from 2000 ms after the last answer on
 
+  # Guards against a heartbeat without a start time that is believed once a restarted
+  # daemon has forgotten the departure, or doesn't know its server yet.
+  Scenario Outline: A heartbeat of another writer doesn't bring back a server that has left
+    Given a fleet of daemons with a backend server each
+    When a server leaves by DELETE and <disruption> 200 ms after the acknowledgement
+    And a heartbeat of it without a start time arrives <delay> ms after that
+    Then no daemon offers it from 2000 ms after the acknowledgement on
+
+    Examples:
+      | disruption             | delay |
+      | its daemon is killed   | 12500 |
+      | all daemons are killed | 12500 |
+      | nothing happens        | 12500 |
+      | its daemon is killed   | 4000  |
+
   Scenario: A new process of a server that has left is offered as soon as before
     Given a fleet of daemons with a backend server each
     When a server leaves by DELETE and its daemon is killed 200 ms after the acknowledgement
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -32,6 +32,9 @@
       | no state                       | 400    |
       | no warmup-left                 | 400    |
       | no sequence                    | 400    |
+      | no born                        | 400    |
+      | born of 0                      | 400    |
+      | born of null                   | 400    |
       | a zone of 5                    | 400    |
       | a version of 1                 | 400    |
 
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -143,16 +143,17 @@
     Then it announces "<announced>"
 
     Examples:
-      | body                                                                                                                                     | announced                       |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4,"born":9} | a/i-1 serving good 10.1.0.38    |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"1.5s","sequence":4}         | a/i-1 serving warming 10.1.0.38 |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"draining","warmup-left":"0ms","sequence":4}       | a/i-1 leaving good 10.1.0.38    |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"odd","warmup-left":"0ms","sequence":4}            | nothing                         |
-      | {"service":"a","address":"10.1.0.39:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4}          | nothing                         |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":"4","state":"ready","warmup-left":"0ms","sequence":4}        | nothing                         |
-      | {"address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4}                        | nothing                         |
-      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"soon","sequence":4}         | nothing                         |
-      | [1]                                                                                                                                      | nothing                         |
+      | body                                                                                                                                        | announced                       |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4,"born":9}    | a/i-1 serving good 10.1.0.38    |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"1.5s","sequence":4,"born":9}   | a/i-1 serving warming 10.1.0.38 |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"draining","warmup-left":"0ms","sequence":4,"born":9} | a/i-1 leaving good 10.1.0.38    |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4}             | nothing                         |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"odd","warmup-left":"0ms","sequence":4,"born":9}      | nothing                         |
+      | {"service":"a","address":"10.1.0.39:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4,"born":9}    | nothing                         |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":"4","state":"ready","warmup-left":"0ms","sequence":4,"born":9}  | nothing                         |
+      | {"address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"0ms","sequence":4,"born":9}                  | nothing                         |
+      | {"service":"a","address":"10.1.0.38:8080","zone":"b","version":"v1","slots":4,"state":"ready","warmup-left":"soon","sequence":4,"born":9}   | nothing                         |
+      | [1]                                                                                                                                         | nothing                         |
 
   Scenario: The settings template renders settings that are accepted
     Given the platform's example settings
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -268,8 +268,13 @@
     context.steps.append(step)
 
 
+@when("a heartbeat of it without a start time arrives {delay:d} ms after that")
+def deliver_odd(context, delay):
+    deliver_late(context, delay, without=("born",), status=400)
+
+
 @when("a heartbeat that it sent before arrives {delay:d} ms after that")
-def deliver_late(context, delay):
+def deliver_late(context, delay, without=(), status=200):
     run = context.run
     first = context.steps.pop()
 
@@ -277,9 +282,10 @@
         late = run.build_heartbeat("ready")
         await first()
         late = run.late_heartbeat or late
+        late = {name: value for name, value in late.items() if name not in without}
         at_s = run.answered_at_s + delay / 1_000
         await asyncio.sleep(at_s - asyncio.get_running_loop().time())
-        assert await run.call("PUT", late) == 200
+        assert await run.call("PUT", late) == status
         await asyncio.sleep(WATCH_S)
 
     run.play(step)
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -46,7 +46,9 @@
     :param address: ``host:port`` of the target; reachable only from its own machine.
     :param warmup_left: remaining time of its warm-up, during which it is slow.
     :param sequence: increases with each heartbeat of one process.
-    :param born: start time of the process, as Unix time in milliseconds; 0 if unknown.
+    :param born: start time of the process, as Unix time in milliseconds. Required at
+        all times: without it, nothing tells a late or foreign heartbeat apart once
+        this daemon has forgotten the process, or has been restarted.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=SERVICE_PATTERN)]
@@ -57,7 +59,7 @@
     slots: int
     warmup_left: str
     sequence: Count
-    born: Count = 0
+    born: Annotated[int, msgspec.Meta(ge=1, lt=2**53)]
 
 
 class HeartbeatHandler:
