Keep what a daemon knows of the servers that it offers

Cause: a daemon keeps 64 registrations and dropped the oldest, also that of a server it still offered. The next heartbeat of that server raised a KeyError in AnnouncementController, which the runtime logs, and was answered with 200.

Change: a registration that a lease or a counting departure needs isn't dropped; if there is no other, the new server isn't taken until a lease has ended.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -74,3 +74,34 @@
     And its backend server withdraws
     And process 0 of "contracts/i-1" announces itself with sequence 9 as "serving"
     Then the target "contracts/i-1" is "leaving"
+
+  # Guards against a departure that is acknowledged but not carried out, because the
+  # daemon has dropped what it knows of a server that it offers.
+  Scenario Outline: Many announcements of others don't make a daemon forget a server
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And 70 others announce themselves as "<others>"
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "serving"
+    When process 5 of "contracts/i-1" announces itself with sequence 5 as "leaving"
+    Then the target "contracts/i-1" is "leaving"
+    When process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "leaving"
+    And the daemon knows at most 64 servers
+
+    Examples:
+      | others  |
+      | serving |
+      | leaving |
+
+  Scenario: A departure is remembered beside many announcements of others
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And its backend server withdraws
+    And 70 others announce themselves as "serving"
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "leaving"
+
+  Scenario: There is room again for a server when the announcements of others have ended
+    When 70 others announce themselves as "serving"
+    And 34 seconds pass without an announcement
+    And process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    Then the target "contracts/i-1" is "serving"
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -24,6 +24,26 @@
     context.controller.handle(TargetAnnounced(target, born, sequence))
 
 
+@when('{count:d} others announce themselves as "{state}"')
+def announce_others(context, count, state):
+    for number in range(count):
+        target = Target(
+            f"odd/i-{number}",
+            "odd",
+            "?",
+            "?",
+            state=TargetState(state),
+            address=f"127.0.0.1:{9_000 + number}",
+        )
+        context.controller.handle(TargetAnnounced(target, 1 + number, 1))
+
+
+@then("the daemon knows at most {count:d} servers")
+def check_registrations(context, count):
+    assert len(context.controller.registrations) <= count
+    assert len(context.board.local_targets) <= count
+
+
 @when('a response of "{target_id}" says that it leaves')
 def say_leaving_in_response(context, target_id):
     notices = ServerNotices(leaving=True)
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -34,8 +34,8 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-# Processes of local backend servers, past ones too, whose late announcements are
-# recognized. One instance sees a few a day.
+# Backend servers, past ones too, whose late announcements are recognized. One instance
+# sees a few a day.
 MAX_REGISTRATIONS = 64
 
 
@@ -170,10 +170,9 @@
             return False
         if event.process_started < self._latest_start_at(target.address):
             return False
-        registration = self.registrations.setdefault(target.target_id, Registration())
-        self.registrations.move_to_end(target.target_id)
-        while len(self.registrations) > MAX_REGISTRATIONS:
-            self.registrations.popitem(last=False)
+        registration = self._find_or_add_registration(target.target_id)
+        if registration is None:
+            return False
         if not registration.apply_announcement(event.process_started, event.sequence):
             return False
         if registration.has_departed and event.process_started:
@@ -181,6 +180,32 @@
         self._remove_replaced(target)
         return True
 
+    def _find_or_add_registration(self, target_id: str) -> Registration | None:
+        """Return the registration of a target, which is the newest one from now on.
+
+        The oldest one is dropped if there are too many, but none that a lease or a
+        departure needs.
+
+        :return: ``None`` if there is no room. That excludes a target only while
+            ``MAX_REGISTRATIONS`` others have a lease or have just departed. A lease
+            that isn't renewed ends after ``announce_lease_ms`` and the drain limit of
+            its service, a departure after ``MAX_ANNOUNCEMENT_DELAY``.
+        """
+        if target_id not in self.registrations:
+            if len(self.registrations) >= MAX_REGISTRATIONS:
+                unneeded = next(filter(self._is_unneeded, self.registrations), None)
+                if unneeded is None:
+                    return None
+                del self.registrations[unneeded]
+            self.registrations[target_id] = Registration()
+        self.registrations.move_to_end(target_id)
+        return self.registrations[target_id]
+
+    def _is_unneeded(self, target_id: str) -> bool:
+        return target_id not in self.leases and (
+            target_id not in self.blackboard.departures
+        )
+
     def _latest_start_at(self, address: str) -> int:
         """Return the latest start time of a known process at an address."""
         board = self.blackboard
@@ -214,10 +239,12 @@
             # It was announced to an earlier process of this daemon. Reject its earlier
             # announcements if they still arrive.
             name = f"{event.service}/{event.instance_id}"
-            expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
-            self.registrations[name] = Registration(
-                born=event.left_at, has_departed=True, expires_at=expires_at
-            )
+            registration = self._find_or_add_registration(name)
+            if registration is None:
+                return []
+            registration.born = event.left_at
+            registration.has_departed = True
+            registration.expires_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
             return self._record_departure(name)
         effects: list[Any] = []
         for name in names:
@@ -316,7 +343,9 @@
         effects: list[Any] = []
         for departure in departures:
             name = departure.target_id
-            registration = self.registrations.setdefault(name, Registration())
+            registration = self._find_or_add_registration(name)
+            if registration is None:
+                continue
             is_same = registration.born == departure.process_started
             if registration.born > departure.process_started or (
                 is_same and registration.has_departed
@@ -342,7 +371,10 @@
     def _expire_registrations(self) -> None:
         now = self.clock.monotonic()
         for name, registration in list(self.registrations.items()):
-            if registration.expires_at is not None and now >= registration.expires_at:
+            has_expired = registration.expires_at is not None and (
+                now >= registration.expires_at
+            )
+            if has_expired and name not in self.leases:
                 del self.registrations[name]
 
     def _check_lease(self, target_id: str, lease: LocalLease) -> list[Any]:
