Apply a changed address of the store without a restart

The settings had named another one 12 s before.

Cause: a reload of the settings applied the log level only.

Change: the daemon decides what of changed settings it applies; on the platform that is the store's address and timeout. Waiting reads are sent again at the new address, writes end where they were sent. The reloader gets all settings of the file instead of those of the daemon alone.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -17,6 +17,19 @@
     Then it received the versions 7 9
     And version 9 was received within 1500 ms
 
+  # Guards against daemons that go on calling the address that they were started with.
+  Scenario Outline: A store whose address changes is called at the new one
+    Given the platform's store with version 7
+    When a daemon follows the table, its settings name another address of the store, and the old one <ends>
+    Then it received the versions 7 9
+    And version 9 was received within 500 ms
+
+    Examples:
+      | ends            |
+      | goes silent     |
+      | refuses calls   |
+      | goes on as well |
+
   Scenario: A configuration becomes a table
     Given the platform's example configuration
     Then its version is 7
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -67,6 +67,7 @@
 SETTINGS = DaemonSettings(
     "d1", "bole", "10.1.0.38:1", "10.1.0.38:2", "10.1.0.38:3", "10.1.0.38:4"
 )
+OTHER_STORE = "other-store:8142"
 STORE = "store:8142"
 NODE = {
     "node-name": "sidecar-bole-1",
@@ -339,6 +340,7 @@
             for index in range(count)
         ]
         tasks = [asyncio.create_task(each.run()) for each in followers]
+        context.client = client
         await change_store(store)
         for task in tasks:
             task.cancel()
@@ -381,6 +383,30 @@
     follow_table(context, change_store)
 
 
+@when(
+    "a daemon follows the table, its settings name another address of the store, and "
+    "the old one {ends}"
+)
+def move_store(context, ends):
+    async def change_store(store):
+        await asyncio.sleep(1)
+        other = StandInStore()
+        other.topics = store.topics
+        detangle.spawn(other.start(OTHER_STORE), host="other-store")
+        await asyncio.sleep(0.1)
+        context.client.apply_settings(StoreSettings(OTHER_STORE, 1_000))
+        store.faults.silent = ends == "goes silent"
+        store.faults.status = 503 if ends == "refuses calls" else 0
+        await asyncio.sleep(1)
+        other.put("keyed.op", "config", build_configuration(9))
+        context.changed_at = asyncio.get_running_loop().time()
+        calls = len(store.calls)
+        await asyncio.sleep(5)
+        assert len(store.calls) == calls, "the old address was called"
+
+    follow_table(context, change_store)
+
+
 @then("all of them make at most {limit:g} calls a second")
 def check_call_rate(context, limit):
     assert context.calls_per_s <= limit, context.calls_per_s
--- a/src/wagtailstep/commands/reload_settings.py
+++ b/src/wagtailstep/commands/reload_settings.py
@@ -3,11 +3,13 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
 from wagtailstep.exceptions import SettingsError
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.utils.callbacks import return_argument
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -18,19 +20,25 @@
 class SettingsReloader:
     """Reload the settings after a signal, and periodically without one.
 
-    A changed log level is applied at once. Any other change needs a restart, which is
-    logged. An invalid file changes nothing.
+    A changed log level and what ``apply_settings`` applies take effect at once. Any
+    other change needs a restart, which is logged. An invalid file changes nothing.
 
-    :param settings: the settings that the daemon was started with.
+    :param settings: the settings in the file that the daemon was started with.
     :param reread_settings: reads the settings file.
+    :param apply_settings: applies what needs no restart of the settings in the file;
+        returns those of the daemon among them.
     """
 
     def __init__(
-        self, settings: DaemonSettings, reread_settings: Callable[[], DaemonSettings]
+        self,
+        settings: Any,
+        reread_settings: Callable[[], Any],
+        apply_settings: Callable[[Any], DaemonSettings] = return_argument,
     ) -> None:
-        self.startup_settings = settings
         self.reread_settings = reread_settings
-        self.newest_settings: DaemonSettings | str = settings
+        self.apply_settings = apply_settings
+        self.startup_settings = apply_settings(settings)
+        self.newest_settings = settings
 
     def reload(self) -> None:
         """Read the file, apply it and log the result, even if it is unchanged."""
@@ -48,24 +56,30 @@
             await asyncio.sleep(FILE_CHECK_INTERVAL_S)
             self.reload_if_changed()
 
-    def read_settings_or_error(self) -> DaemonSettings | str:
+    def read_settings_or_error(self) -> Any:
         """Return the settings in the file, or the error message if it is invalid."""
         try:
             return self.reread_settings()
         except SettingsError as error:
             return str(error)
 
-    def apply(self, newest_settings: DaemonSettings | str) -> None:
-        """Apply settings, or log the error if the file was invalid."""
+    def apply(self, newest_settings: Any) -> None:
+        """Apply settings, or log the error if the file was invalid.
+
+        :param newest_settings: the settings, or the error message.
+        """
         self.newest_settings = newest_settings
-        if isinstance(newest_settings, str):
-            log_event(
-                LOGGER, "settings-not-reloaded", logging.ERROR, error=newest_settings
-            )
+        error = newest_settings
+        if not isinstance(newest_settings, str):
+            try:
+                settings = self.apply_settings(newest_settings)
+                error = None
+            except SettingsError as raised:
+                error = raised
+        if error is not None:
+            log_event(LOGGER, "settings-not-reloaded", logging.ERROR, error=error)
             return
-        logging.getLogger().setLevel(newest_settings.log_level)
-        same_level = attrs.evolve(
-            newest_settings, log_level=self.startup_settings.log_level
-        )
+        logging.getLogger().setLevel(settings.log_level)
+        same_level = attrs.evolve(settings, log_level=self.startup_settings.log_level)
         needs_restart = same_level != self.startup_settings
         log_event(LOGGER, "settings-reloaded", needs_restart=needs_restart)
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -5,25 +5,35 @@
 import logging
 import signal
 from collections.abc import Callable
+from typing import Protocol
 
 from wagtailstep.commands.reload_settings import SettingsReloader
 from wagtailstep.exceptions import SettingsError, WagtailstepError
-from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.daemon import Daemon
 from wagtailstep.utils.logging import configure_logging, log_event
 
 LOGGER = logging.getLogger(__name__)
 
+
+class StartupSettings(Protocol):
+    """Settings in a file, in the form that ``Daemon.apply_settings`` takes."""
+
+    @property
+    def log_level(self) -> str:
+        """Return the lowest level that is logged."""
+
+
 DaemonFactory = Callable[[], Daemon]
 
 
 def run_daemon(
-    settings: DaemonSettings,
+    settings: StartupSettings,
     create_daemon: DaemonFactory,
-    reread_settings: Callable[[], DaemonSettings],
+    reread_settings: Callable[[], StartupSettings],
 ) -> bool:
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
+    :param settings: all settings in the file.
     :param create_daemon: creates the daemon; called inside the event loop.
     :param reread_settings: reads the settings file again; called after SIGHUP and
         periodically.
@@ -38,18 +48,19 @@
 
 
 async def serve_until_signal(
-    settings: DaemonSettings,
+    settings: StartupSettings,
     create_daemon: DaemonFactory,
-    reread_settings: Callable[[], DaemonSettings],
+    reread_settings: Callable[[], StartupSettings],
 ) -> bool:
     """Serve until a signal requests shutdown."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
-    reloader = SettingsReloader(settings, reread_settings)
-    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    # A signal may come at any time; it is handled once the reloader exists.
+    loop.add_signal_handler(signal.SIGHUP, lambda: reloader.reload())
     daemon = create_daemon()
+    reloader = SettingsReloader(settings, reread_settings, daemon.apply_settings)
     await daemon.start()
     freeze_startup_objects()
     watch_task = asyncio.create_task(reloader.watch())
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -232,6 +232,14 @@
             caller_address=self.settings.caller_address,
         )
 
+    def apply_settings(self, settings: Any) -> DaemonSettings:
+        """Apply changes of the settings file that need no restart.
+
+        :param settings: the settings in the changed file.
+        :return: the settings of the daemon among them.
+        """
+        return settings
+
     async def shut_down(self) -> bool:
         """Leave the fleet without interrupting a request.
 
--- a/src/wagtailstep/network/service_client.py
+++ b/src/wagtailstep/network/service_client.py
@@ -1,5 +1,7 @@
 """Client for a service of the platform; each request is sent once."""
 
+import asyncio
+import logging
 from collections.abc import Callable
 from datetime import timedelta
 from http import HTTPStatus
@@ -24,7 +26,9 @@
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
+from wagtailstep.utils.logging import log_event
 
+LOGGER = logging.getLogger(__name__)
 # Below the usual idle timeout of servers, so that few calls hit a closed connection.
 MAX_IDLE_MS = 2_000
 # Far more than a page of records, and little enough for the smallest instances.
@@ -70,12 +74,31 @@
     ) -> None:
         self.name = name
         self.address = address
-        settings = RequestSettings(
+        self.settings = RequestSettings(
             connection_idle_ms=MAX_IDLE_MS,
             connect_timeout_ms=connect_timeout // timedelta(milliseconds=1),
         )
-        self.client = HttpClient(settings, clock)
+        self.clock = clock
+        self.client = HttpClient(self.settings, clock)
         self.on_end: Callable[[str], None] = do_nothing
+        self.reads: set[asyncio.Task[HttpReply]] = set()
+        self.interrupted_reads: set[asyncio.Task[HttpReply]] = set()
+
+    def change_address(self, address: str) -> None:
+        """Call the service at another address from now on.
+
+        Reads under way, which may wait long, are sent again there. Other calls end
+        where they were sent, since they may have had their effect.
+        """
+        if address == self.address:
+            return
+        log_event(LOGGER, "service-address-changed", service=self.name, address=address)
+        self.address = address
+        self.client.close()
+        self.client = HttpClient(self.settings, self.clock)
+        for task in self.reads:
+            self.interrupted_reads.add(task)
+            task.cancel()
 
     async def call(
         self, method: str, path: str, body: bytes, timeout: timedelta
@@ -113,10 +136,20 @@
 
         :raises LogUnavailableError: if there was no complete response in time.
         """
-        try:
-            return await self.call("GET", path, b"", timeout)
-        except RequestError as error:
-            raise LogUnavailableError(f"{self.name} can't be read: {error}") from error
+        while True:
+            task = asyncio.ensure_future(self.call("GET", path, b"", timeout))
+            self.reads.add(task)
+            try:
+                return await task
+            except RequestError as error:
+                message = f"{self.name} can't be read: {error}"
+                raise LogUnavailableError(message) from error
+            except asyncio.CancelledError:
+                if task not in self.interrupted_reads or is_being_cancelled():
+                    raise
+            finally:
+                self.reads.discard(task)
+                self.interrupted_reads.discard(task)
 
     async def append(self, path: str, body: bytes, timeout: timedelta) -> HttpReply:
         """Send a ``POST`` that appends.
@@ -134,6 +167,12 @@
         self.client.close()
 
 
+def is_being_cancelled() -> bool:
+    """Return whether the cancellation of the running task was requested."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def build_append_error(error: RequestError) -> LogError:
     """Return the error of an append whose request failed."""
     if error.verdict is Verdict.NOT_RUN:
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -13,6 +13,7 @@
 from wagtailstep.controllers.target_judge import TargetJudge
 from wagtailstep.models.events import Controller, FollowTable
 from wagtailstep.models.keyed_store import KeyedStore
+from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.daemon import Daemon
 from wagtailstep.network.table_follower import TableFollower
 from wagtailstep.platform.configuration import build_table, find_document
@@ -34,6 +35,16 @@
         super().__init__(settings.build_daemon_settings(), clock)
         self.store.calls.on_end = self.metrics.record_store_call
 
+    def apply_settings(self, settings: PlatformSettings) -> DaemonSettings:
+        """Apply changes that need no restart: those of the connection to the store.
+
+        :return: the settings of the daemon in the changed file.
+        :raises SettingValueError: if a value is malformed; nothing is applied then.
+        """
+        daemon_settings = settings.build_daemon_settings()
+        self.store.apply_settings(settings.store)
+        return daemon_settings
+
     def get_keyed_store(self) -> KeyedStore:
         """Return the platform's store."""
         return self.store
--- a/src/wagtailstep/platform/program.py
+++ b/src/wagtailstep/platform/program.py
@@ -22,9 +22,9 @@
     """
     settings = read_platform_settings()
     drained = run_daemon(
-        settings.build_daemon_settings(),
+        settings,
         lambda: PlatformDaemon(settings, LoopClock()),
-        lambda: read_platform_settings().build_daemon_settings(),
+        read_platform_settings,
     )
     return status_codes.SUCCESS if drained else status_codes.ERROR
 
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -88,6 +88,11 @@
         self.timeout = settings.timeout_ms * MILLISECOND
         self.calls = ServiceClient("the store", settings.address, self.timeout, clock)
 
+    def apply_settings(self, settings: StoreSettings) -> None:
+        """Use the address and the timeout of changed settings from now on."""
+        self.timeout = settings.timeout_ms * MILLISECOND
+        self.calls.change_address(settings.address)
+
     async def read_newest(self, collection: Collection) -> KeyedRecords:
         """Read all records, page by page."""
         values: dict[str, bytes] = {}
--- a/src/wagtailstep/utils/callbacks.py
+++ b/src/wagtailstep/utils/callbacks.py
@@ -1,7 +1,9 @@
 """Callbacks that several modules use."""
 
 import asyncio
-from typing import Any
+from typing import Any, TypeVar
+
+_T = TypeVar("_T")
 
 
 def do_nothing(*_: Any) -> None:
@@ -17,3 +19,8 @@
 async def return_true(*_: Any) -> bool:
     """Accept any arguments and return ``True``."""
     return True
+
+
+def return_argument(value: _T) -> _T:
+    """Return the argument."""
+    return value
