Split registrations, answers to departures and sockets out of long modules

Change: registrations.py keeps what a daemon knows of announced servers, departure_answers.py decides the answer to a departure, sockets.py looks below asyncio's transports, and route_handlers.py has the one wrapper for handlers. Starting the follower of the table moves next to it. No conduct changes.

--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -24,8 +24,8 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.models.table import Table
 from wagtailstep.network.early_answers import LINGER_S
-from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.log_daemon import LogDaemon
+from wagtailstep.network.sockets import reset_transport
 from wagtailstep.utils.clock import LoopClock
 
 STALL_S = 0.1
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -40,7 +40,7 @@
 
 @then("the daemon knows at most {count:d} servers")
 def check_registrations(context, count):
-    assert len(context.controller.registrations) <= count
+    assert len(context.controller.registrations.by_target) <= count
     assert len(context.board.local_targets) <= count
 
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -91,7 +91,7 @@
 @given("daemons that acknowledge departures without a record")
 def forget_departures(context):
     def settle(self, target_id):
-        self.registrations[target_id].departure_settled = True
+        self.registrations.by_target[target_id].departure_settled = True
         return []
 
     patch = mock.patch.object(AnnouncementController, "_record_departure", settle)
--- a/features/steps/target_answers_steps.py
+++ b/features/steps/target_answers_steps.py
@@ -25,8 +25,8 @@
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.gate_answers import assess_work
 from wagtailstep.network.http_client import HttpClient
-from wagtailstep.network.http_connection import reset_transport
 from wagtailstep.network.problems import yield_body
+from wagtailstep.network.sockets import reset_transport
 from wagtailstep.utils.clock import LoopClock
 
 SETTINGS = DaemonSettings(
--- a/src/wagtailstep/cli/daemon.py
+++ b/src/wagtailstep/cli/daemon.py
@@ -22,6 +22,7 @@
     settings = read_settings(str(file), DaemonSettings)
     drained = run_daemon(
         settings,
+        settings.log_level,
         lambda: LogDaemon(settings, LoopClock()),
         lambda: read_settings(str(file), DaemonSettings),
     )
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any
 
 from wagtailstep.commands.reload_settings import SettingsReloader
 from wagtailstep.exceptions import SettingsError, WagtailstepError
@@ -15,32 +15,26 @@
 LOGGER = logging.getLogger(__name__)
 
 
-class StartupSettings(Protocol):
-    """Settings in a file, in the form that ``Daemon.apply_settings`` takes."""
-
-    @property
-    def log_level(self) -> str:
-        """Return the lowest level that is logged."""
-
-
 DaemonFactory = Callable[[], Daemon]
 
 
 def run_daemon(
-    settings: StartupSettings,
+    settings: Any,
+    log_level: str,
     create_daemon: DaemonFactory,
-    reread_settings: Callable[[], StartupSettings],
+    reread_settings: Callable[[], Any],
 ) -> bool:
     """Serve until SIGTERM or SIGINT, then shut down gracefully.
 
-    :param settings: all settings in the file.
+    :param settings: all settings in the file, as ``Daemon.apply_settings`` takes them.
+    :param log_level: lowest level that is logged at first.
     :param create_daemon: creates the daemon; called inside the event loop.
     :param reread_settings: reads the settings file again; called after SIGHUP and
         periodically.
     :return: whether all requests in flight completed within the drain limit.
     :raises SettingsError: if listening on an address fails.
     """
-    configure_logging(settings.log_level)
+    configure_logging(log_level)
     try:
         return asyncio.run(serve_until_signal(settings, create_daemon, reread_settings))
     except* OSError as group:
@@ -48,9 +42,9 @@
 
 
 async def serve_until_signal(
-    settings: StartupSettings,
+    settings: Any,
     create_daemon: DaemonFactory,
-    reread_settings: Callable[[], StartupSettings],
+    reread_settings: Callable[[], Any],
 ) -> bool:
     """Serve until a signal requests shutdown."""
     stop = asyncio.Event()
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -1,7 +1,6 @@
 """Lifecycle of local targets: announced, renewed, leaving and removed."""
 
 import random
-from collections import OrderedDict
 from collections.abc import Iterable
 from datetime import timedelta
 from functools import singledispatchmethod
@@ -13,6 +12,7 @@
     SAVE_RETRY_INTERVAL,
     DepartureRecord,
 )
+from wagtailstep.controllers.registrations import Registration, Registrations
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import (
     MAX_ANNOUNCEMENT_DELAY,
@@ -34,10 +34,6 @@
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
 
-# Backend servers, past ones too, whose late announcements are recognized. One instance
-# sees a few a day.
-MAX_REGISTRATIONS = 64
-
 
 @attrs.define
 class LocalLease:
@@ -54,42 +50,6 @@
     said_leaving: bool = False
 
 
-@attrs.define
-class Registration:
-    """The newest announcement of a backend server, kept after it has left.
-
-    :param born: when its process started, as in ``TargetAnnounced.born``.
-    :param sequence: number of the announcement.
-    :param has_departed: whether that process has announced that it leaves.
-    :param departure_settled: whether its departure is recorded, or no announcement
-        from before can arrive any more.
-    :param expires_at: monotonic time when it is removed; ``None`` for never.
-    """
-
-    born: int = 0
-    sequence: int = 0
-    has_departed: bool = False
-    departure_settled: bool = False
-    expires_at: timedelta | None = None
-
-    def apply_announcement(self, born: int, sequence: int) -> bool:
-        """Record an announcement.
-
-        :return: whether it is newer than all previous ones.
-        """
-        if born and born < self.born:
-            return False
-        if born > self.born:
-            self.born, self.sequence = born, sequence
-            self.has_departed = self.departure_settled = False
-            self.expires_at = None
-            return True
-        if sequence and sequence <= self.sequence:
-            return False
-        self.sequence = sequence
-        return True
-
-
 class AnnouncementController:
     """Keep a lease, timed by the local clock, for each local backend server.
 
@@ -111,7 +71,7 @@
         self.blackboard = blackboard
         self.clock = clock
         self.leases: dict[str, LocalLease] = {}
-        self.registrations: OrderedDict[str, Registration] = OrderedDict()
+        self.registrations = Registrations(self.is_needed)
         self.incarnation = 0
         self.departures = DepartureRecord(blackboard, clock)
 
@@ -164,13 +124,13 @@
         :return: whether it is neither late nor from a process that has departed.
         """
         target = event.target
-        known = self.registrations.get(target.target_id, Registration())
+        known = self.registrations.by_target.get(target.target_id, Registration())
         if known.born and not event.process_started:
             # Processes of this server name their start time, so it is not from one.
             return False
         if event.process_started < self._latest_start_at(target.address):
             return False
-        registration = self._find_or_add_registration(target.target_id)
+        registration = self.registrations.find_or_add(target.target_id)
         if registration is None:
             return False
         if not registration.apply_announcement(event.process_started, event.sequence):
@@ -180,38 +140,12 @@
         self._remove_replaced(target)
         return True
 
-    def _find_or_add_registration(self, target_id: str) -> Registration | None:
-        """Return the registration of a target, which is the newest one from now on.
-
-        The oldest one is dropped if there are too many, but none that a lease or a
-        departure needs.
-
-        :return: ``None`` if there is no room. That excludes a target only while
-            ``MAX_REGISTRATIONS`` others have a lease or have just departed. A lease
-            that isn't renewed ends after ``announce_lease_ms`` and the drain limit of
-            its service, a departure after ``MAX_ANNOUNCEMENT_DELAY``.
-        """
-        if target_id not in self.registrations:
-            if len(self.registrations) >= MAX_REGISTRATIONS:
-                unneeded = next(filter(self._is_unneeded, self.registrations), None)
-                if unneeded is None:
-                    return None
-                del self.registrations[unneeded]
-            self.registrations[target_id] = Registration()
-        self.registrations.move_to_end(target_id)
-        return self.registrations[target_id]
-
-    def _is_unneeded(self, target_id: str) -> bool:
-        return target_id not in self.leases and (
-            target_id not in self.blackboard.departures
-        )
-
     def _latest_start_at(self, address: str) -> int:
         """Return the latest start time of a known process at an address."""
         board = self.blackboard
         return max(
             (
-                self.registrations[name].born
+                self.registrations.by_target[name].born
                 for name in board.local_targets
                 if address and board.targets[name].address == address
             ),
@@ -234,12 +168,12 @@
 
     @handle.register
     def _(self, event: InstanceWithdrawn) -> list[Any]:
-        names = self._find_registered(event.instance_id)
+        names = self.registrations.find_names(event.instance_id)
         if not names:
             # It was announced to an earlier process of this daemon. Reject its earlier
             # announcements if they still arrive.
             name = f"{event.service}/{event.instance_id}"
-            registration = self._find_or_add_registration(name)
+            registration = self.registrations.find_or_add(name)
             if registration is None:
                 return []
             registration.born = event.left_at
@@ -260,7 +194,7 @@
         return self._withdraw(event.target_id, "response")
 
     def _withdraw(self, target_id: str, reason: str = "withdrawn") -> list[Any]:
-        registration = self.registrations.get(target_id)
+        registration = self.registrations.by_target.get(target_id)
         if registration is None:
             return self._start_leaving(target_id, reason)
         registration.has_departed = True
@@ -269,7 +203,7 @@
         )
 
     def _record_departure(self, target_id: str) -> list[Any]:
-        registration = self.registrations[target_id]
+        registration = self.registrations.by_target[target_id]
         if not registration.born:
             # Nothing tells its announcements from those of a later process.
             registration.departure_settled = True
@@ -280,7 +214,7 @@
     def _repeat_save(self, event: TargetAnnounced) -> list[Any]:
         """Save the departure again of a process that still announces that it leaves."""
         target_id = event.target.target_id
-        registration = self.registrations.get(target_id, Registration())
+        registration = self.registrations.by_target.get(target_id, Registration())
         is_same = registration.born == event.process_started
         if not is_same or not registration.has_departed:
             return []
@@ -293,24 +227,21 @@
 
         :param instance_id: target identifier without the service.
         """
-        registrations = [
-            self.registrations[name] for name in self._find_registered(instance_id)
-        ]
+        names = self.registrations.find_names(instance_id)
+        registrations = [self.registrations.by_target[name] for name in names]
         return bool(registrations) and all(
             registration.departure_settled
             for registration in registrations
             if registration.has_departed
         )
 
-    def _find_registered(self, instance_id: str) -> list[str]:
-        """Return the targets that a backend server was announced as."""
-        return [
-            name for name in self.registrations if name.partition("/")[2] == instance_id
-        ]
+    def is_needed(self, target_id: str) -> bool:
+        """Return whether the registration of a target has to be kept."""
+        return target_id in self.leases or target_id in self.blackboard.departures
 
     def _settle(self, departures: Iterable[Departure]) -> None:
         for departure in departures:
-            registration = self.registrations.get(departure.target_id)
+            registration = self.registrations.by_target.get(departure.target_id)
             is_same = registration is not None and (
                 registration.born == departure.process_started
             )
@@ -343,7 +274,7 @@
         effects: list[Any] = []
         for departure in departures:
             name = departure.target_id
-            registration = self._find_or_add_registration(name)
+            registration = self.registrations.find_or_add(name)
             if registration is None:
                 continue
             is_same = registration.born == departure.process_started
@@ -361,22 +292,13 @@
 
     @handle.register
     def _(self, event: Tick) -> list[Any]:
-        self._expire_registrations()
+        self.registrations.expire(self.clock.monotonic())
         self._settle(self.departures.expire())
         effects = self.departures.save_if_due()
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
         return effects
 
-    def _expire_registrations(self) -> None:
-        now = self.clock.monotonic()
-        for name, registration in list(self.registrations.items()):
-            has_expired = registration.expires_at is not None and (
-                now >= registration.expires_at
-            )
-            if has_expired and name not in self.leases:
-                del self.registrations[name]
-
     def _check_lease(self, target_id: str, lease: LocalLease) -> list[Any]:
         now = self.clock.monotonic()
         if lease.leaving_since is not None:
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -14,7 +14,6 @@
 import asyncio
 import random
 from collections import Counter, deque
-from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
 import attrs
@@ -38,6 +37,7 @@
     positive,
 )
 from wagtailstep.network.http_server import HttpServer
+from wagtailstep.network.route_handlers import wrap_handler
 from wagtailstep.utils.clock import LoopClock
 
 MAX_ARRIVALS = 20_000
@@ -294,17 +294,6 @@
         return work.work_ms * factor / 1000
 
 
-def wrap_handler(
-    method: Callable[[Request], Awaitable[Response]],
-) -> Callable[[Request], Awaitable[Response]]:
-    """Wrap a method in a function, because BlackSheep sets attributes on handlers."""
-
-    async def handler(request: Request) -> Response:
-        return await method(request)
-
-    return handler
-
-
 def build_json_response(value: object, status: int = 200) -> Response:
     """Build a response with a JSON body."""
     return Response(status, content=Content(b"application/json", encode(value)))
--- a/src/wagtailstep/network/announcements.py
+++ b/src/wagtailstep/network/announcements.py
@@ -14,6 +14,7 @@
 from wagtailstep.models.events import TargetAnnounced, TargetWithdrawn
 from wagtailstep.models.fleet import Target
 from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.network.route_handlers import wrap_handler
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.logging import log_event
@@ -136,15 +137,8 @@
     """
     routes = AnnouncementRoutes(dispatch, settings, clock)
 
-    # The router sets attributes on its handlers, which bound methods do not allow.
-    async def announce(request: Request) -> Response:
-        return await routes.announce(request)
-
-    async def withdraw(request: Request) -> Response:
-        return await routes.withdraw(request)
-
-    app.router.add("PUT", ROUTE, announce)
-    app.router.add("DELETE", ROUTE, withdraw)
+    app.router.add("PUT", ROUTE, wrap_handler(routes.announce))
+    app.router.add("DELETE", ROUTE, wrap_handler(routes.withdraw))
 
 
 async def read_limited_body(request: Request, max_bytes: int) -> bytes:
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -48,7 +48,7 @@
 from wagtailstep.network.prober import Prober
 from wagtailstep.network.relay import HttpRelay
 from wagtailstep.network.runtime import Runtime, RuntimeAdapters
-from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.clock import Clock, get_unix_ms
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
@@ -340,7 +340,7 @@
     The incarnation is the wall-clock start time in milliseconds, so that it grows with
     each restart although the daemon stores nothing.
     """
-    incarnation = int(clock.utc().timestamp() * 1_000)
+    incarnation = get_unix_ms(clock)
     log_event(LOGGER, "incarnation-chosen", logging.DEBUG, incarnation=incarnation)
     return Member(
         daemon_id=settings.daemon_id,
--- a/src/wagtailstep/network/departure_store.py
+++ b/src/wagtailstep/network/departure_store.py
@@ -22,7 +22,7 @@
     SaveDepartures,
 )
 from wagtailstep.models.keyed_store import Collection, KeyedStore
-from wagtailstep.utils.clock import Clock
+from wagtailstep.utils.clock import Clock, get_unix_ms
 from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.logging import log_event
 
@@ -54,8 +54,7 @@
     ) -> None:
         self.store = store
         self.daemon_id = daemon_id
-        started_ms = int(clock.utc().timestamp() * 1_000)
-        self.key_prefix = f"{daemon_id}/{started_ms:x}"
+        self.key_prefix = f"{daemon_id}/{get_unix_ms(clock):x}"
         self.numbers = itertools.count()
         self.clock = clock
         self.dispatch = dispatch
--- a/src/wagtailstep/network/http_client.py
+++ b/src/wagtailstep/network/http_client.py
@@ -35,9 +35,9 @@
     HttpConnection,
     HttpRequest,
     open_connection,
-    reset_transport,
 )
 from wagtailstep.network.response_matching import decode_headers
+from wagtailstep.network.sockets import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.clock import Clock
 
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import select
-import socket
-import struct
 from collections.abc import AsyncIterator, Callable
 from datetime import timedelta
 
@@ -13,6 +11,7 @@
 from wagtailstep.exceptions import BadRequestError, RequestError
 from wagtailstep.models.headers import Headers, find_header
 from wagtailstep.network.response_matching import ResponseMatcher, decode_headers
+from wagtailstep.network.sockets import is_reset, poll_socket, reset_transport
 from wagtailstep.utils.callbacks import retrieve_exception
 
 READ_SIZE_BYTES = 65_536
@@ -25,7 +24,6 @@
 MAX_STATUS = 599
 # Time for the reset that follows bytes sent to a closed socket.
 RESET_DELAY = timedelta(milliseconds=20)
-LINGER_AND_RESET = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -141,12 +139,7 @@
         After the process stood still, a server that closed the connection meanwhile is
         noticed by this at once, by the event loop only in its next turn.
         """
-        sock = self.writer.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poller = select.poll()
-        poller.register(sock, select.POLLIN)
-        return bool(poller.poll(0))
+        return bool(poll_socket(self.writer.transport, select.POLLIN))
 
     def write_event(self, event: h11.Event) -> None:
         """Write one event of the request.
@@ -342,19 +335,9 @@
         await self.writer.drain()
         if is_sending:
             await asyncio.sleep(RESET_DELAY.total_seconds())
-        if self.is_reset:
+        if is_reset(self.writer.transport):
             raise ConnectionResetError("the server closed it within the request")
 
-    @property
-    def is_reset(self) -> bool:
-        """Return whether the server has reset the connection."""
-        sock = self.writer.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return True
-        poller = select.poll()
-        poller.register(sock, 0)
-        return bool(poller.poll(0))
-
     def finish_exchange(self, now: timedelta) -> bool:
         """Prepare for the next request after a complete response.
 
@@ -390,17 +373,6 @@
         reset_transport(self.writer.transport)
 
 
-def reset_transport(transport: asyncio.WriteTransport) -> None:
-    """Close immediately and make the kernel drop undelivered data.
-
-    Otherwise the kernel would go on delivering a request that was abandoned.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_AND_RESET)
-    transport.abort()
-
-
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return headers encoded for the wire."""
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -22,7 +22,7 @@
 from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.network.early_answers import EarlyAnswer
-from wagtailstep.network.http_connection import reset_transport
+from wagtailstep.network.sockets import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.cancellation import is_own_cancellation
 from wagtailstep.utils.logging import log_event
--- a/src/wagtailstep/network/table_follower.py
+++ b/src/wagtailstep/network/table_follower.py
@@ -15,6 +15,7 @@
     TablePublished,
     TableReadConfirmed,
 )
+from wagtailstep.network.runtime import Runtime
 from wagtailstep.utils.clock import Clock
 from wagtailstep.utils.logging import log_event
 
@@ -166,3 +167,25 @@
             log_event(LOGGER, "store-call-failed", logging.WARNING, error=error)
         self.backoff_s = min(MAX_BACKOFF_S, next_backoff_s)
         await asyncio.sleep(self.backoff_s * self.rng.uniform(0.5, 1.5))
+
+
+def follow_table(
+    store: KeyedStore,
+    find_document: FindDocument,
+    choose_wait: Callable[[], timedelta],
+    clock: Clock,
+    runtime: Runtime,
+    rng: random.Random,
+) -> None:
+    """Follow the table for as long as a runtime runs; see :class:`TableFollower`."""
+    follower = TableFollower(
+        store,
+        find_document,
+        choose_wait,
+        clock,
+        runtime.dispatch,
+        runtime.record_log_reachability,
+        rng,
+    )
+    runtime.effect_handlers[FollowTable] = follower.set_active
+    runtime.spawn(follower.run())
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -11,11 +11,12 @@
 from wagtailstep.controllers.server_notices import ServerNoticesController
 from wagtailstep.controllers.suspects import CrashSuspects
 from wagtailstep.controllers.target_judge import TargetJudge
-from wagtailstep.models.events import Controller, FollowTable
+from wagtailstep.models.events import Controller
 from wagtailstep.models.keyed_store import KeyedStore
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.network.daemon import Daemon
-from wagtailstep.network.table_follower import TableFollower
+from wagtailstep.network.departure_answers import DepartureAnswers
+from wagtailstep.network.table_follower import follow_table
 from wagtailstep.platform.configuration import build_table, find_document
 from wagtailstep.platform.heartbeats import add_heartbeat_routes
 from wagtailstep.platform.settings import PlatformSettings
@@ -36,11 +37,7 @@
         self.store.calls.on_end = self.metrics.record_store_call
 
     def apply_settings(self, settings: PlatformSettings) -> DaemonSettings:
-        """Apply changes that need no restart: those of the connection to the store.
-
-        :return: the settings of the daemon in the changed file.
-        :raises SettingValueError: if a value is malformed; nothing is applied then.
-        """
+        """Apply changes of the connection to the store; the others need a restart."""
         daemon_settings = settings.build_daemon_settings()
         self.store.apply_settings(settings.store)
         return daemon_settings
@@ -73,37 +70,18 @@
 
     def add_target_routes(self, app: Application) -> None:
         """Add the heartbeat endpoints in place of announcements."""
-        add_heartbeat_routes(
-            app,
-            self.runtime.dispatch,
-            self.settings,
-            self.clock,
-            self.wait_until_settled,
-        )
-
-    async def wait_until_settled(self, instance_id: str) -> bool:
-        """Wait for a limited time until a departure may be acknowledged.
-
-        :return: whether it may.
-        """
-        return await self.departure_store.wait_until(
-            lambda: self.announcements.is_departure_settled(instance_id)
+        answers = DepartureAnswers(
+            self.departure_store, self.announcements.is_departure_settled
         )
+        parts = (self.runtime.dispatch, self.settings, self.clock)
+        add_heartbeat_routes(app, *parts, answers.answer)
 
     async def start(self) -> None:
         """Start the daemon and follow the operator's configuration."""
         await super().start()
-        follower = TableFollower(
-            self.store,
-            find_document,
-            self.table.freshness.choose_wait,
-            self.clock,
-            self.runtime.dispatch,
-            self.runtime.record_log_reachability,
-            self.rng,
-        )
-        self.runtime.effect_handlers[FollowTable] = follower.set_active
-        self.runtime.spawn(follower.run())
+        choose_wait = self.table.freshness.choose_wait
+        parts = (self.clock, self.runtime, self.rng)
+        follow_table(self.store, find_document, choose_wait, *parts)
 
     async def close(self) -> None:
         """Stop immediately and close the connections to the store."""
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -7,7 +7,7 @@
 from typing import Annotated, Any
 
 import msgspec
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Request, Response
 
 from wagtailstep.exceptions import BadRequestError, DecodeError
 from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
@@ -18,8 +18,12 @@
     check_slots,
     read_limited_body,
 )
-from wagtailstep.utils.callbacks import return_true
-from wagtailstep.utils.clock import Clock
+from wagtailstep.network.departure_answers import (
+    acknowledge_at_once,
+    build_acknowledgement,
+)
+from wagtailstep.network.route_handlers import wrap_handler
+from wagtailstep.utils.clock import Clock, get_unix_ms
 from wagtailstep.utils.codec import DECODE_FAILURES
 from wagtailstep.utils.durations import parse_duration
 from wagtailstep.utils.logging import log_event
@@ -35,7 +39,6 @@
 # hide all that start before that time.
 MAX_CLOCK_ERROR = timedelta(minutes=1)
 MILLISECOND = timedelta(milliseconds=1)
-REFUSAL_RETRY_S = 1
 MAX_HEARTBEAT_BYTES = 65_536
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
@@ -46,9 +49,8 @@
     :param address: ``host:port`` of the target; reachable only from its own machine.
     :param warmup_left: remaining time of its warm-up, during which it is slow.
     :param sequence: increases with each heartbeat of one process.
-    :param born: start time of the process, as Unix time in milliseconds. Required at
-        all times: without it, nothing tells a late or foreign heartbeat apart once
-        this daemon has forgotten the process, or has been restarted.
+    :param born: start time of the process, as Unix time in milliseconds. Without it,
+        a daemon that was restarted could not recognize a late or foreign heartbeat.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=SERVICE_PATTERN)]
@@ -68,8 +70,7 @@
     :param dispatch: called with each event.
     :param settings: settings of the daemon.
     :param clock: clock for the time of a withdrawal.
-    :param wait_until_settled: waits for a limited time until the departure of an
-        instance is recorded; returns whether it is.
+    :param answer_departure: answers an instance that leaves.
     """
 
     def __init__(
@@ -77,10 +78,10 @@
         dispatch: Callable[[Any], None],
         settings: DaemonSettings,
         clock: Clock,
-        wait_until_settled: Callable[[str], Awaitable[bool]] = return_true,
+        answer_departure: Callable[[str], Awaitable[Response]] = acknowledge_at_once,
     ) -> None:
         self.dispatch = dispatch
-        self.wait_until_settled = wait_until_settled
+        self.answer_departure = answer_departure
         self.settings = settings
         self.clock = clock
 
@@ -97,24 +98,9 @@
             return Response(400)
         self.dispatch(event)
         if event.target.state is TargetState.LEAVING:
-            return await self.acknowledge_departure(instance_id)
+            return await self.answer_departure(instance_id)
         return build_acknowledgement()
 
-    async def acknowledge_departure(self, instance_id: str) -> Response:
-        """Answer the message of a backend server that leaves.
-
-        It isn't acknowledged before its departure is recorded, since otherwise this
-        daemon's next process could offer it again. Without an acknowledgement it gets
-        no new work either. A refusal is limited to the time for which the store
-        doesn't take the record and to ``MAX_ANNOUNCEMENT_DELAY``.
-        """
-        if await self.wait_until_settled(instance_id):
-            return build_acknowledgement()
-        log_event(LOGGER, "departure-not-acknowledged", instance=instance_id)
-        response = Response(503)
-        response.add_header(b"retry-after", str(REFUSAL_RETRY_S).encode())
-        return response
-
     def parse_heartbeat(self, instance_id: str, body: bytes) -> TargetAnnounced:
         """Convert the body of a heartbeat into an announcement.
 
@@ -130,7 +116,7 @@
             raise BadRequestError(f"state {heartbeat.state!r} is unknown")
         check_address(heartbeat.address, self.settings)
         check_slots(heartbeat.slots)
-        if heartbeat.born > self.get_unix_ms() + MAX_CLOCK_ERROR // MILLISECOND:
+        if heartbeat.born > get_unix_ms(self.clock) + MAX_CLOCK_ERROR // MILLISECOND:
             raise BadRequestError(f"born {heartbeat.born} is in the future")
         warming = bool(parse_duration(heartbeat.warmup_left))
         target = Target(
@@ -151,19 +137,10 @@
         if INSTANCE_ID.fullmatch(instance_id) is None:
             return Response(400)
         event = InstanceWithdrawn(
-            instance_id, self.settings.service, self.get_unix_ms()
+            instance_id, self.settings.service, get_unix_ms(self.clock)
         )
         self.dispatch(event)
-        return await self.acknowledge_departure(instance_id)
-
-    def get_unix_ms(self) -> int:
-        """Return the time in the unit and epoch of ``born`` of a heartbeat."""
-        return int(self.clock.utc().timestamp() * 1_000)
-
-
-def build_acknowledgement() -> Response:
-    """Return the response that acknowledges a message of a backend server."""
-    return Response(200, None, Content(b"application/json", b"{}"))
+        return await self.answer_departure(instance_id)
 
 
 def add_heartbeat_routes(
@@ -171,17 +148,9 @@
     dispatch: Callable[[Any], None],
     settings: DaemonSettings,
     clock: Clock,
-    wait_until_settled: Callable[[str], Awaitable[bool]],
+    answer_departure: Callable[[str], Awaitable[Response]],
 ) -> None:
     """Add the routes for heartbeats to an application."""
-    handler = HeartbeatHandler(dispatch, settings, clock, wait_until_settled)
-
-    # The router sets attributes on its handlers, which only works for functions.
-    async def handle_heartbeat(request: Request) -> Response:
-        return await handler.handle_heartbeat(request)
-
-    async def handle_withdrawal(request: Request) -> Response:
-        return await handler.handle_withdrawal(request)
-
-    app.router.add("PUT", INSTANCE_PATH, handle_heartbeat)
-    app.router.add("DELETE", INSTANCE_PATH, handle_withdrawal)
+    handler = HeartbeatHandler(dispatch, settings, clock, answer_departure)
+    app.router.add("PUT", INSTANCE_PATH, wrap_handler(handler.handle_heartbeat))
+    app.router.add("DELETE", INSTANCE_PATH, wrap_handler(handler.handle_withdrawal))
--- a/src/wagtailstep/platform/program.py
+++ b/src/wagtailstep/platform/program.py
@@ -23,6 +23,7 @@
     settings = read_platform_settings()
     drained = run_daemon(
         settings,
+        settings.daemon.log_level,
         lambda: PlatformDaemon(settings, LoopClock()),
         read_platform_settings,
     )
--- a/src/wagtailstep/platform/settings.py
+++ b/src/wagtailstep/platform/settings.py
@@ -42,11 +42,6 @@
     store: StoreSettings
     bounds: dict[str, Any] = attrs.field(factory=dict)
 
-    @property
-    def log_level(self) -> str:
-        """Return the lowest level that is logged."""
-        return self.daemon.log_level
-
     def build_daemon_settings(self) -> DaemonSettings:
         """Return the settings of the daemon with its shutdown fitted to the grace.
 
--- a/src/wagtailstep/utils/callbacks.py
+++ b/src/wagtailstep/utils/callbacks.py
@@ -16,11 +16,6 @@
         task.exception()
 
 
-async def return_true(*_: Any) -> bool:
-    """Accept any arguments and return ``True``."""
-    return True
-
-
 def return_argument(value: _T) -> _T:
     """Return the argument."""
     return value
--- a/src/wagtailstep/utils/clock.py
+++ b/src/wagtailstep/utils/clock.py
@@ -54,3 +54,8 @@
         if step < timedelta():
             raise ValueError(f"a clock can't be advanced by the negative time {step}")
         self.elapsed += step
+
+
+def get_unix_ms(clock: Clock) -> int:
+    """Return the wall-clock time as Unix time in milliseconds."""
+    return int(clock.utc().timestamp() * 1_000)
