--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -265,7 +265,10 @@
 
 
 async def inject_faults(
-    fault_name: str, fleet: SoakFleet, rng: random.Random, ends_at: float
+    inject: Callable[[SoakFleet, Host, random.Random], Awaitable[None]],
+    fleet: SoakFleet,
+    rng: random.Random,
+    ends_at: float,
 ) -> None:
     """Inject a fault at random hosts and times until an end time.
 
@@ -276,7 +279,7 @@
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         running = [host for host in fleet.hosts if host.daemon is not None]
         if len(running) > len(fleet.hosts) // 2:
-            await FAULTS[fault_name](fleet, rng.choice(running), rng)
+            await inject(fleet, rng.choice(running), rng)
 
 
 def run_soak(
@@ -311,8 +314,8 @@
         ends_at = loop.time() + size.fault_phase_s
         await asyncio.gather(
             *(
-                inject_faults(fault_name, fleet, random.Random(rng.random()), ends_at)
-                for fault_name in fault_names
+                inject_faults(FAULTS[name], fleet, random.Random(rng.random()), ends_at)
+                for name in fault_names
             )
         )
         final_phase_start = loop.time() + RECOVERY_S
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import AsyncIterator
 from datetime import timedelta
 
 import attrs
@@ -27,6 +28,8 @@
 
 TIMEOUT_MS = 5_000
 WORK_MS = 100
+# Slow bodies arrive over up to this time.
+MAX_BODY_S = 3.0
 UNSAFE_SHARE = 0.5
 NO_ANSWER = 0
 # Paths that the requests of each type share.
@@ -77,6 +80,7 @@
     :param rate_per_s: mean number of requests a second.
     :param rng: source of arrival times, request types and daemons.
     :param unsafe_share: fraction of the requests that must not run twice.
+    :param slow_share: fraction of those whose bodies arrive slowly.
     """
 
     def __init__(
@@ -85,8 +89,10 @@
         rate_per_s: float,
         rng: random.Random,
         unsafe_share: float = UNSAFE_SHARE,
+        slow_share: float = 0.0,
     ) -> None:
         self.fleet = fleet
+        self.slow_share = slow_share
         self.rate_per_s = rate_per_s
         self.unsafe_share = unsafe_share
         self.rng = rng
@@ -134,7 +140,7 @@
             method="POST" if unsafe else "GET",
             path=f"/sign/{resource}" if unsafe else f"/lookup/{resource}",
             headers=(*headers, ("content-length", "2")) if unsafe else headers,
-            body=yield_body(b"{}") if unsafe else None,
+            body=self.build_body() if unsafe else None,
             idempotent=not unsafe,
             time_left=timedelta(milliseconds=TIMEOUT_MS + 500),
         )
@@ -165,6 +171,19 @@
             )
         )
 
+    def build_body(self) -> AsyncIterator[bytes]:
+        """Return a body of two bytes, which may arrive slowly."""
+        if not self.slow_share or self.rng.random() >= self.slow_share:
+            return yield_body(b"{}")
+        return yield_slowly(b"{}", self.rng.uniform(0.0, MAX_BODY_S))
+
+
+async def yield_slowly(body: bytes, time_s: float) -> AsyncIterator[bytes]:
+    """Yield a body byte by byte, evenly over a time."""
+    for byte in body:
+        await asyncio.sleep(time_s / len(body))
+        yield bytes([byte])
+
 
 def start_callers(callers: CallerGroup) -> "asyncio.Task[None]":
     """Run the callers on a simulated host of their own."""
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Coroutine
 from datetime import UTC, datetime, timedelta
 from typing import Any
 
@@ -26,7 +27,7 @@
 from wagtailstep.platform.daemon import PlatformDaemon
 from wagtailstep.platform.settings import PlatformSettings, StoreSettings
 from wagtailstep.platform.stand_in import StandInStore
-from wagtailstep.utils.clock import LoopClock
+from wagtailstep.utils.clock import Clock, LoopClock, get_unix_ms
 
 STORE_HOST = "store"
 STORE = f"{STORE_HOST}:8000"
@@ -93,7 +94,7 @@
 
     :param number: unique number of the host.
     :param zone: its availability zone.
-    :param daemon: the running daemon; ``None`` while the power is off.
+    :param daemon: the running daemon, or its process; ``None`` while there is none.
     :param backend: the running backend server; ``None`` while the power is off.
     :param starts: how often its daemon was started.
     :param born: start time of the backend server, as Unix time in milliseconds.
@@ -103,7 +104,7 @@
 
     number: int
     zone: str
-    daemon: SoakDaemon | None = None
+    daemon: Any = None
     backend: BackendServer | None = None
     starts: int = 0
     born: int = 0
@@ -185,15 +186,19 @@
     :param rng: source of random losses of control messages.
     """
 
+    store_address = STORE
+
     def __init__(self, size: int, rng: random.Random) -> None:
         self.network = MemoryNetwork(rng)
+        self.clock: Clock = SoakClock()
         self.store = StandInStore()
         # The platform's bounds that daemons are told when they start.
         self.bounds: dict[str, str] = {}
         self.shutdown_notice_ms = SHUTDOWN_NOTICE_MS
         self.version = 1
         self.hosts = [
-            Host(number, ZONES[number % len(ZONES)]) for number in range(1, size + 1)
+            self.create_host(number, ZONES[number % len(ZONES)])
+            for number in range(1, size + 1)
         ]
         self.backends: list[BackendServer] = []
         self.fault_changes: list[FaultChange] = []
@@ -213,6 +218,10 @@
         # Sends the requests of faults; set once the callers exist.
         self.callers: Any = None
 
+    def create_host(self, number: int, zone: str) -> Host:
+        """Create a host whose processes don't run yet."""
+        return Host(number, zone)
+
     async def start(self) -> None:
         """Start the store and all hosts."""
         self.publish()
@@ -235,8 +244,12 @@
 
     def power_on(self, host: Host) -> None:
         """Start the backend server and the daemon of a host."""
-        detangle.spawn(self.run_backend(host), host=host.name)
-        detangle.spawn(self.run_daemon(host), host=host.name)
+        self.spawn(self.run_backend(host), host)
+        self.spawn(self.run_daemon(host), host)
+
+    def spawn(self, work: Coroutine[Any, Any, None], host: Host) -> None:
+        """Start a task on a host; it ends when the host loses power."""
+        detangle.spawn(work, host=host.name)
 
     def power_off(self, host: Host) -> None:
         """Power off a host; its connections become unresponsive, they don't close."""
@@ -253,10 +266,15 @@
         """Run a daemon until its host loses power."""
         self.record_disruption(host.name)
         host.starts += 1
-        settings = build_settings(host, self.shutdown_notice_ms, self.bounds)
-        host.daemon = SoakDaemon(settings, self.network)
+        host.daemon = SoakDaemon(self.build_settings(host), self.network)
         await host.daemon.start()
 
+    def build_settings(self, host: Host) -> PlatformSettings:
+        """Build the settings of the next start of a host's daemon."""
+        return build_settings(
+            host, self.shutdown_notice_ms, self.bounds, self.store_address
+        )
+
     async def restart_daemon(self, host: Host) -> None:
         """Shut a daemon down gracefully, as SIGTERM does, and start a new one."""
         daemon = host.daemon
@@ -286,9 +304,9 @@
         backend = host.backend = BackendServer(settings)
         self.backends.append(backend)
         await backend.start()
-        detangle.spawn(self.watch_backend(host, backend), host=host.name)
+        self.spawn(self.watch_backend(host, backend), host)
         client = HttpClient(RequestSettings(), LoopClock())
-        host.born = int(SoakClock().utc().timestamp() * 1_000)
+        host.born = get_unix_ms(self.clock)
         host.sequence = 0
         host.is_leaving = False
         while host.backend is backend:
@@ -369,7 +387,7 @@
         await backend.stop()
         await asyncio.sleep(pause_s)
         if host.daemon is not None and host.backend is None:
-            detangle.spawn(self.run_backend(host), host=host.name)
+            self.spawn(self.run_backend(host), host)
 
     def partition(self, host: Host) -> None:
         """Partition a host from all other hosts, but not from callers and the store."""
@@ -406,7 +424,7 @@
 
 
 def build_settings(
-    host: Host, shutdown_notice_ms: int, bounds: dict[str, str]
+    host: Host, shutdown_notice_ms: int, bounds: dict[str, str], store_address: str
 ) -> PlatformSettings:
     """Build the settings of a host's daemon, as the platform's templates do."""
     name = host.name
@@ -439,4 +457,4 @@
             renew_ms=1_500,
         ),
     )
-    return PlatformSettings(daemon, StoreSettings(STORE), bounds)
+    return PlatformSettings(daemon, StoreSettings(store_address), bounds)
