Ignore SIGHUP until a daemon has read its settings

Cause: a process that has no handler for SIGHUP is ended by it. The handler was set once the program was imported and the loop ran, some 0.7 s after the start.

Change: the entry point ignores SIGHUP first.

Result: the new scenario of programs.feature failed before (SIG_DFL). What remains is the start of the interpreter itself, before the first line runs.

--- a/features/programs.feature
+++ b/features/programs.feature
@@ -37,3 +37,8 @@
   Scenario: The platform's program loads no module that needs the log service
     When a fresh interpreter loads the platform's program
     Then no module of the log client, evidence or ejection is loaded
+
+  # Guards against a daemon that ends when its settings change while it starts.
+  Scenario: The platform's program ignores SIGHUP until its settings are read
+    When the platform's program is about to be imported
+    Then it ignores SIGHUP
--- a/features/steps/programs_steps.py
+++ b/features/steps/programs_steps.py
@@ -26,6 +26,15 @@
 LIST_MODULES = (
     "import sys, wagtailstep.platform.program; print(*sys.modules, sep=chr(10))"
 )
+# Runs the entry point with a program that prints how SIGHUP is handled.
+PRINT_HANDLER = """
+import signal, sys, types
+program = types.ModuleType("program")
+program.main = lambda: print(signal.getsignal(signal.SIGHUP).name)
+sys.modules["wagtailstep.platform.program"] = program
+from wagtailstep.platform.__main__ import main
+main()
+"""
 LOG_DEPENDENT_MODULES = (
     "network.log_client",
     "controllers.evidence",
@@ -98,3 +107,16 @@
         context.modules
     )
     assert not loaded, loaded
+
+
+@when("the platform's program is about to be imported")
+def run_entry_point(context):
+    process = subprocess.run(
+        [sys.executable, "-c", PRINT_HANDLER], capture_output=True, text=True
+    )
+    context.output = process.stdout
+
+
+@then("it ignores SIGHUP")
+def check_ignored(context):
+    assert context.output == "SIG_IGN\n", context.output
--- a/src/wagtailstep/platform/__main__.py
+++ b/src/wagtailstep/platform/__main__.py
@@ -1,6 +1,7 @@
 """Entry point of the program: ``python -m wagtailstep.platform run`` or ``check``."""
 
 import gc
+import signal
 
 
 def main() -> None:
@@ -11,6 +12,8 @@
     is collected before the daemon is created, which then reuses that memory and needs
     only a short collection when it starts to serve.
     """
+    # Until the settings are read, a change of them needs no action.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
     from wagtailstep.platform.program import main as run_program
 
--- a/src/wagtailstep/platform/heartbeats.py
+++ b/src/wagtailstep/platform/heartbeats.py
@@ -3,7 +3,6 @@
 import logging
 import re
 from collections.abc import Awaitable, Callable
-from datetime import timedelta
 from typing import Annotated, Any
 
 import msgspec
@@ -37,8 +36,7 @@
 Count = Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
 # A process that says it started later than this from now can't be believed: it would
 # hide all that start before that time.
-MAX_CLOCK_ERROR = timedelta(minutes=1)
-MILLISECOND = timedelta(milliseconds=1)
+MAX_CLOCK_ERROR_MS = 60_000
 MAX_HEARTBEAT_BYTES = 65_536
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 
@@ -49,8 +47,7 @@
     :param address: ``host:port`` of the target; reachable only from its own machine.
     :param warmup_left: remaining time of its warm-up, during which it is slow.
     :param sequence: increases with each heartbeat of one process.
-    :param born: start time of the process, as Unix time in milliseconds. Without it,
-        a daemon that was restarted could not recognize a late or foreign heartbeat.
+    :param born: start time of the process, as Unix time in milliseconds; required.
     """
 
     service: Annotated[str, msgspec.Meta(pattern=SERVICE_PATTERN)]
@@ -116,7 +113,7 @@
             raise BadRequestError(f"state {heartbeat.state!r} is unknown")
         check_address(heartbeat.address, self.settings)
         check_slots(heartbeat.slots)
-        if heartbeat.born > get_unix_ms(self.clock) + MAX_CLOCK_ERROR // MILLISECOND:
+        if heartbeat.born > get_unix_ms(self.clock) + MAX_CLOCK_ERROR_MS:
             raise BadRequestError(f"born {heartbeat.born} is in the future")
         warming = bool(parse_duration(heartbeat.warmup_left))
         target = Target(
