--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: install test lint demo bench check-histories soak
+.PHONY: install test lint demo bench check-histories soak process-soak
 
 install: $(VENV)/.installed
 
@@ -31,6 +31,9 @@
 soak: install
 	$(PY) -m benchmarks.platform_soak --seed=$(SEED) --runs=$(RUNS)
 
+process-soak: install
+	$(PY) -m benchmarks.process_soak --seed=$(SEED) --runs=$(RUNS)
+
 bench: bench-requests bench-streams bench-keys bench-quotas bench-detection bench-detection_cost \
 	bench-table bench-accounts bench-events bench-control bench-control_daemons bench-control_bad_hours \
 	bench-log_cost
