Don't doubt a backend server for declined requests

A server that was full for a while, without any failure, was doubted and got next to nothing until seconds later.

Change: declined requests raise the suspicion up to the threshold of a doubt at most, and don't count as the last failure.

--- a/features/sound_servers.feature
+++ b/features/sound_servers.feature
@@ -29,6 +29,17 @@
       | 10    | retries are left | 81.5   |
       | 30    | no retry is left | 82.1   |
 
+  # Guards against sound servers that are excluded because they were full.
+  Scenario: Servers that declined for a while are used again soon after
+    Given 69 backend servers of 7 slots, and entries that learn a standing after 2 s
+    And all servers decline 70 % of their requests for 9 s
+    And 50 % of the servers fail 60 % of their requests for 2400 ms every 6500 ms, each 900 ms after another
+    And all but 17 servers are disturbed and spoil 18 % of their responses
+    And 10 % of the requests may be repeated, while no retry is left
+    When 120 requests a second are sent for 24 s with seeds 1 to 6
+    Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
+    And at least 56.5 % of the requests are served, with a tolerance of 0.6
+
   # Served when a failing server was excluded until its log odds had decayed. The
   # tolerance is two standard deviations of the mean of three seeds.
   Scenario Outline: Using servers again costs callers nothing while <situation>
--- a/features/steps/sound_servers_steps.py
+++ b/features/steps/sound_servers_steps.py
@@ -39,6 +39,27 @@
     context.conducts.append(lambda: behave)
 
 
+@given(
+    "{share:d} % of the servers fail {fails:d} % of their requests for {last:d} ms "
+    "every {every:d} ms, each {step:d} ms after another"
+)
+def fail_one_after_another(context, share, fails, last, every, step):
+    def create():
+        failing = {}
+
+        def behave(load):
+            for index, server in enumerate(load.servers.values()):
+                phase_s = (load.now_s - 3.0 + index * step / 1_000) % (every / 1_000)
+                if load.now_s > 3.0 and phase_s < 0.1:
+                    failing[server.name] = load.rng.random() * 100 < share
+                fails_now = failing.get(server.name) and phase_s < last / 1_000
+                server.fail_share = fails / 100 if fails_now else CHANCE_FAILURES
+
+        return behave
+
+    context.conducts.append(create)
+
+
 @given(
     "{share:d} % of the servers fail {fails:d} % of their requests, others every "
     "{every:d} s"
--- a/features/target_judge.feature
+++ b/features/target_judge.feature
@@ -21,6 +21,18 @@
       | unreachable | failing  |
       | turned-away | good     |
 
+  # Guards against a server without failures that gets no requests, since it was full.
+  Scenario: A backend server that only declines is not doubted
+    When its work ends as "turned-away" 40 times
+    Then the standing is "good"
+
+  Scenario: Declined requests don't delay the end of a doubt
+    When its work ends as "failed"
+    And 1 s pass
+    And its work ends as "turned-away" 5 times
+    And 1 s pass
+    Then the standing is "good"
+
   Scenario: A success restores the standing "good"
     When its work ends as "failed"
     And its work ends as "done"
--- a/src/wagtailstep/controllers/target_judge.py
+++ b/src/wagtailstep/controllers/target_judge.py
@@ -117,6 +117,12 @@
         """
         self.decay(now)
         evidence = EVIDENCE_NATS[result]
+        if result is WorkResult.TURNED_AWAY:
+            # A full server isn't failing: this prepares a doubt, and never causes or
+            # prolongs one.
+            raised = min(DOUBTED_ABOVE, self.log_odds + evidence)
+            self.log_odds = max(self.log_odds, raised)
+            return
         is_later = started_at > self.failed_at
         if evidence < 0 and is_later and self.log_odds > DOUBTED_ABOVE:
             evidence *= LATER_SUCCESS_FACTOR
