Save a departure that responses tell only once while the store is away

Cause: since a departure is saved again with each message until it is recorded, each response of a server that said so started a write; with the store refusing calls, that was a call for each response. A failed save was also put off by the cleaning up that follows the read at the start.

Change: a response counts once for a lease; the tick repeats a failed save each second as before, and the earlier of two scheduled saves holds. An upload that is given up while its response ends counts as a failed connection.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -20,6 +20,12 @@
     And process 6 of "contracts/i-1" announces itself with sequence 1 as "serving"
     Then the target "contracts/i-1" is "serving"
 
+  # Guards against a call of the store for each response while it is in trouble.
+  Scenario: A departure that each response tells is saved once
+    When process 5 of "contracts/i-1" announces itself with sequence 9 as "serving"
+    And 20 responses of "contracts/i-1" say that it leaves, and no save succeeds
+    Then its departure was saved once, and once again after a second
+
   Scenario: A new process is not held to what the one before it said in a response
     When process 5 of "contracts/i-1" announces itself with sequence 9 as "serving"
     And a response of "contracts/i-1" says that it leaves
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -1,8 +1,11 @@
 """Steps for announcements that arrive late or twice."""
 
+from datetime import timedelta
+
 from behave import then, when
 
-from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced
+from wagtailstep.models.departures import DeparturesSaved, SaveDepartures
+from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced, Tick
 from wagtailstep.models.fleet import Target, TargetState
 from wagtailstep.models.server_notices import ServerNotices, ServerNoticesReceived
 
@@ -50,6 +53,29 @@
     context.controller.handle(ServerNoticesReceived(target_id, notices, executed=True))
 
 
+@when('{count:d} responses of "{target_id}" say that it leaves, and no save succeeds')
+def say_leaving_often(context, count, target_id):
+    event = ServerNoticesReceived(target_id, ServerNotices(leaving=True), executed=True)
+    context.saves = []
+    for _ in range(count):
+        context.saves += count_saves(context.controller.handle(event))
+    context.controller.handle(DeparturesSaved(frozenset(), succeeded=False))
+
+
+def count_saves(effects):
+    return [effect for effect in effects if isinstance(effect, SaveDepartures)]
+
+
+@then("its departure was saved once, and once again after a second")
+def check_saves(context):
+    assert len(context.saves) == 1, context.saves
+    repeated = []
+    for _ in range(12):
+        context.clock.advance(timedelta(milliseconds=100))
+        repeated += count_saves(context.controller.handle(Tick()))
+    assert len(repeated) == 1, repeated
+
+
 @then('the target "{target_id}" is "{state}"')
 def check_target(context, target_id, state):
     target = context.board.targets.get(target_id)
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -188,7 +188,7 @@
     @handle.register
     def _(self, event: ServerNoticesReceived) -> list[Any]:
         lease = self.leases.get(event.target_id)
-        if not event.notices.leaving or lease is None:
+        if not event.notices.leaving or lease is None or lease.said_leaving:
             return []
         lease.said_leaving = True
         return self._withdraw(event.target_id, "response")
--- a/src/wagtailstep/controllers/departure_record.py
+++ b/src/wagtailstep/controllers/departure_record.py
@@ -62,8 +62,9 @@
         return [SaveDepartures(tuple(self.departures.values()), self.saved_era)]
 
     def schedule_save(self, delay: timedelta) -> None:
-        """Save the departures that count after a delay."""
-        self.save_at = self.clock.monotonic() + delay
+        """Save the departures that count after a delay, or earlier if that is due."""
+        save_at = self.clock.monotonic() + delay
+        self.save_at = save_at if self.save_at is None else min(self.save_at, save_at)
 
     def save_if_due(self) -> list[Any]:
         """Save the departures if that is scheduled, or if the store has lost some."""
--- a/src/wagtailstep/network/http_connection.py
+++ b/src/wagtailstep/network/http_connection.py
@@ -330,6 +330,8 @@
             return
         is_sending = not sender.done()
         await asyncio.wait({sender})
+        if sender.cancelled():
+            raise ConnectionResetError("the request was given up")
         sender.result()
         self.writer.transport.set_write_buffer_limits(0)
         await self.writer.drain()
