--- a/features/sound_servers.feature
+++ b/features/sound_servers.feature
@@ -40,6 +40,23 @@
     Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
     And at least 56.5 % of the requests are served, with a tolerance of 0.6
 
+  # Guards against ways to exclude sound servers that only some mixes of declines, bursts
+  # of failures and disturbances show.
+  Scenario Outline: Sound servers get requests on a day drawn by a seed
+    When a day drawn by seed <seed> is played for 40 s
+    Then at least 70 % of the sound servers get requests while 10 to 50 % of all fail
+
+    Examples:
+      | seed |
+      | 11   |
+      | 45   |
+      | 52   |
+      | 53   |
+      | 1044 |
+      | 1049 |
+      | 14   |
+      | 1021 |
+
   # Served when a failing server was excluded until its log odds had decayed. The
   # tolerance is two standard deviations of the mean of three seeds.
   Scenario Outline: Using servers again costs callers nothing while <situation>
--- a/features/steps/sound_servers_steps.py
+++ b/features/steps/sound_servers_steps.py
@@ -1,5 +1,6 @@
 """Steps for servers that are excluded for failures and should be used again."""
 
+import random
 import statistics
 
 from behave import given, then, when
@@ -7,6 +8,7 @@
 from standing_load import StandingLoad
 
 CHANCE_FAILURES = 0.012
+SERVERS = 69
 
 
 @given(
@@ -153,6 +155,50 @@
         context.loads.append(load.run(last))
 
 
+def draw_day(seed):
+    """Return the behaviour and the load of a random day like that of issue 44."""
+    rng = random.Random(seed)
+    decline_share = rng.choice([0, 0.3, 0.55, 0.7])
+    declines_from_s, declines_for_s = rng.uniform(3, 10), rng.uniform(2, 9)
+    failing_share, fail_share = (
+        rng.choice([0.1, 0.2, 0.3, 0.5]),
+        rng.choice([0.3, 0.6, 0.85]),
+    )
+    burst_s, every_s = rng.uniform(0.8, 4), rng.uniform(3, 9)
+    undisturbed, spoiled = rng.choice([9, 17, 25, 40]), rng.choice([0, 0.05, 0.18])
+    options = {
+        "idempotent_share": rng.choice([0, 0.1, 0.3]),
+        "has_retries": rng.random() < 0.6,
+    }
+    rate, delay_s = rng.choice([120, 200, 260]), rng.choice([1.0, 2.0, 3.0])
+    offset_s = 0.137 * every_s if seed % 2 else 0.0
+    failing = {}
+
+    def behave(load):
+        now_s = load.now_s
+        declines = any(
+            start_s < now_s < start_s + declines_for_s
+            for start_s in (declines_from_s, declines_from_s + 14)
+        )
+        for index, server in enumerate(load.servers.values()):
+            server.decline_share = decline_share if declines else 0.0
+            phase_s = (now_s - 3 + index * offset_s) % every_s
+            if now_s > 3 and phase_s < 0.1:
+                failing[server.name] = load.rng.random() < failing_share
+            fails = failing.get(server.name) and phase_s < burst_s
+            server.fail_share = fail_share if fails else CHANCE_FAILURES
+            if index >= undisturbed:
+                server.disturbed.append(now_s)
+                server.fail_share = max(server.fail_share, spoiled)
+
+    return StandingLoad(SERVERS, rate, behave, seed, delay_s, **options)
+
+
+@when("a day drawn by seed {seed:d} is played for {last:d} s")
+def play_drawn_day(context, seed, last):
+    context.loads = [draw_day(seed).run(last)]
+
+
 @then("at least 70 % of the sound servers get requests while 10 to 50 % of all fail")
 def check_floor(context):
     for load in context.loads:
