--- a/features/run_tests.py
+++ b/features/run_tests.py
@@ -17,7 +17,7 @@
 SOURCES = ["src", "features", "benchmarks", "examples"]
 MAX_JOBS = 7
 # Started first, so that none of them runs alone at the end.
-SLOW_FEATURES = ("sound_servers", "soak")
+SLOW_FEATURES = ("process_soak", "sound_servers", "soak")
 
 
 def run_checks():
