Remove a daemon from the registry only if nobody registered since

Cause: the removal at a shutdown replaces the record of the daemon without a condition. If its response is lost, the store may apply it seconds later, after the next process has registered; daemons that start later then miss this one in the list.

Change: the removal names the end of the registry and is sent again with the end that the store reports, for a second at most. The store checks the condition when it applies a write, also a late one.

A shutdown makes one call more.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -146,6 +146,11 @@
     When 5 daemons register and list members at random times
     Then of any two of them at least one knows the other
 
+  # Guards against a removal that is applied after the next process has registered.
+  Scenario: A daemon that is restarted stays registered although its removal comes late
+    When a daemon is restarted while the store applies its removal from the registry late
+    Then it is registered 10 s after its start
+
   Scenario: An append without a response is not mistaken for a refused one
     Given the platform's store with version 7
     When the response to an append is lost
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -11,6 +11,8 @@
 import detangle
 import msgspec
 from behave import given, then, when
+from benchmarks.soak.fleet import SoakFleet
+from benchmarks.soak.tables import list_registered
 from hypothesis import HealthCheck, strategies
 from hypothesis import given as property_given
 from hypothesis import settings as hypothesis_settings
@@ -639,6 +641,33 @@
             assert first == second or second in seen_by_first or first in seen_by_second
 
 
+@when(
+    "a daemon is restarted while the store applies its removal from the registry late"
+)
+def restart_beside_late_removal(context):
+    async def main():
+        fleet = SoakFleet(2, random.Random(1))
+        await fleet.start()
+        await asyncio.sleep(3)
+        host = fleet.hosts[0]
+        restarting = detangle.spawn(fleet.restart_daemon(host), host="operator")
+        await asyncio.sleep(0.1)
+        # The next append is the removal, which is also tried again.
+        fleet.store.faults.late_appends = 2
+        await asyncio.wait({restarting})
+        fleet.store.faults.late_appends = 0
+        await asyncio.sleep(10)
+        context.registered = list_registered(fleet)
+        context.host_name = host.name
+
+    detangle.run(main, seed=1)
+
+
+@then("it is registered 10 s after its start")
+def check_registered(context):
+    assert context.host_name in context.registered, context.registered
+
+
 @when("the response to an append is lost")
 def lose_response(context):
     async def main():
--- a/src/wagtailstep/exceptions.py
+++ b/src/wagtailstep/exceptions.py
@@ -32,6 +32,17 @@
     """An append was sent but not acknowledged; it may have been applied."""
 
 
+class CollectionChangedError(LogError):
+    """A write was refused, since the collection ends at another offset than expected.
+
+    :param end: offset at which it ends.
+    """
+
+    def __init__(self, end: int) -> None:
+        super().__init__(f"the collection has changed and ends at offset {end}")
+        self.end = end
+
+
 class RecordExpiredError(LogError):
     """The requested offset is older than the oldest retained record.
 
--- a/src/wagtailstep/models/keyed_store.py
+++ b/src/wagtailstep/models/keyed_store.py
@@ -58,9 +58,15 @@
         :raises RecordExpiredError: if changes since ``offset`` are no longer retained.
         """
 
-    async def put(self, collection: Collection, key: str, value: bytes) -> None:
+    async def put(
+        self, collection: Collection, key: str, value: bytes, end: int | None = None
+    ) -> None:
         """Write a record, or remove it if ``value`` is empty.
 
+        :param end: offset at which the collection has to end; ``None`` for any. A
+            write without a response may still be applied, but not after another one
+            if it names the end.
+        :raises CollectionChangedError: if the collection ends at another offset.
         :raises LogUnavailableError: if the write definitely had no effect.
         :raises AppendUnknownError: if the write may have taken effect.
         """
@@ -79,5 +85,7 @@
         """Return no records."""
         return KeyedRecords({}, offset)
 
-    async def put(self, collection: Collection, key: str, value: bytes) -> None:
+    async def put(
+        self, collection: Collection, key: str, value: bytes, end: int | None = None
+    ) -> None:
         """Write nothing."""
--- a/src/wagtailstep/network/runtime.py
+++ b/src/wagtailstep/network/runtime.py
@@ -5,12 +5,18 @@
 import logging
 import random
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 from typing import Any
 
 import attrs
 
 from wagtailstep.controllers.timeline import Timeline
-from wagtailstep.exceptions import DecodeError, LogError, LogUnavailableError
+from wagtailstep.exceptions import (
+    CollectionChangedError,
+    DecodeError,
+    LogError,
+    LogUnavailableError,
+)
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
     AppendToLog,
@@ -40,6 +46,8 @@
 
 LOGGER = logging.getLogger(__name__)
 TICK_INTERVAL_MS = 100
+# Requests have ended by then; the process should end soon after them.
+MAX_UNREGISTER_TIME = timedelta(seconds=1)
 # Ticks go on, late, in a process that stands still all the time.
 MAX_SLEEPS_BEFORE_TICK = 3
 
@@ -236,9 +244,33 @@
         self.dispatch(MemberRegistered(succeeded))
 
     async def unregister_member(self) -> None:
-        """Remove this daemon's record from the member registry, if one is used."""
-        if self.settings.membership.member_source == "registry":
-            await self.register_member(RegisterMember(self.settings.daemon_id, ""))
+        """Remove this daemon's record from the member registry, if one is used.
+
+        The removal names the end of the registry: without a response it could
+        otherwise be applied after the next process of this daemon has registered.
+        """
+        if self.settings.membership.member_source != "registry":
+            return
+        try:
+            async with asyncio.timeout(MAX_UNREGISTER_TIME.total_seconds()):
+                await self.remove_member_record()
+        except (LogError, TimeoutError) as error:
+            log_event(LOGGER, "member-not-unregistered", error=error)
+
+    async def remove_member_record(self) -> None:
+        """Remove the record; again if the registry changes at the same time.
+
+        :raises LogError: if the store doesn't take it.
+        """
+        end = 0
+        while True:
+            try:
+                await self.adapters.store.put(
+                    Collection.MEMBERS, self.settings.daemon_id, b"", end
+                )
+                return
+            except CollectionChangedError as error:
+                end = error.end
 
     async def list_members(self) -> None:
         """Read the member registry and dispatch the addresses in it."""
--- a/src/wagtailstep/network/service_client.py
+++ b/src/wagtailstep/network/service_client.py
@@ -29,6 +29,16 @@
 from wagtailstep.utils.logging import log_event
 
 LOGGER = logging.getLogger(__name__)
+# Services respond with these before a call has any effect.
+STATUSES_WITHOUT_EFFECT = frozenset(
+    {
+        HTTPStatus.BAD_REQUEST,
+        HTTPStatus.FORBIDDEN,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    }
+)
 # Below the usual idle timeout of servers, so that few calls hit a closed connection.
 MAX_IDLE_MS = 2_000
 # Far more than a page of records, and little enough for the smallest instances.
@@ -180,6 +190,19 @@
     return AppendUnknownError(f"{error}; the append was sent, but not acknowledged")
 
 
+def check_append(reply: HttpReply) -> None:
+    """Check the status of the response to an append.
+
+    :raises LogUnavailableError: if the append certainly had no effect.
+    :raises AppendUnknownError: if the append may have taken effect.
+    """
+    message = f"the append was answered with status {reply.status}"
+    if reply.status in STATUSES_WITHOUT_EFFECT:
+        raise LogUnavailableError(message)
+    if reply.status != HTTPStatus.OK:
+        raise AppendUnknownError(message)
+
+
 def decode_json(body: bytes, kind: type[_T]) -> _T:
     """Decode the JSON body of a response.
 
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -52,9 +52,15 @@
         self.appended = asyncio.Event()
         return offset
 
-    def append_all(self, records: Sequence[bytes]) -> int:
-        """Append records and return the offset of the first one."""
+    def append_all(self, records: Sequence[bytes], end: int | None) -> int | None:
+        """Append records and return the offset of the first one.
+
+        :param end: offset at which the topic has to end; ``None`` for any.
+        :return: ``None`` if it ends at another offset.
+        """
         offset = self.next_offset
+        if end not in (None, offset):
+            return None
         for record in records:
             self.append(record)
         return offset
@@ -169,13 +175,16 @@
         """Append the records of a body, all or nothing."""
         self.on_append()
         records = list(parse_records(bytes(READ_HEADER.size) + body))
+        end = int(query["at"]) if "at" in query else None
         if self.faults.late_appends:
             self.faults.late_appends -= 1
             # Not awaited here, as the caller closes the connection before.
             loop = asyncio.get_running_loop()
-            loop.call_later(LATE_APPEND_S, topic.append_all, records)
+            loop.call_later(LATE_APPEND_S, topic.append_all, records, end)
             await asyncio.sleep(UNANSWERED_CALL_S)
-        offset = topic.append_all(records)
+        offset = topic.append_all(records, end)
+        if offset is None:
+            return build_json_response({"end": topic.next_offset}, 412)
         if self.faults.lost_answers:
             self.faults.lost_answers -= 1
             await asyncio.sleep(UNANSWERED_CALL_S)
--- a/src/wagtailstep/platform/store.py
+++ b/src/wagtailstep/platform/store.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from wagtailstep.exceptions import (
-    AppendUnknownError,
+    CollectionChangedError,
     DecodeError,
     LogUnavailableError,
     RecordExpiredError,
@@ -20,6 +20,7 @@
 from wagtailstep.network.service_client import (
     HttpReply,
     ServiceClient,
+    check_append,
     decode_json,
 )
 from wagtailstep.platform.settings import StoreSettings
@@ -36,16 +37,6 @@
 READ_HEADER = struct.Struct(">QQ")
 MAX_PAGES = 100
 ERA_HEADER = "store-era"
-# The store responds with these before a call has any effect.
-STATUSES_WITHOUT_EFFECT = frozenset(
-    {
-        HTTPStatus.BAD_REQUEST,
-        HTTPStatus.FORBIDDEN,
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        HTTPStatus.INSUFFICIENT_STORAGE,
-    }
-)
 
 
 class NewestItem(msgspec.Struct):
@@ -68,6 +59,12 @@
     has_more: bool = False
 
 
+class ConflictReply(msgspec.Struct):
+    """Body of a response with status 412: the ``end`` of the partition."""
+
+    end: int
+
+
 class ExpiredReply(msgspec.Struct):
     """Body of a response with status 410.
 
@@ -132,20 +129,18 @@
             values[key] = value
         return KeyedRecords(values, next_offset, read_era(reply))
 
-    async def put(self, collection: Collection, key: str, value: bytes) -> None:
+    async def put(
+        self, collection: Collection, key: str, value: bytes, end: int | None = None
+    ) -> None:
         """Append a record that becomes the newest one of its key."""
         record = bytes([len(key.encode())]) + key.encode() + value
         body = FRAME_LENGTH.pack(len(record)) + record
-        path = f"/v1/log-append?topic={TOPICS[collection]}&part=0"
+        condition = "" if end is None else f"&at={end}"
+        path = f"/v1/log-append?topic={TOPICS[collection]}&part=0{condition}"
         reply = await self.calls.append(path, body, self.timeout)
-        if reply.status in STATUSES_WITHOUT_EFFECT:
-            raise LogUnavailableError(
-                f"the store rejected an append with status {reply.status}"
-            )
-        if reply.status != HTTPStatus.OK:
-            raise AppendUnknownError(
-                f"the store responded to an append with status {reply.status}"
-            )
+        if reply.status == HTTPStatus.PRECONDITION_FAILED:
+            raise CollectionChangedError(decode_json(reply.body, ConflictReply).end)
+        check_append(reply)
 
     def close(self) -> None:
         """Close the idle connections."""
