--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -391,6 +391,18 @@
     ]
 
 
+def print_result(
+    label: str, outcomes: list[AttemptEnded], violations: list[str]
+) -> None:
+    """Print how often each status occurred in a run, and the violations."""
+    statuses = collections.Counter(outcome.status for outcome in outcomes)
+    counted = " ".join(f"{status}={n}" for status, n in sorted(statuses.items()))
+    print(f"{label} {counted}")
+    for violation in violations:
+        print(f"  broken: {violation}")
+    sys.stdout.flush()
+
+
 def main(
     seed: int = 1,
     runs: int = 20,
@@ -418,11 +430,8 @@
     for index in range(runs):
         names = tuple(faults.split("+")) if faults else ()
         result = run_soak(seed * 1_000_000 + index, names, size)
-        statuses = collections.Counter(outcome.status for outcome in result.outcomes)
-        counted = " ".join(f"{status}={n}" for status, n in sorted(statuses.items()))
-        print(f"seed={result.seed} troubles={'+'.join(result.fault_names)} {counted}")
-        for violation in result.violations:
-            print(f"  broken: {violation}", flush=True)
+        label = f"seed={result.seed} troubles={'+'.join(result.fault_names)}"
+        print_result(label, result.outcomes, result.violations)
         violations += len(result.violations)
     print(f"runs={runs} violations={violations}")
     sys.exit(1 if violations else 0)
--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -8,7 +8,6 @@
 """
 
 import asyncio
-import collections
 import pathlib
 import random
 import sys
@@ -26,6 +25,7 @@
     find_violations,
     inject_faults,
     lose_power,
+    print_result,
     restart,
 )
 from benchmarks.soak.callers import AttemptEnded, CallerGroup
@@ -183,11 +183,8 @@
         drawn = random.Random(number).choices(sorted(FAULTS), k=3)
         names = tuple(faults.split("+")) if faults else tuple(drawn)
         result = run_process_soak(number, names, size)
-        statuses = collections.Counter(outcome.status for outcome in result.outcomes)
-        counted = " ".join(f"{status}={n}" for status, n in sorted(statuses.items()))
-        print(f"seed={number} faults={'+'.join(names)} {counted}", flush=True)
-        for violation in result.violations:
-            print(f"  broken: {violation}", flush=True)
+        label = f"seed={number} faults={'+'.join(names)}"
+        print_result(label, result.outcomes, result.violations)
         violations += len(result.violations)
     print(f"runs={runs} violations={violations}")
     sys.exit(1 if violations else 0)
