--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -26,6 +26,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 MAX_RUN_S = 110
+# Of a request at a target.
+MAX_HEAD_BYTES = 1_048_576
 PLACEHOLDER = re.compile(r"\{\{([a-z0-9.-]+)(\|json)?\}\}")
 BOUNDS = {
     "seed-lag": "3s", "addr-reuse": "2s", "stable-window": "3000ms", "ack": "4000ms",
@@ -225,7 +227,7 @@
     return status, "application/json", json.dumps(value).encode()
 
 
-def build_config(version, routes, services, idle="15000ms"):
+def build_config(version, routes, services, max_header_bytes=16384):
     """Return a configuration; a route is (name, host, prefix, kind, timeout, service)."""
     return {
         "version": version,
@@ -241,8 +243,8 @@
             "columns": ["name", "health-path", "max-connections", "protocol", "tls"],
             "rows": [[name, "/healthz", 360, "h1", False] for name in services],
         },
-        "limits": {"max-header-bytes": 16384, "max-body-bytes": 67108864,
-                   "header-timeout": "3000ms", "idle-timeout": idle},
+        "limits": {"max-header-bytes": max_header_bytes, "max-body-bytes": 67108864,
+                   "header-timeout": "3000ms", "idle-timeout": "15000ms"},
     }
 
 
@@ -278,7 +280,9 @@
 
     async def start(self):
         host, _, port = self.machine.app.rpartition(":")
-        self.server = await asyncio.start_server(self.serve, host, int(port))
+        self.server = await asyncio.start_server(
+            self.serve, host, int(port), limit=MAX_HEAD_BYTES
+        )
 
     def stop(self):
         """End at once, and reset nothing that is already answered."""
