--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -239,7 +239,7 @@
     return status, "application/json", json.dumps(value).encode()
 
 
-def build_config(version, routes, services, max_header_bytes=16384):
+def build_config(version, routes, services, max_header_bytes=16384, aim="800ms"):
     """Return a configuration.
 
     :param routes: each with name, host, prefix, kind, timeout and service.
@@ -260,7 +260,7 @@
                 "traffic-split",
             ],
             "rows": [
-                [name, host, prefix, kind, timeout, "800ms", 1, service, 2, None]
+                [name, host, prefix, kind, timeout, aim, 1, service, 2, None]
                 for name, host, prefix, kind, timeout, service in routes
             ],
         },
