--- a/review/13/run.py
+++ b/review/13/run.py
@@ -39,6 +39,7 @@
     host, _, port = machine.outbound.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     reading = asyncio.create_task(read_head(reader))
+    sent_at = fleet.record.now()
     try:
         async with asyncio.timeout(6.0):
             for start in range(0, len(data), PACKET_BYTES):
@@ -57,7 +58,8 @@
         writer.close()
     fleet.record.write(
         f"client at {machine.name}: {request_id} {method} {path}, a head of "
-        f"{len(data) - len(body)} bytes -> {status or 'no answer'} {text[:80]!r}"
+        f"{len(data) - len(body)} bytes, {(fleet.record.now() - sent_at) * 1000:.0f} ms "
+        f"-> {status or 'no answer'} {text[:80]!r}"
     )
     return status
 
