Learn earlier departures from other daemons when the store turns one away

All daemons had been killed, the store refused the calls of this machine only, and a heartbeat of the server came 3 s late.

Cause: only the daemon beside the server uses the records of its departures, and it learns of them by a read of its own. The other daemons gave the new process its members and its table, so it served, and believed any heartbeat. A daemon that ran on would have reminded it; none had.

Change: until a new process knows the departures that its earlier processes acknowledged, it sends its callers' requests to other servers than those beside it, and doesn't offer these to other daemons (DepartureInquiry). Its gate still serves what others send, since only those send who knew the server before. If its own read doesn't succeed within 0.1 s, it asks two other daemons, which read the records for it, starting after the request, and tell besides whether they were in contact with the earlier process until its end (DepartureWitness). A daemon that read for itself makes no further call. The wait ends 1 s after the first table came into force at the latest, and the records are read again at that moment: the store may have just come back, and the retry of each second would be too late.

A rule that nothing is offered until the store has answered was not taken: sound servers would be left out for as long as the store is in trouble. Neither was the proof of life by a heartbeat address: it costs each sound server the time of one more heartbeat after every start.

Stand-ins of the store can turn away single hosts, by their ports.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -30,7 +30,8 @@
 from wagtailstep.utils.clock import Clock, LoopClock, get_unix_ms
 
 STORE_HOST = "store"
-STORE = f"{STORE_HOST}:8000"
+# Each host calls the store at a port of its own, from this one on.
+STORE_PORT = 8_000
 SERVICE = "contracts"
 ROUTE_HOST = "book.example"
 ZONES = ("bole", "piassa", "kirkos")
@@ -186,7 +187,7 @@
     :param rng: source of random losses of control messages.
     """
 
-    store_address = STORE
+    store_host = STORE_HOST
 
     def __init__(self, size: int, rng: random.Random) -> None:
         self.network = MemoryNetwork(rng)
@@ -225,7 +226,8 @@
     async def start(self) -> None:
         """Start the store and all hosts."""
         self.publish()
-        detangle.spawn(self.store.start(STORE), host=STORE_HOST)
+        addresses = map(self.get_store_address, self.hosts)
+        detangle.spawn(self.store.start(*addresses), host=STORE_HOST)
         await asyncio.sleep(0.1)
         for host in self.hosts:
             self.power_on(host)
@@ -272,9 +274,16 @@
     def build_settings(self, host: Host) -> PlatformSettings:
         """Build the settings of the next start of a host's daemon."""
         return build_settings(
-            host, self.shutdown_notice_ms, self.bounds, self.store_address
+            host,
+            self.shutdown_notice_ms,
+            self.bounds,
+            self.get_store_address(host),
         )
 
+    def get_store_address(self, host: Host) -> str:
+        """Return the address at which a host calls the store."""
+        return f"{self.store_host}:{STORE_PORT + host.number}"
+
     async def restart_daemon(self, host: Host) -> None:
         """Shut a daemon down gracefully, as SIGTERM does, and start a new one."""
         daemon = host.daemon
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -53,7 +53,7 @@
         self.folder = folder
         self.network_part = f"{rng.randint(1, 250)}.{rng.randint(0, 250)}"
         super().__init__(size, rng)
-        self.store_address = f"127.{self.network_part}.{STORE_NUMBER}:8000"
+        self.store_host = f"127.{self.network_part}.{STORE_NUMBER}"
         self.clock = LoopClock()
         self.bounds = {"grace": f"{GRACE_S:.0f}s"}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -74,7 +74,7 @@
     async def start(self) -> None:
         """Start the store and all hosts, and wait until each daemon serves."""
         self.publish()
-        await self.store.start(self.store_address)
+        await self.store.start(*map(self.get_store_address, self.hosts))
         for host in self.hosts:
             self.power_on(host)
         async with asyncio.timeout(START_LIMIT_S):
@@ -174,7 +174,7 @@
         await cancel_all(self.tasks)
         for backend in self.backends:
             await backend.stop()
-        await self.store.server.close()
+        await self.store.close()
 
 
 def send_signal(process: asyncio.subprocess.Process, number: int) -> None:
--- a/features/departures.feature
+++ b/features/departures.feature
@@ -78,6 +78,51 @@
       | nothing happens        | 12500 |
       | its daemon is killed   | 4000  |
 
+  # Guards against a daemon that offers a departed server again after a kill of all,
+  # since the store turns it away and nobody else tells it of the departure.
+  Scenario Outline: A daemon that the store turns away is told of departures
+    Given a fleet of daemons with a backend server each
+    When a server leaves by <call> and <killed> killed 200 ms after that while the store <trouble> its daemon
+    And a heartbeat that it sent before arrives <delay> ms after that
+    Then no daemon sends it requests from 2000 ms after the acknowledgement on
+
+    Examples:
+      | call     | killed          | trouble            | delay |
+      | DELETE   | all daemons are | turns away         | 1250  |
+      | DELETE   | all daemons are | turns away         | 1500  |
+      | DELETE   | all daemons are | turns away         | 3000  |
+      | draining | all daemons are | turns away         | 3000  |
+      | DELETE   | all daemons are | gives no answer to | 1500  |
+      | DELETE   | all daemons are | gives no answer to | 3000  |
+      | DELETE   | its daemon is   | turns away         | 1250  |
+      | DELETE   | its daemon is   | gives no answer to | 1250  |
+
+  Scenario Outline: A daemon that the store turns away uses a sound server at once
+    Given a fleet of daemons with a backend server each
+    When <killed> killed beside a sound server while the store <trouble> its daemon
+    Then its daemon sends it requests 300 ms after it has a table
+
+    Examples:
+      | killed          | trouble            |
+      | all daemons are | turns away         |
+      | all daemons are | gives no answer to |
+
+  # Guards against sound servers that are left out for as long as nobody can read.
+  Scenario Outline: A daemon waits for unknown departures for a limited time only
+    Given a daemon that has just started beside another one
+    When it has a table after <table> ms and <answer> after <after> ms
+    Then it offers the servers beside it from <offered> ms on
+
+    Examples:
+      | table | answer                           | after | offered |
+      | 400   | no answer                        | 0     | 1400    |
+      | 20000 | no answer                        | 0     | 10000   |
+      | 400   | the records                      | 600   | 600     |
+      | 400   | a witness                        | 600   | 600     |
+      | 400   | records for its earlier process  | 600   | 1400    |
+      | 400   | departures without an assurance  | 600   | 1400    |
+      | 5000  | its own read                     | 200   | 200     |
+
   Scenario: A new process of a server that has left is offered as soon as before
     Given a fleet of daemons with a backend server each
     When a server leaves by DELETE and its daemon is killed 200 ms after the acknowledgement
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -7,7 +7,7 @@
 import detangle
 import msgspec
 from behave import given, then, when
-from benchmarks.soak.fleet import SERVICE, SoakClock, SoakFleet
+from benchmarks.soak.fleet import SERVICE, STORE_PORT, SoakClock, SoakFleet
 
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.departures import MAX_ANNOUNCEMENT_DELAY
@@ -38,6 +38,8 @@
 
     def __init__(self):
         self.offers = []
+        # Daemons with a table, and those of them that send the server requests.
+        self.choices = []
         self.acknowledged_at_s = None
         self.late_heartbeat = None
 
@@ -140,12 +142,37 @@
         target = daemon.blackboard.targets.get(self.target_id)
         return target is not None and target.state is TargetState.SERVING
 
+    def chosen_by(self):
+        daemons = [host.daemon for host in self.fleet.hosts if host.daemon is not None]
+        able = [daemon for daemon in daemons if daemon.blackboard.table_known]
+        names = [daemon.settings.daemon_id for daemon in able]
+        choosing = [
+            daemon.settings.daemon_id
+            for daemon in able
+            if any(
+                candidate.target.target_id == self.target_id
+                for candidate in daemon.routing.find_candidates(SERVICE)
+            )
+        ]
+        return names, choosing
+
     async def watch(self):
         loop = asyncio.get_running_loop()
         while True:
             self.offers.append((loop.time(), self.offered_by()))
+            self.choices.append((loop.time(), *self.chosen_by()))
             await asyncio.sleep(POLL_S)
 
+    def start_partial_trouble(self, kind):
+        """Let the store turn away the daemon beside the server, and no other one."""
+        faults = self.fleet.store.faults
+        faults.ports = frozenset({STORE_PORT + self.host.number})
+        if kind == "turns away":
+            faults.status = 503
+        else:
+            assert kind == "gives no answer to"
+            faults.silent = True
+
     async def disrupt(self, kind):
         faults = self.fleet.store.faults
         if kind == "nothing happens":
@@ -254,6 +281,22 @@
     context.steps.append(step)
 
 
+@when(
+    "a server leaves by {call} and {killed} killed {delay:d} ms after that while the "
+    "store {trouble} its daemon"
+)
+def kill_turned_away(context, call, killed, delay, trouble):
+    run = context.run
+
+    async def step():
+        await run.leave(call)
+        await asyncio.sleep(delay / 1_000)
+        run.start_partial_trouble(trouble)
+        await run.kill(run.choose_hosts(killed))
+
+    context.steps.append(step)
+
+
 @when("{killed} killed {delay:d} ms after that, and the store is back")
 def kill_after_leave(context, killed, delay):
     run = context.run
@@ -325,6 +368,21 @@
     run.play(step)
 
 
+@when("{killed} killed beside a sound server while the store {trouble} its daemon")
+def kill_turned_away_beside_sound(context, killed, trouble):
+    run = context.run
+
+    async def step():
+        run.start_partial_trouble(trouble)
+        await run.kill(run.choose_hosts(killed))
+        run.started_at_s = asyncio.get_running_loop().time()
+        while run.host.daemon is None or await run.call("GET", None) == 0:
+            await asyncio.sleep(POLL_S)
+        await announce_and_wait(run)
+
+    run.play(step)
+
+
 @when("{time:d} ms pass after its departure")
 def wait(context, time):
     first = context.steps.pop()
@@ -384,6 +442,29 @@
     assert len(names) == FLEET_SIZE, names
 
 
+@then("no daemon sends it requests from {time:d} ms after the acknowledgement on")
+def check_not_chosen(context, time):
+    run = context.run
+    choices = [
+        (round(at_s - run.acknowledged_at_s, 2), names)
+        for at_s, _, names in run.choices
+        if at_s >= run.acknowledged_at_s + time / 1_000 and names
+    ]
+    assert not choices, choices[:3]
+    assert run.choices[-1][1] == [host.name for host in run.fleet.hosts]
+
+
+@then("its daemon sends it requests {time:d} ms after it has a table")
+def check_chosen(context, time):
+    run = context.run
+    name = run.host.name
+    later = [choice for choice in run.choices if choice[0] >= run.started_at_s]
+    able_at_s = next(at_s for at_s, able, _ in later if name in able)
+    due_s = able_at_s + time / 1_000
+    _, _, choosing = next(choice for choice in later if choice[0] >= due_s)
+    assert name in choosing, (able_at_s - run.started_at_s, choosing)
+
+
 @then("neither the store nor a daemon knows of a departure")
 def check_forgotten(context):
     run = context.run
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -17,6 +17,7 @@
 from wagtailstep.models.departures import (
     MAX_ANNOUNCEMENT_DELAY,
     Departure,
+    DepartureReminder,
     DeparturesListed,
     DeparturesSaved,
 )
@@ -29,7 +30,6 @@
     Tick,
 )
 from wagtailstep.models.fleet import Target, TargetStanding, TargetState
-from wagtailstep.models.membership import DepartureReminder
 from wagtailstep.models.server_notices import NO_RATE_LIMIT, ServerNoticesReceived
 from wagtailstep.models.settings import DaemonSettings
 from wagtailstep.utils.clock import Clock
@@ -257,17 +257,22 @@
 
     @handle.register
     def _(self, event: DeparturesListed) -> list[Any]:
-        # Removes the records of those that don't count here.
-        self.departures.schedule_save(MAX_ANNOUNCEMENT_DELAY)
+        if event.departures:
+            # Removes the records of those that don't count here.
+            self.departures.schedule_save(MAX_ANNOUNCEMENT_DELAY)
         effects = self._restore_departures(event.departures)
         self._settle(event.departures)
         return effects
 
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
-        if not isinstance(event.message, DepartureReminder):
+        reminder = event.message
+        if not isinstance(reminder, DepartureReminder):
             return []
-        return self._restore_departures(event.message.departures)
+        effects = self._restore_departures(reminder.departures)
+        if reminder.is_recorded:
+            self._settle(reminder.departures)
+        return effects
 
     def _restore_departures(self, departures: Iterable[Departure]) -> list[Any]:
         """Hold backend servers to what they told an earlier process of this daemon."""
--- /dev/null
+++ b/src/wagtailstep/controllers/departure_witness.py
@@ -0,0 +1,105 @@
+"""Answers daemons that ask which departures their earlier processes acknowledged."""
+
+import itertools
+from datetime import timedelta
+from functools import singledispatchmethod
+from typing import Any
+
+import attrs
+
+from wagtailstep.controllers.target_leases import TargetLeases
+from wagtailstep.models.departures import (
+    DepartureReminder,
+    DeparturesLookedUp,
+    DeparturesRequest,
+    LookUpDepartures,
+)
+from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
+from wagtailstep.utils.clock import Clock
+
+# A sound store answers within it. After it, what this daemon has heard is sent first.
+LOOK_UP_TIME = timedelta(milliseconds=100)
+# Bounds the memory; another daemon asks again, and not only this one.
+MAX_OPEN_REQUESTS = 256
+
+
+@attrs.define
+class OpenRequest:
+    """A request for which the store is being read.
+
+    :param message: the request.
+    :param received_at: monotonic time.
+    :param is_answered: whether what was heard has been sent.
+    """
+
+    message: DeparturesRequest
+    received_at: timedelta
+    is_answered: bool = False
+
+
+class DepartureWitness:
+    """Look up recorded departures for others, and tell them of those heard of.
+
+    :param leases: leases on the targets of other daemons, and departures heard of.
+    :param clock: source of monotonic time.
+    """
+
+    def __init__(self, leases: TargetLeases, clock: Clock) -> None:
+        self.leases = leases
+        self.clock = clock
+        self.numbers = itertools.count()
+        self.open_requests: dict[int, OpenRequest] = {}
+
+    @singledispatchmethod
+    def handle(self, event: Any) -> list[Any]:
+        """Ignore an event that the answers do not depend on."""
+        return []
+
+    @handle.register
+    def _(self, event: PeerMessageReceived) -> list[Any]:
+        message = event.message
+        if not isinstance(message, DeparturesRequest):
+            return []
+        if len(self.open_requests) >= MAX_OPEN_REQUESTS:
+            return []
+        number = next(self.numbers)
+        self.open_requests[number] = OpenRequest(message, self.clock.monotonic())
+        return [LookUpDepartures(number, message.daemon_id)]
+
+    @handle.register
+    def _(self, event: DeparturesLookedUp) -> list[Any]:
+        request = self.open_requests.pop(event.request_id)
+        effects = [] if request.is_answered else self._tell_heard(request)
+        if event.departures is None:
+            return effects
+        message = request.message
+        reminder = DepartureReminder(
+            event.departures,
+            is_recorded=True,
+            process_started=message.process_started,
+        )
+        return [*effects, SendToPeer(message.reply_to, reminder, urgent=True)]
+
+    @handle.register
+    def _(self, event: Tick) -> list[Any]:
+        now = self.clock.monotonic()
+        effects: list[Any] = []
+        for request in self.open_requests.values():
+            if not request.is_answered and now - request.received_at >= LOOK_UP_TIME:
+                effects += self._tell_heard(request)
+        return effects
+
+    def _tell_heard(self, request: OpenRequest) -> list[Any]:
+        request.is_answered = True
+        message = request.message
+        uptime = timedelta(milliseconds=message.uptime_ms)
+        reminder = DepartureReminder(
+            self.leases.departures.list_beside(message.daemon_id),
+            is_witnessed=self.leases.was_held(
+                message.daemon_id, request.received_at - uptime
+            ),
+            process_started=message.process_started,
+        )
+        if not reminder.departures and not reminder.is_witnessed:
+            return []
+        return [SendToPeer(message.reply_to, reminder, urgent=True)]
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -260,9 +260,8 @@
 
     def _push_local_changes(self, now: timedelta) -> list[Any]:
         board = self.blackboard
-        targets = tuple(
-            limit_standing(board.targets[name]) for name in sorted(board.local_targets)
-        )
+        offered = () if board.departures_unknown else sorted(board.local_targets)
+        targets = tuple(limit_standing(board.targets[name]) for name in offered)
         if targets == self.advertised_targets:
             return []
         services = frozenset(t.service for t in targets + self.advertised_targets)
--- a/src/wagtailstep/controllers/exclusions.py
+++ b/src/wagtailstep/controllers/exclusions.py
@@ -22,6 +22,7 @@
     EJECTED = "ejected"
     WITHOUT_WEIGHT = "without_weight"
     GATE_GONE = "gate_gone"
+    DEPARTURES_UNKNOWN = "departures_unknown"
     PATH_AVOIDED = "path_avoided"
     DOUBTED = "doubted"
     FAILING = "failing"
--- a/src/wagtailstep/controllers/heard_departures.py
+++ b/src/wagtailstep/controllers/heard_departures.py
@@ -7,10 +7,14 @@
 
 import attrs
 
-from wagtailstep.models.departures import MAX_ANNOUNCEMENT_DELAY, Departure
+from wagtailstep.models.departures import (
+    MAX_ANNOUNCEMENT_DELAY,
+    Departure,
+    DepartureReminder,
+)
 from wagtailstep.models.events import SendToPeer
 from wagtailstep.models.fleet import Member, Target, TargetState
-from wagtailstep.models.membership import DepartureReminder, TargetsUpdate
+from wagtailstep.models.membership import TargetsUpdate
 
 # Bounds the memory; the oldest are dropped first.
 MAX_DEPARTURES = 4_096
@@ -116,6 +120,14 @@
         found = (self.heard.get(target.target_id) for target in targets)
         return tuple(known.departure for known in found if known is not None)
 
+    def list_beside(self, daemon_id: str) -> tuple[Departure, ...]:
+        """Return the departures that a daemon told of."""
+        return tuple(
+            known.departure
+            for known in self.heard.values()
+            if known.daemon_id == daemon_id
+        )
+
     def expire(self, now: timedelta) -> None:
         """Forget departures after which no late announcement can arrive any more."""
         expired = [name for name, known in self.heard.items() if now >= known.until]
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -18,6 +18,7 @@
     CandidatePool,
     exclude_doubted,
 )
+from wagtailstep.controllers.departure_inquiry import may_have_departed
 from wagtailstep.controllers.exclusions import ExclusionLog, ExclusionReason
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
 from wagtailstep.controllers.request_rates import compute_rate_share
@@ -320,6 +321,8 @@
             return ExclusionReason.WITHOUT_WEIGHT
         if not self.has_live_gate(target):
             return ExclusionReason.GATE_GONE
+        if may_have_departed(board, target):
+            return ExclusionReason.DEPARTURES_UNKNOWN
         return None
 
     def has_live_gate(self, target: Target) -> bool:
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -20,6 +20,8 @@
     :param heartbeat: newest heartbeat received of the daemon.
     :param renewed_at: monotonic time at which that heartbeat was made, computed from
         the age that it carried.
+    :param held_since: the same for the first heartbeat after which the lease has not
+        expired.
     :param newest_version: version of its targets according to the newest heartbeat.
     :param targets_version: version of ``targets``; -1 before the first update.
     :param targets_heartbeat: heartbeat of the daemon when ``targets`` were current.
@@ -33,6 +35,7 @@
     heartbeat: int
     renewed_at: timedelta
     newest_version: int
+    held_since: timedelta
     targets_version: int = -1
     targets_heartbeat: int = -1
     services: frozenset[str] = frozenset()
@@ -92,11 +95,15 @@
         self._record_heartbeat(daemon_id, heartbeat)
         held = self.held_targets.get(daemon_id)
         if held is None:
-            held = HeldTargets(heartbeat, made_at, version, standings=standings)
+            held = HeldTargets(
+                heartbeat, made_at, version, held_since=made_at, standings=standings
+            )
             self.held_targets[daemon_id] = held
             return True
         held.heartbeat = heartbeat
         held.newest_version = version
+        if made_at - held.renewed_at >= self.lease:
+            held.held_since = made_at
         held.renewed_at = max(held.renewed_at, made_at)
         held.standings = standings
         if held.targets_version == version:
@@ -157,6 +164,14 @@
             return True
         return not held.services.issuperset(update.services)
 
+    def was_held(self, daemon_id: str, since: timedelta) -> bool:
+        """Return whether a daemon's targets are held, and were before a time.
+
+        :param since: monotonic time.
+        """
+        held = self.held_targets.get(daemon_id)
+        return held is not None and held.published and held.held_since < since
+
     def lapse(self, now: timedelta) -> list[str]:
         """Remove targets whose lease has expired from the blackboard.
 
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -50,6 +50,9 @@
         written by the announcement controller.
     :param departures: processes of local backend servers that have just left, by
         ``target_id``; written by the announcement controller.
+    :param departures_unknown: whether earlier processes of this daemon may have
+        acknowledged departures that it doesn't know of; written by the departure
+        inquiry.
     :param health: assessment by ``target_id``; written by the evidence controller.
     :param ejection_candidates: targets that are unhealthy by the evidence of several
         daemons, by ``target_id``; written by the evidence controller.
@@ -88,6 +91,7 @@
     targets: TargetMap = attrs.field(factory=TargetMap, converter=TargetMap)
     local_targets: set[str] = attrs.field(factory=set)
     departures: dict[str, Departure] = attrs.field(factory=dict)
+    departures_unknown: bool = False
     health: dict[str, TargetHealth] = attrs.field(factory=dict)
     ejection_candidates: dict[str, EjectionCandidate] = attrs.field(factory=dict)
     ejected: set[str] = attrs.field(factory=set)
--- a/src/wagtailstep/models/departures.py
+++ b/src/wagtailstep/models/departures.py
@@ -5,6 +5,8 @@
 import attrs
 import msgspec
 
+from wagtailstep.utils.codec import message
+
 # Announcements are delayed by seconds at most. One that arrives later than this after
 # its process left shows that a clock was set back.
 MAX_ANNOUNCEMENT_DELAY = timedelta(seconds=10)
@@ -50,9 +52,77 @@
 
 @attrs.frozen
 class DeparturesListed:
-    """The departures that an earlier process of this daemon recorded.
+    """The departures that earlier processes of this daemon recorded, read by itself.
 
     :param departures: the departures.
     """
 
     departures: tuple[Departure, ...]
+
+
+@attrs.frozen
+class RetryDeparturesRead:
+    """Effect: read the records of this daemon now, if that hasn't succeeded yet."""
+
+
+@attrs.frozen
+class LookUpDepartures:
+    """Effect: read which departures another daemon has recorded.
+
+    :param request_id: repeated in the :class:`DeparturesLookedUp`.
+    :param daemon_id: the other daemon.
+    """
+
+    request_id: int
+    daemon_id: str
+
+
+@attrs.frozen
+class DeparturesLookedUp:
+    """The read for a :class:`LookUpDepartures` effect has ended.
+
+    :param request_id: as in the effect.
+    :param departures: all that were recorded when the effect was applied; ``None`` if
+        the store can't be read.
+    """
+
+    request_id: int
+    departures: tuple[Departure, ...] | None
+
+
+@message
+class DeparturesRequest(msgspec.Struct, array_like=True, frozen=True):
+    """Request the departures that earlier processes of the sender knew of.
+
+    :param daemon_id: the sender.
+    :param reply_to: ``host:port`` for the :class:`DepartureReminder`.
+    :param process_started: wall-clock start time of the sender's process in
+        milliseconds, repeated in the answer.
+    :param uptime_ms: time since then.
+    """
+
+    daemon_id: str
+    reply_to: str
+    process_started: int
+    uptime_ms: int
+
+
+@message
+class DepartureReminder(msgspec.Struct, array_like=True, frozen=True):
+    """Remind a daemon of departures that its earlier process knew of.
+
+    Daemons of older releases send ``departures`` only, and answer no request.
+
+    :param departures: departures of servers beside the receiver.
+    :param is_recorded: whether these are all that the store had when the receiver
+        requested them.
+    :param is_witnessed: whether the sender was in contact with the receiver's earlier
+        process until it ended, so that it heard of all departures.
+    :param process_started: as in the request; an answer to a request of an earlier
+        process may lack later departures.
+    """
+
+    departures: tuple[Departure, ...]
+    is_recorded: bool = False
+    is_witnessed: bool = False
+    process_started: int = 0
--- a/src/wagtailstep/models/membership.py
+++ b/src/wagtailstep/models/membership.py
@@ -354,16 +354,6 @@
     departures: tuple[Departure, ...] = ()
 
 
-@message
-class DepartureReminder(msgspec.Struct, array_like=True, frozen=True):
-    """Remind a daemon of departures that its earlier process knew of.
-
-    :param departures: departures of servers beside the receiver.
-    """
-
-    departures: tuple[Departure, ...]
-
-
 @message
 class TargetsBatchRequest(msgspec.Struct, array_like=True, frozen=True):
     """Request the targets beside many daemons, as far as the receiver knows them.
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -18,7 +18,11 @@
 from wagtailstep.controllers.retry_lending import RetryLending
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.departures import SaveDepartures
+from wagtailstep.models.departures import (
+    LookUpDepartures,
+    RetryDeparturesRead,
+    SaveDepartures,
+)
 from wagtailstep.models.events import Controller, GateUnresponsive
 from wagtailstep.models.fleet import Member
 from wagtailstep.models.idempotency import RequestDecided
@@ -105,7 +109,11 @@
             store=store,
         )
         self.runtime = Runtime(*parts, adapters)
-        self.runtime.effect_handlers[SaveDepartures] = self.departure_store.save
+        self.runtime.effect_handlers |= {
+            SaveDepartures: self.departure_store.save,
+            RetryDeparturesRead: self.departure_store.retry_read,
+            LookUpDepartures: self.departure_store.look_up,
+        }
         self.runtime.controllers = self.create_controllers()
         self.client.on_unreachable = lambda address: self.dispatch(
             GateUnresponsive(address)
--- a/src/wagtailstep/network/departure_store.py
+++ b/src/wagtailstep/network/departure_store.py
@@ -7,7 +7,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Any
 
@@ -18,7 +18,10 @@
     MAX_ANNOUNCEMENT_DELAY,
     Departure,
     DeparturesListed,
+    DeparturesLookedUp,
     DeparturesSaved,
+    LookUpDepartures,
+    RetryDeparturesRead,
     SaveDepartures,
 )
 from wagtailstep.models.keyed_store import Collection, KeyedStore
@@ -66,6 +69,9 @@
         self.recorded: set[Departure] = set()
         self.writing: asyncio.Task[None] | None = None
         self.call_ended = asyncio.Event()
+        self.read_due = asyncio.Event()
+        self.look_ups: list[LookUpDepartures] = []
+        self.looking_up: asyncio.Task[None] | None = None
 
     def save(self, effect: SaveDepartures) -> None:
         """Write missing records and remove those that are no longer wanted."""
@@ -140,9 +146,10 @@
         return True
 
     async def read(self) -> None:
-        """Read what an earlier process recorded, while late announcements may come."""
+        """Read what earlier processes recorded, while late announcements may come."""
         give_up_at = self.clock.monotonic() + MAX_ANNOUNCEMENT_DELAY
         while True:
+            self.read_due.clear()
             try:
                 listed = await self.store.read_newest(Collection.DEPARTURES)
                 break
@@ -150,21 +157,79 @@
                 log_event(LOGGER, "departures-not-read", error=error)
             if self.clock.monotonic() >= give_up_at:
                 return
-            await asyncio.sleep(READ_RETRY_INTERVAL.total_seconds())
+            await self.wait_for_retry()
         departures: list[Departure] = []
-        for key, value in listed.values.items():
-            # Earlier versions wrote one record per daemon, without the second part.
-            if key.partition("/")[0] == self.daemon_id and key not in self.records:
+        for key, value in select_records(listed.values, self.daemon_id).items():
+            if key not in self.records:
                 self.records[key] = decode_departures(value)
                 departures += self.records[key]
-        if departures:
-            self.recorded.update(departures)
-            self.dispatch(DeparturesListed(tuple(departures)))
+        self.recorded.update(departures)
+        self.dispatch(DeparturesListed(tuple(departures)))
+
+    async def wait_for_retry(self) -> None:
+        """Wait for the next attempt to read, or until it is due at once."""
+        try:
+            async with asyncio.timeout(READ_RETRY_INTERVAL.total_seconds()):
+                await self.read_due.wait()
+        except TimeoutError:
+            pass
+
+    def retry_read(self, effect: RetryDeparturesRead) -> None:
+        """Read the records now, unless they have been read."""
+        self.read_due.set()
+
+    def look_up(self, effect: LookUpDepartures) -> None:
+        """Read the records of another daemon, which can't do so itself."""
+        self.look_ups.append(effect)
+        if self.looking_up is None or self.looking_up.done():
+            self.looking_up = asyncio.create_task(self.run_look_ups())
+
+    async def run_look_ups(self) -> None:
+        """Read once for all that have been requested by then, until there are none.
+
+        A request that comes during a read is not answered with its result, which may
+        lack what was recorded meanwhile.
+        """
+        while self.look_ups:
+            effects, self.look_ups = self.look_ups, []
+            try:
+                listed = await self.store.read_newest(Collection.DEPARTURES)
+            except LogError as error:
+                log_event(LOGGER, "departures-not-looked-up", error=error)
+                found = dict.fromkeys(effects)
+            else:
+                found = {
+                    effect: list_departures(listed.values, effect.daemon_id)
+                    for effect in effects
+                }
+            for effect, departures in found.items():
+                self.dispatch(DeparturesLookedUp(effect.request_id, departures))
 
     def close(self) -> None:
-        """Stop writing."""
-        if self.writing is not None:
-            self.writing.cancel()
+        """Stop writing, and reading for others."""
+        for task in (self.writing, self.looking_up):
+            if task is not None:
+                task.cancel()
+
+
+def select_records(values: Mapping[str, bytes], daemon_id: str) -> dict[str, bytes]:
+    """Return the records of one daemon by key.
+
+    Earlier versions wrote one record per daemon, without the second part of the key.
+    """
+    return {
+        key: value
+        for key, value in values.items()
+        if key.partition("/")[0] == daemon_id
+    }
+
+
+def list_departures(
+    values: Mapping[str, bytes], daemon_id: str
+) -> tuple[Departure, ...]:
+    """Return the departures in the records of one daemon."""
+    records = select_records(values, daemon_id)
+    return tuple(itertools.chain(*map(decode_departures, records.values())))
 
 
 def decode_departures(value: bytes) -> tuple[Departure, ...]:
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -4,6 +4,8 @@
 
 from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.call_ratios import CallRatios
+from wagtailstep.controllers.departure_inquiry import DepartureInquiry
+from wagtailstep.controllers.departure_witness import DepartureWitness
 from wagtailstep.controllers.dissemination import DisseminationController
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.path_watch import PathWatch
@@ -54,11 +56,14 @@
         parts = (self.settings, self.blackboard, self.clock, self.rng)
         self.table = PublishedTableController(*parts, build_table)
         self.announcements = AnnouncementController(*parts)
+        dissemination = DisseminationController(*parts)
         return (
             self.table,
             MembershipController(*parts),
+            DepartureInquiry(*parts),
             self.announcements,
-            DisseminationController(*parts),
+            dissemination,
+            DepartureWitness(dissemination.leases, self.clock),
             ServerNoticesController(*parts),
             CrashSuspects(*parts),
             TargetJudge(*parts),
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -80,6 +80,7 @@
 
     :param status: status of responses to calls, which then have no effect; 0 for none.
     :param silent: whether calls have no effect and get no response.
+    :param ports: ports whose calls ``status`` and ``silent`` apply to; empty for all.
     :param lost_answers: number of next appends that take effect but get no response.
     :param late_appends: number of next appends that get no response and take effect
         ``LATE_APPEND_S`` later.
@@ -88,6 +89,7 @@
 
     status: int = 0
     silent: bool = False
+    ports: frozenset[int] = frozenset()
     lost_answers: int = 0
     late_appends: int = 0
     truncated_answers: bool = False
@@ -104,13 +106,24 @@
         self.faults = StoreFaults()
         self.calls: list[str] = []
         self.app = Application(router=Router())
-        self.server = HttpServer(self.app, lambda: None)
+        self.servers: list[HttpServer] = []
         self.register_endpoints()
 
-    async def start(self, address: str) -> str:
-        """Listen on ``host:port`` and return the bound address."""
+    async def start(self, *addresses: str) -> None:
+        """Listen on each ``host:port``; with several, faults can affect some callers.
+
+        :raises OSError: if an address can't be listened on.
+        """
         await self.app.start()
-        return await self.server.start(address)
+        for address in addresses:
+            server = HttpServer(self.app, lambda: None)
+            self.servers.append(server)
+            await server.start(address)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        for server in self.servers:
+            await server.close()
 
     def get_topic(self, name: str) -> Topic:
         """Return a topic, which is created on first use."""
@@ -154,9 +167,11 @@
     async def serve(self, request: Request, call: Any) -> Response:
         """Serve a call subject to the injected faults."""
         self.calls.append(request.url.path.decode())
-        if self.faults.silent:
+        ports = self.faults.ports
+        is_affected = not ports or request.scope["server"][1] in ports
+        if self.faults.silent and is_affected:
             await asyncio.sleep(UNANSWERED_CALL_S)
-        if self.faults.status:
+        if self.faults.status and is_affected:
             return self.add_era(Response(self.faults.status))
         query = {name: values[0] for name, values in request.query.items()}
         body = await request.read() or b""
