Join by the daemons that ping when no other one is known

Callers saw: a daemon that was restarted alone while the store turned its machine away answered 503 to all requests for as long as that lasted, beside daemons that ran on.

Cause: the list of members is in the store only. The others still knew the daemon and pinged it; it acknowledged the pings, but learnt no address from them, so it could request neither the members nor the table. After a kill of all daemons it joins, since the others list its record and introduce themselves.

Change: a daemon that knows no other one requests the member table from the address in the ping. It does so while it is alone only.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -106,6 +106,20 @@
       | killed          | trouble            |
       | all daemons are | turns away         |
       | all daemons are | gives no answer to |
+      | its daemon is   | turns away         |
+      | its daemon is   | gives no answer to |
+
+  # Guards against a daemon that knows nobody after a restart and serves nothing for as
+  # long as the store turns it away.
+  Scenario Outline: A daemon that the store turns away joins the others after a restart
+    Given a fleet of daemons with a backend server each
+    When its daemon is killed beside a sound server while the store <trouble> its daemon
+    Then its daemon has a table 2500 ms after its start
+
+    Examples:
+      | trouble            |
+      | turns away         |
+      | gives no answer to |
 
   # Guards against sound servers that are left out for as long as nobody can read.
   Scenario Outline: A daemon waits for unknown departures for a limited time only
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -454,6 +454,14 @@
     assert run.choices[-1][1] == [host.name for host in run.fleet.hosts]
 
 
+@then("its daemon has a table {time:d} ms after its start")
+def check_able(context, time):
+    run = context.run
+    due_s = run.started_at_s + time / 1_000
+    _, able, _ = next(choice for choice in run.choices if choice[0] >= due_s)
+    assert run.host.name in able, able
+
+
 @then("its daemon sends it requests {time:d} ms after it has a table")
 def check_chosen(context, time):
     run = context.run
--- a/src/wagtailstep/controllers/member_contacts.py
+++ b/src/wagtailstep/controllers/member_contacts.py
@@ -171,6 +171,13 @@
         while len(self.recorded_contacts) > MAX_CONTACTS:
             del self.recorded_contacts[next(iter(self.recorded_contacts))]
 
+    def request_members(self, this: Member, address: str) -> list[Any]:
+        """Request the first page of the member table from one daemon.
+
+        :param address: ``host:port`` of its control channel.
+        """
+        return self._request(this, [address], "")
+
     def rejoin_now(self) -> None:
         """Request the member table at the next tick."""
         self.rejoin_at = timedelta()
--- a/src/wagtailstep/controllers/membership.py
+++ b/src/wagtailstep/controllers/membership.py
@@ -147,6 +147,11 @@
         effects = self._merge(message.updates)
         known = self.table.count_live()
         ack = Ack(message.sequence, known, self._pop_updates_for(sender))
+        this = self.blackboard.this_member
+        if self.table.is_alone(this):
+            # It knew an earlier process of this daemon, and no seed or registry has
+            # named another daemon to join by.
+            effects += self.contacts.request_members(this, message.reply_to)
         return [SendToPeer(message.reply_to, ack), *effects]
 
     @_receive.register
