Use the grace of changed settings in a shutdown

Cause: a reload applied the log level and the store's connection only; the time for a shutdown was the one of the daemon's start.

Change: Daemon.apply_settings takes over the times of a shutdown, and the ratio and slack of retries, which the platform's bounds give as well. SIGTERM makes the daemon read the file first, since a change without a signal is noticed up to 5 s late. A changed setting that needs a restart is logged once with its name.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -191,6 +191,13 @@
       | 4000ms  | 3800     | 2000   |
       | nothing | 0        | 2600   |
 
+  # Guards against a changed setting that is neither used nor reported.
+  Scenario: The settings that a running daemon takes over are documented
+    Given the platform's example settings with the grace 10s
+    When the template "deploy/settings.json" is rendered with them
+    Then each of its settings is taken over from a changed file as "docs/design/platform.md" says
+    And a change that is not taken over is logged once with its name
+
   Scenario: Settings with a malformed grace are refused
     Given the platform's example settings with the grace soon
     When the template "deploy/settings.json" is rendered with them
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -11,6 +11,18 @@
       | 10s   |
       | 6s    |
 
+  # Guards against requests that are cut by the grace that held when the daemon started.
+  Scenario Outline: A shutdown uses the grace of the newest settings
+    Given a fleet whose platform gives a grace of 6s
+    When the settings file of a daemon changes to a grace of <grace> <signal> SIGHUP
+    And a request that takes 4900 ms reaches it 1500 ms after SIGTERM
+    Then it gets its own answer
+
+    Examples:
+      | grace | signal  |
+      | 10s   | with    |
+      | 10s   | without |
+
   # Guards against requests that are passed on late in the grace and cut at its end.
   Scenario Outline: Requests whose bodies arrive late in the grace are answered or refused
     Given a fleet whose platform gives a grace of <grace>
--- a/features/steps/shutdown_steps.py
+++ b/features/steps/shutdown_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from benchmarks.soak.fleet import ROUTE_HOST, SoakFleet
 
+from wagtailstep.commands.reload_settings import SettingsReloader
 from wagtailstep.controllers.shutdown import ShutdownAdmission
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.blackboard import Blackboard
@@ -65,6 +66,8 @@
         self.runs = {}
         self.stopped_at_s = 0.0
         self.exiting = None
+        self.reloader = None
+        self.changed_grace = None
 
     async def start(self):
         self.fleet = SoakFleet(FLEET_SIZE, random.Random(1))
@@ -74,6 +77,8 @@
         await asyncio.sleep(WARMUP_S)
         self.host = self.fleet.hosts[0]
         self.client = HttpClient(RequestSettings(), LoopClock())
+        if self.changed_grace is not None:
+            self.change_grace(*self.changed_grace)
 
     async def send(self, key, work_ms, body=None, length=2):
         sent = SentRequest(key, asyncio.get_running_loop().time())
@@ -103,8 +108,23 @@
 
     def shut_down(self):
         """Start to shut the daemon down, as SIGTERM does."""
+        if self.reloader is not None:
+            self.reloader.reload_if_changed()
         return detangle.spawn(self.host.daemon.shut_down(), host=self.host.name)
 
+    def change_grace(self, grace, has_signal):
+        """Change the settings file of the daemon."""
+
+        def reread_settings():
+            return self.fleet.build_settings(self.host)
+
+        self.reloader = SettingsReloader(
+            reread_settings(), reread_settings, self.host.daemon.apply_settings
+        )
+        self.fleet.bounds = {"grace": grace}
+        if has_signal:
+            self.reloader.reload()
+
     def play(self, scenario):
         async def main():
             await self.start()
@@ -119,7 +139,13 @@
     context.run = ShutdownRun(grace)
 
 
+@when("the settings file of a daemon changes to a grace of {grace} {signal} SIGHUP")
+def change_grace(context, grace, signal):
+    context.run.changed_grace = (grace, signal == "with")
+
+
 @when("a request that takes {work:d} ms reaches a daemon {delay:d} ms after SIGTERM")
+@when("a request that takes {work:d} ms reaches it {delay:d} ms after SIGTERM")
 def send_long_request(context, work, delay):
     async def scenario():
         exiting = context.run.shut_down()
--- a/src/wagtailstep/commands/reload_settings.py
+++ b/src/wagtailstep/commands/reload_settings.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 from typing import Any
 
-import attrs
-
 from wagtailstep.exceptions import SettingsError
-from wagtailstep.models.settings import DaemonSettings
+from wagtailstep.models.settings import (
+    RELOADED_SETTINGS,
+    DaemonSettings,
+    list_changes,
+)
 from wagtailstep.utils.callbacks import return_argument
 from wagtailstep.utils.logging import log_event
 
@@ -20,8 +22,9 @@
 class SettingsReloader:
     """Reload the settings after a signal, and periodically without one.
 
-    A changed log level and what ``apply_settings`` applies take effect at once. Any
-    other change needs a restart, which is logged. An invalid file changes nothing.
+    ``RELOADED_SETTINGS``, and what else ``apply_settings`` applies, take effect at
+    once. Any other change needs a restart, which is logged once with the name of the
+    setting. An invalid file changes nothing.
 
     :param settings: the settings in the file that the daemon was started with.
     :param reread_settings: reads the settings file.
@@ -39,6 +42,7 @@
         self.apply_settings = apply_settings
         self.startup_settings = apply_settings(settings)
         self.newest_settings = settings
+        self.reported: set[str] = set()
 
     def reload(self) -> None:
         """Read the file, apply it and log the result, even if it is unchanged."""
@@ -80,6 +84,10 @@
             log_event(LOGGER, "settings-not-reloaded", logging.ERROR, error=error)
             return
         logging.getLogger().setLevel(settings.log_level)
-        same_level = attrs.evolve(settings, log_level=self.startup_settings.log_level)
-        needs_restart = same_level != self.startup_settings
-        log_event(LOGGER, "settings-reloaded", needs_restart=needs_restart)
+        changed = set(list_changes(self.startup_settings, settings))
+        unapplied = changed - RELOADED_SETTINGS
+        fields = {"needs_restart": bool(unapplied)}
+        if not unapplied <= self.reported:
+            fields["not_applied"] = ",".join(sorted(unapplied - self.reported))
+        self.reported |= unapplied
+        log_event(LOGGER, "settings-reloaded", **fields)
--- a/src/wagtailstep/commands/run_daemon.py
+++ b/src/wagtailstep/commands/run_daemon.py
@@ -61,6 +61,8 @@
     await stop.wait()
     watch_task.cancel()
     log_event(LOGGER, "signal-received")
+    # The shutdown must not rest on times that have just changed without a signal.
+    reloader.reload_if_changed()
     return await daemon.shut_down()
 
 
--- a/src/wagtailstep/controllers/retries.py
+++ b/src/wagtailstep/controllers/retries.py
@@ -77,6 +77,19 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.denial: RetryDenial | None = None
 
+    def apply_settings(self, settings: RequestSettings) -> None:
+        """Use the retry ratio and slack of changed settings from now on.
+
+        Whether daemons share a budget was decided at the start by the slack.
+        """
+        self.settings = attrs.evolve(
+            self.settings,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+        )
+        if self.shared_budget is not None:
+            self.shared_budget.settings = self.settings
+
     def deny(self, reason: RetryDenial) -> bool:
         """Record why a decision is negative, and return it."""
         self.denial = reason
--- a/src/wagtailstep/models/settings.py
+++ b/src/wagtailstep/models/settings.py
@@ -319,6 +319,35 @@
     table: TableSettings = TableSettings()
 
 
+# Settings of a daemon that a running one takes over from a changed file.
+RELOADED_SETTINGS = frozenset(
+    {
+        "log_level",
+        "shutdown_ms",
+        "shutdown_notice_ms",
+        "requests.retry_ratio",
+        "requests.retry_slack",
+    }
+)
+
+
+def list_changes(old: Any, new: Any, prefix: str = "") -> list[str]:
+    """Return the names of the settings that differ, with dots between levels.
+
+    :param old: settings of one class.
+    :param new: settings of the same class.
+    """
+    names: list[str] = []
+    for field in attrs.fields(type(old)):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        name = f"{prefix}{field.name}"
+        if attrs.has(type(before)) and type(before) is type(after):
+            names += list_changes(before, after, f"{name}.")
+        elif before != after:
+            names.append(name)
+    return names
+
+
 def fit_to_grace(settings: DaemonSettings, grace: timedelta) -> DaemonSettings:
     """Return settings whose shutdown uses the time that the platform grants for it.
 
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 from typing import Any
 
+import attrs
 import msgspec
 from blacksheep import Application, Router
 
@@ -243,9 +244,17 @@
     def apply_settings(self, settings: Any) -> DaemonSettings:
         """Apply changes of the settings file that need no restart.
 
+        A shutdown uses the times that were in the file when it began.
+
         :param settings: the settings in the changed file.
         :return: the settings of the daemon among them.
         """
+        self.settings = attrs.evolve(
+            self.settings,
+            shutdown_ms=settings.shutdown_ms,
+            shutdown_notice_ms=settings.shutdown_notice_ms,
+        )
+        self.entry.sender.retries.apply_settings(settings.requests)
         return settings
 
     async def shut_down(self) -> bool:
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -39,8 +39,8 @@
         self.store.calls.on_end = self.metrics.record_store_call
 
     def apply_settings(self, settings: PlatformSettings) -> DaemonSettings:
-        """Apply changes of the connection to the store; the others need a restart."""
-        daemon_settings = settings.build_daemon_settings()
+        """Apply changes of the connection to the store as well."""
+        daemon_settings = super().apply_settings(settings.build_daemon_settings())
         self.store.apply_settings(settings.store)
         return daemon_settings
 
