Hold heads of requests to the operator's limit, in any pieces

Their heads of 48,000 bytes came in packets; the operator's max-header-bytes was 65536.

Cause: nobody read max-header-bytes. h11 refused what was incomplete beyond a constant of 32 KiB, and a head in one piece passed at any size.

Change: the table has the limit. HeadMeter sets it on the connection when a head begins, measures one that came in one piece, and counts an incomplete one without copying it with each packet. The heads above 32 KiB of all connections take 32 MiB at most from their first byte to the end of the response (LargeHeads); what doesn't fit gets 503 with Retry-After.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -45,8 +45,11 @@
 PAUSE_AFTER_CRASH_S = (1.0, 4.0)
 
 
-def build_configuration(version: int) -> bytes:
-    """Build a configuration record as an operator writes it to the store."""
+def build_configuration(version: int, limits: dict[str, Any] | None = None) -> bytes:
+    """Build a configuration record as an operator writes it to the store.
+
+    :param limits: limits on what callers send; ``None`` for the defaults.
+    """
     columns = "name host path-prefix kind timeout aim priority service max-attempts"
     rows = [
         ["lookup", ROUTE_HOST, "/lookup/", "safe", "4000ms", "800ms", 2, SERVICE, 3],
@@ -57,7 +60,7 @@
             "version": f"r{version}",
             "routes": {"columns": columns.split(), "rows": rows},
             "services": {"columns": ["name"], "rows": [[SERVICE]]},
-            "limits": {},
+            "limits": limits or {},
         }
     )
 
@@ -197,6 +200,8 @@
         self.bounds: dict[str, str] = {}
         self.shutdown_notice_ms = SHUTDOWN_NOTICE_MS
         self.version = 1
+        # The operator's limits on what callers send.
+        self.limits: dict[str, Any] = {}
         self.hosts = [
             self.create_host(number, ZONES[number % len(ZONES)])
             for number in range(1, size + 1)
@@ -239,7 +244,7 @@
 
     def publish_again(self) -> None:
         """Write the current version of the configuration."""
-        record = build_configuration(self.version)
+        record = build_configuration(self.version, self.limits)
         self.store.put("keyed.op", "config", record)
         at_s = asyncio.get_running_loop().time()
         self.publications.append(Publication(at_s, self.version))
--- a/src/wagtailstep/models/connection.py
+++ b/src/wagtailstep/models/connection.py
@@ -7,6 +7,7 @@
 
 HEAD_TIMEOUT_S = 75
 IDLE_TIMEOUT_S = 75
+DEFAULT_HEAD_BYTES = 32_768
 
 
 class ConnectionEnd(Enum):
@@ -36,15 +37,17 @@
 
 @attrs.frozen
 class ConnectionLimits:
-    """How long a server waits on its connections.
+    """How long a server waits on its connections, and for how much.
 
     :param head_timeout: from the first byte of a request's head to its end.
     :param idle_timeout: from a response, or the start of the connection, to the next
         request.
+    :param max_head_bytes: size of a request's head, whatever the pieces it arrives in.
     """
 
     head_timeout: timedelta = timedelta(seconds=HEAD_TIMEOUT_S)
     idle_timeout: timedelta = timedelta(seconds=IDLE_TIMEOUT_S)
+    max_head_bytes: int = DEFAULT_HEAD_BYTES
 
     def get_timeout(self, ended_by: ConnectionEnd) -> timedelta:
         """Return the time after which a wait is ended for this reason."""
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -18,10 +18,20 @@
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
-from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
-from wagtailstep.models.headers import REASON, REQUEST_ID, VERDICT
-from wagtailstep.models.verdict import Verdict
+from wagtailstep.models.connection import (
+    DEFAULT_HEAD_BYTES,
+    ConnectionEnd,
+    ConnectionLimits,
+)
+from wagtailstep.models.headers import REQUEST_ID
 from wagtailstep.network.early_answers import EarlyAnswer
+from wagtailstep.network.head_limits import (
+    HeadMeter,
+    LargeHeads,
+    LimitedConnection,
+    build_refusal_headers,
+    send_refusal,
+)
 from wagtailstep.network.sockets import reset_transport
 from wagtailstep.utils.callbacks import do_nothing
 from wagtailstep.utils.cancellation import is_own_cancellation
@@ -80,6 +90,9 @@
         self.get_limits: Callable[[], ConnectionLimits] = ConnectionLimits
         self.wait: Wait | None = None
         self.on_change: Callable[[], None] = do_nothing
+        self.conn = LimitedConnection(h11.SERVER, DEFAULT_HEAD_BYTES)
+        self.head = HeadMeter(self, self.conn, LargeHeads())
+        self.received_bytes = 0
 
     @property
     def is_responding(self) -> bool:
@@ -89,7 +102,7 @@
     @property
     def has_partial_head(self) -> bool:
         """Return whether a part of the next request's head has arrived."""
-        return self.conn.their_state is h11.IDLE and bool(self.conn.trailing_data[0])
+        return self.head.incomplete_bytes > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
@@ -98,12 +111,15 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; no time limit applies to a request once it is read."""
+        self.received_bytes = len(data)
         super().data_received(data)
         self.update_wait()
 
     def on_response_complete(self) -> None:
         """Go on with the next request, or start to wait for it."""
         self.quiet_since_s = self.loop.time()
+        self.head.release()
+        self.received_bytes = 0
         super().on_response_complete()
         self.update_wait()
         self.on_change()
@@ -181,7 +197,11 @@
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
-                await self.inner_app(scope, receive, answer.send)
+                refusal = self.head.check(scope)
+                if refusal is None:
+                    await self.inner_app(scope, receive, answer.send)
+                else:
+                    await send_refusal(refusal, answer.send)
                 return
             self.log_interruption(scope, started_s, quiet_s)
         except (Exception, asyncio.CancelledError) as error:
@@ -245,7 +265,11 @@
 
         uvicorn stops to read there, and would not notice that the caller disconnects.
         """
+        self.head.start(self.get_limits().max_head_bytes)
         super().handle_events()
+        refusal = self.head.update(self.received_bytes)
+        if refusal is not None:
+            self.send_error_response(refusal.status, refusal.detail)
         if self.flow.read_paused and self.conn.their_state in READ_REQUEST_STATES:
             pipelined_bytes, _ = self.conn.trailing_data
             if len(pipelined_bytes) < MAX_PIPELINED_BYTES:
@@ -267,6 +291,7 @@
             self.record_end(ConnectionEnd.CONNECTION_FAILED)
         self.record_end(ConnectionEnd.CLOSED_BEHIND_RESPONSE)
         self.stop_waiting()
+        self.head.release()
         was_responding = self.is_responding
         super().connection_lost(exc)
         if self.handler is not None and was_responding:
@@ -322,15 +347,11 @@
 
     def send_error_response(self, status: int, detail: str) -> None:
         """Write an error response without running a handler, and close."""
-        headers = [
-            (b"content-type", b"text/plain; charset=utf-8"),
-            (b"connection", b"close"),
-            (VERDICT.encode(), Verdict.NOT_RUN.value.encode()),
-            (REASON.encode(), b"bad-request"),
-        ]
         events = [
             h11.Response(
-                status_code=status, headers=headers, reason=HTTPStatus(status).phrase
+                status_code=status,
+                headers=build_refusal_headers(status),
+                reason=HTTPStatus(status).phrase,
             ),
             h11.Data(data=f"{detail}\n".encode()),
             h11.EndOfMessage(),
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -9,9 +9,9 @@
 from uvicorn.server import ServerState
 
 from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
+from wagtailstep.network.head_limits import LargeHeads
 from wagtailstep.network.http_protocol import ServerConnection
 
-MAX_HEAD_BYTES = 32_768
 BACKLOG = 1_024
 # Requests that were under way when the listener closed arrive within this time. A
 # later one might not end before the limit of the drain.
@@ -26,7 +26,7 @@
     :param app: the application.
     :param announce_closing: called when the server stops accepting; from then on the
         application has to ask clients to close their persistent connections.
-    :param get_limits: returns the time limits of connections that are in force.
+    :param get_limits: returns the limits of connections that are in force.
     """
 
     def __init__(
@@ -38,6 +38,7 @@
         self.announce_closing = announce_closing
         self.get_limits = get_limits
         self.state = ServerState()
+        self.large_heads = LargeHeads()
         self.connection_changed = asyncio.Event()
         self.is_closing = False
         self.server: asyncio.Server | None = None
@@ -51,7 +52,6 @@
             log_config=None,
             access_log=False,
             proxy_headers=False,
-            h11_max_incomplete_event_size=MAX_HEAD_BYTES,
         )
 
     async def start(self, address: str) -> str:
@@ -75,6 +75,7 @@
             config=self.config, server_state=self.state, app_state={}
         )
         connection.get_limits = self.get_limits
+        connection.head.large_heads = self.large_heads
         connection.on_change = self.connection_changed.set
         return connection
 
--- a/src/wagtailstep/platform/configuration.py
+++ b/src/wagtailstep/platform/configuration.py
@@ -12,7 +12,7 @@
     UnreadableAccount,
 )
 from wagtailstep.exceptions import DecodeError
-from wagtailstep.models.connection import ConnectionLimits
+from wagtailstep.models.connection import DEFAULT_HEAD_BYTES, ConnectionLimits
 from wagtailstep.models.host_routes import (
     HostRoute,
     HostRoutes,
@@ -80,11 +80,13 @@
 class Limits(msgspec.Struct, rename="kebab", frozen=True):
     """Limits on requests and connections of clients.
 
+    :param max_header_bytes: maximum size of a request's head; 0 is the default.
     :param max_body_bytes: maximum size of a body; 0 is unlimited.
     :param header_timeout: longest duration from the first byte of a head to its end.
     :param idle_timeout: longest duration between a response and the next request.
     """
 
+    max_header_bytes: int = 0
     max_body_bytes: int = 0
     header_timeout: str | None = None
     idle_timeout: str | None = None
@@ -150,21 +152,18 @@
 
 
 def build_connection_limits(limits: Limits) -> ConnectionLimits:
-    """Build the time limits of connections; one that is left out has its default.
+    """Build the limits of connections; one that is left out has its default.
 
     :raises DecodeError: if a duration is malformed or not positive.
     """
-    durations = {
-        "head_timeout": limits.header_timeout,
-        "idle_timeout": limits.idle_timeout,
+    texts = {"head_timeout": limits.header_timeout, "idle_timeout": limits.idle_timeout}
+    given = {
+        name: parse_positive_duration(text)
+        for name, text in texts.items()
+        if text is not None
     }
-    return ConnectionLimits(
-        **{
-            name: parse_positive_duration(text)
-            for name, text in durations.items()
-            if text is not None
-        }
-    )
+    max_head_bytes = limits.max_header_bytes or DEFAULT_HEAD_BYTES
+    return ConnectionLimits(max_head_bytes=max_head_bytes, **given)
 
 
 def read_route(fields: dict[str, Any]) -> HostRoute | UnreadableRoute:
