Let announcements for services without routes take no address over

Cause: the announcement of any newer process removed the server at its address, and that server's own heartbeats counted as late from then on.

Change: an announcement for an unrouted service is kept aside until a table routes requests to the service. What was announced before the first table no longer counts against a routed server. The daemon's own service is always accepted.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -42,6 +42,39 @@
     Then the target "contracts/i-1" is "gone"
     And the target "archive/i-2" is "serving"
 
+  # Guards against a heartbeat of another writer that names a service without routes and
+  # the address of a sound server, which got no requests for as long as it was sent.
+  Scenario: An announcement for a service without routes takes over no address
+    Given a table that routes requests to "contracts"
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 9 of "odd/i-1" announces itself with sequence 1 as "serving"
+    Then the target "contracts/i-1" is "serving"
+    And the target "odd/i-1" is "gone"
+    When process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    And 2 seconds pass without an announcement
+    Then the target "contracts/i-1" is "serving"
+
+  Scenario: A server is offered as soon as its service gets a route
+    Given a table that routes requests to "contracts"
+    When process 5 of "archive/i-2" announces itself with sequence 1 as "serving"
+    Then the target "archive/i-2" is "gone"
+    When a table routes requests to "archive"
+    Then the target "archive/i-2" is "serving"
+
+  Scenario: A server that leaves before its service gets a route is not offered
+    Given a table that routes requests to "contracts"
+    When process 5 of "archive/i-2" announces itself with sequence 1 as "serving"
+    And instance "i-2" of "archive" withdraws at 9
+    And a table routes requests to "archive"
+    Then the target "archive/i-2" is "gone"
+
+  Scenario: An address that was taken over before the first table is given back
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 9 of "odd/i-1" announces itself with sequence 1 as "serving"
+    And a table routes requests to "contracts"
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "serving"
+    Then the target "contracts/i-1" is "serving"
+
   Scenario: A withdrawal by instance id removes the target of that instance
     When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
     And instance "i-1" of "contracts" withdraws at 9
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -2,12 +2,21 @@
 
 from datetime import timedelta
 
-from behave import then, when
+from behave import given, then, when
 
 from wagtailstep.models.departures import DeparturesSaved, SaveDepartures
 from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced, Tick
 from wagtailstep.models.fleet import Target, TargetState
+from wagtailstep.models.host_routes import (
+    HostRoute,
+    HostRoutes,
+    RouteKind,
+    WeightedService,
+)
 from wagtailstep.models.server_notices import ServerNotices, ServerNoticesReceived
+from wagtailstep.models.table import Table
+
+TIMEOUT = timedelta(seconds=4)
 
 
 @when(
@@ -27,6 +36,18 @@
     context.controller.handle(TargetAnnounced(target, born, sequence))
 
 
+@given('a table that routes requests to "{service}"')
+@when('a table routes requests to "{service}"')
+def route_requests(context, service):
+    parts = (WeightedService(service),)
+    route = HostRoute(
+        "r", "book.example", "/a/", RouteKind.SAFE, TIMEOUT, TIMEOUT, 0, 1, parts
+    )
+    context.board.table = Table(host_routes=HostRoutes([route]))
+    context.board.table_known = True
+    context.controller.handle(Tick())
+
+
 @when('{count:d} others announce themselves as "{state}"')
 def announce_others(context, count, state):
     for number in range(count):
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -13,6 +13,7 @@
     DepartureRecord,
 )
 from wagtailstep.controllers.registrations import Registration, Registrations
+from wagtailstep.controllers.unrouted_announcements import UnroutedAnnouncements
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import (
     MAX_ANNOUNCEMENT_DELAY,
@@ -74,6 +75,7 @@
         self.registrations = Registrations(self.is_needed)
         self.incarnation = 0
         self.departures = DepartureRecord(blackboard, clock)
+        self.unrouted = UnroutedAnnouncements(settings.service, blackboard)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -84,6 +86,10 @@
     def _(self, event: TargetAnnounced) -> list[Any]:
         target_id = event.target.target_id
         is_leaving = event.target.state is TargetState.LEAVING
+        if is_leaving:
+            self.unrouted.discard_instance(event.target.instance_id)
+        elif self.unrouted.keep(event):
+            return []
         if not self._register(event):
             return self._repeat_save(event) if is_leaving else []
         if is_leaving:
@@ -148,6 +154,7 @@
                 self.registrations.by_target[name].born
                 for name in board.local_targets
                 if address and board.targets[name].address == address
+                if self.unrouted.is_routed(board.targets[name].service)
             ),
             default=0,
         )
@@ -155,6 +162,8 @@
     def _remove_replaced(self, target: Target) -> None:
         """Remove an older backend server whose address has been taken over."""
         board = self.blackboard
+        if not self.unrouted.is_routed(target.service):
+            return
         for name in list(board.local_targets):
             same_address = (
                 target.address and board.targets[name].address == target.address
@@ -168,6 +177,7 @@
 
     @handle.register
     def _(self, event: InstanceWithdrawn) -> list[Any]:
+        self.unrouted.discard_instance(event.instance_id)
         names = self.registrations.find_names(event.instance_id)
         if not names:
             # It was announced to an earlier process of this daemon. Reject its earlier
@@ -300,6 +310,8 @@
         self.registrations.expire(self.clock.monotonic())
         self._settle(self.departures.expire())
         effects = self.departures.save_if_due()
+        for announced in self.unrouted.pop_routed():
+            effects += self.handle(announced)
         for target_id, lease in list(self.leases.items()):
             effects += self._check_lease(target_id, lease)
         return effects
