Record the leave of a server whose address another entry has taken

Callers could see: requests at a server after its draining was acknowledged, once a daemon restarts, since nothing was recorded.

Cause: an announcement that says 'leaving' was compared with the newest process at its address and dropped as late. No departure was under way then, so the answer was 200.

Change: only announcements of servers that stay are compared by address, and only these take an address over.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -54,6 +54,16 @@
     And 2 seconds pass without an announcement
     Then the target "contracts/i-1" is "serving"
 
+  # Guards against a leave that is acknowledged and not recorded, since another entry
+  # stands at the address of the server.
+  Scenario: The leave of a server whose address was taken over is recorded
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 9 of "archive/i-2" announces itself with sequence 1 as "serving"
+    And process 5 of "contracts/i-1" announces itself with sequence 4 as "leaving"
+    Then the departure of process 5 of "contracts/i-1" is to be recorded
+    And instance "i-1" gets its acknowledgement once that is done
+    And the target "archive/i-2" is "serving"
+
   Scenario: A server is offered as soon as its service gets a route
     Given a table that routes requests to "contracts"
     When process 5 of "archive/i-2" announces itself with sequence 1 as "serving"
--- a/features/steps/late_announcements_steps.py
+++ b/features/steps/late_announcements_steps.py
@@ -4,7 +4,11 @@
 
 from behave import given, then, when
 
-from wagtailstep.models.departures import DeparturesSaved, SaveDepartures
+from wagtailstep.models.departures import (
+    Departure,
+    DeparturesSaved,
+    SaveDepartures,
+)
 from wagtailstep.models.events import InstanceWithdrawn, TargetAnnounced, Tick
 from wagtailstep.models.fleet import Target, TargetState
 from wagtailstep.models.host_routes import (
@@ -33,7 +37,7 @@
         state=TargetState(state),
         address="127.0.0.1:8000",
     )
-    context.controller.handle(TargetAnnounced(target, born, sequence))
+    context.effects = context.controller.handle(TargetAnnounced(target, born, sequence))
 
 
 @given('a table that routes requests to "{service}"')
@@ -68,6 +72,20 @@
     assert len(context.board.local_targets) <= count
 
 
+@then('the departure of process {born:d} of "{target_id}" is to be recorded')
+def check_departure(context, born, target_id):
+    (save,) = count_saves(context.effects)
+    context.departure = Departure(target_id, born)
+    assert context.departure in save.departures, save
+
+
+@then('instance "{instance_id}" gets its acknowledgement once that is done')
+def check_settled(context, instance_id):
+    assert not context.controller.is_departure_settled(instance_id)
+    context.controller.handle(DeparturesSaved(frozenset({context.departure}), True))
+    assert context.controller.is_departure_settled(instance_id)
+
+
 @when('a response of "{target_id}" says that it leaves')
 def say_leaving_in_response(context, target_id):
     notices = ServerNotices(leaving=True)
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -127,14 +127,18 @@
     def _register(self, event: TargetAnnounced) -> bool:
         """Record an announcement, and remove a server whose address it takes over.
 
+        A process that leaves takes none over, and may leave whoever has its address.
+
         :return: whether it is neither late nor from a process that has departed.
         """
         target = event.target
+        needs_address = target.state is not TargetState.LEAVING
         known = self.registrations.by_target.get(target.target_id, Registration())
         if known.born and not event.process_started:
             # Processes of this server name their start time, so it is not from one.
             return False
-        if event.process_started < self._latest_start_at(target.address):
+        latest_start = self._latest_start_at(target.address) if needs_address else 0
+        if event.process_started < latest_start:
             return False
         registration = self.registrations.find_or_add(target.target_id)
         if registration is None:
@@ -143,7 +147,8 @@
             return False
         if registration.has_departed and event.process_started:
             return False
-        self._remove_replaced(target)
+        if needs_address:
+            self._remove_replaced(target)
         return True
 
     def _latest_start_at(self, address: str) -> int:
