Give an address back once the entry that took it over has lapsed

Cause: the entry counted as the newest process at the address while its requests could still end: 6 s of lease, then 30 s of drain limit.

Change: an entry whose lease has lapsed no longer counts. One that has departed does, until it is removed.

--- a/features/late_announcements.feature
+++ b/features/late_announcements.feature
@@ -54,6 +54,23 @@
     And 2 seconds pass without an announcement
     Then the target "contracts/i-1" is "serving"
 
+  # Guards against an entry that keeps a sound server out until the drain limit has
+  # passed as well, although nobody renews it.
+  Scenario: A server gets its address back once the other entry has lapsed
+    When process 5 of "contracts/i-1" announces itself with sequence 3 as "serving"
+    And process 9 of "archive/i-2" announces itself with sequence 1 as "serving"
+    And 4 seconds pass without an announcement
+    And process 5 of "contracts/i-1" announces itself with sequence 6 as "serving"
+    Then the target "contracts/i-1" is "serving"
+    And the target "archive/i-2" is "gone"
+
+  Scenario: A server that left keeps its address from an earlier process
+    When process 9 of "archive/i-2" announces itself with sequence 1 as "serving"
+    And process 9 of "archive/i-2" announces itself with sequence 2 as "leaving"
+    And 4 seconds pass without an announcement
+    And process 5 of "contracts/i-1" announces itself with sequence 6 as "serving"
+    Then the target "contracts/i-1" is "gone"
+
   # Guards against a leave that is acknowledged and not recorded, since another entry
   # stands at the address of the server.
   Scenario: The leave of a server whose address was taken over is recorded
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -159,11 +159,21 @@
                 self.registrations.by_target[name].born
                 for name in board.local_targets
                 if address and board.targets[name].address == address
-                if self.unrouted.is_routed(board.targets[name].service)
+                if self._holds_address(name)
             ),
             default=0,
         )
 
+    def _holds_address(self, target_id: str) -> bool:
+        """Return whether a server excludes earlier processes from its address.
+
+        One whose lease has lapsed does not, though it stays until its requests end.
+        """
+        lapsed = self.leases[target_id].leaving_since is not None
+        departed = self.registrations.by_target[target_id].has_departed
+        service = self.blackboard.targets[target_id].service
+        return self.unrouted.is_routed(service) and (departed or not lapsed)
+
     def _remove_replaced(self, target: Target) -> None:
         """Remove an older backend server whose address has been taken over."""
         board = self.blackboard
