Try the doubted server first that was tried least recently

Cause: an entry that believed several servers to be in doubt chose among them at random. At 1.5 requests a second for each, one in twenty gets none in 2 s, although its gate has had it back as good for long.

Change: ServiceTrials.choose_target takes the one that was tried least recently. How many requests try doubted servers is as before.

--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -146,7 +146,8 @@
             if pool.doubted and self.rng.random() < self.compute_try_ratio(
                 service, pool, may_probe()
             ):
-                first = second = self.rng.choice(pool.doubted)
+                trials = self.trials[service]
+                first = second = trials.choose_target(pool.doubted, self.rng)
             else:
                 first, second = pool.draw(self.rng)
             if self.is_current(first) and self.is_current(second):
--- a/src/wagtailstep/controllers/trials.py
+++ b/src/wagtailstep/controllers/trials.py
@@ -5,10 +5,13 @@
 that no server stays excluded for want of requests of one kind.
 """
 
+import random
+from collections.abc import Sequence
 from datetime import timedelta
 
 import attrs
 
+from wagtailstep.controllers.candidates import Candidate
 from wagtailstep.controllers.request_rates import RateEstimate
 from wagtailstep.controllers.target_queue import TargetQueue
 
@@ -38,12 +41,31 @@
     :param ended: all requests that ended.
     :param retryable: requests that could be retried after a failure.
     :param others: requests that could not.
+    :param tried: number of the last request sent to each doubted target.
+    :param tries: number of the last one to any of them.
     """
 
     unserved: RateEstimate = attrs.field(factory=RateEstimate)
     ended: RateEstimate = attrs.field(factory=RateEstimate)
     retryable: RateEstimate = attrs.field(factory=RateEstimate)
     others: RateEstimate = attrs.field(factory=RateEstimate)
+    tried: dict[str, int] = attrs.field(factory=dict)
+    tries: int = 0
+
+    def choose_target(
+        self, doubted: Sequence[Candidate], rng: random.Random
+    ) -> Candidate:
+        """Choose the doubted target that was tried least recently.
+
+        With a random choice, some get no request for several times the mean interval.
+        """
+        names = [candidate.target.target_id for candidate in doubted]
+        self.tried = {name: self.tried.get(name, 0) for name in names}
+        oldest = min(self.tried.values())
+        chosen = rng.choice([name for name in names if self.tried[name] == oldest])
+        self.tries += 1
+        self.tried[chosen] = self.tries
+        return doubted[names.index(chosen)]
 
     def record_outcome(self, served: bool, now: timedelta) -> None:
         """Record how a request ended."""
