Ask for departures less often once servers are offered

Each request makes a daemon call the store, which may be in trouble for all: a daemon that stopped to wait asked two others twice a second for up to 10 s. Now it asks each 2 s after the wait.

--- a/src/wagtailstep/controllers/departure_inquiry.py
+++ b/src/wagtailstep/controllers/departure_inquiry.py
@@ -26,6 +26,8 @@
 # The daemon's own read, which has a head start, usually ends within it.
 OWN_READ_TIME = timedelta(milliseconds=100)
 ASK_INTERVAL = timedelta(milliseconds=500)
+# Once the wait has ended. Each request makes a call to a store that may be in trouble.
+LATER_ASK_INTERVAL = timedelta(seconds=2)
 PEERS_ASKED = 2
 # Without a table a daemon serves nothing, so the time runs from the first one on.
 MAX_UNKNOWN_TIME = timedelta(seconds=1)
@@ -135,7 +137,10 @@
         peers = self._choose_peers()
         if not peers:
             return []
-        self.next_request_at = now + ASK_INTERVAL
+        is_waiting = self.blackboard.departures_unknown
+        self.next_request_at = now + (
+            ASK_INTERVAL if is_waiting else LATER_ASK_INTERVAL
+        )
         this = self.blackboard.this_member
         uptime_ms = (now - self.started_at) // timedelta(milliseconds=1)
         request = DeparturesRequest(
@@ -158,12 +163,8 @@
         self.rng.shuffle(usable)
         interested = [member for member in usable if self.service in member.services]
         first = interested[:1]
-        return (
-            first
-            + [member for member in usable if member not in first][
-                : PEERS_ASKED - len(first)
-            ]
-        )
+        others = [member for member in usable if member not in first]
+        return first + others[: PEERS_ASKED - len(first)]
 
 
 def may_have_departed(board: Blackboard, target: Target) -> bool:
