Play turned-away daemons, changed graces and limits on heads in the soak

Its store failed for all daemons at once, its settings never changed, and its heads were small.

Change: three faults. 'turned-away' lets the store refuse single daemons, by a port for each host, beside departures that end in a kill; 'grace' changes the settings of a daemon before its shutdown; 'heads' changes the operator's limit and sends heads close below it in pieces. The notice of a shutdown is that of the settings template.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -33,15 +33,21 @@
     find_ignored_leaves,
     find_late_work,
     leave_before_late_heartbeats,
+    leave_while_turned_away,
     send_odd_heartbeats,
 )
 from benchmarks.soak.fleet import Host, SoakFleet
-from benchmarks.soak.processes import ProcessFleet
+from benchmarks.soak.heads import change_head_limit
+from benchmarks.soak.processes import GRACE_S, ProcessFleet, ProcessHost
 
 WARMUP_S = 4.0
 FINAL_PHASE_S = 3.0
 SLOW_SHARE = 0.3
-PLANNED = PLANNED_OPERATIONS | {"hup"}
+PLANNED = PLANNED_OPERATIONS | {"hup", "grace", "heads"}
+LONG_GRACE_S = 10.0
+# Longer than what a shutdown within the shorter grace leaves from its second second on.
+LONG_WORK_MS = 4_600
+SIGNALLED_SHARE = 0.7
 
 
 async def reload_settings(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
@@ -51,6 +57,28 @@
         await asyncio.sleep(rng.uniform(0.0, 0.3))
 
 
+async def change_grace(
+    fleet: ProcessFleet, host: ProcessHost, rng: random.Random
+) -> None:
+    """Change the grace in the settings of a daemon, and shut it down later.
+
+    Beside the longer grace, a request needs more time than the shorter one leaves.
+    """
+    if host.daemon is None:
+        return
+    host.grace_s = LONG_GRACE_S if host.grace_s == GRACE_S else GRACE_S
+    fleet.write_settings(host)
+    if rng.random() < SIGNALLED_SHARE:
+        fleet.reload_settings(host)
+    await asyncio.sleep(rng.uniform(0.0, 6.0))
+    restarting = asyncio.create_task(fleet.restart_daemon(host))
+    await asyncio.sleep(rng.uniform(1.3, 2.2))
+    if host.grace_s == LONG_GRACE_S:
+        key = f"long{rng.getrandbits(32):08x}"
+        await fleet.callers.send_request(key, host.name, True, work_ms=LONG_WORK_MS)
+    await restarting
+
+
 FAULTS = {
     "kill": lose_power,
     "restart": restart,
@@ -59,6 +87,9 @@
     "store": disrupt_store,
     "departure": leave_before_late_heartbeats,
     "odd-heartbeats": send_odd_heartbeats,
+    "turned-away": leave_while_turned_away,
+    "grace": change_grace,
+    "heads": change_head_limit,
 }
 
 
@@ -127,6 +158,7 @@
             random.Random(rng.random()),
             slow_share=SLOW_SHARE,
         )
+        fleet.callers = callers
         calls = asyncio.create_task(callers.run())
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + size.fault_phase_s
@@ -158,7 +190,7 @@
     violations = find_violations(outcomes, runs, final_phase_start)
     violations += find_late_work(fleet, outcomes)
     violations += find_ignored_leaves(fleet)
-    violations += fleet.unexpected_ends
+    violations += fleet.unexpected_ends + fleet.denied_requests
     if fault_names <= PLANNED:
         violations += find_interrupted_requests(outcomes, runs)
     return violations
--- a/benchmarks/soak/callers.py
+++ b/benchmarks/soak/callers.py
@@ -121,18 +121,24 @@
                 )
 
     async def send_request(
-        self, key: str, host: str, unsafe: bool, resource: str = "1"
+        self,
+        key: str,
+        host: str,
+        unsafe: bool,
+        resource: str = "1",
+        work_ms: int = WORK_MS,
     ) -> None:
         """Send one request and record its outcome.
 
         :param resource: last part of the path.
+        :param work_ms: how long a backend server works on it.
         """
         loop = asyncio.get_running_loop()
         at_s = loop.time()
         headers = (
             ("host", ROUTE_HOST),
             ("fake-key", key),
-            ("fake-work-ms", str(WORK_MS)),
+            ("fake-work-ms", str(work_ms)),
             ("wagtailstep-timeout-ms", str(TIMEOUT_MS)),
         )
         request = HttpRequest(
--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -25,6 +25,9 @@
 SERVES_ON_S = 7.0
 RESTART_SHARE = 0.7
 KILL_ALL_SHARE = 0.15
+ALONE_SHARE = 0.25
+# Longer than the bound on new work and the time until daemons count as stable again.
+TURNED_AWAY_S = 9.0
 DOWN_S = 0.9
 # The platform's bound on the time to an acknowledgement.
 ACK_S = 4.0
@@ -53,6 +56,42 @@
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
+async def leave_while_turned_away(
+    fleet: SoakFleet, host: Host, rng: random.Random
+) -> None:
+    """Let a server leave before a kill, and the store turn away its daemon after it.
+
+    In most cases all daemons are killed, so that none reminds this one.
+    """
+    backend = host.backend
+    if backend is None or host.daemon is None or fleet.is_turned_away(host):
+        return
+    late = [fleet.build_heartbeat(host, "ready") for _ in range(rng.randint(1, 3))]
+    host.is_leaving = True
+    left_at_s = await leave(fleet, host, rng.choice(("DELETE", "draining")))
+    await asyncio.sleep(rng.uniform(0.0, 0.5))
+    fleet.turn_away(host, silent=rng.random() < 0.5)
+    is_alone = rng.random() < ALONE_SHARE
+    await kill([host] if is_alone else fleet.hosts, fleet)
+    loop = asyncio.get_running_loop()
+    for heartbeat in late:
+        delay_s = rng.uniform(1.5, MAX_HEARTBEAT_DELAY_S)
+        await asyncio.sleep(max(0.0, left_at_s + delay_s - loop.time()))
+        await call(fleet, host, "PUT", heartbeat)
+    await asyncio.sleep(max(0.0, left_at_s + TURNED_AWAY_S - loop.time()))
+    fleet.serve_again(host)
+    await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
+
+
+async def kill(hosts: Sequence[Host], fleet: SoakFleet) -> None:
+    """Kill the daemons of some hosts at once and start them again."""
+    killed = [host for host in hosts if host.daemon is not None]
+    for host in killed:
+        fleet.power_off(host)
+    await asyncio.sleep(DOWN_S)
+    await asyncio.gather(*(fleet.restore_power(host) for host in killed))
+
+
 async def leave(fleet: SoakFleet, host: Host, kind: str) -> float:
     """Let a server say that it leaves until that is acknowledged, or it gives up.
 
@@ -71,7 +110,8 @@
             fleet.departures.append(DepartedServer(loop.time(), host.backend))
             return loop.time()
         if loop.time() - leaving_since_s > ACK_S:
-            fleet.ignored_leaves.append(Disruption(leaving_since_s, host.name))
+            if not fleet.is_turned_away(host):
+                fleet.ignored_leaves.append(Disruption(leaving_since_s, host.name))
             return loop.time()
         await asyncio.sleep(LEAVE_INTERVAL_S)
 
@@ -82,11 +122,7 @@
     if draw < RESTART_SHARE:
         await fleet.restart_daemon(host)
     elif draw < RESTART_SHARE + KILL_ALL_SHARE:
-        killed = [other for other in fleet.hosts if other.daemon is not None]
-        for other in killed:
-            fleet.power_off(other)
-        await asyncio.sleep(DOWN_S)
-        await asyncio.gather(*(fleet.restore_power(other) for other in killed))
+        await kill(fleet.hosts, fleet)
 
 
 async def send_odd_heartbeats(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -153,10 +153,12 @@
 
     :param at_s: event loop time in seconds.
     :param version: the version.
+    :param limits: limits on what callers send.
     """
 
     at_s: float
     version: int
+    limits: dict[str, Any]
 
 
 @attrs.frozen
@@ -202,6 +204,8 @@
         self.version = 1
         # The operator's limits on what callers send.
         self.limits: dict[str, Any] = {}
+        # Requests within these limits that a daemon refused for good.
+        self.denied_requests: list[str] = []
         self.hosts = [
             self.create_host(number, ZONES[number % len(ZONES)])
             for number in range(1, size + 1)
@@ -247,7 +251,7 @@
         record = build_configuration(self.version, self.limits)
         self.store.put("keyed.op", "config", record)
         at_s = asyncio.get_running_loop().time()
-        self.publications.append(Publication(at_s, self.version))
+        self.publications.append(Publication(at_s, self.version, self.limits))
 
     def power_on(self, host: Host) -> None:
         """Start the backend server and the daemon of a host."""
@@ -422,6 +426,22 @@
         self.storeless.add(host.name)
         detangle.network().disconnect(host.name, STORE_HOST)
 
+    def turn_away(self, host: Host, silent: bool) -> None:
+        """Let the store refuse the calls of a host, and serve the others."""
+        faults = self.store.faults
+        ports = faults.silent_ports if silent else faults.refusing_ports
+        ports.add(STORE_PORT + host.number)
+
+    def is_turned_away(self, host: Host) -> bool:
+        """Return whether the store refuses the calls of a host."""
+        faults = self.store.faults
+        return STORE_PORT + host.number in faults.silent_ports | faults.refusing_ports
+
+    def serve_again(self, host: Host) -> None:
+        """Let the store serve a host again."""
+        self.store.faults.silent_ports.discard(STORE_PORT + host.number)
+        self.store.faults.refusing_ports.discard(STORE_PORT + host.number)
+
     def heal(self) -> None:
         """Restore all links."""
         detangle.network().heal()
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -17,6 +17,8 @@
 from wagtailstep.utils.clock import LoopClock
 
 GRACE_S = 6.0
+# As in the settings template of the platform.
+NOTICE_MS = 2_600
 START_LIMIT_S = 15.0
 POLL_S = 0.05
 # The platform's bound on ends that belong to a start, and its delay of a new start.
@@ -31,9 +33,11 @@
 
     :param network: second and third number of the addresses of this run, so that
         several runs don't meet.
+    :param grace_s: seconds between SIGTERM and SIGKILL.
     """
 
     network: str = "1.0"
+    grace_s: float = GRACE_S
 
     @property
     def name(self) -> str:
@@ -55,7 +59,7 @@
         super().__init__(size, rng)
         self.store_host = f"127.{self.network_part}.{STORE_NUMBER}"
         self.clock = LoopClock()
-        self.bounds = {"grace": f"{GRACE_S:.0f}s"}
+        self.shutdown_notice_ms = NOTICE_MS
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopped: set[asyncio.subprocess.Process] = set()
         self.restarting: set[str] = set()
@@ -91,13 +95,11 @@
         writer.close()
         return True
 
-    async def run_daemon(self, host: Host) -> None:
+    async def run_daemon(self, host: ProcessHost) -> None:
         """Start the process of a host's daemon."""
         self.record_disruption(host.name)
         host.starts += 1
-        path = self.folder / f"{host.name}.json"
-        settings = attrs.asdict(self.build_settings(host))
-        path.write_text(json.dumps(settings))
+        path = self.write_settings(host)
         with open(self.folder / f"{host.name}.log", "ab") as output:
             host.daemon = await asyncio.create_subprocess_exec(
                 *[sys.executable, "-m", "wagtailstep.platform", "run"],
@@ -107,6 +109,15 @@
             )
         self.spawn(self.watch_daemon(host, host.daemon), host)
 
+    def write_settings(self, host: ProcessHost) -> pathlib.Path:
+        """Write the settings file of a host's daemon, whole or not at all."""
+        settings = self.build_settings(host)
+        bounds = {"grace": f"{host.grace_s:g}s"}
+        path = self.folder / f"{host.name}.json"
+        new = path.with_suffix(".new")
+        new.write_text(json.dumps(attrs.asdict(attrs.evolve(settings, bounds=bounds))))
+        return new.replace(path)
+
     async def watch_daemon(
         self, host: Host, process: asyncio.subprocess.Process
     ) -> None:
@@ -129,7 +140,7 @@
         await asyncio.sleep(RESTART_DELAY_S)
         await self.restore_power(host)
 
-    async def restart_daemon(self, host: Host) -> None:
+    async def restart_daemon(self, host: ProcessHost) -> None:
         """Send SIGTERM, wait for the end and start the daemon again."""
         process = host.daemon
         if process is None or host.name in self.restarting:
@@ -139,7 +150,7 @@
         self.stopped.add(process)
         send_signal(process, signal.SIGTERM)
         try:
-            await asyncio.wait_for(process.wait(), GRACE_S)
+            await asyncio.wait_for(process.wait(), host.grace_s)
         except TimeoutError:
             self.unexpected_ends.append(f"{host.name} still ran after the grace")
             send_signal(process, signal.SIGKILL)
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -7,7 +7,7 @@
 import detangle
 import msgspec
 from behave import given, then, when
-from benchmarks.soak.fleet import SERVICE, STORE_PORT, SoakClock, SoakFleet
+from benchmarks.soak.fleet import SERVICE, SoakClock, SoakFleet
 
 from wagtailstep.exceptions import RequestError
 from wagtailstep.models.departures import MAX_ANNOUNCEMENT_DELAY
@@ -165,13 +165,8 @@
 
     def start_partial_trouble(self, kind):
         """Let the store turn away the daemon beside the server, and no other one."""
-        faults = self.fleet.store.faults
-        faults.ports = frozenset({STORE_PORT + self.host.number})
-        if kind == "turns away":
-            faults.status = 503
-        else:
-            assert kind == "gives no answer to"
-            faults.silent = True
+        assert kind in ("turns away", "gives no answer to"), kind
+        self.fleet.turn_away(self.host, silent=kind != "turns away")
 
     async def disrupt(self, kind):
         faults = self.fleet.store.faults
--- a/features/steps/head_limits_steps.py
+++ b/features/steps/head_limits_steps.py
@@ -6,15 +6,12 @@
 
 import detangle
 from behave import given, then, when
-from benchmarks.soak.fleet import ROUTE_HOST, SoakFleet
+from benchmarks.soak.fleet import SoakFleet
+from benchmarks.soak.heads import PAUSE_S, send_head
 
 FLEET_SIZE = 2
 WARMUP_S = 6.0
-TIMEOUT_MS = 5_000
-MAX_FIELD_BYTES = 1_000
 PIECES = 60
-# Pieces without a pause would arrive together.
-PAUSE_S = 0.001
 
 
 class HeadRun:
@@ -37,19 +34,8 @@
         self.fleet.limits = {"max-header-bytes": limit} if limit else {}
 
     async def send(self, size, piece, pause_s=PAUSE_S):
-        """Send a request in pieces; return the status and the headers."""
-        reader, writer = await asyncio.open_connection(self.host.name, 8001)
-        reading = asyncio.ensure_future(reader.readuntil(b"\r\n\r\n"))
-        head = build_head(size)
-        for start in range(0, size, piece):
-            if reading.done():
-                break
-            writer.write(head[start : start + piece])
-            await writer.drain()
-            await asyncio.sleep(pause_s)
-        response = (await reading).decode("latin-1")
-        writer.close()
-        self.responses.append((int(response.split()[1]), response.lower()))
+        response = await send_head(self.host.name, size, piece, pause_s)
+        self.responses.append(response)
 
     def play(self, scenario):
         async def main():
@@ -63,26 +49,6 @@
         return Counter(status for status, _ in self.responses)
 
 
-def build_head(size):
-    lines = [
-        "GET /lookup/1 HTTP/1.1",
-        f"host: {ROUTE_HOST}",
-        f"wagtailstep-timeout-ms: {TIMEOUT_MS}",
-    ]
-    left = size - sum(len(line) + 2 for line in lines) - 2
-    number = 0
-    while left > 0:
-        name = f"cookie-{number}: "
-        # The last field takes what would be too little for one more.
-        length = left if left < 2 * MAX_FIELD_BYTES else MAX_FIELD_BYTES
-        lines.append(name + "c" * (length - len(name) - 2))
-        left -= length
-        number += 1
-    head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-    assert len(head) == size, (len(head), size)
-    return head
-
-
 @given("a fleet whose operator allows heads of {limit:d} bytes")
 def create_run(context, limit):
     context.run = HeadRun(limit)
@@ -149,7 +115,7 @@
 def check_statuses(context, served, refused):
     assert context.run.statuses == {200: served, 503: refused}, context.run.statuses
     for status, text in context.run.responses:
-        assert status == 200 or "retry-after: 1" in text, text
+        assert status == 200 or "retry-after: 1" in text.lower(), text
 
 
 @then("a small request beside them has the status {status:d}")
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -80,7 +80,8 @@
 
     :param status: status of responses to calls, which then have no effect; 0 for none.
     :param silent: whether calls have no effect and get no response.
-    :param ports: ports whose calls ``status`` and ``silent`` apply to; empty for all.
+    :param refusing_ports: ports at which calls get 503 and have no effect.
+    :param silent_ports: ports at which calls have no effect and get no response.
     :param lost_answers: number of next appends that take effect but get no response.
     :param late_appends: number of next appends that get no response and take effect
         ``LATE_APPEND_S`` later.
@@ -89,7 +90,8 @@
 
     status: int = 0
     silent: bool = False
-    ports: frozenset[int] = frozenset()
+    refusing_ports: set[int] = attrs.field(factory=set)
+    silent_ports: set[int] = attrs.field(factory=set)
     lost_answers: int = 0
     late_appends: int = 0
     truncated_answers: bool = False
@@ -167,11 +169,12 @@
     async def serve(self, request: Request, call: Any) -> Response:
         """Serve a call subject to the injected faults."""
         self.calls.append(request.url.path.decode())
-        ports = self.faults.ports
-        is_affected = not ports or request.scope["server"][1] in ports
-        if self.faults.silent and is_affected:
+        port = request.scope["server"][1]
+        if self.faults.silent or port in self.faults.silent_ports:
             await asyncio.sleep(UNANSWERED_CALL_S)
-        if self.faults.status and is_affected:
+        if port in self.faults.refusing_ports:
+            return self.add_era(Response(HTTPStatus.SERVICE_UNAVAILABLE))
+        if self.faults.status:
             return self.add_era(Response(self.faults.status))
         query = {name: values[0] for name, values in request.query.items()}
         body = await request.read() or b""
