Let the store's stand-in return the address that it listens on again

Cause: since the soak gives each host a port of the store, start() took several addresses and returned none.

Change: start() takes one address, returns the bound one, and may be called again.

--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -235,12 +235,16 @@
     async def start(self) -> None:
         """Start the store and all hosts."""
         self.publish()
-        addresses = map(self.get_store_address, self.hosts)
-        detangle.spawn(self.store.start(*addresses), host=STORE_HOST)
+        detangle.spawn(self.start_store(), host=STORE_HOST)
         await asyncio.sleep(0.1)
         for host in self.hosts:
             self.power_on(host)
 
+    async def start_store(self) -> None:
+        """Start the store with a port for each host."""
+        for host in self.hosts:
+            await self.store.start(self.get_store_address(host))
+
     def publish(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
--- a/benchmarks/soak/processes.py
+++ b/benchmarks/soak/processes.py
@@ -78,7 +78,7 @@
     async def start(self) -> None:
         """Start the store and all hosts, and wait until each daemon serves."""
         self.publish()
-        await self.store.start(*map(self.get_store_address, self.hosts))
+        await self.start_store()
         for host in self.hosts:
             self.power_on(host)
         async with asyncio.timeout(START_LIMIT_S):
--- a/src/wagtailstep/platform/stand_in.py
+++ b/src/wagtailstep/platform/stand_in.py
@@ -111,16 +111,16 @@
         self.servers: list[HttpServer] = []
         self.register_endpoints()
 
-    async def start(self, *addresses: str) -> None:
-        """Listen on each ``host:port``; with several, faults can affect some callers.
+    async def start(self, address: str) -> str:
+        """Listen on ``host:port`` and return the bound address.
 
-        :raises OSError: if an address can't be listened on.
+        With several addresses, faults can affect some callers only.
         """
-        await self.app.start()
-        for address in addresses:
-            server = HttpServer(self.app, lambda: None)
-            self.servers.append(server)
-            await server.start(address)
+        if not self.servers:
+            await self.app.start()
+        server = HttpServer(self.app, lambda: None)
+        self.servers.append(server)
+        return await server.start(address)
 
     async def close(self) -> None:
         """Stop listening."""
