Send no unrepeatable request to an overdue server in doubt without need

Cause: a server that was left out for 6 s got the next request of any kind.

Change: an overdue server in doubt gets a request that can be retried; any other only while the service is short of servers, as in trials. One whose path was avoided gets any: what can't be sent is sent elsewhere.

--- a/features/steps/exclusion_bounds_steps.py
+++ b/features/steps/exclusion_bounds_steps.py
@@ -50,16 +50,19 @@
 
 @when(
     '"{names}" {verb} {reasons} in turn, {each:d} ms each, for {last:d} s, with '
-    "{rate:d} requests a second"
+    "{rate:d} {requests} requests a second"
 )
-def send_requests(context, names, verb, reasons, each, last, rate):
+def send_requests(context, names, verb, reasons, each, last, rate, requests):
     context.picked = []
+    is_repeatable = requests == "repeatable"
+    served = not requests.endswith("unserved")
     for number in range(last * rate):
         now_ms = number * 1_000 // rate
         turn = split_names(reasons)
         for name in split_names(names):
             leave_out(context.board, name, turn[now_ms // each % len(turn)])
-        target = context.routing.pick(SERVICE, may_probe=lambda: False)
+        target = context.routing.pick(SERVICE, may_probe=lambda: is_repeatable)
+        context.routing.record_outcome(SERVICE, served or number % 4 > 0)
         context.picked.append((now_ms, target.instance_id))
         context.clock.advance(timedelta(seconds=1) / rate)
 
@@ -72,6 +75,11 @@
     assert all(least <= interval <= most for interval in intervals), intervals
 
 
+@then('"{name}" gets no request')
+def check_none(context, name):
+    assert not any(picked == name for _, picked in context.picked)
+
+
 @then('no more than {share:d} % of the requests go to "{name}"')
 def check_share(context, share, name):
     count = sum(picked == name for _, picked in context.picked)
--- a/src/wagtailstep/controllers/exclusion_bounds.py
+++ b/src/wagtailstep/controllers/exclusion_bounds.py
@@ -37,7 +37,9 @@
     The mechanisms only propose: paths that this daemon avoids first, as far as the
     floor permits, then doubted and failing standings, unless there is no better one.
     Each proposal ends by itself. What they add up to is bounded here: a candidate that
-    was left out for ``MAX_LEFT_OUT``, whatever the reasons in turn, gets one request.
+    was left out for ``MAX_LEFT_OUT``, whatever the reasons in turn, gets the next
+    request that may go there. While it is doubted, that is one that can be retried, or
+    any other if the service is short of servers; without requests the doubt decays.
 
     :param candidates: targets that accept requests, at least one.
     :param floor: total weight below which no path is avoided.
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -146,8 +146,9 @@
             return self.pick_untried(service, tried)
         while True:
             pool = self.get_pool(service)
-            if pool.overdue:
-                first = second = pool.overdue.pop()
+            overdue = self.pop_overdue(service, pool, may_probe)
+            if overdue is not None:
+                first = second = overdue
             elif pool.doubted and self.rng.random() < self.compute_try_ratio(
                 service, pool, may_probe()
             ):
@@ -163,6 +164,23 @@
                 return chosen
             del self.pools[service]
 
+    def pop_overdue(
+        self, service: str, pool: CandidatePool, may_probe: Callable[[], bool]
+    ) -> Candidate | None:
+        """Return a target that was left out too long, if the request may go there.
+
+        A doubted one gets a request that can't be retried only while the service is
+        short of servers: else nobody is served better by a likely failure.
+        """
+        for candidate in pool.overdue:
+            if candidate.target.standing >= TargetStanding.DOUBTED and not may_probe():
+                trials = self.trials.setdefault(service, ServiceTrials())
+                if trials.compute_shortage(self.clock.monotonic()) <= 0:
+                    continue
+            pool.overdue.remove(candidate)
+            return candidate
+        return None
+
     def compute_try_ratio(
         self, service: str, pool: CandidatePool, is_retryable: bool
     ) -> float:
