Tell the other daemons of a leave before it is acknowledged

Callers saw (soak of processes with grace, turned-away and odd-heartbeats): a request reached a server 2.6 s after its acknowledged departure, sent on by a daemon that had run all the while.

Cause: changes of a daemon's own servers are pushed at its next tick, up to 100 ms after the event. A daemon that was killed right after the acknowledgement had told nobody, so the others kept the server under its lease, and the gate of the new process served what they sent.

Change: the push goes out with the heartbeat or the withdrawal that the server sent, while its departure is being recorded.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -82,20 +82,35 @@
   # since the store turns it away and nobody else tells it of the departure.
   Scenario Outline: A daemon that the store turns away is told of departures
     Given a fleet of daemons with a backend server each
-    When a server leaves by <call> and <killed> killed 200 ms after that while the store <trouble> its daemon
+    When a server leaves by <call> and <killed> killed <after> ms after that while the store <trouble> its daemon
     And a heartbeat that it sent before arrives <delay> ms after that
     Then no daemon sends it requests from 2000 ms after the acknowledgement on
 
     Examples:
-      | call     | killed          | trouble            | delay |
-      | DELETE   | all daemons are | turns away         | 1250  |
-      | DELETE   | all daemons are | turns away         | 1500  |
-      | DELETE   | all daemons are | turns away         | 3000  |
-      | draining | all daemons are | turns away         | 3000  |
-      | DELETE   | all daemons are | gives no answer to | 1500  |
-      | DELETE   | all daemons are | gives no answer to | 3000  |
-      | DELETE   | its daemon is   | turns away         | 1250  |
-      | DELETE   | its daemon is   | gives no answer to | 1250  |
+      | call     | killed          | after | trouble            | delay |
+      | DELETE   | all daemons are | 200   | turns away         | 1250  |
+      | DELETE   | all daemons are | 200   | turns away         | 1500  |
+      | DELETE   | all daemons are | 200   | turns away         | 3000  |
+      | draining | all daemons are | 200   | turns away         | 3000  |
+      | DELETE   | all daemons are | 200   | gives no answer to | 1500  |
+      | DELETE   | all daemons are | 200   | gives no answer to | 3000  |
+      | DELETE   | its daemon is   | 200   | turns away         | 1250  |
+      | DELETE   | its daemon is   | 200   | gives no answer to | 1250  |
+
+  # Guards against a leave that the other daemons don't hear of, since the daemon ends
+  # right after its acknowledgement.
+  Scenario Outline: The other daemons hear of a leave before it is acknowledged
+    Given a fleet of daemons with a backend server each
+    When a server leaves by <call> at <phase> ms of a tick, and its daemon ends at once
+    Then no daemon sends it requests from 1000 ms after the acknowledgement on
+
+    Examples:
+      | call     | phase |
+      | DELETE   | 0     |
+      | DELETE   | 40    |
+      | DELETE   | 84    |
+      | draining | 0     |
+      | draining | 84    |
 
   Scenario Outline: A daemon that the store turns away uses a sound server at once
     Given a fleet of daemons with a backend server each
--- a/src/wagtailstep/controllers/dissemination.py
+++ b/src/wagtailstep/controllers/dissemination.py
@@ -20,9 +20,11 @@
 from wagtailstep.controllers.target_puller import TargetPuller
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.events import (
+    InstanceWithdrawn,
     PeerMessageReceived,
     RecordEvent,
     SendToPeer,
+    TargetAnnounced,
     Tick,
 )
 from wagtailstep.models.fleet import MemberState, Target, TargetState
@@ -112,6 +114,11 @@
             effects += self.puller.pull(now, self.times.lease)
         return effects
 
+    @handle.register
+    def _(self, event: InstanceWithdrawn | TargetAnnounced) -> list[Any]:
+        # A departure is acknowledged next, and this process may end right after that.
+        return self._push_local_changes(self.clock.monotonic())
+
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
         return self.receive(event.message, event.sender)
