Name the discovery of departures and its answers in usual terms

DepartureInquiry and DepartureWitness are DepartureDiscovery and DepartureResponder; the two assurances of an answer say what its sender has done: has_read_all, has_heard_all. No conduct changes; the 50 scenarios of departures pass.

--- a/features/departures.feature
+++ b/features/departures.feature
@@ -147,9 +147,9 @@
       | 400   | no answer                        | 0     | 1400    |
       | 20000 | no answer                        | 0     | 10000   |
       | 400   | the records                      | 600   | 600     |
-      | 400   | a witness                        | 600   | 600     |
+      | 400   | all that another daemon heard    | 600   | 600     |
       | 400   | records for its earlier process  | 600   | 1400    |
-      | 400   | departures without an assurance  | 600   | 1400    |
+      | 400   | some departures                  | 600   | 1400    |
       | 5000  | its own read                     | 200   | 200     |
 
   Scenario: A new process of a server that has left is offered as soon as before
--- a/features/steps/departure_inquiry_steps.py
+++ b/features/steps/departure_discovery_steps.py
@@ -1,11 +1,11 @@
-"""Steps for the inquiry after earlier departures, with a manual clock."""
+"""Steps for the discovery of earlier departures, with a manual clock."""
 
 import random
 from datetime import timedelta
 
 from behave import given, then, when
 
-from wagtailstep.controllers.departure_inquiry import DepartureInquiry
+from wagtailstep.controllers.departure_discovery import DepartureDiscovery
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import DepartureReminder, DeparturesListed
 from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
@@ -24,7 +24,7 @@
 
 
 @given("a daemon that has just started beside another one")
-def create_inquiry(context):
+def create_discovery(context):
     context.clock = ManualClock()
     settings = DaemonSettings(
         daemon_id="a",
@@ -37,7 +37,7 @@
     )
     context.board = Blackboard(build_member("a"))
     context.board.members["b"] = build_member("b")
-    context.inquiry = DepartureInquiry(
+    context.discovery = DepartureDiscovery(
         settings, context.board, context.clock, random.Random(1)
     )
 
@@ -47,9 +47,9 @@
         return DeparturesListed(())
     answers = {
         "the records": DepartureReminder((), True, False, STARTED),
-        "a witness": DepartureReminder((), False, True, STARTED),
+        "all that another daemon heard": DepartureReminder((), False, True, STARTED),
         "records for its earlier process": DepartureReminder((), True, True, 1),
-        "departures without an assurance": DepartureReminder((), False, False, STARTED),
+        "some departures": DepartureReminder((), False, False, STARTED),
     }
     return PeerMessageReceived("b", answers[name])
 
@@ -62,8 +62,8 @@
         context.board.table_known = now_ms >= table
         effects = []
         if now_ms == after and answer != "no answer":
-            effects += context.inquiry.handle(build_answer(answer))
-        effects += context.inquiry.handle(Tick())
+            effects += context.discovery.handle(build_answer(answer))
+        effects += context.discovery.handle(Tick())
         context.requests += sum(isinstance(effect, SendToPeer) for effect in effects)
         if not context.board.departures_unknown and context.known_at_ms is None:
             context.known_at_ms = now_ms
--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -295,7 +295,7 @@
         if not isinstance(reminder, DepartureReminder):
             return []
         effects = self._restore_departures(reminder.departures)
-        if reminder.is_recorded:
+        if reminder.has_read_all:
             self._settle(reminder.departures)
         return effects
 
--- a/src/wagtailstep/controllers/departure_inquiry.py
+++ b/src/wagtailstep/controllers/departure_discovery.py
@@ -25,15 +25,17 @@
 
 # The daemon's own read, which has a head start, usually ends within it.
 OWN_READ_TIME = timedelta(milliseconds=100)
-ASK_INTERVAL = timedelta(milliseconds=500)
+REQUEST_INTERVAL = timedelta(milliseconds=500)
 # Once the wait has ended. Each request makes a call to a store that may be in trouble.
-LATER_ASK_INTERVAL = timedelta(seconds=2)
-PEERS_ASKED = 2
+LATER_REQUEST_INTERVAL = timedelta(seconds=2)
+# One that was in contact with the earlier process, and one that may be able to read the
+# store if all of the first kind are refused.
+PEERS_REQUESTED = 2
 # Without a table a daemon serves nothing, so the time runs from the first one on.
 MAX_UNKNOWN_TIME = timedelta(seconds=1)
 
 
-class DepartureInquiry:
+class DepartureDiscovery:
     """Learn the departures from the store, or from daemons that can read it.
 
     Until they are known, this daemon sends its own callers' requests to other servers
@@ -77,13 +79,13 @@
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
-        """Ignore an event that the inquiry does not depend on."""
+        """Ignore an event that the discovery does not depend on."""
         return []
 
     @handle.register
     def _(self, event: DeparturesListed) -> list[Any]:
         self.is_complete = True
-        return self._end_wait("read")
+        return self._stop_waiting("read")
 
     @handle.register
     def _(self, event: PeerMessageReceived) -> list[Any]:
@@ -92,9 +94,9 @@
             isinstance(message, DepartureReminder)
             and message.process_started == self.process_started
         )
-        if is_answer and (message.is_recorded or message.is_witnessed):
-            self.is_complete = self.is_complete or message.is_recorded
-            return self._end_wait(event.sender)
+        if is_answer and (message.has_read_all or message.has_heard_all):
+            self.is_complete = self.is_complete or message.has_read_all
+            return self._stop_waiting(event.sender)
         return self._request(self.clock.monotonic())
 
     @handle.register
@@ -104,9 +106,9 @@
         table_since = self.table_since
         if now - self.started_at >= MAX_ANNOUNCEMENT_DELAY:
             self.is_complete = True
-            effects += self._end_wait("delay")
+            effects += self._stop_waiting("delay")
         elif table_since is not None and now - table_since >= MAX_UNKNOWN_TIME:
-            effects += self._end_wait("limit")
+            effects += self._stop_waiting("limit")
         return effects + self._request(now)
 
     def _check_table(self, now: timedelta) -> list[Any]:
@@ -120,7 +122,7 @@
         self.table_since = now
         return [] if self.is_complete else [RetryDeparturesRead()]
 
-    def _end_wait(self, source: str) -> list[Any]:
+    def _stop_waiting(self, source: str) -> list[Any]:
         if not self.blackboard.departures_unknown:
             return []
         self.blackboard.departures_unknown = False
@@ -131,7 +133,7 @@
         return [RecordEvent("departures-known", fields)]
 
     def _request(self, now: timedelta) -> list[Any]:
-        """Ask other daemons, at intervals, until all departures are known."""
+        """Send requests to other daemons, at intervals, until all are known."""
         if self.is_complete or now < self.next_request_at:
             return []
         peers = self._choose_peers()
@@ -139,7 +141,7 @@
             return []
         is_waiting = self.blackboard.departures_unknown
         self.next_request_at = now + (
-            ASK_INTERVAL if is_waiting else LATER_ASK_INTERVAL
+            REQUEST_INTERVAL if is_waiting else LATER_REQUEST_INTERVAL
         )
         this = self.blackboard.this_member
         uptime_ms = (now - self.started_at) // timedelta(milliseconds=1)
@@ -149,11 +151,7 @@
         return [SendToPeer(peer.peer_address, request, urgent=True) for peer in peers]
 
     def _choose_peers(self) -> list[Member]:
-        """Choose a daemon that uses the same service, and any other one.
-
-        The first was in contact with the earlier process. If the store turns away all
-        of its kind, the second may still read it.
-        """
+        """Choose a daemon that uses the same service, and any other one."""
         this_id = self.blackboard.this_member.daemon_id
         usable = [
             member
@@ -164,7 +162,7 @@
         interested = [member for member in usable if self.service in member.services]
         first = interested[:1]
         others = [member for member in usable if member not in first]
-        return first + others[: PEERS_ASKED - len(first)]
+        return first + others[: PEERS_REQUESTED - len(first)]
 
 
 def may_have_departed(board: Blackboard, target: Target) -> bool:
--- a/src/wagtailstep/controllers/departure_witness.py
+++ b/src/wagtailstep/controllers/departure_responder.py
@@ -1,4 +1,4 @@
-"""Answers daemons that ask which departures their earlier processes acknowledged."""
+"""Answers requests for departures that another daemon's earlier process told of."""
 
 import itertools
 from datetime import timedelta
@@ -17,9 +17,9 @@
 from wagtailstep.models.events import PeerMessageReceived, SendToPeer, Tick
 from wagtailstep.utils.clock import Clock
 
-# A sound store answers within it. After it, what this daemon has heard is sent first.
+# A healthy store answers within it. After it, what this daemon has heard is sent first.
 LOOK_UP_TIME = timedelta(milliseconds=100)
-# Bounds the memory; another daemon asks again, and not only this one.
+# Bounds the memory. A daemon repeats its request, and sends it to others as well.
 MAX_OPEN_REQUESTS = 256
 
 
@@ -37,8 +37,8 @@
     is_answered: bool = False
 
 
-class DepartureWitness:
-    """Look up recorded departures for others, and tell them of those heard of.
+class DepartureResponder:
+    """Look up recorded departures for other daemons, and send those heard of.
 
     :param leases: leases on the targets of other daemons, and departures heard of.
     :param clock: source of monotonic time.
@@ -69,13 +69,13 @@
     @handle.register
     def _(self, event: DeparturesLookedUp) -> list[Any]:
         request = self.open_requests.pop(event.request_id)
-        effects = [] if request.is_answered else self._tell_heard(request)
+        effects = [] if request.is_answered else self._send_heard(request)
         if event.departures is None:
             return effects
         message = request.message
         reminder = DepartureReminder(
             event.departures,
-            is_recorded=True,
+            has_read_all=True,
             process_started=message.process_started,
         )
         return [*effects, SendToPeer(message.reply_to, reminder, urgent=True)]
@@ -86,20 +86,20 @@
         effects: list[Any] = []
         for request in self.open_requests.values():
             if not request.is_answered and now - request.received_at >= LOOK_UP_TIME:
-                effects += self._tell_heard(request)
+                effects += self._send_heard(request)
         return effects
 
-    def _tell_heard(self, request: OpenRequest) -> list[Any]:
+    def _send_heard(self, request: OpenRequest) -> list[Any]:
         request.is_answered = True
         message = request.message
         uptime = timedelta(milliseconds=message.uptime_ms)
         reminder = DepartureReminder(
             self.leases.departures.list_beside(message.daemon_id),
-            is_witnessed=self.leases.was_held(
+            has_heard_all=self.leases.is_held_since_before(
                 message.daemon_id, request.received_at - uptime
             ),
             process_started=message.process_started,
         )
-        if not reminder.departures and not reminder.is_witnessed:
+        if not reminder.departures and not reminder.has_heard_all:
             return []
         return [SendToPeer(message.reply_to, reminder, urgent=True)]
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -17,7 +17,7 @@
     Candidate,
     CandidatePool,
 )
-from wagtailstep.controllers.departure_inquiry import may_have_departed
+from wagtailstep.controllers.departure_discovery import may_have_departed
 from wagtailstep.controllers.exclusion_bounds import LeftOutTimes, split_candidates
 from wagtailstep.controllers.exclusions import ExclusionLog, ExclusionReason
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
--- a/src/wagtailstep/controllers/target_leases.py
+++ b/src/wagtailstep/controllers/target_leases.py
@@ -164,13 +164,13 @@
             return True
         return not held.services.issuperset(update.services)
 
-    def was_held(self, daemon_id: str, since: timedelta) -> bool:
-        """Return whether a daemon's targets are held, and were before a time.
+    def is_held_since_before(self, daemon_id: str, time: timedelta) -> bool:
+        """Return whether a daemon's targets are held since before a time.
 
-        :param since: monotonic time.
+        :param time: monotonic time.
         """
         held = self.held_targets.get(daemon_id)
-        return held is not None and held.published and held.held_since < since
+        return held is not None and held.published and held.held_since < time
 
     def lapse(self, now: timedelta) -> list[str]:
         """Remove targets whose lease has expired from the blackboard.
--- a/src/wagtailstep/models/blackboard.py
+++ b/src/wagtailstep/models/blackboard.py
@@ -52,7 +52,7 @@
         ``target_id``; written by the announcement controller.
     :param departures_unknown: whether earlier processes of this daemon may have
         acknowledged departures that it doesn't know of; written by the departure
-        inquiry.
+        discovery.
     :param health: assessment by ``target_id``; written by the evidence controller.
     :param ejection_candidates: targets that are unhealthy by the evidence of several
         daemons, by ``target_id``; written by the evidence controller.
--- a/src/wagtailstep/models/departures.py
+++ b/src/wagtailstep/models/departures.py
@@ -114,15 +114,15 @@
     Daemons of older releases send ``departures`` only, and answer no request.
 
     :param departures: departures of servers beside the receiver.
-    :param is_recorded: whether these are all that the store had when the receiver
-        requested them.
-    :param is_witnessed: whether the sender was in contact with the receiver's earlier
+    :param has_read_all: whether the sender has read all that the store had when the
+        receiver requested them.
+    :param has_heard_all: whether the sender was in contact with the receiver's earlier
         process until it ended, so that it heard of all departures.
     :param process_started: as in the request; an answer to a request of an earlier
         process may lack later departures.
     """
 
     departures: tuple[Departure, ...]
-    is_recorded: bool = False
-    is_witnessed: bool = False
+    has_read_all: bool = False
+    has_heard_all: bool = False
     process_started: int = 0
--- a/src/wagtailstep/platform/daemon.py
+++ b/src/wagtailstep/platform/daemon.py
@@ -4,8 +4,8 @@
 
 from wagtailstep.controllers.announcements import AnnouncementController
 from wagtailstep.controllers.call_ratios import CallRatios
-from wagtailstep.controllers.departure_inquiry import DepartureInquiry
-from wagtailstep.controllers.departure_witness import DepartureWitness
+from wagtailstep.controllers.departure_discovery import DepartureDiscovery
+from wagtailstep.controllers.departure_responder import DepartureResponder
 from wagtailstep.controllers.dissemination import DisseminationController
 from wagtailstep.controllers.membership import MembershipController
 from wagtailstep.controllers.path_watch import PathWatch
@@ -60,10 +60,10 @@
         return (
             self.table,
             MembershipController(*parts),
-            DepartureInquiry(*parts),
+            DepartureDiscovery(*parts),
             self.announcements,
             dissemination,
-            DepartureWitness(dissemination.leases, self.clock),
+            DepartureResponder(dissemination.leases, self.clock),
             ServerNoticesController(*parts),
             CrashSuspects(*parts),
             TargetJudge(*parts),
