Call an outage of the store for single daemons a partial outage

'turned-away' already is the result of work that a backend server rejected. No check changes; the features departures and head_limits pass.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -33,7 +33,7 @@
     find_ignored_leaves,
     find_late_work,
     leave_before_late_heartbeats,
-    leave_while_turned_away,
+    leave_during_partial_outage,
     send_odd_heartbeats,
 )
 from benchmarks.soak.fleet import Host, SoakFleet
@@ -87,7 +87,7 @@
     "store": disrupt_store,
     "departure": leave_before_late_heartbeats,
     "odd-heartbeats": send_odd_heartbeats,
-    "turned-away": leave_while_turned_away,
+    "partial-outage": leave_during_partial_outage,
     "grace": change_grace,
     "heads": change_head_limit,
 }
@@ -190,7 +190,7 @@
     violations = find_violations(outcomes, runs, final_phase_start)
     violations += find_late_work(fleet, outcomes)
     violations += find_ignored_leaves(fleet)
-    violations += fleet.unexpected_ends + fleet.denied_requests
+    violations += fleet.unexpected_ends + fleet.wrong_refusals
     if fault_names <= PLANNED:
         violations += find_interrupted_requests(outcomes, runs)
     return violations
--- a/benchmarks/soak/departures.py
+++ b/benchmarks/soak/departures.py
@@ -27,7 +27,7 @@
 KILL_ALL_SHARE = 0.15
 ALONE_SHARE = 0.25
 # Longer than the bound on new work and the time until daemons count as stable again.
-TURNED_AWAY_S = 9.0
+PARTIAL_OUTAGE_S = 9.0
 DOWN_S = 0.9
 # The platform's bound on the time to an acknowledgement.
 ACK_S = 4.0
@@ -55,10 +55,10 @@
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
-async def leave_while_turned_away(
+async def leave_during_partial_outage(
     fleet: SoakFleet, host: Host, rng: random.Random
 ) -> None:
-    """Let a server leave before a kill, and the store turn away its daemon after it.
+    """Let a server leave before a kill, and the store refuse its daemon after it.
 
     In most cases all daemons are killed, so that none reminds this one.
     """
@@ -68,7 +68,7 @@
     host.is_leaving = True
     left_at_s = await leave(fleet, host, rng.choice(("DELETE", "draining")))
     await asyncio.sleep(rng.uniform(0.0, 0.5))
-    fleet.turn_away(host, silent=rng.random() < 0.5)
+    fleet.start_outage(host, silent=rng.random() < 0.5)
     is_alone = rng.random() < ALONE_SHARE
     await kill([host] if is_alone else fleet.hosts, fleet)
     loop = asyncio.get_running_loop()
@@ -76,8 +76,8 @@
         delay_s = rng.uniform(1.5, MAX_HEARTBEAT_DELAY_S)
         await asyncio.sleep(max(0.0, left_at_s + delay_s - loop.time()))
         await call(fleet, host, "PUT", heartbeat)
-    await asyncio.sleep(max(0.0, left_at_s + TURNED_AWAY_S - loop.time()))
-    fleet.serve_again(host)
+    await asyncio.sleep(max(0.0, left_at_s + PARTIAL_OUTAGE_S - loop.time()))
+    fleet.end_outage(host)
     await fleet.replace_backend(host, rng.uniform(0.2, 2.0))
 
 
@@ -109,7 +109,7 @@
             fleet.departures.append(DepartedServer(loop.time(), backend))
             return loop.time()
         if loop.time() - leaving_since_s > ACK_S:
-            if not fleet.is_turned_away(host):
+            if not fleet.has_outage(host):
                 fleet.ignored_leaves.append(Disruption(leaving_since_s, host.name))
             return loop.time()
         await asyncio.sleep(LEAVE_INTERVAL_S)
--- a/benchmarks/soak/fleet.py
+++ b/benchmarks/soak/fleet.py
@@ -205,7 +205,7 @@
         # The operator's limits on what callers send.
         self.limits: dict[str, Any] = {}
         # Requests within these limits that a daemon refused for good.
-        self.denied_requests: list[str] = []
+        self.wrong_refusals: list[str] = []
         self.hosts = [
             self.create_host(number, ZONES[number % len(ZONES)])
             for number in range(1, size + 1)
@@ -430,18 +430,18 @@
         self.storeless.add(host.name)
         detangle.network().disconnect(host.name, STORE_HOST)
 
-    def turn_away(self, host: Host, silent: bool) -> None:
+    def start_outage(self, host: Host, silent: bool) -> None:
         """Let the store refuse the calls of a host, and serve the others."""
         faults = self.store.faults
         ports = faults.silent_ports if silent else faults.refusing_ports
         ports.add(STORE_PORT + host.number)
 
-    def is_turned_away(self, host: Host) -> bool:
+    def has_outage(self, host: Host) -> bool:
         """Return whether the store refuses the calls of a host."""
         faults = self.store.faults
         return STORE_PORT + host.number in faults.silent_ports | faults.refusing_ports
 
-    def serve_again(self, host: Host) -> None:
+    def end_outage(self, host: Host) -> None:
         """Let the store serve a host again."""
         self.store.faults.silent_ports.discard(STORE_PORT + host.number)
         self.store.faults.refusing_ports.discard(STORE_PORT + host.number)
--- a/benchmarks/soak/heads.py
+++ b/benchmarks/soak/heads.py
@@ -35,7 +35,7 @@
             was_disturbed(fleet, each, at_s) for each in (name, STORE_HOST)
         )
         if 400 <= status < 500 and status not in RETRYABLE and not is_disturbed:
-            fleet.denied_requests.append(
+            fleet.wrong_refusals.append(
                 f"a head of {size} bytes in pieces of {piece} got {status} at {name}"
             )
         await asyncio.sleep(rng.uniform(0.05, 0.3))
--- a/features/departures.feature
+++ b/features/departures.feature
@@ -79,8 +79,8 @@
       | its daemon is killed   | 4000  |
 
   # Guards against a daemon that offers a departed server again after a kill of all,
-  # since the store turns it away and nobody else tells it of the departure.
-  Scenario Outline: A daemon that the store turns away is told of departures
+  # since the store refuses its calls and nobody else tells it of the departure.
+  Scenario Outline: A daemon that the store refuses is told of departures
     Given a fleet of daemons with a backend server each
     When a server leaves by <call> and <killed> killed <after> ms after that while the store <trouble> its daemon
     And a heartbeat that it sent before arrives <delay> ms after that
@@ -88,13 +88,13 @@
 
     Examples:
       | call     | killed          | after | trouble            | delay |
-      | DELETE   | all daemons are | 200   | turns away         | 1250  |
-      | DELETE   | all daemons are | 200   | turns away         | 1500  |
-      | DELETE   | all daemons are | 200   | turns away         | 3000  |
-      | draining | all daemons are | 200   | turns away         | 3000  |
+      | DELETE   | all daemons are | 200   | refuses            | 1250  |
+      | DELETE   | all daemons are | 200   | refuses            | 1500  |
+      | DELETE   | all daemons are | 200   | refuses            | 3000  |
+      | draining | all daemons are | 200   | refuses            | 3000  |
       | DELETE   | all daemons are | 200   | gives no answer to | 1500  |
       | DELETE   | all daemons are | 200   | gives no answer to | 3000  |
-      | DELETE   | its daemon is   | 200   | turns away         | 1250  |
+      | DELETE   | its daemon is   | 200   | refuses            | 1250  |
       | DELETE   | its daemon is   | 200   | gives no answer to | 1250  |
 
   # Guards against a leave that the other daemons don't hear of, since the daemon ends
@@ -112,28 +112,28 @@
       | draining | 0     |
       | draining | 84    |
 
-  Scenario Outline: A daemon that the store turns away uses a sound server at once
+  Scenario Outline: A daemon that the store refuses uses a sound server at once
     Given a fleet of daemons with a backend server each
     When <killed> killed beside a sound server while the store <trouble> its daemon
     Then its daemon sends it requests 300 ms after it has a table
 
     Examples:
       | killed          | trouble            |
-      | all daemons are | turns away         |
+      | all daemons are | refuses            |
       | all daemons are | gives no answer to |
-      | its daemon is   | turns away         |
+      | its daemon is   | refuses            |
       | its daemon is   | gives no answer to |
 
   # Guards against a daemon that knows nobody after a restart and serves nothing for as
-  # long as the store turns it away.
-  Scenario Outline: A daemon that the store turns away joins the others after a restart
+  # long as the store refuses its calls.
+  Scenario Outline: A daemon that the store refuses joins the others after a restart
     Given a fleet of daemons with a backend server each
     When its daemon is killed beside a sound server while the store <trouble> its daemon
     Then its daemon has a table 2500 ms after its start
 
     Examples:
       | trouble            |
-      | turns away         |
+      | refuses            |
       | gives no answer to |
 
   # Guards against sound servers that are left out for as long as nobody can read.
--- a/features/head_limits.feature
+++ b/features/head_limits.feature
@@ -32,7 +32,7 @@
       | 16384  | 65536 | 431    |
 
   Scenario: A daemon without a table refuses no head for good
-    Given a fleet whose store turns all daemons away
+    Given a fleet whose store refuses all daemons
     When a request with a head of 48000 bytes arrives in pieces of 1460 bytes
     Then its status is 503
 
--- a/features/steps/departures_steps.py
+++ b/features/steps/departures_steps.py
@@ -163,10 +163,10 @@
             self.choices.append((loop.time(), *self.chosen_by()))
             await asyncio.sleep(POLL_S)
 
-    def start_partial_trouble(self, kind):
-        """Let the store turn away the daemon beside the server, and no other one."""
-        assert kind in ("turns away", "gives no answer to"), kind
-        self.fleet.turn_away(self.host, silent=kind != "turns away")
+    def start_partial_outage(self, kind):
+        """Let the store refuse the daemon beside the server, and no other one."""
+        assert kind in ("refuses", "gives no answer to"), kind
+        self.fleet.start_outage(self.host, silent=kind != "refuses")
 
     async def disrupt(self, kind):
         faults = self.fleet.store.faults
@@ -280,13 +280,13 @@
     "a server leaves by {call} and {killed} killed {delay:d} ms after that while the "
     "store {trouble} its daemon"
 )
-def kill_turned_away(context, call, killed, delay, trouble):
+def kill_during_outage(context, call, killed, delay, trouble):
     run = context.run
 
     async def step():
         await run.leave(call)
         await asyncio.sleep(delay / 1_000)
-        run.start_partial_trouble(trouble)
+        run.start_partial_outage(trouble)
         await run.kill(run.choose_hosts(killed))
 
     context.steps.append(step)
@@ -379,11 +379,11 @@
 
 
 @when("{killed} killed beside a sound server while the store {trouble} its daemon")
-def kill_turned_away_beside_sound(context, killed, trouble):
+def kill_during_outage_beside_sound(context, killed, trouble):
     run = context.run
 
     async def step():
-        run.start_partial_trouble(trouble)
+        run.start_partial_outage(trouble)
         await run.kill(run.choose_hosts(killed))
         run.started_at_s = asyncio.get_running_loop().time()
         while run.host.daemon is None or await run.call("GET", None) == 0:
--- a/features/steps/head_limits_steps.py
+++ b/features/steps/head_limits_steps.py
@@ -54,7 +54,7 @@
     context.run = HeadRun(limit)
 
 
-@given("a fleet whose store turns all daemons away")
+@given("a fleet whose store refuses all daemons")
 def create_run_without_table(context):
     context.run = HeadRun(store_status=503)
 
