Name the limits on heads by what they do

HeadLimiter and LargeHeadMemory in place of HeadMeter and LargeHeads; a constant gets its reason. No conduct changes; the features head_limits, http_server, caller_connections and pipelining pass.

--- a/features/steps/head_limits_steps.py
+++ b/features/steps/head_limits_steps.py
@@ -99,7 +99,7 @@
             await run.send(200, 200)
             context.small = run.responses.pop()
         await asyncio.sleep(1)
-        context.reserved = run.host.daemon.caller_server.large_heads.total
+        context.reserved = run.host.daemon.caller_server.head_memory.total
 
     run.play(scenario)
 
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -42,7 +42,8 @@
 from wagtailstep.network.route_handlers import wrap_handler
 from wagtailstep.utils.clock import LoopClock
 
-LIMITS = ConnectionLimits(max_head_bytes=MAX_LARGE_HEAD_BYTES)
+# Gates have limited the heads already.
+CONNECTION_LIMITS = ConnectionLimits(max_head_bytes=MAX_LARGE_HEAD_BYTES)
 MAX_ARRIVALS = 20_000
 MAX_TIME_TO_CRASH_S = 0.12
 
@@ -119,7 +120,9 @@
         # Event loop times in seconds of requests that failed due to a fault.
         self.failed_at: deque[float] = deque(maxlen=MAX_ARRIVALS)
         self.application = self.create_application()
-        self.server = HttpServer(self.application, lambda: None, lambda: LIMITS)
+        self.server = HttpServer(
+            self.application, lambda: None, lambda: CONNECTION_LIMITS
+        )
 
     def create_application(self) -> Application:
         """Return the BlackSheep application."""
--- a/src/wagtailstep/network/head_limits.py
+++ b/src/wagtailstep/network/head_limits.py
@@ -16,6 +16,7 @@
 LOGGER = logging.getLogger(__name__)
 # Bounds the memory for the larger heads of all connections of one server.
 MAX_LARGE_HEAD_BYTES = 32 * 1_024 * 1_024
+# As for the other refusals that may end soon.
 RETRY_AFTER_S = 1
 # "GET /path HTTP/1.1" and "name: value" have these bytes besides their parts. Each
 # line ends with CRLF, as does the head.
@@ -32,7 +33,7 @@
         self._max_incomplete_event_size = size
 
 
-class LargeHeads:
+class LargeHeadMemory:
     """The heads above ``DEFAULT_HEAD_BYTES`` that one server keeps in memory.
 
     A head counts from its first byte to the end of the response. One that doesn't fit
@@ -85,12 +86,12 @@
 )
 
 
-class HeadMeter:
-    """Measures the heads on one connection and holds them to the limits.
+class HeadLimiter:
+    """Limits the heads on one connection.
 
     :param connection: the connection.
     :param exchange: state of its HTTP exchanges.
-    :param large_heads: the larger heads of all connections of the server.
+    :param memory: bounds the larger heads of all connections of the server.
 
     Attributes: ``limit`` applies to the head that is being read, or to the request
     that is being served; ``incomplete_bytes`` is the size of an incomplete head.
@@ -100,15 +101,15 @@
         self,
         connection: asyncio.Protocol,
         exchange: LimitedConnection,
-        large_heads: LargeHeads,
+        memory: LargeHeadMemory,
     ) -> None:
         self.connection = connection
         self.exchange = exchange
-        self.large_heads = large_heads
+        self.memory = memory
         self.limit = DEFAULT_HEAD_BYTES
         self.incomplete_bytes = 0
 
-    def start(self, limit: int) -> None:
+    def start_head(self, limit: int) -> None:
         """Set the limit of a head that begins now.
 
         h11 ends a connection whose incomplete head exceeds it.
@@ -117,7 +118,7 @@
             self.limit = limit
             self.exchange.limit_incomplete_event(limit)
 
-    def update(self, received_bytes: int) -> HeadRefusal | None:
+    def measure_incomplete(self, received_bytes: int) -> HeadRefusal | None:
         """Measure the incomplete head after received bytes have been parsed.
 
         The unread bytes are copied for the first part of a head only, since a large one
@@ -133,7 +134,7 @@
             self.incomplete_bytes = len(self.exchange.trailing_data[0])
         return self.reserve(self.incomplete_bytes)
 
-    def check(self, scope: Any) -> HeadRefusal | None:
+    def check_complete(self, scope: Any) -> HeadRefusal | None:
         """Return why the head of a request is refused, if it is.
 
         One that arrived in one piece was not measured before.
@@ -148,14 +149,14 @@
 
     def reserve(self, size: int) -> HeadRefusal | None:
         """Reserve memory for a head, or return why it is refused."""
-        if self.large_heads.reserve(self.connection, size):
+        if self.memory.reserve(self.connection, size):
             return None
         self.log_refusal(NO_ROOM, size)
         return NO_ROOM
 
     def release(self) -> None:
         """Release the memory of a request whose response is complete."""
-        self.large_heads.release(self.connection)
+        self.memory.release(self.connection)
 
     def log_refusal(self, refusal: HeadRefusal, size: int) -> None:
         """Log that a head is refused."""
@@ -166,7 +167,7 @@
             status=int(refusal.status),
             bytes=size,
             limit=self.limit,
-            in_memory=self.large_heads.total,
+            in_memory=self.memory.total,
         )
 
 
--- a/src/wagtailstep/network/http_protocol.py
+++ b/src/wagtailstep/network/http_protocol.py
@@ -26,8 +26,8 @@
 from wagtailstep.models.headers import REQUEST_ID
 from wagtailstep.network.early_answers import EarlyAnswer
 from wagtailstep.network.head_limits import (
-    HeadMeter,
-    LargeHeads,
+    HeadLimiter,
+    LargeHeadMemory,
     LimitedConnection,
     build_refusal_headers,
     send_refusal,
@@ -91,7 +91,7 @@
         self.wait: Wait | None = None
         self.on_change: Callable[[], None] = do_nothing
         self.conn = LimitedConnection(h11.SERVER, DEFAULT_HEAD_BYTES)
-        self.head = HeadMeter(self, self.conn, LargeHeads())
+        self.head_limiter = HeadLimiter(self, self.conn, LargeHeadMemory())
         self.received_bytes = 0
 
     @property
@@ -102,7 +102,7 @@
     @property
     def has_partial_head(self) -> bool:
         """Return whether a part of the next request's head has arrived."""
-        return self.head.incomplete_bytes > 0
+        return self.head_limiter.incomplete_bytes > 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
@@ -118,7 +118,7 @@
     def on_response_complete(self) -> None:
         """Go on with the next request, or start to wait for it."""
         self.quiet_since_s = self.loop.time()
-        self.head.release()
+        self.head_limiter.release()
         self.received_bytes = 0
         super().on_response_complete()
         self.update_wait()
@@ -197,7 +197,7 @@
         try:
             # The connection may have ended in the turn that read the request.
             if not self.transport.is_closing():
-                refusal = self.head.check(scope)
+                refusal = self.head_limiter.check_complete(scope)
                 if refusal is None:
                     await self.inner_app(scope, receive, answer.send)
                 else:
@@ -265,9 +265,9 @@
 
         uvicorn stops to read there, and would not notice that the caller disconnects.
         """
-        self.head.start(self.get_limits().max_head_bytes)
+        self.head_limiter.start_head(self.get_limits().max_head_bytes)
         super().handle_events()
-        refusal = self.head.update(self.received_bytes)
+        refusal = self.head_limiter.measure_incomplete(self.received_bytes)
         if refusal is not None:
             self.send_error_response(refusal.status, refusal.detail)
         if self.flow.read_paused and self.conn.their_state in READ_REQUEST_STATES:
@@ -291,7 +291,7 @@
             self.record_end(ConnectionEnd.CONNECTION_FAILED)
         self.record_end(ConnectionEnd.CLOSED_BEHIND_RESPONSE)
         self.stop_waiting()
-        self.head.release()
+        self.head_limiter.release()
         was_responding = self.is_responding
         super().connection_lost(exc)
         if self.handler is not None and was_responding:
--- a/src/wagtailstep/network/http_server.py
+++ b/src/wagtailstep/network/http_server.py
@@ -9,7 +9,7 @@
 from uvicorn.server import ServerState
 
 from wagtailstep.models.connection import ConnectionEnd, ConnectionLimits
-from wagtailstep.network.head_limits import LargeHeads
+from wagtailstep.network.head_limits import LargeHeadMemory
 from wagtailstep.network.http_protocol import ServerConnection
 
 BACKLOG = 1_024
@@ -38,7 +38,7 @@
         self.announce_closing = announce_closing
         self.get_limits = get_limits
         self.state = ServerState()
-        self.large_heads = LargeHeads()
+        self.head_memory = LargeHeadMemory()
         self.connection_changed = asyncio.Event()
         self.is_closing = False
         self.server: asyncio.Server | None = None
@@ -75,7 +75,7 @@
             config=self.config, server_state=self.state, app_state={}
         )
         connection.get_limits = self.get_limits
-        connection.head.large_heads = self.large_heads
+        connection.head_limiter.memory = self.head_memory
         connection.on_change = self.connection_changed.set
         return connection
 
