Split the addresses of local servers from the announcements

ServerAddresses finds who was announced at an address and whom a server replaces. No conduct changes; the features late_announcements, announcements, odd_entries, departures, server_notices and soak_departures pass.

--- a/src/wagtailstep/controllers/announcements.py
+++ b/src/wagtailstep/controllers/announcements.py
@@ -13,6 +13,7 @@
     DepartureRecord,
 )
 from wagtailstep.controllers.registrations import Registration, Registrations
+from wagtailstep.controllers.server_addresses import ServerAddresses
 from wagtailstep.controllers.unrouted_announcements import UnroutedAnnouncements
 from wagtailstep.models.blackboard import Blackboard
 from wagtailstep.models.departures import (
@@ -76,6 +77,7 @@
         self.incarnation = 0
         self.departures = DepartureRecord(blackboard, clock)
         self.unrouted = UnroutedAnnouncements(settings.service, blackboard)
+        self.addresses = ServerAddresses(blackboard, self.unrouted.is_routed)
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -137,8 +139,7 @@
         if known.born and not event.process_started:
             # Processes of this server name their start time, so it is not from one.
             return False
-        latest_start = self._latest_start_at(target.address) if needs_address else 0
-        if event.process_started < latest_start:
+        if needs_address and self._is_address_taken(event):
             return False
         registration = self.registrations.find_or_add(target.target_id)
         if registration is None:
@@ -148,43 +149,22 @@
         if registration.has_departed and event.process_started:
             return False
         if needs_address:
-            self._remove_replaced(target)
+            for name in self.addresses.list_replaced(target):
+                self._remove_target(name)
         return True
 
-    def _latest_start_at(self, address: str) -> int:
-        """Return the latest start time of a known process at an address."""
-        board = self.blackboard
-        return max(
-            (
-                self.registrations.by_target[name].born
-                for name in board.local_targets
-                if address and board.targets[name].address == address
-                if self._holds_address(name)
-            ),
-            default=0,
-        )
-
-    def _holds_address(self, target_id: str) -> bool:
-        """Return whether a server excludes earlier processes from its address.
+    def _is_address_taken(self, event: TargetAnnounced) -> bool:
+        """Return whether a later process has the address of a server.
 
         One whose lease has lapsed does not, though it stays until its requests end.
         """
-        lapsed = self.leases[target_id].leaving_since is not None
-        departed = self.registrations.by_target[target_id].has_departed
-        service = self.blackboard.targets[target_id].service
-        return self.unrouted.is_routed(service) and (departed or not lapsed)
-
-    def _remove_replaced(self, target: Target) -> None:
-        """Remove an older backend server whose address has been taken over."""
-        board = self.blackboard
-        if not self.unrouted.is_routed(target.service):
-            return
-        for name in list(board.local_targets):
-            same_address = (
-                target.address and board.targets[name].address == target.address
-            )
-            if same_address and name != target.target_id:
-                self._remove_target(name)
+        holders = self.addresses.list_holders(event.target.address)
+        return any(
+            self.registrations.by_target[name].born > event.process_started
+            for name in holders
+            if self.leases[name].leaving_since is None
+            or self.registrations.by_target[name].has_departed
+        )
 
     @handle.register
     def _(self, event: TargetWithdrawn) -> list[Any]:
