--- a/src/wagtailstep/controllers/candidates.py
+++ b/src/wagtailstep/controllers/candidates.py
@@ -54,7 +54,6 @@
     :param doubted: targets in doubted standing, for requests that can be retried.
     :param draw_weights: weights by which candidates are drawn; the effective weights
         if empty.
-    :param overdue: targets that were left out too long; each gets one request.
     """
 
     def __init__(
@@ -63,11 +62,9 @@
         created_at: timedelta,
         doubted: Sequence[Candidate] = (),
         draw_weights: Sequence[float] = (),
-        overdue: Sequence[Candidate] = (),
     ) -> None:
         self.candidates = candidates
         self.doubted = doubted
-        self.overdue = list(overdue)
         self.created_at = created_at
         weights = [c.effective_weight for c in candidates]
         self.cumulative_weights = list(itertools.accumulate(draw_weights or weights))
@@ -109,9 +106,9 @@
     (:meth:`CandidatePool.compute_probe_ratio`) and, while the service leaves requests
     unserved, others (:class:`~wagtailstep.controllers.trials.ServiceTrials`). Its gate
     refuses all for at most ``FAILING_HOLD``, the others for ``TRIAL_DELAY``, and
-    without any request the log odds decay within six seconds. Targets that declined
-    (``DECLINE_RETENTION``) come on top. ``MAX_LEFT_OUT`` bounds the sum of this and of
-    avoided paths for one daemon.
+    without any request the log odds decay within six seconds. Avoided paths
+    (``MAX_AVOIDANCE``, for one daemon) and targets that declined
+    (``DECLINE_RETENTION``) come on top.
     """
     for limit in (TargetStanding.DOUBTED, TargetStanding.FAILING):
         kept = [c for c in candidates if c.target.standing < limit]
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -16,9 +16,9 @@
 from wagtailstep.controllers.candidates import (
     Candidate,
     CandidatePool,
+    exclude_doubted,
 )
 from wagtailstep.controllers.departure_discovery import may_have_departed
-from wagtailstep.controllers.exclusion_bounds import LeftOutTimes, split_candidates
 from wagtailstep.controllers.exclusions import ExclusionLog, ExclusionReason
 from wagtailstep.controllers.limits import AccountLimiter, check_concurrency
 from wagtailstep.controllers.request_rates import compute_rate_share
@@ -81,7 +81,6 @@
         self.requested_services = RequestedServices(blackboard, clock)
         self.exclusions = ExclusionLog(clock)
         self.trials: dict[str, ServiceTrials] = {}
-        self.left_out: dict[str, LeftOutTimes] = {}
 
     @singledispatchmethod
     def handle(self, event: Any) -> list[Any]:
@@ -93,8 +92,6 @@
         self.requested_services.expire()
         for service in self.trials.keys() - self.requested_services.by_name.keys():
             del self.trials[service]
-        for service in self.left_out.keys() - self.requested_services.by_name.keys():
-            del self.left_out[service]
         return self.exclusions.create_events(self.requested_services.by_name)
 
     def admit(self, request: RequestContext) -> None:
@@ -146,10 +143,7 @@
             return self.pick_untried(service, tried)
         while True:
             pool = self.get_pool(service)
-            overdue = self.pop_overdue(service, pool, may_probe)
-            if overdue is not None:
-                first = second = overdue
-            elif pool.doubted and self.rng.random() < self.compute_try_ratio(
+            if pool.doubted and self.rng.random() < self.compute_try_ratio(
                 service, pool, may_probe()
             ):
                 trials = self.trials[service]
@@ -157,30 +151,9 @@
             else:
                 first, second = pool.draw(self.rng)
             if self.is_current(first) and self.is_current(second):
-                chosen = self.choose_cheaper(first, second, pool.mean_weight).target
-                times = self.left_out.get(service)
-                if times is not None and times.since:
-                    times.record_request(chosen.target_id, self.clock.monotonic())
-                return chosen
+                return self.choose_cheaper(first, second, pool.mean_weight).target
             del self.pools[service]
 
-    def pop_overdue(
-        self, service: str, pool: CandidatePool, may_probe: Callable[[], bool]
-    ) -> Candidate | None:
-        """Return a target that was left out too long, if the request may go there.
-
-        A doubted one gets a request that can't be retried only while the service is
-        short of servers: else nobody is served better by a likely failure.
-        """
-        for candidate in pool.overdue:
-            if candidate.target.standing >= TargetStanding.DOUBTED and not may_probe():
-                trials = self.trials.setdefault(service, ServiceTrials())
-                if trials.compute_shortage(self.clock.monotonic()) <= 0:
-                    continue
-            pool.overdue.remove(candidate)
-            return candidate
-        return None
-
     def compute_try_ratio(
         self, service: str, pool: CandidatePool, is_retryable: bool
     ) -> float:
@@ -263,17 +236,17 @@
                 f"no backend server of service {service!r} currently accepts requests; "
                 "retry after the time in Retry-After"
             )
-        times = self.left_out.setdefault(service, LeftOutTimes())
-        floor = 0.0
-        if any(candidate.is_avoided for candidate in candidates):
-            floor = self.blackboard.table.service_row(service).floor_weight
-        overdue = times.find_overdue(candidates, now)
-        split = split_candidates(candidates, floor, overdue)
-        times.update(candidates, split, now)
-        self.exclusions.record(service, len(split.kept), excluded + split.excluded)
-        weights = [self.compute_draw_weight(c) for c in split.kept]
-        pool = CandidatePool(split.kept, now, split.doubted, weights, split.overdue)
-        self.pools[service] = pool
+        usable = self.exclude_avoided(service, candidates)
+        kept = exclude_doubted(usable)
+        worst_kept = max(c.target.standing for c in kept)
+        worse = [c for c in usable if c.target.standing > worst_kept]
+        doubted = [c for c in worse if c.is_doubted]
+        excluded[ExclusionReason.PATH_AVOIDED] += len(candidates) - len(usable)
+        excluded[ExclusionReason.DOUBTED] += len(doubted)
+        excluded[ExclusionReason.FAILING] += len(worse) - len(doubted)
+        self.exclusions.record(service, len(kept), excluded)
+        weights = [self.compute_draw_weight(c) for c in kept]
+        pool = self.pools[service] = CandidatePool(kept, now, doubted, weights)
         return pool
 
     def compute_draw_weight(self, candidate: Candidate) -> float:
@@ -358,6 +331,30 @@
         member = self.blackboard.members.get(target.daemon_id)
         return member is not None and member.state in _USABLE_MEMBERS
 
+    def exclude_avoided(
+        self, service: str, candidates: list[Candidate]
+    ) -> list[Candidate]:
+        """Exclude avoided targets as far as the floor permits.
+
+        A path is avoided by this daemon alone, for at most ``MAX_AVOIDANCE``. Targets
+        in doubted standing are excluded from the rest (:func:`exclude_doubted`).
+
+        :return: at least one candidate, with a total weight of at least the floor if
+            all candidates together have that much.
+        """
+        kept = [c for c in candidates if not c.is_avoided]
+        if len(kept) == len(candidates):
+            return candidates
+        floor = self.blackboard.table.service_row(service).floor_weight
+        weight = sum(c.weight for c in kept)
+        avoided = [c for c in candidates if c.is_avoided]
+        for candidate in sorted(avoided, key=_avoidance_order):
+            if kept and weight >= floor:
+                break
+            kept.append(candidate)
+            weight += candidate.weight
+        return kept
+
     def choose_cheaper(
         self, first: Candidate, second: Candidate, mean_weight: float
     ) -> Candidate:
@@ -387,6 +384,10 @@
         return cost * candidate.health.penalty * STANDING_COST_FACTORS[target.standing]
 
 
+def _avoidance_order(candidate: Candidate) -> tuple[float, str]:
+    return candidate.health.penalty, candidate.target.target_id
+
+
 def _increment(counts: dict[str, int], key: str) -> None:
     counts[key] = counts.get(key, 0) + 1
 
