--- a/src/wagtailstep/controllers/candidates.py
+++ b/src/wagtailstep/controllers/candidates.py
@@ -94,6 +94,31 @@
         return first, second
 
 
+def exclude_avoided(candidates: list[Candidate], floor: float) -> list[Candidate]:
+    """Exclude avoided targets as far as the floor permits.
+
+    A path is avoided by this daemon alone, for at most ``MAX_AVOIDANCE``. Targets in
+    doubted standing are excluded from the rest (:func:`exclude_doubted`).
+
+    :param floor: total weight that is kept, if all candidates together have that much.
+    :return: at least one candidate.
+    """
+    kept = [candidate for candidate in candidates if not candidate.is_avoided]
+    weight = sum(candidate.weight for candidate in kept)
+    avoided = [candidate for candidate in candidates if candidate.is_avoided]
+    for candidate in sorted(avoided, key=get_avoidance_order):
+        if kept and weight >= floor:
+            break
+        kept.append(candidate)
+        weight += candidate.weight
+    return kept
+
+
+def get_avoidance_order(candidate: Candidate) -> tuple[float, str]:
+    """Return the order in which avoided targets are used nevertheless."""
+    return candidate.health.penalty, candidate.target.target_id
+
+
 def exclude_doubted(candidates: list[Candidate]) -> list[Candidate]:
     """Exclude targets in doubted or failing standing, unless there is no better one.
 
--- a/src/wagtailstep/controllers/routing.py
+++ b/src/wagtailstep/controllers/routing.py
@@ -16,6 +16,7 @@
 from wagtailstep.controllers.candidates import (
     Candidate,
     CandidatePool,
+    exclude_avoided,
     exclude_doubted,
 )
 from wagtailstep.controllers.departure_discovery import may_have_departed
@@ -334,26 +335,11 @@
     def exclude_avoided(
         self, service: str, candidates: list[Candidate]
     ) -> list[Candidate]:
-        """Exclude avoided targets as far as the floor permits.
-
-        A path is avoided by this daemon alone, for at most ``MAX_AVOIDANCE``. Targets
-        in doubted standing are excluded from the rest (:func:`exclude_doubted`).
-
-        :return: at least one candidate, with a total weight of at least the floor if
-            all candidates together have that much.
-        """
-        kept = [c for c in candidates if not c.is_avoided]
-        if len(kept) == len(candidates):
+        """Exclude avoided targets as far as the service's floor permits."""
+        if not any(candidate.is_avoided for candidate in candidates):
             return candidates
         floor = self.blackboard.table.service_row(service).floor_weight
-        weight = sum(c.weight for c in kept)
-        avoided = [c for c in candidates if c.is_avoided]
-        for candidate in sorted(avoided, key=_avoidance_order):
-            if kept and weight >= floor:
-                break
-            kept.append(candidate)
-            weight += candidate.weight
-        return kept
+        return exclude_avoided(candidates, floor)
 
     def choose_cheaper(
         self, first: Candidate, second: Candidate, mean_weight: float
@@ -384,10 +370,6 @@
         return cost * candidate.health.penalty * STANDING_COST_FACTORS[target.standing]
 
 
-def _avoidance_order(candidate: Candidate) -> tuple[float, str]:
-    return candidate.health.penalty, candidate.target.target_id
-
-
 def _increment(counts: dict[str, int], key: str) -> None:
     counts[key] = counts.get(key, 0) + 1
 
--- a/src/wagtailstep/fakes/backend_server.py
+++ b/src/wagtailstep/fakes/backend_server.py
@@ -30,20 +30,17 @@
     WorkCounts,
     read_work,
 )
-from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.settings import (
     check_address,
     check_name,
     not_negative,
     positive,
 )
-from wagtailstep.network.head_limits import MAX_LARGE_HEAD_BYTES
+from wagtailstep.network.head_limits import PEER_LIMITS
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.network.route_handlers import wrap_handler
 from wagtailstep.utils.clock import LoopClock
 
-# Gates have limited the heads already.
-CONNECTION_LIMITS = ConnectionLimits(max_head_bytes=MAX_LARGE_HEAD_BYTES)
 MAX_ARRIVALS = 20_000
 MAX_TIME_TO_CRASH_S = 0.12
 
@@ -120,9 +117,7 @@
         # Event loop times in seconds of requests that failed due to a fault.
         self.failed_at: deque[float] = deque(maxlen=MAX_ARRIVALS)
         self.application = self.create_application()
-        self.server = HttpServer(
-            self.application, lambda: None, lambda: CONNECTION_LIMITS
-        )
+        self.server = HttpServer(self.application, lambda: None, lambda: PEER_LIMITS)
 
     def create_application(self) -> Application:
         """Return the BlackSheep application."""
--- a/src/wagtailstep/network/daemon.py
+++ b/src/wagtailstep/network/daemon.py
@@ -19,7 +19,6 @@
 from wagtailstep.controllers.retry_lending import RetryLending
 from wagtailstep.controllers.routing import RoutingController
 from wagtailstep.models.blackboard import Blackboard
-from wagtailstep.models.connection import ConnectionLimits
 from wagtailstep.models.departures import (
     LookUpDepartures,
     RetryDeparturesRead,
@@ -46,7 +45,7 @@
 from wagtailstep.network.forwarder import HttpForwarder
 from wagtailstep.network.gate import GateService
 from wagtailstep.network.gate_metrics import register_gate_metrics
-from wagtailstep.network.head_limits import MAX_LARGE_HEAD_BYTES
+from wagtailstep.network.head_limits import PEER_LIMITS, get_caller_limits
 from wagtailstep.network.http_client import HttpClient
 from wagtailstep.network.http_server import HttpServer
 from wagtailstep.network.metrics import MetricsRecorder
@@ -60,8 +59,6 @@
 
 LOGGER = logging.getLogger(__name__)
 TICKET_POLL_MS = 50
-# Other daemons have limited the heads; the table of this one may be older or newer.
-PEER_LIMITS = ConnectionLimits(max_head_bytes=MAX_LARGE_HEAD_BYTES)
 
 
 class Daemon:
@@ -208,7 +205,7 @@
         self.caller_server = HttpServer(
             caller_app,
             caller_app.announce_closing,
-            self.get_caller_limits,
+            lambda: get_caller_limits(self.blackboard),
         )
         self.gate_server = HttpServer(
             gate_app, gate_app.announce_closing, lambda: PEER_LIMITS
@@ -218,16 +215,6 @@
         self.metrics_server = HttpServer(self.metrics_app, lambda: None)
         self.caller_app = caller_app
 
-    def get_caller_limits(self) -> ConnectionLimits:
-        """Return the limits of callers' connections.
-
-        Without a table nothing is known of the size of heads; requests get 503 then.
-        """
-        limits = self.blackboard.table.connection_limits
-        if self.blackboard.table_known:
-            return limits
-        return attrs.evolve(limits, max_head_bytes=MAX_LARGE_HEAD_BYTES)
-
     async def start(self) -> None:
         """Start to listen, join the fleet and accept requests.
 
--- a/src/wagtailstep/network/head_limits.py
+++ b/src/wagtailstep/network/head_limits.py
@@ -8,7 +8,8 @@
 import attrs
 import h11
 
-from wagtailstep.models.connection import DEFAULT_HEAD_BYTES
+from wagtailstep.models.blackboard import Blackboard
+from wagtailstep.models.connection import DEFAULT_HEAD_BYTES, ConnectionLimits
 from wagtailstep.models.headers import REASON, RETRY_AFTER, VERDICT
 from wagtailstep.models.verdict import Verdict
 from wagtailstep.utils.logging import log_event
@@ -16,6 +17,8 @@
 LOGGER = logging.getLogger(__name__)
 # Bounds the memory for the larger heads of all connections of one server.
 MAX_LARGE_HEAD_BYTES = 32 * 1_024 * 1_024
+# Other daemons have limited the heads; the table of this one may be older or newer.
+PEER_LIMITS = ConnectionLimits(max_head_bytes=MAX_LARGE_HEAD_BYTES)
 # As for the other refusals that may end soon.
 RETRY_AFTER_S = 1
 # "GET /path HTTP/1.1" and "name: value" have these bytes besides their parts. Each
@@ -25,6 +28,17 @@
 HEAD_END = len("\r\n")
 
 
+def get_caller_limits(board: Blackboard) -> ConnectionLimits:
+    """Return the limits of callers' connections.
+
+    Without a table nothing is known of the size of heads; requests get 503 then.
+    """
+    limits = board.table.connection_limits
+    if board.table_known:
+        return limits
+    return attrs.evolve(limits, max_head_bytes=MAX_LARGE_HEAD_BYTES)
+
+
 class LimitedConnection(h11.Connection):
     """The state of an HTTP exchange whose limit on incomplete events can change."""
 
