--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -45,7 +45,7 @@
 SLOW_SHARE = 0.3
 PLANNED = PLANNED_OPERATIONS | {"hup", "grace", "heads"}
 LONG_GRACE_S = 10.0
-# Longer than what a shutdown within the shorter grace leaves from its second second on.
+# Longer than a shutdown within ``GRACE_S`` leaves 1.3 s after SIGTERM.
 LONG_WORK_MS = 4_600
 SIGNALLED_SHARE = 0.7
 
--- a/benchmarks/soak/heads.py
+++ b/benchmarks/soak/heads.py
@@ -5,36 +5,40 @@
 
 from benchmarks.soak.departures import was_disturbed
 from benchmarks.soak.fleet import ROUTE_HOST, STORE_HOST, Host, SoakFleet
+from wagtailstep.models.connection import DEFAULT_HEAD_BYTES
 
-# The limit while a configuration names none.
-DEFAULT_LIMIT = 32_768
-LIMITS = (16_384, 49_152, 65_536, 131_072)
+LIMITS_BYTES = (16_384, 49_152, 65_536, 131_072)
 # A version is in force everywhere within this time.
 APPLY_S = 2.5
-MAX_BELOW_LIMIT = 200
+MAX_BYTES_BELOW_LIMIT = 200
 MAX_FIELD_BYTES = 1_000
 TIMEOUT_MS = 5_000
 PACKET_BYTES = 1_460
 # Pieces without a pause would arrive together.
 PAUSE_S = 0.001
-RETRYABLE = (408, 421, 429)
+# Refusals after which callers try again.
+RETRYABLE_STATUSES = (408, 421, 429)
 
 
 async def change_head_limit(fleet: SoakFleet, host: Host, rng: random.Random) -> None:
     """Publish a new limit on heads and send some that are close below it."""
-    fleet.limits = {"max-header-bytes": rng.choice(LIMITS)}
+    fleet.limits = {"max-header-bytes": rng.choice(LIMITS_BYTES)}
     fleet.publish()
     await asyncio.sleep(APPLY_S)
     for _ in range(rng.randint(2, 6)):
         name = rng.choice(fleet.hosts).name
         at_s = asyncio.get_running_loop().time()
-        size = find_lowest_limit(fleet, at_s) - rng.randint(0, MAX_BELOW_LIMIT)
+        size = find_lowest_limit(fleet, at_s) - rng.randint(0, MAX_BYTES_BELOW_LIMIT)
         piece = rng.choice((PACKET_BYTES, 5 * PACKET_BYTES, size))
         status, _ = await send_head(name, size, piece)
         is_disturbed = any(
             was_disturbed(fleet, each, at_s) for each in (name, STORE_HOST)
         )
-        if 400 <= status < 500 and status not in RETRYABLE and not is_disturbed:
+        if (
+            400 <= status < 500
+            and status not in RETRYABLE_STATUSES
+            and not is_disturbed
+        ):
             fleet.wrong_refusals.append(
                 f"a head of {size} bytes in pieces of {piece} got {status} at {name}"
             )
@@ -46,7 +50,7 @@
     earlier = [p for p in fleet.publications if p.at_s <= at_s - APPLY_S]
     recent = [p for p in fleet.publications if p.at_s > at_s - APPLY_S]
     return min(
-        publication.limits.get("max-header-bytes", DEFAULT_LIMIT)
+        publication.limits.get("max-header-bytes", DEFAULT_HEAD_BYTES)
         for publication in [*earlier[-1:], *recent]
     )
 
