--- a/features/departures.feature
+++ b/features/departures.feature
@@ -112,6 +112,7 @@
       | draining | 0     |
       | draining | 84    |
 
+  # Guards against sound servers that are left out until the store serves their daemon.
   Scenario Outline: A daemon that the store refuses uses a sound server at once
     Given a fleet of daemons with a backend server each
     When <killed> killed beside a sound server while the store <trouble> its daemon
@@ -143,14 +144,14 @@
     Then it offers the servers beside it from <offered> ms on
 
     Examples:
-      | table | answer                           | after | offered |
-      | 400   | no answer                        | 0     | 1400    |
-      | 20000 | no answer                        | 0     | 10000   |
-      | 400   | the records                      | 600   | 600     |
-      | 400   | all that another daemon heard    | 600   | 600     |
-      | 400   | records for its earlier process  | 600   | 1400    |
-      | 400   | some departures                  | 600   | 1400    |
-      | 5000  | its own read                     | 200   | 200     |
+      | table | answer                          | after | offered |
+      | 400   | no answer                       | 0     | 1400    |
+      | 20000 | no answer                       | 0     | 10000   |
+      | 400   | the records                     | 600   | 600     |
+      | 400   | all that another daemon heard   | 600   | 600     |
+      | 400   | records for its earlier process | 600   | 1400    |
+      | 400   | some departures                 | 600   | 1400    |
+      | 5000  | its own read                    | 200   | 200     |
 
   Scenario: A new process of a server that has left is offered as soon as before
     Given a fleet of daemons with a backend server each
--- a/features/head_limits.feature
+++ b/features/head_limits.feature
@@ -20,6 +20,7 @@
       | 0       | 32768   | 1460   | 200    |
       | 0       | 32769   | 40000  | 431    |
 
+  # Guards against a head that a new version refuses though it began before.
   Scenario Outline: The limit that was in force when a head began holds for it
     Given a fleet whose operator allows heads of <before> bytes
     When a request with a head of 48000 bytes arrives over 3000 ms
@@ -31,6 +32,7 @@
       | 65536  | 16384 | 200    |
       | 16384  | 65536 | 431    |
 
+  # Guards against a 431, which callers don't retry, where 503 is the answer.
   Scenario: A daemon without a table refuses no head for good
     Given a fleet whose store refuses all daemons
     When a request with a head of 48000 bytes arrives in pieces of 1460 bytes
